--- /dev/null
+++ b/crates/benchlink/src/door.rs
@@ -0,0 +1,259 @@
+//! The door: where names become small indices, events become calls on the module, and its answers are written.
+use quartzhub_policy::{Answers, Ask, Balancer, CallIx, Ending, Listing, ServerIx, Settings, Span, Time};
+use rustc_hash::FxHashMap;
+
+use crate::wire::{self, Action, Batch, Member, News, Text};
+
+#[derive(Default)]
+pub struct Process {
+    nodes: FxHashMap<String, Instance>,
+    lists: Vec<Vec<Member>>,
+}
+
+struct Instance {
+    balancer: Balancer,
+    names: Names,
+    products: Vec<String>,
+    tenants: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+}
+
+/// Which index stands for which id at one instance.
+#[derive(Default)]
+struct Names {
+    calls: FxHashMap<Box<str>, CallIx>,
+    tickets: Vec<Box<str>>,
+    free: Vec<CallIx>,
+    servers: FxHashMap<String, ServerIx>,
+    addresses: Vec<String>,
+}
+
+impl Names {
+    fn new_call(&mut self, ticket: &str) -> Option<CallIx> {
+        if self.calls.contains_key(ticket) {
+            return None;
+        }
+        let ix = self.free.pop().unwrap_or_else(|| {
+            self.tickets.push(Box::default());
+            CallIx(self.tickets.len() as u32 - 1)
+        });
+        self.tickets[ix.0 as usize] = ticket.into();
+        self.calls.insert(ticket.into(), ix);
+        Some(ix)
+    }
+
+    fn server(&mut self, address: &str) -> ServerIx {
+        if let Some(ix) = self.servers.get(address) {
+            return *ix;
+        }
+        let ix = ServerIx(self.addresses.len() as u32);
+        self.addresses.push(address.to_owned());
+        self.servers.insert(address.to_owned(), ix);
+        ix
+    }
+}
+
+/// Writes the module's answers straight into the reply.
+struct Reply<'a> {
+    names: &'a mut Names,
+    out: &'a mut Vec<u8>,
+}
+
+impl Reply<'_> {
+    fn about(&mut self, action: &str, call: CallIx) -> Action<'_> {
+        Action::new(self.out, action).text("Ticket", &self.names.tickets[call.0 as usize])
+    }
+}
+
+impl Answers for Reply<'_> {
+    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time) {
+        let ticket = &self.names.tickets[call.0 as usize];
+        let address = &self.names.addresses[server.0 as usize];
+        let action = Action::new(self.out, "Dispatch").text("Ticket", ticket);
+        action.text("Server", address).number("Until", until.ms()).end();
+    }
+    fn cancel(&mut self, call: CallIx, shot: usize) {
+        self.about("AbortAttempt", call).count("Copy", shot).end();
+    }
+    fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>) {
+        let action = self.about("Reject", call);
+        match retry_in {
+            Some(wait) => action.number("RetryIn", wait.as_ms()).end(),
+            None => action.end(),
+        }
+    }
+    fn error(&mut self, call: CallIx) {
+        self.about("RespondError", call).end();
+    }
+    fn forget(&mut self, call: CallIx) {
+        let ticket = &self.names.tickets[call.0 as usize];
+        if self.names.calls.remove(ticket).is_some() {
+            self.names.free.push(call);
+        }
+    }
+    fn wake(&mut self, after: Span) {
+        Action::new(self.out, "SetAlarm").number("FromNow", after.as_ms()).text("Label", "tick").end();
+    }
+    fn watch(&mut self) {
+        Action::new(self.out, "Watch").flag("On", true).end();
+    }
+    fn reload(&mut self) {
+        Action::new(self.out, "Reload").end();
+    }
+}
+
+impl Process {
+    /// Reads one batch and appends the reply to it, with its line end.
+    pub fn batch(&mut self, line: &[u8], reply: &mut Vec<u8>) -> Result<(), String> {
+        let batch: Batch = serde_json::from_slice(line).map_err(|e| format!("not a batch: {e}"))?;
+        let now = Time::from_ms(batch.now);
+        reply.extend_from_slice(b"{\"nodes\":[");
+        for node in batch.nodes {
+            let before = reply.len();
+            if reply.last() == Some(&b'}') {
+                reply.push(b',');
+            }
+            reply.extend_from_slice(b"{\"NodeId\":");
+            let _ = serde_json::to_writer(&mut *reply, &node.id.0);
+            reply.extend_from_slice(b",\"steps\":[");
+            let start = reply.len();
+            for news in node.news {
+                self.event(&node.id.0, now, news, reply).map_err(|what| format!("{}: {what}", node.id.0))?;
+            }
+            if reply.len() == start {
+                reply.truncate(before);
+            } else {
+                reply.extend_from_slice(b"]}");
+            }
+        }
+        reply.extend_from_slice(b"]}\n");
+        Ok(())
+    }
+
+    fn event(&mut self, node: &str, now: Time, news: News, out: &mut Vec<u8>) -> Result<(), String> {
+        match &*news.msg.0 {
+            "Create" => {
+                let setup = news.setup.ok_or("Create without Setup")?;
+                let settings = wire::settings(&setup);
+                let mut instance = Instance::new(&settings, news.prng.unwrap_or(0));
+                let mut reply = Reply { names: &mut instance.names, out };
+                instance.balancer.start(now, &mut reply);
+                self.nodes.insert(node.to_owned(), instance);
+            }
+            "Halt" => drop(self.nodes.remove(node)),
+            "Manifest" => {
+                let list = news.list.ok_or("Manifest without List")? as usize;
+                if list > 4096 {
+                    return Err(format!("Manifest number {list} out of range"));
+                }
+                self.lists.resize_with(self.lists.len().max(list + 1), Vec::new);
+                self.lists[list] = news.members.ok_or("Manifest without Members")?;
+            }
+            "Fleet" | "Order" | "FirstByte" | "Done" | "Withdrawn" | "Elapsed" => {
+                if let Some(instance) = self.nodes.get_mut(node) {
+                    instance.event(now, news, &self.lists, out)?;
+                }
+            }
+            // No probes and no messages between nodes are sent, so nothing hangs on these.
+            "HealthResult" | "Mail" => {}
+            other => return Err(format!("unknown message {other:?}")),
+        }
+        Ok(())
+    }
+}
+
+impl Instance {
+    fn new(settings: &Settings, seed: u64) -> Instance {
+        let names = |of: &str, field: &str| {
+            let name = |i| settings.text(&format!("{of}.{i}{field}")).to_owned();
+            (0..settings.count(of)).map(name).collect()
+        };
+        Instance {
+            balancer: Balancer::new(settings, seed),
+            names: Names::default(),
+            products: names("products", ".name"),
+            tenants: names("projects", ".name"),
+            zones: names("localities", ""),
+            kinds: names("kinds", ""),
+        }
+    }
+
+    fn event(
+        &mut self,
+        now: Time,
+        news: News,
+        lists: &[Vec<Member>],
+        out: &mut Vec<u8>,
+    ) -> Result<(), String> {
+        let text = |text: &Option<Text>| text.as_ref().map(|t| t.0.to_string()).unwrap_or_default();
+        let ticket = news.ticket.as_ref().map_or("", |t| &*t.0);
+        match &*news.msg.0 {
+            "Elapsed" => {
+                let mut reply = Reply { names: &mut self.names, out };
+                self.balancer.tick(now, &mut reply);
+            }
+            "Order" => {
+                let Some(call) = self.names.new_call(ticket) else { return Ok(()) };
+                let ask = Ask {
+                    product: place(&self.products, news.band.as_ref().map(|t| &*t.0)),
+                    tenant: place(&self.tenants, news.realm.as_ref().map(|t| &*t.0)),
+                    key: news.partition_key.as_ref().map(|t| &*t.0),
+                    write: news.bitmap.unwrap_or(0) & 4 != 0,
+                    left: Span::from_ms(news.grace.ok_or("Order without Grace")?),
+                };
+                let mut reply = Reply { names: &mut self.names, out };
+                self.balancer.call(now, call, ask, &mut reply);
+            }
+            "Fleet" => {
+                let kind = text(&news.kind);
+                if kind == "Error" {
+                    self.balancer.list_failed(now);
+                    return Ok(());
+                }
+                let list = news.list.ok_or("Fleet without List")? as usize;
+                let members =
+                    lists.get(list).ok_or_else(|| format!("Fleet names list {list}, never given"))?;
+                let indices: Vec<_> = members.iter().map(|m| self.names.server(&m.server)).collect();
+                let lines = members.iter().zip(indices).map(|(member, server)| Listing {
+                    server,
+                    name: &member.server,
+                    zone: place(&self.zones, member.region_part.as_deref()) as u32,
+                    kind: place(&self.kinds, member.family_type.as_deref()) as u32,
+                    cell: member.bay.unwrap_or(u32::MAX),
+                    state: member.state(),
+                    scale: member.scale.unwrap_or(1.0),
+                    started: member.launched.filter(|at| *at != 0.0).map(Time::from_ms),
+                });
+                let (complete, fresh) = (kind != "Partial", kind != "Persisted");
+                let mut reply = Reply { names: &mut self.names, out };
+                self.balancer.list(now, complete, fresh, lines, &mut reply);
+            }
+            _ => {
+                // An id that was dropped on an earlier outcome may still appear.
+                let Some(call) = self.names.calls.get(ticket).copied() else { return Ok(()) };
+                let mut reply = Reply { names: &mut self.names, out };
+                let shot = news.copy.unwrap_or(u64::MAX) as usize;
+                match &*news.msg.0 {
+                    "Withdrawn" => self.balancer.withdrawn(now, call, &mut reply),
+                    "FirstByte" => self.balancer.first_byte(now, call, shot, &mut reply),
+                    _ => {
+                        let ending = Ending {
+                            shot,
+                            outcome: wire::outcome(news.result.as_ref().map_or("", |t| &*t.0)),
+                            took: Span::from_ms(news.lag.unwrap_or(0.0)),
+                            call_ended: news.done_flag.unwrap_or(false),
+                        };
+                        self.balancer.outcome(now, call, ending, &mut reply);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A name's place in the settings, or one beyond them all.
+fn place(names: &[String], name: Option<&str>) -> usize {
+    names.iter().position(|known| Some(known.as_str()) == name).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/benchlink/src/wire.rs
@@ -0,0 +1,189 @@
+//! The wire's words: what is read, and how replies are written.
+use std::borrow::Cow;
+use std::fmt;
+
+use quartzhub_policy::{Outcome, Settings, State, Value};
+use serde::de::{Deserialize, Deserializer, Error, Visitor};
+
+/// A text borrowed from the line unless it holds escapes.
+#[derive(Debug, Clone, Default)]
+pub struct Text<'a>(pub Cow<'a, str>);
+
+impl<'de: 'a, 'a> Deserialize<'de> for Text<'a> {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        struct Borrow;
+        impl<'de> Visitor<'de> for Borrow {
+            type Value = Text<'de>;
+            fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+                f.write_str("a text")
+            }
+            fn visit_borrowed_str<E: Error>(self, text: &'de str) -> Result<Text<'de>, E> {
+                Ok(Text(Cow::Borrowed(text)))
+            }
+            fn visit_str<E: Error>(self, text: &str) -> Result<Text<'de>, E> {
+                Ok(Text(Cow::Owned(text.to_owned())))
+            }
+            // Sites without tenants may say 0 for none.
+            fn visit_u64<E: Error>(self, _: u64) -> Result<Text<'de>, E> {
+                Ok(Text::default())
+            }
+        }
+        from.deserialize_any(Borrow)
+    }
+}
+
+#[derive(serde::Deserialize)]
+pub struct Batch<'a> {
+    #[serde(rename = "SimTime")]
+    pub now: f64,
+    #[serde(borrow, default)]
+    pub nodes: Vec<Node<'a>>,
+}
+
+#[derive(serde::Deserialize)]
+pub struct Node<'a> {
+    #[serde(rename = "NodeId", borrow)]
+    pub id: Text<'a>,
+    #[serde(borrow, default)]
+    pub news: Vec<News<'a>>,
+}
+
+/// Any event: the fields that some event has. Unknown ones are skipped.
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct News<'a> {
+    #[serde(rename = "msg", borrow)]
+    pub msg: Text<'a>,
+    #[serde(borrow)]
+    pub ticket: Option<Text<'a>>,
+    #[serde(borrow)]
+    pub band: Option<Text<'a>>,
+    #[serde(borrow)]
+    pub partition_key: Option<Text<'a>>,
+    #[serde(borrow)]
+    pub realm: Option<Text<'a>>,
+    #[serde(borrow)]
+    pub result: Option<Text<'a>>,
+    #[serde(borrow)]
+    pub kind: Option<Text<'a>>,
+    pub grace: Option<f64>,
+    pub bitmap: Option<u64>,
+    pub lag: Option<f64>,
+    pub copy: Option<u64>,
+    pub done_flag: Option<bool>,
+    pub list: Option<u64>,
+    pub members: Option<Vec<Member>>,
+    pub prng: Option<u64>,
+    pub setup: Option<Box<serde_json::Value>>,
+}
+
+/// A line of the server list; lists outlive their batch, so it owns its texts.
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Member {
+    pub server: String,
+    pub region_part: Option<String>,
+    pub family_type: Option<String>,
+    pub bay: Option<u32>,
+    pub availability: Option<String>,
+    pub scale: Option<f64>,
+    pub launched: Option<f64>,
+}
+
+impl Member {
+    /// An unknown state is read as draining: nothing new goes there.
+    pub fn state(&self) -> State {
+        match self.availability.as_deref() {
+            Some("on") => State::Ready,
+            Some("off") => State::Gone,
+            _ => State::Draining,
+        }
+    }
+}
+
+pub fn outcome(code: &str) -> Outcome {
+    match code {
+        "OK" => Outcome::Fulfilled,
+        "INTERNAL" => Outcome::Broken,
+        "RESOURCE_EXHAUSTED" => Outcome::Full,
+        "DEADLINE_EXCEEDED" => Outcome::TimedOut,
+        "UNAVAILABLE" => Outcome::Unreachable,
+        "ABORTED" => Outcome::Reset,
+        "CANCELLED" => Outcome::Cancelled,
+        "TOO_LATE" => Outcome::TooLate,
+        "NOT_FOUND" => Outcome::Miss,
+        _ => Outcome::Unknown,
+    }
+}
+
+/// `Products[0].LatencySlo` of the wire becomes `products.0.latency_slo` of the plain map.
+pub fn settings(setup: &serde_json::Value) -> Settings {
+    fn put(name: String, value: &serde_json::Value, into: &mut Settings) {
+        let under = |part: &str| if name.is_empty() { part.to_owned() } else { format!("{name}.{part}") };
+        let value = match value {
+            serde_json::Value::Null => return,
+            serde_json::Value::Bool(flag) => Value::Flag(*flag),
+            serde_json::Value::Number(n) => Value::Number(n.as_f64().unwrap_or(f64::NAN)),
+            serde_json::Value::String(text) => Value::Text(text.clone()),
+            serde_json::Value::Array(items) => {
+                return items.iter().enumerate().for_each(|(i, item)| put(under(&i.to_string()), item, into));
+            }
+            serde_json::Value::Object(fields) => {
+                return fields.iter().for_each(|(key, item)| put(under(&snake(key)), item, into));
+            }
+        };
+        into.0.insert(name, value);
+    }
+    let mut plain = Settings::default();
+    put(String::new(), setup, &mut plain);
+    plain
+}
+
+fn snake(pascal: &str) -> String {
+    let mut out = String::new();
+    for c in pascal.chars() {
+        if c.is_ascii_uppercase() && !out.is_empty() {
+            out.push('_');
+        }
+        out.push(c.to_ascii_lowercase());
+    }
+    out
+}
+
+/// Appends one action to a reply: its name, then its fields.
+pub struct Action<'a>(&'a mut Vec<u8>);
+
+impl<'a> Action<'a> {
+    pub fn new(reply: &'a mut Vec<u8>, name: &str) -> Action<'a> {
+        if reply.last() == Some(&b'}') {
+            reply.push(b',');
+        }
+        reply.extend_from_slice(b"{\"msg\":\"");
+        reply.extend_from_slice(name.as_bytes());
+        reply.push(b'"');
+        Action(reply)
+    }
+    fn field(self, name: &str, value: impl serde::Serialize) -> Action<'a> {
+        self.0.extend_from_slice(b",\"");
+        self.0.extend_from_slice(name.as_bytes());
+        self.0.extend_from_slice(b"\":");
+        // Writing a number or a text to memory cannot fail.
+        let _ = serde_json::to_writer(&mut *self.0, &value);
+        self
+    }
+    pub fn text(self, name: &str, value: &str) -> Action<'a> {
+        self.field(name, value)
+    }
+    pub fn number(self, name: &str, value: f64) -> Action<'a> {
+        self.field(name, value)
+    }
+    pub fn count(self, name: &str, value: usize) -> Action<'a> {
+        self.field(name, value)
+    }
+    pub fn flag(self, name: &str, value: bool) -> Action<'a> {
+        self.field(name, value)
+    }
+    pub fn end(self) {
+        self.0.push(b'}');
+    }
+}
--- /dev/null
+++ b/crates/policy/src/policy.rs
@@ -0,0 +1,1027 @@
+//! All decisions of one quartzhub node, and nothing else.
+//!
+//! How to call it: make a `Balancer` from the settings and a seed, call `start` once, then hand over what
+//! happens as it happens: `list` and `list_failed` (the server list), `call` (a new API call), `outcome` (how a
+//! shot ended), `first_byte`, `withdrawn` (the client left) and `tick` (the timer asked for by `Answers::wake`
+//! came due). Whatever the node must do in return is called on the `Answers` given along (types.rs); nothing is
+//! returned. The public interface is the `impl Balancer` block headed "Interface".
+//!
+//! An API call passes the stages in this order: Admission, Coalescing, Line (asking Health for each candidate),
+//! Origin, Shots. A stage passes it on, keeps it or ends it. Outcomes run back: Shots, Origin, Health,
+//! Coalescing, Admission. Only `shoot` dispatches, and rules 1 to 3 are checked there.
+
+use std::collections::BTreeSet;
+
+use rand_distr::{Beta, Distribution};
+use rustc_hash::FxHashMap;
+
+use crate::pcg::Pcg;
+use crate::types::*;
+
+// ---- Constants ----------------------------------------------------------------------------------------------
+
+/// Share of a point's way to a sent key's place, no unit: the design's start, near 1/L for a hundred kept keys.
+const ALPHA: f64 = 0.01;
+/// Shots out: a cache with this many or fewer is never skipped. The design's floor; one in work, one waiting.
+const SKIP_FLOOR: f64 = 2.0;
+/// Multiple of this node's mean in-flight per cache above which a cache is skipped. The design's factor.
+const SKIP_FACTOR: f64 = 2.0;
+/// The one timer's period: a small part of the shortest SLO seen in service, and cheap at 50 a second.
+const TICK: Span = Span::ms(20);
+/// Seconds in which what was learnt of a server loses half its weight: some times the length of one call, and
+/// short against the spells of trouble, so that a recovered server is back soon.
+const MEMORY_HALF_LIFE: f64 = 2.0;
+/// Outcomes: most evidence kept on a server. At twenty, one odd answer says little and ten in a row say it all.
+const EVIDENCE: f64 = 20.0;
+/// Chance of success a doubtful server must draw to be given work: better than even.
+const TRUST: f64 = 0.5;
+/// Part of the fleet's own success under which a server is doubtful, so that a common trouble blames nobody.
+const DOUBT: f64 = 0.7;
+/// Multiple of the fleet's median answer time past which an answer counts as a failure; above machine spread.
+const SLOW_FACTOR: f64 = 4.0;
+/// Multiple of the median answer time without any word from a server with shots out that makes it silent.
+const SILENT_FACTOR: f64 = 6.0;
+/// Step of the running quantiles, as a part of the value: settles in some hundred answers.
+const QUANTILE_STEP: f64 = 0.05;
+/// Parts of the SLO between which the wait before a further shot lies: earlier is waste, later is too late.
+const FURTHER_FROM: f64 = 0.125;
+const FURTHER_TO: f64 = 0.5;
+/// Further shots earned by a first shot when none, and when all, of the recent ones succeeded.
+const FURTHER_LEAST: f64 = 0.01;
+const FURTHER_MOST: f64 = 0.2;
+/// Further shots that may be saved up: enough for the calls caught on one failing server.
+const FURTHER_SAVED: f64 = 10.0;
+/// Weight of one more sample in running means: about the last twenty samples.
+const MEAN_STEP: f64 = 0.05;
+/// Part of its plain share of traffic that a fully warm server could get under the warm-up budget.
+const WARM_SHARE: f64 = 0.8;
+/// Shots: what the warm-up budget may save up, so that no burst spends the fall line at once.
+const WARM_SAVED: f64 = 2.0;
+/// Shots out at the origin from this node: at the start, at least, at most.
+const ORIGIN_START: f64 = 4.0;
+const ORIGIN_LEAST: f64 = 1.0;
+const ORIGIN_MOST: f64 = 64.0;
+/// Origin answer time over its calm time at which the limit shrinks: half of the time is then spent in queue.
+const ORIGIN_STRAINED: f64 = 2.0;
+/// Factors on the limit for one strained answer, and for one turned away or lost.
+const ORIGIN_EASE: f64 = 0.97;
+const ORIGIN_CUT: f64 = 0.7;
+/// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
+const ORIGIN_DRIFT: f64 = 1.002;
+/// API calls that may wait for the origin: a few rounds of its limit; more would wait past their SLO.
+const ORIGIN_QUEUE: usize = 64;
+/// Part of the SLO that an API call may be kept waiting with nothing sent.
+const PATIENCE: f64 = 0.5;
+/// Seconds of quota that a tenant may save up: shorter than a burst, longer than the chance of one second.
+const QUOTA_SAVED: f64 = 2.0;
+/// Shares of strained answers at which over-share work, and then in-share work, is shed.
+const STRAIN_OVER: f64 = 0.06;
+const STRAIN_SHARE: f64 = 0.35;
+/// Part of the SLO past which an answer counts as strained.
+const STRAIN_AT: f64 = 0.6;
+/// Change of the shedding level a tick, up and down: full in about half a second, gone in two.
+const SHED_UP: f64 = 0.04;
+const SHED_DOWN: f64 = 0.01;
+/// How far the most valued product is spared when in-share work is shed (part of the level).
+const SHED_SPARED: f64 = 0.6;
+/// Waits before asking for the list again: the first and the longest, doubling and jittered.
+const ASK_FIRST: Span = Span::ms(200);
+const ASK_LONGEST: Span = Span::ms(5000);
+/// Part of the time after which an unheard node must have asked, at which it asks.
+const ASK_AT: f64 = 0.4;
+/// Time kept in hand before a deduplication window closes: one round and a network delay.
+const WINDOW_MARGIN: Span = Span::ms(20);
+
+// ---- What is kept of API calls and servers -------------------------------------------------------------------
+
+enum Step {
+    Pass,
+    Keep,
+    End,
+}
+
+#[derive(Clone, Copy, PartialEq, Default)]
+enum Place {
+    #[default]
+    Chain,
+    Waiting,
+    Queued,
+    Flying,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    Out,
+    NeverRan,
+    MayHaveRun,
+}
+
+struct Shot {
+    server: ServerIx,
+    sent: Time,
+    fate: Fate,
+    further: bool,
+}
+
+#[derive(Default)]
+struct Call {
+    serial: u32,
+    live: bool,
+    ended: bool,
+    streaming: bool,
+    place: Place,
+    product: usize,
+    over: bool,
+    write: bool,
+    missed: bool,
+    leads: bool,
+    key: u64,
+    spot: f64,
+    arrived: Time,
+    until: Time,
+    due: Time,
+    shots: Vec<Shot>,
+}
+
+impl Call {
+    fn out(&self) -> usize {
+        self.shots.iter().filter(|shot| shot.fate == Fate::Out).count()
+    }
+    fn proven_unrun(&self) -> bool {
+        self.shots.iter().all(|shot| shot.fate == Fate::NeverRan)
+    }
+}
+
+struct Tenant {
+    per_s: f64,
+    saved: f64,
+    at: Time,
+}
+
+#[derive(Default)]
+struct Server {
+    state: State,
+    origin: bool,
+    zone: u32,
+    cell: u32,
+    scale: f64,
+    started: Option<Time>,
+    point: f64,
+    out: u32,
+    /// Since when nothing was heard although something is out.
+    unheard: Option<Time>,
+    good: f64,
+    bad: f64,
+    warm: f64,
+    warm_at: Time,
+}
+
+/// A 64-bit hash of a text: FNV-1a, then a finisher so that all bits depend on all of the text.
+fn hash(text: &str) -> u64 {
+    let mut h =
+        text.bytes().fold(0xcbf29ce484222325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100000001b3));
+    h = (h ^ (h >> 33)).wrapping_mul(0xff51afd7ed558ccd);
+    h = (h ^ (h >> 33)).wrapping_mul(0xc4ceb9fe1a85ec53);
+    h ^ (h >> 33)
+}
+
+/// A hash's place on the 0–1 line.
+fn place_on_line(h: u64) -> f64 {
+    (h >> 11) as f64 / (1u64 << 53) as f64
+}
+
+// ---- Admission: tenant share and overload ----------------------------------------------------------------------
+
+struct Admission {
+    tenants: Vec<Tenant>,
+    highest_value: f64,
+    strain: f64,
+    /// 0 to 1 sheds over-share work, 1 to 2 in-share work of low billed value too.
+    level: f64,
+}
+
+impl Admission {
+    fn new(settings: &Settings, products: &[Product]) -> Admission {
+        let nodes = settings.number("balancers", 1.0).max(1.0);
+        let tenant = |i| {
+            let per_s = settings.number(&format!("projects.{i}.quota_per_s"), 0.0) / nodes;
+            Tenant { per_s, saved: per_s * QUOTA_SAVED, at: Time(i64::MIN) }
+        };
+        Admission {
+            tenants: (0..settings.count("projects")).map(tenant).collect(),
+            highest_value: products.iter().map(|p| p.value).fold(f64::MIN_POSITIVE, f64::max),
+            strain: 0.0,
+            level: 0.0,
+        }
+    }
+
+    /// Whether this call is beyond its tenant's share at this node. Unknown tenants have no share to exceed.
+    fn over_share(&mut self, tenant: usize, now: Time) -> bool {
+        let Some(tenant) = self.tenants.get_mut(tenant).filter(|t| t.per_s > 0.0) else { return false };
+        let passed = (now - tenant.at).seconds().clamp(0.0, QUOTA_SAVED);
+        tenant.saved = (tenant.saved + passed * tenant.per_s).min(tenant.per_s * QUOTA_SAVED);
+        tenant.at = now;
+        let over = tenant.saved < 1.0;
+        if !over {
+            tenant.saved -= 1.0;
+        }
+        over
+    }
+
+    fn admit(&self, over: bool, value: f64, chance: &mut Pcg) -> Step {
+        let spared = SHED_SPARED * value / self.highest_value;
+        let shed = if over { self.level } else { (self.level - 1.0) * (1.0 - spared) };
+        if chance.unit() < shed {
+            Step::End
+        } else {
+            Step::Pass
+        }
+    }
+
+    fn settle(&mut self, strained: bool) {
+        self.strain += MEAN_STEP * (f64::from(u8::from(strained)) - self.strain);
+    }
+
+    fn tick(&mut self) {
+        let most = if self.strain > STRAIN_SHARE { 2.0 } else { 1.0 };
+        if self.strain > STRAIN_OVER && self.level < most {
+            self.level = (self.level + SHED_UP).min(most);
+        } else {
+            self.level = (self.level - SHED_DOWN).max(0.0);
+        }
+    }
+}
+
+// ---- Coalescing: one origin fetch a key --------------------------------------------------------------------------
+
+struct Fetch {
+    leader: CallIx,
+    waiters: Vec<(CallIx, u32)>,
+}
+
+#[derive(Default)]
+struct Coalescing {
+    fetches: FxHashMap<u64, Fetch>,
+}
+
+impl Coalescing {
+    /// Keeps a read whose key is being fetched by another API call.
+    fn keep(&mut self, ix: CallIx, call: &Call) -> Step {
+        match self.fetches.get_mut(&call.key) {
+            Some(fetch) if fetch.leader != ix => {
+                fetch.waiters.push((ix, call.serial));
+                Step::Keep
+            }
+            _ => Step::Pass,
+        }
+    }
+}
+
+// ---- Line: DEMA ----------------------------------------------------------------------------------------------------
+
+#[derive(Default)]
+struct Line {
+    /// Ready caches, in the order of their indices.
+    caches: Vec<ServerIx>,
+    order: Vec<(f64, ServerIx)>,
+    /// Shots a second sent to caches from here, a running mean.
+    rate: f64,
+    sent: f64,
+}
+
+impl Line {
+    /// The nearest point wins unless its cache is over the skip line or Health refuses it; the winner's point
+    /// moves. Caches in `used` have had this call already.
+    fn pick(
+        &mut self,
+        servers: &mut [Server],
+        health: &Health,
+        spot: f64,
+        used: &[Shot],
+        now: Time,
+        chance: &mut Pcg,
+    ) -> Option<ServerIx> {
+        let of = |s: &[Server], ix: ServerIx| (s[ix.0 as usize].point - spot).abs();
+        self.order.clear();
+        self.order.extend(self.caches.iter().map(|ix| (of(servers, *ix), *ix)));
+        self.order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let out: u32 = self.caches.iter().map(|ix| servers[ix.0 as usize].out).sum();
+        let skip = (SKIP_FACTOR * f64::from(out) / self.caches.len().max(1) as f64).max(SKIP_FLOOR);
+        let mut second = None;
+        for (_, ix) in &self.order {
+            let server = &mut servers[ix.0 as usize];
+            if f64::from(server.out) > skip || used.iter().any(|shot| shot.server == *ix) {
+                continue;
+            }
+            if !health.warm_enough(server, self, now) {
+                continue;
+            }
+            if health.trusts(server, now, chance) {
+                second = Some(*ix);
+                break;
+            }
+            // Guards against a fleet in which every cache is doubtful: the nearest of them is still used.
+            second = second.or(Some(*ix));
+        }
+        let server = &mut servers[second?.0 as usize];
+        server.point += ALPHA * (spot - server.point);
+        second
+    }
+}
+
+// ---- Health: what is believed of each cache --------------------------------------------------------------------------
+
+struct Health {
+    median: f64,
+    tail: f64,
+    success: f64,
+    cold_from: f64,
+    warm_within: Span,
+}
+
+impl Health {
+    fn silent(&self, server: &Server, now: Time) -> bool {
+        server
+            .unheard
+            .is_some_and(|since| (now - since).0 as f64 > (SILENT_FACTOR * self.median).max(self.tail))
+    }
+
+    fn doubtful(&self, server: &Server, now: Time) -> bool {
+        let mean = (server.good + 1.0) / (server.good + server.bad + 1.0);
+        mean < DOUBT * self.success || self.silent(server, now)
+    }
+
+    /// A doubtful cache is drawn from the posterior of its chance of success: rarely used, never forgotten.
+    fn trusts(&self, server: &Server, now: Time, chance: &mut Pcg) -> bool {
+        if !self.doubtful(server, now) {
+            return true;
+        }
+        let silent = if self.silent(server, now) { f64::from(server.out.max(1)) } else { 0.0 };
+        let posterior = Beta::new(server.good + 1.0, server.bad + silent + 1.0);
+        posterior.is_ok_and(|beta| beta.sample(chance) > TRUST)
+    }
+
+    /// Part of its capacity that a server started at `started` has at the least.
+    fn warmth(&self, started: Option<Time>, now: Time) -> f64 {
+        let Some(started) = started else { return 1.0 };
+        let age = (now - started).seconds().max(0.0) / self.warm_within.seconds().max(1e-6);
+        (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
+    }
+
+    /// Refills a cold cache's budget, and tells whether it covers one more shot. The budget is this node's plain
+    /// share of traffic cut by the stated warm-up; when every node keeps to it the fall line is far.
+    fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
+        let warmth = self.warmth(server.started, now);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let passed = (now - server.warm_at).seconds().clamp(0.0, 1.0);
+        let share = line.rate / line.caches.len().max(1) as f64;
+        server.warm =
+            (server.warm + passed * share * warmth * WARM_SHARE * server.scale.min(1.0)).min(WARM_SAVED);
+        server.warm_at = now;
+        server.warm >= 1.0
+    }
+
+    fn settle(&mut self, server: &mut Server, ending: &Ending, slo: Span, now: Time) -> bool {
+        use Outcome::*;
+        let took = ending.took.0 as f64;
+        let answered = matches!(ending.outcome, Fulfilled | Miss | Full | Broken);
+        if answered || server.out == 0 {
+            server.unheard = (server.out > 0).then_some(now);
+        }
+        if matches!(ending.outcome, Fulfilled | Miss) {
+            self.median += QUANTILE_STEP * self.median * if took > self.median { 0.5 } else { -0.5 };
+            self.tail += QUANTILE_STEP * self.tail * if took > self.tail { 0.95 } else { -0.05 };
+        }
+        let slow = took > (SLOW_FACTOR * self.median).max(STRAIN_AT * slo.0 as f64);
+        let good = match ending.outcome {
+            Fulfilled | Miss => !slow,
+            Cancelled if !slow => return slow,
+            Full | TooLate => return slow,
+            _ => false,
+        };
+        *(if good { &mut server.good } else { &mut server.bad }) += 1.0;
+        let shrink = EVIDENCE / (server.good + server.bad).max(EVIDENCE);
+        server.good *= shrink;
+        server.bad *= shrink;
+        self.success += 0.2 * MEAN_STEP * (f64::from(u8::from(good)) - self.success);
+        slow
+    }
+}
+
+// ---- Origin: an adaptive limit and a short queue ---------------------------------------------------------------------
+
+struct Origin {
+    servers: Vec<ServerIx>,
+    out: u32,
+    limit: f64,
+    calm: f64,
+    mean: f64,
+    cut_at: Time,
+    queue: Vec<CallIx>,
+}
+
+impl Origin {
+    fn room(&self) -> bool {
+        f64::from(self.out) < self.limit.floor().max(1.0)
+    }
+
+    /// The wait that a newcomer behind `ahead` others has before it.
+    fn wait(&self, ahead: usize) -> Span {
+        Span((self.mean * (ahead + 1) as f64 / self.limit) as i64)
+    }
+
+    fn settle(&mut self, ending: &Ending, now: Time) {
+        use Outcome::*;
+        let took = ending.took.0 as f64;
+        match ending.outcome {
+            Fulfilled | Miss | Broken => {
+                self.mean += 2.0 * MEAN_STEP * (took - self.mean);
+                self.calm = (self.calm * ORIGIN_DRIFT).min(self.mean);
+                if self.mean > ORIGIN_STRAINED * self.calm {
+                    self.limit = (self.limit * ORIGIN_EASE).max(ORIGIN_LEAST);
+                } else if f64::from(self.out) + 2.0 > self.limit {
+                    self.limit = (self.limit + 1.0 / self.limit).min(ORIGIN_MOST);
+                }
+            }
+            // Guards against an origin pushed until it stops: one cut for each answer time, not one for each loss.
+            Full | TimedOut | Unreachable | Reset if (now - self.cut_at).0 as f64 > self.mean => {
+                self.limit = (self.limit * ORIGIN_CUT).max(ORIGIN_LEAST);
+                self.cut_at = now;
+            }
+            _ => {}
+        }
+    }
+}
+
+// ---- Shots: what settings allow, and how far further shots pay ---------------------------------------------------------
+
+struct Shots {
+    most: usize,
+    may_duplicate: bool,
+    may_cancel: bool,
+    saved: f64,
+    success: f64,
+}
+
+impl Shots {
+    /// Rules 1 and 2: whether this call may have a shot at this server now.
+    fn allows(&self, call: &Call, product: &Product, servers: &[Server], to: ServerIx, now: Time) -> bool {
+        let room = call.shots.len() < self.most && (self.may_duplicate || call.out() == 0);
+        if call.ended || call.streaming || now >= call.until || !room {
+            return false;
+        }
+        let ran = call.shots.iter().find(|shot| shot.fate != Fate::NeverRan);
+        let Some(ran) = ran else { return true };
+        let (a, b) = (&servers[ran.server.0 as usize], &servers[to.0 as usize]);
+        match product.effect {
+            Effect::Idempotent => true,
+            Effect::NonIdempotent => false,
+            Effect::Deduplicated => {
+                now + WINDOW_MARGIN < ran.sent + product.window
+                    && match product.scope {
+                        Scope::All => true,
+                        Scope::Zone => a.zone == b.zone,
+                        Scope::Cell => a.cell == b.cell,
+                        Scope::One => ran.server == to,
+                    }
+            }
+        }
+    }
+
+    /// Rule 2: a rate-limit reply says that trying again does no harm.
+    fn may_rate_limit(&self, call: &Call, product: &Product) -> bool {
+        let free = product.effect == Effect::Idempotent
+            || (product.effect == Effect::Deduplicated && product.scope == Scope::All);
+        free || call.proven_unrun()
+    }
+
+    /// Whether a further shot may be made: they are earned by first shots, more when recent ones succeeded.
+    fn further(&mut self) -> bool {
+        let may = self.may_duplicate && self.saved >= 1.0;
+        self.saved -= f64::from(u8::from(may));
+        may
+    }
+
+    fn earn(&mut self) {
+        let rate = FURTHER_LEAST + (FURTHER_MOST - FURTHER_LEAST) * self.success;
+        self.saved = (self.saved + rate).min(FURTHER_SAVED);
+    }
+}
+
+// ---- Following the list -------------------------------------------------------------------------------------------------
+
+struct Following {
+    on_request: bool,
+    heard: bool,
+    wait: Span,
+    ask_within: Span,
+    next: Option<Time>,
+}
+
+// ---- The node ---------------------------------------------------------------------------------------------------------------
+
+pub struct Balancer {
+    products: Vec<Product>,
+    aside: bool,
+    origin_kind: f64,
+    max_retry: Option<Span>,
+    chance: Pcg,
+    servers: Vec<Server>,
+    calls: Vec<Call>,
+    serial: u32,
+    due: BTreeSet<(Time, CallIx, u32)>,
+    ticked: Time,
+    admission: Admission,
+    coalescing: Coalescing,
+    line: Line,
+    health: Health,
+    origin: Origin,
+    shots: Shots,
+    following: Following,
+}
+
+/// Interface.
+impl Balancer {
+    /// Missing settings get the safe reading: no duplicates, no cancelling, no retry time, one shot.
+    pub fn new(settings: &Settings, seed: u64) -> Balancer {
+        let mut products = settings.products();
+        let shortest = products.iter().map(|p| p.slo).min().unwrap_or(Span::ms(1000)).0 as f64;
+        // An unknown product is taken as the last entry: never to run twice, in the shortest time.
+        products.push(Product::unknown(Span(shortest as i64)));
+        Balancer {
+            aside: settings.text("extra.mode") == "aside",
+            origin_kind: settings.number("extra.origin_kind", -1.0),
+            max_retry: settings
+                .flag("caps.retry_after")
+                .then(|| settings.span("caps.max_retry_after", Span::ZERO)),
+            chance: Pcg::new(seed),
+            servers: Vec::new(),
+            calls: Vec::new(),
+            serial: 0,
+            due: BTreeSet::new(),
+            ticked: Time(0),
+            admission: Admission::new(settings, &products),
+            coalescing: Coalescing::default(),
+            line: Line::default(),
+            health: Health {
+                median: shortest * FURTHER_FROM,
+                tail: shortest * FURTHER_TO,
+                success: 1.0,
+                cold_from: settings.number("invariants.cold_from", 0.0).clamp(0.0, 1.0),
+                warm_within: settings.span("invariants.warm_within", Span::ms(60_000)),
+            },
+            origin: Origin {
+                servers: Vec::new(),
+                out: 0,
+                limit: ORIGIN_START,
+                calm: shortest * FURTHER_TO,
+                mean: shortest * FURTHER_TO,
+                cut_at: Time(0),
+                queue: Vec::new(),
+            },
+            shots: Shots {
+                most: settings.number("caps.most_shots", 1.0).max(1.0) as usize,
+                may_duplicate: settings.flag("caps.may_duplicate"),
+                may_cancel: settings.flag("caps.cancelling"),
+                saved: 1.0,
+                success: 0.5,
+            },
+            following: Following {
+                on_request: settings.text("membership_mode") == "on_request",
+                heard: true,
+                wait: ASK_FIRST,
+                ask_within: settings.span("invariants.ask_within", Span::ms(10_000)),
+                next: None,
+            },
+            products,
+        }
+    }
+
+    pub fn start(&mut self, now: Time, to: &mut impl Answers) {
+        self.ticked = now;
+        to.wake(TICK);
+        if self.following.on_request {
+            self.ask(now, to);
+        }
+    }
+
+    /// News of the list. `complete`: what is not named is gone. `fresh`: from discovery, not from memory.
+    pub fn list<'a>(
+        &mut self,
+        now: Time,
+        complete: bool,
+        fresh: bool,
+        lines: impl Iterator<Item = Listing<'a>>,
+        to: &mut impl Answers,
+    ) {
+        if fresh {
+            self.following.wait = ASK_FIRST;
+            self.following.heard = true;
+            self.following.next = Some(now + self.following.ask_within.times(ASK_AT));
+        }
+        if complete {
+            self.servers.iter_mut().for_each(|server| server.state = State::Gone);
+        }
+        for line in lines {
+            let at = line.server.0 as usize;
+            while self.servers.len() <= at {
+                self.servers.push(Server::default());
+            }
+            let server = &mut self.servers[at];
+            let restarted = server.started != line.started;
+            if restarted || !self.line.caches.contains(&line.server) {
+                server.point = place_on_line(hash(line.name));
+            }
+            if restarted {
+                (server.good, server.bad, server.unheard) = (0.0, 0.0, None);
+                (server.warm, server.warm_at) = (0.0, now);
+            }
+            server.state = line.state;
+            server.origin = self.aside && f64::from(line.kind) == self.origin_kind;
+            (server.zone, server.cell, server.started) = (line.zone, line.cell, line.started);
+            server.scale = if line.scale > 0.0 { line.scale } else { 1.0 };
+        }
+        let ready = |s: &&Server, origin: bool| s.state == State::Ready && s.origin == origin;
+        let all = |origin: bool| {
+            let each = self.servers.iter().enumerate();
+            each.filter(move |(_, s)| ready(s, origin)).map(|(i, _)| ServerIx(i as u32)).collect::<Vec<_>>()
+        };
+        (self.line.caches, self.origin.servers) = (all(false), all(true));
+        self.pump(now, to);
+    }
+
+    /// Asking for the list failed, or the subscription broke.
+    pub fn list_failed(&mut self, now: Time) {
+        let jitter = 0.5 + self.chance.unit();
+        self.following.heard = false;
+        self.following.next = Some(now + self.following.wait.times(jitter));
+        self.following.wait = Span((self.following.wait.0 * 2).min(ASK_LONGEST.0));
+    }
+
+    pub fn call(&mut self, now: Time, ix: CallIx, ask: Ask, to: &mut impl Answers) {
+        self.run_due(now, to);
+        while self.calls.len() <= ix.0 as usize {
+            self.calls.push(Call::default());
+        }
+        let key = ask.key.map_or_else(|| (self.chance.unit() * 2f64.powi(53)) as u64, hash);
+        let product = ask.product.min(self.products.len() - 1);
+        let over = self.admission.over_share(ask.tenant, now);
+        self.serial = self.serial.wrapping_add(1);
+        let call = &mut self.calls[ix.0 as usize];
+        (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
+        (call.place, call.product, call.over, call.write) = (Place::Chain, product, over, ask.write);
+        (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
+        (call.arrived, call.until, call.due) = (now, now + ask.left, now);
+        call.shots.clear();
+        match self.admission.admit(over, self.products[product].value, &mut self.chance) {
+            Step::End => self.give_up(now, ix, to),
+            _ => self.coalesce(now, ix, to),
+        }
+    }
+
+    /// A streamed answer has begun; the call is the client's now and has no due time left.
+    pub fn first_byte(&mut self, _now: Time, ix: CallIx, shot: usize, to: &mut impl Answers) {
+        let Some(call) = self.calls.get_mut(ix.0 as usize).filter(|call| call.live) else { return };
+        call.streaming = true;
+        self.call_off(ix, Some(shot), to);
+    }
+
+    /// The client left; nothing is owed any more.
+    pub fn withdrawn(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
+        if self.calls.get(ix.0 as usize).is_some_and(|call| call.live) {
+            self.end(now, ix, false, to);
+        }
+    }
+
+    pub fn outcome(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut impl Answers) {
+        self.run_due(now, to);
+        let Some(call) = self.calls.get_mut(ix.0 as usize).filter(|call| call.live) else { return };
+        let Some(shot) = call.shots.get_mut(ending.shot).filter(|shot| shot.fate == Fate::Out) else {
+            return;
+        };
+        let ran = !ending.outcome.proves_it_never_ran();
+        shot.fate = if ran { Fate::MayHaveRun } else { Fate::NeverRan };
+        let (server, further) = (&mut self.servers[shot.server.0 as usize], shot.further);
+        server.out = server.out.saturating_sub(1);
+        let slo = self.products[call.product].slo;
+        if server.origin {
+            self.origin.out = self.origin.out.saturating_sub(1);
+            self.origin.settle(&ending, now);
+        } else {
+            let trusted = !self.health.doubtful(server, now);
+            let slow = self.health.settle(server, &ending, slo, now);
+            if trusted && ending.outcome != Outcome::TooLate {
+                let lost = matches!(ending.outcome, Outcome::Full | Outcome::TimedOut);
+                self.admission.settle(lost || slow);
+            }
+        }
+        if further && !matches!(ending.outcome, Outcome::TooLate) {
+            let won = f64::from(u8::from(ending.outcome == Outcome::Fulfilled));
+            self.shots.success += MEAN_STEP * (won - self.shots.success);
+        }
+        let (ended, streaming, was_origin) = (call.ended, call.streaming, server.origin);
+        if ending.call_ended || (streaming && !ended) {
+            self.end(now, ix, was_origin && ending.outcome == Outcome::Fulfilled, to);
+            if streaming && !ending.call_ended {
+                to.error(ix);
+            }
+        } else if ended {
+            self.forget_if_done(ix, to);
+        } else {
+            call.missed |= ending.outcome == Outcome::Miss && !was_origin;
+            self.again(now, ix, to);
+        }
+        self.pump(now, to);
+    }
+
+    /// The timer came due.
+    pub fn tick(&mut self, now: Time, to: &mut impl Answers) {
+        let passed = (now - self.ticked).seconds().max(1e-6);
+        self.ticked = now;
+        to.wake(TICK);
+        let kept = 0.5f64.powf(passed / MEMORY_HALF_LIFE);
+        for server in &mut self.servers {
+            (server.good, server.bad) = (server.good * kept, server.bad * kept);
+        }
+        let rate = std::mem::take(&mut self.line.sent) / passed;
+        self.line.rate += (1.0 - 0.5f64.powf(passed)) * (rate - self.line.rate);
+        self.admission.tick();
+        self.run_due(now, to);
+        self.pump(now, to);
+        if self.following.on_request && self.following.next.is_some_and(|next| now >= next) {
+            self.ask(now, to);
+        }
+    }
+}
+
+/// The chain.
+impl Balancer {
+    fn ask(&mut self, now: Time, to: &mut impl Answers) {
+        // A subscription that stands is checked by a plain reload; one that broke is asked for again.
+        let subscribed = self.following.heard && self.following.next.is_some();
+        if subscribed {
+            to.reload();
+        } else {
+            to.watch();
+        }
+        self.following.next = Some(now + self.following.ask_within.times(ASK_AT));
+    }
+
+    fn coalesce(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0 as usize];
+        if !call.write && matches!(self.coalescing.keep(ix, call), Step::Keep) {
+            return self.park(now, ix, Place::Waiting, to);
+        }
+        if self.calls[ix.0 as usize].missed {
+            self.to_origin(now, ix, to);
+        } else {
+            self.to_line(now, ix, to);
+        }
+    }
+
+    /// Keeps a call with nothing sent until a part of its SLO is gone.
+    fn park(&mut self, now: Time, ix: CallIx, place: Place, to: &mut impl Answers) {
+        let call = &mut self.calls[ix.0 as usize];
+        call.place = place;
+        // Guards against a call that would come due only after its client timeout: the timer is not that fine.
+        if call.until < now + TICK.times(2.0) {
+            return self.give_up(now, ix, to);
+        }
+        let slo = self.products[call.product].slo.times(PATIENCE);
+        let due = (now + slo).min(now + (call.until - now).times(PATIENCE));
+        self.set_due(now, ix, due);
+    }
+
+    // Guards against a due time that is already past coming round for ever within one event.
+    fn set_due(&mut self, now: Time, ix: CallIx, due: Time) {
+        let due = due.max(now + TICK.times(0.25));
+        let call = &mut self.calls[ix.0 as usize];
+        call.due = due;
+        self.due.insert((due, ix, call.serial));
+    }
+
+    fn to_line(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0 as usize];
+        let last = call.shots.len() + 1 >= self.shots.most;
+        if self.aside && (call.write || (last && !call.shots.is_empty())) {
+            return self.to_origin(now, ix, to);
+        }
+        let (spot, used) = (call.spot, &call.shots);
+        let pick = self.line.pick(&mut self.servers, &self.health, spot, used, now, &mut self.chance);
+        match pick {
+            Some(server) if self.shoot(now, ix, server, false, to) => {}
+            Some(_) => self.give_up(now, ix, to),
+            None if self.aside => self.to_origin(now, ix, to),
+            None => self.give_up(now, ix, to),
+        }
+    }
+
+    fn to_origin(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
+        let call = &mut self.calls[ix.0 as usize];
+        if !call.write && !call.leads {
+            if matches!(self.coalescing.keep(ix, call), Step::Keep) {
+                return self.park(now, ix, Place::Waiting, to);
+            }
+            call.leads = true;
+            self.coalescing.fetches.insert(call.key, Fetch { leader: ix, waiters: Vec::new() });
+        }
+        self.origin.queue.push(ix);
+        self.park(now, ix, Place::Queued, to);
+        self.pump(now, to);
+        self.trim(now, to);
+    }
+
+    /// Which waiting call goes first: writes, then in-share work, then what is billed higher.
+    fn rank(&self, ix: CallIx) -> (bool, bool, f64) {
+        let call = &self.calls[ix.0 as usize];
+        (call.write, !call.over, self.products[call.product].value)
+    }
+
+    /// Ends what would wait too long for the origin, the least first.
+    fn trim(&mut self, now: Time, to: &mut impl Answers) {
+        while let Some(last) = self.origin.queue.len().checked_sub(1) {
+            let worst = (0..=last).rev().min_by(|a, b| {
+                let (a, b) = (self.rank(self.origin.queue[*a]), self.rank(self.origin.queue[*b]));
+                a.partial_cmp(&b).unwrap_or(std::cmp::Ordering::Equal)
+            });
+            let ix = self.origin.queue[worst.unwrap_or(last)];
+            if last < ORIGIN_QUEUE && now + self.origin.wait(last) <= self.calls[ix.0 as usize].due {
+                break;
+            }
+            self.give_up(now, ix, to);
+        }
+    }
+
+    /// Sends waiting calls to the origin while its limit has room.
+    fn pump(&mut self, now: Time, to: &mut impl Answers) {
+        while self.origin.room() && !self.origin.queue.is_empty() {
+            let Some(server) =
+                self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0 as usize].out)
+            else {
+                return;
+            };
+            let best = (0..self.origin.queue.len()).rev().max_by(|a, b| {
+                let (a, b) = (self.rank(self.origin.queue[*a]), self.rank(self.origin.queue[*b]));
+                a.partial_cmp(&b).unwrap_or(std::cmp::Ordering::Equal)
+            });
+            let ix = self.origin.queue.remove(best.unwrap_or(0));
+            if !self.shoot(now, ix, server, false, to) {
+                self.give_up(now, ix, to);
+            }
+        }
+    }
+
+    /// The only place that dispatches. Rules 1 and 2 by `Shots::allows`, rule 3 by the list state (nothing new
+    /// from the moment the drain is known, so the grace is never used), rule 4 by the budget checked on the line.
+    fn shoot(&mut self, now: Time, ix: CallIx, at: ServerIx, further: bool, to: &mut impl Answers) -> bool {
+        let call = &mut self.calls[ix.0 as usize];
+        let product = &self.products[call.product];
+        let ready = self.servers[at.0 as usize].state == State::Ready;
+        if !ready || !self.shots.allows(call, product, &self.servers, at, now) {
+            return false;
+        }
+        let server = &mut self.servers[at.0 as usize];
+        server.out += 1;
+        server.unheard = server.unheard.or(Some(now));
+        call.shots.push(Shot { server: at, sent: now, fate: Fate::Out, further });
+        call.place = Place::Flying;
+        to.dispatch(ix, at, call.until);
+        if server.origin {
+            self.origin.out += 1;
+        } else {
+            server.warm -= 1.0;
+            self.line.sent += 1.0;
+        }
+        if call.shots.len() == 1 {
+            self.shots.earn();
+        }
+        let (least, most) = (product.slo.times(FURTHER_FROM), product.slo.times(FURTHER_TO));
+        let wait = Span(self.health.tail as i64).max(least).min(most);
+        self.set_due(now, ix, now + wait);
+        true
+    }
+
+    /// After a shot ended without the final answer: another, or wait for those out, or give up.
+    fn again(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0 as usize];
+        if call.place != Place::Flying {
+            return;
+        }
+        let out = call.out() > 0;
+        let product = &self.products[call.product];
+        let may = call.shots.len() < self.shots.most
+            && (self.shots.may_duplicate || !out)
+            && (call.proven_unrun() || product.effect != Effect::NonIdempotent);
+        if out && (!may || !call.missed || call.leads) {
+            return;
+        }
+        if !may || now >= call.until {
+            return self.give_up(now, ix, to);
+        }
+        if call.missed {
+            self.coalesce(now, ix, to);
+        } else {
+            self.to_line(now, ix, to);
+        }
+    }
+
+    fn run_due(&mut self, now: Time, to: &mut impl Answers) {
+        while let Some((due, ix, serial)) = self.due.first().copied().filter(|first| first.0 <= now) {
+            self.due.pop_first();
+            let call = &self.calls[ix.0 as usize];
+            if call.serial != serial || call.due != due || call.ended || !call.live {
+                continue;
+            }
+            match call.place {
+                Place::Queued => self.give_up(now, ix, to),
+                Place::Waiting if call.missed => self.give_up(now, ix, to),
+                Place::Waiting => self.to_line(now, ix, to),
+                _ => self.review(now, ix, to),
+            }
+        }
+    }
+
+    /// A shot is late: a further one goes to the next nearest cache, if earned or if the first cache is silent.
+    fn review(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0 as usize];
+        let Some(late) = call.shots.last().filter(|shot| shot.fate == Fate::Out) else { return };
+        let server = &self.servers[late.server.0 as usize];
+        if server.origin || call.streaming || call.write && self.aside || call.out() > 1 {
+            return;
+        }
+        let silent = self.health.silent(server, now);
+        let product = &self.products[call.product];
+        let allowed = self.shots.allows(call, product, &self.servers, late.server, now);
+        if allowed && (silent || self.shots.further()) {
+            let (spot, used) = (call.spot, &call.shots);
+            let pick = self.line.pick(&mut self.servers, &self.health, spot, used, now, &mut self.chance);
+            if pick.is_some_and(|server| self.shoot(now, ix, server, true, to)) {
+                return;
+            }
+        }
+        let wait = self.products[self.calls[ix.0 as usize].product].slo.times(FURTHER_FROM);
+        self.set_due(now, ix, now + wait);
+    }
+
+    /// The final answer of this node: rate-limited with a retry time where rule 2 allows the claim, else errored.
+    fn give_up(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0 as usize];
+        if call.ended {
+            return;
+        }
+        let product = &self.products[call.product];
+        if self.shots.may_rate_limit(call, product) {
+            let most = self.max_retry.map(|most| most.min(product.timeout));
+            let jitter = 0.5 + 0.5 * self.chance.unit();
+            to.rate_limit(ix, most.map(|most| most.times(jitter)));
+        } else {
+            to.error(ix);
+        }
+        self.end(now, ix, false, to);
+    }
+
+    /// Closes a call, calls off what is still out and lets go of the reads that waited for its fetch.
+    fn end(&mut self, now: Time, ix: CallIx, fetched: bool, to: &mut impl Answers) {
+        let call = &mut self.calls[ix.0 as usize];
+        call.ended = true;
+        let (leads, key, queued) = (std::mem::take(&mut call.leads), call.key, call.place == Place::Queued);
+        if queued {
+            self.origin.queue.retain(|other| *other != ix);
+        }
+        self.call_off(ix, None, to);
+        let stored = self.calls[ix.0 as usize].shots.iter().map(|shot| shot.server);
+        let home = stored.filter(|s| !self.servers[s.0 as usize].origin).last().filter(|_| fetched);
+        self.forget_if_done(ix, to);
+        let fetch = if leads { self.coalescing.fetches.remove(&key) } else { None };
+        for (waiter, serial) in fetch.map(|fetch| fetch.waiters).unwrap_or_default() {
+            let call = &self.calls[waiter.0 as usize];
+            if call.serial != serial || call.ended || call.place != Place::Waiting {
+                continue;
+            }
+            // A read that missed goes to the cache that has just been given its object, if that one has room.
+            let room = |s: &ServerIx| f64::from(self.servers[s.0 as usize].out) <= SKIP_FLOOR;
+            let home = home.filter(|s| call.missed && room(s));
+            if !home.is_some_and(|home| self.shoot(now, waiter, home, false, to)) {
+                self.coalesce(now, waiter, to);
+            }
+        }
+    }
+
+    fn call_off(&mut self, ix: CallIx, but: Option<usize>, to: &mut impl Answers) {
+        for (i, shot) in self.calls[ix.0 as usize].shots.iter().enumerate() {
+            if self.shots.may_cancel && shot.fate == Fate::Out && Some(i) != but {
+                to.cancel(ix, i);
+            }
+        }
+    }
+
+    fn forget_if_done(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &mut self.calls[ix.0 as usize];
+        if call.live && call.out() == 0 {
+            call.live = false;
+            to.forget(ix);
+        }
+    }
+}
