Start points at the settled places of their seeds

Cause: hashed seeds leave ranges up to three times the mean, and alpha 0.01 needs minutes to even them out.

--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -36,9 +36,9 @@
         }
         let ix = self.free.pop().unwrap_or_else(|| {
             self.tickets.push(Box::default());
-            CallIx(self.tickets.len() as u32 - 1)
+            CallIx(self.tickets.len() - 1)
         });
-        self.tickets[ix.0 as usize] = ticket.into();
+        self.tickets[ix.0] = ticket.into();
         self.calls.insert(ticket.into(), ix);
         Some(ix)
     }
@@ -47,7 +47,7 @@
         if let Some(ix) = self.servers.get(address) {
             return *ix;
         }
-        let ix = ServerIx(self.addresses.len() as u32);
+        let ix = ServerIx(self.addresses.len());
         self.addresses.push(address.to_owned());
         self.servers.insert(address.to_owned(), ix);
         ix
@@ -62,14 +62,14 @@
 
 impl Reply<'_> {
     fn about(&mut self, action: &str, call: CallIx) -> Action<'_> {
-        Action::new(self.out, action).text("Ticket", &self.names.tickets[call.0 as usize])
+        Action::new(self.out, action).text("Ticket", &self.names.tickets[call.0])
     }
 }
 
 impl Answers for Reply<'_> {
     fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time) {
-        let ticket = &self.names.tickets[call.0 as usize];
-        let address = &self.names.addresses[server.0 as usize];
+        let ticket = &self.names.tickets[call.0];
+        let address = &self.names.addresses[server.0];
         let action = Action::new(self.out, "Dispatch").text("Ticket", ticket);
         action.text("Server", address).number("Until", until.ms()).end();
     }
@@ -87,7 +87,7 @@
         self.about("RespondError", call).end();
     }
     fn forget(&mut self, call: CallIx) {
-        let ticket = &self.names.tickets[call.0 as usize];
+        let ticket = &self.names.tickets[call.0];
         if self.names.calls.remove(ticket).is_some() {
             self.names.free.push(call);
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decisions of one quartzhub node, free of I/O, clocks and wire formats. See `policy`.
 mod pcg;
 pub mod policy;
+mod state;
 mod types;
 
 pub use policy::Balancer;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -16,6 +16,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::pcg::Pcg;
+use crate::state::*;
 use crate::types::*;
 
 // ---- Constants ----------------------------------------------------------------------------------------------
@@ -100,96 +101,12 @@
     End,
 }
 
-#[derive(Clone, Copy, PartialEq, Default)]
-enum Place {
-    #[default]
-    Chain,
-    Waiting,
-    Queued,
-    Flying,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Fate {
-    Out,
-    NeverRan,
-    MayHaveRun,
-}
-
-struct Shot {
-    server: ServerIx,
-    sent: Time,
-    fate: Fate,
-    further: bool,
-}
-
-#[derive(Default)]
-struct Call {
-    serial: u32,
-    live: bool,
-    ended: bool,
-    streaming: bool,
-    place: Place,
-    product: usize,
-    over: bool,
-    write: bool,
-    missed: bool,
-    leads: bool,
-    key: u64,
-    spot: f64,
-    arrived: Time,
-    until: Time,
-    due: Time,
-    shots: Vec<Shot>,
-}
-
-impl Call {
-    fn out(&self) -> usize {
-        self.shots.iter().filter(|shot| shot.fate == Fate::Out).count()
-    }
-    fn proven_unrun(&self) -> bool {
-        self.shots.iter().all(|shot| shot.fate == Fate::NeverRan)
-    }
-}
-
 struct Tenant {
     per_s: f64,
     saved: f64,
     at: Time,
 }
 
-#[derive(Default)]
-struct Server {
-    state: State,
-    origin: bool,
-    zone: u32,
-    cell: u32,
-    scale: f64,
-    started: Option<Time>,
-    point: f64,
-    out: u32,
-    /// Since when nothing was heard although something is out.
-    unheard: Option<Time>,
-    good: f64,
-    bad: f64,
-    warm: f64,
-    warm_at: Time,
-}
-
-/// A 64-bit hash of a text: FNV-1a, then a finisher so that all bits depend on all of the text.
-fn hash(text: &str) -> u64 {
-    let mut h =
-        text.bytes().fold(0xcbf29ce484222325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100000001b3));
-    h = (h ^ (h >> 33)).wrapping_mul(0xff51afd7ed558ccd);
-    h = (h ^ (h >> 33)).wrapping_mul(0xc4ceb9fe1a85ec53);
-    h ^ (h >> 33)
-}
-
-/// A hash's place on the 0–1 line.
-fn place_on_line(h: u64) -> f64 {
-    (h >> 11) as f64 / (1u64 << 53) as f64
-}
-
 // ---- Admission: tenant share and overload ----------------------------------------------------------------------
 
 struct Admission {
@@ -290,6 +207,16 @@
 }
 
 impl Line {
+    /// Guards against the uneven ranges of hashed seeds, which a small alpha takes minutes to even out: at a
+    /// node's first list, its points start where the average would bring evenly spread keys, in seed order.
+    fn settle(&self, servers: &mut [Server]) {
+        let mut order: Vec<_> = self.caches.iter().map(|ix| (servers[ix.0].point, *ix)).collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (rank, (_, ix)) in order.iter().enumerate() {
+            servers[ix.0].point = (rank as f64 + 0.5) / order.len() as f64;
+        }
+    }
+
     /// The nearest point wins unless its cache is over the skip line or Health refuses it; the winner's point
     /// moves. Caches in `used` have had this call already.
     fn pick(
@@ -301,15 +228,15 @@
         now: Time,
         chance: &mut Pcg,
     ) -> Option<ServerIx> {
-        let of = |s: &[Server], ix: ServerIx| (s[ix.0 as usize].point - spot).abs();
+        let of = |s: &[Server], ix: ServerIx| (s[ix.0].point - spot).abs();
         self.order.clear();
         self.order.extend(self.caches.iter().map(|ix| (of(servers, *ix), *ix)));
         self.order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let out: u32 = self.caches.iter().map(|ix| servers[ix.0 as usize].out).sum();
+        let out: u32 = self.caches.iter().map(|ix| servers[ix.0].out).sum();
         let skip = (SKIP_FACTOR * f64::from(out) / self.caches.len().max(1) as f64).max(SKIP_FLOOR);
         let mut second = None;
         for (_, ix) in &self.order {
-            let server = &mut servers[ix.0 as usize];
+            let server = &mut servers[ix.0];
             if f64::from(server.out) > skip || used.iter().any(|shot| shot.server == *ix) {
                 continue;
             }
@@ -323,7 +250,7 @@
             // Guards against a fleet in which every cache is doubtful: the nearest of them is still used.
             second = second.or(Some(*ix));
         }
-        let server = &mut servers[second?.0 as usize];
+        let server = &mut servers[second?.0];
         server.point += ALPHA * (spot - server.point);
         second
     }
@@ -474,7 +401,7 @@
         }
         let ran = call.shots.iter().find(|shot| shot.fate != Fate::NeverRan);
         let Some(ran) = ran else { return true };
-        let (a, b) = (&servers[ran.server.0 as usize], &servers[to.0 as usize]);
+        let (a, b) = (&servers[ran.server.0], &servers[to.0]);
         match product.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
@@ -532,6 +459,7 @@
     calls: Vec<Call>,
     serial: u32,
     due: BTreeSet<(Time, CallIx, u32)>,
+    now: Time,
     ticked: Time,
     admission: Admission,
     coalescing: Coalescing,
@@ -561,6 +489,7 @@
             calls: Vec::new(),
             serial: 0,
             due: BTreeSet::new(),
+            now: Time(0),
             ticked: Time(0),
             admission: Admission::new(settings, &products),
             coalescing: Coalescing::default(),
@@ -600,10 +529,10 @@
     }
 
     pub fn start(&mut self, now: Time, to: &mut impl Answers) {
-        self.ticked = now;
+        (self.now, self.ticked) = (now, now);
         to.wake(TICK);
         if self.following.on_request {
-            self.ask(now, to);
+            self.ask(to);
         }
     }
 
@@ -616,6 +545,7 @@
         lines: impl Iterator<Item = Listing<'a>>,
         to: &mut impl Answers,
     ) {
+        self.now = now;
         if fresh {
             self.following.wait = ASK_FIRST;
             self.following.heard = true;
@@ -625,7 +555,7 @@
             self.servers.iter_mut().for_each(|server| server.state = State::Gone);
         }
         for line in lines {
-            let at = line.server.0 as usize;
+            let at = line.server.0;
             while self.servers.len() <= at {
                 self.servers.push(Server::default());
             }
@@ -646,10 +576,14 @@
         let ready = |s: &&Server, origin: bool| s.state == State::Ready && s.origin == origin;
         let all = |origin: bool| {
             let each = self.servers.iter().enumerate();
-            each.filter(move |(_, s)| ready(s, origin)).map(|(i, _)| ServerIx(i as u32)).collect::<Vec<_>>()
+            each.filter(move |(_, s)| ready(s, origin)).map(|(i, _)| ServerIx(i)).collect::<Vec<_>>()
         };
+        let first = self.line.caches.is_empty();
         (self.line.caches, self.origin.servers) = (all(false), all(true));
-        self.pump(now, to);
+        if first {
+            self.line.settle(&mut self.servers);
+        }
+        self.pump(to);
     }
 
     /// Asking for the list failed, or the subscription broke.
@@ -661,49 +595,53 @@
     }
 
     pub fn call(&mut self, now: Time, ix: CallIx, ask: Ask, to: &mut impl Answers) {
-        self.run_due(now, to);
-        while self.calls.len() <= ix.0 as usize {
+        self.now = now;
+        self.run_due(to);
+        while self.calls.len() <= ix.0 {
             self.calls.push(Call::default());
         }
         let key = ask.key.map_or_else(|| (self.chance.unit() * 2f64.powi(53)) as u64, hash);
         let product = ask.product.min(self.products.len() - 1);
         let over = self.admission.over_share(ask.tenant, now);
         self.serial = self.serial.wrapping_add(1);
-        let call = &mut self.calls[ix.0 as usize];
+        let call = &mut self.calls[ix.0];
         (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
         (call.place, call.product, call.over, call.write) = (Place::Chain, product, over, ask.write);
         (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
         (call.arrived, call.until, call.due) = (now, now + ask.left, now);
         call.shots.clear();
         match self.admission.admit(over, self.products[product].value, &mut self.chance) {
-            Step::End => self.give_up(now, ix, to),
-            _ => self.coalesce(now, ix, to),
+            Step::End => self.give_up(ix, to),
+            _ => self.coalesce(ix, to),
         }
     }
 
     /// A streamed answer has begun; the call is the client's now and has no due time left.
-    pub fn first_byte(&mut self, _now: Time, ix: CallIx, shot: usize, to: &mut impl Answers) {
-        let Some(call) = self.calls.get_mut(ix.0 as usize).filter(|call| call.live) else { return };
+    pub fn first_byte(&mut self, now: Time, ix: CallIx, shot: usize, to: &mut impl Answers) {
+        self.now = now;
+        let Some(call) = self.calls.get_mut(ix.0).filter(|call| call.live) else { return };
         call.streaming = true;
         self.call_off(ix, Some(shot), to);
     }
 
     /// The client left; nothing is owed any more.
     pub fn withdrawn(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
-        if self.calls.get(ix.0 as usize).is_some_and(|call| call.live) {
-            self.end(now, ix, false, to);
+        self.now = now;
+        if self.calls.get(ix.0).is_some_and(|call| call.live) {
+            self.end(ix, false, to);
         }
     }
 
     pub fn outcome(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut impl Answers) {
-        self.run_due(now, to);
-        let Some(call) = self.calls.get_mut(ix.0 as usize).filter(|call| call.live) else { return };
+        self.now = now;
+        self.run_due(to);
+        let Some(call) = self.calls.get_mut(ix.0).filter(|call| call.live) else { return };
         let Some(shot) = call.shots.get_mut(ending.shot).filter(|shot| shot.fate == Fate::Out) else {
             return;
         };
         let ran = !ending.outcome.proves_it_never_ran();
         shot.fate = if ran { Fate::MayHaveRun } else { Fate::NeverRan };
-        let (server, further) = (&mut self.servers[shot.server.0 as usize], shot.further);
+        let (server, further) = (&mut self.servers[shot.server.0], shot.further);
         server.out = server.out.saturating_sub(1);
         let slo = self.products[call.product].slo;
         if server.origin {
@@ -723,7 +661,7 @@
         }
         let (ended, streaming, was_origin) = (call.ended, call.streaming, server.origin);
         if ending.call_ended || (streaming && !ended) {
-            self.end(now, ix, was_origin && ending.outcome == Outcome::Fulfilled, to);
+            self.end(ix, was_origin && ending.outcome == Outcome::Fulfilled, to);
             if streaming && !ending.call_ended {
                 to.error(ix);
             }
@@ -731,15 +669,15 @@
             self.forget_if_done(ix, to);
         } else {
             call.missed |= ending.outcome == Outcome::Miss && !was_origin;
-            self.again(now, ix, to);
+            self.again(ix, to);
         }
-        self.pump(now, to);
+        self.pump(to);
     }
 
     /// The timer came due.
     pub fn tick(&mut self, now: Time, to: &mut impl Answers) {
         let passed = (now - self.ticked).seconds().max(1e-6);
-        self.ticked = now;
+        (self.now, self.ticked) = (now, now);
         to.wake(TICK);
         let kept = 0.5f64.powf(passed / MEMORY_HALF_LIFE);
         for server in &mut self.servers {
@@ -748,17 +686,17 @@
         let rate = std::mem::take(&mut self.line.sent) / passed;
         self.line.rate += (1.0 - 0.5f64.powf(passed)) * (rate - self.line.rate);
         self.admission.tick();
-        self.run_due(now, to);
-        self.pump(now, to);
+        self.run_due(to);
+        self.pump(to);
         if self.following.on_request && self.following.next.is_some_and(|next| now >= next) {
-            self.ask(now, to);
+            self.ask(to);
         }
     }
 }
 
 /// The chain.
 impl Balancer {
-    fn ask(&mut self, now: Time, to: &mut impl Answers) {
+    fn ask(&mut self, to: &mut impl Answers) {
         // A subscription that stands is checked by a plain reload; one that broke is asked for again.
         let subscribed = self.following.heard && self.following.next.is_some();
         if subscribed {
@@ -766,99 +704,98 @@
         } else {
             to.watch();
         }
-        self.following.next = Some(now + self.following.ask_within.times(ASK_AT));
+        self.following.next = Some(self.now + self.following.ask_within.times(ASK_AT));
     }
 
-    fn coalesce(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
-        let call = &self.calls[ix.0 as usize];
+    fn coalesce(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0];
         if !call.write && matches!(self.coalescing.keep(ix, call), Step::Keep) {
-            return self.park(now, ix, Place::Waiting, to);
+            return self.park(ix, Place::Waiting, to);
         }
-        if self.calls[ix.0 as usize].missed {
-            self.to_origin(now, ix, to);
+        if self.calls[ix.0].missed {
+            self.enter_origin(ix, to);
         } else {
-            self.to_line(now, ix, to);
+            self.enter_line(ix, to);
         }
     }
 
     /// Keeps a call with nothing sent until a part of its SLO is gone.
-    fn park(&mut self, now: Time, ix: CallIx, place: Place, to: &mut impl Answers) {
-        let call = &mut self.calls[ix.0 as usize];
+    fn park(&mut self, ix: CallIx, place: Place, to: &mut impl Answers) {
+        let call = &mut self.calls[ix.0];
         call.place = place;
         // Guards against a call that would come due only after its client timeout: the timer is not that fine.
-        if call.until < now + TICK.times(2.0) {
-            return self.give_up(now, ix, to);
+        if call.until < self.now + TICK.times(2.0) {
+            return self.give_up(ix, to);
         }
         let slo = self.products[call.product].slo.times(PATIENCE);
-        let due = (now + slo).min(now + (call.until - now).times(PATIENCE));
-        self.set_due(now, ix, due);
+        let due = (self.now + slo).min(self.now + (call.until - self.now).times(PATIENCE));
+        self.set_due(ix, due);
     }
 
     // Guards against a due time that is already past coming round for ever within one event.
-    fn set_due(&mut self, now: Time, ix: CallIx, due: Time) {
-        let due = due.max(now + TICK.times(0.25));
-        let call = &mut self.calls[ix.0 as usize];
+    fn set_due(&mut self, ix: CallIx, due: Time) {
+        let due = due.max(self.now + TICK.times(0.25));
+        let call = &mut self.calls[ix.0];
         call.due = due;
         self.due.insert((due, ix, call.serial));
     }
 
-    fn to_line(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
-        let call = &self.calls[ix.0 as usize];
+    fn enter_line(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0];
         let last = call.shots.len() + 1 >= self.shots.most;
         if self.aside && (call.write || (last && !call.shots.is_empty())) {
-            return self.to_origin(now, ix, to);
+            return self.enter_origin(ix, to);
         }
         let (spot, used) = (call.spot, &call.shots);
-        let pick = self.line.pick(&mut self.servers, &self.health, spot, used, now, &mut self.chance);
+        let pick = self.line.pick(&mut self.servers, &self.health, spot, used, self.now, &mut self.chance);
         match pick {
-            Some(server) if self.shoot(now, ix, server, false, to) => {}
-            Some(_) => self.give_up(now, ix, to),
-            None if self.aside => self.to_origin(now, ix, to),
-            None => self.give_up(now, ix, to),
+            Some(server) if self.shoot(ix, server, false, to) => {}
+            Some(_) => self.give_up(ix, to),
+            None if self.aside => self.enter_origin(ix, to),
+            None => self.give_up(ix, to),
         }
     }
 
-    fn to_origin(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
-        let call = &mut self.calls[ix.0 as usize];
+    fn enter_origin(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &mut self.calls[ix.0];
         if !call.write && !call.leads {
             if matches!(self.coalescing.keep(ix, call), Step::Keep) {
-                return self.park(now, ix, Place::Waiting, to);
+                return self.park(ix, Place::Waiting, to);
             }
             call.leads = true;
             self.coalescing.fetches.insert(call.key, Fetch { leader: ix, waiters: Vec::new() });
         }
         self.origin.queue.push(ix);
-        self.park(now, ix, Place::Queued, to);
-        self.pump(now, to);
-        self.trim(now, to);
+        self.park(ix, Place::Queued, to);
+        self.pump(to);
+        self.trim(to);
     }
 
     /// Which waiting call goes first: writes, then in-share work, then what is billed higher.
     fn rank(&self, ix: CallIx) -> (bool, bool, f64) {
-        let call = &self.calls[ix.0 as usize];
+        let call = &self.calls[ix.0];
         (call.write, !call.over, self.products[call.product].value)
     }
 
     /// Ends what would wait too long for the origin, the least first.
-    fn trim(&mut self, now: Time, to: &mut impl Answers) {
+    fn trim(&mut self, to: &mut impl Answers) {
         while let Some(last) = self.origin.queue.len().checked_sub(1) {
             let worst = (0..=last).rev().min_by(|a, b| {
                 let (a, b) = (self.rank(self.origin.queue[*a]), self.rank(self.origin.queue[*b]));
                 a.partial_cmp(&b).unwrap_or(std::cmp::Ordering::Equal)
             });
             let ix = self.origin.queue[worst.unwrap_or(last)];
-            if last < ORIGIN_QUEUE && now + self.origin.wait(last) <= self.calls[ix.0 as usize].due {
+            if last < ORIGIN_QUEUE && self.now + self.origin.wait(last) <= self.calls[ix.0].due {
                 break;
             }
-            self.give_up(now, ix, to);
+            self.give_up(ix, to);
         }
     }
 
     /// Sends waiting calls to the origin while its limit has room.
-    fn pump(&mut self, now: Time, to: &mut impl Answers) {
+    fn pump(&mut self, to: &mut impl Answers) {
         while self.origin.room() && !self.origin.queue.is_empty() {
-            let Some(server) =
-                self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0 as usize].out)
+            let Some(server) = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out)
             else {
                 return;
             };
@@ -867,25 +804,25 @@
                 a.partial_cmp(&b).unwrap_or(std::cmp::Ordering::Equal)
             });
             let ix = self.origin.queue.remove(best.unwrap_or(0));
-            if !self.shoot(now, ix, server, false, to) {
-                self.give_up(now, ix, to);
+            if !self.shoot(ix, server, false, to) {
+                self.give_up(ix, to);
             }
         }
     }
 
     /// The only place that dispatches. Rules 1 and 2 by `Shots::allows`, rule 3 by the list state (nothing new
     /// from the moment the drain is known, so the grace is never used), rule 4 by the budget checked on the line.
-    fn shoot(&mut self, now: Time, ix: CallIx, at: ServerIx, further: bool, to: &mut impl Answers) -> bool {
-        let call = &mut self.calls[ix.0 as usize];
+    fn shoot(&mut self, ix: CallIx, at: ServerIx, further: bool, to: &mut impl Answers) -> bool {
+        let call = &mut self.calls[ix.0];
         let product = &self.products[call.product];
-        let ready = self.servers[at.0 as usize].state == State::Ready;
-        if !ready || !self.shots.allows(call, product, &self.servers, at, now) {
+        let ready = self.servers[at.0].state == State::Ready;
+        if !ready || !self.shots.allows(call, product, &self.servers, at, self.now) {
             return false;
         }
-        let server = &mut self.servers[at.0 as usize];
+        let server = &mut self.servers[at.0];
         server.out += 1;
-        server.unheard = server.unheard.or(Some(now));
-        call.shots.push(Shot { server: at, sent: now, fate: Fate::Out, further });
+        server.unheard = server.unheard.or(Some(self.now));
+        call.shots.push(Shot { server: at, sent: self.now, fate: Fate::Out, further });
         call.place = Place::Flying;
         to.dispatch(ix, at, call.until);
         if server.origin {
@@ -899,13 +836,13 @@
         }
         let (least, most) = (product.slo.times(FURTHER_FROM), product.slo.times(FURTHER_TO));
         let wait = Span(self.health.tail as i64).max(least).min(most);
-        self.set_due(now, ix, now + wait);
+        self.set_due(ix, self.now + wait);
         true
     }
 
     /// After a shot ended without the final answer: another, or wait for those out, or give up.
-    fn again(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
-        let call = &self.calls[ix.0 as usize];
+    fn again(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0];
         if call.place != Place::Flying {
             return;
         }
@@ -917,57 +854,58 @@
         if out && (!may || !call.missed || call.leads) {
             return;
         }
-        if !may || now >= call.until {
-            return self.give_up(now, ix, to);
+        if !may || self.now >= call.until {
+            return self.give_up(ix, to);
         }
         if call.missed {
-            self.coalesce(now, ix, to);
+            self.coalesce(ix, to);
         } else {
-            self.to_line(now, ix, to);
+            self.enter_line(ix, to);
         }
     }
 
-    fn run_due(&mut self, now: Time, to: &mut impl Answers) {
-        while let Some((due, ix, serial)) = self.due.first().copied().filter(|first| first.0 <= now) {
+    fn run_due(&mut self, to: &mut impl Answers) {
+        while let Some((due, ix, serial)) = self.due.first().copied().filter(|first| first.0 <= self.now) {
             self.due.pop_first();
-            let call = &self.calls[ix.0 as usize];
+            let call = &self.calls[ix.0];
             if call.serial != serial || call.due != due || call.ended || !call.live {
                 continue;
             }
             match call.place {
-                Place::Queued => self.give_up(now, ix, to),
-                Place::Waiting if call.missed => self.give_up(now, ix, to),
-                Place::Waiting => self.to_line(now, ix, to),
-                _ => self.review(now, ix, to),
+                Place::Queued => self.give_up(ix, to),
+                Place::Waiting if call.missed => self.give_up(ix, to),
+                Place::Waiting => self.enter_line(ix, to),
+                _ => self.review(ix, to),
             }
         }
     }
 
     /// A shot is late: a further one goes to the next nearest cache, if earned or if the first cache is silent.
-    fn review(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
-        let call = &self.calls[ix.0 as usize];
+    fn review(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0];
         let Some(late) = call.shots.last().filter(|shot| shot.fate == Fate::Out) else { return };
-        let server = &self.servers[late.server.0 as usize];
+        let server = &self.servers[late.server.0];
         if server.origin || call.streaming || call.write && self.aside || call.out() > 1 {
             return;
         }
-        let silent = self.health.silent(server, now);
+        let silent = self.health.silent(server, self.now);
         let product = &self.products[call.product];
-        let allowed = self.shots.allows(call, product, &self.servers, late.server, now);
+        let allowed = self.shots.allows(call, product, &self.servers, late.server, self.now);
         if allowed && (silent || self.shots.further()) {
             let (spot, used) = (call.spot, &call.shots);
-            let pick = self.line.pick(&mut self.servers, &self.health, spot, used, now, &mut self.chance);
-            if pick.is_some_and(|server| self.shoot(now, ix, server, true, to)) {
+            let pick =
+                self.line.pick(&mut self.servers, &self.health, spot, used, self.now, &mut self.chance);
+            if pick.is_some_and(|server| self.shoot(ix, server, true, to)) {
                 return;
             }
         }
-        let wait = self.products[self.calls[ix.0 as usize].product].slo.times(FURTHER_FROM);
-        self.set_due(now, ix, now + wait);
+        let wait = self.products[self.calls[ix.0].product].slo.times(FURTHER_FROM);
+        self.set_due(ix, self.now + wait);
     }
 
     /// The final answer of this node: rate-limited with a retry time where rule 2 allows the claim, else errored.
-    fn give_up(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
-        let call = &self.calls[ix.0 as usize];
+    fn give_up(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0];
         if call.ended {
             return;
         }
@@ -979,38 +917,38 @@
         } else {
             to.error(ix);
         }
-        self.end(now, ix, false, to);
+        self.end(ix, false, to);
     }
 
     /// Closes a call, calls off what is still out and lets go of the reads that waited for its fetch.
-    fn end(&mut self, now: Time, ix: CallIx, fetched: bool, to: &mut impl Answers) {
-        let call = &mut self.calls[ix.0 as usize];
+    fn end(&mut self, ix: CallIx, fetched: bool, to: &mut impl Answers) {
+        let call = &mut self.calls[ix.0];
         call.ended = true;
         let (leads, key, queued) = (std::mem::take(&mut call.leads), call.key, call.place == Place::Queued);
         if queued {
             self.origin.queue.retain(|other| *other != ix);
         }
         self.call_off(ix, None, to);
-        let stored = self.calls[ix.0 as usize].shots.iter().map(|shot| shot.server);
-        let home = stored.filter(|s| !self.servers[s.0 as usize].origin).last().filter(|_| fetched);
+        let stored = self.calls[ix.0].shots.iter().map(|shot| shot.server);
+        let home = stored.rev().find(|s| fetched && !self.servers[s.0].origin);
         self.forget_if_done(ix, to);
         let fetch = if leads { self.coalescing.fetches.remove(&key) } else { None };
         for (waiter, serial) in fetch.map(|fetch| fetch.waiters).unwrap_or_default() {
-            let call = &self.calls[waiter.0 as usize];
+            let call = &self.calls[waiter.0];
             if call.serial != serial || call.ended || call.place != Place::Waiting {
                 continue;
             }
             // A read that missed goes to the cache that has just been given its object, if that one has room.
-            let room = |s: &ServerIx| f64::from(self.servers[s.0 as usize].out) <= SKIP_FLOOR;
+            let room = |s: &ServerIx| f64::from(self.servers[s.0].out) <= SKIP_FLOOR;
             let home = home.filter(|s| call.missed && room(s));
-            if !home.is_some_and(|home| self.shoot(now, waiter, home, false, to)) {
-                self.coalesce(now, waiter, to);
+            if !home.is_some_and(|home| self.shoot(waiter, home, false, to)) {
+                self.coalesce(waiter, to);
             }
         }
     }
 
     fn call_off(&mut self, ix: CallIx, but: Option<usize>, to: &mut impl Answers) {
-        for (i, shot) in self.calls[ix.0 as usize].shots.iter().enumerate() {
+        for (i, shot) in self.calls[ix.0].shots.iter().enumerate() {
             if self.shots.may_cancel && shot.fate == Fate::Out && Some(i) != but {
                 to.cancel(ix, i);
             }
@@ -1018,7 +956,7 @@
     }
 
     fn forget_if_done(&mut self, ix: CallIx, to: &mut impl Answers) {
-        let call = &mut self.calls[ix.0 as usize];
+        let call = &mut self.calls[ix.0];
         if call.live && call.out() == 0 {
             call.live = false;
             to.forget(ix);
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -61,11 +61,11 @@
 
 /// A server's small index, given out at the door and kept for the life of the instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ServerIx(pub u32);
+pub struct ServerIx(pub usize);
 
 /// An API call's small index; free again after `Answers::forget`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CallIx(pub u32);
+pub struct CallIx(pub usize);
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Value {
