--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -112,7 +112,9 @@
 struct Admission {
     tenants: Vec<Tenant>,
     highest_value: f64,
+    /// Shares of shots that were turned away or slow, and of in-share calls that ended late or unfulfilled.
     strain: f64,
+    unmet: f64,
     /// 0 to 1 sheds over-share work, 1 to 2 in-share work of low billed value too.
     level: f64,
 }
@@ -128,6 +130,7 @@
             tenants: (0..settings.count("projects")).map(tenant).collect(),
             highest_value: products.iter().map(|p| p.value).fold(f64::MIN_POSITIVE, f64::max),
             strain: 0.0,
+            unmet: 0.0,
             level: 0.0,
         }
     }
@@ -155,13 +158,18 @@
         }
     }
 
-    fn settle(&mut self, strained: bool) {
+    fn settle_shot(&mut self, strained: bool) {
         self.strain += MEAN_STEP * (f64::from(u8::from(strained)) - self.strain);
     }
 
+    // Guards against shedding in-share work for shots that were turned away but made good elsewhere.
+    fn settle_call(&mut self, met: bool) {
+        self.unmet += MEAN_STEP * (f64::from(u8::from(!met)) - self.unmet);
+    }
+
     fn tick(&mut self) {
-        let most = if self.strain > STRAIN_SHARE { 2.0 } else { 1.0 };
-        if self.strain > STRAIN_OVER && self.level < most {
+        let most = if self.unmet > STRAIN_SHARE { 2.0 } else { 1.0 };
+        if self.strain > STRAIN_OVER && self.level <= most {
             self.level = (self.level + SHED_UP).min(most);
         } else {
             self.level = (self.level - SHED_DOWN).max(0.0);
@@ -627,8 +635,8 @@
     /// The client left; nothing is owed any more.
     pub fn withdrawn(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
         self.now = now;
-        if self.calls.get(ix.0).is_some_and(|call| call.live) {
-            self.end(ix, false, to);
+        if self.calls.get(ix.0).is_some_and(|call| call.live && !call.ended) {
+            self.end(ix, false, false, to);
         }
     }
 
@@ -652,21 +660,23 @@
             let slow = self.health.settle(server, &ending, slo, now);
             if trusted && ending.outcome != Outcome::TooLate {
                 let lost = matches!(ending.outcome, Outcome::Full | Outcome::TimedOut);
-                self.admission.settle(lost || slow);
+                self.admission.settle_shot(lost || slow);
             }
         }
         if further && !matches!(ending.outcome, Outcome::TooLate) {
             let won = f64::from(u8::from(ending.outcome == Outcome::Fulfilled));
             self.shots.success += MEAN_STEP * (won - self.shots.success);
         }
-        let (ended, streaming, was_origin) = (call.ended, call.streaming, server.origin);
-        if ending.call_ended || (streaming && !ended) {
-            self.end(ix, was_origin && ending.outcome == Outcome::Fulfilled, to);
-            if streaming && !ending.call_ended {
+        let (streaming, was_origin) = (call.streaming, server.origin);
+        if call.ended {
+            return self.forget_if_done(ix, to);
+        }
+        if ending.call_ended || streaming {
+            if !ending.call_ended {
                 to.error(ix);
             }
-        } else if ended {
-            self.forget_if_done(ix, to);
+            let fulfilled = ending.outcome == Outcome::Fulfilled;
+            self.end(ix, fulfilled, fulfilled && was_origin, to);
         } else {
             call.missed |= ending.outcome == Outcome::Miss && !was_origin;
             self.again(ix, to);
@@ -917,13 +927,17 @@
         } else {
             to.error(ix);
         }
-        self.end(ix, false, to);
+        self.end(ix, false, false, to);
     }
 
     /// Closes a call, calls off what is still out and lets go of the reads that waited for its fetch.
-    fn end(&mut self, ix: CallIx, fetched: bool, to: &mut impl Answers) {
+    fn end(&mut self, ix: CallIx, fulfilled: bool, fetched: bool, to: &mut impl Answers) {
         let call = &mut self.calls[ix.0];
         call.ended = true;
+        if !call.over && !call.shots.is_empty() {
+            let met = fulfilled && self.now - call.arrived <= self.products[call.product].slo;
+            self.admission.settle_call(met);
+        }
         let (leads, key, queued) = (std::mem::take(&mut call.leads), call.key, call.place == Place::Queued);
         if queued {
             self.origin.queue.retain(|other| *other != ix);
