Judge slowness by the SLO and rescue calls from any doubtful cache

Cause: in a jam the fleet's median rose with the slow caches, so four times the median blamed nobody while a fifth of Perth's caches stood idle.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -38,8 +38,6 @@
 const TRUST: f64 = 0.5;
 /// Part of the fleet's own success under which a server is doubtful, so that a common trouble blames nobody.
 const DOUBT: f64 = 0.7;
-/// Multiple of the fleet's median answer time past which an answer counts as a failure; above machine spread.
-const SLOW_FACTOR: f64 = 4.0;
 /// Multiple of the median answer time without any word from a server with shots out that makes it silent.
 const SILENT_FACTOR: f64 = 6.0;
 /// Step of the running quantiles, as a part of the value: settles in some hundred answers.
@@ -269,21 +267,23 @@
 struct Health {
     median: f64,
     tail: f64,
+    /// Longest SLO of any product, in microseconds.
+    longest: f64,
     success: f64,
     cold_from: f64,
     warm_within: Span,
 }
 
 impl Health {
-    fn silent(&self, server: &Server, now: Time) -> bool {
-        server
-            .unheard
-            .is_some_and(|since| (now - since).0 as f64 > (SILENT_FACTOR * self.median).max(self.tail))
+    /// How many times the silence to be feared of a good cache this one's has lasted; under 1 it is not silent.
+    fn silence(&self, server: &Server, now: Time) -> f64 {
+        let feared = (SILENT_FACTOR * self.median).max(self.tail).min(FURTHER_TO * self.longest);
+        server.unheard.map_or(0.0, |since| (now - since).0 as f64 / feared)
     }
 
     fn doubtful(&self, server: &Server, now: Time) -> bool {
         let mean = (server.good + 1.0) / (server.good + server.bad + 1.0);
-        mean < DOUBT * self.success || self.silent(server, now)
+        mean < DOUBT * self.success || self.silence(server, now) > 1.0
     }
 
     /// A doubtful cache is drawn from the posterior of its chance of success: rarely used, never forgotten.
@@ -291,7 +291,8 @@
         if !self.doubtful(server, now) {
             return true;
         }
-        let silent = if self.silent(server, now) { f64::from(server.out.max(1)) } else { 0.0 };
+        let silence = self.silence(server, now);
+        let silent = if silence > 1.0 { silence * f64::from(server.out) } else { 0.0 };
         let posterior = Beta::new(server.good + 1.0, server.bad + silent + 1.0);
         posterior.is_ok_and(|beta| beta.sample(chance) > TRUST)
     }
@@ -329,7 +330,7 @@
             self.median += QUANTILE_STEP * self.median * if took > self.median { 0.5 } else { -0.5 };
             self.tail += QUANTILE_STEP * self.tail * if took > self.tail { 0.95 } else { -0.05 };
         }
-        let slow = took > (SLOW_FACTOR * self.median).max(STRAIN_AT * slo.0 as f64);
+        let slow = took > STRAIN_AT * slo.0 as f64;
         let good = match ending.outcome {
             Fulfilled | Miss => !slow,
             Cancelled if !slow => return slow,
@@ -505,6 +506,7 @@
             health: Health {
                 median: shortest * FURTHER_FROM,
                 tail: shortest * FURTHER_TO,
+                longest: products.iter().map(|p| p.slo).max().unwrap_or(Span::ms(1000)).0 as f64,
                 success: 1.0,
                 cold_from: settings.number("invariants.cold_from", 0.0).clamp(0.0, 1.0),
                 warm_within: settings.span("invariants.warm_within", Span::ms(60_000)),
@@ -898,10 +900,10 @@
         if server.origin || call.streaming || call.write && self.aside || call.out() > 1 {
             return;
         }
-        let silent = self.health.silent(server, self.now);
+        let failing = self.health.doubtful(server, self.now);
         let product = &self.products[call.product];
         let allowed = self.shots.allows(call, product, &self.servers, late.server, self.now);
-        if allowed && (silent || self.shots.further()) {
+        if allowed && (failing || self.shots.further()) {
             let (spot, used) = (call.spot, &call.shots);
             let pick =
                 self.line.pick(&mut self.servers, &self.health, spot, used, self.now, &mut self.chance);
