--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -73,9 +73,10 @@
 const PATIENCE: f64 = 0.5;
 /// Seconds of quota that a tenant may save up: shorter than a burst, longer than the chance of one second.
 const QUOTA_SAVED: f64 = 2.0;
-/// Shares of strained answers at which over-share work, and then in-share work, is shed.
+/// Share of strained answers at which over-share work is shed.
 const STRAIN_OVER: f64 = 0.06;
-const STRAIN_SHARE: f64 = 0.35;
+/// Part of the SLO that the wait at the caches may take before in-share work is shed, all of it at one SLO.
+const CROWDED: f64 = 0.6;
 /// Part of the SLO past which an answer counts as strained.
 const STRAIN_AT: f64 = 0.6;
 /// Change of the shedding level a tick, up and down: full in about half a second, gone in two.
@@ -110,10 +111,9 @@
 struct Admission {
     tenants: Vec<Tenant>,
     highest_value: f64,
-    /// Shares of shots that were turned away or slow, and of in-share calls that ended late or unfulfilled.
+    /// Share of shots that were turned away or slow.
     strain: f64,
-    unmet: f64,
-    /// 0 to 1 sheds over-share work, 1 to 2 in-share work of low billed value too.
+    /// Chance that over-share work is shed.
     level: f64,
 }
 
@@ -128,7 +128,6 @@
             tenants: (0..settings.count("projects")).map(tenant).collect(),
             highest_value: products.iter().map(|p| p.value).fold(f64::MIN_POSITIVE, f64::max),
             strain: 0.0,
-            unmet: 0.0,
             level: 0.0,
         }
     }
@@ -146,9 +145,12 @@
         over
     }
 
-    fn admit(&self, over: bool, value: f64, chance: &mut Pcg) -> Step {
+    /// `crowding`: the wait in front of the caches, by Little's law, as a part of the SLO. Guards against a burst
+    /// or a lost cache filling queues until every answer is late, which outcomes tell only when it is too late.
+    fn admit(&self, over: bool, value: f64, crowding: f64, chance: &mut Pcg) -> Step {
         let spared = SHED_SPARED * value / self.highest_value;
-        let shed = if over { self.level } else { (self.level - 1.0) * (1.0 - spared) };
+        let crowded = (crowding - CROWDED) / (1.0 - CROWDED) * (1.0 - spared);
+        let shed = if over { self.level.max(crowded) } else { crowded };
         if chance.unit() < shed {
             Step::End
         } else {
@@ -160,15 +162,9 @@
         self.strain += MEAN_STEP * (f64::from(u8::from(strained)) - self.strain);
     }
 
-    // Guards against shedding in-share work for shots that were turned away but made good elsewhere.
-    fn settle_call(&mut self, met: bool) {
-        self.unmet += MEAN_STEP * (f64::from(u8::from(!met)) - self.unmet);
-    }
-
     fn tick(&mut self) {
-        let most = if self.unmet > STRAIN_SHARE { 2.0 } else { 1.0 };
-        if self.strain > STRAIN_OVER && self.level <= most {
-            self.level = (self.level + SHED_UP).min(most);
+        if self.strain > STRAIN_OVER {
+            self.level = (self.level + SHED_UP).min(1.0);
         } else {
             self.level = (self.level - SHED_DOWN).max(0.0);
         }
@@ -210,6 +206,11 @@
     /// Shots a second sent to caches from here, a running mean.
     rate: f64,
     sent: f64,
+    /// Answers a second from caches, and those since the last tick.
+    done_rate: f64,
+    done: f64,
+    /// How much of a full mean `done_rate` holds yet.
+    heard: f64,
 }
 
 impl Line {
@@ -223,6 +224,17 @@
         }
     }
 
+    /// Seconds that a shot now sent must expect: what is out at caches in good standing over what they answer.
+    fn wait(&self, servers: &[Server], health: &Health, now: Time) -> f64 {
+        let sound = self.caches.iter().map(|ix| &servers[ix.0]).filter(|s| health.silence(s, now) <= 1.0);
+        let out: u32 = sound.map(|server| server.out).sum();
+        if self.heard < 0.5 {
+            0.0
+        } else {
+            f64::from(out) * self.heard / self.done_rate.max(1.0)
+        }
+    }
+
     /// The nearest point wins unless its cache is over the skip line or Health refuses it; the winner's point
     /// moves. Caches in `used` have had this call already.
     fn pick(
@@ -620,7 +632,11 @@
         (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
         (call.arrived, call.until, call.due) = (now, now + ask.left, now);
         call.shots.clear();
-        match self.admission.admit(over, self.products[product].value, &mut self.chance) {
+        let (value, slo) = (self.products[product].value, self.products[product].slo);
+        let at_line = !(ask.write && self.aside);
+        let crowding =
+            if at_line { self.line.wait(&self.servers, &self.health, now) / slo.seconds() } else { 0.0 };
+        match self.admission.admit(over, value, crowding, &mut self.chance) {
             Step::End => self.give_up(ix, to),
             _ => self.coalesce(ix, to),
         }
@@ -638,7 +654,7 @@
     pub fn withdrawn(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
         self.now = now;
         if self.calls.get(ix.0).is_some_and(|call| call.live && !call.ended) {
-            self.end(ix, false, false, to);
+            self.end(ix, false, to);
         }
     }
 
@@ -658,6 +674,8 @@
             self.origin.out = self.origin.out.saturating_sub(1);
             self.origin.settle(&ending, now);
         } else {
+            self.line.done +=
+                f64::from(u8::from(matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss)));
             let trusted = !self.health.doubtful(server, now);
             let slow = self.health.settle(server, &ending, slo, now);
             if trusted && ending.outcome != Outcome::TooLate {
@@ -678,7 +696,7 @@
                 to.error(ix);
             }
             let fulfilled = ending.outcome == Outcome::Fulfilled;
-            self.end(ix, fulfilled, fulfilled && was_origin, to);
+            self.end(ix, fulfilled && was_origin, to);
         } else {
             call.missed |= ending.outcome == Outcome::Miss && !was_origin;
             self.again(ix, to);
@@ -697,6 +715,10 @@
         }
         let rate = std::mem::take(&mut self.line.sent) / passed;
         self.line.rate += (1.0 - 0.5f64.powf(passed)) * (rate - self.line.rate);
+        let done = std::mem::take(&mut self.line.done) / passed;
+        let step = 1.0 - 0.25f64.powf(passed);
+        self.line.done_rate += step * (done - self.line.done_rate);
+        self.line.heard += step * (1.0 - self.line.heard);
         self.admission.tick();
         self.run_due(to);
         self.pump(to);
@@ -929,17 +951,13 @@
         } else {
             to.error(ix);
         }
-        self.end(ix, false, false, to);
+        self.end(ix, false, to);
     }
 
     /// Closes a call, calls off what is still out and lets go of the reads that waited for its fetch.
-    fn end(&mut self, ix: CallIx, fulfilled: bool, fetched: bool, to: &mut impl Answers) {
+    fn end(&mut self, ix: CallIx, fetched: bool, to: &mut impl Answers) {
         let call = &mut self.calls[ix.0];
         call.ended = true;
-        if !call.over && !call.shots.is_empty() {
-            let met = fulfilled && self.now - call.arrived <= self.products[call.product].slo;
-            self.admission.settle_call(met);
-        }
         let (leads, key, queued) = (std::mem::take(&mut call.leads), call.key, call.place == Place::Queued);
         if queued {
             self.origin.queue.retain(|other| *other != ix);
