Leave full caches alone until a place is likely free; cold budget by answers

Symptom: five cold boxes fell over at 4.6 times what they could do, 3.9 shots a call, most answered full. Cause: the warm-up budget followed shots sent, which a storm of full answers multiplies. Told from a plain overload by the drop from 3.9 to 1.1-2.6 shots a call at the same rate-limiting. Change: budget follows what warm caches answer; a cache that answered full is passed over until an answer time has freed a place.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -40,6 +40,8 @@
 const DOUBT: f64 = 0.7;
 /// Multiple of the median answer time without any word from a server with shots out that makes it silent.
 const SILENT_FACTOR: f64 = 6.0;
+/// Median answer times after which a cache that was full is taken to have one more place.
+const FREED_AFTER: f64 = 1.0;
 /// Step of the running quantiles, as a part of the value: settles in some hundred answers.
 const QUANTILE_STEP: f64 = 0.05;
 /// Parts of the SLO between which the wait before a further shot lies: earlier is waste, later is too late.
@@ -203,12 +205,11 @@
     /// Ready caches, in the order of their indices.
     caches: Vec<ServerIx>,
     order: Vec<(f64, ServerIx)>,
-    /// Shots a second sent to caches from here, a running mean.
-    rate: f64,
-    sent: f64,
     /// Answers a second from caches, and those since the last tick.
     done_rate: f64,
     done: f64,
+    /// The ready caches' warmth, summed: how many warm ones they amount to.
+    warmth: f64,
     /// How much of a full mean `done_rate` holds yet.
     heard: f64,
 }
@@ -255,7 +256,8 @@
         let mut second = None;
         for (_, ix) in &self.order {
             let server = &mut servers[ix.0];
-            if f64::from(server.out) > skip || used.iter().any(|shot| shot.server == *ix) {
+            let full = f64::from(server.out) + 1.0 > server.room + health.freed(server, now);
+            if f64::from(server.out) > skip || full || used.iter().any(|shot| shot.server == *ix) {
                 continue;
             }
             if !health.warm_enough(server, self, now) {
@@ -293,6 +295,12 @@
         server.unheard.map_or(0.0, |since| (now - since).0 as f64 / feared)
     }
 
+    /// Guards against storms of shots at a cache that answers full: what it had from here when it last did so is
+    /// its room, and one place more is taken to be free for each answer time since.
+    fn freed(&self, server: &Server, now: Time) -> f64 {
+        (now - server.full_at).0 as f64 / (FREED_AFTER * self.median)
+    }
+
     fn doubtful(&self, server: &Server, now: Time) -> bool {
         let mean = (server.good + 1.0) / (server.good + server.bad + 1.0);
         mean < DOUBT * self.success || self.silence(server, now) > 1.0
@@ -316,15 +324,16 @@
         (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
     }
 
-    /// Refills a cold cache's budget, and tells whether it covers one more shot. The budget is this node's plain
-    /// share of traffic cut by the stated warm-up; when every node keeps to it the fall line is far.
+    /// Refills a cold cache's budget, and tells whether it covers one more shot. The budget is what a warm cache
+    /// answers of this node's shots on average, cut by the stated warm-up; when every node keeps to it the fall line is
+    /// far. Guards against counting sends: in a storm of full boxes they are many times what caches can do.
     fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
         let warmth = self.warmth(server.started, now);
         if warmth >= 1.0 {
             return true;
         }
         let passed = (now - server.warm_at).seconds().clamp(0.0, 1.0);
-        let share = line.rate / line.caches.len().max(1) as f64;
+        let share = line.done_rate / line.warmth.max(1.0);
         server.warm =
             (server.warm + passed * share * warmth * WARM_SHARE * server.scale.min(1.0)).min(WARM_SAVED);
         server.warm_at = now;
@@ -346,7 +355,11 @@
         let good = match ending.outcome {
             Fulfilled | Miss => !slow,
             Cancelled if !slow => return slow,
-            Full | TooLate => return slow,
+            Full => {
+                (server.room, server.full_at) = (f64::from(server.out), now);
+                return slow;
+            }
+            TooLate => return slow,
             _ => false,
         };
         *(if good { &mut server.good } else { &mut server.bad }) += 1.0;
@@ -713,11 +726,11 @@
         for server in &mut self.servers {
             (server.good, server.bad) = (server.good * kept, server.bad * kept);
         }
-        let rate = std::mem::take(&mut self.line.sent) / passed;
-        self.line.rate += (1.0 - 0.5f64.powf(passed)) * (rate - self.line.rate);
         let done = std::mem::take(&mut self.line.done) / passed;
         let step = 1.0 - 0.25f64.powf(passed);
         self.line.done_rate += step * (done - self.line.done_rate);
+        let warmth = |ix: &ServerIx| self.health.warmth(self.servers[ix.0].started, now);
+        self.line.warmth = self.line.caches.iter().map(warmth).sum();
         self.line.heard += step * (1.0 - self.line.heard);
         self.admission.tick();
         self.run_due(to);
@@ -863,7 +876,6 @@
             self.origin.out += 1;
         } else {
             server.warm -= 1.0;
-            self.line.sent += 1.0;
         }
         if call.shots.len() == 1 {
             self.shots.earn();
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -65,6 +65,9 @@
     pub out: u32,
     /// Since when nothing was heard although something is out.
     pub unheard: Option<Time>,
+    /// What was out here when it last turned a shot away, and when that was.
+    pub room: f64,
+    pub full_at: Time,
     pub good: f64,
     pub bad: f64,
     pub warm: f64,
