--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -60,7 +60,7 @@
 const WARM_SAVED: f64 = 2.0;
 /// Shots out at the origin from this node: at the start, at least, at most.
 const ORIGIN_START: f64 = 4.0;
-const ORIGIN_LEAST: f64 = 1.0;
+const ORIGIN_LEAST: f64 = 2.0;
 const ORIGIN_MOST: f64 = 64.0;
 /// Origin answer time over its calm time at which the limit shrinks: half of the time is then spent in queue.
 const ORIGIN_STRAINED: f64 = 2.0;
@@ -227,7 +227,7 @@
 
     /// Seconds that a shot now sent must expect: what is out at caches in good standing over what they answer.
     fn wait(&self, servers: &[Server], health: &Health, now: Time) -> f64 {
-        let sound = self.caches.iter().map(|ix| &servers[ix.0]).filter(|s| health.silence(s, now) <= 1.0);
+        let sound = self.caches.iter().map(|ix| &servers[ix.0]).filter(|s| !health.doubtful(s, now));
         let out: u32 = sound.map(|server| server.out).sum();
         if self.heard < 0.5 {
             0.0
@@ -393,10 +393,12 @@
         Span((self.mean * (ahead + 1) as f64 / self.limit) as i64)
     }
 
-    fn settle(&mut self, ending: &Ending, now: Time) {
+    fn settle(&mut self, ending: &Ending, write: bool, now: Time) {
         use Outcome::*;
         let took = ending.took.0 as f64;
         match ending.outcome {
+            // Guards against a spiral: writes take longer, so with few reads let through they read as strain.
+            Fulfilled | Miss | Broken if write => {}
             Fulfilled | Miss | Broken => {
                 self.mean += 2.0 * MEAN_STEP * (took - self.mean);
                 self.calm = (self.calm * ORIGIN_DRIFT).min(self.mean);
@@ -685,7 +687,7 @@
         let slo = self.products[call.product].slo;
         if server.origin {
             self.origin.out = self.origin.out.saturating_sub(1);
-            self.origin.settle(&ending, now);
+            self.origin.settle(&ending, call.write, now);
         } else {
             self.line.done +=
                 f64::from(u8::from(matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss)));
