Shed over-share work by crowding and by how far beyond its share it is

Cause: heavy-tailed work alone kept the slow-answer share above its line, so over-share work was shed with caches at half load; and in-share tenants lost calls at nodes that carry more of their clients. Also: a full place waits two answer times (FREED_AFTER 2).

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -41,7 +41,7 @@
 /// Multiple of the median answer time without any word from a server with shots out that makes it silent.
 const SILENT_FACTOR: f64 = 6.0;
 /// Median answer times after which a cache that was full is taken to have one more place.
-const FREED_AFTER: f64 = 1.0;
+const FREED_AFTER: f64 = 2.0;
 /// Step of the running quantiles, as a part of the value: settles in some hundred answers.
 const QUANTILE_STEP: f64 = 0.05;
 /// Parts of the SLO between which the wait before a further shot lies: earlier is waste, later is too late.
@@ -75,8 +75,10 @@
 const PATIENCE: f64 = 0.5;
 /// Seconds of quota that a tenant may save up: shorter than a burst, longer than the chance of one second.
 const QUOTA_SAVED: f64 = 2.0;
-/// Share of strained answers at which over-share work is shed.
+/// Share of shots answered full, and part of the shortest SLO that the wait at the caches takes, at which
+/// over-share work is shed more and more: about half as much again as a calm fleet's.
 const STRAIN_OVER: f64 = 0.06;
+const CROWDED_OVER: f64 = 0.4;
 /// Part of the SLO that the wait at the caches may take before in-share work is shed, all of it at one SLO.
 const CROWDED: f64 = 0.6;
 /// Part of the SLO past which an answer counts as strained.
@@ -105,6 +107,8 @@
 struct Tenant {
     per_s: f64,
     saved: f64,
+    /// Calls a second, a running mean.
+    rate: f64,
     at: Time,
 }
 
@@ -113,7 +117,7 @@
 struct Admission {
     tenants: Vec<Tenant>,
     highest_value: f64,
-    /// Share of shots that were turned away or slow.
+    /// Share of shots that were turned away.
     strain: f64,
     /// Chance that over-share work is shed.
     level: f64,
@@ -124,7 +128,7 @@
         let nodes = settings.number("balancers", 1.0).max(1.0);
         let tenant = |i| {
             let per_s = settings.number(&format!("projects.{i}.quota_per_s"), 0.0) / nodes;
-            Tenant { per_s, saved: per_s * QUOTA_SAVED, at: Time(i64::MIN) }
+            Tenant { per_s, saved: per_s * QUOTA_SAVED, rate: 0.0, at: Time(0) }
         };
         Admission {
             tenants: (0..settings.count("projects")).map(tenant).collect(),
@@ -134,25 +138,28 @@
         }
     }
 
-    /// Whether this call is beyond its tenant's share at this node. Unknown tenants have no share to exceed.
-    fn over_share(&mut self, tenant: usize, now: Time) -> bool {
-        let Some(tenant) = self.tenants.get_mut(tenant).filter(|t| t.per_s > 0.0) else { return false };
-        let passed = (now - tenant.at).seconds().clamp(0.0, QUOTA_SAVED);
-        tenant.saved = (tenant.saved + passed * tenant.per_s).min(tenant.per_s * QUOTA_SAVED);
+    /// How far beyond its tenant's share at this node this call is: 0 within it, 1 where the tenant sends twice its
+    /// share or more. Unknown tenants have no share to exceed. Guards against the uneven spread of clients over
+    /// nodes, by which a tenant within its share can be a little beyond it here.
+    fn beyond_share(&mut self, tenant: usize, now: Time) -> f64 {
+        let Some(tenant) = self.tenants.get_mut(tenant).filter(|t| t.per_s > 0.0) else { return 0.0 };
+        let passed = (now - tenant.at).seconds().clamp(0.0, 4.0 * QUOTA_SAVED);
         tenant.at = now;
-        let over = tenant.saved < 1.0;
-        if !over {
+        tenant.rate = tenant.rate * (-passed / QUOTA_SAVED).exp() + 1.0 / QUOTA_SAVED;
+        tenant.saved = (tenant.saved + passed * tenant.per_s).min(tenant.per_s * QUOTA_SAVED);
+        if tenant.saved >= 1.0 {
             tenant.saved -= 1.0;
+            return 0.0;
         }
-        over
+        (tenant.rate / tenant.per_s - 1.0).clamp(0.05, 1.0)
     }
 
     /// `crowding`: the wait in front of the caches, by Little's law, as a part of the SLO. Guards against a burst
     /// or a lost cache filling queues until every answer is late, which outcomes tell only when it is too late.
-    fn admit(&self, over: bool, value: f64, crowding: f64, chance: &mut Pcg) -> Step {
+    fn admit(&self, beyond: f64, value: f64, crowding: f64, chance: &mut Pcg) -> Step {
         let spared = SHED_SPARED * value / self.highest_value;
         let crowded = (crowding - CROWDED) / (1.0 - CROWDED) * (1.0 - spared);
-        let shed = if over { self.level.max(crowded) } else { crowded };
+        let shed = crowded.max(self.level * beyond);
         if chance.unit() < shed {
             Step::End
         } else {
@@ -164,8 +171,8 @@
         self.strain += MEAN_STEP * (f64::from(u8::from(strained)) - self.strain);
     }
 
-    fn tick(&mut self) {
-        if self.strain > STRAIN_OVER {
+    fn tick(&mut self, crowding: f64) {
+        if self.strain > STRAIN_OVER || crowding > CROWDED_OVER {
             self.level = (self.level + SHED_UP).min(1.0);
         } else {
             self.level = (self.level - SHED_DOWN).max(0.0);
@@ -296,7 +303,7 @@
     }
 
     /// Guards against storms of shots at a cache that answers full: what it had from here when it last did so is
-    /// its room, and one place more is taken to be free for each answer time since.
+    /// its room, and one place more is taken to be free for each two answer times since.
     fn freed(&self, server: &Server, now: Time) -> f64 {
         (now - server.full_at).0 as f64 / (FREED_AFTER * self.median)
     }
@@ -487,6 +494,7 @@
 
 pub struct Balancer {
     products: Vec<Product>,
+    shortest: Span,
     aside: bool,
     origin_kind: f64,
     max_retry: Option<Span>,
@@ -515,6 +523,7 @@
         // An unknown product is taken as the last entry: never to run twice, in the shortest time.
         products.push(Product::unknown(Span(shortest as i64)));
         Balancer {
+            shortest: Span(shortest as i64),
             aside: settings.text("extra.mode") == "aside",
             origin_kind: settings.number("extra.origin_kind", -1.0),
             max_retry: settings
@@ -639,11 +648,11 @@
         }
         let key = ask.key.map_or_else(|| (self.chance.unit() * 2f64.powi(53)) as u64, hash);
         let product = ask.product.min(self.products.len() - 1);
-        let over = self.admission.over_share(ask.tenant, now);
+        let beyond = self.admission.beyond_share(ask.tenant, now);
         self.serial = self.serial.wrapping_add(1);
         let call = &mut self.calls[ix.0];
         (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
-        (call.place, call.product, call.over, call.write) = (Place::Chain, product, over, ask.write);
+        (call.place, call.product, call.over, call.write) = (Place::Chain, product, beyond > 0.0, ask.write);
         (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
         (call.arrived, call.until, call.due) = (now, now + ask.left, now);
         call.shots.clear();
@@ -651,7 +660,7 @@
         let at_line = !(ask.write && self.aside);
         let crowding =
             if at_line { self.line.wait(&self.servers, &self.health, now) / slo.seconds() } else { 0.0 };
-        match self.admission.admit(over, value, crowding, &mut self.chance) {
+        match self.admission.admit(beyond, value, crowding, &mut self.chance) {
             Step::End => self.give_up(ix, to),
             _ => self.coalesce(ix, to),
         }
@@ -692,10 +701,9 @@
             self.line.done +=
                 f64::from(u8::from(matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss)));
             let trusted = !self.health.doubtful(server, now);
-            let slow = self.health.settle(server, &ending, slo, now);
+            self.health.settle(server, &ending, slo, now);
             if trusted && ending.outcome != Outcome::TooLate {
-                let lost = matches!(ending.outcome, Outcome::Full | Outcome::TimedOut);
-                self.admission.settle_shot(lost || slow);
+                self.admission.settle_shot(ending.outcome == Outcome::Full);
             }
         }
         if further && !matches!(ending.outcome, Outcome::TooLate) {
@@ -734,7 +742,8 @@
         let warmth = |ix: &ServerIx| self.health.warmth(self.servers[ix.0].started, now);
         self.line.warmth = self.line.caches.iter().map(warmth).sum();
         self.line.heard += step * (1.0 - self.line.heard);
-        self.admission.tick();
+        let wait = self.line.wait(&self.servers, &self.health, now);
+        self.admission.tick(wait / self.shortest.seconds());
         self.run_due(to);
         self.pump(to);
         if self.following.on_request && self.following.next.is_some_and(|next| now >= next) {
