--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -200,6 +200,7 @@
                     tenant: place(&self.tenants, news.realm.as_ref().map(|t| &*t.0)),
                     key: news.partition_key.as_ref().map(|t| &*t.0),
                     write: news.bitmap.unwrap_or(0) & 4 != 0,
+                    repeat: news.bitmap.unwrap_or(0) & 2 != 0,
                     left: Span::from_ms(news.grace.ok_or("Order without Grace")?),
                 };
                 let mut reply = Reply { names: &mut self.names, out };
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -131,6 +131,8 @@
     pub slo: Span,
     pub timeout: Span,
     pub value: f64,
+    /// Part of the value that an answer after the SLO still has.
+    pub late_value: f64,
     pub effect: Effect,
     pub scope: Scope,
     pub window: Span,
@@ -140,7 +142,7 @@
     /// Stands for a product that the settings do not name: never to run twice, wanted soon, worth nothing.
     pub fn unknown(slo: Span) -> Product {
         let (effect, scope) = (Effect::NonIdempotent, Scope::One);
-        Product { slo, timeout: slo, value: 0.0, effect, scope, window: Span::ZERO }
+        Product { slo, timeout: slo, value: 0.0, late_value: 0.0, effect, scope, window: Span::ZERO }
     }
 }
 
@@ -154,6 +156,7 @@
                 slo: self.span(&name("latency_slo"), timeout).max(Span::ms(1)),
                 timeout,
                 value: self.number(&name("billed_value"), 1.0).max(0.0),
+                late_value: self.number(&name("tardy_billed_value"), 0.0),
                 effect: match self.text(&name("effect")) {
                     "idempotent" => Effect::Idempotent,
                     "deduplicated" => Effect::Deduplicated,
@@ -202,6 +205,8 @@
     pub tenant: usize,
     pub key: Option<&'a str>,
     pub write: bool,
+    /// The client marks this as a try after an earlier one.
+    pub repeat: bool,
     /// What is left until the client gives this try up.
     pub left: Span,
 }
