Hold origin reads and writes each to their own calm time; full caches do not flood it

Cause: with the limit at 2, writes took every place and reads, which alone steered it, froze its mean high.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -387,8 +387,8 @@
     servers: Vec<ServerIx>,
     out: u32,
     limit: f64,
-    calm: f64,
-    mean: f64,
+    /// For reads and for writes: mean answer time and its calm level, in microseconds.
+    times: [(f64, f64); 2],
     cut_at: Time,
     queue: Vec<CallIx>,
 }
@@ -400,26 +400,27 @@
 
     /// The wait that a newcomer behind `ahead` others has before it.
     fn wait(&self, ahead: usize) -> Span {
-        Span((self.mean * (ahead + 1) as f64 / self.limit) as i64)
+        Span((self.times[0].0 * (ahead + 1) as f64 / self.limit) as i64)
     }
 
     fn settle(&mut self, ending: &Ending, write: bool, now: Time) {
         use Outcome::*;
         let took = ending.took.0 as f64;
         match ending.outcome {
-            // Guards against a spiral: writes take longer, so with few reads let through they read as strain.
-            Fulfilled | Miss | Broken if write => {}
             Fulfilled | Miss | Broken => {
-                self.mean += 2.0 * MEAN_STEP * (took - self.mean);
-                self.calm = (self.calm * ORIGIN_DRIFT).min(self.mean);
-                if self.mean > ORIGIN_STRAINED * self.calm {
+                // Guards against a spiral: writes take longer, and where few reads get through they would read as
+                // strain; so each kind is held against its own calm time.
+                let (mean, calm) = &mut self.times[usize::from(write)];
+                *mean += 2.0 * MEAN_STEP * (took - *mean);
+                *calm = (*calm * ORIGIN_DRIFT).min(*mean);
+                if *mean > ORIGIN_STRAINED * *calm {
                     self.limit = (self.limit * ORIGIN_EASE).max(ORIGIN_LEAST);
                 } else if f64::from(self.out) + 2.0 > self.limit {
                     self.limit = (self.limit + 1.0 / self.limit).min(ORIGIN_MOST);
                 }
             }
             // Guards against an origin pushed until it stops: one cut for each answer time, not one for each loss.
-            Full | TimedOut | Unreachable | Reset if (now - self.cut_at).0 as f64 > self.mean => {
+            Full | TimedOut | Unreachable | Reset if (now - self.cut_at).0 as f64 > self.times[0].0 => {
                 self.limit = (self.limit * ORIGIN_CUT).max(ORIGIN_LEAST);
                 self.cut_at = now;
             }
@@ -554,8 +555,7 @@
                 servers: Vec::new(),
                 out: 0,
                 limit: ORIGIN_START,
-                calm: shortest * FURTHER_TO,
-                mean: shortest * FURTHER_TO,
+                times: [(shortest * FURTHER_TO, shortest * FURTHER_TO); 2],
                 cut_at: Time(0),
                 queue: Vec::new(),
             },
@@ -815,7 +815,10 @@
         match pick {
             Some(server) if self.shoot(ix, server, false, to) => {}
             Some(_) => self.give_up(ix, to),
-            None if self.aside => self.enter_origin(ix, to),
+            // Guards against full caches turning all their reads into origin work: only what has room goes there.
+            None if self.aside && self.origin.room() && self.origin.queue.is_empty() => {
+                self.enter_origin(ix, to)
+            }
             None => self.give_up(ix, to),
         }
     }
