Test the decisions by printed traces; a node's caches no longer look full at a young clock

The trace of the ordinary path showed every read going to the origin while the clock was near 0: a cache's room started at 0. Room now starts unlimited. With no origin listed, what would wait for it is given up at once.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,27 +1,27 @@
 //! All decisions of one quartzhub node, and nothing else.
 //!
 //! How to call it: make a `Balancer` from the settings and a seed, call `start` once, then hand over what
-//! happens as it happens: `list` and `list_failed` (the server list), `call` (a new API call), `outcome` (how a
-//! shot ended), `first_byte`, `withdrawn` (the client left) and `tick` (the timer asked for by `Answers::wake`
-//! came due). Whatever the node must do in return is called on the `Answers` given along (types.rs); nothing is
-//! returned. The public interface is the `impl Balancer` block headed "Interface".
+//! happens as it happens: `list` and `list_failed` (the server list), `call` (a new API call), `outcome`
+//! (how a shot ended), `first_byte`, `withdrawn` (the client left) and `tick` (the timer asked for by
+//! `Answers::wake` came due). Whatever the node must do in return is called on the `Answers` given along
+//! (types.rs); nothing is returned. The public interface is the `impl Balancer` block headed "Interface".
 //!
-//! An API call passes the stages in this order: Admission, Coalescing, Line (asking Health for each candidate),
-//! Origin, Shots. A stage passes it on, keeps it or ends it. Outcomes run back: Shots, Origin, Health,
-//! Coalescing, Admission. Only `shoot` dispatches, and rules 1 to 3 are checked there.
+//! An API call passes the stages in this order: Admission, Coalescing, Line (asking Health for each
+//! candidate), Origin, Shots. A stage passes it on, keeps it or ends it. Outcomes run back: Shots, Origin,
+//! Health, Coalescing, Admission. Only `shoot` dispatches, and rules 1 to 3 are checked there.
 
 use std::collections::BTreeSet;
 
 use rand_distr::{Beta, Distribution};
-use rustc_hash::FxHashMap;
 
 use crate::pcg::Pcg;
 use crate::state::*;
 use crate::types::*;
 
-// ---- Constants ----------------------------------------------------------------------------------------------
+// ---- Constants ----------------------------------------------------------------------------------
 
-/// Share of a point's way to a sent key's place, no unit: the design's start, near 1/L for a hundred kept keys.
+/// Share of a point's way to a sent key's place, no unit: the design's start, near 1/L for a hundred kept
+/// keys.
 const ALPHA: f64 = 0.01;
 /// Shots out: a cache with this many or fewer is never skipped. The design's floor; one in work, one waiting.
 const SKIP_FLOOR: f64 = 2.0;
@@ -32,7 +32,8 @@
 /// Seconds in which what was learnt of a server loses half its weight: some times the length of one call, and
 /// short against the spells of trouble, so that a recovered server is back soon.
 const MEMORY_HALF_LIFE: f64 = 2.0;
-/// Outcomes: most evidence kept on a server. At twenty, one odd answer says little and ten in a row say it all.
+/// Outcomes: most evidence kept on a server. At twenty, one odd answer says little and ten in a row say it
+/// all.
 const EVIDENCE: f64 = 20.0;
 /// Chance of success a doubtful server must draw to be given work: better than even.
 const TRUST: f64 = 0.5;
@@ -96,32 +97,7 @@
 /// Time kept in hand before a deduplication window closes: one round and a network delay.
 const WINDOW_MARGIN: Span = Span::ms(20);
 
-// ---- What is kept of API calls and servers -------------------------------------------------------------------
-
-enum Step {
-    Pass,
-    Keep,
-    End,
-}
-
-struct Tenant {
-    per_s: f64,
-    saved: f64,
-    /// Calls a second, a running mean.
-    rate: f64,
-    at: Time,
-}
-
-// ---- Admission: tenant share and overload ----------------------------------------------------------------------
-
-struct Admission {
-    tenants: Vec<Tenant>,
-    highest_value: f64,
-    /// Share of shots that were turned away.
-    strain: f64,
-    /// Chance that over-share work is shed.
-    level: f64,
-}
+// ---- Admission: tenant share and overload -------------------------------------------------------
 
 impl Admission {
     fn new(settings: &Settings, products: &[Product]) -> Admission {
@@ -138,9 +114,9 @@
         }
     }
 
-    /// How far beyond its tenant's share at this node this call is: 0 within it, 1 where the tenant sends twice its
-    /// share or more. Unknown tenants have no share to exceed. Guards against the uneven spread of clients over
-    /// nodes, by which a tenant within its share can be a little beyond it here.
+    /// How far beyond its tenant's share at this node this call is: 0 within it, 1 where the tenant sends
+    /// twice its share or more. Unknown tenants have no share to exceed. Guards against the uneven spread of
+    /// clients over nodes, by which a tenant within its share can be a little beyond it here.
     fn beyond_share(&mut self, tenant: usize, too_late: bool, now: Time) -> f64 {
         let Some(tenant) = self.tenants.get_mut(tenant).filter(|t| t.per_s > 0.0) else { return 0.0 };
         let passed = (now - tenant.at).seconds().clamp(0.0, 4.0 * QUOTA_SAVED);
@@ -157,8 +133,9 @@
         (tenant.rate / tenant.per_s - 1.0).clamp(0.05, 1.0)
     }
 
-    /// `crowding`: the wait in front of the caches, by Little's law, as a part of the SLO. Guards against a burst
-    /// or a lost cache filling queues until every answer is late, which outcomes tell only when it is too late.
+    /// `crowding`: the wait in front of the caches, by Little's law, as a part of the SLO. Guards against a
+    /// burst or a lost cache filling queues until every answer is late, which outcomes tell only when it is
+    /// too late.
     fn admit(&self, beyond: f64, value: f64, crowding: f64, chance: &mut Pcg) -> Step {
         let spared = SHED_SPARED * value / self.highest_value;
         let crowded = (crowding - CROWDED) / (1.0 - CROWDED) * (1.0 - spared);
@@ -183,17 +160,7 @@
     }
 }
 
-// ---- Coalescing: one origin fetch a key --------------------------------------------------------------------------
-
-struct Fetch {
-    leader: CallIx,
-    waiters: Vec<(CallIx, u32)>,
-}
-
-#[derive(Default)]
-struct Coalescing {
-    fetches: FxHashMap<u64, Fetch>,
-}
+// ---- Coalescing: one origin fetch a key ---------------------------------------------------------
 
 impl Coalescing {
     /// Keeps a read whose key is being fetched by another API call.
@@ -208,21 +175,7 @@
     }
 }
 
-// ---- Line: DEMA ----------------------------------------------------------------------------------------------------
-
-#[derive(Default)]
-struct Line {
-    /// Ready caches, in the order of their indices.
-    caches: Vec<ServerIx>,
-    order: Vec<(f64, ServerIx)>,
-    /// Answers a second from caches, and those since the last tick.
-    done_rate: f64,
-    done: f64,
-    /// The ready caches' warmth, summed: how many warm ones they amount to.
-    warmth: f64,
-    /// How much of a full mean `done_rate` holds yet.
-    heard: f64,
-}
+// ---- Line: DEMA ---------------------------------------------------------------------------------
 
 impl Line {
     /// Guards against the uneven ranges of hashed seeds, which a small alpha takes minutes to even out: at a
@@ -235,7 +188,8 @@
         }
     }
 
-    /// Seconds that a shot now sent must expect: what is out at caches in good standing over what they answer.
+    /// Seconds that a shot now sent must expect: what is out at caches in good standing over what they
+    /// answer.
     fn wait(&self, servers: &[Server], health: &Health, now: Time) -> f64 {
         let sound = self.caches.iter().map(|ix| &servers[ix.0]).filter(|s| !health.doubtful(s, now));
         let out: u32 = sound.map(|server| server.out).sum();
@@ -286,27 +240,18 @@
     }
 }
 
-// ---- Health: what is believed of each cache --------------------------------------------------------------------------
-
-struct Health {
-    median: f64,
-    tail: f64,
-    /// Longest SLO of any product, in microseconds.
-    longest: f64,
-    success: f64,
-    cold_from: f64,
-    warm_within: Span,
-}
+// ---- Health: what is believed of each cache -----------------------------------------------------
 
 impl Health {
-    /// How many times the silence to be feared of a good cache this one's has lasted; under 1 it is not silent.
+    /// How many times the silence to be feared of a good cache this one's has lasted; under 1 it is not
+    /// silent.
     fn silence(&self, server: &Server, now: Time) -> f64 {
         let feared = (SILENT_FACTOR * self.median).max(self.tail).min(FURTHER_TO * self.longest);
         server.unheard.map_or(0.0, |since| (now - since).0 as f64 / feared)
     }
 
-    /// Guards against storms of shots at a cache that answers full: what it had from here when it last did so is
-    /// its room, and one place more is taken to be free for each two answer times since.
+    /// Guards against storms of shots at a cache that answers full: what it had from here when it last did
+    /// so is its room, and one place more is taken to be free for each two answer times since.
     fn freed(&self, server: &Server, now: Time) -> f64 {
         (now - server.full_at).0 as f64 / (FREED_AFTER * self.median)
     }
@@ -334,9 +279,10 @@
         (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
     }
 
-    /// Refills a cold cache's budget, and tells whether it covers one more shot. The budget is what a warm cache
-    /// answers of this node's shots on average, cut by the stated warm-up; when every node keeps to it the fall line is
-    /// far. Guards against counting sends: in a storm of full boxes they are many times what caches can do.
+    /// Refills a cold cache's budget, and tells whether it covers one more shot. The budget is what a warm
+    /// cache answers of this node's shots on average, cut by the stated warm-up; when every node keeps to it
+    /// the fall line is far. Guards against counting sends: in a storm of full boxes they are many times
+    /// what caches can do.
     fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
         let warmth = self.warmth(server.started, now);
         if warmth >= 1.0 {
@@ -381,17 +327,7 @@
     }
 }
 
-// ---- Origin: an adaptive limit and a short queue ---------------------------------------------------------------------
-
-struct Origin {
-    servers: Vec<ServerIx>,
-    out: u32,
-    limit: f64,
-    /// For reads and for writes: mean answer time and its calm level, in microseconds.
-    times: [(f64, f64); 2],
-    cut_at: Time,
-    queue: Vec<CallIx>,
-}
+// ---- Origin: an adaptive limit and a short queue ------------------------------------------------
 
 impl Origin {
     fn room(&self) -> bool {
@@ -408,8 +344,8 @@
         let took = ending.took.0 as f64;
         match ending.outcome {
             Fulfilled | Miss | Broken => {
-                // Guards against a spiral: writes take longer, and where few reads get through they would read as
-                // strain; so each kind is held against its own calm time.
+                // Guards against a spiral: writes take longer, and where few reads get through they would
+                // read as strain; so each kind is held against its own calm time.
                 let (mean, calm) = &mut self.times[usize::from(write)];
                 *mean += 2.0 * MEAN_STEP * (took - *mean);
                 *calm = (*calm * ORIGIN_DRIFT).min(*mean);
@@ -419,7 +355,8 @@
                     self.limit = (self.limit + 1.0 / self.limit).min(ORIGIN_MOST);
                 }
             }
-            // Guards against an origin pushed until it stops: one cut for each answer time, not one for each loss.
+            // Guards against an origin pushed until it stops: one cut for each answer time, not one for each
+            // loss.
             Full | TimedOut | Unreachable | Reset if (now - self.cut_at).0 as f64 > self.times[0].0 => {
                 self.limit = (self.limit * ORIGIN_CUT).max(ORIGIN_LEAST);
                 self.cut_at = now;
@@ -429,15 +366,7 @@
     }
 }
 
-// ---- Shots: what settings allow, and how far further shots pay ---------------------------------------------------------
-
-struct Shots {
-    most: usize,
-    may_duplicate: bool,
-    may_cancel: bool,
-    saved: f64,
-    success: f64,
-}
+// ---- Shots: what settings allow, and how far further shots pay ----------------------------------
 
 impl Shots {
     /// Rules 1 and 2: whether this call may have a shot at this server now.
@@ -484,17 +413,7 @@
     }
 }
 
-// ---- Following the list -------------------------------------------------------------------------------------------------
-
-struct Following {
-    on_request: bool,
-    heard: bool,
-    wait: Span,
-    ask_within: Span,
-    next: Option<Time>,
-}
-
-// ---- The node ---------------------------------------------------------------------------------------------------------------
+// ---- The node -----------------------------------------------------------------------------------
 
 pub struct Balancer {
     products: Vec<Product>,
@@ -606,7 +525,7 @@
         for line in lines {
             let at = line.server.0;
             while self.servers.len() <= at {
-                self.servers.push(Server::default());
+                self.servers.push(Server { room: f64::INFINITY, ..Server::default() });
             }
             let server = &mut self.servers[at];
             let restarted = server.started != line.started;
@@ -614,7 +533,7 @@
                 server.point = place_on_line(hash(line.name));
             }
             if restarted {
-                (server.good, server.bad, server.unheard) = (0.0, 0.0, None);
+                (server.good, server.bad, server.unheard, server.room) = (0.0, 0.0, None, f64::INFINITY);
                 (server.warm, server.warm_at) = (0.0, now);
             }
             server.state = line.state;
@@ -651,8 +570,8 @@
         }
         let key = ask.key.map_or_else(|| (self.chance.unit() * 2f64.powi(53)) as u64, hash);
         let product = ask.product.min(self.products.len() - 1);
-        // Guards against clients told to come back using up their tenant's share with tries that are late already:
-        // where late answers are worth nothing, a marked repeat does not draw on the share.
+        // Guards against clients told to come back using up their tenant's share with tries that are late
+        // already: where late answers are worth nothing, a marked repeat does not draw on the share.
         let too_late = ask.repeat && self.products[product].late_value <= 0.0;
         let beyond = self.admission.beyond_share(ask.tenant, too_late, now);
         self.serial = self.serial.wrapping_add(1);
@@ -787,7 +706,8 @@
     fn park(&mut self, ix: CallIx, place: Place, to: &mut impl Answers) {
         let call = &mut self.calls[ix.0];
         call.place = place;
-        // Guards against a call that would come due only after its client timeout: the timer is not that fine.
+        // Guards against a call that would come due only after its client timeout: the timer is not that
+        // fine.
         if call.until < self.now + TICK.times(2.0) {
             return self.give_up(ix, to);
         }
@@ -815,7 +735,8 @@
         match pick {
             Some(server) if self.shoot(ix, server, false, to) => {}
             Some(_) => self.give_up(ix, to),
-            // Guards against full caches turning all their reads into origin work: only what has room goes there.
+            // Guards against full caches turning all their reads into origin work: only what has room goes
+            // there.
             None if self.aside && self.origin.room() && self.origin.queue.is_empty() => {
                 self.enter_origin(ix, to)
             }
@@ -824,6 +745,9 @@
     }
 
     fn enter_origin(&mut self, ix: CallIx, to: &mut impl Answers) {
+        if self.origin.servers.is_empty() {
+            return self.give_up(ix, to);
+        }
         let call = &mut self.calls[ix.0];
         if !call.write && !call.leads {
             if matches!(self.coalescing.keep(ix, call), Step::Keep) {
@@ -877,8 +801,9 @@
         }
     }
 
-    /// The only place that dispatches. Rules 1 and 2 by `Shots::allows`, rule 3 by the list state (nothing new
-    /// from the moment the drain is known, so the grace is never used), rule 4 by the budget checked on the line.
+    /// The only place that dispatches. Rules 1 and 2 by `Shots::allows`, rule 3 by the list state (nothing
+    /// new from the moment the drain is known, so the grace is never used), rule 4 by the budget checked on
+    /// the line.
     fn shoot(&mut self, ix: CallIx, at: ServerIx, further: bool, to: &mut impl Answers) -> bool {
         let call = &mut self.calls[ix.0];
         let product = &self.products[call.product];
@@ -946,7 +871,8 @@
         }
     }
 
-    /// A shot is late: a further one goes to the next nearest cache, if earned or if the first cache is silent.
+    /// A shot is late: a further one goes to the next nearest cache, if earned or if the first cache is
+    /// silent.
     fn review(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
         let Some(late) = call.shots.last().filter(|shot| shot.fate == Fate::Out) else { return };
@@ -969,7 +895,8 @@
         self.set_due(ix, self.now + wait);
     }
 
-    /// The final answer of this node: rate-limited with a retry time where rule 2 allows the claim, else errored.
+    /// The final answer of this node: rate-limited with a retry time where rule 2 allows the claim, else
+    /// errored.
     fn give_up(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
         if call.ended {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,4 +1,7 @@
-//! What the module keeps of an API call and of a server. Plain records; `policy` decides on them.
+//! What the module keeps of API calls and servers, and what each of its stages remembers. Plain records;
+//! `policy` decides on them.
+use rustc_hash::FxHashMap;
+
 use crate::types::*;
 
 #[derive(Clone, Copy, PartialEq, Default)]
@@ -87,3 +90,87 @@
 pub fn place_on_line(h: u64) -> f64 {
     (h >> 11) as f64 / (1u64 << 53) as f64
 }
+
+pub struct Tenant {
+    pub per_s: f64,
+    pub saved: f64,
+    /// Calls a second, a running mean.
+    pub rate: f64,
+    pub at: Time,
+}
+
+pub struct Admission {
+    pub tenants: Vec<Tenant>,
+    pub highest_value: f64,
+    /// Share of shots that were turned away.
+    pub strain: f64,
+    /// Chance that over-share work is shed.
+    pub level: f64,
+}
+
+pub struct Fetch {
+    pub leader: CallIx,
+    pub waiters: Vec<(CallIx, u32)>,
+}
+
+#[derive(Default)]
+pub struct Coalescing {
+    pub fetches: FxHashMap<u64, Fetch>,
+}
+
+#[derive(Default)]
+pub struct Line {
+    /// Ready caches, in the order of their indices.
+    pub caches: Vec<ServerIx>,
+    pub order: Vec<(f64, ServerIx)>,
+    /// Answers a second from caches, and those since the last tick.
+    pub done_rate: f64,
+    pub done: f64,
+    /// The ready caches' warmth, summed: how many warm ones they amount to.
+    pub warmth: f64,
+    /// How much of a full mean `done_rate` holds yet.
+    pub heard: f64,
+}
+
+pub struct Health {
+    pub median: f64,
+    pub tail: f64,
+    /// Longest SLO of any product, in microseconds.
+    pub longest: f64,
+    pub success: f64,
+    pub cold_from: f64,
+    pub warm_within: Span,
+}
+
+pub struct Origin {
+    pub servers: Vec<ServerIx>,
+    pub out: u32,
+    pub limit: f64,
+    /// For reads and for writes: mean answer time and its calm level, in microseconds.
+    pub times: [(f64, f64); 2],
+    pub cut_at: Time,
+    pub queue: Vec<CallIx>,
+}
+
+pub struct Shots {
+    pub most: usize,
+    pub may_duplicate: bool,
+    pub may_cancel: bool,
+    pub saved: f64,
+    pub success: f64,
+}
+
+pub struct Following {
+    pub on_request: bool,
+    pub heard: bool,
+    pub wait: Span,
+    pub ask_within: Span,
+    pub next: Option<Time>,
+}
+
+/// What a stage does with an API call: pass it on, keep it or end it.
+pub enum Step {
+    Pass,
+    Keep,
+    End,
+}
--- /dev/null
+++ b/crates/policy/tests/traces.rs
@@ -0,0 +1,310 @@
+//! Printed traces of decisions, read by people: the ordinary path, the four rules, and each failure met so far.
+mod common;
+
+use common::{line, Node};
+use expect_test::{expect, Expect};
+use quartzhub_policy::{Outcome::*, State::*, Value};
+
+fn check(node: Node, expected: Expect) {
+    expected.assert_eq(&node.trace.0);
+}
+
+#[test]
+fn nearest_point_wins_and_a_busy_cache_is_skipped() {
+    let mut node = Node::new(3, &[]);
+    node.say("one key, one cache, until three shots are out there");
+    for call in 0..5 {
+        node.ask(call, 0, "key-a", false);
+    }
+    node.say("other keys, other ranges");
+    node.ask(5, 0, "key-b", false);
+    node.ask(6, 0, "key-c", false);
+    node.say("in-flight is released by every outcome");
+    node.end(0, 0, Fulfilled, 5.0);
+    node.ask(7, 0, "key-a", false);
+    check(
+        node,
+        expect![[r#"
+            0 ms: one key, one cache, until three shots are out there
+              call 0 -> server 3 until 2000
+              call 1 -> server 3 until 2000
+              call 2 -> server 3 until 2000
+              call 3 -> server 2 until 2000
+              call 4 -> server 2 until 2000
+            0 ms: other keys, other ranges
+              call 5 -> server 2 until 2000
+              call 6 -> server 1 until 2000
+            0 ms: in-flight is released by every outcome
+              call 7 -> server 3 until 2000
+        "#]],
+    );
+}
+
+#[test]
+fn rule_1_one_answer_and_nothing_after() {
+    let mut node = Node::new(2, &[]);
+    node.ask(0, 2, "key-a", false);
+    node.pass(2000.0);
+    node.say("the shot's time-out is the client's");
+    node.end(0, 0, TimedOut, 2000.0);
+    node.say("late events for an ended call change nothing");
+    node.end(0, 0, Broken, 2000.0);
+    node.pass(1000.0);
+    check(
+        node,
+        expect![[r#"
+          call 0 -> server 0 until 2000
+        2000 ms: the shot's time-out is the client's
+          call 0 errored
+        2000 ms: late events for an ended call change nothing
+    "#]],
+    );
+}
+
+#[test]
+fn rule_2_no_effect_twice() {
+    let mut node = Node::new(2, &[]);
+    node.say("non-idempotent: turned away unseen, so another shot; then it may have run, so errored");
+    node.ask(0, 2, "key-a", false);
+    node.end(0, 0, Full, 1.0);
+    node.end(0, 1, Reset, 1.0);
+    node.say("deduplicated: again inside its window");
+    node.ask(1, 1, "key-b", false);
+    node.end(1, 0, Reset, 1.0);
+    node.end(1, 1, Fulfilled, 1.0);
+    node.say("deduplicated: not after its window");
+    node.ask(2, 1, "key-c", false);
+    node.pass(500.0);
+    node.end(2, 0, Reset, 500.0);
+    check(
+        node,
+        expect![[r#"
+        0 ms: non-idempotent: turned away unseen, so another shot; then it may have run, so errored
+          call 0 -> server 0 until 2000
+          call 0 -> server 0 until 2000
+          call 0 errored
+        0 ms: deduplicated: again inside its window
+          call 1 -> server 0 until 2000
+          call 1 -> server 0 until 2000
+        0 ms: deduplicated: not after its window
+          call 2 -> server 0 until 2000
+          call 2 rate-limited, told when to come back
+    "#]],
+    );
+}
+
+#[test]
+fn rule_3_nothing_new_to_a_draining_or_gone_cache() {
+    let mut node = Node::new(2, &[]);
+    node.ask(0, 0, "key-a", false);
+    node.say("its cache drains");
+    node.list(&[line(2, Draining, None)]);
+    node.ask(1, 0, "key-a", false);
+    node.say("both are gone: the origin is left");
+    node.list(&[line(1, Gone, None), line(2, Gone, None)]);
+    node.ask(2, 0, "key-a", false);
+    node.say("nothing is left: given up in time");
+    node.list(&[line(0, Gone, None)]);
+    node.ask(3, 0, "key-b", false);
+    check(
+        node,
+        expect![[r#"
+              call 0 -> server 2 until 2000
+            0 ms: its cache drains
+              call 1 -> server 1 until 2000
+            0 ms: both are gone: the origin is left
+              call 2 -> server 0 until 2000
+            0 ms: nothing is left: given up in time
+              call 3 rate-limited, told when to come back
+        "#]],
+    );
+}
+
+// A storm of shots answered full made the budget of cold boxes many times what they could do: five fell over.
+#[test]
+fn rule_4_a_cold_cache_gets_its_cut_share_of_answers() {
+    let mut node = Node::new(2, &[]);
+    node.calm(0);
+    node.list(&[line(2, Ready, Some(1000.0))]);
+    let before = node.trace.0.len();
+    let (mut cold, mut warm) = (0, 0);
+    for i in 0..200 {
+        let seen = node.trace.0.len();
+        node.ask(100 + i, 0, &format!("key-{i}"), false);
+        cold += usize::from(node.trace.0[seen..].contains("server 2"));
+        warm += usize::from(node.trace.0[seen..].contains("server 1"));
+        let (outcome, took) = if i % 2 == 0 { (Fulfilled, 4.0) } else { (Full, 1.0) };
+        node.pass(5.0);
+        node.end(100 + i, 0, outcome, took);
+    }
+    node.trace.0.truncate(before);
+    node.say(&format!("of 200 reads in a second the cold cache got {cold}, the warm one {warm}"));
+    check(
+        node,
+        expect![[r#"
+            2000 ms: of 200 reads in a second the cold cache got 4, the warm one 29
+        "#]],
+    );
+}
+
+#[test]
+fn misses_of_one_key_share_one_fetch() {
+    let mut node = Node::new(2, &[]);
+    node.ask(0, 0, "key-a", false);
+    node.ask(1, 0, "key-a", false);
+    node.say("both miss; one asks the origin; a third read is kept too");
+    node.end(0, 0, Miss, 1.0);
+    node.end(1, 0, Miss, 1.0);
+    node.ask(2, 0, "key-a", false);
+    node.say("fetched: those kept go to the cache that has it now");
+    node.end(0, 1, Fulfilled, 30.0);
+    node.end(1, 1, Fulfilled, 2.0);
+    node.end(2, 0, Fulfilled, 2.0);
+    node.say("a fetch that fails passes to the next that waits");
+    node.ask(3, 0, "key-b", false);
+    node.ask(4, 0, "key-b", false);
+    node.end(3, 0, Miss, 1.0);
+    node.end(4, 0, Miss, 1.0);
+    node.end(3, 1, Broken, 5.0);
+    node.end(3, 2, Broken, 5.0);
+    check(
+        node,
+        expect![[r#"
+              call 0 -> server 2 until 2000
+              call 1 -> server 2 until 2000
+            0 ms: both miss; one asks the origin; a third read is kept too
+              call 0 -> server 0 until 2000
+            0 ms: fetched: those kept go to the cache that has it now
+              call 1 -> server 2 until 2000
+              call 2 -> server 2 until 2000
+            0 ms: a fetch that fails passes to the next that waits
+              call 3 -> server 2 until 2000
+              call 4 -> server 2 until 2000
+              call 3 -> server 0 until 2000
+              call 3 -> server 0 until 2000
+              call 3 rate-limited, told when to come back
+              call 4 -> server 0 until 2000
+        "#]],
+    );
+}
+
+// A hung cache kept its range, and its calls waited for their client timeout.
+#[test]
+fn a_hung_cache_loses_its_calls_to_the_next_nearest() {
+    let mut node = Node::new(2, &[]);
+    node.calm(0);
+    for call in 100..103 {
+        node.ask(call, 0, "key-a", false);
+    }
+    node.say("no word from it");
+    node.pass(400.0);
+    node.say("the rescuer answers; new calls pass the hung one over");
+    (100..103).for_each(|call| node.end(call, 1, Fulfilled, 30.0));
+    node.pass(100.0);
+    node.ask(103, 0, "key-a", false);
+    check(
+        node,
+        expect![[r#"
+              call 100 -> server 2 until 3000
+              call 101 -> server 2 until 3000
+              call 102 -> server 2 until 3000
+            1000 ms: no word from it
+              call 100 -> server 1 until 3000
+              call 101 -> server 1 until 3000
+              call 102 -> server 1 until 3000
+            1400 ms: the rescuer answers; new calls pass the hung one over
+              call 100 cancels shot 0
+              call 101 cancels shot 0
+              call 102 cancels shot 0
+              call 103 -> server 2 until 3500
+        "#]],
+    );
+}
+
+// Boxes that answered full were tried again at once, up to four shots a call.
+#[test]
+fn a_full_cache_is_left_alone_for_a_while() {
+    let mut node = Node::new(2, &[]);
+    node.calm(0);
+    node.ask(100, 0, "key-a", false);
+    node.end(100, 0, Full, 1.0);
+    node.say("not again at once");
+    node.ask(101, 0, "key-a", false);
+    node.pass(200.0);
+    node.say("again when a place is likely free");
+    node.ask(102, 0, "key-a", false);
+    check(
+        node,
+        expect![[r#"
+          call 100 -> server 2 until 3000
+          call 100 -> server 1 until 3000
+        1000 ms: not again at once
+          call 101 -> server 1 until 3000
+          call 101 -> server 2 until 3000
+        1200 ms: again when a place is likely free
+          call 102 -> server 2 until 3200
+    "#]],
+    );
+}
+
+// Tries that came back after their SLO used up their tenant's share, and late ones were a quarter of all admitted.
+#[test]
+fn over_share_work_and_late_repeats_end_first_in_a_crowd() {
+    let quota =
+        [("projects.0.quota_per_s", Value::Number(2.0)), ("projects.0.name", Value::Text("a".into()))];
+    let mut node = Node::new(2, &quota);
+    node.calm(0);
+    node.say("calm: beyond its share, and served all the same");
+    node.ask(100, 3, "key-a", false);
+    let before = node.trace.0.len();
+    for call in 101..130 {
+        node.ask(call, 3, &format!("key-{call}"), false);
+    }
+    for call in 101..111 {
+        node.pass(60.0);
+        node.end(call, 0, Fulfilled, 60.0);
+    }
+    node.trace.0.truncate(before);
+    node.say("a crowd waits at the caches; the tenant has saved one call by now");
+    node.ask(200, 3, "key-b", true);
+    node.ask(201, 3, "key-b", false);
+    check(
+        node,
+        expect![[r#"
+            1000 ms: calm: beyond its share, and served all the same
+              call 100 -> server 2 until 3000
+            1600 ms: a crowd waits at the caches; the tenant has saved one call by now
+              call 200 rate-limited, told when to come back
+              call 201 rate-limited, told when to come back
+        "#]],
+    );
+}
+
+#[test]
+fn the_list_is_watched_and_asked_for_again_with_backoff() {
+    let ask = [("membership_mode", Value::Text("on_request".into()))];
+    let mut node = Node::new(2, &ask);
+    for _ in 0..3 {
+        node.say("the watch fails");
+        node.balancer.list_failed(quartzhub_policy::Time::from_ms(node.now));
+        node.pass(2000.0);
+    }
+    node.say("a list arrives; later the subscription is checked, long before it counts as silent");
+    node.list(&[line(1, Ready, None)]);
+    node.pass(9000.0);
+    check(
+        node,
+        expect![[r#"
+          watch
+        0 ms: the watch fails
+          watch
+        2000 ms: the watch fails
+          watch
+        4000 ms: the watch fails
+          watch
+        6000 ms: a list arrives; later the subscription is checked, long before it counts as silent
+          reload
+          reload
+    "#]],
+    );
+}
