--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -474,7 +474,6 @@
             origin: Origin {
                 servers: Vec::new(),
                 out: 0,
-                writes: 0,
                 limit: ORIGIN_START,
                 times: [(shortest * FURTHER_TO, shortest * FURTHER_TO); 2],
                 cut_at: Time(0),
@@ -623,7 +622,6 @@
         let slo = self.products[call.product].slo;
         if server.origin {
             self.origin.out = self.origin.out.saturating_sub(1);
-            self.origin.writes = self.origin.writes.saturating_sub(u32::from(call.write));
             self.origin.settle(&ending, call.write, now);
         } else {
             self.line.done +=
@@ -765,19 +763,10 @@
         self.trim(to);
     }
 
-    /// Which waiting call goes first: writes, then in-share work, then the fetch for which most billed value
-    /// waits.
+    /// Which waiting call goes first: writes, then in-share work, then what is billed higher.
     fn rank(&self, ix: CallIx) -> (bool, bool, f64) {
         let call = &self.calls[ix.0];
-        let waiters =
-            self.coalescing.fetches.get(&call.key).filter(|_| call.leads).map_or(0, |f| f.waiters.len());
-        (call.write, !call.over, self.products[call.product].value * (1 + waiters) as f64)
-    }
-
-    /// Guards against writes taking a slowed origin whole: no read is fetched then, and the caches run dry.
-    /// Writes go first while they hold at most half of the places in use.
-    fn turn(&self, ix: CallIx) -> bool {
-        self.calls[ix.0].write == (self.origin.writes * 2 <= self.origin.out)
+        (call.write, !call.over, self.products[call.product].value)
     }
 
     /// Ends what would wait too long for the origin, the least first.
@@ -803,10 +792,8 @@
                 return;
             };
             let best = (0..self.origin.queue.len()).rev().max_by(|a, b| {
-                let (a, b) = (self.origin.queue[*a], self.origin.queue[*b]);
-                (self.turn(a), self.rank(a))
-                    .partial_cmp(&(self.turn(b), self.rank(b)))
-                    .unwrap_or(std::cmp::Ordering::Equal)
+                let (a, b) = (self.rank(self.origin.queue[*a]), self.rank(self.origin.queue[*b]));
+                a.partial_cmp(&b).unwrap_or(std::cmp::Ordering::Equal)
             });
             let ix = self.origin.queue.remove(best.unwrap_or(0));
             if !self.shoot(ix, server, false, to) {
@@ -833,7 +820,6 @@
         to.dispatch(ix, at, call.until);
         if server.origin {
             self.origin.out += 1;
-            self.origin.writes += u32::from(call.write);
         } else {
             server.warm -= 1.0;
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -145,8 +145,6 @@
 pub struct Origin {
     pub servers: Vec<ServerIx>,
     pub out: u32,
-    /// How many of these are writes.
-    pub writes: u32,
     pub limit: f64,
     /// For reads and for writes: mean answer time and its calm level, in microseconds.
     pub times: [(f64, f64); 2],
