Shed in-share work while caches are full and shots end for nothing

Symptom: 36% rate-limited long after the fleet had grown, all boxes at two to four shots, most calls ended after a miss. Cause: a jam that feeds itself: full boxes pass reads on, passed-on reads miss, and the origin cannot take the misses.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -20,8 +20,7 @@
 
 // ---- Constants ----------------------------------------------------------------------------------
 
-/// Share of a point's way to a sent key's place, no unit: the design's start, near 1/L for a hundred kept
-/// keys.
+/// Part of the way to a sent key's place that a point moves: the design's start, 1/L for a hundred keys.
 const ALPHA: f64 = 0.01;
 /// Shots out: a cache with this many or fewer is never skipped. The design's floor; one in work, one waiting.
 const SKIP_FLOOR: f64 = 2.0;
@@ -32,8 +31,7 @@
 /// Seconds in which what was learnt of a server loses half its weight: some times the length of one call, and
 /// short against the spells of trouble, so that a recovered server is back soon.
 const MEMORY_HALF_LIFE: f64 = 2.0;
-/// Outcomes: most evidence kept on a server. At twenty, one odd answer says little and ten in a row say it
-/// all.
+/// Outcomes: most evidence kept on a server; one odd answer in twenty says little, ten in a row say it all.
 const EVIDENCE: f64 = 20.0;
 /// Chance of success a doubtful server must draw to be given work: better than even.
 const TRUST: f64 = 0.5;
@@ -84,7 +82,9 @@
 const CROWDED: f64 = 0.6;
 /// Part of the SLO past which an answer counts as strained.
 const STRAIN_AT: f64 = 0.6;
-/// Change of the shedding level a tick, up and down: full in about half a second, gone in two.
+/// Share of calls that had a shot and yet no answer at which, with caches full, in-share work is shed too.
+const WASTED: f64 = 0.35;
+/// Change of a shedding level a tick, up and down: full in about half a second, gone in two.
 const SHED_UP: f64 = 0.04;
 const SHED_DOWN: f64 = 0.01;
 /// How far the most valued product is spared when in-share work is shed (part of the level).
@@ -109,8 +109,7 @@
         Admission {
             tenants: (0..settings.count("projects")).map(tenant).collect(),
             highest_value: products.iter().map(|p| p.value).fold(f64::MIN_POSITIVE, f64::max),
-            strain: 0.0,
-            level: 0.0,
+            ..Admission::default()
         }
     }
 
@@ -139,7 +138,7 @@
     fn admit(&self, beyond: f64, value: f64, crowding: f64, chance: &mut Pcg) -> Step {
         let spared = SHED_SPARED * value / self.highest_value;
         let crowded = (crowding - CROWDED) / (1.0 - CROWDED) * (1.0 - spared);
-        let shed = crowded.max(self.level * beyond);
+        let shed = crowded.max(self.level * beyond).max(self.jam * (1.0 - spared));
         if chance.unit() < shed {
             Step::End
         } else {
@@ -147,11 +146,19 @@
         }
     }
 
+    /// Guards against a jam that feeds itself: full caches pass reads on, passed-on reads miss, and what the
+    /// origin cannot take was work for nothing. `wasted`: a call that had a shot ended without its answer.
+    fn settle_call(&mut self, wasted: bool) {
+        self.wasted += MEAN_STEP * (f64::from(u8::from(wasted)) - self.wasted);
+    }
+
     fn settle_shot(&mut self, strained: bool) {
         self.strain += MEAN_STEP * (f64::from(u8::from(strained)) - self.strain);
     }
 
     fn tick(&mut self, crowding: f64) {
+        let jammed = self.strain > STRAIN_OVER && self.wasted > WASTED;
+        self.jam = (self.jam + if jammed { SHED_UP } else { -SHED_DOWN }).clamp(0.0, 1.0);
         if self.strain > STRAIN_OVER || crowding > CROWDED_OVER {
             self.level = (self.level + SHED_UP).min(1.0);
         } else {
@@ -472,12 +479,9 @@
                 warm_within: settings.span("invariants.warm_within", Span::ms(60_000)),
             },
             origin: Origin {
-                servers: Vec::new(),
-                out: 0,
                 limit: ORIGIN_START,
                 times: [(shortest * FURTHER_TO, shortest * FURTHER_TO); 2],
-                cut_at: Time(0),
-                queue: Vec::new(),
+                ..Origin::default()
             },
             shots: Shots {
                 most: settings.number("caps.most_shots", 1.0).max(1.0) as usize,
@@ -525,12 +529,10 @@
         }
         for line in lines {
             let at = line.server.0;
-            while self.servers.len() <= at {
-                self.servers.push(Server { room: f64::INFINITY, ..Server::default() });
-            }
+            self.servers.resize_with(self.servers.len().max(at + 1), Server::unknown);
             let server = &mut self.servers[at];
             let restarted = server.started != line.started;
-            if restarted || !self.line.caches.contains(&line.server) {
+            if !self.line.caches.contains(&line.server) {
                 server.point = place_on_line(hash(line.name));
             }
             if restarted {
@@ -566,9 +568,7 @@
     pub fn call(&mut self, now: Time, ix: CallIx, ask: Ask, to: &mut impl Answers) {
         self.now = now;
         self.run_due(to);
-        while self.calls.len() <= ix.0 {
-            self.calls.push(Call::default());
-        }
+        self.calls.resize_with(self.calls.len().max(ix.0 + 1), Call::default);
         let key = ask.key.map_or_else(|| (self.chance.unit() * 2f64.powi(53)) as u64, hash);
         let product = ask.product.min(self.products.len() - 1);
         // Guards against clients told to come back using up their tenant's share with tries that are late
@@ -604,7 +604,7 @@
     pub fn withdrawn(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
         self.now = now;
         if self.calls.get(ix.0).is_some_and(|call| call.live && !call.ended) {
-            self.end(ix, false, to);
+            self.end(ix, false, false, to);
         }
     }
 
@@ -645,7 +645,7 @@
                 to.error(ix);
             }
             let fulfilled = ending.outcome == Outcome::Fulfilled;
-            self.end(ix, fulfilled && was_origin, to);
+            self.end(ix, fulfilled, fulfilled && was_origin, to);
         } else {
             call.missed |= ending.outcome == Outcome::Miss && !was_origin;
             self.again(ix, to);
@@ -911,13 +911,16 @@
         } else {
             to.error(ix);
         }
-        self.end(ix, false, to);
+        self.end(ix, false, false, to);
     }
 
     /// Closes a call, calls off what is still out and lets go of the reads that waited for its fetch.
-    fn end(&mut self, ix: CallIx, fetched: bool, to: &mut impl Answers) {
+    fn end(&mut self, ix: CallIx, fulfilled: bool, fetched: bool, to: &mut impl Answers) {
         let call = &mut self.calls[ix.0];
         call.ended = true;
+        if !call.shots.is_empty() {
+            self.admission.settle_call(!fulfilled);
+        }
         let (leads, key, queued) = (std::mem::take(&mut call.leads), call.key, call.place == Place::Queued);
         if queued {
             self.origin.queue.retain(|other| *other != ix);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -77,6 +77,13 @@
     pub warm_at: Time,
 }
 
+impl Server {
+    /// One that no answer has told anything of yet: nothing is known against its having room.
+    pub fn unknown() -> Server {
+        Server { room: f64::INFINITY, ..Server::default() }
+    }
+}
+
 /// A 64-bit hash of a text: FNV-1a, then a finisher so that all bits depend on all of the text.
 pub fn hash(text: &str) -> u64 {
     let mut h =
@@ -99,11 +106,16 @@
     pub at: Time,
 }
 
+#[derive(Default)]
 pub struct Admission {
     pub tenants: Vec<Tenant>,
     pub highest_value: f64,
     /// Share of shots that were turned away.
     pub strain: f64,
+    /// Share of calls with a shot that ended without their answer.
+    pub wasted: f64,
+    /// Chance that in-share work is shed to end a jam.
+    pub jam: f64,
     /// Chance that over-share work is shed.
     pub level: f64,
 }
@@ -142,6 +154,7 @@
     pub warm_within: Span,
 }
 
+#[derive(Default)]
 pub struct Origin {
     pub servers: Vec<ServerIx>,
     pub out: u32,
