Send further shots of late reads to the origin while it is at most half used

Symptom: a third rate-limited, a fifth late, wait at the caches near a second; origin at 48 ms with one of four places used. Cause: further shots missed at the next nearest cache and loaded a jammed fleet. Told from a weak origin by its calm answer time.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -304,7 +304,7 @@
         server.warm >= 1.0
     }
 
-    fn settle(&mut self, server: &mut Server, ending: &Ending, slo: Span, now: Time) -> bool {
+    fn settle(&mut self, server: &mut Server, ending: &Ending, slo: Span, now: Time) {
         use Outcome::*;
         let took = ending.took.0 as f64;
         let answered = matches!(ending.outcome, Fulfilled | Miss | Full | Broken);
@@ -316,22 +316,18 @@
             self.tail += QUANTILE_STEP * self.tail * if took > self.tail { 0.95 } else { -0.05 };
         }
         let slow = took > STRAIN_AT * slo.0 as f64;
-        let good = match ending.outcome {
-            Fulfilled | Miss => !slow,
-            Cancelled if !slow => return slow,
-            Full => {
-                (server.room, server.full_at) = (f64::from(server.out), now);
-                return slow;
-            }
-            TooLate => return slow,
-            _ => false,
-        };
+        if ending.outcome == Full {
+            (server.room, server.full_at) = (f64::from(server.out), now);
+        }
+        if matches!(ending.outcome, Full | TooLate) || (ending.outcome == Cancelled && !slow) {
+            return;
+        }
+        let good = matches!(ending.outcome, Fulfilled | Miss) && !slow;
         *(if good { &mut server.good } else { &mut server.bad }) += 1.0;
         let shrink = EVIDENCE / (server.good + server.bad).max(EVIDENCE);
         server.good *= shrink;
         server.bad *= shrink;
         self.success += 0.2 * MEAN_STEP * (f64::from(u8::from(good)) - self.success);
-        slow
     }
 }
 
@@ -885,9 +881,12 @@
         let product = &self.products[call.product];
         let allowed = self.shots.allows(call, product, &self.servers, late.server, self.now);
         if allowed && (failing || self.shots.further()) {
-            let (spot, used) = (call.spot, &call.shots);
-            let pick =
-                self.line.pick(&mut self.servers, &self.health, spot, used, self.now, &mut self.chance);
+            // Guards against further shots that miss at the next nearest and load it in a jam: while the origin
+            // is at most half used, it is asked at once.
+            let spare = self.aside && f64::from(self.origin.out) * 2.0 < self.origin.limit;
+            let (spot, used, chance) = (call.spot, &call.shots, &mut self.chance);
+            let near = || self.line.pick(&mut self.servers, &self.health, spot, used, self.now, chance);
+            let pick = self.origin.servers.first().copied().filter(|_| spare).or_else(near);
             if pick.is_some_and(|server| self.shoot(ix, server, true, to)) {
                 return;
             }
