--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -48,7 +48,7 @@
 const FURTHER_TO: f64 = 0.5;
 /// Further shots earned by a first shot when none, and when all, of the recent ones succeeded.
 const FURTHER_LEAST: f64 = 0.01;
-const FURTHER_MOST: f64 = 0.4;
+const FURTHER_MOST: f64 = 0.2;
 /// Further shots that may be saved up: enough for the calls caught on one failing server.
 const FURTHER_SAVED: f64 = 10.0;
 /// Weight of one more sample in running means: about the last twenty samples.
