--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -77,9 +77,9 @@
 /// Share of shots answered full, and part of the shortest SLO that the wait at the caches takes, at which
 /// over-share work is shed more and more: about half as much again as a calm fleet's.
 const STRAIN_OVER: f64 = 0.06;
-const CROWDED_OVER: f64 = 0.35;
+const CROWDED_OVER: f64 = 0.4;
 /// Part of the SLO that the wait at the caches may take before in-share work is shed, all of it at one SLO.
-const CROWDED: f64 = 0.4;
+const CROWDED: f64 = 0.6;
 /// Part of the SLO past which an answer counts as strained.
 const STRAIN_AT: f64 = 0.6;
 /// Share of calls that had a shot and yet no answer at which, with caches full, in-share work is shed too.
