Reads shed for a crowd at the caches go to the origin while it has free places

Cause: in a crowd reads were ended at the door while the origin answered in 40 to 90 ms. Told from a jam by misses: few calls given up after a shot.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -28,8 +28,8 @@
 const SKIP_FACTOR: f64 = 2.0;
 /// The one timer's period: a small part of the shortest SLO seen in service, and cheap at 50 a second.
 const TICK: Span = Span::ms(20);
-/// Seconds in which what was learnt of a server loses half its weight: some times the length of one call, and
-/// short against the spells of trouble, so that a recovered server is back soon.
+/// Seconds in which what was learnt of a server loses half its weight: some calls long, short against
+/// troubles.
 const MEMORY_HALF_LIFE: f64 = 2.0;
 /// Outcomes: most evidence kept on a server; one odd answer in twenty says little, ten in a row say it all.
 const EVIDENCE: f64 = 20.0;
@@ -74,8 +74,7 @@
 const PATIENCE: f64 = 0.5;
 /// Seconds of quota that a tenant may save up: shorter than a burst, longer than the chance of one second.
 const QUOTA_SAVED: f64 = 2.0;
-/// Share of shots answered full, and part of the shortest SLO that the wait at the caches takes, at which
-/// over-share work is shed more and more: about half as much again as a calm fleet's.
+/// Share of full answers, and wait at the caches over the shortest SLO, at which over-share work is shed.
 const STRAIN_OVER: f64 = 0.06;
 const CROWDED_OVER: f64 = 0.4;
 /// Part of the SLO that the wait at the caches may take before in-share work is shed, all of it at one SLO.
@@ -334,6 +333,11 @@
 // ---- Origin: an adaptive limit and a short queue ------------------------------------------------
 
 impl Origin {
+    /// Whether there is a place for a read that has not missed: one that no miss or write waits for.
+    fn free(&self) -> bool {
+        self.room() && self.queue.is_empty() && !self.servers.is_empty()
+    }
+
     fn room(&self) -> bool {
         f64::from(self.out) < self.limit.floor().max(1.0)
     }
@@ -580,9 +584,10 @@
         call.shots.clear();
         let (value, slo) = (self.products[product].value, self.products[product].slo);
         let at_line = !(ask.write && self.aside);
-        let crowding =
-            if at_line { self.line.wait(&self.servers, &self.health, now) / slo.seconds() } else { 0.0 };
-        match self.admission.admit(beyond, value, crowding, &mut self.chance) {
+        let wait = if at_line { self.line.wait(&self.servers, &self.health, now) } else { 0.0 };
+        match self.admission.admit(beyond, value, wait / slo.seconds(), &mut self.chance) {
+            // Guards against refusing reads in a crowd at the caches while the origin has places free.
+            Step::End if at_line && beyond <= 0.0 && self.origin.free() => self.enter_origin(ix, to),
             Step::End => self.give_up(ix, to),
             _ => self.coalesce(ix, to),
         }
@@ -732,8 +737,7 @@
         match pick {
             Some(server) if self.shoot(ix, server, false, to) => {}
             Some(_) => self.give_up(ix, to),
-            // Guards against full caches turning all their reads into origin work: only what has room goes
-            // there.
+            // Guards against full caches turning all their reads into origin work.
             None if self.aside && self.origin.room() && self.origin.queue.is_empty() => {
                 self.enter_origin(ix, to)
             }
@@ -798,9 +802,8 @@
         }
     }
 
-    /// The only place that dispatches. Rules 1 and 2 by `Shots::allows`, rule 3 by the list state (nothing
-    /// new from the moment the drain is known, so the grace is never used), rule 4 by the budget checked on
-    /// the line.
+    /// The only place that dispatches. Rules 1 and 2 by `Shots::allows`, rule 3 by the list state (the grace
+    /// is never used), rule 4 by the budget checked on the line.
     fn shoot(&mut self, ix: CallIx, at: ServerIx, further: bool, to: &mut impl Answers) -> bool {
         let call = &mut self.calls[ix.0];
         let product = &self.products[call.product];
@@ -881,8 +884,7 @@
         let product = &self.products[call.product];
         let allowed = self.shots.allows(call, product, &self.servers, late.server, self.now);
         if allowed && (failing || self.shots.further()) {
-            // Guards against further shots that miss at the next nearest and load it in a jam: while the origin
-            // is at most half used, it is asked at once.
+            // Guards against further shots that miss at the next nearest and load it in a jam.
             let spare = self.aside && f64::from(self.origin.out) * 2.0 < self.origin.limit;
             let (spot, used, chance) = (call.spot, &call.shots, &mut self.chance);
             let near = || self.line.pick(&mut self.servers, &self.health, spot, used, self.now, chance);
