--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -40,7 +40,7 @@
 /// Multiple of the median answer time without any word from a server with shots out that makes it silent.
 const SILENT_FACTOR: f64 = 6.0;
 /// Median answer times after which a cache that was full is taken to have one more place.
-const FREED_AFTER: f64 = 4.0;
+const FREED_AFTER: f64 = 2.0;
 /// Step of the running quantiles, as a part of the value: settles in some hundred answers.
 const QUANTILE_STEP: f64 = 0.05;
 /// Parts of the SLO between which the wait before a further shot lies: earlier is waste, later is too late.
