--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -115,14 +115,14 @@
     /// How far beyond its tenant's share at this node this call is: 0 within it, 1 where the tenant sends
     /// twice its share or more. Unknown tenants have no share to exceed. Guards against the uneven spread of
     /// clients over nodes, by which a tenant within its share can be a little beyond it here.
-    fn beyond_share(&mut self, tenant: usize, too_late: bool, now: Time) -> f64 {
-        let Some(tenant) = self.tenants.get_mut(tenant).filter(|t| t.per_s > 0.0) else { return 0.0 };
+    fn beyond_share(&mut self, tenant: usize, lost: f64, now: Time) -> f64 {
+        let Some(tenant) = self.tenants.get_mut(tenant).filter(|t| t.per_s > 0.0) else { return lost };
         let passed = (now - tenant.at).seconds().clamp(0.0, 4.0 * QUOTA_SAVED);
         tenant.at = now;
         tenant.rate = tenant.rate * (-passed / QUOTA_SAVED).exp() + 1.0 / QUOTA_SAVED;
         tenant.saved = (tenant.saved + passed * tenant.per_s).min(tenant.per_s * QUOTA_SAVED);
-        if too_late {
-            return 1.0;
+        if lost > 0.0 {
+            return lost;
         }
         if tenant.saved >= 1.0 {
             tenant.saved -= 1.0;
@@ -571,10 +571,11 @@
         self.calls.resize_with(self.calls.len().max(ix.0 + 1), Call::default);
         let key = ask.key.map_or_else(|| (self.chance.unit() * 2f64.powi(53)) as u64, hash);
         let product = ask.product.min(self.products.len() - 1);
-        // Guards against clients told to come back using up their tenant's share with tries that are late
-        // already: where late answers are worth nothing, a marked repeat does not draw on the share.
-        let too_late = ask.repeat && self.products[product].late_value <= 0.0;
-        let beyond = self.admission.beyond_share(ask.tenant, too_late, now);
+        // Guards against tries that come back late already, using up their tenant's share or a crowd's
+        // places: a marked repeat does not draw on the share, and yields by the part of its value that is
+        // lost when late.
+        let lost = if ask.repeat { 1.0 - self.products[product].late_value } else { 0.0 };
+        let beyond = self.admission.beyond_share(ask.tenant, lost, now);
         self.serial = self.serial.wrapping_add(1);
         let call = &mut self.calls[ix.0];
         (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
