--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -58,8 +58,8 @@
 /// Shots: what the warm-up budget may save up, so that no burst spends the fall line at once.
 const WARM_SAVED: f64 = 2.0;
 /// Shots out at the origin from this node: at the start, at least, at most.
-const ORIGIN_START: f64 = 6.0;
-const ORIGIN_LEAST: f64 = 6.0;
+const ORIGIN_START: f64 = 4.0;
+const ORIGIN_LEAST: f64 = 2.0;
 const ORIGIN_MOST: f64 = 64.0;
 /// Origin answer time over its calm time at which the limit shrinks: half of the time is then spent in queue.
 const ORIGIN_STRAINED: f64 = 2.0;
