--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -72,8 +72,10 @@
 const ORIGIN_QUEUE: usize = 64;
 /// Part of the SLO that an API call may be kept waiting with nothing sent.
 const PATIENCE: f64 = 0.5;
-/// Seconds of quota that a tenant may save up: shorter than a burst, longer than the chance of one second.
+/// Seconds of quota that a tenant may save up: shorter than a burst, longer than the chance of one second;
+/// and the least it may save up, in calls, so that a small part of a quota is told from chance.
 const QUOTA_SAVED: f64 = 2.0;
+const QUOTA_LEAST: f64 = 6.0;
 /// Share of full answers, and wait at the caches over the shortest SLO, at which over-share work is shed.
 const STRAIN_OVER: f64 = 0.06;
 const CROWDED_OVER: f64 = 0.4;
@@ -103,7 +105,8 @@
         let nodes = settings.number("balancers", 1.0).max(1.0);
         let tenant = |i| {
             let per_s = settings.number(&format!("projects.{i}.quota_per_s"), 0.0) / nodes;
-            Tenant { per_s, saved: per_s * QUOTA_SAVED, rate: 0.0, at: Time(0) }
+            let most = (per_s * QUOTA_SAVED).max(QUOTA_LEAST);
+            Tenant { per_s, most, saved: most, rate: 0.0, at: Time(0) }
         };
         Admission {
             tenants: (0..settings.count("projects")).map(tenant).collect(),
@@ -114,13 +117,14 @@
 
     /// How far beyond its tenant's share at this node this call is: 0 within it, 1 where the tenant sends
     /// twice its share or more. Unknown tenants have no share to exceed. Guards against the uneven spread of
-    /// clients over nodes, by which a tenant within its share can be a little beyond it here.
+    /// clients over nodes, by which a tenant within its share can be a little beyond it here, and against
+    /// so many nodes that a tenant's part at one is under a call a second, which two seconds never save up.
     fn beyond_share(&mut self, tenant: usize, lost: f64, now: Time) -> f64 {
         let Some(tenant) = self.tenants.get_mut(tenant).filter(|t| t.per_s > 0.0) else { return lost };
-        let passed = (now - tenant.at).seconds().clamp(0.0, 4.0 * QUOTA_SAVED);
+        let (passed, memory) = ((now - tenant.at).seconds(), tenant.most / tenant.per_s);
         tenant.at = now;
-        tenant.rate = tenant.rate * (-passed / QUOTA_SAVED).exp() + 1.0 / QUOTA_SAVED;
-        tenant.saved = (tenant.saved + passed * tenant.per_s).min(tenant.per_s * QUOTA_SAVED);
+        tenant.rate = tenant.rate * (-passed / memory).exp() + 1.0 / memory;
+        tenant.saved = (tenant.saved + passed * tenant.per_s).min(tenant.most);
         if lost > 0.0 {
             return lost;
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -100,7 +100,9 @@
 
 pub struct Tenant {
     pub per_s: f64,
+    /// Calls saved up, and the most that may be.
     pub saved: f64,
+    pub most: f64,
     /// Calls a second, a running mean.
     pub rate: f64,
     pub at: Time,
