--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -57,17 +57,16 @@
 const WARM_SHARE: f64 = 0.8;
 /// Shots: what the warm-up budget may save up, so that no burst spends the fall line at once.
 const WARM_SAVED: f64 = 2.0;
-/// Shots out at the origin from this node: at the start, at least, at most.
-const ORIGIN_START: f64 = 4.0;
+/// Shots out at the origin: from all nodes together at the start and at least, and from one node at most.
+const ORIGIN_START: f64 = 32.0;
 const ORIGIN_LEAST: f64 = 2.0;
 const ORIGIN_MOST: f64 = 64.0;
-/// Origin answer time over its calm time at which the limit shrinks: half of the time is then spent in queue.
-const ORIGIN_STRAINED: f64 = 2.0;
-/// Factors on the limit for one strained answer, and for one turned away or lost.
-const ORIGIN_EASE: f64 = 0.97;
+/// Part of the SLO that the origin's answers may take: the rest is for the cache asked first and the wait.
+const ORIGIN_TARGET: f64 = 0.4;
+/// Change of the limit a round of answers when they take no time, or twice the target: some rounds to double.
+const ORIGIN_STEP: f64 = 0.25;
+/// Factor on the limit for an answer turned away or lost.
 const ORIGIN_CUT: f64 = 0.7;
-/// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
-const ORIGIN_DRIFT: f64 = 1.002;
 /// API calls that may wait for the origin: a few rounds of its limit; more would wait past their SLO.
 const ORIGIN_QUEUE: usize = 64;
 /// Part of the SLO that an API call may be kept waiting with nothing sent.
@@ -102,7 +101,7 @@
 
 impl Admission {
     fn new(settings: &Settings, products: &[Product]) -> Admission {
-        let nodes = settings.number("balancers", 1.0).max(1.0);
+        let nodes = settings.nodes();
         let tenant = |i| {
             let per_s = settings.number(&format!("projects.{i}.quota_per_s"), 0.0) / nodes;
             let most = (per_s * QUOTA_SAVED).max(QUOTA_LEAST);
@@ -338,39 +337,40 @@
 
 impl Origin {
     /// Whether there is a place for a read that has not missed: one that no miss or write waits for.
-    fn free(&self) -> bool {
-        self.room() && self.queue.is_empty() && !self.servers.is_empty()
+    fn free(&self, now: Time) -> bool {
+        self.room(now) && self.queue.is_empty() && !self.servers.is_empty()
     }
 
-    fn room(&self) -> bool {
-        f64::from(self.out) < self.limit.floor().max(1.0)
+    /// A limit under one place is a gap between shots. Guards against hundreds of nodes with a place each.
+    fn room(&self, now: Time) -> bool {
+        let gap_over = (now - self.sent_at).0 as f64 * self.limit >= self.time;
+        f64::from(self.out) < self.limit.floor().max(1.0) && (self.limit >= 1.0 || gap_over)
     }
 
     /// The wait that a newcomer behind `ahead` others has before it.
     fn wait(&self, ahead: usize) -> Span {
-        Span((self.times[0].0 * (ahead + 1) as f64 / self.limit) as i64)
+        Span((self.time * (ahead + 1) as f64 / self.limit) as i64)
     }
 
-    fn settle(&mut self, ending: &Ending, write: bool, now: Time) {
+    /// Steers the limit so that answers take the target part of their SLO: an origin that is slow, yet in
+    /// time, is used to the full, and many nodes change their sum no faster than one would.
+    fn settle(&mut self, ending: &Ending, slo: Span, now: Time) {
         use Outcome::*;
         let took = ending.took.0 as f64;
         match ending.outcome {
             Fulfilled | Miss | Broken => {
-                // Guards against a spiral: writes take longer, and where few reads get through they would
-                // read as strain; so each kind is held against its own calm time.
-                let (mean, calm) = &mut self.times[usize::from(write)];
-                *mean += 2.0 * MEAN_STEP * (took - *mean);
-                *calm = (*calm * ORIGIN_DRIFT).min(*mean);
-                if *mean > ORIGIN_STRAINED * *calm {
-                    self.limit = (self.limit * ORIGIN_EASE).max(ORIGIN_LEAST);
-                } else if f64::from(self.out) + 2.0 > self.limit {
-                    self.limit = (self.limit + 1.0 / self.limit).min(ORIGIN_MOST);
+                self.time += 2.0 * MEAN_STEP * (took - self.time);
+                let spare = (1.0 - took / (ORIGIN_TARGET * slo.0 as f64)).max(-1.0);
+                if spare < 0.0 || self.pressed {
+                    let step = ORIGIN_STEP * spare * self.limit.min(1.0);
+                    self.limit = (self.limit + step).clamp(self.least, ORIGIN_MOST);
                 }
+                self.pressed = !self.queue.is_empty();
             }
             // Guards against an origin pushed until it stops: one cut for each answer time, not one for each
             // loss.
-            Full | TimedOut | Unreachable | Reset if (now - self.cut_at).0 as f64 > self.times[0].0 => {
-                self.limit = (self.limit * ORIGIN_CUT).max(ORIGIN_LEAST);
+            Full | TimedOut | Unreachable | Reset if (now - self.cut_at).0 as f64 > self.time => {
+                self.limit = (self.limit * ORIGIN_CUT).max(self.least);
                 self.cut_at = now;
             }
             _ => {}
@@ -455,6 +455,7 @@
     pub fn new(settings: &Settings, seed: u64) -> Balancer {
         let mut products = settings.products();
         let shortest = products.iter().map(|p| p.slo).min().unwrap_or(Span::ms(1000)).0 as f64;
+        let nodes = settings.nodes();
         // An unknown product is taken as the last entry: never to run twice, in the shortest time.
         products.push(Product::unknown(Span(shortest as i64)));
         Balancer {
@@ -483,8 +484,9 @@
                 warm_within: settings.span("invariants.warm_within", Span::ms(60_000)),
             },
             origin: Origin {
-                limit: ORIGIN_START,
-                times: [(shortest * FURTHER_TO, shortest * FURTHER_TO); 2],
+                limit: ORIGIN_START / nodes,
+                least: ORIGIN_LEAST / nodes,
+                time: shortest * ORIGIN_TARGET,
                 ..Origin::default()
             },
             shots: Shots {
@@ -592,7 +594,7 @@
         let wait = if at_line { self.line.wait(&self.servers, &self.health, now) } else { 0.0 };
         match self.admission.admit(beyond, value, wait / slo.seconds(), &mut self.chance) {
             // Guards against refusing reads in a crowd at the caches while the origin has places free.
-            Step::End if at_line && beyond <= 0.0 && self.origin.free() => self.enter_origin(ix, to),
+            Step::End if at_line && beyond <= 0.0 && self.origin.free(now) => self.enter_origin(ix, to),
             Step::End => self.give_up(ix, to),
             _ => self.coalesce(ix, to),
         }
@@ -628,7 +630,7 @@
         let slo = self.products[call.product].slo;
         if server.origin {
             self.origin.out = self.origin.out.saturating_sub(1);
-            self.origin.settle(&ending, call.write, now);
+            self.origin.settle(&ending, slo, now);
         } else {
             self.line.done +=
                 f64::from(u8::from(matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss)));
@@ -743,7 +745,7 @@
             Some(server) if self.shoot(ix, server, false, to) => {}
             Some(_) => self.give_up(ix, to),
             // Guards against full caches turning all their reads into origin work.
-            None if self.aside && self.origin.room() && self.origin.queue.is_empty() => {
+            None if self.aside && self.origin.free(self.now) => {
                 self.enter_origin(ix, to)
             }
             None => self.give_up(ix, to),
@@ -791,7 +793,8 @@
 
     /// Sends waiting calls to the origin while its limit has room.
     fn pump(&mut self, to: &mut impl Answers) {
-        while self.origin.room() && !self.origin.queue.is_empty() {
+        self.origin.pressed |= !self.origin.queue.is_empty() && !self.origin.room(self.now);
+        while self.origin.room(self.now) && !self.origin.queue.is_empty() {
             let Some(server) = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out)
             else {
                 return;
@@ -824,6 +827,7 @@
         to.dispatch(ix, at, call.until);
         if server.origin {
             self.origin.out += 1;
+            self.origin.sent_at = self.now;
         } else {
             server.warm -= 1.0;
         }
@@ -890,7 +894,8 @@
         let allowed = self.shots.allows(call, product, &self.servers, late.server, self.now);
         if allowed && (failing || self.shots.further()) {
             // Guards against further shots that miss at the next nearest and load it in a jam.
-            let spare = self.aside && f64::from(self.origin.out) * 2.0 < self.origin.limit;
+            let half = f64::from(self.origin.out) * 2.0 < self.origin.limit.max(1.0);
+            let spare = half && self.origin.free(self.now);
             let (spot, used, chance) = (call.spot, &call.shots, &mut self.chance);
             let near = || self.line.pick(&mut self.servers, &self.health, spot, used, self.now, chance);
             let pick = self.origin.servers.first().copied().filter(|_| spare).or_else(near);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -160,9 +160,14 @@
 pub struct Origin {
     pub servers: Vec<ServerIx>,
     pub out: u32,
+    /// Shots that may be out from here, under one too, and the least of it.
     pub limit: f64,
-    /// For reads and for writes: mean answer time and its calm level, in microseconds.
-    pub times: [(f64, f64); 2],
+    pub least: f64,
+    /// Mean answer time, in microseconds.
+    pub time: f64,
+    /// A call had to wait for a place since the last answer.
+    pub pressed: bool,
+    pub sent_at: Time,
     pub cut_at: Time,
     pub queue: Vec<CallIx>,
 }
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -97,6 +97,10 @@
             _ => "",
         }
     }
+    /// How many nodes there are; one where the settings do not say.
+    pub fn nodes(&self) -> f64 {
+        self.number("balancers", 1.0).max(1.0)
+    }
     /// How many entries stand under `name.0`, `name.1`, and so on.
     pub fn count(&self, name: &str) -> usize {
         let has = |i: &usize| {
