Start the origin limit at a place a node and let a node save up two shots

Cause: a start of 32 places over all nodes refused the first minute of misses, and a bare gap refuses two in a row.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -57,14 +57,17 @@
 const WARM_SHARE: f64 = 0.8;
 /// Shots: what the warm-up budget may save up, so that no burst spends the fall line at once.
 const WARM_SAVED: f64 = 2.0;
-/// Shots out at the origin: from all nodes together at the start and at least, and from one node at most.
-const ORIGIN_START: f64 = 32.0;
+/// Shots out at the origin: from all nodes together at the start, though no less than a place each, and at
+/// least; and from one node at most.
+const ORIGIN_START: f64 = 16.0;
 const ORIGIN_LEAST: f64 = 2.0;
 const ORIGIN_MOST: f64 = 64.0;
 /// Part of the SLO that the origin's answers may take: the rest is for the cache asked first and the wait.
 const ORIGIN_TARGET: f64 = 0.4;
 /// Change of the limit a round of answers when they take no time, or twice the target: some rounds to double.
 const ORIGIN_STEP: f64 = 0.25;
+/// Shots that a node whose limit is under one place may save up: chance brings misses in twos and threes.
+const ORIGIN_SAVED: f64 = 2.0;
 /// Factor on the limit for an answer turned away or lost.
 const ORIGIN_CUT: f64 = 0.7;
 /// API calls that may wait for the origin: a few rounds of its limit; more would wait past their SLO.
@@ -341,10 +344,13 @@
         self.room(now) && self.queue.is_empty() && !self.servers.is_empty()
     }
 
-    /// A limit under one place is a gap between shots. Guards against hundreds of nodes with a place each.
+    /// A limit under one place is a rate of shots. Guards against hundreds of nodes with a place each.
     fn room(&self, now: Time) -> bool {
-        let gap_over = (now - self.sent_at).0 as f64 * self.limit >= self.time;
-        f64::from(self.out) < self.limit.floor().max(1.0) && (self.limit >= 1.0 || gap_over)
+        self.limit < 1.0 && self.saved(now) >= 1.0 || f64::from(self.out) < self.limit.floor()
+    }
+
+    fn saved(&self, now: Time) -> f64 {
+        (self.saved + (now - self.sent_at).0 as f64 * self.limit / self.time).min(ORIGIN_SAVED)
     }
 
     /// The wait that a newcomer behind `ahead` others has before it.
@@ -361,7 +367,7 @@
             Fulfilled | Miss | Broken => {
                 self.time += 2.0 * MEAN_STEP * (took - self.time);
                 let spare = (1.0 - took / (ORIGIN_TARGET * slo.0 as f64)).max(-1.0);
-                if spare < 0.0 || self.pressed {
+                if spare < 0.0 || self.pressed || self.limit < 1.0 {
                     let step = ORIGIN_STEP * spare * self.limit.min(1.0);
                     self.limit = (self.limit + step).clamp(self.least, ORIGIN_MOST);
                 }
@@ -484,7 +490,7 @@
                 warm_within: settings.span("invariants.warm_within", Span::ms(60_000)),
             },
             origin: Origin {
-                limit: ORIGIN_START / nodes,
+                limit: (ORIGIN_START / nodes).max(1.0),
                 least: ORIGIN_LEAST / nodes,
                 time: shortest * ORIGIN_TARGET,
                 ..Origin::default()
@@ -827,6 +833,7 @@
         to.dispatch(ix, at, call.until);
         if server.origin {
             self.origin.out += 1;
+            self.origin.saved = self.origin.saved(self.now) - 1.0;
             self.origin.sent_at = self.now;
         } else {
             server.warm -= 1.0;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -167,6 +167,8 @@
     pub time: f64,
     /// A call had to wait for a place since the last answer.
     pub pressed: bool,
+    /// Shots saved up when the last one was sent.
+    pub saved: f64,
     pub sent_at: Time,
     pub cut_at: Time,
     pub queue: Vec<CallIx>,
