--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -344,9 +344,10 @@
         self.room(now) && self.queue.is_empty() && !self.servers.is_empty()
     }
 
-    /// A limit under one place is a rate of shots. Guards against hundreds of nodes with a place each.
+    /// Under few places the limit is a rate of shots, too. Guards against hundreds of nodes with a place
+    /// each, and against refusing two misses in a row at a node that has one place.
     fn room(&self, now: Time) -> bool {
-        self.limit < 1.0 && self.saved(now) >= 1.0 || f64::from(self.out) < self.limit.floor()
+        f64::from(self.out) < self.limit.floor() || self.limit < ORIGIN_SAVED && self.saved(now) >= 1.0
     }
 
     fn saved(&self, now: Time) -> f64 {
@@ -367,7 +368,7 @@
             Fulfilled | Miss | Broken => {
                 self.time += 2.0 * MEAN_STEP * (took - self.time);
                 let spare = (1.0 - took / (ORIGIN_TARGET * slo.0 as f64)).max(-1.0);
-                if spare < 0.0 || self.pressed || self.limit < 1.0 {
+                if spare < 0.0 || self.pressed || self.limit < ORIGIN_SAVED {
                     let step = ORIGIN_STEP * spare * self.limit.min(1.0);
                     self.limit = (self.limit + step).clamp(self.least, ORIGIN_MOST);
                 }
