--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -64,11 +64,15 @@
 const ORIGIN_MOST: f64 = 64.0;
 /// Part of the SLO that the origin's answers may take: the rest is for the cache asked first and the wait.
 const ORIGIN_TARGET: f64 = 0.4;
-/// Change of the limit a round of answers when they take no time, or twice the target: some rounds to double.
+/// Change of the limit an answer that takes no time, or twice the target: in places, and under half a place
+/// as a part of the limit, so that many nodes change their sum no faster than one would.
 const ORIGIN_STEP: f64 = 0.25;
-/// Shots that a node whose limit is under one place may save up: chance brings misses in twos and threes.
+const ORIGIN_PART: f64 = 0.5;
+/// Seconds in which a limit under one place doubles by itself: at hundreds of nodes answers are far between.
+const ORIGIN_DOUBLES: f64 = 4.0;
+/// Shots that a node with few places may save up: chance brings misses in twos and threes.
 const ORIGIN_SAVED: f64 = 2.0;
-/// Factor on the limit for an answer turned away or lost.
+/// Factor on the limit for a shot turned away, lost or late.
 const ORIGIN_CUT: f64 = 0.7;
 /// API calls that may wait for the origin: a few rounds of its limit; more would wait past their SLO.
 const ORIGIN_QUEUE: usize = 64;
@@ -351,7 +355,7 @@
     }
 
     fn saved(&self, now: Time) -> f64 {
-        (self.saved + (now - self.sent_at).0 as f64 * self.limit / self.time).min(ORIGIN_SAVED)
+        (self.saved + (now - self.saved_at).0 as f64 * self.limit / self.target).min(ORIGIN_SAVED)
     }
 
     /// The wait that a newcomer behind `ahead` others has before it.
@@ -360,7 +364,7 @@
     }
 
     /// Steers the limit so that answers take the target part of their SLO: an origin that is slow, yet in
-    /// time, is used to the full, and many nodes change their sum no faster than one would.
+    /// time, is used to the full.
     fn settle(&mut self, ending: &Ending, slo: Span, now: Time) {
         use Outcome::*;
         let took = ending.took.0 as f64;
@@ -369,20 +373,30 @@
                 self.time += 2.0 * MEAN_STEP * (took - self.time);
                 let spare = (1.0 - took / (ORIGIN_TARGET * slo.0 as f64)).max(-1.0);
                 if spare < 0.0 || self.pressed || self.limit < ORIGIN_SAVED {
-                    let step = ORIGIN_STEP * spare * self.limit.min(1.0);
-                    self.limit = (self.limit + step).clamp(self.least, ORIGIN_MOST);
+                    let step = ORIGIN_STEP.min(ORIGIN_PART * self.limit);
+                    self.limit = (self.limit + step * spare).clamp(self.least, ORIGIN_MOST);
                 }
                 self.pressed = !self.queue.is_empty();
             }
-            // Guards against an origin pushed until it stops: one cut for each answer time, not one for each
-            // loss.
-            Full | TimedOut | Unreachable | Reset if (now - self.cut_at).0 as f64 > self.time => {
-                self.limit = (self.limit * ORIGIN_CUT).max(self.least);
-                self.cut_at = now;
-            }
+            Full | TimedOut | Unreachable | Reset => self.cut(now),
             _ => {}
         }
     }
+
+    /// Guards against an origin pushed until it stops: one cut for each target time, not one for each loss,
+    /// and shots that are late cut too, as their answers come when the queue there is long since too long.
+    fn cut(&mut self, now: Time) {
+        if (now - self.cut_at).0 as f64 > self.target {
+            self.limit = (self.limit * ORIGIN_CUT).max(self.least);
+            (self.cut_at, self.saved, self.saved_at) = (now, 0.0, now);
+        }
+    }
+
+    fn tick(&mut self, passed: f64) {
+        if self.limit < 1.0 {
+            self.limit *= 1.0 + passed / ORIGIN_DOUBLES;
+        }
+    }
 }
 
 // ---- Shots: what settings allow, and how far further shots pay ----------------------------------
@@ -494,6 +508,7 @@
                 limit: (ORIGIN_START / nodes).max(1.0),
                 least: ORIGIN_LEAST / nodes,
                 time: shortest * ORIGIN_TARGET,
+                target: shortest * ORIGIN_TARGET,
                 ..Origin::default()
             },
             shots: Shots {
@@ -685,6 +700,7 @@
         self.line.heard += step * (1.0 - self.line.heard);
         let wait = self.line.wait(&self.servers, &self.health, now);
         self.admission.tick(wait / self.shortest.seconds());
+        self.origin.tick(passed);
         self.run_due(to);
         self.pump(to);
         if self.following.on_request && self.following.next.is_some_and(|next| now >= next) {
@@ -834,8 +850,8 @@
         to.dispatch(ix, at, call.until);
         if server.origin {
             self.origin.out += 1;
-            self.origin.saved = self.origin.saved(self.now) - 1.0;
-            self.origin.sent_at = self.now;
+            self.origin.saved = (self.origin.saved(self.now) - 1.0).max(0.0);
+            self.origin.saved_at = self.now;
         } else {
             server.warm -= 1.0;
         }
@@ -843,7 +859,8 @@
             self.shots.earn();
         }
         let (least, most) = (product.slo.times(FURTHER_FROM), product.slo.times(FURTHER_TO));
-        let wait = Span(self.health.tail as i64).max(least).min(most);
+        let cache = Span(self.health.tail as i64).max(least).min(most);
+        let wait = if server.origin { product.slo.times(ORIGIN_TARGET) } else { cache };
         self.set_due(ix, self.now + wait);
         true
     }
@@ -894,6 +911,9 @@
         let call = &self.calls[ix.0];
         let Some(late) = call.shots.last().filter(|shot| shot.fate == Fate::Out) else { return };
         let server = &self.servers[late.server.0];
+        if server.origin {
+            self.origin.cut(self.now);
+        }
         if server.origin || call.streaming || call.write && self.aside || call.out() > 1 {
             return;
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -163,13 +163,14 @@
     /// Shots that may be out from here, under one too, and the least of it.
     pub limit: f64,
     pub least: f64,
-    /// Mean answer time, in microseconds.
+    /// Mean answer time, and the one aimed at for the shortest SLO, in microseconds.
     pub time: f64,
+    pub target: f64,
     /// A call had to wait for a place since the last answer.
     pub pressed: bool,
-    /// Shots saved up when the last one was sent.
+    /// Shots saved up, and when that was counted.
     pub saved: f64,
-    pub sent_at: Time,
+    pub saved_at: Time,
     pub cut_at: Time,
     pub queue: Vec<CallIx>,
 }
