--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -64,6 +64,8 @@
 const ORIGIN_MOST: f64 = 64.0;
 /// Part of the SLO that the origin's answers may take: the rest is for the cache asked first and the wait.
 const ORIGIN_TARGET: f64 = 0.4;
+/// Part of the SLO after which a shot there is late: twice the target, as answer times have long tails.
+const ORIGIN_LATE: f64 = 0.8;
 /// Change of the limit an answer that takes no time, or twice the target: in places, and under half a place
 /// as a part of the limit, so that many nodes change their sum no faster than one would.
 const ORIGIN_STEP: f64 = 0.25;
@@ -860,7 +862,7 @@
         }
         let (least, most) = (product.slo.times(FURTHER_FROM), product.slo.times(FURTHER_TO));
         let cache = Span(self.health.tail as i64).max(least).min(most);
-        let wait = if server.origin { product.slo.times(ORIGIN_TARGET) } else { cache };
+        let wait = if server.origin { product.slo.times(ORIGIN_LATE) } else { cache };
         self.set_due(ix, self.now + wait);
         true
     }
