A node that is refused connections holds points for its nearest caches only

Cause: 388 to 540 nodes each wanted a connection to every one of 61 to 85 boxes, which take 90; 50 to 70% of the shots got none. A refusal now cuts the part of the caches that a node holds, its own zone's first and alike among neighbours; settled places step through zone and seed by near the golden section, so any such part is evenly spread.

--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -95,6 +95,9 @@
     fn wake(&mut self, after: Span) {
         Action::new(self.out, "SetAlarm").number("FromNow", after.as_ms()).text("Label", "tick").end();
     }
+    fn close(&mut self, server: ServerIx) {
+        Action::new(self.out, "Close").text("Server", &self.names.addresses[server.0]).end();
+    }
     fn watch(&mut self) {
         Action::new(self.out, "Watch").flag("On", true).end();
     }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -10,6 +10,7 @@
 //! candidate), Origin, Shots. A stage passes it on, keeps it or ends it. Outcomes run back: Shots, Origin,
 //! Health, Coalescing, Admission. Only `shoot` dispatches, and rules 1 to 3 are checked there.
 
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 
 use rand_distr::{Beta, Distribution};
@@ -26,6 +27,12 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Multiple of this node's mean in-flight per cache above which a cache is skipped. The design's factor.
 const SKIP_FACTOR: f64 = 2.0;
+/// Factors on the part of the ready caches that a node holds points for, for a shot that got no connection
+/// and for one that was answered: at rest, one connection in some eighty is refused.
+const REACH_CUT: f64 = 0.85;
+const REACH_GROWTH: f64 = 1.002;
+/// Caches held at the least: one, and two to go on to.
+const REACH_LEAST: usize = 3;
 /// The one timer's period: a small part of the shortest SLO seen in service, and cheap at 50 a second.
 const TICK: Span = Span::ms(20);
 /// Seconds in which what was learnt of a server loses half its weight: some calls long, short against
@@ -196,16 +203,61 @@
 // ---- Line: DEMA ---------------------------------------------------------------------------------
 
 impl Line {
+    fn new(settings: &Settings) -> Line {
+        let zone = (0..settings.count("localities"))
+            .find(|i| settings.text(&format!("localities.{i}")) == settings.text("zone"));
+        let anchor = (settings.number("me", 0.0) * 0.618_034).rem_euclid(1.0);
+        Line { zone: zone.map_or(u32::MAX, |i| i as u32), anchor, reach: 1.0, ..Line::default() }
+    }
+
     /// Guards against the uneven ranges of hashed seeds, which a small alpha takes minutes to even out: at a
-    /// node's first list, its points start where the average would bring evenly spread keys, in seed order.
+    /// node's first list, its points start where the average would bring evenly spread keys. Steps of near
+    /// the golden section through the caches by zone and seed keep any run of them evenly spread too.
     fn settle(&self, servers: &mut [Server]) {
-        let mut order: Vec<_> = self.caches.iter().map(|ix| (servers[ix.0].point, *ix)).collect();
-        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        for (rank, (_, ix)) in order.iter().enumerate() {
-            servers[ix.0].point = (rank as f64 + 0.5) / order.len() as f64;
+        let count = self.ranked.len();
+        let divides = |step: usize, by: usize| step.is_multiple_of(by) && count.is_multiple_of(by);
+        let coprime = |step: &usize| !(2..=*step).any(|by| divides(*step, by));
+        let step = ((count as f64 * 0.618) as usize..count).find(coprime).unwrap_or(1);
+        for (rank, ix) in self.ranked.iter().enumerate() {
+            servers[ix.0].point = ((rank * step % count) as f64 + 0.5) / count as f64;
         }
     }
 
+    /// Puts the ready caches in the order in which this node would hold them: those of its zone first, from
+    /// its own place in it outward, so that neighbours choose alike.
+    fn order(&mut self, servers: &[Server], mut ready: Vec<ServerIx>) {
+        let place = |ix: &ServerIx| (servers[ix.0].zone, servers[ix.0].seed);
+        ready.sort_by(|a, b| place(a).partial_cmp(&place(b)).unwrap_or(Ordering::Equal));
+        let own = |ix: &&ServerIx| servers[ix.0].zone == self.zone;
+        let (from, len) = (ready.iter().position(|ix| own(&ix)).unwrap_or(0), ready.iter().filter(own).count());
+        let centre = from as f64 + self.anchor * len as f64;
+        let far = |rank: usize, ix: &ServerIx| {
+            let (away, round) = ((rank as f64 + 0.5 - centre).abs(), if own(&ix) { len } else { ready.len() });
+            (!own(&ix), away.min(round as f64 - away))
+        };
+        let mut near: Vec<_> = ready.iter().enumerate().map(|(rank, ix)| (far(rank, ix), *ix)).collect();
+        near.sort_by(|a, b| a.partial_cmp(b).unwrap_or(Ordering::Equal));
+        self.near = near.into_iter().map(|(_, ix)| ix).collect();
+        self.ranked = ready;
+    }
+
+    fn within_reach(&self) -> usize {
+        ((self.reach * self.near.len() as f64).ceil() as usize).max(REACH_LEAST).min(self.near.len())
+    }
+
+    /// Guards against more nodes than a cache takes connections: a node that was refused them holds points
+    /// for part of the caches only, and closes its connections to the others.
+    fn hold(&mut self, servers: &[Server], to: &mut impl Answers) {
+        let mut held = self.near[..self.within_reach()].to_vec();
+        held.sort();
+        for ix in self.caches.iter().filter(|ix| held.binary_search(ix).is_err()) {
+            if servers[ix.0].state == State::Ready {
+                to.close(*ix);
+            }
+        }
+        self.caches = held;
+    }
+
     /// Seconds that a shot now sent must expect: what is out at caches in good standing over what they
     /// answer.
     fn wait(&self, servers: &[Server], health: &Health, now: Time) -> f64 {
@@ -497,7 +549,7 @@
             ticked: Time(0),
             admission: Admission::new(settings, &products),
             coalescing: Coalescing::default(),
-            line: Line::default(),
+            line: Line::new(settings),
             health: Health {
                 median: shortest * FURTHER_FROM,
                 tail: shortest * FURTHER_TO,
@@ -562,8 +614,10 @@
             self.servers.resize_with(self.servers.len().max(at + 1), Server::unknown);
             let server = &mut self.servers[at];
             let restarted = server.started != line.started;
-            if !self.line.caches.contains(&line.server) {
-                server.point = place_on_line(hash(line.name));
+            // One that comes back finds its place again; only one never seen is seeded.
+            if server.seed == 0.0 {
+                server.seed = place_on_line(hash(line.name));
+                server.point = server.seed;
             }
             if restarted {
                 (server.good, server.bad, server.unheard, server.room) = (0.0, 0.0, None, f64::INFINITY);
@@ -580,7 +634,10 @@
             each.filter(move |(_, s)| ready(s, origin)).map(|(i, _)| ServerIx(i)).collect::<Vec<_>>()
         };
         let first = self.line.caches.is_empty();
-        (self.line.caches, self.origin.servers) = (all(false), all(true));
+        let caches = all(false);
+        self.origin.servers = all(true);
+        self.line.order(&self.servers, caches);
+        self.line.hold(&self.servers, to);
         if first {
             self.line.settle(&mut self.servers);
         }
@@ -658,6 +715,12 @@
         } else {
             self.line.done +=
                 f64::from(u8::from(matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss)));
+            self.line.reach *= match ending.outcome {
+                Outcome::Unreachable => REACH_CUT,
+                Outcome::Fulfilled | Outcome::Miss => REACH_GROWTH,
+                _ => 1.0,
+            };
+            self.line.reach = self.line.reach.min(1.0);
             let trusted = !self.health.doubtful(server, now);
             self.health.settle(server, &ending, slo, now);
             if trusted && ending.outcome != Outcome::TooLate {
@@ -669,6 +732,9 @@
             self.shots.success += MEAN_STEP * (won - self.shots.success);
         }
         let (streaming, was_origin) = (call.streaming, server.origin);
+        if self.line.within_reach() != self.line.caches.len() {
+            self.line.hold(&self.servers, to);
+        }
         if call.ended {
             return self.forget_if_done(ix, to);
         }
@@ -806,7 +872,7 @@
         while let Some(last) = self.origin.queue.len().checked_sub(1) {
             let worst = (0..=last).rev().min_by(|a, b| {
                 let (a, b) = (self.rank(self.origin.queue[*a]), self.rank(self.origin.queue[*b]));
-                a.partial_cmp(&b).unwrap_or(std::cmp::Ordering::Equal)
+                a.partial_cmp(&b).unwrap_or(Ordering::Equal)
             });
             let ix = self.origin.queue[worst.unwrap_or(last)];
             if last < ORIGIN_QUEUE && self.now + self.origin.wait(last) <= self.calls[ix.0].due {
@@ -826,7 +892,7 @@
             };
             let best = (0..self.origin.queue.len()).rev().max_by(|a, b| {
                 let (a, b) = (self.rank(self.origin.queue[*a]), self.rank(self.origin.queue[*b]));
-                a.partial_cmp(&b).unwrap_or(std::cmp::Ordering::Equal)
+                a.partial_cmp(&b).unwrap_or(Ordering::Equal)
             });
             let ix = self.origin.queue.remove(best.unwrap_or(0));
             if !self.shoot(ix, server, false, to) {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -64,7 +64,9 @@
     pub cell: u32,
     pub scale: f64,
     pub started: Option<Time>,
+    /// Its point, and the hash of its id that first gave it one.
     pub point: f64,
+    pub seed: f64,
     pub out: u32,
     /// Since when nothing was heard although something is out.
     pub unheard: Option<Time>,
@@ -134,8 +136,16 @@
 
 #[derive(Default)]
 pub struct Line {
-    /// Ready caches, in the order of their indices.
+    /// Caches held: ready, and within reach; in the order of their indices.
     pub caches: Vec<ServerIx>,
+    /// Ready caches by zone and seed, and in the order in which this node would hold them.
+    pub ranked: Vec<ServerIx>,
+    pub near: Vec<ServerIx>,
+    /// Part of the ready caches that this node holds.
+    pub reach: f64,
+    /// This node's zone, and its place in it.
+    pub zone: u32,
+    pub anchor: f64,
     pub order: Vec<(f64, ServerIx)>,
     /// Answers a second from caches, and those since the last tick.
     pub done_rate: f64,
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -262,6 +262,8 @@
     /// The index may be given to another API call from here on.
     fn forget(&mut self, call: CallIx);
     fn wake(&mut self, after: Span);
+    /// Idle connections to this server are not wanted any more.
+    fn close(&mut self, server: ServerIx);
     fn watch(&mut self);
     fn reload(&mut self);
 }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -22,6 +22,9 @@
     }
     fn forget(&mut self, _call: CallIx) {}
     fn wake(&mut self, _after: Span) {}
+    fn close(&mut self, server: ServerIx) {
+        let _ = writeln!(self.0, "  connections to server {} closed", server.0);
+    }
     fn watch(&mut self) {
         self.0.push_str("  watch\n");
     }
