--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -614,6 +614,11 @@
             self.servers.resize_with(self.servers.len().max(at + 1), Server::unknown);
             let server = &mut self.servers[at];
             let restarted = server.started != line.started;
+            if restarted || line.state != State::Ready {
+                // Guards against taking a dead cache for a full one: what it cost in reach is given back.
+                let refused = std::mem::take(&mut server.refused);
+                self.line.reach = (self.line.reach / REACH_CUT.powi(refused as i32)).min(1.0);
+            }
             // One that comes back finds its place again; only one never seen is seeded.
             if server.seed == 0.0 {
                 server.seed = place_on_line(hash(line.name));
@@ -715,12 +720,17 @@
         } else {
             self.line.done +=
                 f64::from(u8::from(matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss)));
-            self.line.reach *= match ending.outcome {
-                Outcome::Unreachable => REACH_CUT,
-                Outcome::Fulfilled | Outcome::Miss => REACH_GROWTH,
-                _ => 1.0,
-            };
-            self.line.reach = self.line.reach.min(1.0);
+            match ending.outcome {
+                Outcome::Unreachable => {
+                    server.refused += 1;
+                    self.line.reach *= REACH_CUT;
+                }
+                Outcome::Fulfilled | Outcome::Miss => {
+                    server.refused = 0;
+                    self.line.reach = (self.line.reach * REACH_GROWTH).min(1.0);
+                }
+                _ => {}
+            }
             let trusted = !self.health.doubtful(server, now);
             self.health.settle(server, &ending, slo, now);
             if trusted && ending.outcome != Outcome::TooLate {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -68,6 +68,8 @@
     pub point: f64,
     pub seed: f64,
     pub out: u32,
+    /// Connections it refused since it last answered.
+    pub refused: u32,
     /// Since when nothing was heard although something is out.
     pub unheard: Option<Time>,
     /// What was out here when it last turned a shot away, and when that was.
