--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -73,6 +73,8 @@
 const ORIGIN_TARGET: f64 = 0.4;
 /// Part of the SLO after which a shot there is late: twice the target, as answer times have long tails.
 const ORIGIN_LATE: f64 = 0.8;
+/// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
+const ORIGIN_DRIFT: f64 = 1.002;
 /// Change of the limit an answer that takes no time, or twice the target: in places, and under half a place
 /// as a part of the limit, so that many nodes change their sum no faster than one would.
 const ORIGIN_STEP: f64 = 0.25;
@@ -414,18 +416,22 @@
 
     /// The wait that a newcomer behind `ahead` others has before it.
     fn wait(&self, ahead: usize) -> Span {
-        Span((self.time * (ahead + 1) as f64 / self.limit) as i64)
+        Span((self.times[0].0 * (ahead + 1) as f64 / self.limit) as i64)
     }
 
     /// Steers the limit so that answers take the target part of their SLO: an origin that is slow, yet in
     /// time, is used to the full.
-    fn settle(&mut self, ending: &Ending, slo: Span, now: Time) {
+    fn settle(&mut self, ending: &Ending, slo: Span, write: bool, now: Time) {
         use Outcome::*;
         let took = ending.took.0 as f64;
         match ending.outcome {
             Fulfilled | Miss | Broken => {
-                self.time += 2.0 * MEAN_STEP * (took - self.time);
-                let spare = (1.0 - took / (ORIGIN_TARGET * slo.0 as f64)).max(-1.0);
+                // Guards against a spiral: writes take longer by nature, and where few reads get through they
+                // would read as strain; so no kind is held to less than twice its own calm time.
+                let (mean, calm) = &mut self.times[usize::from(write)];
+                *mean += 2.0 * MEAN_STEP * (took - *mean);
+                *calm = (*calm * ORIGIN_DRIFT).min(*mean);
+                let spare = (1.0 - took / (ORIGIN_TARGET * slo.0 as f64).max(2.0 * *calm)).max(-1.0);
                 if spare < 0.0 || self.pressed || self.limit < ORIGIN_SAVED {
                     let step = ORIGIN_STEP.min(ORIGIN_PART * self.limit);
                     self.limit = (self.limit + step * spare).clamp(self.least, ORIGIN_MOST);
@@ -561,7 +567,7 @@
             origin: Origin {
                 limit: (ORIGIN_START / nodes).max(1.0),
                 least: ORIGIN_LEAST / nodes,
-                time: shortest * ORIGIN_TARGET,
+                times: [(shortest * ORIGIN_TARGET, shortest * ORIGIN_TARGET); 2],
                 target: shortest * ORIGIN_TARGET,
                 ..Origin::default()
             },
@@ -716,7 +722,7 @@
         let slo = self.products[call.product].slo;
         if server.origin {
             self.origin.out = self.origin.out.saturating_sub(1);
-            self.origin.settle(&ending, slo, now);
+            self.origin.settle(&ending, slo, call.write, now);
         } else {
             self.line.done +=
                 f64::from(u8::from(matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss)));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -175,8 +175,9 @@
     /// Shots that may be out from here, under one too, and the least of it.
     pub limit: f64,
     pub least: f64,
-    /// Mean answer time, and the one aimed at for the shortest SLO, in microseconds.
-    pub time: f64,
+    /// For reads and for writes: mean answer time and its calm level, in microseconds; and the time aimed at
+    /// for the shortest SLO.
+    pub times: [(f64, f64); 2],
     pub target: f64,
     /// A call had to wait for a place since the last answer.
     pub pressed: bool,
