--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -71,8 +71,10 @@
 const ORIGIN_MOST: f64 = 64.0;
 /// Part of the SLO that the origin's answers may take: the rest is for the cache asked first and the wait.
 const ORIGIN_TARGET: f64 = 0.4;
-/// Part of the SLO after which a shot there is late: twice the target, as answer times have long tails.
-const ORIGIN_LATE: f64 = 0.8;
+/// Multiple of its calm time that an answer may always take: half of it is then spent in queue.
+const ORIGIN_STRAINED: f64 = 2.0;
+/// Multiple of the time aimed at after which a shot there is late: answer times have long tails.
+const ORIGIN_LATE: f64 = 2.0;
 /// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
 const ORIGIN_DRIFT: f64 = 1.002;
 /// Change of the limit an answer that takes no time, or twice the target: in places, and under half a place
@@ -419,6 +421,12 @@
         Span((self.times[0].0 * (ahead + 1) as f64 / self.limit) as i64)
     }
 
+    /// The answer time aimed at. Guards against a spiral: writes take longer by nature, and where few reads
+    /// get through they would read as strain; so no kind is held to less than twice its own calm time.
+    fn aim(&self, slo: Span, write: bool) -> f64 {
+        (ORIGIN_TARGET * slo.0 as f64).max(ORIGIN_STRAINED * self.times[usize::from(write)].1)
+    }
+
     /// Steers the limit so that answers take the target part of their SLO: an origin that is slow, yet in
     /// time, is used to the full.
     fn settle(&mut self, ending: &Ending, slo: Span, write: bool, now: Time) {
@@ -426,12 +434,10 @@
         let took = ending.took.0 as f64;
         match ending.outcome {
             Fulfilled | Miss | Broken => {
-                // Guards against a spiral: writes take longer by nature, and where few reads get through they
-                // would read as strain; so no kind is held to less than twice its own calm time.
                 let (mean, calm) = &mut self.times[usize::from(write)];
                 *mean += 2.0 * MEAN_STEP * (took - *mean);
                 *calm = (*calm * ORIGIN_DRIFT).min(*mean);
-                let spare = (1.0 - took / (ORIGIN_TARGET * slo.0 as f64).max(2.0 * *calm)).max(-1.0);
+                let spare = (1.0 - took / self.aim(slo, write)).max(-1.0);
                 if spare < 0.0 || self.pressed || self.limit < ORIGIN_SAVED {
                     let step = ORIGIN_STEP.min(ORIGIN_PART * self.limit);
                     self.limit = (self.limit + step * spare).clamp(self.least, ORIGIN_MOST);
@@ -944,7 +950,8 @@
         }
         let (least, most) = (product.slo.times(FURTHER_FROM), product.slo.times(FURTHER_TO));
         let cache = Span(self.health.tail as i64).max(least).min(most);
-        let wait = if server.origin { product.slo.times(ORIGIN_LATE) } else { cache };
+        let origin = Span((ORIGIN_LATE * self.origin.aim(product.slo, call.write)) as i64);
+        let wait = if server.origin { origin } else { cache };
         self.set_due(ix, self.now + wait);
         true
     }
