--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -573,7 +573,7 @@
             origin: Origin {
                 limit: (ORIGIN_START / nodes).max(1.0),
                 least: ORIGIN_LEAST / nodes,
-                times: [(shortest * ORIGIN_TARGET, shortest * ORIGIN_TARGET); 2],
+                times: [0.5, 1.0].map(|part| (shortest * ORIGIN_TARGET, shortest * ORIGIN_TARGET * part)),
                 target: shortest * ORIGIN_TARGET,
                 ..Origin::default()
             },
