--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -73,8 +73,6 @@
 const ORIGIN_TARGET: f64 = 0.4;
 /// Multiple of its calm time that an answer may always take: half of it is then spent in queue.
 const ORIGIN_STRAINED: f64 = 2.0;
-/// Multiple of the time aimed at after which a shot there is late: answer times have long tails.
-const ORIGIN_LATE: f64 = 2.0;
 /// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
 const ORIGIN_DRIFT: f64 = 1.002;
 /// Change of the limit an answer that takes no time, or twice the target: in places, and under half a place
@@ -950,7 +948,7 @@
         }
         let (least, most) = (product.slo.times(FURTHER_FROM), product.slo.times(FURTHER_TO));
         let cache = Span(self.health.tail as i64).max(least).min(most);
-        let origin = Span((ORIGIN_LATE * self.origin.aim(product.slo, call.write)) as i64);
+        let origin = Span(self.origin.aim(product.slo, call.write) as i64);
         let wait = if server.origin { origin } else { cache };
         self.set_due(ix, self.now + wait);
         true
