--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -84,7 +84,7 @@
 /// Shots that a node with few places may save up: chance brings misses in twos and threes.
 const ORIGIN_SAVED: f64 = 2.0;
 /// Factor on the limit for a shot turned away, lost or late.
-const ORIGIN_CUT: f64 = 0.7;
+const ORIGIN_CUT: f64 = 0.5;
 /// API calls that may wait for the origin: a few rounds of its limit; more would wait past their SLO.
 const ORIGIN_QUEUE: usize = 64;
 /// Part of the SLO that an API call may be kept waiting with nothing sent.
