--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -83,8 +83,8 @@
 const ORIGIN_DOUBLES: f64 = 4.0;
 /// Shots that a node with few places may save up: chance brings misses in twos and threes.
 const ORIGIN_SAVED: f64 = 2.0;
-/// Factor on the limit for a shot turned away, lost or late.
-const ORIGIN_CUT: f64 = 0.5;
+/// Factor on the limit for a shot turned away or lost.
+const ORIGIN_CUT: f64 = 0.7;
 /// API calls that may wait for the origin: a few rounds of its limit; more would wait past their SLO.
 const ORIGIN_QUEUE: usize = 64;
 /// Part of the SLO that an API call may be kept waiting with nothing sent.
@@ -437,23 +437,30 @@
                 *calm = (*calm * ORIGIN_DRIFT).min(*mean);
                 let spare = (1.0 - took / self.aim(slo, write)).max(-1.0);
                 if spare < 0.0 || self.pressed || self.limit < ORIGIN_SAVED {
-                    let step = ORIGIN_STEP.min(ORIGIN_PART * self.limit);
-                    self.limit = (self.limit + step * spare).clamp(self.least, ORIGIN_MOST);
+                    self.steer(spare);
                 }
                 self.pressed = !self.queue.is_empty();
             }
-            Full | TimedOut | Unreachable | Reset => self.cut(now),
+            // Guards against an origin pushed until it stops: one cut for each target time, not one for each
+            // loss.
+            Full | TimedOut | Unreachable | Reset if (now - self.cut_at).0 as f64 > self.target => {
+                self.limit = (self.limit * ORIGIN_CUT).max(self.least);
+                self.cut_at = now;
+            }
             _ => {}
         }
     }
 
-    /// Guards against an origin pushed until it stops: one cut for each target time, not one for each loss,
-    /// and shots that are late cut too, as their answers come when the queue there is long since too long.
-    fn cut(&mut self, now: Time) {
-        if (now - self.cut_at).0 as f64 > self.target {
-            self.limit = (self.limit * ORIGIN_CUT).max(self.least);
-            (self.cut_at, self.saved, self.saved_at) = (now, 0.0, now);
-        }
+    fn steer(&mut self, spare: f64) {
+        let step = ORIGIN_STEP.min(ORIGIN_PART * self.limit);
+        self.limit = (self.limit + step * spare).clamp(self.least, ORIGIN_MOST);
+    }
+
+    /// Guards against an origin that slows at once: what is late already counts before its answers come,
+    /// when the queue there is long since too long; and nothing saved up is spent on it.
+    fn late(&mut self, now: Time) {
+        self.steer(-1.0);
+        (self.saved, self.saved_at) = (0.0, now);
     }
 
     fn tick(&mut self, passed: f64) {
@@ -1001,7 +1008,7 @@
         let Some(late) = call.shots.last().filter(|shot| shot.fate == Fate::Out) else { return };
         let server = &self.servers[late.server.0];
         if server.origin {
-            self.origin.cut(self.now);
+            self.origin.late(self.now);
         }
         if server.origin || call.streaming || call.write && self.aside || call.out() > 1 {
             return;
