--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -60,6 +60,9 @@
 const FURTHER_SAVED: f64 = 10.0;
 /// Weight of one more sample in running means: about the last twenty samples.
 const MEAN_STEP: f64 = 0.05;
+/// Calls a second whose usual wait is mixed into the wait in front of the caches: few against a busy node,
+/// enough that one call more or less does not read as a crowd at a quiet one.
+const WAIT_PRIOR: f64 = 20.0;
 /// Part of its plain share of traffic that a fully warm server could get under the warm-up budget.
 const WARM_SHARE: f64 = 0.8;
 /// Shots: what the warm-up budget may save up, so that no burst spends the fall line at once.
@@ -260,16 +263,11 @@
         self.caches = held;
     }
 
-    /// Seconds that a shot now sent must expect: what is out at caches in good standing over what they
-    /// answer.
-    fn wait(&self, servers: &[Server], health: &Health, now: Time) -> f64 {
-        let sound = self.caches.iter().map(|ix| &servers[ix.0]).filter(|s| !health.doubtful(s, now));
-        let out: u32 = sound.map(|server| server.out).sum();
-        if self.heard < 0.5 {
-            0.0
-        } else {
-            f64::from(out) * self.heard / self.done_rate.max(1.0)
-        }
+    /// Seconds that a shot now sent must expect, by Little's law: what is out at caches in good standing over
+    /// what they answer. Guards against chance at a node that sees some calls a second: what it has out is
+    /// mixed with what the caches' usual answer time would be for a larger node.
+    fn wait(&self, median: f64) -> f64 {
+        (f64::from(self.out) + WAIT_PRIOR * median / 1e6) / (self.done_rate + WAIT_PRIOR)
     }
 
     /// The nearest point wins unless its cache is over the skip line or Health refuses it; the winner's point
@@ -694,7 +692,7 @@
         call.shots.clear();
         let (value, slo) = (self.products[product].value, self.products[product].slo);
         let at_line = !(ask.write && self.aside);
-        let wait = if at_line { self.line.wait(&self.servers, &self.health, now) } else { 0.0 };
+        let wait = if at_line { self.line.wait(self.health.median) } else { 0.0 };
         match self.admission.admit(beyond, value, wait / slo.seconds(), &mut self.chance) {
             // Guards against refusing reads in a crowd at the caches while the origin has places free.
             Step::End if at_line && beyond <= 0.0 && self.origin.free(now) => self.enter_origin(ix, to),
@@ -728,6 +726,7 @@
         };
         let ran = !ending.outcome.proves_it_never_ran();
         shot.fate = if ran { Fate::MayHaveRun } else { Fate::NeverRan };
+        self.line.out -= u32::from(std::mem::take(&mut shot.counted));
         let (server, further) = (&mut self.servers[shot.server.0], shot.further);
         server.out = server.out.saturating_sub(1);
         let slo = self.products[call.product].slo;
@@ -792,8 +791,7 @@
         self.line.done_rate += step * (done - self.line.done_rate);
         let warmth = |ix: &ServerIx| self.health.warmth(self.servers[ix.0].started, now);
         self.line.warmth = self.line.caches.iter().map(warmth).sum();
-        self.line.heard += step * (1.0 - self.line.heard);
-        let wait = self.line.wait(&self.servers, &self.health, now);
+        let wait = self.line.wait(self.health.median);
         self.admission.tick(wait / self.shortest.seconds());
         self.origin.tick(passed);
         self.run_due(to);
@@ -940,7 +938,9 @@
         let server = &mut self.servers[at.0];
         server.out += 1;
         server.unheard = server.unheard.or(Some(self.now));
-        call.shots.push(Shot { server: at, sent: self.now, fate: Fate::Out, further });
+        let counted = !server.origin;
+        self.line.out += u32::from(counted);
+        call.shots.push(Shot { server: at, sent: self.now, fate: Fate::Out, further, counted });
         call.place = Place::Flying;
         to.dispatch(ix, at, call.until);
         if server.origin {
@@ -1004,18 +1004,22 @@
     /// A shot is late: a further one goes to the next nearest cache, if earned or if the first cache is
     /// silent.
     fn review(&mut self, ix: CallIx, to: &mut impl Answers) {
-        let call = &self.calls[ix.0];
-        let Some(late) = call.shots.last().filter(|shot| shot.fate == Fate::Out) else { return };
+        let call = &mut self.calls[ix.0];
+        let Some(late) = call.shots.last_mut().filter(|shot| shot.fate == Fate::Out) else { return };
         let server = &self.servers[late.server.0];
         if server.origin {
             self.origin.late(self.now);
         }
+        let failing = self.health.doubtful(server, self.now);
+        // A failing cache's shots are no crowd.
+        self.line.out -= u32::from(failing && std::mem::take(&mut late.counted));
+        let at = late.server;
+        let call = &self.calls[ix.0];
         if server.origin || call.streaming || call.write && self.aside || call.out() > 1 {
             return;
         }
-        let failing = self.health.doubtful(server, self.now);
         let product = &self.products[call.product];
-        let allowed = self.shots.allows(call, product, &self.servers, late.server, self.now);
+        let allowed = self.shots.allows(call, product, &self.servers, at, self.now);
         if allowed && (failing || self.shots.further()) {
             // Guards against further shots that miss at the next nearest and load it in a jam.
             let half = f64::from(self.origin.out) * 2.0 < self.origin.limit.max(1.0);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -25,6 +25,8 @@
     pub sent: Time,
     pub fate: Fate,
     pub further: bool,
+    /// Part of what is out at caches in good standing.
+    pub counted: bool,
 }
 
 #[derive(Default)]
@@ -154,8 +156,8 @@
     pub done: f64,
     /// The ready caches' warmth, summed: how many warm ones they amount to.
     pub warmth: f64,
-    /// How much of a full mean `done_rate` holds yet.
-    pub heard: f64,
+    /// Shots out from here at caches in good standing.
+    pub out: u32,
 }
 
 pub struct Health {
