A node sent many times all shares grows each tenant's part by it

Cause, node by node on Perth 386x294: three nodes carried a fifth of all calls and refused 95% of them at the door, as every tenant was far beyond its per-node share there and the crowd of one such node kept over-share shedding up. Told from a crowd at the caches: no full answers, none late, and writes were refused alike.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -96,6 +96,8 @@
 /// and the least it may save up, in calls, so that a small part of a quota is told from chance.
 const QUOTA_SAVED: f64 = 2.0;
 const QUOTA_LEAST: f64 = 6.0;
+/// Multiple of all shares at this node that tenants may send in excess before it takes itself for the cause.
+const QUOTA_HOT: f64 = 3.0;
 /// Share of full answers, and wait at the caches over the shortest SLO, at which over-share work is shed.
 const STRAIN_OVER: f64 = 0.06;
 const CROWDED_OVER: f64 = 0.4;
@@ -125,11 +127,12 @@
         let nodes = settings.nodes();
         let tenant = |i| {
             let per_s = settings.number(&format!("projects.{i}.quota_per_s"), 0.0) / nodes;
-            let most = (per_s * QUOTA_SAVED).max(QUOTA_LEAST);
-            Tenant { per_s, most, saved: most, rate: 0.0, at: Time(0) }
+            Tenant { per_s, saved: (per_s * QUOTA_SAVED).max(QUOTA_LEAST), rate: 0.0, at: Time(0) }
         };
+        let tenants: Vec<_> = (0..settings.count("projects")).map(tenant).collect();
         Admission {
-            tenants: (0..settings.count("projects")).map(tenant).collect(),
+            quota: tenants.iter().map(|tenant| tenant.per_s).sum(),
+            tenants,
             highest_value: products.iter().map(|p| p.value).fold(f64::MIN_POSITIVE, f64::max),
             ..Admission::default()
         }
@@ -139,12 +142,19 @@
     /// twice its share or more. Unknown tenants have no share to exceed. Guards against the uneven spread of
     /// clients over nodes, by which a tenant within its share can be a little beyond it here, and against
     /// so many nodes that a tenant's part at one is under a call a second, which two seconds never save up.
+    /// A node that is sent many times what all shares come to here carries others' part too, and grows each
+    /// tenant's by it. Guards against a front that sends a quarter of all traffic to one node.
     fn beyond_share(&mut self, tenant: usize, lost: f64, now: Time) -> f64 {
         let Some(tenant) = self.tenants.get_mut(tenant).filter(|t| t.per_s > 0.0) else { return lost };
-        let (passed, memory) = ((now - tenant.at).seconds(), tenant.most / tenant.per_s);
+        let since = (now - self.at).seconds();
+        self.rate = self.rate * (-since / QUOTA_SAVED).exp() + 1.0 / QUOTA_SAVED;
+        self.at = now;
+        let sent_here = (self.rate - QUOTA_HOT * self.quota).max(self.quota) / self.quota;
+        let per_s = tenant.per_s * sent_here;
+        let (passed, memory) = ((now - tenant.at).seconds(), (QUOTA_LEAST / per_s).max(QUOTA_SAVED));
         tenant.at = now;
         tenant.rate = tenant.rate * (-passed / memory).exp() + 1.0 / memory;
-        tenant.saved = (tenant.saved + passed * tenant.per_s).min(tenant.most);
+        tenant.saved = (tenant.saved + passed * per_s).min(per_s * memory);
         if lost > 0.0 {
             return lost;
         }
@@ -152,7 +162,7 @@
             tenant.saved -= 1.0;
             return 0.0;
         }
-        (tenant.rate / tenant.per_s - 1.0).clamp(0.05, 1.0)
+        (tenant.rate / per_s - 1.0).clamp(0.05, 1.0)
     }
 
     /// `crowding`: the wait in front of the caches, by Little's law, as a part of the SLO. Guards against a
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -106,9 +106,7 @@
 
 pub struct Tenant {
     pub per_s: f64,
-    /// Calls saved up, and the most that may be.
     pub saved: f64,
-    pub most: f64,
     /// Calls a second, a running mean.
     pub rate: f64,
     pub at: Time,
@@ -117,6 +115,10 @@
 #[derive(Default)]
 pub struct Admission {
     pub tenants: Vec<Tenant>,
+    /// Calls a second: all shares at this node, and what it is sent, a running mean.
+    pub quota: f64,
+    pub rate: f64,
+    pub at: Time,
     pub highest_value: f64,
     /// Share of shots that were turned away.
     pub strain: f64,
