--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -97,7 +97,7 @@
 const QUOTA_SAVED: f64 = 2.0;
 const QUOTA_LEAST: f64 = 6.0;
 /// Multiple of all shares at this node that tenants may send in excess before it takes itself for the cause.
-const QUOTA_HOT: f64 = 3.0;
+const QUOTA_HOT: f64 = 8.0;
 /// Share of full answers, and wait at the caches over the shortest SLO, at which over-share work is shed.
 const STRAIN_OVER: f64 = 0.06;
 const CROWDED_OVER: f64 = 0.4;
