Start the origin limit at 200 places over all nodes, four at one

Cause on Texas 1100x82: a place at each of 1100 nodes drowned the origin from the first second, 90% not answered.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -67,9 +67,10 @@
 const WARM_SHARE: f64 = 0.8;
 /// Shots: what the warm-up budget may save up, so that no burst spends the fall line at once.
 const WARM_SAVED: f64 = 2.0;
-/// Shots out at the origin: from all nodes together at the start, though no less than a place each, and at
-/// least; and from one node at most.
-const ORIGIN_START: f64 = 16.0;
+/// Shots out at the origin: at the start, from one node at most and from all together; at least, from all
+/// together; and at most, from one.
+const ORIGIN_START: f64 = 4.0;
+const ORIGIN_START_ALL: f64 = 200.0;
 const ORIGIN_LEAST: f64 = 2.0;
 const ORIGIN_MOST: f64 = 64.0;
 /// Part of the SLO that the origin's answers may take: the rest is for the cache asked first and the wait.
@@ -584,7 +585,7 @@
                 warm_within: settings.span("invariants.warm_within", Span::ms(60_000)),
             },
             origin: Origin {
-                limit: (ORIGIN_START / nodes).max(1.0),
+                limit: (ORIGIN_START_ALL / nodes).min(ORIGIN_START),
                 least: ORIGIN_LEAST / nodes,
                 times: [0.5, 1.0].map(|part| (shortest * ORIGIN_TARGET, shortest * ORIGIN_TARGET * part)),
                 target: shortest * ORIGIN_TARGET,
