--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -62,7 +62,7 @@
 const MEAN_STEP: f64 = 0.05;
 /// Calls a second whose usual wait is mixed into the wait in front of the caches: few against a busy node,
 /// enough that one call more or less does not read as a crowd at a quiet one.
-const WAIT_PRIOR: f64 = 20.0;
+const WAIT_PRIOR: f64 = 8.0;
 /// Part of its plain share of traffic that a fully warm server could get under the warm-up budget.
 const WARM_SHARE: f64 = 0.8;
 /// Shots: what the warm-up budget may save up, so that no burst spends the fall line at once.
