Try: start the origin limit at one place a node

Conclusion: a single node still cannot leave a low limit, where writes with long tails take every place.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -69,7 +69,7 @@
 const WARM_SAVED: f64 = 2.0;
 /// Shots out at the origin: at the start, from one node at most and from all together; at least, from all
 /// together; and at most, from one.
-const ORIGIN_START: f64 = 4.0;
+const ORIGIN_START: f64 = 1.0;
 const ORIGIN_START_ALL: f64 = 200.0;
 const ORIGIN_LEAST: f64 = 2.0;
 const ORIGIN_MOST: f64 = 64.0;
