--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -69,7 +69,7 @@
 const WARM_SAVED: f64 = 2.0;
 /// Shots out at the origin: at the start, from one node at most and from all together; at least, from all
 /// together; and at most, from one.
-const ORIGIN_START: f64 = 1.0;
+const ORIGIN_START: f64 = 3.0;
 const ORIGIN_START_ALL: f64 = 200.0;
 const ORIGIN_LEAST: f64 = 2.0;
 const ORIGIN_MOST: f64 = 64.0;
@@ -78,7 +78,7 @@
 /// Multiple of its calm time that an answer may always take: half of it is then spent in queue.
 const ORIGIN_STRAINED: f64 = 2.0;
 /// Multiple of its calm time within which an answer may be just a long one.
-const ORIGIN_TAIL: f64 = 4.0;
+const ORIGIN_TAIL: f64 = 3.0;
 /// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
 const ORIGIN_DRIFT: f64 = 1.002;
 /// Change of the limit an answer that takes no time, or twice the target: in places, and under half a place
