--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -69,7 +69,7 @@
 const WARM_SAVED: f64 = 2.0;
 /// Shots out at the origin: at the start, from one node at most and from all together; at least, from all
 /// together; and at most, from one.
-const ORIGIN_START: f64 = 3.0;
+const ORIGIN_START: f64 = 4.0;
 const ORIGIN_START_ALL: f64 = 200.0;
 const ORIGIN_LEAST: f64 = 2.0;
 const ORIGIN_MOST: f64 = 64.0;
@@ -77,8 +77,6 @@
 const ORIGIN_TARGET: f64 = 0.4;
 /// Multiple of its calm time that an answer may always take: half of it is then spent in queue.
 const ORIGIN_STRAINED: f64 = 2.0;
-/// Multiple of its calm time within which an answer may be just a long one.
-const ORIGIN_TAIL: f64 = 3.0;
 /// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
 const ORIGIN_DRIFT: f64 = 1.002;
 /// Change of the limit an answer that takes no time, or twice the target: in places, and under half a place
@@ -436,11 +434,6 @@
         (ORIGIN_TARGET * slo.0 as f64).max(ORIGIN_STRAINED * self.times[usize::from(write)].1)
     }
 
-    /// When a shot is late: at the time aimed at, unless that is well within the tail of a calm origin.
-    fn lateness(&self, slo: Span, write: bool) -> f64 {
-        self.aim(slo, write).max(ORIGIN_TAIL * self.times[usize::from(write)].1)
-    }
-
     /// Steers the limit so that answers take the target part of their SLO: an origin that is slow, yet in
     /// time, is used to the full.
     fn settle(&mut self, ending: &Ending, slo: Span, write: bool, now: Time) {
@@ -451,8 +444,9 @@
                 let (mean, calm) = &mut self.times[usize::from(write)];
                 *mean += 2.0 * MEAN_STEP * (took - *mean);
                 *calm = (*calm * ORIGIN_DRIFT).min(*mean);
-                let spare = (1.0 - took / self.aim(slo, write)).max(-1.0);
-                if spare < 0.0 || self.pressed || self.limit < ORIGIN_SAVED {
+                // One that took longer was counted when it was late.
+                let spare = 1.0 - took / self.aim(slo, write);
+                if spare > 0.0 && (self.pressed || self.limit < ORIGIN_SAVED) {
                     self.steer(spare);
                 }
                 self.pressed = !self.queue.is_empty();
@@ -973,7 +967,7 @@
         }
         let (least, most) = (product.slo.times(FURTHER_FROM), product.slo.times(FURTHER_TO));
         let cache = Span(self.health.tail as i64).max(least).min(most);
-        let origin = Span(self.origin.lateness(product.slo, call.write) as i64);
+        let origin = Span(self.origin.aim(product.slo, call.write) as i64);
         let wait = if server.origin { origin } else { cache };
         self.set_due(ix, self.now + wait);
         true
