--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -469,7 +469,7 @@
     /// Guards against an origin that slows at once: what is late already counts before its answers come,
     /// when the queue there is long since too long; and nothing saved up is spent on it.
     fn late(&mut self, now: Time) {
-        self.steer(-1.0);
+        self.steer(-0.5);
         (self.saved, self.saved_at) = (0.0, now);
     }
 
