--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -106,8 +106,6 @@
 const CROWDED: f64 = 0.6;
 /// Part of the SLO past which an answer counts as strained.
 const STRAIN_AT: f64 = 0.6;
-/// Share of calls that had a shot and yet no answer at which, with caches full, in-share work is shed too.
-const WASTED: f64 = 0.35;
 /// Change of a shedding level a tick, up and down: full in about half a second, gone in two.
 const SHED_UP: f64 = 0.04;
 const SHED_DOWN: f64 = 0.01;
@@ -172,7 +170,7 @@
     fn admit(&self, beyond: f64, value: f64, crowding: f64, chance: &mut Pcg) -> Step {
         let spared = SHED_SPARED * value / self.highest_value;
         let crowded = (crowding - CROWDED) / (1.0 - CROWDED) * (1.0 - spared);
-        let shed = crowded.max(self.level * beyond).max(self.jam * (1.0 - spared));
+        let shed = crowded.max(self.level * beyond);
         if chance.unit() < shed {
             Step::End
         } else {
@@ -180,19 +178,11 @@
         }
     }
 
-    /// Guards against a jam that feeds itself: full caches pass reads on, passed-on reads miss, and what the
-    /// origin cannot take was work for nothing. `wasted`: a call that had a shot ended without its answer.
-    fn settle_call(&mut self, wasted: bool) {
-        self.wasted += MEAN_STEP * (f64::from(u8::from(wasted)) - self.wasted);
-    }
-
     fn settle_shot(&mut self, strained: bool) {
         self.strain += MEAN_STEP * (f64::from(u8::from(strained)) - self.strain);
     }
 
     fn tick(&mut self, crowding: f64) {
-        let jammed = self.strain > STRAIN_OVER && self.wasted > WASTED;
-        self.jam = (self.jam + if jammed { SHED_UP } else { -SHED_DOWN }).clamp(0.0, 1.0);
         if self.strain > STRAIN_OVER || crowding > CROWDED_OVER {
             self.level = (self.level + SHED_UP).min(1.0);
         } else {
@@ -469,7 +459,7 @@
     /// Guards against an origin that slows at once: what is late already counts before its answers come,
     /// when the queue there is long since too long; and nothing saved up is spent on it.
     fn late(&mut self, now: Time) {
-        self.steer(-0.5);
+        self.steer(-1.0);
         (self.saved, self.saved_at) = (0.0, now);
     }
 
@@ -725,7 +715,7 @@
     pub fn withdrawn(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
         self.now = now;
         if self.calls.get(ix.0).is_some_and(|call| call.live && !call.ended) {
-            self.end(ix, false, false, to);
+            self.end(ix, to);
         }
     }
 
@@ -780,8 +770,7 @@
             if !ending.call_ended {
                 to.error(ix);
             }
-            let fulfilled = ending.outcome == Outcome::Fulfilled;
-            self.end(ix, fulfilled, fulfilled && was_origin, to);
+            self.end(ix, to);
         } else {
             call.missed |= ending.outcome == Outcome::Miss && !was_origin;
             self.again(ix, to);
@@ -1062,23 +1051,18 @@
         } else {
             to.error(ix);
         }
-        self.end(ix, false, false, to);
+        self.end(ix, to);
     }
 
     /// Closes a call, calls off what is still out and lets go of the reads that waited for its fetch.
-    fn end(&mut self, ix: CallIx, fulfilled: bool, fetched: bool, to: &mut impl Answers) {
+    fn end(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &mut self.calls[ix.0];
         call.ended = true;
-        if !call.shots.is_empty() {
-            self.admission.settle_call(!fulfilled);
-        }
         let (leads, key, queued) = (std::mem::take(&mut call.leads), call.key, call.place == Place::Queued);
         if queued {
             self.origin.queue.retain(|other| *other != ix);
         }
         self.call_off(ix, None, to);
-        let stored = self.calls[ix.0].shots.iter().map(|shot| shot.server);
-        let home = stored.rev().find(|s| fetched && !self.servers[s.0].origin);
         self.forget_if_done(ix, to);
         let fetch = if leads { self.coalescing.fetches.remove(&key) } else { None };
         for (waiter, serial) in fetch.map(|fetch| fetch.waiters).unwrap_or_default() {
@@ -1086,12 +1070,7 @@
             if call.serial != serial || call.ended || call.place != Place::Waiting {
                 continue;
             }
-            // A read that missed goes to the cache that has just been given its object, if that one has room.
-            let room = |s: &ServerIx| f64::from(self.servers[s.0].out) <= SKIP_FLOOR;
-            let home = home.filter(|s| call.missed && room(s));
-            if !home.is_some_and(|home| self.shoot(waiter, home, false, to)) {
-                self.coalesce(waiter, to);
-            }
+            self.coalesce(waiter, to);
         }
     }
 
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -122,10 +122,6 @@
     pub highest_value: f64,
     /// Share of shots that were turned away.
     pub strain: f64,
-    /// Share of calls with a shot that ended without their answer.
-    pub wasted: f64,
-    /// Chance that in-share work is shed to end a jam.
-    pub jam: f64,
     /// Chance that over-share work is shed.
     pub level: f64,
 }
