--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -83,8 +83,6 @@
 /// as a part of the limit, so that many nodes change their sum no faster than one would.
 const ORIGIN_STEP: f64 = 0.25;
 const ORIGIN_PART: f64 = 0.5;
-/// Seconds in which a limit under one place doubles by itself: at hundreds of nodes answers are far between.
-const ORIGIN_DOUBLES: f64 = 4.0;
 /// Shots that a node with few places may save up: chance brings misses in twos and threes.
 const ORIGIN_SAVED: f64 = 2.0;
 /// Factor on the limit for a shot turned away or lost.
@@ -463,11 +461,6 @@
         (self.saved, self.saved_at) = (0.0, now);
     }
 
-    fn tick(&mut self, passed: f64) {
-        if self.limit < 1.0 {
-            self.limit *= 1.0 + passed / ORIGIN_DOUBLES;
-        }
-    }
 }
 
 // ---- Shots: what settings allow, and how far further shots pay ----------------------------------
@@ -794,7 +787,6 @@
         self.line.warmth = self.line.caches.iter().map(warmth).sum();
         let wait = self.line.wait(self.health.median);
         self.admission.tick(wait / self.shortest.seconds());
-        self.origin.tick(passed);
         self.run_due(to);
         self.pump(to);
         if self.following.on_request && self.following.next.is_some_and(|next| now >= next) {
@@ -881,10 +873,15 @@
             call.leads = true;
             self.coalescing.fetches.insert(call.key, Fetch { leader: ix, waiters: Vec::new() });
         }
+        // What would wait too long is ended now; writes go ahead of the queue.
+        let ahead = if call.write { 0 } else { self.origin.queue.len() };
+        let patience = self.products[call.product].slo.times(PATIENCE);
+        if ahead >= ORIGIN_QUEUE || !self.origin.room(self.now) && self.origin.wait(ahead) > patience {
+            return self.give_up(ix, to);
+        }
         self.origin.queue.push(ix);
         self.park(ix, Place::Queued, to);
         self.pump(to);
-        self.trim(to);
     }
 
     /// Which waiting call goes first: writes, then in-share work, then what is billed higher.
@@ -893,21 +890,6 @@
         (call.write, !call.over, self.products[call.product].value)
     }
 
-    /// Ends what would wait too long for the origin, the least first.
-    fn trim(&mut self, to: &mut impl Answers) {
-        while let Some(last) = self.origin.queue.len().checked_sub(1) {
-            let worst = (0..=last).rev().min_by(|a, b| {
-                let (a, b) = (self.rank(self.origin.queue[*a]), self.rank(self.origin.queue[*b]));
-                a.partial_cmp(&b).unwrap_or(Ordering::Equal)
-            });
-            let ix = self.origin.queue[worst.unwrap_or(last)];
-            if last < ORIGIN_QUEUE && self.now + self.origin.wait(last) <= self.calls[ix.0].due {
-                break;
-            }
-            self.give_up(ix, to);
-        }
-    }
-
     /// Sends waiting calls to the origin while its limit has room.
     fn pump(&mut self, to: &mut impl Answers) {
         self.origin.pressed |= !self.origin.queue.is_empty() && !self.origin.room(self.now);
