--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -83,6 +83,8 @@
 /// as a part of the limit, so that many nodes change their sum no faster than one would.
 const ORIGIN_STEP: f64 = 0.25;
 const ORIGIN_PART: f64 = 0.5;
+/// Seconds in which a limit under one place doubles by itself: at hundreds of nodes answers are far between.
+const ORIGIN_DOUBLES: f64 = 4.0;
 /// Shots that a node with few places may save up: chance brings misses in twos and threes.
 const ORIGIN_SAVED: f64 = 2.0;
 /// Factor on the limit for a shot turned away or lost.
@@ -461,6 +463,11 @@
         (self.saved, self.saved_at) = (0.0, now);
     }
 
+    fn tick(&mut self, passed: f64) {
+        if self.limit < 1.0 {
+            self.limit *= 1.0 + passed / ORIGIN_DOUBLES;
+        }
+    }
 }
 
 // ---- Shots: what settings allow, and how far further shots pay ----------------------------------
@@ -787,6 +794,7 @@
         self.line.warmth = self.line.caches.iter().map(warmth).sum();
         let wait = self.line.wait(self.health.median);
         self.admission.tick(wait / self.shortest.seconds());
+        self.origin.tick(passed);
         self.run_due(to);
         self.pump(to);
         if self.following.on_request && self.following.next.is_some_and(|next| now >= next) {
