--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -10,7 +10,6 @@
 //! candidate), Origin, Shots. A stage passes it on, keeps it or ends it. Outcomes run back: Shots, Origin,
 //! Health, Coalescing, Admission. Only `shoot` dispatches, and rules 1 to 3 are checked there.
 
-use std::cmp::Ordering;
 use std::collections::BTreeSet;
 
 use rand_distr::{Beta, Distribution};
@@ -230,21 +229,17 @@
     }
 
     /// Puts the ready caches in the order in which this node would hold them: those of its zone first, from
-    /// its own place in it outward, so that neighbours choose alike.
-    fn order(&mut self, servers: &[Server], mut ready: Vec<ServerIx>) {
-        let place = |ix: &ServerIx| (servers[ix.0].zone, servers[ix.0].seed);
-        ready.sort_by(|a, b| place(a).partial_cmp(&place(b)).unwrap_or(Ordering::Equal));
-        let own = |ix: &&ServerIx| servers[ix.0].zone == self.zone;
-        let (from, len) = (ready.iter().position(|ix| own(&ix)).unwrap_or(0), ready.iter().filter(own).count());
-        let centre = from as f64 + self.anchor * len as f64;
-        let far = |rank: usize, ix: &ServerIx| {
-            let (away, round) = ((rank as f64 + 0.5 - centre).abs(), if own(&ix) { len } else { ready.len() });
-            (!own(&ix), away.min(round as f64 - away))
+    /// its own place among their seeds outward, so that neighbours choose alike.
+    fn order(&mut self, servers: &[Server], ready: Vec<ServerIx>) {
+        let place = |ix: &ServerIx| (servers[ix.0].zone, servers[ix.0].seed.to_bits());
+        let far = |ix: &ServerIx| {
+            let away = (servers[ix.0].seed - self.anchor).abs();
+            (servers[ix.0].zone != self.zone, away.min(1.0 - away).to_bits())
         };
-        let mut near: Vec<_> = ready.iter().enumerate().map(|(rank, ix)| (far(rank, ix), *ix)).collect();
-        near.sort_by(|a, b| a.partial_cmp(b).unwrap_or(Ordering::Equal));
-        self.near = near.into_iter().map(|(_, ix)| ix).collect();
+        self.near = ready.clone();
+        self.near.sort_by_key(far);
         self.ranked = ready;
+        self.ranked.sort_by_key(place);
     }
 
     fn within_reach(&self) -> usize {
@@ -893,9 +888,9 @@
     }
 
     /// Which waiting call goes first: writes, then in-share work, then what is billed higher.
-    fn rank(&self, ix: CallIx) -> (bool, bool, f64) {
+    fn rank(&self, ix: CallIx) -> (bool, bool, u64) {
         let call = &self.calls[ix.0];
-        (call.write, !call.over, self.products[call.product].value)
+        (call.write, !call.over, self.products[call.product].value.to_bits())
     }
 
     /// Sends waiting calls to the origin while its limit has room.
@@ -906,10 +901,7 @@
             else {
                 return;
             };
-            let best = (0..self.origin.queue.len()).rev().max_by(|a, b| {
-                let (a, b) = (self.rank(self.origin.queue[*a]), self.rank(self.origin.queue[*b]));
-                a.partial_cmp(&b).unwrap_or(Ordering::Equal)
-            });
+            let best = (0..self.origin.queue.len()).rev().max_by_key(|i| self.rank(self.origin.queue[*i]));
             let ix = self.origin.queue.remove(best.unwrap_or(0));
             if !self.shoot(ix, server, false, to) {
                 self.give_up(ix, to);
