--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -86,8 +86,6 @@
 const ORIGIN_DOUBLES: f64 = 4.0;
 /// Shots that a node with few places may save up: chance brings misses in twos and threes.
 const ORIGIN_SAVED: f64 = 2.0;
-/// Factor on the limit for a shot turned away or lost.
-const ORIGIN_CUT: f64 = 0.7;
 /// API calls that may wait for the origin: a few rounds of its limit; more would wait past their SLO.
 const ORIGIN_QUEUE: usize = 64;
 /// Part of the SLO that an API call may be kept waiting with nothing sent.
@@ -436,12 +434,7 @@
                 }
                 self.pressed = !self.queue.is_empty();
             }
-            // Guards against an origin pushed until it stops: one cut for each target time, not one for each
-            // loss.
-            Full | TimedOut | Unreachable | Reset if (now - self.cut_at).0 as f64 > self.target => {
-                self.limit = (self.limit * ORIGIN_CUT).max(self.least);
-                self.cut_at = now;
-            }
+            Full | TimedOut | Unreachable | Reset => self.steer(-1.0),
             _ => {}
         }
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -184,7 +184,6 @@
     /// Shots saved up, and when that was counted.
     pub saved: f64,
     pub saved_at: Time,
-    pub cut_at: Time,
     pub queue: Vec<CallIx>,
 }
 
