--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -86,6 +86,8 @@
 const ORIGIN_DOUBLES: f64 = 4.0;
 /// Shots that a node with few places may save up: chance brings misses in twos and threes.
 const ORIGIN_SAVED: f64 = 2.0;
+/// Factor on the limit for a shot turned away or lost.
+const ORIGIN_CUT: f64 = 0.7;
 /// API calls that may wait for the origin: a few rounds of its limit; more would wait past their SLO.
 const ORIGIN_QUEUE: usize = 64;
 /// Part of the SLO that an API call may be kept waiting with nothing sent.
@@ -429,12 +431,16 @@
                 *calm = (*calm * ORIGIN_DRIFT).min(*mean);
                 // One that took longer was counted when it was late.
                 let spare = 1.0 - took / self.aim(slo, write);
-                if spare > 0.0 && (self.pressed || self.limit < ORIGIN_SAVED) {
+                if spare > 0.0 {
                     self.steer(spare);
                 }
-                self.pressed = !self.queue.is_empty();
             }
-            Full | TimedOut | Unreachable | Reset => self.steer(-1.0),
+            // Guards against an origin pushed until it stops: one cut for each target time, not one for each
+            // loss.
+            Full | TimedOut | Unreachable | Reset if (now - self.cut_at).0 as f64 > self.target => {
+                self.limit = (self.limit * ORIGIN_CUT).max(self.least);
+                self.cut_at = now;
+            }
             _ => {}
         }
     }
@@ -888,7 +894,6 @@
 
     /// Sends waiting calls to the origin while its limit has room.
     fn pump(&mut self, to: &mut impl Answers) {
-        self.origin.pressed |= !self.origin.queue.is_empty() && !self.origin.room(self.now);
         while self.origin.room(self.now) && !self.origin.queue.is_empty() {
             let Some(server) = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out)
             else {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -179,11 +179,10 @@
     /// for the shortest SLO.
     pub times: [(f64, f64); 2],
     pub target: f64,
-    /// A call had to wait for a place since the last answer.
-    pub pressed: bool,
     /// Shots saved up, and when that was counted.
     pub saved: f64,
     pub saved_at: Time,
+    pub cut_at: Time,
     pub queue: Vec<CallIx>,
 }
 
