--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -108,8 +108,6 @@
 /// Change of a shedding level a tick, up and down: full in about half a second, gone in two.
 const SHED_UP: f64 = 0.04;
 const SHED_DOWN: f64 = 0.01;
-/// How far the most valued product is spared when in-share work is shed (part of the level).
-const SHED_SPARED: f64 = 0.6;
 /// Waits before asking for the list again: the first and the longest, doubling and jittered.
 const ASK_FIRST: Span = Span::ms(200);
 const ASK_LONGEST: Span = Span::ms(5000);
@@ -121,7 +119,7 @@
 // ---- Admission: tenant share and overload -------------------------------------------------------
 
 impl Admission {
-    fn new(settings: &Settings, products: &[Product]) -> Admission {
+    fn new(settings: &Settings) -> Admission {
         let nodes = settings.nodes();
         let tenant = |i| {
             let per_s = settings.number(&format!("projects.{i}.quota_per_s"), 0.0) / nodes;
@@ -131,7 +129,6 @@
         Admission {
             quota: tenants.iter().map(|tenant| tenant.per_s).sum(),
             tenants,
-            highest_value: products.iter().map(|p| p.value).fold(f64::MIN_POSITIVE, f64::max),
             ..Admission::default()
         }
     }
@@ -166,9 +163,8 @@
     /// `crowding`: the wait in front of the caches, by Little's law, as a part of the SLO. Guards against a
     /// burst or a lost cache filling queues until every answer is late, which outcomes tell only when it is
     /// too late.
-    fn admit(&self, beyond: f64, value: f64, crowding: f64, chance: &mut Pcg) -> Step {
-        let spared = SHED_SPARED * value / self.highest_value;
-        let crowded = (crowding - CROWDED) / (1.0 - CROWDED) * (1.0 - spared);
+    fn admit(&self, beyond: f64, crowding: f64, chance: &mut Pcg) -> Step {
+        let crowded = (crowding - CROWDED) / (1.0 - CROWDED);
         let shed = crowded.max(self.level * beyond);
         if chance.unit() < shed {
             Step::End
@@ -431,9 +427,10 @@
                 *calm = (*calm * ORIGIN_DRIFT).min(*mean);
                 // One that took longer was counted when it was late.
                 let spare = 1.0 - took / self.aim(slo, write);
-                if spare > 0.0 {
+                if spare > 0.0 && (self.pressed || self.limit < ORIGIN_SAVED) {
                     self.steer(spare);
                 }
+                self.pressed = !self.queue.is_empty();
             }
             // Guards against an origin pushed until it stops: one cut for each target time, not one for each
             // loss.
@@ -558,7 +555,7 @@
             due: BTreeSet::new(),
             now: Time(0),
             ticked: Time(0),
-            admission: Admission::new(settings, &products),
+            admission: Admission::new(settings),
             coalescing: Coalescing::default(),
             line: Line::new(settings),
             health: Health {
@@ -686,10 +683,10 @@
         (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
         (call.arrived, call.until, call.due) = (now, now + ask.left, now);
         call.shots.clear();
-        let (value, slo) = (self.products[product].value, self.products[product].slo);
+        let slo = self.products[product].slo;
         let at_line = !(ask.write && self.aside);
         let wait = if at_line { self.line.wait(self.health.median) } else { 0.0 };
-        match self.admission.admit(beyond, value, wait / slo.seconds(), &mut self.chance) {
+        match self.admission.admit(beyond, wait / slo.seconds(), &mut self.chance) {
             // Guards against refusing reads in a crowd at the caches while the origin has places free.
             Step::End if at_line && beyond <= 0.0 && self.origin.free(now) => self.enter_origin(ix, to),
             Step::End => self.give_up(ix, to),
@@ -894,6 +891,7 @@
 
     /// Sends waiting calls to the origin while its limit has room.
     fn pump(&mut self, to: &mut impl Answers) {
+        self.origin.pressed |= !self.origin.queue.is_empty() && !self.origin.room(self.now);
         while self.origin.room(self.now) && !self.origin.queue.is_empty() {
             let Some(server) = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out)
             else {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -119,7 +119,6 @@
     pub quota: f64,
     pub rate: f64,
     pub at: Time,
-    pub highest_value: f64,
     /// Share of shots that were turned away.
     pub strain: f64,
     /// Chance that over-share work is shed.
@@ -179,6 +178,8 @@
     /// for the shortest SLO.
     pub times: [(f64, f64); 2],
     pub target: f64,
+    /// A call had to wait for a place since the last answer.
+    pub pressed: bool,
     /// Shots saved up, and when that was counted.
     pub saved: f64,
     pub saved_at: Time,
