--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -98,8 +98,7 @@
 const QUOTA_LEAST: f64 = 6.0;
 /// Multiple of all shares at this node that tenants may send in excess before it takes itself for the cause.
 const QUOTA_HOT: f64 = 8.0;
-/// Share of full answers, and wait at the caches over the shortest SLO, at which over-share work is shed.
-const STRAIN_OVER: f64 = 0.06;
+/// Wait at the caches over the shortest SLO at which over-share work is shed.
 const CROWDED_OVER: f64 = 0.4;
 /// Part of the SLO that the wait at the caches may take before in-share work is shed, all of it at one SLO.
 const CROWDED: f64 = 0.6;
@@ -108,6 +107,8 @@
 /// Change of a shedding level a tick, up and down: full in about half a second, gone in two.
 const SHED_UP: f64 = 0.04;
 const SHED_DOWN: f64 = 0.01;
+/// How far the most valued product is spared when in-share work is shed (part of the level).
+const SHED_SPARED: f64 = 0.6;
 /// Waits before asking for the list again: the first and the longest, doubling and jittered.
 const ASK_FIRST: Span = Span::ms(200);
 const ASK_LONGEST: Span = Span::ms(5000);
@@ -119,7 +120,7 @@
 // ---- Admission: tenant share and overload -------------------------------------------------------
 
 impl Admission {
-    fn new(settings: &Settings) -> Admission {
+    fn new(settings: &Settings, products: &[Product]) -> Admission {
         let nodes = settings.nodes();
         let tenant = |i| {
             let per_s = settings.number(&format!("projects.{i}.quota_per_s"), 0.0) / nodes;
@@ -129,6 +130,7 @@
         Admission {
             quota: tenants.iter().map(|tenant| tenant.per_s).sum(),
             tenants,
+            highest_value: products.iter().map(|p| p.value).fold(f64::MIN_POSITIVE, f64::max),
             ..Admission::default()
         }
     }
@@ -163,8 +165,9 @@
     /// `crowding`: the wait in front of the caches, by Little's law, as a part of the SLO. Guards against a
     /// burst or a lost cache filling queues until every answer is late, which outcomes tell only when it is
     /// too late.
-    fn admit(&self, beyond: f64, crowding: f64, chance: &mut Pcg) -> Step {
-        let crowded = (crowding - CROWDED) / (1.0 - CROWDED);
+    fn admit(&self, beyond: f64, value: f64, crowding: f64, chance: &mut Pcg) -> Step {
+        let spared = SHED_SPARED * value / self.highest_value;
+        let crowded = (crowding - CROWDED) / (1.0 - CROWDED) * (1.0 - spared);
         let shed = crowded.max(self.level * beyond);
         if chance.unit() < shed {
             Step::End
@@ -173,12 +176,8 @@
         }
     }
 
-    fn settle_shot(&mut self, strained: bool) {
-        self.strain += MEAN_STEP * (f64::from(u8::from(strained)) - self.strain);
-    }
-
     fn tick(&mut self, crowding: f64) {
-        if self.strain > STRAIN_OVER || crowding > CROWDED_OVER {
+        if crowding > CROWDED_OVER {
             self.level = (self.level + SHED_UP).min(1.0);
         } else {
             self.level = (self.level - SHED_DOWN).max(0.0);
@@ -555,7 +554,7 @@
             due: BTreeSet::new(),
             now: Time(0),
             ticked: Time(0),
-            admission: Admission::new(settings),
+            admission: Admission::new(settings, &products),
             coalescing: Coalescing::default(),
             line: Line::new(settings),
             health: Health {
@@ -683,10 +682,10 @@
         (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
         (call.arrived, call.until, call.due) = (now, now + ask.left, now);
         call.shots.clear();
-        let slo = self.products[product].slo;
+        let (value, slo) = (self.products[product].value, self.products[product].slo);
         let at_line = !(ask.write && self.aside);
         let wait = if at_line { self.line.wait(self.health.median) } else { 0.0 };
-        match self.admission.admit(beyond, wait / slo.seconds(), &mut self.chance) {
+        match self.admission.admit(beyond, value, wait / slo.seconds(), &mut self.chance) {
             // Guards against refusing reads in a crowd at the caches while the origin has places free.
             Step::End if at_line && beyond <= 0.0 && self.origin.free(now) => self.enter_origin(ix, to),
             Step::End => self.give_up(ix, to),
@@ -740,11 +739,7 @@
                 }
                 _ => {}
             }
-            let trusted = !self.health.doubtful(server, now);
             self.health.settle(server, &ending, slo, now);
-            if trusted && ending.outcome != Outcome::TooLate {
-                self.admission.settle_shot(ending.outcome == Outcome::Full);
-            }
         }
         if further && !matches!(ending.outcome, Outcome::TooLate) {
             let won = f64::from(u8::from(ending.outcome == Outcome::Fulfilled));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -119,8 +119,7 @@
     pub quota: f64,
     pub rate: f64,
     pub at: Time,
-    /// Share of shots that were turned away.
-    pub strain: f64,
+    pub highest_value: f64,
     /// Chance that over-share work is shed.
     pub level: f64,
 }
