--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -86,8 +86,6 @@
 const ORIGIN_DOUBLES: f64 = 4.0;
 /// Shots that a node with few places may save up: chance brings misses in twos and threes.
 const ORIGIN_SAVED: f64 = 2.0;
-/// Factor on the limit for a shot turned away or lost.
-const ORIGIN_CUT: f64 = 0.7;
 /// API calls that may wait for the origin: a few rounds of its limit; more would wait past their SLO.
 const ORIGIN_QUEUE: usize = 64;
 /// Part of the SLO that an API call may be kept waiting with nothing sent.
@@ -98,7 +96,8 @@
 const QUOTA_LEAST: f64 = 6.0;
 /// Multiple of all shares at this node that tenants may send in excess before it takes itself for the cause.
 const QUOTA_HOT: f64 = 8.0;
-/// Wait at the caches over the shortest SLO at which over-share work is shed.
+/// Share of full answers, and wait at the caches over the shortest SLO, at which over-share work is shed.
+const STRAIN_OVER: f64 = 0.06;
 const CROWDED_OVER: f64 = 0.4;
 /// Part of the SLO that the wait at the caches may take before in-share work is shed, all of it at one SLO.
 const CROWDED: f64 = 0.6;
@@ -107,8 +106,6 @@
 /// Change of a shedding level a tick, up and down: full in about half a second, gone in two.
 const SHED_UP: f64 = 0.04;
 const SHED_DOWN: f64 = 0.01;
-/// How far the most valued product is spared when in-share work is shed (part of the level).
-const SHED_SPARED: f64 = 0.6;
 /// Waits before asking for the list again: the first and the longest, doubling and jittered.
 const ASK_FIRST: Span = Span::ms(200);
 const ASK_LONGEST: Span = Span::ms(5000);
@@ -120,7 +117,7 @@
 // ---- Admission: tenant share and overload -------------------------------------------------------
 
 impl Admission {
-    fn new(settings: &Settings, products: &[Product]) -> Admission {
+    fn new(settings: &Settings) -> Admission {
         let nodes = settings.nodes();
         let tenant = |i| {
             let per_s = settings.number(&format!("projects.{i}.quota_per_s"), 0.0) / nodes;
@@ -130,7 +127,6 @@
         Admission {
             quota: tenants.iter().map(|tenant| tenant.per_s).sum(),
             tenants,
-            highest_value: products.iter().map(|p| p.value).fold(f64::MIN_POSITIVE, f64::max),
             ..Admission::default()
         }
     }
@@ -165,9 +161,8 @@
     /// `crowding`: the wait in front of the caches, by Little's law, as a part of the SLO. Guards against a
     /// burst or a lost cache filling queues until every answer is late, which outcomes tell only when it is
     /// too late.
-    fn admit(&self, beyond: f64, value: f64, crowding: f64, chance: &mut Pcg) -> Step {
-        let spared = SHED_SPARED * value / self.highest_value;
-        let crowded = (crowding - CROWDED) / (1.0 - CROWDED) * (1.0 - spared);
+    fn admit(&self, beyond: f64, crowding: f64, chance: &mut Pcg) -> Step {
+        let crowded = (crowding - CROWDED) / (1.0 - CROWDED);
         let shed = crowded.max(self.level * beyond);
         if chance.unit() < shed {
             Step::End
@@ -176,8 +171,12 @@
         }
     }
 
+    fn settle_shot(&mut self, strained: bool) {
+        self.strain += MEAN_STEP * (f64::from(u8::from(strained)) - self.strain);
+    }
+
     fn tick(&mut self, crowding: f64) {
-        if crowding > CROWDED_OVER {
+        if self.strain > STRAIN_OVER || crowding > CROWDED_OVER {
             self.level = (self.level + SHED_UP).min(1.0);
         } else {
             self.level = (self.level - SHED_DOWN).max(0.0);
@@ -416,7 +415,7 @@
 
     /// Steers the limit so that answers take the target part of their SLO: an origin that is slow, yet in
     /// time, is used to the full.
-    fn settle(&mut self, ending: &Ending, slo: Span, write: bool, now: Time) {
+    fn settle(&mut self, ending: &Ending, slo: Span, write: bool) {
         use Outcome::*;
         let took = ending.took.0 as f64;
         match ending.outcome {
@@ -431,12 +430,7 @@
                 }
                 self.pressed = !self.queue.is_empty();
             }
-            // Guards against an origin pushed until it stops: one cut for each target time, not one for each
-            // loss.
-            Full | TimedOut | Unreachable | Reset if (now - self.cut_at).0 as f64 > self.target => {
-                self.limit = (self.limit * ORIGIN_CUT).max(self.least);
-                self.cut_at = now;
-            }
+            Full | TimedOut | Unreachable | Reset => self.steer(-1.0),
             _ => {}
         }
     }
@@ -554,7 +548,7 @@
             due: BTreeSet::new(),
             now: Time(0),
             ticked: Time(0),
-            admission: Admission::new(settings, &products),
+            admission: Admission::new(settings),
             coalescing: Coalescing::default(),
             line: Line::new(settings),
             health: Health {
@@ -682,10 +676,10 @@
         (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
         (call.arrived, call.until, call.due) = (now, now + ask.left, now);
         call.shots.clear();
-        let (value, slo) = (self.products[product].value, self.products[product].slo);
+        let slo = self.products[product].slo;
         let at_line = !(ask.write && self.aside);
         let wait = if at_line { self.line.wait(self.health.median) } else { 0.0 };
-        match self.admission.admit(beyond, value, wait / slo.seconds(), &mut self.chance) {
+        match self.admission.admit(beyond, wait / slo.seconds(), &mut self.chance) {
             // Guards against refusing reads in a crowd at the caches while the origin has places free.
             Step::End if at_line && beyond <= 0.0 && self.origin.free(now) => self.enter_origin(ix, to),
             Step::End => self.give_up(ix, to),
@@ -724,7 +718,7 @@
         let slo = self.products[call.product].slo;
         if server.origin {
             self.origin.out = self.origin.out.saturating_sub(1);
-            self.origin.settle(&ending, slo, call.write, now);
+            self.origin.settle(&ending, slo, call.write);
         } else {
             self.line.done +=
                 f64::from(u8::from(matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss)));
@@ -739,7 +733,11 @@
                 }
                 _ => {}
             }
+            let trusted = !self.health.doubtful(server, now);
             self.health.settle(server, &ending, slo, now);
+            if trusted && ending.outcome != Outcome::TooLate {
+                self.admission.settle_shot(ending.outcome == Outcome::Full);
+            }
         }
         if further && !matches!(ending.outcome, Outcome::TooLate) {
             let won = f64::from(u8::from(ending.outcome == Outcome::Fulfilled));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -119,7 +119,8 @@
     pub quota: f64,
     pub rate: f64,
     pub at: Time,
-    pub highest_value: f64,
+    /// Share of shots that were turned away.
+    pub strain: f64,
     /// Chance that over-share work is shed.
     pub level: f64,
 }
@@ -182,7 +183,6 @@
     /// Shots saved up, and when that was counted.
     pub saved: f64,
     pub saved_at: Time,
-    pub cut_at: Time,
     pub queue: Vec<CallIx>,
 }
 
