--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,5 +4,5 @@
 mod state;
 mod types;
 
-pub use policy::Balancer;
+pub use state::Balancer;
 pub use types::*;
--- a/crates/policy/src/pcg.rs
+++ b/crates/policy/src/pcg.rs
@@ -1,6 +1,6 @@
 //! A permuted congruential generator (PCG-XSH-RR 64/32), the module's only source of chance.
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Pcg(u64);
 
 impl Pcg {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,16 +1,11 @@
 //! All decisions of one quartzhub node, and nothing else.
 //!
-//! How to call it: make a `Balancer` from the settings and a seed, call `start` once, then hand over what
-//! happens as it happens: `list` and `list_failed` (the server list), `call` (a new API call), `outcome`
-//! (how a shot ended), `first_byte`, `withdrawn` (the client left) and `tick` (the timer asked for by
-//! `Answers::wake` came due). Whatever the node must do in return is called on the `Answers` given along
-//! (types.rs); nothing is returned. The public interface is the `impl Balancer` block headed "Interface".
+//! How to call it: make a `Balancer` from settings and a seed, call `start` once, then hand over what happens
+//! by the `impl Balancer` block headed "Interface". What the node must do in return is called on the `Answers`
+//! given along (types.rs); nothing is returned.
 //!
-//! An API call passes the stages in this order: Admission, Coalescing, Line (asking Health for each
-//! candidate), Origin, Shots. A stage passes it on, keeps it or ends it. Outcomes run back: Shots, Origin,
-//! Health, Coalescing, Admission. Only `shoot` dispatches, and rules 1 to 3 are checked there.
-
-use std::collections::BTreeSet;
+//! An API call passes Admission, Coalescing, Line (asking Health for each candidate), Origin and Shots; a stage
+//! passes it on, keeps it or ends it, and outcomes run back. Only `shoot` dispatches and checks rules 1 to 3.
 
 use rand_distr::{Beta, Distribution};
 
@@ -47,8 +42,6 @@
 const SILENT_FACTOR: f64 = 6.0;
 /// Median answer times after which a cache that was full is taken to have one more place.
 const FREED_AFTER: f64 = 2.0;
-/// Step of the running quantiles, as a part of the value: settles in some hundred answers.
-const QUANTILE_STEP: f64 = 0.05;
 /// Parts of the SLO between which the wait before a further shot lies: earlier is waste, later is too late.
 const FURTHER_FROM: f64 = 0.125;
 const FURTHER_TO: f64 = 0.5;
@@ -57,7 +50,7 @@
 const FURTHER_MOST: f64 = 0.2;
 /// Further shots that may be saved up: enough for the calls caught on one failing server.
 const FURTHER_SAVED: f64 = 10.0;
-/// Weight of one more sample in running means: about the last twenty samples.
+/// Weight of one more sample in running means and quantiles: about the last twenty samples.
 const MEAN_STEP: f64 = 0.05;
 /// Calls a second whose usual wait is mixed into the wait in front of the caches: few against a busy node,
 /// enough that one call more or less does not read as a crowd at a quiet one.
@@ -86,8 +79,6 @@
 const ORIGIN_DOUBLES: f64 = 4.0;
 /// Shots that a node with few places may save up: chance brings misses in twos and threes.
 const ORIGIN_SAVED: f64 = 2.0;
-/// API calls that may wait for the origin: a few rounds of its limit; more would wait past their SLO.
-const ORIGIN_QUEUE: usize = 64;
 /// Part of the SLO that an API call may be kept waiting with nothing sent.
 const PATIENCE: f64 = 0.5;
 /// Seconds of quota that a tenant may save up: shorter than a burst, longer than the chance of one second;
@@ -99,10 +90,8 @@
 /// Share of full answers, and wait at the caches over the shortest SLO, at which over-share work is shed.
 const STRAIN_OVER: f64 = 0.06;
 const CROWDED_OVER: f64 = 0.4;
-/// Part of the SLO that the wait at the caches may take before in-share work is shed, all of it at one SLO.
+/// Part of the SLO past which an answer is slow, and the wait at the caches sheds in-share work, all at one.
 const CROWDED: f64 = 0.6;
-/// Part of the SLO past which an answer counts as strained.
-const STRAIN_AT: f64 = 0.6;
 /// Change of a shedding level a tick, up and down: full in about half a second, gone in two.
 const SHED_UP: f64 = 0.04;
 const SHED_DOWN: f64 = 0.01;
@@ -124,11 +113,7 @@
             Tenant { per_s, saved: (per_s * QUOTA_SAVED).max(QUOTA_LEAST), rate: 0.0, at: Time(0) }
         };
         let tenants: Vec<_> = (0..settings.count("projects")).map(tenant).collect();
-        Admission {
-            quota: tenants.iter().map(|tenant| tenant.per_s).sum(),
-            tenants,
-            ..Admission::default()
-        }
+        Admission { quota: tenants.iter().map(|tenant| tenant.per_s).sum(), tenants, ..Admission::default() }
     }
 
     /// How far beyond its tenant's share at this node this call is: 0 within it, 1 where the tenant sends
@@ -203,10 +188,8 @@
 
 impl Line {
     fn new(settings: &Settings) -> Line {
-        let zone = (0..settings.count("localities"))
-            .find(|i| settings.text(&format!("localities.{i}")) == settings.text("zone"));
         let anchor = (settings.number("me", 0.0) * 0.618_034).rem_euclid(1.0);
-        Line { zone: zone.map_or(u32::MAX, |i| i as u32), anchor, reach: 1.0, ..Line::default() }
+        Line { zone: settings.own_zone(), anchor, reach: 1.0, ..Line::default() }
     }
 
     /// Guards against the uneven ranges of hashed seeds, which a small alpha takes minutes to even out: at a
@@ -271,9 +254,8 @@
         now: Time,
         chance: &mut Pcg,
     ) -> Option<ServerIx> {
-        let of = |s: &[Server], ix: ServerIx| (s[ix.0].point - spot).abs();
         self.order.clear();
-        self.order.extend(self.caches.iter().map(|ix| (of(servers, *ix), *ix)));
+        self.order.extend(self.caches.iter().map(|ix| ((servers[ix.0].point - spot).abs(), *ix)));
         self.order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let out: u32 = self.caches.iter().map(|ix| servers[ix.0].out).sum();
         let skip = (SKIP_FACTOR * f64::from(out) / self.caches.len().max(1) as f64).max(SKIP_FLOOR);
@@ -281,10 +263,8 @@
         for (_, ix) in &self.order {
             let server = &mut servers[ix.0];
             let full = f64::from(server.out) + 1.0 > server.room + health.freed(server, now);
-            if f64::from(server.out) > skip || full || used.iter().any(|shot| shot.server == *ix) {
-                continue;
-            }
-            if !health.warm_enough(server, self, now) {
+            let had = used.iter().any(|shot| shot.server == *ix);
+            if f64::from(server.out) > skip || full || had || !health.warm_enough(server, self, now) {
                 continue;
             }
             if health.trusts(server, now, chance) {
@@ -350,7 +330,7 @@
             return true;
         }
         let passed = (now - server.warm_at).seconds().clamp(0.0, 1.0);
-        let share = line.done_rate / line.warmth.max(1.0);
+        let share = line.done_rate / line.caches.len().max(1) as f64;
         server.warm =
             (server.warm + passed * share * warmth * WARM_SHARE * server.scale.min(1.0)).min(WARM_SAVED);
         server.warm_at = now;
@@ -365,10 +345,10 @@
             server.unheard = (server.out > 0).then_some(now);
         }
         if matches!(ending.outcome, Fulfilled | Miss) {
-            self.median += QUANTILE_STEP * self.median * if took > self.median { 0.5 } else { -0.5 };
-            self.tail += QUANTILE_STEP * self.tail * if took > self.tail { 0.95 } else { -0.05 };
+            self.median += MEAN_STEP * self.median * if took > self.median { 0.5 } else { -0.5 };
+            self.tail += MEAN_STEP * self.tail * if took > self.tail { 0.95 } else { -0.05 };
         }
-        let slow = took > STRAIN_AT * slo.0 as f64;
+        let slow = took > CROWDED * slo.0 as f64;
         if ending.outcome == Full {
             (server.room, server.full_at) = (f64::from(server.out), now);
         }
@@ -503,28 +483,6 @@
 
 // ---- The node -----------------------------------------------------------------------------------
 
-pub struct Balancer {
-    products: Vec<Product>,
-    shortest: Span,
-    aside: bool,
-    origin_kind: f64,
-    max_retry: Option<Span>,
-    chance: Pcg,
-    servers: Vec<Server>,
-    calls: Vec<Call>,
-    serial: u32,
-    due: BTreeSet<(Time, CallIx, u32)>,
-    now: Time,
-    ticked: Time,
-    admission: Admission,
-    coalescing: Coalescing,
-    line: Line,
-    health: Health,
-    origin: Origin,
-    shots: Shots,
-    following: Following,
-}
-
 /// Interface.
 impl Balancer {
     /// Missing settings get the safe reading: no duplicates, no cancelling, no retry time, one shot.
@@ -542,14 +500,7 @@
                 .flag("caps.retry_after")
                 .then(|| settings.span("caps.max_retry_after", Span::ZERO)),
             chance: Pcg::new(seed),
-            servers: Vec::new(),
-            calls: Vec::new(),
-            serial: 0,
-            due: BTreeSet::new(),
-            now: Time(0),
-            ticked: Time(0),
             admission: Admission::new(settings),
-            coalescing: Coalescing::default(),
             line: Line::new(settings),
             health: Health {
                 median: shortest * FURTHER_FROM,
@@ -581,6 +532,7 @@
                 next: None,
             },
             products,
+            ..Balancer::default()
         }
     }
 
@@ -634,15 +586,14 @@
             (server.zone, server.cell, server.started) = (line.zone, line.cell, line.started);
             server.scale = if line.scale > 0.0 { line.scale } else { 1.0 };
         }
-        let ready = |s: &&Server, origin: bool| s.state == State::Ready && s.origin == origin;
-        let all = |origin: bool| {
+        let ready = |origin: bool| {
             let each = self.servers.iter().enumerate();
-            each.filter(move |(_, s)| ready(s, origin)).map(|(i, _)| ServerIx(i)).collect::<Vec<_>>()
+            let fits = each.filter(|(_, s)| s.state == State::Ready && s.origin == origin);
+            fits.map(|(i, _)| ServerIx(i)).collect::<Vec<_>>()
         };
         let first = self.line.caches.is_empty();
-        let caches = all(false);
-        self.origin.servers = all(true);
-        self.line.order(&self.servers, caches);
+        self.origin.servers = ready(true);
+        self.line.order(&self.servers, ready(false));
         self.line.hold(&self.servers, to);
         if first {
             self.line.settle(&mut self.servers);
@@ -774,8 +725,6 @@
         let done = std::mem::take(&mut self.line.done) / passed;
         let step = 1.0 - 0.25f64.powf(passed);
         self.line.done_rate += step * (done - self.line.done_rate);
-        let warmth = |ix: &ServerIx| self.health.warmth(self.servers[ix.0].started, now);
-        self.line.warmth = self.line.caches.iter().map(warmth).sum();
         let wait = self.line.wait(self.health.median);
         self.admission.tick(wait / self.shortest.seconds());
         self.origin.tick(passed);
@@ -846,9 +795,7 @@
             Some(server) if self.shoot(ix, server, false, to) => {}
             Some(_) => self.give_up(ix, to),
             // Guards against full caches turning all their reads into origin work.
-            None if self.aside && self.origin.free(self.now) => {
-                self.enter_origin(ix, to)
-            }
+            None if self.aside && self.origin.free(self.now) => self.enter_origin(ix, to),
             None => self.give_up(ix, to),
         }
     }
@@ -868,7 +815,7 @@
         // What would wait too long is ended now; writes go ahead of the queue.
         let ahead = if call.write { 0 } else { self.origin.queue.len() };
         let patience = self.products[call.product].slo.times(PATIENCE);
-        if ahead >= ORIGIN_QUEUE || !self.origin.room(self.now) && self.origin.wait(ahead) > patience {
+        if !self.origin.room(self.now) && self.origin.wait(ahead) > patience {
             return self.give_up(ix, to);
         }
         self.origin.queue.push(ix);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,7 +1,10 @@
 //! What the module keeps of API calls and servers, and what each of its stages remembers. Plain records;
 //! `policy` decides on them.
+use std::collections::BTreeSet;
+
 use rustc_hash::FxHashMap;
 
+use crate::pcg::Pcg;
 use crate::types::*;
 
 #[derive(Clone, Copy, PartialEq, Default)]
@@ -151,12 +154,11 @@
     /// Answers a second from caches, and those since the last tick.
     pub done_rate: f64,
     pub done: f64,
-    /// The ready caches' warmth, summed: how many warm ones they amount to.
-    pub warmth: f64,
     /// Shots out from here at caches in good standing.
     pub out: u32,
 }
 
+#[derive(Default)]
 pub struct Health {
     pub median: f64,
     pub tail: f64,
@@ -186,6 +188,7 @@
     pub queue: Vec<CallIx>,
 }
 
+#[derive(Default)]
 pub struct Shots {
     pub most: usize,
     pub may_duplicate: bool,
@@ -194,6 +197,7 @@
     pub success: f64,
 }
 
+#[derive(Default)]
 pub struct Following {
     pub on_request: bool,
     pub heard: bool,
@@ -208,3 +212,27 @@
     Keep,
     End,
 }
+
+/// One node.
+#[derive(Default)]
+pub struct Balancer {
+    pub(crate) products: Vec<Product>,
+    pub(crate) shortest: Span,
+    pub(crate) aside: bool,
+    pub(crate) origin_kind: f64,
+    pub(crate) max_retry: Option<Span>,
+    pub(crate) chance: Pcg,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) calls: Vec<Call>,
+    pub(crate) serial: u32,
+    pub(crate) due: BTreeSet<(Time, CallIx, u32)>,
+    pub(crate) now: Time,
+    pub(crate) ticked: Time,
+    pub(crate) admission: Admission,
+    pub(crate) coalescing: Coalescing,
+    pub(crate) line: Line,
+    pub(crate) health: Health,
+    pub(crate) origin: Origin,
+    pub(crate) shots: Shots,
+    pub(crate) following: Following,
+}
