--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -25,12 +25,13 @@
 /// and for one that was answered: at rest, one connection in some eighty is refused.
 const REACH_CUT: f64 = 0.85;
 const REACH_GROWTH: f64 = 1.002;
+/// The golden section: steps of it stay evenly spread, however many.
+const GOLDEN: f64 = 0.618_034;
 /// Caches held at the least: one, and two to go on to.
 const REACH_LEAST: usize = 3;
 /// The one timer's period: a small part of the shortest SLO seen in service, and cheap at 50 a second.
 const TICK: Span = Span::ms(20);
-/// Seconds in which what was learnt of a server loses half its weight: some calls long, short against
-/// troubles.
+/// Seconds in which what was learnt of a server loses half its weight: short against troubles.
 const MEMORY_HALF_LIFE: f64 = 2.0;
 /// Outcomes: most evidence kept on a server; one odd answer in twenty says little, ten in a row say it all.
 const EVIDENCE: f64 = 20.0;
@@ -52,19 +53,14 @@
 const FURTHER_SAVED: f64 = 10.0;
 /// Weight of one more sample in running means and quantiles: about the last twenty samples.
 const MEAN_STEP: f64 = 0.05;
-/// Calls a second whose usual wait is mixed into the wait in front of the caches: few against a busy node,
-/// enough that one call more or less does not read as a crowd at a quiet one.
-const WAIT_PRIOR: f64 = 8.0;
 /// Part of its plain share of traffic that a fully warm server could get under the warm-up budget.
 const WARM_SHARE: f64 = 0.8;
 /// Shots: what the warm-up budget may save up, so that no burst spends the fall line at once.
 const WARM_SAVED: f64 = 2.0;
-/// Shots out at the origin: at the start, from one node at most and from all together; at least, from all
-/// together; and at most, from one.
+/// Shots out at the origin: at the start, from one node at most and from all together; and at least, from all.
 const ORIGIN_START: f64 = 4.0;
 const ORIGIN_START_ALL: f64 = 200.0;
 const ORIGIN_LEAST: f64 = 2.0;
-const ORIGIN_MOST: f64 = 64.0;
 /// Part of the SLO that the origin's answers may take: the rest is for the cache asked first and the wait.
 const ORIGIN_TARGET: f64 = 0.4;
 /// Multiple of its calm time that an answer may always take: half of it is then spent in queue.
@@ -116,19 +112,15 @@
         Admission { quota: tenants.iter().map(|tenant| tenant.per_s).sum(), tenants, ..Admission::default() }
     }
 
-    /// How far beyond its tenant's share at this node this call is: 0 within it, 1 where the tenant sends
-    /// twice its share or more. Unknown tenants have no share to exceed. Guards against the uneven spread of
-    /// clients over nodes, by which a tenant within its share can be a little beyond it here, and against
-    /// so many nodes that a tenant's part at one is under a call a second, which two seconds never save up.
-    /// A node that is sent many times what all shares come to here carries others' part too, and grows each
-    /// tenant's by it. Guards against a front that sends a quarter of all traffic to one node.
+    /// How far beyond its tenant's share at this node this call is: 0 within it, 1 at twice the share or more.
+    /// Guards against nodes so many that a tenant's part at one is under a call a second, and against a front
+    /// that sends a quarter of all traffic to one node, which then carries others' part of each share too.
     fn beyond_share(&mut self, tenant: usize, lost: f64, now: Time) -> f64 {
         let Some(tenant) = self.tenants.get_mut(tenant).filter(|t| t.per_s > 0.0) else { return lost };
         let since = (now - self.at).seconds();
         self.rate = self.rate * (-since / QUOTA_SAVED).exp() + 1.0 / QUOTA_SAVED;
         self.at = now;
-        let sent_here = (self.rate - QUOTA_HOT * self.quota).max(self.quota) / self.quota;
-        let per_s = tenant.per_s * sent_here;
+        let per_s = tenant.per_s * (self.rate / self.quota - QUOTA_HOT).max(1.0);
         let (passed, memory) = ((now - tenant.at).seconds(), (QUOTA_LEAST / per_s).max(QUOTA_SAVED));
         tenant.at = now;
         tenant.rate = tenant.rate * (-passed / memory).exp() + 1.0 / memory;
@@ -143,13 +135,11 @@
         (tenant.rate / per_s - 1.0).clamp(0.05, 1.0)
     }
 
-    /// `crowding`: the wait in front of the caches, by Little's law, as a part of the SLO. Guards against a
-    /// burst or a lost cache filling queues until every answer is late, which outcomes tell only when it is
-    /// too late.
+    /// `crowding`: the wait at the caches as a part of the SLO. Guards against queues that make every answer
+    /// late, which outcomes tell only when it is too late.
     fn admit(&self, beyond: f64, crowding: f64, chance: &mut Pcg) -> Step {
         let crowded = (crowding - CROWDED) / (1.0 - CROWDED);
-        let shed = crowded.max(self.level * beyond);
-        if chance.unit() < shed {
+        if chance.unit() < crowded.max(self.level * beyond) {
             Step::End
         } else {
             Step::Pass
@@ -161,11 +151,8 @@
     }
 
     fn tick(&mut self, crowding: f64) {
-        if self.strain > STRAIN_OVER || crowding > CROWDED_OVER {
-            self.level = (self.level + SHED_UP).min(1.0);
-        } else {
-            self.level = (self.level - SHED_DOWN).max(0.0);
-        }
+        let strained = self.strain > STRAIN_OVER || crowding > CROWDED_OVER;
+        self.level = (self.level + if strained { SHED_UP } else { -SHED_DOWN }).clamp(0.0, 1.0);
     }
 }
 
@@ -188,7 +175,7 @@
 
 impl Line {
     fn new(settings: &Settings) -> Line {
-        let anchor = (settings.number("me", 0.0) * 0.618_034).rem_euclid(1.0);
+        let anchor = (settings.number("me", 0.0) * GOLDEN).rem_euclid(1.0);
         Line { zone: settings.own_zone(), anchor, reach: 1.0, ..Line::default() }
     }
 
@@ -196,12 +183,11 @@
     /// node's first list, its points start where the average would bring evenly spread keys. Steps of near
     /// the golden section through the caches by zone and seed keep any run of them evenly spread too.
     fn settle(&self, servers: &mut [Server]) {
-        let count = self.ranked.len();
-        let divides = |step: usize, by: usize| step.is_multiple_of(by) && count.is_multiple_of(by);
-        let coprime = |step: &usize| !(2..=*step).any(|by| divides(*step, by));
-        let step = ((count as f64 * 0.618) as usize..count).find(coprime).unwrap_or(1);
-        for (rank, ix) in self.ranked.iter().enumerate() {
-            servers[ix.0].point = ((rank * step % count) as f64 + 0.5) / count as f64;
+        let step = |(rank, ix): (usize, &ServerIx)| ((rank as f64 * GOLDEN).fract(), *ix);
+        let mut order: Vec<_> = self.ranked.iter().enumerate().map(step).collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (place, (_, ix)) in order.iter().enumerate() {
+            servers[ix.0].point = (place as f64 + 0.5) / order.len() as f64;
         }
     }
 
@@ -236,26 +222,23 @@
         self.caches = held;
     }
 
-    /// Seconds that a shot now sent must expect, by Little's law: what is out at caches in good standing over
-    /// what they answer. Guards against chance at a node that sees some calls a second: what it has out is
-    /// mixed with what the caches' usual answer time would be for a larger node.
-    fn wait(&self, median: f64) -> f64 {
-        (f64::from(self.out) + WAIT_PRIOR * median / 1e6) / (self.done_rate + WAIT_PRIOR)
+    /// Seconds that a shot now sent must expect: by Little's law, out at caches in good standing over answered.
+    fn wait(&self) -> f64 {
+        f64::from(self.out) / self.done_rate.max(1.0)
     }
 
     /// The nearest point wins unless its cache is over the skip line or Health refuses it; the winner's point
-    /// moves. Caches in `used` have had this call already.
+    /// moves. Caches that had this call are passed over.
     fn pick(
         &mut self,
         servers: &mut [Server],
         health: &Health,
-        spot: f64,
-        used: &[Shot],
+        call: &Call,
         now: Time,
         chance: &mut Pcg,
     ) -> Option<ServerIx> {
         self.order.clear();
-        self.order.extend(self.caches.iter().map(|ix| ((servers[ix.0].point - spot).abs(), *ix)));
+        self.order.extend(self.caches.iter().map(|ix| ((servers[ix.0].point - call.spot).abs(), *ix)));
         self.order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let out: u32 = self.caches.iter().map(|ix| servers[ix.0].out).sum();
         let skip = (SKIP_FACTOR * f64::from(out) / self.caches.len().max(1) as f64).max(SKIP_FLOOR);
@@ -263,7 +246,7 @@
         for (_, ix) in &self.order {
             let server = &mut servers[ix.0];
             let full = f64::from(server.out) + 1.0 > server.room + health.freed(server, now);
-            let had = used.iter().any(|shot| shot.server == *ix);
+            let had = call.shots.iter().any(|shot| shot.server == *ix);
             if f64::from(server.out) > skip || full || had || !health.warm_enough(server, self, now) {
                 continue;
             }
@@ -275,7 +258,7 @@
             second = second.or(Some(*ix));
         }
         let server = &mut servers[second?.0];
-        server.point += ALPHA * (spot - server.point);
+        server.point += ALPHA * (call.spot - server.point);
         second
     }
 }
@@ -283,8 +266,7 @@
 // ---- Health: what is believed of each cache -----------------------------------------------------
 
 impl Health {
-    /// How many times the silence to be feared of a good cache this one's has lasted; under 1 it is not
-    /// silent.
+    /// How many times the silence to be feared of a good cache this one's has lasted.
     fn silence(&self, server: &Server, now: Time) -> f64 {
         let feared = (SILENT_FACTOR * self.median).max(self.tail).min(FURTHER_TO * self.longest);
         server.unheard.map_or(0.0, |since| (now - since).0 as f64 / feared)
@@ -320,10 +302,9 @@
         (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
     }
 
-    /// Refills a cold cache's budget, and tells whether it covers one more shot. The budget is what a warm
-    /// cache answers of this node's shots on average, cut by the stated warm-up; when every node keeps to it
-    /// the fall line is far. Guards against counting sends: in a storm of full boxes they are many times
-    /// what caches can do.
+    /// Refills a cold cache's budget, and tells whether it covers one more shot: what a cache answers of this
+    /// node's shots on average, cut by the stated warm-up. Guards against counting sends, which are many times
+    /// that in a storm of full boxes.
     fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
         let warmth = self.warmth(server.started, now);
         if warmth >= 1.0 {
@@ -393,8 +374,7 @@
         (ORIGIN_TARGET * slo.0 as f64).max(ORIGIN_STRAINED * self.times[usize::from(write)].1)
     }
 
-    /// Steers the limit so that answers take the target part of their SLO: an origin that is slow, yet in
-    /// time, is used to the full.
+    /// Steers the limit so that an origin that is slow, yet in time, is used to the full.
     fn settle(&mut self, ending: &Ending, slo: Span, write: bool) {
         use Outcome::*;
         let took = ending.took.0 as f64;
@@ -417,11 +397,10 @@
 
     fn steer(&mut self, spare: f64) {
         let step = ORIGIN_STEP.min(ORIGIN_PART * self.limit);
-        self.limit = (self.limit + step * spare).clamp(self.least, ORIGIN_MOST);
+        self.limit = (self.limit + step * spare).max(self.least);
     }
 
-    /// Guards against an origin that slows at once: what is late already counts before its answers come,
-    /// when the queue there is long since too long; and nothing saved up is spent on it.
+    /// Guards against an origin that slows at once: late shots count before their answers come.
     fn late(&mut self, now: Time) {
         self.steer(-1.0);
         (self.saved, self.saved_at) = (0.0, now);
@@ -615,9 +594,8 @@
         self.calls.resize_with(self.calls.len().max(ix.0 + 1), Call::default);
         let key = ask.key.map_or_else(|| (self.chance.unit() * 2f64.powi(53)) as u64, hash);
         let product = ask.product.min(self.products.len() - 1);
-        // Guards against tries that come back late already, using up their tenant's share or a crowd's
-        // places: a marked repeat does not draw on the share, and yields by the part of its value that is
-        // lost when late.
+        // Guards against tries that come back late already: a marked repeat does not draw on the share, and
+        // yields by the part of its value that is lost when late.
         let lost = if ask.repeat { 1.0 - self.products[product].late_value } else { 0.0 };
         let beyond = self.admission.beyond_share(ask.tenant, lost, now);
         self.serial = self.serial.wrapping_add(1);
@@ -625,11 +603,11 @@
         (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
         (call.place, call.product, call.over, call.write) = (Place::Chain, product, beyond > 0.0, ask.write);
         (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
-        (call.arrived, call.until, call.due) = (now, now + ask.left, now);
+        (call.until, call.due) = (now + ask.left, now);
         call.shots.clear();
         let slo = self.products[product].slo;
         let at_line = !(ask.write && self.aside);
-        let wait = if at_line { self.line.wait(self.health.median) } else { 0.0 };
+        let wait = if at_line { self.line.wait() } else { 0.0 };
         match self.admission.admit(beyond, wait / slo.seconds(), &mut self.chance) {
             // Guards against refusing reads in a crowd at the caches while the origin has places free.
             Step::End if at_line && beyond <= 0.0 && self.origin.free(now) => self.enter_origin(ix, to),
@@ -658,9 +636,8 @@
         self.now = now;
         self.run_due(to);
         let Some(call) = self.calls.get_mut(ix.0).filter(|call| call.live) else { return };
-        let Some(shot) = call.shots.get_mut(ending.shot).filter(|shot| shot.fate == Fate::Out) else {
-            return;
-        };
+        let shot = call.shots.get_mut(ending.shot);
+        let Some(shot) = shot.filter(|shot| shot.fate == Fate::Out) else { return };
         let ran = !ending.outcome.proves_it_never_ran();
         shot.fate = if ran { Fate::MayHaveRun } else { Fate::NeverRan };
         self.line.out -= u32::from(std::mem::take(&mut shot.counted));
@@ -671,15 +648,15 @@
             self.origin.out = self.origin.out.saturating_sub(1);
             self.origin.settle(&ending, slo, call.write);
         } else {
-            self.line.done +=
-                f64::from(u8::from(matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss)));
             match ending.outcome {
                 Outcome::Unreachable => {
                     server.refused += 1;
-                    self.line.reach *= REACH_CUT;
+                    let least = REACH_LEAST as f64 / self.line.near.len().max(REACH_LEAST) as f64;
+                    self.line.reach = (self.line.reach * REACH_CUT).max(least);
                 }
                 Outcome::Fulfilled | Outcome::Miss => {
                     server.refused = 0;
+                    self.line.done += 1.0;
                     self.line.reach = (self.line.reach * REACH_GROWTH).min(1.0);
                 }
                 _ => {}
@@ -725,8 +702,7 @@
         let done = std::mem::take(&mut self.line.done) / passed;
         let step = 1.0 - 0.25f64.powf(passed);
         self.line.done_rate += step * (done - self.line.done_rate);
-        let wait = self.line.wait(self.health.median);
-        self.admission.tick(wait / self.shortest.seconds());
+        self.admission.tick(self.line.wait() / self.shortest.seconds());
         self.origin.tick(passed);
         self.run_due(to);
         self.pump(to);
@@ -740,8 +716,7 @@
 impl Balancer {
     fn ask(&mut self, to: &mut impl Answers) {
         // A subscription that stands is checked by a plain reload; one that broke is asked for again.
-        let subscribed = self.following.heard && self.following.next.is_some();
-        if subscribed {
+        if self.following.heard && self.following.next.is_some() {
             to.reload();
         } else {
             to.watch();
@@ -765,8 +740,7 @@
     fn park(&mut self, ix: CallIx, place: Place, to: &mut impl Answers) {
         let call = &mut self.calls[ix.0];
         call.place = place;
-        // Guards against a call that would come due only after its client timeout: the timer is not that
-        // fine.
+        // Guards against a call that would come due only after its client timeout.
         if call.until < self.now + TICK.times(2.0) {
             return self.give_up(ix, to);
         }
@@ -789,9 +763,7 @@
         if self.aside && (call.write || (last && !call.shots.is_empty())) {
             return self.enter_origin(ix, to);
         }
-        let (spot, used) = (call.spot, &call.shots);
-        let pick = self.line.pick(&mut self.servers, &self.health, spot, used, self.now, &mut self.chance);
-        match pick {
+        match self.line.pick(&mut self.servers, &self.health, call, self.now, &mut self.chance) {
             Some(server) if self.shoot(ix, server, false, to) => {}
             Some(_) => self.give_up(ix, to),
             // Guards against full caches turning all their reads into origin work.
@@ -833,13 +805,10 @@
     fn pump(&mut self, to: &mut impl Answers) {
         self.origin.pressed |= !self.origin.queue.is_empty() && !self.origin.room(self.now);
         while self.origin.room(self.now) && !self.origin.queue.is_empty() {
-            let Some(server) = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out)
-            else {
-                return;
-            };
+            let server = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out);
             let best = (0..self.origin.queue.len()).rev().max_by_key(|i| self.rank(self.origin.queue[*i]));
             let ix = self.origin.queue.remove(best.unwrap_or(0));
-            if !self.shoot(ix, server, false, to) {
+            if !server.is_some_and(|server| self.shoot(ix, server, false, to)) {
                 self.give_up(ix, to);
             }
         }
@@ -872,35 +841,28 @@
         if call.shots.len() == 1 {
             self.shots.earn();
         }
-        let (least, most) = (product.slo.times(FURTHER_FROM), product.slo.times(FURTHER_TO));
-        let cache = Span(self.health.tail as i64).max(least).min(most);
-        let origin = Span(self.origin.aim(product.slo, call.write) as i64);
-        let wait = if server.origin { origin } else { cache };
-        self.set_due(ix, self.now + wait);
+        let slo = product.slo.0 as f64;
+        let cache = self.health.tail.clamp(FURTHER_FROM * slo, FURTHER_TO * slo);
+        let wait = if server.origin { self.origin.aim(product.slo, call.write) } else { cache };
+        self.set_due(ix, self.now + Span(wait as i64));
         true
     }
 
     /// After a shot ended without the final answer: another, or wait for those out, or give up.
     fn again(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
-        if call.place != Place::Flying {
-            return;
-        }
         let out = call.out() > 0;
         let product = &self.products[call.product];
         let may = call.shots.len() < self.shots.most
             && (self.shots.may_duplicate || !out)
             && (call.proven_unrun() || product.effect != Effect::NonIdempotent);
-        if out && (!may || !call.missed || call.leads) {
+        if call.place != Place::Flying || out && (!may || !call.missed || call.leads) {
             return;
         }
         if !may || self.now >= call.until {
-            return self.give_up(ix, to);
-        }
-        if call.missed {
-            self.coalesce(ix, to);
+            self.give_up(ix, to);
         } else {
-            self.enter_line(ix, to);
+            self.coalesce(ix, to);
         }
     }
 
@@ -920,8 +882,7 @@
         }
     }
 
-    /// A shot is late: a further one goes to the next nearest cache, if earned or if the first cache is
-    /// silent.
+    /// A shot is late: a further one is made, if earned or if the first cache is silent.
     fn review(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &mut self.calls[ix.0];
         let Some(late) = call.shots.last_mut().filter(|shot| shot.fate == Fate::Out) else { return };
@@ -943,8 +904,8 @@
             // Guards against further shots that miss at the next nearest and load it in a jam.
             let half = f64::from(self.origin.out) * 2.0 < self.origin.limit.max(1.0);
             let spare = half && self.origin.free(self.now);
-            let (spot, used, chance) = (call.spot, &call.shots, &mut self.chance);
-            let near = || self.line.pick(&mut self.servers, &self.health, spot, used, self.now, chance);
+            let chance = &mut self.chance;
+            let near = || self.line.pick(&mut self.servers, &self.health, call, self.now, chance);
             let pick = self.origin.servers.first().copied().filter(|_| spare).or_else(near);
             if pick.is_some_and(|server| self.shoot(ix, server, true, to)) {
                 return;
@@ -954,8 +915,7 @@
         self.set_due(ix, self.now + wait);
     }
 
-    /// The final answer of this node: rate-limited with a retry time where rule 2 allows the claim, else
-    /// errored.
+    /// The final answer: rate-limited with a retry time where rule 2 allows the claim, else errored.
     fn give_up(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
         if call.ended {
@@ -985,10 +945,9 @@
         let fetch = if leads { self.coalescing.fetches.remove(&key) } else { None };
         for (waiter, serial) in fetch.map(|fetch| fetch.waiters).unwrap_or_default() {
             let call = &self.calls[waiter.0];
-            if call.serial != serial || call.ended || call.place != Place::Waiting {
-                continue;
+            if call.serial == serial && !call.ended && call.place == Place::Waiting {
+                self.coalesce(waiter, to);
             }
-            self.coalesce(waiter, to);
         }
     }
 
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -46,7 +46,6 @@
     pub leads: bool,
     pub key: u64,
     pub spot: f64,
-    pub arrived: Time,
     pub until: Time,
     pub due: Time,
     pub shots: Vec<Shot>,
