--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -224,7 +224,7 @@
 
     /// Seconds that a shot now sent must expect: by Little's law, out at caches in good standing over answered.
     fn wait(&self) -> f64 {
-        f64::from(self.out) / self.done_rate.max(1.0)
+        f64::from(self.out) * self.heard / self.done_rate.max(1.0)
     }
 
     /// The nearest point wins unless its cache is over the skip line or Health refuses it; the winner's point
@@ -295,7 +295,6 @@
         posterior.is_ok_and(|beta| beta.sample(chance) > TRUST)
     }
 
-    /// Part of its capacity that a server started at `started` has at the least.
     fn warmth(&self, started: Option<Time>, now: Time) -> f64 {
         let Some(started) = started else { return 1.0 };
         let age = (now - started).seconds().max(0.0) / self.warm_within.seconds().max(1e-6);
@@ -405,12 +404,6 @@
         self.steer(-1.0);
         (self.saved, self.saved_at) = (0.0, now);
     }
-
-    fn tick(&mut self, passed: f64) {
-        if self.limit < 1.0 {
-            self.limit *= 1.0 + passed / ORIGIN_DOUBLES;
-        }
-    }
 }
 
 // ---- Shots: what settings allow, and how far further shots pay ----------------------------------
@@ -494,6 +487,7 @@
                 least: ORIGIN_LEAST / nodes,
                 times: [0.5, 1.0].map(|part| (shortest * ORIGIN_TARGET, shortest * ORIGIN_TARGET * part)),
                 target: shortest * ORIGIN_TARGET,
+                saved: ORIGIN_SAVED,
                 ..Origin::default()
             },
             shots: Shots {
@@ -628,7 +622,7 @@
     pub fn withdrawn(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
         self.now = now;
         if self.calls.get(ix.0).is_some_and(|call| call.live && !call.ended) {
-            self.end(ix, to);
+            self.end(ix, false, to);
         }
     }
 
@@ -682,7 +676,7 @@
             if !ending.call_ended {
                 to.error(ix);
             }
-            self.end(ix, to);
+            self.end(ix, was_origin && ending.outcome == Outcome::Fulfilled, to);
         } else {
             call.missed |= ending.outcome == Outcome::Miss && !was_origin;
             self.again(ix, to);
@@ -690,7 +684,6 @@
         self.pump(to);
     }
 
-    /// The timer came due.
     pub fn tick(&mut self, now: Time, to: &mut impl Answers) {
         let passed = (now - self.ticked).seconds().max(1e-6);
         (self.now, self.ticked) = (now, now);
@@ -702,8 +695,11 @@
         let done = std::mem::take(&mut self.line.done) / passed;
         let step = 1.0 - 0.25f64.powf(passed);
         self.line.done_rate += step * (done - self.line.done_rate);
+        self.line.heard += step * (1.0 - self.line.heard);
         self.admission.tick(self.line.wait() / self.shortest.seconds());
-        self.origin.tick(passed);
+        if self.origin.limit < 1.0 {
+            self.origin.limit *= 1.0 + passed / ORIGIN_DOUBLES;
+        }
         self.run_due(to);
         self.pump(to);
         if self.following.on_request && self.following.next.is_some_and(|next| now >= next) {
@@ -814,8 +810,7 @@
         }
     }
 
-    /// The only place that dispatches. Rules 1 and 2 by `Shots::allows`, rule 3 by the list state (the grace
-    /// is never used), rule 4 by the budget checked on the line.
+    /// Alone dispatches: rules 1 and 2 by `Shots::allows`, 3 by the list's state, 4 by the budget on the line.
     fn shoot(&mut self, ix: CallIx, at: ServerIx, further: bool, to: &mut impl Answers) -> bool {
         let call = &mut self.calls[ix.0];
         let product = &self.products[call.product];
@@ -902,8 +897,8 @@
         let allowed = self.shots.allows(call, product, &self.servers, at, self.now);
         if allowed && (failing || self.shots.further()) {
             // Guards against further shots that miss at the next nearest and load it in a jam.
-            let half = f64::from(self.origin.out) * 2.0 < self.origin.limit.max(1.0);
-            let spare = half && self.origin.free(self.now);
+            let half_used = f64::from(self.origin.out) * 2.0 >= self.origin.limit.max(1.0);
+            let spare = self.origin.free(self.now) && !half_used;
             let chance = &mut self.chance;
             let near = || self.line.pick(&mut self.servers, &self.health, call, self.now, chance);
             let pick = self.origin.servers.first().copied().filter(|_| spare).or_else(near);
@@ -929,23 +924,27 @@
         } else {
             to.error(ix);
         }
-        self.end(ix, to);
+        self.end(ix, false, to);
     }
 
     /// Closes a call, calls off what is still out and lets go of the reads that waited for its fetch.
-    fn end(&mut self, ix: CallIx, to: &mut impl Answers) {
+    fn end(&mut self, ix: CallIx, fetched: bool, to: &mut impl Answers) {
         let call = &mut self.calls[ix.0];
         call.ended = true;
         let (leads, key, queued) = (std::mem::take(&mut call.leads), call.key, call.place == Place::Queued);
         if queued {
             self.origin.queue.retain(|other| *other != ix);
         }
+        // A read that missed goes to the cache that has just been given its object.
+        let home = call.shots.first().map(|shot| shot.server).filter(|_| fetched);
         self.call_off(ix, None, to);
         self.forget_if_done(ix, to);
         let fetch = if leads { self.coalescing.fetches.remove(&key) } else { None };
         for (waiter, serial) in fetch.map(|fetch| fetch.waiters).unwrap_or_default() {
             let call = &self.calls[waiter.0];
-            if call.serial == serial && !call.ended && call.place == Place::Waiting {
+            let waits = call.serial == serial && !call.ended && call.place == Place::Waiting;
+            let home = home.filter(|_| waits && call.missed);
+            if waits && !home.is_some_and(|home| self.shoot(waiter, home, false, to)) {
                 self.coalesce(waiter, to);
             }
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -153,6 +153,8 @@
     /// Answers a second from caches, and those since the last tick.
     pub done_rate: f64,
     pub done: f64,
+    /// How much of a full mean `done_rate` holds yet.
+    pub heard: f64,
     /// Shots out from here at caches in good standing.
     pub out: u32,
 }
