--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -62,7 +62,7 @@
 const ORIGIN_START_ALL: f64 = 200.0;
 const ORIGIN_LEAST: f64 = 2.0;
 /// Part of the SLO that the origin's answers may take: the rest is for the cache asked first and the wait.
-const ORIGIN_TARGET: f64 = 0.4;
+const ORIGIN_TARGET: f64 = 0.6;
 /// Multiple of its calm time that an answer may always take: half of it is then spent in queue.
 const ORIGIN_STRAINED: f64 = 2.0;
 /// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
