--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -62,7 +62,7 @@
 const ORIGIN_START_ALL: f64 = 200.0;
 const ORIGIN_LEAST: f64 = 2.0;
 /// Part of the SLO that the origin's answers may take: the rest is for the cache asked first and the wait.
-const ORIGIN_TARGET: f64 = 0.6;
+const ORIGIN_TARGET: f64 = 0.4;
 /// Multiple of its calm time that an answer may always take: half of it is then spent in queue.
 const ORIGIN_STRAINED: f64 = 2.0;
 /// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
@@ -897,8 +897,8 @@
         let allowed = self.shots.allows(call, product, &self.servers, at, self.now);
         if allowed && (failing || self.shots.further()) {
             // Guards against further shots that miss at the next nearest and load it in a jam.
-            let half_used = f64::from(self.origin.out) * 2.0 >= self.origin.limit.max(1.0);
-            let spare = self.origin.free(self.now) && !half_used;
+            let most = f64::from(self.origin.out) * 2.0 + ORIGIN_SAVED;
+            let spare = self.origin.free(self.now) && most <= self.origin.limit;
             let chance = &mut self.chance;
             let near = || self.line.pick(&mut self.servers, &self.health, call, self.now, chance);
             let pick = self.origin.servers.first().copied().filter(|_| spare).or_else(near);
