Further shots go to the origin only with a place to spare

Cause: under one place, shots saved up for misses and writes went to late reads, and doubled a strained origin's load.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -897,8 +897,8 @@
         let allowed = self.shots.allows(call, product, &self.servers, at, self.now);
         if allowed && (failing || self.shots.further()) {
             // Guards against further shots that miss at the next nearest and load it in a jam.
-            let most = f64::from(self.origin.out) * 2.0 + ORIGIN_SAVED;
-            let spare = self.origin.free(self.now) && most <= self.origin.limit;
+            let needed = f64::from(self.origin.out) * 2.0 + 1.0;
+            let spare = self.origin.free(self.now) && needed <= self.origin.limit;
             let chance = &mut self.chance;
             let near = || self.line.pick(&mut self.servers, &self.health, call, self.now, chance);
             let pick = self.origin.servers.first().copied().filter(|_| spare).or_else(near);
