--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,10 +1,10 @@
 //! All decisions of one quartzhub node, and nothing else.
 //!
 //! How to call it: make a `Balancer` from settings and a seed, call `start` once, then hand over what happens
-//! by the `impl Balancer` block headed "Interface". What the node must do in return is called on the `Answers`
+//! by the `impl Balancer` block headed "Interface". What the node must do in return is called on `Answers`
 //! given along (types.rs); nothing is returned.
 //!
-//! An API call passes Admission, Coalescing, Line (asking Health for each candidate), Origin and Shots; a stage
+//! An API call passes Admission, Coalescing, Line (asking Health for each cache), Origin and Shots; a stage
 //! passes it on, keeps it or ends it, and outcomes run back. Only `shoot` dispatches and checks rules 1 to 3.
 
 use rand_distr::{Beta, Distribution};
@@ -57,7 +57,7 @@
 const WARM_SHARE: f64 = 0.8;
 /// Shots: what the warm-up budget may save up, so that no burst spends the fall line at once.
 const WARM_SAVED: f64 = 2.0;
-/// Shots out at the origin: at the start, from one node at most and from all together; and at least, from all.
+/// Shots out at the origin: at the start, from one node at most and from all together; at least, from all.
 const ORIGIN_START: f64 = 4.0;
 const ORIGIN_START_ALL: f64 = 200.0;
 const ORIGIN_LEAST: f64 = 2.0;
@@ -112,7 +112,7 @@
         Admission { quota: tenants.iter().map(|tenant| tenant.per_s).sum(), tenants, ..Admission::default() }
     }
 
-    /// How far beyond its tenant's share at this node this call is: 0 within it, 1 at twice the share or more.
+    /// How far beyond its tenant's share at this node this call is: 0 within it, 1 at twice it or more.
     /// Guards against nodes so many that a tenant's part at one is under a call a second, and against a front
     /// that sends a quarter of all traffic to one node, which then carries others' part of each share too.
     fn beyond_share(&mut self, tenant: usize, lost: f64, now: Time) -> f64 {
@@ -222,7 +222,7 @@
         self.caches = held;
     }
 
-    /// Seconds that a shot now sent must expect: by Little's law, out at caches in good standing over answered.
+    /// Seconds that a shot now sent must expect: by Little's law, out at sound caches over answers a second.
     fn wait(&self) -> f64 {
         f64::from(self.out) * self.heard / self.done_rate.max(1.0)
     }
@@ -302,7 +302,7 @@
     }
 
     /// Refills a cold cache's budget, and tells whether it covers one more shot: what a cache answers of this
-    /// node's shots on average, cut by the stated warm-up. Guards against counting sends, which are many times
+    /// node's shots on average, cut by the stated warm-up. Guards against counting sends, many times
     /// that in a storm of full boxes.
     fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
         let warmth = self.warmth(server.started, now);
@@ -810,7 +810,7 @@
         }
     }
 
-    /// Alone dispatches: rules 1 and 2 by `Shots::allows`, 3 by the list's state, 4 by the budget on the line.
+    /// Alone dispatches: rules 1 and 2 by `Shots::allows`, 3 by the list's state, 4 by the line's budget.
     fn shoot(&mut self, ix: CallIx, at: ServerIx, further: bool, to: &mut impl Answers) -> bool {
         let call = &mut self.calls[ix.0];
         let product = &self.products[call.product];
