--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -18,6 +18,8 @@
 /// What a server does with one command or request.
 enum Deed {
     Say(Vec<u8>),
+    /// Once the test lets it.
+    SayAfter(Receiver<()>, Vec<u8>),
     /// Half of it, then the end.
     Cut(Vec<u8>),
     /// Nothing; reports when the node closes the connection.
@@ -50,6 +52,10 @@
                     let stream = reader.get_mut();
                     match deed {
                         Ok(Deed::Say(bytes)) => drop(stream.write_all(&bytes)),
+                        Ok(Deed::SayAfter(free, bytes)) => {
+                            let _ = free.recv_timeout(PATIENCE);
+                            let _ = stream.write_all(&bytes);
+                        }
                         Ok(Deed::Cut(bytes)) => return drop(stream.write_all(&bytes[..bytes.len() / 2])),
                         Ok(Deed::Hold) => {
                             let _ = stream.read(&mut [0; 64]);
@@ -107,8 +113,12 @@
     Some(said + " " + &bytes(reader, size)?)
 }
 
+fn found(value: &str) -> Vec<u8> {
+    format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()).into_bytes()
+}
+
 fn hit(value: &str) -> Deed {
-    Deed::Say(format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()).into_bytes())
+    Deed::Say(found(value))
 }
 
 fn miss() -> Deed {
@@ -260,32 +270,30 @@
 
 #[test]
 fn pipelined_commands_in_pieces_are_answered_in_order_with_values_of_64_kib() {
-    let (tell, seen) = channel();
+    let (tell, _seen) = channel();
     let value = "v".repeat(64 * 1024);
     let sent = value.clone();
-    // The first is answered last.
-    let (free, held) = channel::<()>();
-    let held = Mutex::new(held);
-    let slow = server("a", tell, move |words| {
-        if words.ends_with("id1") {
-            let _ = held.lock().map(|held| held.recv_timeout(PATIENCE));
-            return hit("first");
+    // The first is answered once the second has been asked for.
+    let (free, held) = channel();
+    let mut held = Some(held);
+    let cache = server("a", tell, move |words| match held.take_if(|_| words.ends_with("id1")) {
+        Some(held) => Deed::SayAfter(held, found("first")),
+        None => {
+            let _ = free.send(());
+            hit(&sent)
         }
-        let _ = free.send(());
-        hit(&sent)
     });
-    let node = Node::start(&[("a", slow)], "");
+    let node = Node::start(&[("a", cache)], "");
     let mut client = node.client();
-    drop(seen);
-    let mut bytes = command(&["OBJ.GET", "k1", "id2", FACTS]);
+    let mut bytes = command(&["OBJ.GET", "k1", "id1", FACTS]);
     bytes.extend(command(&["PING"]));
-    bytes.extend(command(&["OBJ.GET", "k1", "id1", FACTS]));
+    bytes.extend(command(&["OBJ.GET", "k1", "id2", FACTS]));
     for piece in bytes.chunks(7) {
         client.send(piece);
     }
-    assert_eq!(client.answer(), value);
-    assert_eq!(client.answer(), "+PONG");
     assert_eq!(client.answer(), "first");
+    assert_eq!(client.answer(), "+PONG");
+    assert!(client.answer() == value, "the value comes whole");
     let put = client.ask(&["OBJ.SET", "k1", "id4", FACTS, &"w".repeat(64 * 1024)]);
     assert!(put.starts_with("-"), "a write needs an origin: {put}");
     client.send(
@@ -399,12 +407,11 @@
 #[test]
 fn sigterm_answers_what_was_taken_and_what_still_comes() {
     let (tell, seen) = channel();
-    let (free, held) = channel::<()>();
-    let cache = server("a", tell, move |words| {
-        if words.ends_with("id1") {
-            let _ = held.recv_timeout(PATIENCE);
-        }
-        hit("v")
+    let (free, held) = channel();
+    let mut held = Some(held);
+    let cache = server("a", tell, move |_| match held.take() {
+        Some(held) => Deed::SayAfter(held, found("v")),
+        None => Deed::Close,
     });
     let mut node = Node::start(&[("a", cache)], "");
     let (mut idle, mut busy) = (node.client(), node.client());
