--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -15,7 +15,7 @@
 use crate::clock::duration;
 use crate::effects::Hub;
 use crate::limits::Limits;
-use crate::reducer::{ClientId, Facts, Reducer, Words};
+use crate::reducer::{ClientId, Facts, Reducer, Room, Words};
 use crate::resp::{self, put_bulk, Parsed};
 
 pub struct Client {
@@ -80,14 +80,19 @@
 /// Takes connections while there is room for them.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener, last: Rc<Cell<Time>>) {
     loop {
-        // Guards against spinning on an accept that can't succeed: with all places taken, an idle client is
-        // closed, and the next one is taken when a place is free.
-        if hub.clients.borrow().len() >= hub.limits.clients {
-            if !hub.tell(|reducer, now| reducer.make_room(now)) {
-                crate::log!("{} clients, all at work: the next one waits", hub.limits.clients);
+        // Guards against spinning on an accept that can't succeed: with all descriptors taken, an idle
+        // connection is closed, and the next client is taken when there is one.
+        match hub.tell(|reducer, now| reducer.make_room(now)) {
+            Room::Free => {}
+            Room::Soon => {
+                tokio::task::yield_now().await;
+                continue;
+            }
+            Room::None => {
+                crate::log!("no descriptor is idle: the next client waits");
+                let _ = tokio::time::timeout(duration(hub.limits.accept_pause), hub.left.notified()).await;
+                continue;
             }
-            let _ = tokio::time::timeout(duration(hub.limits.accept_pause), hub.left.notified()).await;
-            continue;
         }
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -3,9 +3,11 @@
 
 #[derive(Debug, Clone)]
 pub struct Limits {
-    /// Connections from clients, and to cache servers and the origin, at once.
-    pub clients: usize,
-    pub links: usize,
+    /// Connections from clients and to servers at once, together; how many of them only clients get, so that
+    /// one more can be told something; and how many only servers.
+    pub sockets: usize,
+    pub for_clients: usize,
+    pub for_servers: usize,
     /// Idle connections kept to one server.
     pub idle_links: usize,
     /// API calls open at once, in all and on one client's connection.
@@ -85,8 +87,9 @@
         let keepalive = settings.span("caps.keepalive", Span::ms(15_000));
         let held = settings.number("caps.most_held", 40_000.0).max(1.0) as usize;
         Limits {
-            clients: sockets / 2,
-            links: sockets - sockets / 2,
+            sockets,
+            for_clients: (sockets / 16).max(2),
+            for_servers: sockets / 4,
             idle_links: 64,
             calls: held.min((memory / 8.0 / CALL_BYTES) as usize),
             calls_per_client: 128,
@@ -110,7 +113,7 @@
             accept_pause: Span::ms(20),
             watch_silence: Span::ms(3_000),
             watch_first: Span::ms(50),
-            watch_longest: Span::ms(2_000),
+            watch_longest: Span::ms(1_000),
             stop_accept: Span::ms(500),
             stop_quiet: Span::ms(150),
             stop_longest: Span(longest.0 + 500_000),
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -49,6 +49,15 @@
     Reload,
 }
 
+/// Whether there is room for one more client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    Free,
+    /// Once the tasks have had their turn.
+    Soon,
+    None,
+}
+
 /// The words of an API call that go on to servers.
 #[derive(Debug, Clone)]
 pub struct Words {
@@ -252,15 +261,21 @@
         self.settle();
     }
 
-    /// The client that has been idle longest is closed to make room for another; false if all are at work.
-    pub fn make_room(&mut self, now: Time) -> bool {
+    /// Whether one more client can be taken. If not, the connection that has been idle longest is closed: to a
+    /// server, or else a client's.
+    pub fn make_room(&mut self, now: Time) -> Room {
         self.at(now);
-        let idle = self.world.clients.iter().filter(|(_, client)| client.turns.is_empty() && !client.closing);
-        let Some(id) = idle.min_by_key(|(id, client)| (client.last, **id)).map(|(id, _)| *id) else {
-            return false;
-        };
-        self.world.close_client(id);
-        true
+        let (world, limits) = (&self.world, &self.world.limits);
+        let most = limits.sockets - limits.for_servers;
+        if world.sockets() < limits.sockets && world.clients.len() < most {
+            return Room::Free;
+        }
+        let link_helps = world.clients.len() < most;
+        if link_helps && self.world.close_idlest_link() || self.world.close_idlest_client() {
+            Room::Soon
+        } else {
+            Room::None
+        }
     }
 
     /// So many bytes of answers were written to a client.
@@ -613,6 +628,24 @@
         self.set_due(id, due);
     }
 
+    fn sockets(&self) -> usize {
+        self.clients.len() + self.links.len()
+    }
+
+    /// Closes the client that has been idle longest, if one is.
+    fn close_idlest_client(&mut self) -> bool {
+        let idle = self.clients.iter().filter(|(_, client)| client.turns.is_empty() && !client.closing);
+        let idlest = idle.min_by_key(|(id, client)| (client.last, **id)).map(|(id, _)| *id);
+        idlest.map(|id| self.close_client(id)).is_some()
+    }
+
+    /// The same of links.
+    fn close_idlest_link(&mut self) -> bool {
+        let idle = self.links.iter().filter(|(_, link)| link.used == Use::Idle);
+        let idlest = idle.min_by_key(|(id, link)| (link.due, **id)).map(|(id, _)| *id);
+        idlest.and_then(|id| self.close_link(id)).is_some()
+    }
+
     /// Gives a shot the newest idle link to its server, or a new one.
     fn launch(&mut self, call: CallIx, shot: usize, server: ServerIx) {
         match self.servers[server.0].idle.pop() {
@@ -627,14 +660,11 @@
         let Some(to) = self.servers[server.0].addr else {
             return self.end_shot(ix, shot, Outcome::Unreachable);
         };
-        if self.links.len() >= self.limits.links {
-            let idle = self.links.iter().filter(|(_, link)| link.used == Use::Idle);
-            // Guards against running out of descriptors: the link idle longest makes room; if there is none,
-            // the shot is not made, and no server is blamed.
-            match idle.min_by_key(|(id, link)| (link.due, **id)).map(|(id, _)| *id) {
-                Some(id) => drop(self.close_link(id)),
-                None => return self.end_shot(ix, shot, Outcome::TooLate),
-            }
+        // Guards against running out of descriptors: the connection idle longest makes room; if there is
+        // none, the shot is not made, and no server is blamed.
+        let crowded = self.sockets() + self.limits.for_clients >= self.limits.sockets;
+        if crowded && !self.close_idlest_link() && !self.close_idlest_client() {
+            return self.end_shot(ix, shot, Outcome::TooLate);
         }
         let link = LinkId(self.id());
         let due = until.min(self.now + self.limits.connect);
