--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -28,11 +28,14 @@
     out
 }
 
+/// The client's list with the wait put in place of its own.
 fn facts(given: &str, wait: Span) -> String {
-    let others = given.split(',').filter(|fact| !fact.starts_with("d=") && !fact.is_empty());
     let wait = format!("d={}", (wait.as_ms() as i64).max(1));
-    let mut facts: Vec<_> = others.collect();
-    facts.insert(facts.len().min(1), &wait);
+    let mut facts: Vec<_> = given.split(',').filter(|fact| !fact.is_empty()).collect();
+    match facts.iter_mut().find(|fact| fact.starts_with("d=")) {
+        Some(fact) => *fact = &wait,
+        None => facts.push(&wait),
+    }
     facts.join(",")
 }
 
@@ -75,11 +78,13 @@
         let all = [
             text(words(None, "c=read,d=480")),
             text(words(Some(b"VALUE"), "c=put,d=480,k=5c0f")),
+            text(words(None, "r=1,c=read,d=480")),
             text(words(None, "size=3")),
         ];
         expect![[r#"
             *4 $7 OBJ.GET $4 7f3a $4 9b1f $12 c=read,d=123 
             *5 $7 OBJ.SET $4 7f3a $4 9b1f $18 c=put,d=123,k=5c0f $5 VALUE 
+            *4 $7 OBJ.GET $4 7f3a $4 9b1f $16 r=1,c=read,d=123 
             *4 $7 OBJ.GET $4 7f3a $4 9b1f $12 size=3,d=123 
         "#]]
         .assert_eq(&all.concat());
