--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -289,6 +289,7 @@
     for (name, value) in pairs {
         match name {
             "c" => facts.product = Some(value),
+            "t" => facts.tenant = Some(value),
             "d" => {
                 let ms = value.parse::<f64>().ok().filter(|ms| (0.0..=MOST_WAIT_MS).contains(ms))?;
                 facts.wait = Some(Span::from_ms(ms));
@@ -317,9 +318,9 @@
 
     #[test]
     fn facts_are_read_and_broken_ones_told() {
-        let facts = read_facts("c=read,d=480.5,r=1,size=3,k=").expect("a list");
+        let facts = read_facts("c=read,t=us,d=480.5,r=1,size=3,k=").expect("a list");
         let wait = Some(Span(480_500));
-        assert_eq!(facts, Facts { product: Some("read"), wait, repeat: true });
+        assert_eq!(facts, Facts { product: Some("read"), tenant: Some("us"), wait, repeat: true });
         for broken in ["", "c", "c=x,,d=3", "d=", "d=-1", "d=NaN", "d=1e99", "=x"] {
             assert_eq!(read_facts(broken), None, "{broken:?}");
         }
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -72,6 +72,7 @@
 #[derive(Debug, Default, PartialEq)]
 pub struct Facts<'a> {
     pub product: Option<&'a str>,
+    pub tenant: Option<&'a str>,
     pub wait: Option<Span>,
     pub repeat: bool,
 }
@@ -321,6 +322,7 @@
         let wait = facts.wait.or(self.waits.get(product).copied()).unwrap_or(Span::ms(1000));
         let left = Span((wait.0 - self.world.limits.way.0 - self.world.waited().0).max(0));
         let until = now + left;
+        let tenant = place(&self.places.tenants, facts.tenant);
         let (key, write) = (words.key.clone(), words.value.is_some());
         let call = Call { words, client: id, turn, until, answered: false, shots: Vec::new() };
         let ix = self.world.calls.put(call);
@@ -328,7 +330,7 @@
         if let Some(client) = self.world.clients.get_mut(&id) {
             client.open.push(ix);
         }
-        let ask = Ask { product, tenant: usize::MAX, key: Some(&key), write, repeat: facts.repeat, left };
+        let ask = Ask { product, tenant, key: Some(&key), write, repeat: facts.repeat, left };
         self.balancer.call(now, ix, ask, &mut self.world);
         self.settle();
     }
--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -63,7 +63,7 @@
 
     fn ask(&mut self, client: ClientId, product: &str, id: &str, wait: i64) {
         let words = Words { key: "k".into(), id: id.into(), facts: format!("c={product}"), value: None };
-        let facts = Facts { product: Some(product), wait: Some(Span::ms(wait)), repeat: false };
+        let facts = Facts { product: Some(product), wait: Some(Span::ms(wait)), ..Facts::default() };
         let now = self.at();
         self.reducer.call(now, client, words, facts);
     }
