--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -19,6 +19,8 @@
     pub settings: Settings,
     pub known: News,
     pub limits: Limits,
+    /// Faults that the node starts without minding; it says them in its log.
+    pub passed_over: Vec<Fault>,
 }
 
 /// What the file may hold. Unknown keys are passed over.
@@ -35,7 +37,7 @@
     #[serde(default)]
     limits: Machine,
     #[serde(default)]
-    known: News,
+    known: serde_json::Value,
     settings: serde_json::Value,
 }
 
@@ -103,15 +105,25 @@
     pub name: Option<String>,
     pub listen: Option<String>,
     pub discovery: Option<String>,
+    /// Descriptors that the process may hold.
+    pub descriptors: Option<usize>,
 }
 
 impl Environment {
     pub fn of_process() -> Environment {
         let get = |name| std::env::var(name).ok().filter(|value| !value.is_empty());
-        Environment { name: get("LB_NAME"), listen: get("LB_LISTEN"), discovery: get("LB_DISCOVERY") }
+        let (name, listen, discovery) = (get("LB_NAME"), get("LB_LISTEN"), get("LB_DISCOVERY"));
+        Environment { name, listen, discovery, descriptors: descriptors() }
     }
 }
 
+/// The soft limit on open files, where the system tells it.
+fn descriptors() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 impl Config {
     pub fn read(file: &Path, environment: Environment) -> Result<Config, Fault> {
         let text = std::fs::read_to_string(file).map_err(|e| Fault(format!("{}: {e}", file.display())))?;
@@ -120,11 +132,7 @@
 
     pub fn parse(text: &str, environment: Environment) -> Result<Config, Fault> {
         let mut json = serde_json::Deserializer::from_str(text);
-        let file: File = serde_path_to_error::deserialize(&mut json).map_err(|e| {
-            let key = e.path().to_string();
-            let place = if key == "." { String::new() } else { format!("{key}: ") };
-            Fault(format!("{place}{}", e.inner()))
-        })?;
+        let mut file: File = serde_path_to_error::deserialize(&mut json).map_err(|e| located("", &e))?;
         let variable = |name: &str, value: Option<String>| {
             let parse = |text: String| {
                 text.parse::<SocketAddr>().map_err(|_| Fault(format!("{name}: {}", not_an_address(&text))))
@@ -132,13 +140,28 @@
             value.map(parse).transpose()
         };
         let listen = variable("LB_LISTEN", environment.listen)?.or(file.listen);
-        let settings = checked(&file.settings)?;
+        let mut passed_over = Vec::new();
+        let settings = checked(&file.settings, &mut passed_over)?;
+        // Guards against a node that does not come back because of a list that it had kept: discovery has a
+        // better one.
+        let known = match file.known {
+            serde_json::Value::Null => News::default(),
+            list => serde_path_to_error::deserialize(list).unwrap_or_else(|e| {
+                passed_over.push(located("known.", &e));
+                News::default()
+            }),
+        };
         if file.limits.memory_mb.is_nan() || file.limits.memory_mb < 16.0 {
             return Err(Fault(format!("limits.memory_mb: {} is under 16", file.limits.memory_mb)));
         }
         if file.limits.sockets < 32 {
             return Err(Fault(format!("limits.sockets: {} is under 32", file.limits.sockets)));
         }
+        if let Some(most) = environment.descriptors.filter(|most| *most < file.limits.sockets) {
+            let told = file.limits.sockets;
+            passed_over.push(Fault(format!("limits.sockets: {told}, but the process may open {most}")));
+            file.limits.sockets = most;
+        }
         Ok(Config {
             name: environment.name.unwrap_or(file.name),
             listen: listen.ok_or_else(|| Fault("listen: missing".to_owned()))?,
@@ -146,7 +169,8 @@
             seed: file.seed.unwrap_or_else(chance),
             limits: Limits::new(file.limits, &settings),
             settings,
-            known: file.known,
+            known,
+            passed_over,
         })
     }
 }
@@ -157,8 +181,15 @@
     std::collections::hash_map::RandomState::new().build_hasher().finish()
 }
 
+fn located<E: fmt::Display>(under: &str, e: &serde_path_to_error::Error<E>) -> Fault {
+    match e.path().to_string().as_str() {
+        "." | "?" => Fault(e.inner().to_string()),
+        key => Fault(format!("{under}{key}: {}", e.inner())),
+    }
+}
+
 /// The settings as the module reads them, once the keys it can't do without are there.
-fn checked(settings: &serde_json::Value) -> Result<Settings, Fault> {
+fn checked(settings: &serde_json::Value, passed_over: &mut Vec<Fault>) -> Result<Settings, Fault> {
     let fault = |key: &str, what: &str| Err(Fault(format!("settings{key}: {what}")));
     if !settings.is_object() {
         return fault("", "not an object");
@@ -177,8 +208,8 @@
         }
         let effect = product.get("Effect").map_or(Some("at_most_once"), |effect| effect.as_str());
         if !matches!(effect, Some("idempotent" | "deduplicated" | "at_most_once")) {
-            let what = "one of idempotent, deduplicated and at_most_once is needed";
-            return fault(&format!(".Products[{i}].Effect"), what);
+            let what = "none of idempotent, deduplicated and at_most_once: taken as the last";
+            passed_over.push(Fault(format!("settings.Products[{i}].Effect: {what}")));
         }
     }
     Ok(quartzhub_names::settings(settings))
@@ -191,7 +222,10 @@
 
     fn faults(text: &str) -> String {
         match Config::parse(text, Environment::default()) {
-            Ok(config) => format!("{} on {}\n", config.name, config.listen),
+            Ok(config) => {
+                let noted = config.passed_over.iter().map(|fault| format!(" ({fault})"));
+                format!("{} on {}{}\n", config.name, config.listen, noted.collect::<String>())
+            }
             Err(fault) => format!("{fault}\n"),
         }
     }
@@ -222,12 +256,12 @@
             seed: "xyz" is not a number of up to 16 hexadecimal digits at line 1 column 13
             limits.sockets: invalid type: string "many", expected usize at line 1 column 27
             limits.sockets: 3 is under 32
-            known.servers[1].id: invalid type: integer `7`, expected a string at line 1 column 51
+            quartzhub on 127.0.0.1:6379 (known.servers[1].id: invalid type: integer `7`, expected a string)
             listen: missing
             settings.Products: a list of at least one product is needed
             settings.Products[0].LatencySlo: a number of milliseconds above 0 is needed
-            settings.Products[0].Effect: one of idempotent, deduplicated and at_most_once is needed
-            ?: EOF while parsing an object at line 1 column 1
+            quartzhub on 127.0.0.1:6379 (settings.Products[0].Effect: none of idempotent, deduplicated and at_most_once: taken as the last)
+            EOF while parsing an object at line 1 column 1
         "#]]
         .assert_eq(&all.concat());
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -49,6 +49,7 @@
     }
     let last = Rc::new(Cell::new(clock.now()));
     spawn_local(clients::accept(hub.clone(), listener, last.clone()));
+    config.passed_over.iter().for_each(|fault| crate::log!("configuration: {fault}"));
     crate::log!("{} serves on {listen}", config.name);
     shutdown::ended(hub, last).await
 }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -115,10 +115,18 @@
             hub.tell(|reducer, now| reducer.connected(now, link.id));
         }
         failed => {
-            if let Ok(Err(e)) = failed {
-                crate::log!("no connection to {to}: {e}");
+            let own = match failed {
+                Ok(Err(e)) => {
+                    crate::log!("no connection to {to}: {e}");
+                    !is_the_servers(&e)
+                }
+                _ => false,
+            };
+            if own {
+                hub.tell(|reducer, now| reducer.not_opened(now, link.id));
+            } else {
+                hub.tell(|reducer, now| reducer.broke(now, link.id));
             }
-            hub.tell(|reducer, now| reducer.broke(now, link.id));
             return hub.close_link(link.id);
         }
     }
@@ -136,6 +144,14 @@
     }
 }
 
+/// Whether a connect that failed tells of the server, and not of this machine's want of descriptors, ports or
+/// memory.
+fn is_the_servers(e: &io::Error) -> bool {
+    use io::ErrorKind::*;
+    let kinds = [ConnectionRefused, ConnectionReset, ConnectionAborted, TimedOut, HostUnreachable];
+    kinds.contains(&e.kind()) || e.kind() == NetworkUnreachable
+}
+
 fn write_on(hub: &Rc<Hub>, link: &Link) -> bool {
     match link.flush() {
         Ok(true) => hub.tell(|reducer, _| reducer.written(link.id)),
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -373,6 +373,15 @@
         self.settle();
     }
 
+    /// A link could not be opened for want of something on this machine. Guards against blaming a server.
+    pub fn not_opened(&mut self, now: Time, id: LinkId) {
+        self.at(now);
+        if let Some(Link { used: Use::Connecting(call, shot), .. }) = self.world.drop_link(id) {
+            self.world.end_shot(call, shot, Outcome::TooLate);
+        }
+        self.settle();
+    }
+
     /// A server has answered what the link carried.
     pub fn answered(&mut self, now: Time, id: LinkId, answer: Answer) {
         self.at(now);
