Let the reducer say answers and shots in no protocol's form

So that another protocol can stand before the same decisions: clients.rs and links.rs put them into RESP and HTTP. An answer's size is now given back once it is written whole; a write that takes nothing ends the connection instead of going round for ever (clients.rs flush).

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -15,13 +15,14 @@
 use crate::clock::duration;
 use crate::effects::Hub;
 use crate::limits::Limits;
-use crate::reducer::{ClientId, Facts, Reducer, Room, Words};
+use crate::reducer::{ClientId, Facts, Reducer, Room, Said, Words};
 use crate::resp::{self, put_bulk, Parsed};
 
 pub struct Client {
     stream: TcpStream,
-    /// Answers that the socket has not taken yet, and how much of the first it has.
-    out: RefCell<VecDeque<Vec<u8>>>,
+    /// Answers that the socket has not taken yet, with the size they are held under; and how much of the first
+    /// it has taken.
+    out: RefCell<VecDeque<(Vec<u8>, usize)>>,
     sent: Cell<usize>,
     closing: Cell<bool>,
     broken: Cell<bool>,
@@ -29,10 +30,11 @@
 }
 
 impl Client {
-    /// Hands the socket an answer; tells how many bytes it took, of this and earlier ones.
-    pub fn answer(&self, bytes: Vec<u8>) -> usize {
+    /// Hands the socket an answer; tells the size of those that it has now taken whole.
+    pub fn answer(&self, said: Said) -> usize {
         let behind = !self.out.borrow().is_empty();
-        self.out.borrow_mut().push_back(bytes);
+        let size = said.size();
+        self.out.borrow_mut().push_back((encoded(said), size));
         // The task may have to write the rest, read on, or close.
         self.wake.notify_one();
         if behind {
@@ -55,19 +57,19 @@
     fn flush(&self) -> usize {
         let mut out = self.out.borrow_mut();
         let mut taken = 0;
-        while let Some(first) = out.front() {
+        while let Some((first, size)) = out.front() {
             match self.stream.try_write(&first[self.sent.get()..]) {
-                Ok(count) => {
-                    taken += count;
+                Ok(count) if count > 0 => {
                     self.sent.set(self.sent.get() + count);
                     if self.sent.get() < first.len() {
                         continue;
                     }
+                    taken += size;
                     out.pop_front();
                     self.sent.set(0);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(_) => {
+                _ => {
                     self.broken.set(true);
                     break;
                 }
@@ -77,6 +79,23 @@
     }
 }
 
+/// An answer as RESP has it.
+fn encoded(said: Said) -> Vec<u8> {
+    match said {
+        Said::Fulfilled(value) => {
+            let mut bytes = Vec::new();
+            put_bulk(&mut bytes, &value);
+            bytes
+        }
+        Said::RateLimited(None) => b"-BUSY\r\n".to_vec(),
+        Said::RateLimited(Some(wait)) => {
+            format!("-BUSY {}\r\n", wait.as_ms().max(0.0).ceil() as u64).into_bytes()
+        }
+        Said::Errored(what) => format!("-ERR {what}\r\n").into_bytes(),
+        Said::Plain(bytes) => bytes,
+    }
+}
+
 /// Takes connections while there is room for them.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener, last: Rc<Cell<Time>>) {
     loop {
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -65,13 +65,13 @@
     fn perform(self: &Rc<Hub>, effect: Effect) {
         match effect {
             Effect::Connect { link, to, origin } => {
-                let socket = Link::new(link, origin);
+                let socket = Link::new(link, to, origin);
                 self.links.borrow_mut().insert(link, socket.clone());
-                tokio::task::spawn_local(crate::links::run(self.clone(), socket, to));
+                tokio::task::spawn_local(crate::links::run(self.clone(), socket));
             }
-            Effect::Write { link, bytes } => {
+            Effect::Write { link, words, wait } => {
                 let socket = self.links.borrow().get(&link).cloned();
-                let done = socket.map_or(Some(false), |socket| socket.write(&bytes));
+                let done = socket.map_or(Some(false), |socket| socket.write(&words, wait));
                 let mut reducer = self.reducer.borrow_mut();
                 match done {
                     Some(true) => reducer.written(link),
@@ -84,10 +84,10 @@
                 }
             }
             Effect::CloseLink { link } => self.close_link(link),
-            Effect::Answer { client, bytes } => {
+            Effect::Answer { client, said } => {
                 let socket = self.clients.borrow().get(&client).cloned();
                 if let Some(socket) = socket {
-                    let written = socket.answer(bytes);
+                    let written = socket.answer(said);
                     self.reducer.borrow_mut().delivered(client, written);
                 }
             }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use quartzhub_policy::Span;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -12,11 +13,12 @@
 use crate::clock::duration;
 use crate::effects::Hub;
 use crate::limits::Limits;
-use crate::reducer::LinkId;
+use crate::reducer::{LinkId, Words};
 use crate::resp::Parsed;
 
 pub struct Link {
     id: LinkId,
+    to: SocketAddr,
     origin: bool,
     stream: OnceCell<TcpStream>,
     /// A command until it is written, then its reply.
@@ -27,9 +29,10 @@
 }
 
 impl Link {
-    pub fn new(id: LinkId, origin: bool) -> Rc<Link> {
+    pub fn new(id: LinkId, to: SocketAddr, origin: bool) -> Rc<Link> {
         Rc::new(Link {
             id,
+            to,
             origin,
             stream: OnceCell::new(),
             buffer: RefCell::default(),
@@ -44,8 +47,8 @@
         self.wake.notify_one();
     }
 
-    /// Writes as much as the socket takes: true if all, none if the connection is broken.
-    pub fn write(&self, bytes: &[u8]) -> Option<bool> {
+    /// Writes as much of a shot as the socket takes: true if all, none if the connection is broken.
+    pub fn write(&self, words: &Words, wait: Span) -> Option<bool> {
         {
             let mut buffer = self.buffer.borrow_mut();
             // Guards against taking what came unasked for the answer, and against a write that a server
@@ -53,7 +56,10 @@
             if !buffer.is_empty() || !self.stream.get().is_some_and(quiet) {
                 return None;
             }
-            buffer.put(bytes);
+            match self.origin {
+                true => buffer.put(&crate::origin::request(words, self.to)),
+                false => buffer.put(&crate::caches::command(words, wait)),
+            }
         }
         let done = self.flush().ok()?;
         if !done {
@@ -102,7 +108,8 @@
 }
 
 /// Connects, then reads and writes until the connection ends or is closed.
-pub async fn run(hub: Rc<Hub>, link: Rc<Link>, to: SocketAddr) {
+pub async fn run(hub: Rc<Hub>, link: Rc<Link>) {
+    let to = link.to;
     let connect = tokio::time::timeout(duration(hub.limits.connect), TcpStream::connect(to));
     let connected = tokio::select! {
         connected = connect => connected,
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -3,6 +3,7 @@
 //! by effects. It has no socket and no clock.
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use quartzhub_names::{place, Calls, Line, Places, Servers};
 use quartzhub_policy::{Answers, Ask, Balancer, CallIx, Ending, Outcome, ServerIx, Span, State, Time};
@@ -11,7 +12,6 @@
 use crate::caches::Answer;
 use crate::config::{Config, News};
 use crate::limits::Limits;
-use crate::resp::put_bulk;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClientId(pub u64);
@@ -30,16 +30,18 @@
         to: SocketAddr,
         origin: bool,
     },
+    /// The server is told that the node will wait so long.
     Write {
         link: LinkId,
-        bytes: Vec<u8>,
+        words: Rc<Words>,
+        wait: Span,
     },
     CloseLink {
         link: LinkId,
     },
     Answer {
         client: ClientId,
-        bytes: Vec<u8>,
+        said: Said,
     },
     /// Once what it was answered is written.
     CloseClient {
@@ -49,6 +51,27 @@
     Reload,
 }
 
+/// What a client is told, in no protocol's form.
+#[derive(Debug, PartialEq)]
+pub enum Said {
+    Fulfilled(Vec<u8>),
+    /// Trying again is harmless, after this wait.
+    RateLimited(Option<Span>),
+    Errored(&'static str),
+    /// To a command that is no API call, in the form that it came in.
+    Plain(Vec<u8>),
+}
+
+impl Said {
+    /// Bytes that are held until it is written.
+    pub fn size(&self) -> usize {
+        match self {
+            Said::Fulfilled(bytes) | Said::Plain(bytes) => bytes.len(),
+            Said::RateLimited(_) | Said::Errored(_) => 0,
+        }
+    }
+}
+
 /// Whether there is room for one more client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Room {
@@ -85,7 +108,7 @@
 }
 
 struct Call {
-    words: Words,
+    words: Rc<Words>,
     client: ClientId,
     /// Which of its client's commands this is.
     turn: u64,
@@ -98,7 +121,7 @@
 /// A client's connection: one entry for each command not yet answered on it, in order.
 #[derive(Default)]
 struct Client {
-    turns: VecDeque<Option<Vec<u8>>>,
+    turns: VecDeque<Option<Said>>,
     /// The number of the first entry.
     first: u64,
     open: Vec<CallIx>,
@@ -279,7 +302,7 @@
         }
     }
 
-    /// So many bytes of answers were written to a client.
+    /// Answers of so many bytes were written to a client.
     pub fn delivered(&mut self, id: ClientId, bytes: usize) {
         if let Some(client) = self.world.clients.get_mut(&id) {
             let bytes = bytes.min(client.held);
@@ -292,7 +315,7 @@
     pub fn plain(&mut self, now: Time, id: ClientId, answer: Vec<u8>) {
         self.at(now);
         if let Some(turn) = self.world.turn(id) {
-            self.world.answer(id, turn, answer);
+            self.world.answer(id, turn, Said::Plain(answer));
         }
     }
 
@@ -315,7 +338,7 @@
         let size = words.value.as_ref().map_or(0, Vec::len);
         let (calls, limits) = (self.world.calls.len(), &self.world.limits);
         if calls >= limits.calls || self.world.held + size > limits.held {
-            return self.world.answer(id, turn, b"-BUSY\r\n".to_vec());
+            return self.world.answer(id, turn, Said::RateLimited(None));
         }
         self.world.held += size;
         let product = place(&self.places.products, facts.product);
@@ -324,7 +347,8 @@
         let until = now + left;
         let tenant = place(&self.places.tenants, facts.tenant);
         let (key, write) = (words.key.clone(), words.value.is_some());
-        let call = Call { words, client: id, turn, until, answered: false, shots: Vec::new() };
+        let call =
+            Call { words: Rc::new(words), client: id, turn, until, answered: false, shots: Vec::new() };
         let ix = self.world.calls.put(call);
         self.world.due.insert((until + self.world.limits.overdue, Due::Call(ix)));
         if let Some(client) = self.world.clients.get_mut(&id) {
@@ -397,9 +421,7 @@
             self.world.effects.push_back(Effect::CloseLink { link: id });
         }
         if let (Outcome::Fulfilled, Some(value)) = (answer.outcome, answer.value) {
-            let mut bytes = Vec::new();
-            put_bulk(&mut bytes, &value);
-            self.world.final_answer(call, bytes);
+            self.world.final_answer(call, Said::Fulfilled(value));
         }
         self.world.end_shot(call, shot, answer.outcome);
         self.settle();
@@ -487,7 +509,7 @@
                     let over = |call: &&Call| !call.answered && call.until + self.world.limits.overdue <= now;
                     if self.world.calls.get(ix).as_ref().is_some_and(over) {
                         crate::log!("an API call was still open at its client timeout");
-                        self.world.final_answer(ix, b"-ERR no answer in time\r\n".to_vec());
+                        self.world.final_answer(ix, Said::Errored("no answer in time"));
                         self.balancer.withdrawn(now, ix, &mut self.world);
                     }
                 }
@@ -550,21 +572,21 @@
     }
 
     /// Gives one command its answer; it goes out once those before it have.
-    fn answer(&mut self, id: ClientId, turn: u64, bytes: Vec<u8>) {
+    fn answer(&mut self, id: ClientId, turn: u64, said: Said) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         let behind = turn.checked_sub(client.first).map(|behind| behind as usize);
         let Some(place) = behind.and_then(|behind| client.turns.get_mut(behind)) else { return };
         // Guards against a client that takes no answers, or many at once, filling the memory.
-        let fits = self.held + bytes.len() <= self.limits.held || bytes.len() < SHORT;
-        let bytes = if fits { bytes } else { b"-ERR no room for the answer\r\n".to_vec() };
-        self.held += bytes.len();
-        client.held += bytes.len();
-        *place = Some(bytes);
+        let fits = self.held + said.size() <= self.limits.held || said.size() < SHORT;
+        let said = if fits { said } else { Said::Errored("no room for the answer") };
+        self.held += said.size();
+        client.held += said.size();
+        *place = Some(said);
         client.last = self.now;
-        while let Some(bytes) = client.turns.front_mut().and_then(Option::take) {
+        while let Some(said) = client.turns.front_mut().and_then(Option::take) {
             client.turns.pop_front();
             client.first += 1;
-            self.effects.push_back(Effect::Answer { client: id, bytes });
+            self.effects.push_back(Effect::Answer { client: id, said });
         }
         if client.turns.is_empty() && (self.stopping || client.closing) {
             self.close_client(id);
@@ -572,14 +594,14 @@
     }
 
     /// The one final answer of an API call.
-    fn final_answer(&mut self, ix: CallIx, bytes: Vec<u8>) {
+    fn final_answer(&mut self, ix: CallIx, said: Said) {
         let Some(call) = self.calls.get_mut(ix).filter(|call| !call.answered) else { return };
         call.answered = true;
         let (client, turn) = (call.client, call.turn);
         if let Some(client) = self.clients.get_mut(&client) {
             client.open.retain(|open| *open != ix);
         }
-        self.answer(client, turn, bytes);
+        self.answer(client, turn, said);
     }
 
     fn close_client(&mut self, id: ClientId) {
@@ -698,11 +720,7 @@
             self.rest(id);
             return self.end_shot(ix, shot, Outcome::TooLate);
         };
-        let (until, server) = (record.until, &self.servers[record.server.0]);
-        let bytes = match server.addr {
-            Some(to) if server.origin => crate::origin::request(&call.words, to),
-            _ => crate::caches::command(&call.words, until - self.now),
-        };
+        let (until, words) = (record.until, call.words.clone());
         if let Some(link) = self.links.get_mut(&id) {
             link.used = Use::Carrying { call: ix, shot, written: false, fresh };
         }
@@ -710,7 +728,7 @@
             record.link = Some(id);
         }
         self.set_due(id, until);
-        self.effects.push_back(Effect::Write { link: id, bytes });
+        self.effects.push_back(Effect::Write { link: id, words, wait: until - self.now });
     }
 
     /// A link's present use has lasted too long.
@@ -747,20 +765,16 @@
     }
 
     fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>) {
-        let answer = match retry_in {
-            Some(wait) => format!("-BUSY {}\r\n", wait.as_ms().max(0.0).ceil() as u64),
-            None => "-BUSY\r\n".to_owned(),
-        };
-        self.final_answer(call, answer.into_bytes());
+        self.final_answer(call, Said::RateLimited(retry_in));
     }
 
     fn error(&mut self, call: CallIx) {
-        self.final_answer(call, b"-ERR failed\r\n".to_vec());
+        self.final_answer(call, Said::Errored("failed"));
     }
 
     fn forget(&mut self, call: CallIx) {
         if let Some(record) = self.calls.take(call) {
-            self.held = self.held.saturating_sub(record.words.value.map_or(0, |value| value.len()));
+            self.held = self.held.saturating_sub(record.words.value.as_ref().map_or(0, Vec::len));
             self.due.remove(&(record.until + self.limits.overdue, Due::Call(call)));
             if let Some(client) = self.clients.get_mut(&record.client) {
                 client.open.retain(|open| *open != call);
