--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -144,4 +144,33 @@
             assert_eq!(answer(bytes, 9, false), Parsed::Broken, "{bytes:?}");
         }
     }
+
+    /// Good messages with a few bytes changed, cut or doubled: any outcome is fine, a panic is not.
+    #[test]
+    fn no_bytes_make_a_parser_panic() {
+        let good: [&[u8]; 6] = [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+            b"*4\r\n$7\r\nOBJ.GET\r\n$1\r\nk\r\n$2\r\nid\r\n$6\r\nc=read\r\n",
+            b"*3\r\n$2\r\nab\r\n$3\r\nhit\r\n*2\r\n:1\r\n$-1\r\n",
+            b"-BUSY 9\r\n",
+            b"3\r\nabc\r\n0\r\n\r\n",
+        ];
+        let mut chance = quartzhub_policy::Pcg::new(1);
+        let mut below = |most: usize| (chance.unit() * most as f64) as usize;
+        for round in 0..60_000 {
+            let mut bytes = good[round % good.len()].to_vec();
+            for _ in 0..1 + below(4) {
+                let at = below(bytes.len());
+                match below(4) {
+                    0 => bytes[at] = below(256) as u8,
+                    1 => bytes[at] = b"0123456789-*$\r\n"[below(15)],
+                    2 => bytes.truncate(at.max(1)),
+                    _ => bytes.insert(at, bytes[at]),
+                }
+            }
+            let _ = (answer(&bytes, 64, round % 2 == 0), chunk(&bytes, 64));
+            let _ = (crate::resp::command(&bytes, 16, 64), crate::resp::reply(&bytes, 64));
+        }
+    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod shutdown;
 
 use std::cell::Cell;
+use std::future::Future;
 use std::io;
 use std::rc::Rc;
 
@@ -31,11 +32,11 @@
 pub fn run(config: Config) -> io::Result<()> {
     log::limit(&config.limits);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    LocalSet::new().block_on(&runtime, async { serve(config, shutdown::asked()?).await })
 }
 
-/// The same within a runtime of the caller's; needs a `LocalSet`.
-pub async fn serve(config: Config) -> io::Result<()> {
+/// The same within a `LocalSet` of the caller's, until `asked` is ready.
+pub async fn serve(config: Config, asked: impl Future<Output = ()>) -> io::Result<()> {
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
     let clock = clock::Clock::start();
@@ -51,5 +52,6 @@
     spawn_local(clients::accept(hub.clone(), listener, last.clone()));
     config.passed_over.iter().for_each(|fault| crate::log!("configuration: {fault}"));
     crate::log!("{} serves on {listen}", config.name);
-    shutdown::ended(hub, last).await
+    shutdown::ended(hub, last, asked).await;
+    Ok(())
 }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -58,3 +58,18 @@
         }
     };
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_over_the_rate_are_dropped_and_counted() {
+        let mut limits = Limits::new(Default::default(), &Default::default());
+        (limits.log_rate, limits.log_burst) = (1e-6, 2.0);
+        limit(&limits);
+        assert_eq!([pass(), pass(), pass(), pass()], [Some(0), Some(0), None, None]);
+        GATE.set(GATE.take().map(|gate| Gate { rate: 1e9, ..gate }));
+        while pass().is_none_or(|dropped| dropped < 2) {}
+    }
+}
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -1,5 +1,6 @@
 //! SIGTERM: the node takes what still comes, answers all of it, and ends.
 use std::cell::Cell;
+use std::future::Future;
 use std::io;
 use std::rc::Rc;
 
@@ -13,13 +14,20 @@
 /// How often it is looked whether all is answered.
 const LOOK: Span = Span::ms(5);
 
-/// Waits for the signal and then for the end. `last`: when the last connection was taken.
-pub async fn ended(hub: Rc<Hub>, last: Rc<Cell<Time>>) -> io::Result<()> {
+/// Ready once the process is asked to stop; from the call on, SIGTERM and SIGINT no longer end it at once.
+pub fn asked() -> io::Result<impl Future<Output = ()>> {
     let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
+    Ok(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    })
+}
+
+/// Waits until the node is asked to stop, and then for the end. `last`: when the last connection was taken.
+pub async fn ended(hub: Rc<Hub>, last: Rc<Cell<Time>>, asked: impl Future<Output = ()>) {
+    asked.await;
     crate::log!("asked to stop with {} API calls open", hub.ask(Reducer::open_calls));
     let asked = hub.clock.now();
     hub.tell(|reducer, now| reducer.stop(now));
@@ -31,7 +39,7 @@
         let done = hub.ask(Reducer::open_calls) == 0 && !unwritten;
         if quiet && done || now - asked >= hub.limits.stop_longest {
             crate::log!("stopped with {} API calls open", hub.ask(Reducer::open_calls));
-            return Ok(());
+            return;
         }
     }
 }
