--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -2,6 +2,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use quartzhub_policy::{Span, Time};
@@ -12,7 +13,7 @@
 use winnow::token::take_while;
 
 use crate::buffer::Buffer;
-use crate::clock::duration;
+use crate::clock::{duration, Clock};
 use crate::effects::Hub;
 use crate::limits::Limits;
 use crate::reducer::{ClientId, Facts, Reducer, Room, Said, Words};
@@ -96,6 +97,25 @@
     }
 }
 
+/// Guards against a node that does not come back because the one before it, under the same address, is still
+/// about to end.
+pub async fn listen(on: SocketAddr, clock: Clock, limits: &Limits) -> io::Result<TcpListener> {
+    let mut told = false;
+    loop {
+        match TcpListener::bind(on).await {
+            Err(e)
+                if e.kind() == io::ErrorKind::AddrInUse && clock.now() - Time(0) < limits.listen_longest =>
+            {
+                if !std::mem::replace(&mut told, true) {
+                    crate::log!("{on} is in use: waiting for it");
+                }
+                tokio::time::sleep(duration(limits.listen_pause)).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Takes connections while there is room for them.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener, last: Rc<Cell<Time>>) {
     loop {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,7 +23,6 @@
 use std::io;
 use std::rc::Rc;
 
-use tokio::net::TcpListener;
 use tokio::task::{spawn_local, LocalSet};
 
 pub use config::{Config, Environment};
@@ -37,9 +36,9 @@
 
 /// The same within a `LocalSet` of the caller's, until `asked` is ready.
 pub async fn serve(config: Config, asked: impl Future<Output = ()>) -> io::Result<()> {
-    let listener = TcpListener::bind(config.listen).await?;
-    let listen = listener.local_addr()?;
     let clock = clock::Clock::start();
+    let listener = clients::listen(config.listen, clock, &config.limits).await?;
+    let listen = listener.local_addr()?;
     let hub = effects::Hub::new(reducer::Reducer::new(&config), config.limits.clone(), clock);
     hub.tell(|reducer, now| reducer.start(now));
     hub.tell(|reducer, now| reducer.list(now, &config.known, false, |unix| clock.started(unix)));
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -43,6 +43,9 @@
     /// after that what it reads is taken to have waited as long.
     pub stalled: Span,
     pub stall_read: Span,
+    /// How often, and how long, it is tried to listen on an address that is still in use.
+    pub listen_pause: Span,
+    pub listen_longest: Span,
     /// The wait after an accept that failed for want of descriptors.
     pub accept_pause: Span,
     /// Silence on a watch after which it is asked for again: more than the time between two signs of life,
@@ -110,6 +113,8 @@
             overdue: Span::ms(10),
             stalled: Span::ms(20),
             stall_read: Span::ms(5),
+            listen_pause: Span::ms(20),
+            listen_longest: Span::ms(10_000),
             accept_pause: Span::ms(20),
             watch_silence: Span::ms(3_000),
             watch_first: Span::ms(50),
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -550,6 +550,21 @@
     assert!(node.child.wait().expect("an end").success());
 }
 
+#[test]
+fn an_address_that_is_in_use_is_waited_for() {
+    let before = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = before.local_addr().expect("an address");
+    let (child, file) = spawn(&format!(r#"{{"listen":"{addr}","settings":{SETTINGS}}}"#), 4096);
+    let mut node = Node { child, addr, log: None };
+    let mut log = BufReader::new(node.child.stderr.take().expect("a pipe"));
+    let mut next = || line(&mut log).unwrap_or_default();
+    assert_eq!(next(), format!("quartzhub: {addr} is in use: waiting for it"));
+    drop(before);
+    assert_eq!(next(), format!("quartzhub: quartzhub serves on {addr}"));
+    assert_eq!(node.client().ask(&["PING"]), "+PONG");
+    let _ = std::fs::remove_file(file);
+}
+
 #[test]
 fn a_faulty_configuration_is_told_with_its_key() {
     let (child, file) = spawn(r#"{"listen":"here","settings":{}}"#, 4096);
