Answer what lies unread on a client's connection before closing it

Seen: a node that is stopped, sent commands on idle connections and SIGTERM, then let go on, closed all 20 connections on the unread commands (test what_lies_unread_on_an_idle_connection_at_sigterm_is_answered; clients.rs converse closed as soon as nothing was waiting). Clients may send such a call once more, yet need not have to.

--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -74,6 +74,12 @@
     }
 }
 
+/// Whether a connection is open with nothing to read on it, as the socket itself has it: tokio tells later.
+pub fn quiet(stream: &TcpStream) -> bool {
+    let peeked = socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
+    peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+}
+
 #[cfg(test)]
 mod tests {
     use super::Buffer;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -12,7 +12,7 @@
 use winnow::prelude::*;
 use winnow::token::take_while;
 
-use crate::buffer::Buffer;
+use crate::buffer::{quiet, Buffer};
 use crate::clock::{duration, Clock};
 use crate::effects::Hub;
 use crate::limits::Limits;
@@ -185,8 +185,13 @@
         }
         let waiting = hub.ask(|reducer| reducer.waiting(id));
         let writing = client.unwritten();
-        // Guards against closing on a command that was read already: it is answered first.
+        // Guards against closing on a command that has come already, read or not: it is answered first.
         if client.closing.get() && !writing && waiting == 0 {
+            let wait = tokio::time::timeout(duration(limits.last_read), client.stream.readable());
+            let goes_on = reading && !quiet(&client.stream) && wait.await.is_ok_and(|ready| ready.is_ok());
+            if goes_on && matches!(read(&mut buffer, &client.stream, limits), Ok(true)) {
+                continue;
+            }
             return;
         }
         let room = reading && waiting < limits.calls_per_client && !client.closing.get();
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -35,6 +35,8 @@
     pub client_idle: Span,
     pub half_command: Span,
     pub untaken_answer: Span,
+    /// Until what lies unread at a client that is to be closed must be at hand.
+    pub last_read: Span,
     /// Part of the client's wait kept in hand for the way there and back.
     pub way: Span,
     /// After its client timeout, when an API call that has no answer yet is ended here.
@@ -109,6 +111,7 @@
             client_idle: Span::ms(300_000),
             half_command: Span::ms(10_000),
             untaken_answer: Span::ms(5_000),
+            last_read: Span::ms(100),
             way: Span::ms(3),
             overdue: Span::ms(10),
             stalled: Span::ms(20),
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use crate::buffer::Buffer;
+use crate::buffer::{quiet, Buffer};
 use crate::caches::Answer;
 use crate::clock::duration;
 use crate::effects::Hub;
@@ -152,12 +152,6 @@
     }
 }
 
-/// Whether a connection is open with nothing to read on it.
-fn quiet(stream: &TcpStream) -> bool {
-    let peeked = socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
-    peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-}
-
 /// Whether a connect that failed tells of the server, and not of this machine's want of descriptors, ports or
 /// memory.
 fn is_the_servers(e: &io::Error) -> bool {
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -255,10 +255,6 @@
         self.world.calls.len()
     }
 
-    pub fn clients(&self) -> usize {
-        self.world.clients.len()
-    }
-
     /// Commands of this client that have no answer yet.
     pub fn waiting(&self, client: ClientId) -> usize {
         self.world.clients.get(&client).map_or(0, |client| client.turns.len())
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -35,8 +35,11 @@
         tokio::time::sleep(duration(LOOK)).await;
         let now = hub.clock.now();
         let quiet = now - last.get() >= hub.limits.stop_quiet && now - asked >= hub.limits.stop_accept;
-        let unwritten = hub.clients.borrow().values().any(|client| client.unwritten());
-        let done = hub.ask(Reducer::open_calls) == 0 && !unwritten;
+        if quiet {
+            // Those that came last and asked nothing.
+            hub.tell(|reducer, now| reducer.stop(now));
+        }
+        let done = hub.ask(Reducer::open_calls) == 0 && hub.clients.borrow().is_empty();
         if quiet && done || now - asked >= hub.limits.stop_longest {
             crate::log!("stopped with {} API calls open", hub.ask(Reducer::open_calls));
             return;
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -446,6 +446,25 @@
     assert!(node.child.wait().expect("an end").success());
 }
 
+#[test]
+fn what_lies_unread_on_an_idle_connection_at_sigterm_is_answered() {
+    let (tell, _seen) = channel();
+    let cache = server("a", tell, |_| hit("v"));
+    for _ in 0..5 {
+        let mut node = Node::start(&[("a", cache)], "");
+        let mut clients: Vec<_> = (0..20).map(|_| node.client()).collect();
+        clients.iter_mut().for_each(|client| assert_eq!(client.ask(&["PING"]), "+PONG"));
+        node.signal("-STOP");
+        clients.iter_mut().for_each(|client| client.send(&command(&["PING", "still here"])));
+        node.signal("-TERM");
+        node.signal("-CONT");
+        for client in &mut clients {
+            assert_eq!((client.answer(), client.answer()), ("still here".into(), "closed".into()));
+        }
+        assert!(node.child.wait().expect("an end").success());
+    }
+}
+
 #[test]
 fn with_all_places_taken_an_idle_client_makes_room() {
     let (tell, _seen) = channel();
