Bound what discovery may send and name; log start-up faults through the one macro

By reading through for buffers without a bound: a chunk's mark or a reload's body without end grew the buffer for ever (discovery.rs more), and each new server id is kept for good (reducer.rs list). Test: news_without_end_are_given_up_and_asked_for_again.

--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -109,6 +109,18 @@
         ix
     }
 
+    pub fn knows(&self, id: &str) -> bool {
+        self.indices.contains_key(id)
+    }
+
+    pub fn len(&self) -> usize {
+        self.ids.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.ids.is_empty()
+    }
+
     pub fn id(&self, ix: ServerIx) -> &str {
         self.ids.get(ix.0).map_or("", String::as_str)
     }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -63,6 +63,10 @@
     loop {
         let ready = timeout(duration(hub.limits.watch_silence), stream.readable()).await;
         ready.map_err(|_| "silent")?.map_err(|_| "broken")?;
+        // Guards against a head, a chunk's mark or a body without end.
+        if buffer.filled().len() > hub.limits.list_line + hub.limits.http_head {
+            return Err("more than fits");
+        }
         match buffer.read(stream, hub.limits.read) {
             Ok(count) => return Ok(count > 0),
             Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -20,6 +20,8 @@
     /// Bytes: the head of an HTTP answer, and one line of discovery's news.
     pub http_head: usize,
     pub list_line: usize,
+    /// Servers that discovery may name in the node's life.
+    pub servers: usize,
     /// Bytes of values and unwritten answers held, in all; beyond it new API calls are turned away.
     pub held: usize,
     /// Bytes of buffer that a connection with nothing in it keeps.
@@ -103,6 +105,7 @@
             words: 16,
             http_head: 16 * 1024,
             list_line: 1024 * 1024,
+            servers: 16 * 1024,
             held: (memory / 4.0) as usize,
             buffer_kept: 4 * 1024,
             read: 16 * 1024,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, Command};
-use quartzhub_node::{run, Config, Environment};
+use quartzhub_node::{log, run, Config, Environment};
 
 fn main() -> ExitCode {
     let config = Arg::new("config").long("config").value_name("FILE").help("instead of what LB_CONFIG names");
@@ -11,13 +11,13 @@
     let command = Command::new("quartzhub").version(env!("CARGO_PKG_VERSION")).about(about).arg(config);
     let given = command.get_matches().remove_one::<String>("config").or(std::env::var("LB_CONFIG").ok());
     let Some(file) = given.map(PathBuf::from) else {
-        eprintln!("quartzhub: no configuration: name a file by --config or LB_CONFIG");
+        log!("no configuration: name a file by --config or LB_CONFIG");
         return ExitCode::FAILURE;
     };
     let config = match Config::read(&file, Environment::of_process()) {
         Ok(config) => config,
         Err(fault) => {
-            eprintln!("quartzhub: {fault}");
+            log!("{fault}");
             return ExitCode::FAILURE;
         }
     };
@@ -25,7 +25,7 @@
     match run(config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("quartzhub: {listen}: {e}");
+            log!("{listen}: {e}");
             ExitCode::FAILURE
         }
     }
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -438,6 +438,11 @@
         }
         let mut lines = Vec::with_capacity(news.servers.len());
         for entry in &news.servers {
+            // Guards against a discovery that names new servers for ever: each is kept for good.
+            if self.ids.len() >= self.world.limits.servers && !self.ids.knows(&entry.id) {
+                crate::log!("discovery: more than {} servers, {:?} is passed over", self.ids.len(), entry.id);
+                continue;
+            }
             let ix = self.ids.index(&entry.id);
             let state = match entry.state.as_deref() {
                 Some("in_service") => State::Ready,
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -554,6 +554,21 @@
     assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
 }
 
+#[test]
+fn news_without_end_are_given_up_and_asked_for_again() {
+    let (tell, _seen) = channel();
+    let cache = server("a", tell, |_| hit("v"));
+    let (first, first_says) = channel();
+    let (_second, second_says) = channel();
+    let (asked, asks) = channel();
+    let from = discovery(vec![first_says, second_says], asked);
+    let node = Node::start(&[("a", cache)], &format!(r#""discovery":"{from}","#));
+    assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
+    (0..40).for_each(|_| first.send(" ".repeat(64 * 1024)).expect("said"));
+    assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
+    assert_eq!(node.client().ask(&["OBJ.GET", "k", "id", FACTS]), "v");
+}
+
 #[test]
 fn a_log_that_nobody_reads_stops_nothing() {
     let (tell, _seen) = channel();
