Write log lines from a thread of their own, so that a full pipe holds up nothing

Seen: with standard error a pipe that is full and not read, the node stood still at its first line and never listened to discovery (test a_log_whose_reader_stands_still_holds_up_nothing, hung before, passes after).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,9 +29,12 @@
 
 /// Runs a node on this thread until SIGTERM and until all that it has taken is answered.
 pub fn run(config: Config) -> io::Result<()> {
-    log::limit(&config.limits);
+    let limits = config.limits.clone();
+    let writer = log::start(&limits);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, async { serve(config, shutdown::asked()?).await })
+    let served = LocalSet::new().block_on(&runtime, async { serve(config, shutdown::asked()?).await });
+    writer.end(&limits);
+    served
 }
 
 /// The same within a `LocalSet` of the caller's, until `asked` is ready.
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -76,6 +76,8 @@
     /// Log lines a second, and saved up.
     pub log_rate: f64,
     pub log_burst: f64,
+    /// At the end, for the last lines to be written.
+    pub log_last: Span,
 }
 
 /// What the machine gives the process.
@@ -155,6 +157,7 @@
             stop_look: Span::ms(5),
             log_rate: 20.0,
             log_burst: 100.0,
+            log_last: Span::ms(100),
         }
     }
 
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -192,6 +192,10 @@
 }
 
 fn spawn(config: &str, descriptors: usize) -> (Child, std::path::PathBuf) {
+    spawn_to(config, descriptors, Stdio::piped())
+}
+
+fn spawn_to(config: &str, descriptors: usize, log: Stdio) -> (Child, std::path::PathBuf) {
     use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
     static COUNT: AtomicUsize = AtomicUsize::new(0);
     let name = format!("quartzhub-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Relaxed));
@@ -204,7 +208,7 @@
         .env_remove("LB_LISTEN")
         .env_remove("LB_DISCOVERY")
         .env("LB_CONFIG", &file)
-        .stderr(Stdio::piped())
+        .stderr(log)
         .spawn()
         .expect("the program starts");
     (child, file)
@@ -584,6 +588,28 @@
     assert!(node.child.wait().expect("an end").success());
 }
 
+#[test]
+fn a_log_whose_reader_stands_still_holds_up_nothing() {
+    let (_reader, mut log) = std::io::pipe().expect("a pipe");
+    // As much as it takes.
+    log.write_all(&[b'.'; 64 * 1024]).expect("filled");
+    let before = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = before.local_addr().expect("an address");
+    let (_says, said) = channel();
+    let (asked, asks) = channel();
+    let from = discovery(vec![said], asked);
+    let config = format!(r#"{{"listen":"{addr}","discovery":"{from}","settings":{SETTINGS}}}"#);
+    drop(before);
+    let (child, file) = spawn_to(&config, 4096, log.into());
+    let mut node = Node { child, addr, log: None };
+    // By then it listens.
+    assert_eq!(next(&asks), "GET /api/targets?stream=1&index=0 ");
+    assert_eq!(node.client().ask(&["PING"]), "+PONG");
+    node.signal("-TERM");
+    assert!(node.child.wait().expect("an end").success());
+    let _ = std::fs::remove_file(file);
+}
+
 #[test]
 fn an_address_that_is_in_use_is_waited_for() {
     let before = TcpListener::bind("127.0.0.1:0").expect("a port");
