Read the configuration again on SIGHUP and move discovery without dropping calls

No handler stood for the signal (lib.rs took SIGTERM and SIGINT only), and discovery's address was handed to the watch for life (lib.rs, discovery.rs). Ruled out: the list itself, which arrived and was read.

The file is read through config, checked whole, and kept out on a fault, which is logged by key. LB_DISCOVERY goes before the file at the start, so the file's discovery counts once it differs from what the file said before. The watch before stays until the new one has told its list.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration: read, checked and given its defaults here and nowhere else. Messages name the faulty key.
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use quartzhub_policy::Settings;
 use serde::de::{Deserialize, Deserializer, Error as _};
@@ -21,6 +21,17 @@
     pub limits: Limits,
     /// Faults that the node starts without minding; it says them in its log.
     pub passed_over: Vec<Fault>,
+    /// What the limits were made from.
+    machine: Machine,
+    /// Where it was read, and the discovery that stood there.
+    source: Option<Source>,
+    named: Option<SocketAddr>,
+}
+
+#[derive(Debug)]
+struct Source {
+    file: PathBuf,
+    environment: Environment,
 }
 
 /// What the file may hold. Unknown keys are passed over.
@@ -100,7 +111,7 @@
 impl std::error::Error for Fault {}
 
 /// Variables of the environment that go before the file.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Environment {
     pub name: Option<String>,
     pub listen: Option<String>,
@@ -127,7 +138,32 @@
 impl Config {
     pub fn read(file: &Path, environment: Environment) -> Result<Config, Fault> {
         let text = std::fs::read_to_string(file).map_err(|e| Fault(format!("{}: {e}", file.display())))?;
-        Config::parse(&text, environment).map_err(|fault| Fault(format!("{}: {fault}", file.display())))
+        let read = Config::parse(&text, environment.clone());
+        let mut config = read.map_err(|fault| Fault(format!("{}: {fault}", file.display())))?;
+        config.source = Some(Source { file: file.to_owned(), environment });
+        Ok(config)
+    }
+
+    /// Reads the same file again, checks it whole, and takes over what may change while the node runs; tells
+    /// which other keys have changed. A variable goes before the file as it did at the start, but not before
+    /// a discovery that the file has been given since. On a fault all stays as it is.
+    pub fn read_again(&mut self) -> Result<Vec<&'static str>, Fault> {
+        let source = self.source.as_ref().ok_or_else(|| Fault("not read from a file".to_owned()))?;
+        let new = Config::read(&source.file, source.environment.clone())?;
+        if new.named.is_none() && self.named.is_some() {
+            return Err(Fault(format!("{}: discovery: missing", source.file.display())));
+        }
+        if new.named != self.named {
+            (self.named, self.discovery) = (new.named, new.named);
+        }
+        self.passed_over = new.passed_over;
+        let changed = [
+            ("name", new.name != self.name),
+            ("listen", new.listen != self.listen),
+            ("limits", new.machine != self.machine),
+            ("settings", new.settings.0 != self.settings.0),
+        ];
+        Ok(changed.iter().filter(|key| key.1).map(|key| key.0).collect())
     }
 
     pub fn parse(text: &str, environment: Environment) -> Result<Config, Fault> {
@@ -171,6 +207,9 @@
             settings,
             known,
             passed_over,
+            machine: file.limits,
+            source: None,
+            named: file.discovery,
         })
     }
 }
@@ -230,6 +269,41 @@
         }
     }
 
+    #[test]
+    fn a_file_read_again_moves_discovery_and_a_faulty_one_changes_nothing() {
+        let file = std::env::temp_dir().join(format!("quartzhub-again-{}.json", std::process::id()));
+        let product = r#"{"Name":"view","LatencySlo":100,"ClientTimeout":500}"#;
+        let put = |discovery: &str, more: &str| {
+            let head = format!(r#"{{"listen":"127.0.0.1:6379",{discovery}{more}"#);
+            std::fs::write(&file, format!(r#"{head}"settings":{{"Products":[{product}]}}}}"#))
+                .expect("written");
+        };
+        put(r#""discovery":"127.0.0.1:1","#, "");
+        let environment = Environment { discovery: Some("127.0.0.1:9".into()), ..Environment::default() };
+        let mut config = Config::read(&file, environment).expect("a configuration");
+        let mut told = String::new();
+        let mut again = |discovery: &str, more: &str| {
+            put(discovery, more);
+            let keys =
+                config.read_again().map_err(|e| e.to_string().replace(&*file.to_string_lossy(), "file"));
+            told += &format!("{:?}: {keys:?}\n", config.discovery.map(|addr| addr.port()));
+        };
+        again(r#""discovery":"127.0.0.1:1","#, "");
+        again(r#""discovery":"127.0.0.1:2","#, r#""limits":{"sockets":99},"name":"n","#);
+        again(r#""discovery":"127.0.0.1:3","#, r#""limits":{"sockets":3},"#);
+        again("", "");
+        again(r#""discovery":"127.0.0.1:1","#, "");
+        let _ = std::fs::remove_file(&file);
+        expect![[r#"
+            Some(9): Ok([])
+            Some(2): Ok(["name", "limits"])
+            Some(2): Err("file: limits.sockets: 3 is under 32")
+            Some(2): Err("file: discovery: missing")
+            Some(1): Ok([])
+        "#]]
+        .assert_eq(&told);
+    }
+
     #[test]
     fn messages_name_the_faulty_key() {
         let product = r#"{"Name":"view","LatencySlo":100,"ClientTimeout":500}"#;
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -5,6 +5,8 @@
 use quartzhub_policy::Pcg;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::{watch, Notify};
+use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::timeout;
 
 use crate::buffer::Buffer;
@@ -14,14 +16,48 @@
 use crate::http::{self, Body};
 use crate::resp::Parsed;
 
-/// Watches for ever. What is silent, ends or can't be read is watched again after a jittered wait; meanwhile
-/// what is known stands.
-pub async fn watch(hub: Rc<Hub>, from: SocketAddr, mut version: u64, seed: u64) {
+type Named = watch::Receiver<Option<SocketAddr>>;
+
+/// Follows the discovery that is named, for ever, and moves when another is. Guards against a time without news:
+/// what is known stands, and the watch before goes on until the new one has told its list.
+pub async fn follow(hub: Rc<Hub>, mut named: Named, mut version: u64, seed: u64) {
+    let mut standing: Option<JoinHandle<()>> = None;
+    loop {
+        let from = *named.borrow_and_update();
+        if let Some(from) = from {
+            let heard = Rc::new(Notify::new());
+            let next = spawn_local(keep_watching(hub.clone(), from, version, seed, heard.clone()));
+            // Another discovery may count its versions in another way.
+            version = 0;
+            let moved = tokio::select! {
+                () = heard.notified() => false,
+                _ = named.changed() => true,
+            };
+            if moved && standing.is_some() {
+                next.abort();
+                continue;
+            }
+            if let Some(before) = standing.replace(next) {
+                crate::log!("discovery: moved to {from}");
+                before.abort();
+            }
+            if moved {
+                continue;
+            }
+        }
+        if named.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// What is silent, ends or can't be read is watched again after a jittered wait; meanwhile what is known stands.
+async fn keep_watching(hub: Rc<Hub>, from: SocketAddr, mut version: u64, seed: u64, heard: Rc<Notify>) {
     let mut wait = hub.limits.watch_first;
     let mut chance = Pcg::new(seed);
     loop {
         let before = version;
-        let what = follow(&hub, from, &mut version).await;
+        let what = one_watch(&hub, from, &mut version, &heard).await;
         crate::log!("discovery: {what}");
         hub.tell(|reducer, now| reducer.list_failed(now));
         wait = if version == before {
@@ -36,9 +72,10 @@
 }
 
 /// Asks for the whole list whenever the module wants it.
-pub async fn reload(hub: Rc<Hub>, from: SocketAddr) {
+pub async fn reload(hub: Rc<Hub>, named: Named) {
     loop {
         hub.reload.notified().await;
+        let Some(from) = *named.borrow() else { continue };
         if let Err(what) = fetch(&hub, from).await {
             crate::log!("discovery: {what}");
             hub.tell(|reducer, now| reducer.list_failed(now));
@@ -93,14 +130,14 @@
 }
 
 /// One watch, until it ends; tells why it did.
-async fn follow(hub: &Rc<Hub>, from: SocketAddr, version: &mut u64) -> Fault {
-    match lines(hub, from, version).await {
+async fn one_watch(hub: &Rc<Hub>, from: SocketAddr, version: &mut u64, heard: &Notify) -> Fault {
+    match lines(hub, from, version, heard).await {
         Ok(()) => "the watch ended",
         Err(what) => what,
     }
 }
 
-async fn lines(hub: &Rc<Hub>, from: SocketAddr, version: &mut u64) -> Result<(), Fault> {
+async fn lines(hub: &Rc<Hub>, from: SocketAddr, version: &mut u64, heard: &Notify) -> Result<(), Fault> {
     let stream = ask(hub, from, &format!("/api/targets?stream=1&index={version}")).await?;
     // What has come, and of that what stands between the chunks' marks.
     let (mut buffer, mut text) = (Buffer::default(), Buffer::default());
@@ -149,6 +186,7 @@
                 })?;
                 *version = news.version;
                 tell(hub, &news);
+                heard.notify_one();
             }
             text.consume(end + 1);
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod log;
 pub mod origin;
 pub mod reducer;
+pub mod reload;
 pub mod resp;
 pub mod shutdown;
 
@@ -23,37 +24,45 @@
 use std::io;
 use std::rc::Rc;
 
+use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 
 pub use config::{Config, Environment};
 
-/// Runs a node on this thread until SIGTERM and until all that it has taken is answered.
+/// Runs a node on this thread until SIGTERM and until all that it has taken is answered. SIGHUP has the
+/// configuration read again.
 pub fn run(config: Config) -> io::Result<()> {
     let limits = config.limits.clone();
     let writer = log::start(&limits);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let served = LocalSet::new().block_on(&runtime, async { serve(config, shutdown::asked()?).await });
+    let served = LocalSet::new().block_on(&runtime, async {
+        let again = Rc::new(Notify::new());
+        spawn_local(reload::hangups(again.clone())?);
+        serve(config, shutdown::asked()?, again).await
+    });
     writer.end(&limits);
     served
 }
 
-/// The same within a `LocalSet` of the caller's, until `asked` is ready.
-pub async fn serve(config: Config, asked: impl Future<Output = ()>) -> io::Result<()> {
+/// The same within a `LocalSet` of the caller's, until `asked` is ready; `again`: the configuration is to be
+/// read again.
+pub async fn serve(mut config: Config, asked: impl Future<Output = ()>, again: Rc<Notify>) -> io::Result<()> {
     let clock = clock::Clock::start();
     let listener = clients::listen(config.listen, clock, &config.limits).await?;
     let listen = listener.local_addr()?;
     let hub = effects::Hub::new(reducer::Reducer::new(&config), config.limits.clone(), clock);
     hub.tell(|reducer, now| reducer.start(now));
-    hub.tell(|reducer, now| reducer.list(now, &config.known, false, |unix| clock.started(unix)));
+    let known = std::mem::take(&mut config.known);
+    hub.tell(|reducer, now| reducer.list(now, &known, false, |unix| clock.started(unix)));
     spawn_local(effects::timer(hub.clone()));
-    if let Some(from) = config.discovery {
-        spawn_local(discovery::watch(hub.clone(), from, config.known.version, config.seed));
-        spawn_local(discovery::reload(hub.clone(), from));
-    }
+    let (named, discovery) = watch::channel(config.discovery);
+    spawn_local(discovery::follow(hub.clone(), discovery.clone(), known.version, config.seed));
+    spawn_local(discovery::reload(hub.clone(), discovery));
     let last = Rc::new(Cell::new(clock.now()));
     spawn_local(clients::accept(hub.clone(), listener, last.clone()));
     config.passed_over.iter().for_each(|fault| crate::log!("configuration: {fault}"));
     crate::log!("{} serves on {listen}", config.name);
+    spawn_local(reload::follow(config, again, named));
     shutdown::ended(hub, last, asked).await;
     Ok(())
 }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -81,7 +81,7 @@
 }
 
 /// What the machine gives the process.
-#[derive(Debug, Clone, Copy, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, serde::Deserialize)]
 #[serde(default)]
 pub struct Machine {
     pub memory_mb: f64,
--- /dev/null
+++ b/crates/node/src/reload.rs
@@ -0,0 +1,38 @@
+//! SIGHUP: the configuration is read again, and what may change while the node runs does.
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{watch, Notify};
+
+use crate::config::Config;
+
+/// Passes each SIGHUP on; from the call on, it no longer ends the process.
+pub fn hangups(again: Rc<Notify>) -> io::Result<impl Future<Output = ()>> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    Ok(async move {
+        while hangup.recv().await.is_some() {
+            again.notify_one();
+        }
+    })
+}
+
+/// Reads the configuration again whenever it is asked for, and names the discovery that is to be followed.
+pub async fn follow(mut config: Config, again: Rc<Notify>, discovery: watch::Sender<Option<SocketAddr>>) {
+    loop {
+        again.notified().await;
+        match config.read_again() {
+            Ok(changed) => {
+                crate::log!("configuration read again");
+                config.passed_over.iter().for_each(|fault| crate::log!("configuration: {fault}"));
+                changed.iter().for_each(|key| crate::log!("configuration: {key}: changes at a restart only"));
+                let now = config.discovery;
+                discovery.send_if_modified(|named| std::mem::replace(named, now) != now);
+            }
+            // Guards against a fault in a new file that would take the node out of service.
+            Err(fault) => crate::log!("configuration: {fault}; the one before is kept"),
+        }
+    }
+}
