--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -19,6 +19,11 @@
         self.start == self.bytes.len()
     }
 
+    /// Bytes that it takes.
+    pub fn room(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     pub fn put(&mut self, bytes: &[u8]) {
         self.compact();
         self.bytes.extend_from_slice(bytes);
@@ -55,7 +60,7 @@
     pub fn read(&mut self, stream: &TcpStream, count: usize) -> io::Result<usize> {
         if self.bytes.capacity() - self.bytes.len() < count / 4 {
             self.compact();
-            self.bytes.reserve(count);
+            self.bytes.reserve_exact(count);
         }
         stream.try_read_buf(&mut self.bytes)
     }
--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -39,24 +39,62 @@
     facts.join(",")
 }
 
+/// A reply. Served and missed API calls get an array of the value, a word on how it went, and a load report.
+/// Guards against taking for the value what a spoilt reply has in its place: all but the report must be as a
+/// server makes it.
 pub fn answer(bytes: &[u8], limits: &Limits) -> Parsed<Answer> {
+    if bytes.first() != Some(&b'*') {
+        return plain(bytes, limits);
+    }
+    let mut used = match resp::array(bytes) {
+        Parsed::Whole(3, used) => used,
+        Parsed::Part => return Parsed::Part,
+        _ => return Parsed::Broken,
+    };
+    let mut texts = [None; 2];
+    for text in &mut texts {
+        match resp::reply(&bytes[used..], limits) {
+            _ if bytes.get(used).is_some_and(|b| *b != b'$') => return Parsed::Broken,
+            Parsed::Whole(Reply::Bulk(bulk), count) => (*text, used) = (bulk, used + count),
+            Parsed::Part => return Parsed::Part,
+            _ => return Parsed::Broken,
+        }
+    }
+    let [value, how] = texts;
+    if how.is_some_and(|how| how.len() > limits.reply_word || !how.iter().all(u8::is_ascii_graphic)) {
+        return Parsed::Broken;
+    }
+    // Guards against losing a good value for a load report that can't be read or does not end: only the
+    // connection is given up.
+    let reusable = match resp::reply(&bytes[used..], limits) {
+        Parsed::Whole(Reply::Bulk(_), count) => {
+            used += count;
+            used == bytes.len()
+        }
+        _ => {
+            used = bytes.len();
+            false
+        }
+    };
+    let outcome = if value.is_some() { Outcome::Fulfilled } else { Outcome::Miss };
+    Parsed::Whole(Answer { outcome, value: value.map(<[u8]>::to_vec), reusable }, used)
+}
+
+/// A reply that is no array.
+fn plain(bytes: &[u8], limits: &Limits) -> Parsed<Answer> {
     let (reply, used) = match resp::reply(bytes, limits) {
         Parsed::Whole(reply, used) => (reply, used),
         Parsed::Part => return Parsed::Part,
         Parsed::Broken => return Parsed::Broken,
     };
-    let reusable = used == bytes.len();
-    let (outcome, value) = match &reply {
-        Reply::Array(Some(items)) => match items.first() {
-            Some(Reply::Bulk(Some(value))) => (Outcome::Fulfilled, Some(value.to_vec())),
-            Some(Reply::Bulk(None)) => (Outcome::Miss, None),
-            _ => (Outcome::Unknown, None),
-        },
-        Reply::Error(text) if text.split(|b| *b == b' ').next() == Some(b"BUSY") => (Outcome::Full, None),
-        Reply::Error(_) => (Outcome::Broken, None),
-        _ => (Outcome::Unknown, None),
+    let outcome = match reply {
+        // Noise proves nothing.
+        Reply::Error(text) if !text.iter().all(|b| (b' '..=b'~').contains(b)) => return Parsed::Broken,
+        Reply::Error(text) if text.split(|b| *b == b' ').next() == Some(b"BUSY") => Outcome::Full,
+        Reply::Error(_) => Outcome::Broken,
+        _ => return Parsed::Broken,
     };
-    Parsed::Whole(Answer { outcome, value, reusable }, used)
+    Parsed::Whole(Answer { outcome, value: None, reusable: used == bytes.len() }, used)
 }
 
 #[cfg(test)]
@@ -93,35 +131,60 @@
     #[test]
     fn only_the_named_replies_prove_that_nothing_ran() {
         let limits = Limits::default();
-        let replies = [
-            "*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n",
-            "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n",
-            "-BUSY\r\n",
-            "-BUSYBODY\r\n",
-            "-ERR failed\r\n",
-            "+OK\r\n",
-            "$2\r\nab\r\n",
-            "*0\r\n",
-            "*-1\r\n",
+        let replies: [&[u8]; 20] = [
+            b"*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n",
+            b"*3\r\n$2\r\nab\r\n$-1\r\n$-1\r\n*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n",
+            b"*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n\xff\xfe",
+            b"*3\r\n$2\r\nab\r\n$3\r\nhit\r\n\xff\xfe",
+            b"*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$900\r\ncpu=",
+            b"*3\r\n$2\r\nab\r\n$3\r\nhit\r\n*99999\r\n",
+            b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n",
+            b"-BUSY\r\n",
+            b"-BUSYBODY\r\n",
+            b"-BUSY \xff\r\n",
+            b"-ERR failed\r\n",
+            b"+OK\r\n",
+            b"$2\r\nab\r\n",
+            b"*0\r\n",
+            b"*-1\r\n",
+            b"*2\r\n$2\r\nab\r\n$3\r\nhit\r\n",
+            b"*3\r\n$2\r\nabc\r\n$3\r\nhit\r\n$-1\r\n",
+            b"*3\r\n$2\r\nab\r\n$3\r\nh\xfft\r\n$-1\r\n",
+            b"*3\r\n$3000000000\r\nab",
+            b"*3\r\n$9\r\nab\r\n$3\r\nhit\r\n$-1\r\n",
         ];
-        let told = replies.map(|reply| match answer(reply.as_bytes(), &limits) {
-            Parsed::Whole(answer, _) => {
-                let ran = if answer.outcome.proves_it_never_ran() { "never ran" } else { "may have run" };
-                format!("{reply:?}: {:?}, {ran}\n", answer.outcome)
+        let told = replies.map(|reply| {
+            let text = reply.escape_ascii();
+            match answer(reply, &limits) {
+                Parsed::Whole(answer, _) => {
+                    let ran = if answer.outcome.proves_it_never_ran() { "never ran" } else { "may have run" };
+                    let link = if answer.reusable { "kept" } else { "closed" };
+                    format!("{text}: {:?}, {ran}, {link}\n", answer.outcome)
+                }
+                other => format!("{text}: {other:?}\n"),
             }
-            other => format!("{reply:?}: {other:?}\n"),
         });
         expect![[r#"
-            "*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n": Fulfilled, may have run
-            "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n": Miss, never ran
-            "-BUSY\r\n": Full, never ran
-            "-BUSYBODY\r\n": Broken, may have run
-            "-ERR failed\r\n": Broken, may have run
-            "+OK\r\n": Unknown, may have run
-            "$2\r\nab\r\n": Unknown, may have run
-            "*0\r\n": Unknown, may have run
-            "*-1\r\n": Unknown, may have run
-        "#]]
-        .assert_eq(&told.concat());
+            *3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n: Fulfilled, may have run, kept
+            *3\r\n$2\r\nab\r\n$-1\r\n$-1\r\n*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n: Fulfilled, may have run, closed
+            *3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n\xff\xfe: Fulfilled, may have run, closed
+            *3\r\n$2\r\nab\r\n$3\r\nhit\r\n\xff\xfe: Fulfilled, may have run, closed
+            *3\r\n$2\r\nab\r\n$3\r\nhit\r\n$900\r\ncpu=: Fulfilled, may have run, closed
+            *3\r\n$2\r\nab\r\n$3\r\nhit\r\n*99999\r\n: Fulfilled, may have run, closed
+            *3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n: Miss, never ran, kept
+            -BUSY\r\n: Full, never ran, kept
+            -BUSYBODY\r\n: Broken, may have run, kept
+            -BUSY \xff\r\n: Broken
+            -ERR failed\r\n: Broken, may have run, kept
+            +OK\r\n: Broken
+            $2\r\nab\r\n: Broken
+            *0\r\n: Broken
+            *-1\r\n: Broken
+            *2\r\n$2\r\nab\r\n$3\r\nhit\r\n: Broken
+            *3\r\n$2\r\nabc\r\n$3\r\nhit\r\n$-1\r\n: Broken
+            *3\r\n$2\r\nab\r\n$3\r\nh\xfft\r\n$-1\r\n: Broken
+            *3\r\n$3000000000\r\nab: Broken
+            *3\r\n$9\r\nab\r\n$3\r\nhit\r\n$-1\r\n: Broken
+        "#]].assert_eq(&told.concat());
     }
 }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -118,6 +118,7 @@
 
 /// Takes connections while there is room for them.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener, last: Rc<Cell<Time>>) {
+    let mut taken = 0;
     loop {
         // Guards against spinning on an accept that can't succeed: with all descriptors taken, an idle
         // connection is closed, and the next client is taken when there is one.
@@ -133,6 +134,10 @@
                 continue;
             }
         }
+        taken += 1;
+        if taken % hub.limits.commands_a_turn == 0 {
+            tokio::task::yield_now().await;
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
                 last.set(hub.clock.now());
@@ -168,65 +173,145 @@
 async fn converse(hub: &Rc<Hub>, id: ClientId, client: &Client) {
     let limits = &hub.limits;
     let mut buffer = Buffer::default();
+    let mut held = Held { hub, bytes: 0 };
     // Nothing more is read once a command was broken.
     let mut reading = true;
-    let mut due = hub.clock.now() + limits.client_idle;
+    // When it came; when it last said or took something; when the half command at hand began.
+    let came = hub.clock.now();
+    let (mut active, mut begun) = (came, None);
     loop {
         if client.broken.get() {
             return;
         }
         // What has come is taken up as far as the limits allow, also when an answer has made room.
-        while reading && hub.ask(|reducer| reducer.waiting(id)) < limits.calls_per_client {
+        let mut taken = 0;
+        while reading && taken < limits.commands_a_turn {
+            if hub.ask(|reducer| reducer.waiting(id)) >= limits.calls_per_client {
+                break;
+            }
             match take_command(hub, id, &mut buffer) {
-                Taken::One => {}
+                Taken::One => taken += 1,
                 Taken::None => break,
                 Taken::Last => reading = false,
             }
         }
+        held.set(buffer.room());
         let waiting = hub.ask(|reducer| reducer.waiting(id));
         let writing = client.unwritten();
+        if taken > 0 {
+            (active, begun) = (hub.clock.now(), None);
+        }
+        // Guards against a flood of commands that keeps the one thread from all others.
+        if taken == limits.commands_a_turn {
+            tokio::task::yield_now().await;
+            continue;
+        }
         // Guards against closing on a command that has come already, read or not: it is answered first.
         if client.closing.get() && !writing && waiting == 0 {
+            if !reading {
+                held.set(0);
+                drop(buffer);
+                return drain(hub, &client.stream).await;
+            }
             let wait = tokio::time::timeout(duration(limits.last_read), client.stream.readable());
-            let goes_on = reading && !quiet(&client.stream) && wait.await.is_ok_and(|ready| ready.is_ok());
+            let goes_on = !quiet(&client.stream) && wait.await.is_ok_and(|ready| ready.is_ok());
             if goes_on && matches!(read(&mut buffer, &client.stream, limits), Ok(true)) {
                 continue;
             }
             return;
         }
+        let due = if writing {
+            active + limits.untaken_answer
+        } else if waiting > 0 {
+            // A client that waits for an answer is not idle.
+            hub.clock.now() + limits.client_wait
+        } else if !hub.ask(|reducer| reducer.has_asked(id)) {
+            // Guards against clients that say nothing, or too little at a time.
+            came.max(active) + limits.client_silent
+        } else if buffer.is_empty() {
+            active + limits.client_idle
+        } else {
+            *begun.get_or_insert(hub.clock.now()) + limits.half_command
+        };
         let room = reading && waiting < limits.calls_per_client && !client.closing.get();
         tokio::select! {
             ready = client.stream.readable(), if room => {
                 if ready.is_err() || !matches!(read(&mut buffer, &client.stream, limits), Ok(true)) {
                     return;
                 }
+                // Guards against many half commands filling the memory together.
+                held.set(buffer.room());
+                if buffer.room() > 2 * limits.read && hub.buffered.get() > limits.buffered {
+                    reading = false;
+                    fault(hub, id, "no room for the command");
+                }
             }
             ready = client.stream.writable(), if writing => {
                 if ready.is_err() {
                     return;
                 }
                 let written = client.flush();
+                active = hub.clock.now();
                 hub.tell(|reducer, _| reducer.delivered(id, written));
             }
-            () = client.wake.notified() => {}
+            () = client.wake.notified() => active = hub.clock.now(),
             () = tokio::time::sleep_until(hub.clock.instant(due)) => {
-                if writing || waiting == 0 && buffer.is_empty() {
+                if writing || waiting == 0 && buffer.is_empty() && quiet(&client.stream) {
                     return;
                 }
-                // A client that waits for an answer is not idle.
-                if waiting == 0 {
+                if waiting == 0 && !buffer.is_empty() {
                     reading = false;
-                    let text = b"-ERR Protocol error: the command did not come whole\r\n".to_vec();
-                    hub.tell(|reducer, now| reducer.last_answer(now, id, text));
+                    fault(hub, id, "Protocol error: the command did not come whole");
                 }
+                // What has come just now is taken up first.
+                tokio::task::yield_now().await;
             }
         }
-        let patience = match (client.unwritten(), buffer.is_empty()) {
-            (true, _) => limits.untaken_answer,
-            (_, false) => limits.half_command,
-            _ => limits.client_idle,
-        };
-        due = hub.clock.now() + patience;
+    }
+}
+
+/// Bytes that a connection's buffer takes of what all may take together.
+struct Held<'a> {
+    hub: &'a Hub,
+    bytes: usize,
+}
+
+impl Held<'_> {
+    fn set(&mut self, bytes: usize) {
+        self.hub.buffered.set(self.hub.buffered.get() - self.bytes + bytes);
+        self.bytes = bytes;
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
+/// Says what is wrong with what a client sent; nothing more is read from it.
+fn fault(hub: &Rc<Hub>, id: ClientId, what: &str) {
+    let text = format!("-ERR {what}\r\n").into_bytes();
+    hub.tell(|reducer, now| reducer.last_answer(now, id, text));
+}
+
+/// Ends the sending and reads what is left, without keeping it. Guards against a close on unread bytes, which
+/// the network makes a reset, so that the client would never read why it was turned away.
+async fn drain(hub: &Rc<Hub>, stream: &TcpStream) {
+    if socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write).is_err() {
+        return;
+    }
+    let until = hub.clock.instant(hub.clock.now() + hub.limits.drain);
+    let mut left = hub.limits.drain_bytes;
+    while let Ok(Ok(())) = tokio::time::timeout_at(until, stream.readable()).await {
+        let read = stream.try_read(&mut hub.scratch.borrow_mut());
+        match read {
+            Ok(count) if count > 0 && count < left => left -= count,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            _ => return,
+        }
+        // The others have their turn.
+        tokio::task::yield_now().await;
     }
 }
 
@@ -255,7 +340,12 @@
             let last = words.first().is_some_and(|name| name.eq_ignore_ascii_case(b"QUIT"));
             hub.tell(|reducer, now| obey(reducer, now, id, &words, limits));
             buffer.consume(used);
-            if last {
+            // Guards against a client that goes on sending what can't be done.
+            let many = hub.ask(|reducer| reducer.faults(id)) >= limits.faults_per_client;
+            if many {
+                fault(hub, id, "too many commands that can't be done");
+            }
+            if last || many {
                 buffer.clear();
                 Taken::Last
             } else {
@@ -264,8 +354,7 @@
         }
         Parsed::Part if buffer.filled().len() <= limits.command() => Taken::None,
         Parsed::Part | Parsed::Broken => {
-            let text = b"-ERR Protocol error: commands are arrays of bulk strings\r\n".to_vec();
-            hub.tell(|reducer, now| reducer.last_answer(now, id, text));
+            fault(hub, id, "Protocol error: commands are arrays of bulk strings");
             buffer.clear();
             Taken::Last
         }
@@ -276,28 +365,27 @@
 
 fn obey(reducer: &mut Reducer, now: Time, id: ClientId, words: &[&[u8]], limits: &Limits) {
     let name = words.first().map(|name| name.to_ascii_uppercase()).unwrap_or_default();
-    let plain = |text: &str| format!("{text}\r\n").into_bytes();
     let answer = match (&name[..], words) {
         (b"OBJ.GET", [_, key, call, facts]) => match api_call(key, call, facts, None, limits) {
             Ok((words, facts)) => return reducer.call(now, id, words, facts),
-            Err(what) => plain(&format!("-ERR {what}")),
+            Err(what) => return reducer.faulty(now, id, what),
         },
         (b"OBJ.SET", [_, key, call, facts, value]) => match api_call(key, call, facts, Some(value), limits) {
             Ok((words, facts)) => return reducer.call(now, id, words, facts),
-            Err(what) => plain(&format!("-ERR {what}")),
+            Err(what) => return reducer.faulty(now, id, what),
         },
         (b"OBJ.GET" | b"OBJ.SET" | b"PING", [_, _, _, ..]) | (b"OBJ.GET" | b"OBJ.SET", _) => {
-            plain("-ERR wrong number of arguments")
+            return reducer.faulty(now, id, "wrong number of arguments")
         }
         (b"PING", [_, text]) => {
             let mut bytes = Vec::new();
             put_bulk(&mut bytes, text);
             bytes
         }
-        (b"PING", _) => plain("+PONG"),
-        (b"CLIENT" | b"SELECT", _) => plain("+OK"),
-        (b"QUIT", _) => return reducer.last_answer(now, id, plain("+OK")),
-        _ => plain("-ERR unknown command"),
+        (b"PING", _) => b"+PONG\r\n".to_vec(),
+        (b"CLIENT" | b"SELECT", _) => b"+OK\r\n".to_vec(),
+        (b"QUIT", _) => return reducer.last_answer(now, id, b"+OK\r\n".to_vec()),
+        _ => return reducer.faulty(now, id, "unknown command"),
     };
     reducer.plain(now, id, answer);
 }
@@ -323,26 +411,24 @@
     Ok((Words { key: key.to_owned(), id: id.to_owned(), facts: list.to_owned(), value }, facts))
 }
 
-/// `c=read,d=480`: names and values; unknown ones are passed over.
+/// `c=read,d=480`: names and values; unknown ones are passed over. Guards against a wait that is no number or
+/// not told, and against a name that stands twice.
 fn read_facts<'a>(mut list: &'a str, limits: &Limits) -> Option<Facts<'a>> {
     let pairs: Vec<(&str, &str)> = pairs.parse_next(&mut list).ok()?;
-    if !list.is_empty() {
+    let twice = |(i, pair): (usize, &(&str, &str))| pairs[..i].iter().any(|other| other.0 == pair.0);
+    if !list.is_empty() || pairs.iter().enumerate().any(twice) {
         return None;
     }
-    let mut facts = Facts::default();
-    for (name, value) in pairs {
-        match name {
-            "c" => facts.product = Some(value),
-            "t" => facts.tenant = Some(value),
-            "d" => {
-                let ms = value.parse::<f64>().ok().filter(|ms| ms.is_finite() && *ms >= 0.0)?;
-                facts.wait = Some(Span::from_ms(ms).min(limits.client_wait));
-            }
-            "r" => facts.repeat = value == "1",
-            _ => {}
-        }
-    }
-    Some(facts)
+    let fact = |name: &str| pairs.iter().find(|pair| pair.0 == name).map(|pair| pair.1);
+    let plain = |text: &&str| text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let ms = fact("d").filter(plain)?.parse::<f64>().ok().filter(|ms| ms.is_finite())?;
+    Some(Facts {
+        product: fact("c"),
+        tenant: fact("t"),
+        wait: Span::from_ms(ms).min(limits.client_wait),
+        mark: fact("k").is_some_and(|mark| !mark.is_empty()),
+        repeat: fact("r") == Some("1"),
+    })
 }
 
 fn pairs<'a>(input: &mut &'a str) -> winnow::Result<Vec<(&'a str, &'a str)>> {
@@ -360,9 +446,12 @@
     #[test]
     fn facts_are_read_and_broken_ones_told() {
         let facts = read_facts("c=read,t=us,d=480.5,r=1,size=3,k=", &Limits::default()).expect("a list");
-        let wait = Some(Span(480_500));
-        assert_eq!(facts, Facts { product: Some("read"), tenant: Some("us"), wait, repeat: true });
-        for broken in ["", "c", "c=x,,d=3", "d=", "d=-1", "d=NaN", "d=inf", "=x"] {
+        let (product, tenant, wait) = (Some("read"), Some("us"), Span(480_500));
+        assert_eq!(facts, Facts { product, tenant, wait, mark: false, repeat: true });
+        for broken in [
+            "", "c", "c=x", "c=x,,d=3", "c=x,d=", "d=-1", "d=NaN", "d=inf", "=x", "d=1e2", "d=1,d=2",
+            "d=soon",
+        ] {
             assert_eq!(read_facts(broken, &Limits::default()), None, "{broken:?}");
         }
     }
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -1,5 +1,5 @@
 //! Carries out what the reducer asks for, on the sockets, and brings it their reports.
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use quartzhub_policy::Time;
@@ -24,10 +24,14 @@
     /// A client's connection has ended.
     pub left: Notify,
     pub reload: Notify,
+    /// Bytes that clients' buffers take together; and where bytes go that nobody wants.
+    pub buffered: Cell<usize>,
+    pub scratch: RefCell<Vec<u8>>,
 }
 
 impl Hub {
     pub fn new(reducer: Reducer, limits: Limits, clock: Clock) -> Rc<Hub> {
+        let scratch = limits.read;
         Rc::new(Hub {
             reducer: RefCell::new(reducer),
             clients: RefCell::default(),
@@ -37,6 +41,8 @@
             due: Notify::new(),
             left: Notify::new(),
             reload: Notify::new(),
+            buffered: Cell::new(0),
+            scratch: RefCell::new(vec![0; scratch]),
         })
     }
 
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -46,14 +46,22 @@
     (text, eol).void().parse_next(input)?;
     let fields: Vec<(&[u8], &[u8])> = repeat(0..most_fields, field).parse_next(input)?;
     eol.void().parse_next(input)?;
-    let value = |name: &[u8]| {
-        let is = |field: &&(&[u8], &[u8])| field.0.eq_ignore_ascii_case(name);
-        fields.iter().find(is).map(|field| field.1.trim_ascii())
+    let values = |name: &'static [u8]| {
+        let named = fields.iter().filter(move |field| field.0.eq_ignore_ascii_case(name));
+        named.map(|field| field.1.trim_ascii())
     };
-    let says = |name: &[u8], word: &[u8]| value(name).is_some_and(|v| v.eq_ignore_ascii_case(word));
-    let count = value(b"Content-Length").map(|v| std::str::from_utf8(v).ok().and_then(|v| v.parse().ok()));
-    let body = match count {
-        _ if says(b"Transfer-Encoding", b"chunked") => Body::Chunked,
+    let says = |name, word: &[u8]| values(name).next().is_some_and(|v| v.eq_ignore_ascii_case(word));
+    let chunked = says(b"Transfer-Encoding", b"chunked");
+    let mut counts = values(b"Content-Length");
+    let count = counts.next();
+    // Guards against an answer that tells two lengths: one of them is wrong.
+    if counts.any(|other| Some(other) != count) || count.is_some() && chunked {
+        return winnow::combinator::fail.parse_next(input);
+    }
+    let digits = |v: &&[u8]| v.iter().all(u8::is_ascii_digit);
+    let parse = |v: &[u8]| std::str::from_utf8(v).ok().and_then(|v| v.parse().ok());
+    let body = match count.map(|v| Some(v).filter(digits).and_then(parse)) {
+        _ if chunked => Body::Chunked,
         Some(Some(count)) => Body::Counted(count),
         Some(None) => return winnow::combinator::fail.parse_next(input),
         None if status == 204 || status == 304 => Body::Counted(0),
@@ -63,8 +71,19 @@
     Ok(Head { status, body, keep, unprocessed: says(b"X-Unprocessed", b"1") })
 }
 
+/// The head of the final answer: 1xx answers ahead of it are skipped.
 pub fn head(bytes: &[u8], limits: &Limits) -> Parsed<Head> {
-    parsed(bytes, |input: &mut Input| head_of(input, limits.http_fields))
+    let mut used = 0;
+    for _ in 0..=limits.http_interim {
+        match parsed(&bytes[used..], |input: &mut Input| head_of(input, limits.http_fields)) {
+            Parsed::Whole(head, count) if (100..200).contains(&head.status) => used += count,
+            Parsed::Whole(head, count) => return Parsed::Whole(head, used + count),
+            // Guards against waiting for the end of a head without end.
+            Parsed::Part if bytes.len() - used > limits.http_head => break,
+            other => return other,
+        }
+    }
+    Parsed::Broken
 }
 
 /// One chunk; an empty one is the last.
@@ -132,6 +151,16 @@
             answer(chunked, 9, false, &Limits::default()),
             Parsed::Whole((head, b"ab".to_vec()), chunked.len())
         );
+        let interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+        for cut in 0..interim.len() {
+            assert_eq!(answer(&interim[..cut], 9, false, &Limits::default()), Parsed::Part, "cut at {cut}");
+        }
+        let head = Head { status: 503, body: Body::Chunked, keep: true, unprocessed: true };
+        let behind = [&interim[..], chunked].concat();
+        assert_eq!(
+            answer(&behind, 9, false, &Limits::default()),
+            Parsed::Whole((head, b"ab".to_vec()), behind.len())
+        );
         let open = b"HTTP/1.0 200 OK\n\nab";
         assert_eq!(answer(open, 9, false, &Limits::default()), Parsed::Part);
         let head = Head { status: 200, body: Body::ToTheEnd, keep: false, unprocessed: false };
@@ -150,6 +179,11 @@
             b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
             b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc",
+            &b"HTTP/1.1 100 Continue\r\n\r\n".repeat(9),
+            &b"HTTP/1.1 200 OK and on and on".repeat(999),
         ] {
             assert_eq!(answer(bytes, 9, false, &Limits::default()), Parsed::Broken, "{bytes:?}");
         }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -17,19 +17,24 @@
     pub value: usize,
     pub word: usize,
     pub words: usize,
-    /// Of a RESP reply: bytes of a line that is no value, items of an array, and how deep arrays nest.
+    /// Of a RESP reply: bytes of a line that is no value and of the word on how it went, items of an array, and
+    /// how deep arrays nest.
     pub reply_line: usize,
+    pub reply_word: usize,
     pub reply_items: usize,
     pub reply_depth: usize,
-    /// Fields in the head of an HTTP answer.
+    /// Fields in the head of an HTTP answer, and heads of 1xx answers ahead of it.
     pub http_fields: usize,
+    pub http_interim: usize,
     /// Bytes: the head of an HTTP answer, and one line of discovery's news.
     pub http_head: usize,
     pub list_line: usize,
     /// Servers that discovery may name in the node's life.
     pub servers: usize,
-    /// Bytes of values and unwritten answers held, in all; beyond it new API calls are turned away.
+    /// Bytes of values and unwritten answers held, in all; beyond it new API calls are turned away. And of what
+    /// clients have sent in part; beyond it large commands are.
     pub held: usize,
+    pub buffered: usize,
     /// Bytes under which an answer is never too long to be held.
     pub short_answer: usize,
     /// Bytes of buffer that a connection with nothing in it keeps.
@@ -38,13 +43,28 @@
     pub read: usize,
     /// Until a connection to a server must be up.
     pub connect: Span,
-    /// After which an idle connection to a server is closed: before the server does.
+    /// After which an idle connection to a server is closed: before the server does. And how long one should have
+    /// been idle before it is used again: a server's stray bytes have come by then.
     pub link_idle: Span,
-    /// After which a client's connection is closed: with nothing asked, with half a command sent, and with
-    /// an answer that it does not take.
+    pub link_rest: Span,
+    /// From an answer's first byte to its last.
+    pub answer_whole: Span,
+    /// After which a client's connection is closed: with no API call open, with none ever made, with half a
+    /// command sent, and with an answer that it does not take.
     pub client_idle: Span,
+    pub client_silent: Span,
     pub half_command: Span,
     pub untaken_answer: Span,
+    /// From when on an idle client is the first to make room: one that has made API calls, and one that has not.
+    pub client_spare: Span,
+    pub client_new: Span,
+    /// Commands of one client taken up before the others have their turn; and commands that can't be done after
+    /// which it is closed.
+    pub commands_a_turn: usize,
+    pub faults_per_client: usize,
+    /// How long, and how many bytes, are read from a client that was told what is wrong, before it is closed.
+    pub drain: Span,
+    pub drain_bytes: usize,
     /// Longest wait that a client may name.
     pub client_wait: Span,
     /// Until what lies unread at a client that is to be closed must be at hand.
@@ -124,21 +144,33 @@
             word: 1024,
             words: 16,
             reply_line: 1024,
+            reply_word: 32,
             reply_items: 64,
             reply_depth: 3,
             http_fields: 64,
+            http_interim: 8,
             http_head: 16 * 1024,
             list_line: 1024 * 1024,
             servers: 16 * 1024,
             held: (memory / 4.0) as usize,
+            buffered: (memory / 8.0) as usize,
             short_answer: 64,
             buffer_kept: 4 * 1024,
             read: 16 * 1024,
             connect: settings.span("caps.connect_timeout", Span::ms(250)).max(Span::ms(1)),
             link_idle: keepalive.times(0.8),
-            client_idle: Span::ms(300_000),
-            half_command: Span::ms(10_000),
+            link_rest: Span::ms(2),
+            answer_whole: settings.span("caps.connect_timeout", Span::ms(250)).max(Span::ms(50)),
+            client_idle: Span::ms(5_000),
+            client_silent: Span::ms(2_500),
+            half_command: Span::ms(2_500),
             untaken_answer: Span::ms(5_000),
+            client_spare: Span::ms(2_000),
+            client_new: Span::ms(250),
+            commands_a_turn: 16,
+            faults_per_client: 16,
+            drain: Span::ms(1_000),
+            drain_bytes: 64 * 1024 * 1024,
             client_wait: Span::ms(3_600_000),
             last_read: Span::ms(100),
             way: Span::ms(3),
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -24,6 +24,9 @@
     /// A command until it is written, then its reply.
     buffer: RefCell<Buffer>,
     writing: Cell<bool>,
+    /// It carries a shot whose answer is still to come, or has begun to.
+    asked: Cell<bool>,
+    begun: Cell<bool>,
     closed: Cell<bool>,
     wake: Notify,
 }
@@ -37,6 +40,8 @@
             stream: OnceCell::new(),
             buffer: RefCell::default(),
             writing: Cell::new(false),
+            asked: Cell::new(false),
+            begun: Cell::new(false),
             closed: Cell::new(false),
             wake: Notify::new(),
         })
@@ -60,6 +65,8 @@
                 true => buffer.put(&crate::origin::request(words, self.to)),
                 false => buffer.put(&crate::caches::command(words, wait)),
             }
+            self.asked.set(true);
+            self.begun.set(false);
         }
         let done = self.flush().ok()?;
         if !done {
@@ -100,6 +107,7 @@
             false => crate::caches::answer(buffer.filled(), limits),
         };
         if let Parsed::Whole(_, used) = &parsed {
+            self.asked.set(false);
             buffer.consume(*used);
             buffer.shrink(limits.buffer_kept);
         }
@@ -172,16 +180,24 @@
 fn read_on(hub: &Rc<Hub>, link: &Link, stream: &TcpStream) -> bool {
     let read = link.read(stream, &hub.limits);
     let ended = !matches!(read, Ok(true));
+    // Guards against what comes unasked being taken for the answer to the next shot.
+    if !link.asked.get() && !link.buffer.borrow().is_empty() {
+        return false;
+    }
     match link.parsed(matches!(read, Ok(false)), &hub.limits) {
         Parsed::Whole(mut answer, _) => {
             // Guards against a next shot on a link that the server has closed behind its answer.
             answer.reusable &= !ended;
             hub.tell(|reducer, now| reducer.answered(now, link.id, answer));
         }
-        Parsed::Part => {}
+        Parsed::Part => {
+            if !link.buffer.borrow().is_empty() && !link.begun.replace(true) {
+                hub.tell(|reducer, now| reducer.began(now, link.id));
+            }
+        }
         Parsed::Broken => {
-            crate::log!("a server's answer could not be read");
-            return false;
+            crate::log!("an answer of {} can't be read", link.to);
+            hub.tell(|reducer, now| reducer.spoilt(now, link.id));
         }
     }
     !ended
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -1,12 +1,14 @@
 //! The one place where state changes. It owns the module and the tables of clients, API calls, shots and
 //! links (connections to servers); sockets report to it by its methods, and it asks for reading and writing
 //! by effects. It has no socket and no clock.
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use quartzhub_names::{place, Calls, Line, Places, Servers};
-use quartzhub_policy::{Answers, Ask, Balancer, CallIx, Ending, Outcome, ServerIx, Span, State, Time};
+use quartzhub_policy::{
+    Answers, Ask, Balancer, CallIx, Effect as Effects, Ending, Outcome, Product, ServerIx, Span, State, Time,
+};
 use rustc_hash::FxHashMap;
 
 use crate::caches::Answer;
@@ -93,7 +95,9 @@
 pub struct Facts<'a> {
     pub product: Option<&'a str>,
     pub tenant: Option<&'a str>,
-    pub wait: Option<Span>,
+    pub wait: Span,
+    /// It has the mark by which a repeated write is known.
+    pub mark: bool,
     pub repeat: bool,
 }
 
@@ -126,6 +130,9 @@
     held: usize,
     closing: bool,
     last: Time,
+    /// It has made an API call; and commands that could not be done.
+    asked: bool,
+    faults: usize,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -137,6 +144,8 @@
         shot: usize,
         written: bool,
         fresh: bool,
+        /// The first bytes of its answer have come.
+        begun: bool,
     },
     Idle,
 }
@@ -171,6 +180,8 @@
     limits: Limits,
     servers: Vec<Server>,
     calls: Calls<Call>,
+    /// API calls without a final answer, by their ids.
+    ids: HashMap<String, CallIx>,
     clients: FxHashMap<ClientId, Client>,
     links: FxHashMap<LinkId, Link>,
     due: BTreeSet<(Time, Due)>,
@@ -189,9 +200,8 @@
     balancer: Balancer,
     world: World,
     places: Places,
-    /// How long clients wait, by product, where they do not say.
-    waits: Vec<Span>,
-    ids: Servers,
+    products: Vec<Product>,
+    servers: Servers,
     origin_kind: usize,
 }
 
@@ -205,8 +215,8 @@
             balancer: Balancer::new(&config.settings, config.seed),
             origin_kind: if told >= 0.0 { told as usize } else { named },
             places,
-            waits: config.settings.products().iter().map(|product| product.timeout).collect(),
-            ids: Servers::default(),
+            products: config.settings.products(),
+            servers: Servers::default(),
             world: World {
                 now: Time(0),
                 limits: config.limits.clone(),
@@ -214,6 +224,7 @@
                 calls: Calls::default(),
                 clients: FxHashMap::default(),
                 links: FxHashMap::default(),
+                ids: HashMap::new(),
                 due: BTreeSet::new(),
                 ended: VecDeque::new(),
                 effects: VecDeque::new(),
@@ -260,6 +271,16 @@
     pub fn client_came(&mut self, now: Time) -> ClientId {
         self.at(now);
         let id = ClientId(self.world.id());
+    /// Whether this client has made an API call.
+    pub fn has_asked(&self, client: ClientId) -> bool {
+        self.world.clients.get(&client).is_some_and(|client| client.asked)
+    }
+
+    /// How many commands of this client could not be done.
+    pub fn faults(&self, client: ClientId) -> usize {
+        self.world.clients.get(&client).map_or(0, |client| client.faults)
+    }
+
         self.world.clients.insert(id, Client { last: now, ..Client::default() });
         id
     }
@@ -275,6 +296,7 @@
                 self.balancer.withdrawn(now, ix, &mut self.world);
             }
         }
+                self.world.ids.remove(&call.words.id);
         self.settle();
     }
 
@@ -288,7 +310,11 @@
             return Room::Free;
         }
         let link_helps = world.clients.len() < most;
-        if link_helps && self.world.close_idlest_link() || self.world.close_idlest_client() {
+        let world = &mut self.world;
+        if world.close_spare_client()
+            || link_helps && world.close_idlest_link()
+            || world.close_idlest_client()
+        {
             Room::Soon
         } else {
             Room::None
@@ -315,6 +341,14 @@
     /// Nothing more is read from this client; it is closed once it has its answers.
     pub fn last_answer(&mut self, now: Time, id: ClientId, answer: Vec<u8>) {
         self.plain(now, id, answer);
+    /// A command that can't be done; it gets an error and reaches no server.
+    pub fn faulty(&mut self, now: Time, id: ClientId, what: &str) {
+        if let Some(client) = self.world.clients.get_mut(&id) {
+            client.faults += 1;
+        }
+        self.plain(now, id, format!("-ERR {what}\r\n").into_bytes());
+    }
+
         if let Some(client) = self.world.clients.get_mut(&id) {
             client.closing = true;
             if client.turns.is_empty() {
@@ -329,17 +363,28 @@
         let Some(turn) = self.world.turn(id) else { return };
         // Guards against running out of memory: what is over the limits is turned away before it is taken.
         let size = words.value.as_ref().map_or(0, Vec::len);
+        // Guards against what no server can use, or would take for another API call.
+        let product = place(&self.places.products, facts.product);
+        let what = match self.products.get(product) {
+            None => Some("no such product"),
+            Some(product) if product.effect == Effects::Deduplicated && !facts.mark => {
+                Some("this product needs a mark for repeated writes")
+            }
+            _ if self.world.ids.contains_key(&words.id) => Some("an API call with this id is open"),
+            _ => None,
+        };
+        if let Some(what) = what {
+            return self.faulty(now, id, what);
+        }
         let (calls, limits) = (self.world.calls.len(), &self.world.limits);
         if calls >= limits.calls || self.world.held + size > limits.held {
             return self.world.answer(id, turn, Said::RateLimited(None));
         }
         self.world.held += size;
-        let product = place(&self.places.products, facts.product);
-        let wait = facts.wait.or(self.waits.get(product).copied()).unwrap_or(Span::ms(1000));
-        let left = Span((wait.0 - self.world.limits.way.0 - self.world.waited().0).max(0));
+        let left = Span((facts.wait.0 - self.world.limits.way.0 - self.world.waited().0).max(0));
         let until = now + left;
         let tenant = place(&self.places.tenants, facts.tenant);
-        let (key, write) = (words.key.clone(), words.value.is_some());
+        let (key, write, name) = (words.key.clone(), words.value.is_some(), words.id.clone());
         let call =
             Call { words: Rc::new(words), client: id, turn, until, answered: false, shots: Vec::new() };
         let ix = self.world.calls.put(call);
@@ -347,8 +392,10 @@
         if let Some(client) = self.world.clients.get_mut(&id) {
             client.open.push(ix);
         }
+        self.world.ids.insert(name, ix);
         let ask = Ask { product, tenant, key: Some(&key), write, repeat: facts.repeat, left };
         self.balancer.call(now, ix, ask, &mut self.world);
+            client.asked = true;
         self.settle();
     }
 
@@ -405,7 +452,8 @@
         let Some(link) = self.world.links.get(&id) else { return };
         let Use::Carrying { call, shot, written, .. } = link.used else {
             // Nothing was asked: whatever this is, the link can't be trusted.
-            return self.broke(now, id);
+            self.world.close_link(id);
+            return self.settle();
         };
         if answer.reusable && written {
             self.world.rest(id);
@@ -423,6 +471,24 @@
     /// News of discovery, or the list known from before (`fresh`: not).
     pub fn list(
         &mut self,
+    /// The first bytes of an answer have come. Guards against one that is said to be longer than it is: the rest
+    /// never comes, and the shot would stay out until its call's time is up.
+    pub fn began(&mut self, now: Time, id: LinkId) {
+        self.at(now);
+        let whole = now + self.world.limits.answer_whole;
+        if let Some(due) = self.world.links.get(&id).map(|link| link.due.min(whole)) {
+            if let Some(Link { used: Use::Carrying { begun, .. }, .. }) = self.world.links.get_mut(&id) {
+                *begun = true;
+                self.world.set_due(id, due);
+            }
+        }
+    }
+
+    /// What a server answered can't be read. The shot may have run, and the link is of no further use.
+    pub fn spoilt(&mut self, now: Time, id: LinkId) {
+        self.answered(now, id, Answer { outcome: Outcome::Broken, value: None, reusable: false });
+    }
+
         now: Time,
         news: &News,
         fresh: bool,
@@ -435,12 +501,16 @@
         }
         let mut lines = Vec::with_capacity(news.servers.len());
         for entry in &news.servers {
-            // Guards against a discovery that names new servers for ever: each is kept for good.
-            if self.ids.len() >= self.world.limits.servers && !self.ids.knows(&entry.id) {
-                crate::log!("discovery: more than {} servers, {:?} is passed over", self.ids.len(), entry.id);
+            // Guards against a discovery that names new servers without end.
+            if self.servers.len() >= self.world.limits.servers && !self.servers.knows(&entry.id) {
+                crate::log!(
+                    "discovery: more than {} servers, {:?} is passed over",
+                    self.servers.len(),
+                    entry.id
+                );
                 continue;
             }
-            let ix = self.ids.index(&entry.id);
+            let ix = self.servers.index(&entry.id);
             let state = match entry.state.as_deref() {
                 Some("in_service") => State::Ready,
                 Some("terminated") => State::Gone,
@@ -617,6 +687,7 @@
 
     fn set_due(&mut self, id: LinkId, at: Time) {
         if let Some(link) = self.links.get_mut(&id) {
+        self.ids.remove(&call.words.id);
             self.due.remove(&(link.due, Due::Link(id)));
             link.due = at;
             self.due.insert((at, Due::Link(id)));
@@ -677,14 +748,30 @@
         idlest.and_then(|id| self.close_link(id)).is_some()
     }
 
-    /// Gives a shot the newest idle link to its server, or a new one.
+    /// Gives a shot the newest idle link to its server that has rested, else the oldest, else a new one. Guards
+    /// against stray bytes behind an answer that are still on their way when the next shot is written.
     fn launch(&mut self, call: CallIx, shot: usize, server: ServerIx) {
-        match self.servers[server.0].idle.pop() {
-            Some(id) => self.carry(id, call, shot, false),
-            None => self.open(call, shot),
+        let rested = self.now + self.limits.link_idle - self.limits.link_rest;
+        let idle = &self.servers[server.0].idle;
+        let fits = |id: &LinkId| self.links.get(id).is_some_and(|link| link.due <= rested);
+        if idle.is_empty() {
+            return self.open(call, shot);
         }
     }
 
+    /// Closes a client that is idle and need not be kept, if there is one: one without an API call before others.
+    /// Guards against silent clients that take the places of those that are at work.
+    fn close_spare_client(&mut self) -> bool {
+        let (now, limits) = (self.now, &self.limits);
+        let spare = |client: &Client| {
+            let after = if client.asked { limits.client_spare } else { limits.client_new };
+            client.turns.is_empty() && !client.closing && now - client.last >= after
+        };
+        let spares = self.clients.iter().filter(|(_, client)| spare(client));
+        let best = spares.min_by_key(|(id, client)| (client.asked, client.last, **id)).map(|(id, _)| *id);
+        best.map(|id| self.close_client(id)).is_some()
+    }
+
     fn open(&mut self, ix: CallIx, shot: usize) {
         let Some(record) = self.calls.get(ix).and_then(|call| call.shots.get(shot)) else { return };
         let (server, until) = (record.server, record.until);
@@ -694,7 +781,10 @@
         // Guards against running out of descriptors: the connection idle longest makes room; if there is
         // none, the shot is not made, and no server is blamed.
         let crowded = self.sockets() + self.limits.for_clients >= self.limits.sockets;
-        if crowded && !self.close_idlest_link() && !self.close_idlest_client() {
+        let room = |world: &mut World| {
+            world.close_spare_client() || world.close_idlest_link() || world.close_idlest_client()
+        };
+        if crowded && !room(self) {
             return self.end_shot(ix, shot, Outcome::TooLate);
         }
         let link = LinkId(self.id());
@@ -705,6 +795,9 @@
             record.link = Some(link);
         }
         self.effects.push_back(Effect::Connect { link, to, origin: self.servers[server.0].origin });
+        let place = idle.iter().rposition(fits).unwrap_or(0);
+        let id = self.servers[server.0].idle.remove(place);
+        self.carry(id, call, shot, false);
     }
 
     /// Writes a shot on a link that is up: only here do bytes go to a server. A connect may have taken its
@@ -720,7 +813,7 @@
         };
         let (until, words) = (record.until, call.words.clone());
         if let Some(link) = self.links.get_mut(&id) {
-            link.used = Use::Carrying { call: ix, shot, written: false, fresh };
+            link.used = Use::Carrying { call: ix, shot, written: false, fresh, begun: false };
         }
         if let Some(record) = self.calls.get_mut(ix).and_then(|call| call.shots.get_mut(shot)) {
             record.link = Some(id);
@@ -760,6 +853,7 @@
         let Some(link) = self.close_link(id) else { return };
         let written = matches!(link.used, Use::Carrying { written: true, .. });
         self.end_shot(call, shot, if written { Outcome::Cancelled } else { Outcome::TooLate });
+            Use::Carrying { call, shot, begun: true, .. } => self.end_shot(call, shot, Outcome::Broken),
     }
 
     fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>) {
--- a/crates/node/src/resp.rs
+++ b/crates/node/src/resp.rs
@@ -8,6 +8,9 @@
 
 use crate::limits::Limits;
 
+/// More than a sign and the digits of any number that fits.
+const MOST_DIGITS: usize = 24;
+
 type Input<'a> = Partial<&'a [u8]>;
 
 /// What a parser makes of the bytes at hand: a whole message and its length, part of one, or none.
@@ -44,6 +47,10 @@
 }
 
 fn number(input: &mut Input) -> ModalResult<i64> {
+    // Guards against waiting for the end of digits without end.
+    if input.iter().take(MOST_DIGITS).filter(|b| **b != b'\r').count() == MOST_DIGITS {
+        return fail.parse_next(input);
+    }
     terminated(dec_int::<_, i64, _>, b"\r\n").parse_next(input)
 }
 
@@ -75,6 +82,11 @@
     })
 }
 
+/// The head of an array: how many items follow.
+pub fn array(bytes: &[u8]) -> Parsed<i64> {
+    parsed(bytes, |input: &mut Input| preceded(b'*', number).parse_next(input))
+}
+
 pub fn reply<'a>(bytes: &'a [u8], limits: &Limits) -> Parsed<Reply<'a>> {
     parsed(bytes, |input: &mut Input<'a>| item(input, limits, limits.reply_depth))
 }
@@ -154,6 +166,7 @@
             b"*1\r\n$2\r\nabc\r\n",
             b"*17\r\n",
             b"\0\xff",
+            b"*000000000000000000000000",
         ] {
             assert_eq!(command(bytes, &few()), Parsed::Broken, "{bytes:?}");
         }
--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -2,13 +2,14 @@
 use expect_test::expect;
 use quartzhub_node::caches::Answer;
 use quartzhub_node::config::{Config, Environment, News};
-use quartzhub_node::reducer::{ClientId, Effect, Facts, LinkId, Reducer, Said, Words};
+use quartzhub_node::reducer::{ClientId, Effect, Facts, LinkId, Reducer, Room, Said, Words};
 use quartzhub_policy::{Outcome, Span, Time};
 
 const SETTINGS: &str = r#"{"Kinds":["box","origin"],"Extra":{"Mode":"aside","OriginKind":1},
     "Caps":{"MostShots":3,"MayDuplicate":true,"Cancelling":true,"ConnectTimeout":100,"Keepalive":1000},
     "Products":[{"Name":"view","Effect":"idempotent","LatencySlo":100,"ClientTimeout":500},
-                {"Name":"book","Effect":"at_most_once","LatencySlo":100,"ClientTimeout":500}]}"#;
+                {"Name":"book","Effect":"at_most_once","LatencySlo":100,"ClientTimeout":500},
+                {"Name":"put","Effect":"deduplicated","LatencySlo":100,"ClientTimeout":500}]}"#;
 
 struct Rig {
     reducer: Reducer,
@@ -63,7 +64,7 @@
 
     fn ask(&mut self, client: ClientId, product: &str, id: &str, wait: i64) {
         let words = Words { key: "k".into(), id: id.into(), facts: format!("c={product}"), value: None };
-        let facts = Facts { product: Some(product), wait: Some(Span::ms(wait)), ..Facts::default() };
+        let facts = Facts { product: Some(product), wait: Span::ms(wait), ..Facts::default() };
         let now = self.at();
         self.reducer.call(now, client, words, facts);
     }
@@ -380,3 +381,162 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+#[test]
+fn a_spoilt_answer_ends_its_link_and_may_have_run() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    rig.call(client, "book", "c1", 400);
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("spoilt", |r, now| r.spoilt(now, LinkId(2)));
+    rig.call(client, "view", "c2", 400);
+    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.tell("spoilt", |r, now| r.spoilt(now, LinkId(3)));
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 up 2
+        0   write 2: c1, wait 397
+        0 spoilt
+        0   close link 2
+        0   answer 1: Errored("failed")
+        0 call c2
+        0   connect 3 to 1
+        0 up 3
+        0   write 3: c2, wait 397
+        0 spoilt
+        0   close link 3
+        0   connect 4 to 9
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn an_answer_that_begins_and_does_not_end_is_given_up_early() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    rig.call(client, "book", "c1", 400);
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("began", |r, now| r.began(now, LinkId(2)));
+    rig.pass(200);
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 up 2
+        0   write 2: c1, wait 397
+        0 began
+        100   close link 2
+        100   answer 1: Errored("failed")
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn a_link_on_which_something_comes_unasked_is_closed() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    rig.call(client, "view", "c1", 400);
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("hit", |r, now| r.answered(now, LinkId(2), value("v")));
+    rig.tell("again", |r, now| r.answered(now, LinkId(2), value("v")));
+    rig.call(client, "view", "c2", 400);
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 up 2
+        0   write 2: c1, wait 397
+        0 hit
+        0   answer 1: v
+        0 again
+        0   close link 2
+        0 call c2
+        0   connect 3 to 1
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn the_link_that_has_rested_is_used_before_the_one_just_answered_on() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    rig.call(client, "view", "c1", 400);
+    rig.call(client, "view", "c2", 400);
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.tell("hit", |r, now| r.answered(now, LinkId(3), value("w")));
+    rig.pass(10);
+    rig.tell("hit", |r, now| r.answered(now, LinkId(2), value("v")));
+    rig.call(client, "view", "c3", 400);
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 call c2
+        0   connect 3 to 1
+        0 up 2
+        0   write 2: c1, wait 397
+        0 up 3
+        0   write 3: c2, wait 397
+        0 hit
+        10 hit
+        10   answer 1: v
+        10   answer 1: w
+        10 call c3
+        10   write 3: c3, wait 397
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn what_no_server_could_use_gets_an_error_and_reaches_none() {
+    let mut rig = Rig::new("{}");
+    let (client, other) = (rig.client(), rig.client());
+    rig.call(client, "view", "c1", 400);
+    rig.call(other, "view", "c1", 400);
+    rig.call(other, "none", "c2", 400);
+    rig.call(other, "put", "c3", 400);
+    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.tell("hit", |r, now| r.answered(now, LinkId(3), value("v")));
+    rig.call(other, "view", "c1", 400);
+    expect![[r#"
+        0 call c1
+        0   connect 3 to 1
+        0 call c1
+        0   answer 2: plain
+        0 call c2
+        0   answer 2: plain
+        0 call c3
+        0   answer 2: plain
+        0 up 3
+        0   write 3: c1, wait 397
+        0 hit
+        0   answer 1: v
+        0 call c1
+        0   write 3: c1, wait 397
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn a_silent_client_makes_room_before_one_that_has_asked() {
+    let mut rig = Rig::new(r#"{"sockets":34}"#);
+    let asked = rig.client();
+    rig.call(asked, "view", "c1", 400);
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("hit", |r, now| r.answered(now, LinkId(2), value("v")));
+    rig.pass(300);
+    let silent: Vec<_> = (0..7).map(|_| rig.client()).collect();
+    rig.pass(300);
+    rig.tell("one more", |r, now| assert_eq!(r.make_room(now), Room::Soon));
+    assert_eq!(silent[0], ClientId(3));
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 up 2
+        0   write 2: c1, wait 397
+        0 hit
+        0   answer 1: v
+        600 one more
+        600   close client 3
+    "#]]
+    .assert_eq(&rig.trace);
+}
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -345,6 +345,44 @@
     }
 }
 
+#[test]
+fn a_client_that_says_nothing_or_half_a_command_is_let_go() {
+    let node = Node::start(&[], "");
+    let (mut silent, mut half) = (node.client(), node.client());
+    half.send(b"*4\r\n$7\r\nOBJ.");
+    assert_eq!(silent.answer(), "closed");
+    assert_eq!(half.answer(), "-ERR Protocol error: the command did not come whole");
+    assert_eq!(half.answer(), "closed");
+}
+
+#[test]
+fn a_client_that_is_still_sending_reads_why_it_is_turned_away() {
+    let node = Node::start(&[], "");
+    let mut client = node.client();
+    client.send(b"*5\r\n$7\r\nOBJ.SET\r\n$1\r\nk\r\n$2\r\nid\r\n$10\r\nc=book,d=9\r\n$60000000\r\n");
+    assert_eq!(client.answer(), "-ERR Protocol error: commands are arrays of bulk strings");
+    // With nobody to read it, the second piece would find the connection reset.
+    (0..16).for_each(|_| client.send(&[b'x'; 64 * 1024]));
+    assert_eq!(client.answer(), "closed");
+}
+
+#[test]
+fn a_flood_of_commands_that_can_not_be_done_ends_in_a_close_and_others_are_served_on() {
+    let (tell, _seen) = channel();
+    let cache = server("a", tell, |_| hit("v"));
+    let node = Node::start(&[("a", cache)], "");
+    let (mut bad, mut good) = (node.client(), node.client());
+    let wrong =
+        [["k", "id", "c=none,d=9"], ["k", "id", "c=view,d=soon"], ["k", "", FACTS], ["k", "id", "c=view"]];
+    for words in wrong.iter().cycle().take(400) {
+        bad.send(&command(&["OBJ.GET", words[0], words[1], words[2]]));
+    }
+    assert_eq!(good.ask(&["OBJ.GET", "k", "id", FACTS]), "v");
+    let answers: Vec<_> =
+        std::iter::repeat_with(|| bad.answer()).take_while(|answer| answer != "closed").collect();
+    assert!(answers.iter().all(|answer| answer.starts_with("-ERR")) && answers.len() < 40, "{answers:?}");
+}
+
 #[test]
 fn a_non_idempotent_write_that_may_have_run_is_not_sent_again() {
     let cut = || Deed::Cut(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt".to_vec());
