Free and reuse servers' indices once nothing refers to them

Read: names, the reducer and the module kept a record for every server ever named, up to 16,384; beyond that a new one was passed over for good. An address could pass to a new id while the old id's idle links stood.

A server that is listed at another's address ends that one's links.

Tests: servers_are_taken_up_for_ever_as_others_go (fails without at the 16,385th), a_gone_server_is_dropped_..., a trace with its index as new, a_server_at_the_address_of_one_that_has_gone_gets_new_links.

--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -77,6 +77,9 @@
             self.names.indices.remove(&ticket);
         }
     }
+    fn drop_server(&mut self, server: ServerIx) {
+        self.names.servers.free(server);
+    }
     fn wake(&mut self, after: Span) {
         Action::new(self.out, "SetAlarm").number("FromNow", after.as_ms()).text("Label", "tick").end();
     }
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -1,5 +1,7 @@
 //! The door between the world's names and the module's: settings become a plain map in our words, ids become
 //! small indices. Every program that drives the module uses it; takes no decision.
+use std::collections::BTreeSet;
+
 use quartzhub_policy::{CallIx, Listing, ServerIx, Settings, State, Time, Value};
 use rustc_hash::FxHashMap;
 
@@ -81,6 +83,7 @@
 }
 
 /// A line of a server list in the world's names.
+#[derive(Default)]
 pub struct Line<'a> {
     pub name: &'a str,
     pub zone: Option<&'a str>,
@@ -91,11 +94,11 @@
     pub started: Option<Time>,
 }
 
-/// Servers' ids and their indices, which are kept for the life of the instance.
+/// Servers' ids and their indices, each free again once it is taken back.
 #[derive(Debug, Default)]
 pub struct Servers {
     indices: FxHashMap<String, ServerIx>,
-    ids: Vec<String>,
+    ids: Slots<String>,
 }
 
 impl Servers {
@@ -103,66 +106,116 @@
         if let Some(ix) = self.indices.get(id) {
             return *ix;
         }
-        let ix = ServerIx(self.ids.len());
-        self.ids.push(id.to_owned());
+        let ix = ServerIx(self.ids.put(id.to_owned()));
         self.indices.insert(id.to_owned(), ix);
         ix
     }
 
+    /// The next new id may get this index.
+    pub fn free(&mut self, ix: ServerIx) {
+        if let Some(id) = self.ids.take(ix.0) {
+            self.indices.remove(&id);
+        }
+    }
+
     pub fn knows(&self, id: &str) -> bool {
         self.indices.contains_key(id)
     }
 
     pub fn len(&self) -> usize {
-        self.ids.len()
+        self.indices.len()
     }
 
     pub fn is_empty(&self) -> bool {
-        self.ids.is_empty()
+        self.indices.is_empty()
     }
 
     pub fn id(&self, ix: ServerIx) -> &str {
-        self.ids.get(ix.0).map_or("", String::as_str)
+        self.ids.records.get(ix.0).and_then(Option::as_deref).unwrap_or("")
     }
 }
 
-/// What is kept of each open API call, under an index that is free again once it is taken out.
+/// Records under small indices. The lowest free one is given out first, so that the table shrinks again.
 #[derive(Debug)]
-pub struct Calls<T> {
+struct Slots<T> {
     records: Vec<Option<T>>,
-    free: Vec<CallIx>,
+    free: BTreeSet<usize>,
+}
+
+impl<T> Default for Slots<T> {
+    fn default() -> Slots<T> {
+        Slots { records: Vec::new(), free: BTreeSet::new() }
+    }
+}
+
+impl<T> Slots<T> {
+    fn put(&mut self, record: T) -> usize {
+        let ix = self.free.pop_first().unwrap_or(self.records.len());
+        if ix == self.records.len() {
+            self.records.push(None);
+        }
+        self.records[ix] = Some(record);
+        ix
+    }
+
+    fn take(&mut self, ix: usize) -> Option<T> {
+        let record = self.records.get_mut(ix)?.take()?;
+        self.free.insert(ix);
+        while self.records.last().is_some_and(Option::is_none) {
+            self.records.pop();
+            self.free.remove(&self.records.len());
+        }
+        if self.records.len() < self.records.capacity() / 4 {
+            self.records.shrink_to(2 * self.records.len());
+        }
+        Some(record)
+    }
 }
 
+/// What is kept of each open API call, under an index that is free again once it is taken out.
+#[derive(Debug)]
+pub struct Calls<T>(Slots<T>);
+
 impl<T> Default for Calls<T> {
     fn default() -> Calls<T> {
-        Calls { records: Vec::new(), free: Vec::new() }
+        Calls(Slots::default())
     }
 }
 
 impl<T> Calls<T> {
     pub fn put(&mut self, record: T) -> CallIx {
-        let ix = self.free.pop().unwrap_or_else(|| {
-            self.records.push(None);
-            CallIx(self.records.len() - 1)
-        });
-        self.records[ix.0] = Some(record);
-        ix
+        CallIx(self.0.put(record))
     }
     pub fn take(&mut self, ix: CallIx) -> Option<T> {
-        let record = self.records.get_mut(ix.0)?.take()?;
-        self.free.push(ix);
-        Some(record)
+        self.0.take(ix.0)
     }
     pub fn get(&self, ix: CallIx) -> Option<&T> {
-        self.records.get(ix.0)?.as_ref()
+        self.0.records.get(ix.0)?.as_ref()
     }
     pub fn get_mut(&mut self, ix: CallIx) -> Option<&mut T> {
-        self.records.get_mut(ix.0)?.as_mut()
+        self.0.records.get_mut(ix.0)?.as_mut()
     }
     pub fn len(&self) -> usize {
-        self.records.len() - self.free.len()
+        self.0.records.len() - self.0.free.len()
     }
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn indices_are_given_out_again_and_the_table_shrinks() {
+        let mut servers = Servers::default();
+        let many: Vec<_> = (0..1000).map(|i| servers.index(&format!("s{i}"))).collect();
+        many.iter().for_each(|ix| servers.free(*ix));
+        assert_eq!((servers.len(), servers.ids.records.len(), servers.ids.free.len()), (0, 0, 0));
+        assert!(servers.ids.records.capacity() < 100, "{}", servers.ids.records.capacity());
+        let [a, b] = ["a", "b"].map(|id| servers.index(id));
+        servers.free(a);
+        assert_eq!((servers.knows("a"), servers.index("b"), servers.index("c")), (false, b, a));
+    }
+}
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -188,6 +188,8 @@
     /// Shots that ended and that the module has not been told of.
     ended: VecDeque<(CallIx, usize, Outcome)>,
     effects: VecDeque<Effect>,
+    /// Servers that have gone for good and whose ids are to be forgotten.
+    dropped: Vec<ServerIx>,
     last_id: u64,
     held: usize,
     stopping: bool,
@@ -222,12 +224,13 @@
                 limits: config.limits.clone(),
                 servers: Vec::new(),
                 calls: Calls::default(),
+                ids: HashMap::new(),
                 clients: FxHashMap::default(),
                 links: FxHashMap::default(),
-                ids: HashMap::new(),
                 due: BTreeSet::new(),
                 ended: VecDeque::new(),
                 effects: VecDeque::new(),
+                dropped: Vec::new(),
                 last_id: 0,
                 held: 0,
                 stopping: false,
@@ -268,9 +271,6 @@
         self.world.clients.get(&client).map_or(0, |client| client.turns.len())
     }
 
-    pub fn client_came(&mut self, now: Time) -> ClientId {
-        self.at(now);
-        let id = ClientId(self.world.id());
     /// Whether this client has made an API call.
     pub fn has_asked(&self, client: ClientId) -> bool {
         self.world.clients.get(&client).is_some_and(|client| client.asked)
@@ -281,6 +281,9 @@
         self.world.clients.get(&client).map_or(0, |client| client.faults)
     }
 
+    pub fn client_came(&mut self, now: Time) -> ClientId {
+        self.at(now);
+        let id = ClientId(self.world.id());
         self.world.clients.insert(id, Client { last: now, ..Client::default() });
         id
     }
@@ -293,10 +296,10 @@
         for ix in client.open {
             if let Some(call) = self.world.calls.get_mut(ix) {
                 call.answered = true;
+                self.world.ids.remove(&call.words.id);
                 self.balancer.withdrawn(now, ix, &mut self.world);
             }
         }
-                self.world.ids.remove(&call.words.id);
         self.settle();
     }
 
@@ -338,9 +341,6 @@
         }
     }
 
-    /// Nothing more is read from this client; it is closed once it has its answers.
-    pub fn last_answer(&mut self, now: Time, id: ClientId, answer: Vec<u8>) {
-        self.plain(now, id, answer);
     /// A command that can't be done; it gets an error and reaches no server.
     pub fn faulty(&mut self, now: Time, id: ClientId, what: &str) {
         if let Some(client) = self.world.clients.get_mut(&id) {
@@ -349,6 +349,9 @@
         self.plain(now, id, format!("-ERR {what}\r\n").into_bytes());
     }
 
+    /// Nothing more is read from this client; it is closed once it has its answers.
+    pub fn last_answer(&mut self, now: Time, id: ClientId, answer: Vec<u8>) {
+        self.plain(now, id, answer);
         if let Some(client) = self.world.clients.get_mut(&id) {
             client.closing = true;
             if client.turns.is_empty() {
@@ -360,9 +363,6 @@
     /// An API call.
     pub fn call(&mut self, now: Time, id: ClientId, words: Words, facts: Facts) {
         self.at(now);
-        let Some(turn) = self.world.turn(id) else { return };
-        // Guards against running out of memory: what is over the limits is turned away before it is taken.
-        let size = words.value.as_ref().map_or(0, Vec::len);
         // Guards against what no server can use, or would take for another API call.
         let product = place(&self.places.products, facts.product);
         let what = match self.products.get(product) {
@@ -376,6 +376,9 @@
         if let Some(what) = what {
             return self.faulty(now, id, what);
         }
+        let Some(turn) = self.world.turn(id) else { return };
+        // Guards against running out of memory: what is over the limits is turned away before it is taken.
+        let size = words.value.as_ref().map_or(0, Vec::len);
         let (calls, limits) = (self.world.calls.len(), &self.world.limits);
         if calls >= limits.calls || self.world.held + size > limits.held {
             return self.world.answer(id, turn, Said::RateLimited(None));
@@ -389,13 +392,13 @@
             Call { words: Rc::new(words), client: id, turn, until, answered: false, shots: Vec::new() };
         let ix = self.world.calls.put(call);
         self.world.due.insert((until + self.world.limits.overdue, Due::Call(ix)));
+        self.world.ids.insert(name, ix);
         if let Some(client) = self.world.clients.get_mut(&id) {
             client.open.push(ix);
+            client.asked = true;
         }
-        self.world.ids.insert(name, ix);
         let ask = Ask { product, tenant, key: Some(&key), write, repeat: facts.repeat, left };
         self.balancer.call(now, ix, ask, &mut self.world);
-            client.asked = true;
         self.settle();
     }
 
@@ -468,9 +471,6 @@
         self.settle();
     }
 
-    /// News of discovery, or the list known from before (`fresh`: not).
-    pub fn list(
-        &mut self,
     /// The first bytes of an answer have come. Guards against one that is said to be longer than it is: the rest
     /// never comes, and the shot would stay out until its call's time is up.
     pub fn began(&mut self, now: Time, id: LinkId) {
@@ -489,6 +489,9 @@
         self.answered(now, id, Answer { outcome: Outcome::Broken, value: None, reusable: false });
     }
 
+    /// News of discovery, or the list known from before (`fresh`: not).
+    pub fn list(
+        &mut self,
         now: Time,
         news: &News,
         fresh: bool,
@@ -542,6 +545,24 @@
             };
             lines.push(self.places.listing(ix, line));
         }
+        // Guards against writing to a new server what was meant for the one that had its address before, and
+        // has gone, although the list does not say so yet.
+        let fresh_at: FxHashMap<SocketAddr, ServerIx> = lines
+            .iter()
+            .filter(|line| line.state == State::Ready)
+            .filter_map(|line| Some((self.world.servers[line.server.0].addr?, line.server)))
+            .collect();
+        for (i, server) in self.world.servers.iter_mut().enumerate() {
+            let heir = server.addr.and_then(|addr| fresh_at.get(&addr));
+            if server.state != State::Gone && !server.origin && heir.is_some_and(|heir| heir.0 != i) {
+                let named = lines.iter().any(|line| line.server.0 == i);
+                if !named {
+                    server.state = State::Gone;
+                    let line = Line { name: self.servers.id(ServerIx(i)), ..Line::default() };
+                    lines.push(self.places.listing(ServerIx(i), line));
+                }
+            }
+        }
         for ix in (0..self.world.servers.len()).map(ServerIx) {
             if self.world.servers[ix.0].state != State::Ready {
                 self.world.close_idle(ix);
@@ -608,6 +629,7 @@
             let ending = Ending { shot, outcome, took, call_ended: call.answered };
             self.balancer.outcome(self.world.now, ix, ending, &mut self.world);
         }
+        self.world.dropped.drain(..).for_each(|ix| self.servers.free(ix));
     }
 }
 
@@ -665,6 +687,7 @@
     fn final_answer(&mut self, ix: CallIx, said: Said) {
         let Some(call) = self.calls.get_mut(ix).filter(|call| !call.answered) else { return };
         call.answered = true;
+        self.ids.remove(&call.words.id);
         let (client, turn) = (call.client, call.turn);
         if let Some(client) = self.clients.get_mut(&client) {
             client.open.retain(|open| *open != ix);
@@ -687,7 +710,6 @@
 
     fn set_due(&mut self, id: LinkId, at: Time) {
         if let Some(link) = self.links.get_mut(&id) {
-        self.ids.remove(&call.words.id);
             self.due.remove(&(link.due, Due::Link(id)));
             link.due = at;
             self.due.insert((at, Due::Link(id)));
@@ -734,6 +756,19 @@
         self.clients.len() + self.links.len()
     }
 
+    /// Closes a client that is idle and need not be kept, if there is one: one without an API call before others.
+    /// Guards against silent clients that take the places of those that are at work.
+    fn close_spare_client(&mut self) -> bool {
+        let (now, limits) = (self.now, &self.limits);
+        let spare = |client: &Client| {
+            let after = if client.asked { limits.client_spare } else { limits.client_new };
+            client.turns.is_empty() && !client.closing && now - client.last >= after
+        };
+        let spares = self.clients.iter().filter(|(_, client)| spare(client));
+        let best = spares.min_by_key(|(id, client)| (client.asked, client.last, **id)).map(|(id, _)| *id);
+        best.map(|id| self.close_client(id)).is_some()
+    }
+
     /// Closes the client that has been idle longest, if one is.
     fn close_idlest_client(&mut self) -> bool {
         let idle = self.clients.iter().filter(|(_, client)| client.turns.is_empty() && !client.closing);
@@ -757,19 +792,9 @@
         if idle.is_empty() {
             return self.open(call, shot);
         }
-    }
-
-    /// Closes a client that is idle and need not be kept, if there is one: one without an API call before others.
-    /// Guards against silent clients that take the places of those that are at work.
-    fn close_spare_client(&mut self) -> bool {
-        let (now, limits) = (self.now, &self.limits);
-        let spare = |client: &Client| {
-            let after = if client.asked { limits.client_spare } else { limits.client_new };
-            client.turns.is_empty() && !client.closing && now - client.last >= after
-        };
-        let spares = self.clients.iter().filter(|(_, client)| spare(client));
-        let best = spares.min_by_key(|(id, client)| (client.asked, client.last, **id)).map(|(id, _)| *id);
-        best.map(|id| self.close_client(id)).is_some()
+        let place = idle.iter().rposition(fits).unwrap_or(0);
+        let id = self.servers[server.0].idle.remove(place);
+        self.carry(id, call, shot, false);
     }
 
     fn open(&mut self, ix: CallIx, shot: usize) {
@@ -795,9 +820,6 @@
             record.link = Some(link);
         }
         self.effects.push_back(Effect::Connect { link, to, origin: self.servers[server.0].origin });
-        let place = idle.iter().rposition(fits).unwrap_or(0);
-        let id = self.servers[server.0].idle.remove(place);
-        self.carry(id, call, shot, false);
     }
 
     /// Writes a shot on a link that is up: only here do bytes go to a server. A connect may have taken its
@@ -831,12 +853,20 @@
         match link.used {
             Use::Idle => {}
             Use::Connecting(call, shot) => self.end_shot(call, shot, Outcome::Unreachable),
+            Use::Carrying { call, shot, begun: true, .. } => self.end_shot(call, shot, Outcome::Broken),
             Use::Carrying { call, shot, written: true, .. } => self.end_shot(call, shot, Outcome::TimedOut),
             Use::Carrying { call, shot, .. } => self.end_shot(call, shot, Outcome::Unreachable),
         }
     }
 }
 
+/// Gives back room that a table took in its worst minute.
+pub fn shrink<K: Eq + std::hash::Hash, T>(table: &mut FxHashMap<K, T>) {
+    if table.len() < table.capacity() / 8 {
+        table.shrink_to(2 * table.len());
+    }
+}
+
 /// What the module asks for.
 impl Answers for World {
     fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time) {
@@ -853,7 +883,6 @@
         let Some(link) = self.close_link(id) else { return };
         let written = matches!(link.used, Use::Carrying { written: true, .. });
         self.end_shot(call, shot, if written { Outcome::Cancelled } else { Outcome::TooLate });
-            Use::Carrying { call, shot, begun: true, .. } => self.end_shot(call, shot, Outcome::Broken),
     }
 
     fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>) {
@@ -874,6 +903,24 @@
         }
     }
 
+    /// Guards against a table that grows with every server there ever was, and against a link to one that has
+    /// gone being taken for one to the next under its index.
+    fn drop_server(&mut self, server: ServerIx) {
+        let to = self.links.iter().filter(|(_, link)| link.server == server);
+        let to: Vec<_> = to.map(|(id, _)| *id).collect();
+        for id in to {
+            self.close_link(id);
+        }
+        if let Some(record) = self.servers.get_mut(server.0) {
+            *record = Server::default();
+        }
+        let used = self.servers.iter().rposition(|server| server.addr.is_some());
+        self.servers.truncate(used.map_or(0, |last| last + 1));
+        shrink(&mut self.clients);
+        shrink(&mut self.links);
+        self.dropped.push(server);
+    }
+
     fn wake(&mut self, after: Span) {
         self.tick = self.now + after;
         self.due.insert((self.tick, Due::Tick));
--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -516,6 +516,58 @@
     .assert_eq(&rig.trace);
 }
 
+#[test]
+fn a_server_at_the_address_of_one_that_has_gone_gets_new_links() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    rig.call(client, "view", "c1", 400);
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("hit", |r, now| r.answered(now, LinkId(2), value("v")));
+    rig.trace += "b is at the address of a, which the list does not name\n";
+    rig.list(false, &[("b", 1, "in_service")]);
+    rig.call(client, "view", "c2", 400);
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 up 2
+        0   write 2: c1, wait 397
+        0 hit
+        0   answer 1: v
+        b is at the address of a, which the list does not name
+        0   close link 2
+        0 call c2
+        0   connect 3 to 1
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn servers_are_taken_up_for_ever_as_others_go() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    for round in 0..4 {
+        let names: Vec<_> = (0..6000).map(|i| format!("r{round}-{i}")).collect();
+        let mut servers: Vec<_> = names.iter().map(|id| (id.as_str(), 2, "terminating")).collect();
+        let last = format!("last {round}");
+        servers.push((&last, 100 + round, "in_service"));
+        rig.list(true, &servers);
+        for _ in 0..3 {
+            rig.now += 31_000;
+            let now = rig.at();
+            rig.reducer.due(now);
+        }
+        rig.list(true, &[(&last, 100 + round, "in_service")]);
+        rig.pass(100);
+        rig.trace.clear();
+        rig.call(client, "view", &format!("c{round}"), 400);
+        assert!(rig.trace.contains(&format!("to {}", 100 + round)), "{}", rig.trace);
+        rig.now += 31_000;
+        let now = rig.at();
+        rig.reducer.due(now);
+        rig.pass(100);
+    }
+}
+
 #[test]
 fn a_silent_client_makes_room_before_one_that_has_asked() {
     let mut rig = Rig::new(r#"{"sockets":34}"#);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -21,8 +21,7 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Multiple of this node's mean in-flight per cache above which a cache is skipped. The design's factor.
 const SKIP_FACTOR: f64 = 2.0;
-/// Factors on the part of the ready caches that a node holds points for, for a shot that got no connection
-/// and for one that was answered: at rest, one connection in some eighty is refused.
+/// Factors on the part of the ready caches held, for a shot that got no connection and for one answered.
 const REACH_CUT: f64 = 0.85;
 const REACH_GROWTH: f64 = 1.002;
 /// The golden section: steps of it stay evenly spread, however many.
@@ -67,18 +66,16 @@
 const ORIGIN_STRAINED: f64 = 2.0;
 /// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
 const ORIGIN_DRIFT: f64 = 1.002;
-/// Change of the limit an answer that takes no time, or twice the target: in places, and under half a place
-/// as a part of the limit, so that many nodes change their sum no faster than one would.
+/// Change of the limit for an answer in no time, or in twice the target: in places, or as a part of few.
 const ORIGIN_STEP: f64 = 0.25;
 const ORIGIN_PART: f64 = 0.5;
 /// Seconds in which a limit under one place doubles by itself: at hundreds of nodes answers are far between.
 const ORIGIN_DOUBLES: f64 = 4.0;
-/// Shots that a node with few places may save up: chance brings misses in twos and threes.
+/// Shots that a node with few places may save up: misses come in twos and threes.
 const ORIGIN_SAVED: f64 = 2.0;
 /// Part of the SLO that an API call may be kept waiting with nothing sent.
 const PATIENCE: f64 = 0.5;
-/// Seconds of quota that a tenant may save up: shorter than a burst, longer than the chance of one second;
-/// and the least it may save up, in calls, so that a small part of a quota is told from chance.
+/// Seconds of quota that a tenant may save up, under a burst; and at least, in calls, to tell it from chance.
 const QUOTA_SAVED: f64 = 2.0;
 const QUOTA_LEAST: f64 = 6.0;
 /// Multiple of all shares at this node that tenants may send in excess before it takes itself for the cause.
@@ -96,6 +93,8 @@
 const ASK_LONGEST: Span = Span::ms(5000);
 /// Part of the time after which an unheard node must have asked, at which it asks.
 const ASK_AT: f64 = 0.4;
+/// How long the record of a gone server is kept: longer than a restart takes, so that it finds its point again.
+const GONE_KEPT: Span = Span::ms(30_000);
 /// Time kept in hand before a deduplication window closes: one round and a network delay.
 const WINDOW_MARGIN: Span = Span::ms(20);
 
@@ -139,10 +138,9 @@
     /// late, which outcomes tell only when it is too late.
     fn admit(&self, beyond: f64, crowding: f64, chance: &mut Pcg) -> Step {
         let crowded = (crowding - CROWDED) / (1.0 - CROWDED);
-        if chance.unit() < crowded.max(self.level * beyond) {
-            Step::End
-        } else {
-            Step::Pass
+        match chance.unit() < crowded.max(self.level * beyond) {
+            true => Step::End,
+            false => Step::Pass,
         }
     }
 
@@ -179,9 +177,8 @@
         Line { zone: settings.own_zone(), anchor, reach: 1.0, ..Line::default() }
     }
 
-    /// Guards against the uneven ranges of hashed seeds, which a small alpha takes minutes to even out: at a
-    /// node's first list, its points start where the average would bring evenly spread keys. Steps of near
-    /// the golden section through the caches by zone and seed keep any run of them evenly spread too.
+    /// Guards against the uneven ranges of hashed seeds, which a small alpha takes minutes to even out: at the first
+    /// list, points start where even keys would bring them. Golden-section steps keep any run of caches even too.
     fn settle(&self, servers: &mut [Server]) {
         let step = |(rank, ix): (usize, &ServerIx)| ((rank as f64 * GOLDEN).fract(), *ix);
         let mut order: Vec<_> = self.ranked.iter().enumerate().map(step).collect();
@@ -302,8 +299,7 @@
     }
 
     /// Refills a cold cache's budget, and tells whether it covers one more shot: what a cache answers of this
-    /// node's shots on average, cut by the stated warm-up. Guards against counting sends, many times
-    /// that in a storm of full boxes.
+    /// node's shots on average, cut by the stated warm-up; sends are many times that in a storm of full boxes.
     fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
         let warmth = self.warmth(server.started, now);
         if warmth >= 1.0 {
@@ -461,16 +457,14 @@
     pub fn new(settings: &Settings, seed: u64) -> Balancer {
         let mut products = settings.products();
         let shortest = products.iter().map(|p| p.slo).min().unwrap_or(Span::ms(1000)).0 as f64;
-        let nodes = settings.nodes();
+        let (nodes, retry) = (settings.nodes(), settings.span("caps.max_retry_after", Span::ZERO));
         // An unknown product is taken as the last entry: never to run twice, in the shortest time.
         products.push(Product::unknown(Span(shortest as i64)));
         Balancer {
             shortest: Span(shortest as i64),
             aside: settings.text("extra.mode") == "aside",
             origin_kind: settings.number("extra.origin_kind", -1.0),
-            max_retry: settings
-                .flag("caps.retry_after")
-                .then(|| settings.span("caps.max_retry_after", Span::ZERO)),
+            max_retry: settings.flag("caps.retry_after").then_some(retry),
             chance: Pcg::new(seed),
             admission: Admission::new(settings),
             line: Line::new(settings),
@@ -689,9 +683,18 @@
         (self.now, self.ticked) = (now, now);
         to.wake(TICK);
         let kept = 0.5f64.powf(passed / MEMORY_HALF_LIFE);
-        for server in &mut self.servers {
+        for (i, server) in self.servers.iter_mut().enumerate() {
             (server.good, server.bad) = (server.good * kept, server.bad * kept);
+            if server.state != State::Gone || server.held > 0 {
+                server.left = now;
+            } else if server.seed != 0.0 && now - server.left > GONE_KEPT {
+                *server = Server::unknown();
+                to.drop_server(ServerIx(i));
+            }
         }
+        // Guards against tables that keep the size of the worst minute: what is used last stands at their ends.
+        self.servers.truncate(self.servers.iter().rposition(|s| s.seed != 0.0).map_or(0, |i| i + 1));
+        self.calls.truncate(self.calls.iter().rposition(|call| call.live).map_or(0, |i| i + 1));
         let done = std::mem::take(&mut self.line.done) / passed;
         let step = 1.0 - 0.25f64.powf(passed);
         self.line.done_rate += step * (done - self.line.done_rate);
@@ -725,10 +728,9 @@
         if !call.write && matches!(self.coalescing.keep(ix, call), Step::Keep) {
             return self.park(ix, Place::Waiting, to);
         }
-        if self.calls[ix.0].missed {
-            self.enter_origin(ix, to);
-        } else {
-            self.enter_line(ix, to);
+        match self.calls[ix.0].missed {
+            true => self.enter_origin(ix, to),
+            false => self.enter_line(ix, to),
         }
     }
 
@@ -819,7 +821,7 @@
             return false;
         }
         let server = &mut self.servers[at.0];
-        server.out += 1;
+        (server.out, server.held) = (server.out + 1, server.held + 1);
         server.unheard = server.unheard.or(Some(self.now));
         let counted = !server.origin;
         self.line.out += u32::from(counted);
@@ -854,25 +856,22 @@
         if call.place != Place::Flying || out && (!may || !call.missed || call.leads) {
             return;
         }
-        if !may || self.now >= call.until {
-            self.give_up(ix, to);
-        } else {
-            self.coalesce(ix, to);
+        match may && self.now < call.until {
+            true => self.coalesce(ix, to),
+            false => self.give_up(ix, to),
         }
     }
 
     fn run_due(&mut self, to: &mut impl Answers) {
         while let Some((due, ix, serial)) = self.due.first().copied().filter(|first| first.0 <= self.now) {
             self.due.pop_first();
-            let call = &self.calls[ix.0];
-            if call.serial != serial || call.due != due || call.ended || !call.live {
-                continue;
-            }
-            match call.place {
+            let call = self.calls.get(ix.0).filter(|call| call.serial == serial && call.due == due);
+            match call.filter(|call| call.live && !call.ended).map_or(Place::Chain, |call| call.place) {
                 Place::Queued => self.give_up(ix, to),
-                Place::Waiting if call.missed => self.give_up(ix, to),
+                Place::Waiting if self.calls[ix.0].missed => self.give_up(ix, to),
                 Place::Waiting => self.enter_line(ix, to),
-                _ => self.review(ix, to),
+                Place::Flying => self.review(ix, to),
+                Place::Chain => {}
             }
         }
     }
@@ -941,7 +940,7 @@
         self.forget_if_done(ix, to);
         let fetch = if leads { self.coalescing.fetches.remove(&key) } else { None };
         for (waiter, serial) in fetch.map(|fetch| fetch.waiters).unwrap_or_default() {
-            let call = &self.calls[waiter.0];
+            let Some(call) = self.calls.get(waiter.0) else { continue };
             let waits = call.serial == serial && !call.ended && call.place == Place::Waiting;
             let home = home.filter(|_| waits && call.missed);
             if waits && !home.is_some_and(|home| self.shoot(waiter, home, false, to)) {
@@ -962,6 +961,7 @@
         let call = &mut self.calls[ix.0];
         if call.live && call.out() == 0 {
             call.live = false;
+            call.shots.iter().for_each(|shot| self.servers[shot.server.0].held -= 1);
             to.forget(ix);
         }
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -72,6 +72,9 @@
     pub point: f64,
     pub seed: f64,
     pub out: u32,
+    /// Shots here of calls not yet forgotten; and when it was last in the list or had one.
+    pub held: u32,
+    pub left: Time,
     /// Connections it refused since it last answered.
     pub refused: u32,
     /// Since when nothing was heard although something is out.
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// A server's small index, given out at the door and kept for the life of the instance.
+/// A server's small index, given out at the door; free again after `Answers::drop_server`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServerIx(pub usize);
 
@@ -266,6 +266,8 @@
     fn error(&mut self, call: CallIx);
     /// The index may be given to another API call from here on.
     fn forget(&mut self, call: CallIx);
+    /// The server has gone for good; the index may be given to another from here on.
+    fn drop_server(&mut self, server: ServerIx);
     fn wake(&mut self, after: Span);
     /// Idle connections to this server are not wanted any more.
     fn close(&mut self, server: ServerIx);
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -21,6 +21,9 @@
         let _ = writeln!(self.0, "  call {} errored", call.0);
     }
     fn forget(&mut self, _call: CallIx) {}
+    fn drop_server(&mut self, server: ServerIx) {
+        let _ = writeln!(self.0, "  server {} dropped", server.0);
+    }
     fn wake(&mut self, _after: Span) {}
     fn close(&mut self, server: ServerIx) {
         let _ = writeln!(self.0, "  connections to server {} closed", server.0);
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -455,3 +455,29 @@
     "#]],
     );
 }
+
+#[test]
+fn a_gone_server_is_dropped_once_no_call_names_it_and_its_index_is_as_new() {
+    let mut node = Node::new(2, &[("caps.cancelling", Value::Flag(false))]);
+    node.say("a shot is out when its cache goes");
+    node.ask(0, 0, "key-a", false);
+    node.list(&[line(2, Gone, None)]);
+    node.pass(31_000.0);
+    node.say("it has ended");
+    node.end(0, 0, Broken, 31_000.0);
+    node.pass(31_000.0);
+    node.say("the next under the index is known for nothing");
+    node.list(&[line(2, Ready, None)]);
+    node.ask(1, 0, "key-a", false);
+    check(
+        node,
+        expect![[r#"
+        0 ms: a shot is out when its cache goes
+          call 0 -> server 2 until 2000
+          call 0 -> server 0 until 2000
+        31000 ms: it has ended
+        62000 ms: the next under the index is known for nothing
+          call 1 -> server 2 until 64000
+    "#]],
+    );
+}
