Serve on after SIGTERM until the node's time is nearly over

Ruled out: the new node's start (0.0 s) and lost calls (none). At fault: shutdown.rs called stop at once. Clients go on using what connections stay open, and the end comes no sooner than the longest client timeout and 0.7 s after SIGTERM, so clients are now served for that time less 0.27 s, no call is given longer than to 0.16 s before it, and then connections are closed between answers as before.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -164,7 +164,7 @@
 
 async fn serve(hub: Rc<Hub>, id: ClientId, client: Rc<Client>) {
     converse(&hub, id, &client).await;
-    hub.clients.borrow_mut().remove(&id);
+    hub.drop_client(id);
     hub.tell(|reducer, now| reducer.client_left(now, id));
     drop(client);
     hub.left.notify_one();
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -10,7 +10,7 @@
 use crate::clock::Clock;
 use crate::limits::Limits;
 use crate::links::Link;
-use crate::reducer::{ClientId, Effect, LinkId, Reducer};
+use crate::reducer::{shrink, ClientId, Effect, LinkId, Reducer};
 
 /// What the tasks of a node share; all of them run on one thread.
 pub struct Hub {
@@ -108,9 +108,17 @@
         }
     }
 
+    pub fn drop_client(&self, client: ClientId) {
+        let mut clients = self.clients.borrow_mut();
+        clients.remove(&client);
+        shrink(&mut clients);
+    }
+
     pub fn close_link(&self, link: LinkId) {
-        if let Some(socket) = self.links.borrow_mut().remove(&link) {
+        let mut links = self.links.borrow_mut();
+        if let Some(socket) = links.remove(&link) {
             socket.close();
+            shrink(&mut links);
         }
     }
 }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -87,10 +87,12 @@
     pub watch_silence: Span,
     pub watch_first: Span,
     pub watch_longest: Span,
-    /// After SIGTERM: how long to accept at least, how long without a new connection, and the end; and how
-    /// often it is looked whether all is answered.
+    /// After SIGTERM: how long to accept at least, and how long without a new connection; until when clients are
+    /// served on, until when all is answered, and the end; and how often it is looked whether all is.
     pub stop_accept: Span,
     pub stop_quiet: Span,
+    pub stop_serve: Span,
+    pub stop_answered: Span,
     pub stop_longest: Span,
     pub stop_look: Span,
     /// Log lines a second, and saved up.
@@ -185,7 +187,10 @@
             watch_longest: Span::ms(1_000),
             stop_accept: Span::ms(500),
             stop_quiet: Span::ms(150),
-            stop_longest: Span(longest.0 + 500_000),
+            // Planned restarts give the longest client timeout and 700 ms; 3 s at the most.
+            stop_serve: longest.min(Span::ms(3_000)) + Span::ms(430),
+            stop_answered: longest + Span::ms(540),
+            stop_longest: longest + Span::ms(620),
             stop_look: Span::ms(5),
             log_rate: 20.0,
             log_burst: 100.0,
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -193,6 +193,8 @@
     last_id: u64,
     held: usize,
     stopping: bool,
+    /// When all must be answered, as the node is about to end.
+    end: Option<Time>,
     /// When the module's timer is due, and the last time that it was far too late, and by how much.
     tick: Time,
     stall: (Time, Span),
@@ -234,6 +236,7 @@
                 last_id: 0,
                 held: 0,
                 stopping: false,
+                end: None,
                 tick: Time(0),
                 stall: (Time(0), Span::ZERO),
             },
@@ -384,7 +387,8 @@
             return self.world.answer(id, turn, Said::RateLimited(None));
         }
         self.world.held += size;
-        let left = Span((facts.wait.0 - self.world.limits.way.0 - self.world.waited().0).max(0));
+        let given = Span((facts.wait.0 - self.world.limits.way.0 - self.world.waited().0).max(0));
+        let left = self.world.end.map_or(given, |end| given.min((end - now).max(Span::ZERO)));
         let until = now + left;
         let tenant = place(&self.places.tenants, facts.tenant);
         let (key, write, name) = (words.key.clone(), words.value.is_some(), words.id.clone());
@@ -607,11 +611,16 @@
         }
     }
 
+    /// From now on no API call is given longer than until `end`.
+    pub fn answer_all_by(&mut self, end: Time) {
+        self.world.end = Some(end);
+    }
+
     /// From now on clients are closed between answers.
     pub fn stop(&mut self, now: Time) {
         self.at(now);
         self.world.stopping = true;
-        let idle = self.world.clients.iter().filter(|(_, client)| client.turns.is_empty());
+        let idle = self.world.clients.iter().filter(|(_, client)| client.turns.is_empty() && !client.closing);
         let idle: Vec<_> = idle.map(|(id, _)| *id).collect();
         idle.into_iter().for_each(|id| self.world.close_client(id));
     }
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! SIGTERM: the node takes what still comes, answers all of it, and ends.
+//! SIGTERM: the node serves on while it may, answers all that it takes, and ends.
 use std::cell::Cell;
 use std::future::Future;
 use std::io;
@@ -23,21 +23,23 @@
 }
 
 /// Waits until the node is asked to stop, and then for the end. `last`: when the last connection was taken.
+/// Guards against a node that is of no use from SIGTERM on, although its clients have no other yet: it serves
+/// those that it has for nearly as long as it is given.
 pub async fn ended(hub: Rc<Hub>, last: Rc<Cell<Time>>, asked: impl Future<Output = ()>) {
     asked.await;
     crate::log!("asked to stop with {} API calls open", hub.ask(Reducer::open_calls));
     let asked = hub.clock.now();
-    hub.tell(|reducer, now| reducer.stop(now));
+    let limits = &hub.limits;
+    hub.tell(|reducer, _| reducer.answer_all_by(asked + limits.stop_answered));
     loop {
-        tokio::time::sleep(duration(hub.limits.stop_look)).await;
+        tokio::time::sleep(duration(limits.stop_look)).await;
         let now = hub.clock.now();
-        let quiet = now - last.get() >= hub.limits.stop_quiet && now - asked >= hub.limits.stop_accept;
-        if quiet {
-            // Those that came last and asked nothing.
+        if now - asked >= limits.stop_serve {
             hub.tell(|reducer, now| reducer.stop(now));
         }
+        let quiet = now - last.get() >= limits.stop_quiet && now - asked >= limits.stop_accept;
         let done = hub.ask(Reducer::open_calls) == 0 && hub.clients.borrow().is_empty();
-        if quiet && done || now - asked >= hub.limits.stop_longest {
+        if quiet && done || now - asked >= limits.stop_longest {
             crate::log!("stopped with {} API calls open", hub.ask(Reducer::open_calls));
             return;
         }
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -45,6 +45,13 @@
     }
 }
 
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
 impl Sub<Span> for Time {
     type Output = Time;
     fn sub(self, span: Span) -> Time {
