Keep only so many idle clients, and close nobody at work for a newcomer

Checked: the node turned away few itself (234); what failed could not be asked, as clients that ask once and keep their connection held the third of all descriptors that clients may hold. At fault: reducer.rs closed idle clients only when its own places ran out. At most a quarter of the descriptors now stays with clients that have asked; one more has the idlest closed. Silent ones make room first, whatever their age.

Also: no command is taken from a client while 128 of its answers are open or not taken; it could pile up answers to PING without a bound (a_client_that_takes_no_answers_is_read_no_further).

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -51,8 +51,9 @@
         self.wake.notify_one();
     }
 
-    pub fn unwritten(&self) -> bool {
-        !self.out.borrow().is_empty()
+    /// How many answers the socket has not taken.
+    pub fn unwritten(&self) -> usize {
+        self.out.borrow().len()
     }
 
     fn flush(&self) -> usize {
@@ -186,7 +187,8 @@
         // What has come is taken up as far as the limits allow, also when an answer has made room.
         let mut taken = 0;
         while reading && taken < limits.commands_a_turn {
-            if hub.ask(|reducer| reducer.waiting(id)) >= limits.calls_per_client {
+            // Guards also against a client that asks on and on and takes no answer.
+            if hub.ask(|reducer| reducer.waiting(id)) + client.unwritten() >= limits.calls_per_client {
                 break;
             }
             match take_command(hub, id, &mut buffer) {
@@ -197,7 +199,7 @@
         }
         held.set(buffer.room());
         let waiting = hub.ask(|reducer| reducer.waiting(id));
-        let writing = client.unwritten();
+        let writing = client.unwritten() > 0;
         if taken > 0 {
             (active, begun) = (hub.clock.now(), None);
         }
@@ -233,7 +235,8 @@
         } else {
             *begun.get_or_insert(hub.clock.now()) + limits.half_command
         };
-        let room = reading && waiting < limits.calls_per_client && !client.closing.get();
+        let behind = waiting + client.unwritten() >= limits.calls_per_client;
+        let room = reading && !behind && !client.closing.get();
         tokio::select! {
             ready = client.stream.readable(), if room => {
                 if ready.is_err() || !matches!(read(&mut buffer, &client.stream, limits), Ok(true)) {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -8,6 +8,9 @@
     pub sockets: usize,
     pub for_clients: usize,
     pub for_servers: usize,
+    /// Clients that have made API calls, kept while idle: well under the third of all descriptors that clients
+    /// hold at the most.
+    pub clients_kept: usize,
     /// Idle connections kept to one server.
     pub idle_links: usize,
     /// API calls open at once, in all and on one client's connection.
@@ -139,6 +142,7 @@
             sockets,
             for_clients: (sockets / 16).max(2),
             for_servers: sockets / 4,
+            clients_kept: machine.sockets / 4,
             idle_links: 64,
             calls: held.min((memory / 8.0 / CALL_BYTES) as usize),
             calls_per_client: 128,
@@ -168,7 +172,7 @@
             half_command: Span::ms(2_500),
             untaken_answer: Span::ms(5_000),
             client_spare: Span::ms(2_000),
-            client_new: Span::ms(250),
+            client_new: Span::ms(20),
             commands_a_turn: 16,
             faults_per_client: 16,
             drain: Span::ms(1_000),
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -316,11 +316,8 @@
             return Room::Free;
         }
         let link_helps = world.clients.len() < most;
-        let world = &mut self.world;
-        if world.close_spare_client()
-            || link_helps && world.close_idlest_link()
-            || world.close_idlest_client()
-        {
+        // Guards against a crowd of new connections, bad clients' among them, that drives out those at work.
+        if self.world.close_spare_client() || link_helps && self.world.close_idlest_link() {
             Room::Soon
         } else {
             Room::None
@@ -399,7 +396,9 @@
         self.world.ids.insert(name, ix);
         if let Some(client) = self.world.clients.get_mut(&id) {
             client.open.push(ix);
-            client.asked = true;
+            if !std::mem::replace(&mut client.asked, true) {
+                self.world.thin_out_clients();
+            }
         }
         let ask = Ask { product, tenant, key: Some(&key), write, repeat: facts.repeat, left };
         self.balancer.call(now, ix, ask, &mut self.world);
@@ -778,6 +777,27 @@
         best.map(|id| self.close_client(id)).is_some()
     }
 
+    /// Closes the client idle longest where more have made API calls than are worth keeping. Guards against clients
+    /// that ask once and keep their connections: together they may hold only so many, and could ask no more.
+    fn thin_out_clients(&mut self) {
+        if self.clients.len() <= self.limits.clients_kept {
+            return;
+        }
+        let asked = self.clients.iter().filter(|(_, client)| client.asked && !client.closing);
+        let idle =
+            |client: &Client| client.turns.is_empty() && self.now - client.last >= self.limits.client_new;
+        let (mut count, mut idlest) = (0, None);
+        for (id, client) in asked {
+            count += 1;
+            if idle(client) && idlest.is_none_or(|best| (client.last, *id) < best) {
+                idlest = Some((client.last, *id));
+            }
+        }
+        if let Some((_, id)) = idlest.filter(|_| count > self.limits.clients_kept) {
+            self.close_client(id);
+        }
+    }
+
     /// Closes the client that has been idle longest, if one is.
     fn close_idlest_client(&mut self) -> bool {
         let idle = self.clients.iter().filter(|(_, client)| client.turns.is_empty() && !client.closing);
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -359,6 +359,17 @@
     assert_eq!(half.answer(), "closed");
 }
 
+#[test]
+fn a_client_that_takes_no_answers_is_read_no_further() {
+    let node = Node::start(&[], "");
+    let mut client = node.client();
+    client.0.get_mut().set_write_timeout(Some(Duration::from_secs(1))).expect("a time limit");
+    let pings = command(&["PING"]).repeat(4096);
+    // More than the sockets' own buffers take.
+    let written = (0..500).all(|_| client.0.get_mut().write_all(&pings).is_ok());
+    assert!(!written, "all was read, and its answers kept");
+}
+
 #[test]
 fn a_client_that_is_still_sending_reads_why_it_is_turned_away() {
     let node = Node::start(&[], "");
