Let API calls with little time left wait for no other's fetch

They now ask the origin themselves where it has a place; they lead no fetch, so nobody hangs on theirs.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -134,8 +134,7 @@
         (tenant.rate / per_s - 1.0).clamp(0.05, 1.0)
     }
 
-    /// `crowding`: the wait at the caches as a part of the SLO. Guards against queues that make every answer
-    /// late, which outcomes tell only when it is too late.
+    /// `crowding`: the wait at the caches as a part of the SLO; outcomes tell of queues when it is too late.
     fn admit(&self, beyond: f64, crowding: f64, chance: &mut Pcg) -> Step {
         let crowded = (crowding - CROWDED) / (1.0 - CROWDED);
         match chance.unit() < crowded.max(self.level * beyond) {
@@ -206,8 +205,7 @@
         ((self.reach * self.near.len() as f64).ceil() as usize).max(REACH_LEAST).min(self.near.len())
     }
 
-    /// Guards against more nodes than a cache takes connections: a node that was refused them holds points
-    /// for part of the caches only, and closes its connections to the others.
+    /// Guards against more nodes than a cache takes connections: one that was refused holds a part of them.
     fn hold(&mut self, servers: &[Server], to: &mut impl Answers) {
         let mut held = self.near[..self.within_reach()].to_vec();
         held.sort();
@@ -269,8 +267,7 @@
         server.unheard.map_or(0.0, |since| (now - since).0 as f64 / feared)
     }
 
-    /// Guards against storms of shots at a cache that answers full: what it had from here when it last did
-    /// so is its room, and one place more is taken to be free for each two answer times since.
+    /// Guards against storms at full caches: what one had then is its room, and more for each two answer times.
     fn freed(&self, server: &Server, now: Time) -> f64 {
         (now - server.full_at).0 as f64 / (FREED_AFTER * self.median)
     }
@@ -348,8 +345,7 @@
         self.room(now) && self.queue.is_empty() && !self.servers.is_empty()
     }
 
-    /// Under few places the limit is a rate of shots, too. Guards against hundreds of nodes with a place
-    /// each, and against refusing two misses in a row at a node that has one place.
+    /// Under few places the limit is a rate of shots, too: hundreds of nodes have a place each.
     fn room(&self, now: Time) -> bool {
         f64::from(self.out) < self.limit.floor() || self.limit < ORIGIN_SAVED && self.saved(now) >= 1.0
     }
@@ -724,7 +720,7 @@
 
     fn coalesce(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
-        if !call.write && matches!(self.coalescing.keep(ix, call), Step::Keep) {
+        if !call.write && !self.hurried(ix) && matches!(self.coalescing.keep(ix, call), Step::Keep) {
             return self.park(ix, Place::Waiting, to);
         }
         match self.calls[ix.0].missed {
@@ -733,15 +729,19 @@
         }
     }
 
+    /// Guards against a call that is kept and would come due only after its client timeout.
+    fn hurried(&self, ix: CallIx) -> bool {
+        self.calls[ix.0].until < self.now + TICK.times(2.0)
+    }
+
     /// Keeps a call with nothing sent until a part of its SLO is gone.
     fn park(&mut self, ix: CallIx, place: Place, to: &mut impl Answers) {
-        let call = &mut self.calls[ix.0];
-        call.place = place;
-        // Guards against a call that would come due only after its client timeout; not against one sent at once.
+        self.calls[ix.0].place = place;
         let sent = place == Place::Queued && self.origin.room(self.now);
-        if call.until < self.now + TICK.times(2.0) && !sent {
+        if self.hurried(ix) && !sent {
             return self.give_up(ix, to);
         }
+        let call = &self.calls[ix.0];
         let slo = self.products[call.product].slo.times(PATIENCE);
         let due = (self.now + slo).min(self.now + (call.until - self.now).times(PATIENCE));
         self.set_due(ix, due);
@@ -774,8 +774,9 @@
         if self.origin.servers.is_empty() {
             return self.give_up(ix, to);
         }
+        let hurried = self.hurried(ix);
         let call = &mut self.calls[ix.0];
-        if !call.write && !call.leads {
+        if !call.write && !call.leads && !hurried {
             if matches!(self.coalescing.keep(ix, call), Step::Keep) {
                 return self.park(ix, Place::Waiting, to);
             }
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -489,6 +489,9 @@
     node.ask_within(0, 1, "key-a", 30);
     node.ask_within(1, 0, "key-b", 30);
     node.end(1, 0, Miss, 2.0);
+    node.say("another that can't wait for that fetch either");
+    node.ask_within(7, 0, "key-b", 30);
+    node.end(7, 0, Miss, 2.0);
     node.say("the origin has no place left: what can't wait is told at once");
     for call in 2..6 {
         node.ask(call, 1, &format!("key-{call}"), false);
@@ -497,14 +500,16 @@
     check(
         node,
         expect![[r#"
-        0 ms: 30 ms are left
-          call 0 -> server 0 until 30
-          call 1 -> server 1 until 30
-          call 1 -> server 0 until 30
-        0 ms: the origin has no place left: what can't wait is told at once
-          call 2 -> server 0 until 2000
-          call 3 -> server 0 until 2000
-          call 6 rate-limited, told when to come back
-    "#]],
+            0 ms: 30 ms are left
+              call 0 -> server 0 until 30
+              call 1 -> server 1 until 30
+              call 1 -> server 0 until 30
+            0 ms: another that can't wait for that fetch either
+              call 7 -> server 1 until 30
+              call 7 -> server 0 until 30
+            0 ms: the origin has no place left: what can't wait is told at once
+              call 2 -> server 0 until 2000
+              call 6 rate-limited, told when to come back
+        "#]],
     );
 }
