Give operators a front with figures and drain, and take over an inherited clients' socket

Design. ops.rs: hyper's http1 server, one call a connection, over the same reducer as any front; it owns no state. At most 16 calls are kept, the oldest gives way; their descriptors are set aside only where `ops` is given. service.rs: an I/O-free state machine (starting, in, leaving, stopping). The first 350 ms of a leave change nothing but the PING, as clients closed earlier would come straight back; then connections close after 100 ms of silence, and from 1.5 s on in the shortest pause. The new process takes clients once discovery has told its list (1.5 s at most); the old one stops accepting at SIGTERM and closes clients between answers. SO_REUSEPORT was not taken: connections in the old process's queue would be reset.

Ruled out: a state file in $TMPDIR.

Module: one reader, no decision.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -25,7 +25,8 @@
     /// it has taken.
     out: RefCell<VecDeque<(Vec<u8>, usize)>>,
     sent: Cell<usize>,
-    closing: Cell<bool>,
+    /// It is to be closed once nothing has come from it for so long.
+    closing: Cell<Option<Span>>,
     broken: Cell<bool>,
     wake: Notify,
 }
@@ -45,9 +46,9 @@
         }
     }
 
-    /// Closes the connection once its answers are written.
-    pub fn close(&self) {
-        self.closing.set(true);
+    /// Closes the connection once its answers are written and nothing has come for so long.
+    pub fn close(&self, quiet: Span) {
+        self.closing.set(Some(quiet));
         self.wake.notify_one();
     }
 
@@ -148,7 +149,7 @@
                     stream,
                     out: RefCell::default(),
                     sent: Cell::new(0),
-                    closing: Cell::new(false),
+                    closing: Cell::new(None),
                     broken: Cell::new(false),
                     wake: Notify::new(),
                 });
@@ -209,14 +210,18 @@
             continue;
         }
         // Guards against closing on a command that has come already, read or not: it is answered first.
-        if client.closing.get() && !writing && waiting == 0 {
+        if let Some(pause) = client.closing.get().filter(|_| !writing && waiting == 0) {
             if !reading {
                 held.set(0);
                 drop(buffer);
                 return drain(hub, &client.stream).await;
             }
-            let wait = tokio::time::timeout(duration(limits.last_read), client.stream.readable());
-            let goes_on = !quiet(&client.stream) && wait.await.is_ok_and(|ready| ready.is_ok());
+            // One that has sent half a command is given the time for the other half.
+            let pause = if buffer.is_empty() { pause } else { limits.last_half };
+            let unread = !quiet(&client.stream);
+            let wait = duration(if unread { limits.last_read } else { pause });
+            let wait = tokio::time::timeout(wait, client.stream.readable());
+            let goes_on = (unread || pause > Span::ZERO) && wait.await.is_ok_and(|ready| ready.is_ok());
             if goes_on && matches!(read(&mut buffer, &client.stream, limits), Ok(true)) {
                 continue;
             }
@@ -236,7 +241,7 @@
             *begun.get_or_insert(hub.clock.now()) + limits.half_command
         };
         let behind = waiting + client.unwritten() >= limits.calls_per_client;
-        let room = reading && !behind && !client.closing.get();
+        let room = reading && !behind && client.closing.get().is_none();
         tokio::select! {
             ready = client.stream.readable(), if room => {
                 if ready.is_err() || !matches!(read(&mut buffer, &client.stream, limits), Ok(true)) {
@@ -383,9 +388,9 @@
         (b"PING", [_, text]) => {
             let mut bytes = Vec::new();
             put_bulk(&mut bytes, text);
-            bytes
+            return reducer.ping(now, id, bytes);
         }
-        (b"PING", _) => b"+PONG\r\n".to_vec(),
+        (b"PING", _) => return reducer.ping(now, id, b"+PONG\r\n".to_vec()),
         (b"CLIENT" | b"SELECT", _) => b"+OK\r\n".to_vec(),
         (b"QUIT", _) => return reducer.last_answer(now, id, b"+OK\r\n".to_vec()),
         _ => return reducer.faulty(now, id, "unknown command"),
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -13,6 +13,10 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators call; without one they can't.
+    pub ops: Option<SocketAddr>,
+    /// The number of a listening socket that the process was started with, to serve clients on instead of `listen`.
+    pub inherited: Option<i32>,
     /// Without one the node goes by the list it knows.
     pub discovery: Option<SocketAddr>,
     pub seed: u64,
@@ -42,6 +46,8 @@
     #[serde(default, deserialize_with = "address")]
     listen: Option<SocketAddr>,
     #[serde(default, deserialize_with = "address")]
+    ops: Option<SocketAddr>,
+    #[serde(default, deserialize_with = "address")]
     discovery: Option<SocketAddr>,
     #[serde(default, deserialize_with = "seed")]
     seed: Option<u64>,
@@ -116,6 +122,8 @@
     pub name: Option<String>,
     pub listen: Option<String>,
     pub discovery: Option<String>,
+    pub ops: Option<String>,
+    pub inherited: Option<String>,
     /// Descriptors that the process may hold.
     pub descriptors: Option<usize>,
 }
@@ -124,7 +132,8 @@
     pub fn of_process() -> Environment {
         let get = |name| std::env::var(name).ok().filter(|value| !value.is_empty());
         let (name, listen, discovery) = (get("LB_NAME"), get("LB_LISTEN"), get("LB_DISCOVERY"));
-        Environment { name, listen, discovery, descriptors: descriptors() }
+        let (ops, inherited) = (get("LB_OPS"), get("LB_INHERITED_FD"));
+        Environment { name, listen, discovery, ops, inherited, descriptors: descriptors() }
     }
 }
 
@@ -198,12 +207,21 @@
             passed_over.push(Fault(format!("limits.sockets: {told}, but the process may open {most}")));
             file.limits.sockets = most;
         }
+        let number = |text: String| {
+            let fault = || Fault(format!("LB_INHERITED_FD: {text:?} is not the number of a descriptor"));
+            text.parse().ok().filter(|number| *number > 2).ok_or_else(fault)
+        };
+        let inherited = environment.inherited.map(number).transpose()?;
+        let ops = variable("LB_OPS", environment.ops)?.or(file.ops);
+        let limits = Limits::new(file.limits, &settings);
         Ok(Config {
+            ops,
+            inherited,
             name: environment.name.unwrap_or(file.name),
             listen: listen.ok_or_else(|| Fault("listen: missing".to_owned()))?,
             discovery: variable("LB_DISCOVERY", environment.discovery)?.or(file.discovery),
             seed: file.seed.unwrap_or_else(chance),
-            limits: Limits::new(file.limits, &settings),
+            limits: if ops.is_some() { limits.with_ops() } else { limits },
             settings,
             known,
             passed_over,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -202,4 +202,5 @@
 fn tell(hub: &Rc<Hub>, news: &News) {
     let clock = hub.clock;
     hub.tell(|reducer, now| reducer.list(now, news, true, |unix| clock.started(unix)));
+    hub.news.notify_one();
 }
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -24,6 +24,8 @@
     /// A client's connection has ended.
     pub left: Notify,
     pub reload: Notify,
+    /// Discovery has told a list.
+    pub news: Notify,
     /// Bytes that clients' buffers take together; and where bytes go that nobody wants.
     pub buffered: Cell<usize>,
     pub scratch: RefCell<Vec<u8>>,
@@ -41,6 +43,7 @@
             due: Notify::new(),
             left: Notify::new(),
             reload: Notify::new(),
+            news: Notify::new(),
             buffered: Cell::new(0),
             scratch: RefCell::new(vec![0; scratch]),
         })
@@ -97,9 +100,9 @@
                     self.reducer.borrow_mut().delivered(client, written);
                 }
             }
-            Effect::CloseClient { client } => {
+            Effect::CloseClient { client, quiet } => {
                 if let Some(socket) = self.clients.borrow().get(&client) {
-                    socket.close();
+                    socket.close(quiet);
                 }
             }
             // The watch stands always, and is asked for again by itself.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,14 +9,18 @@
 pub mod config;
 pub mod discovery;
 pub mod effects;
+pub mod figures;
 pub mod http;
+pub mod inherit;
 pub mod limits;
 pub mod links;
 pub mod log;
+pub mod ops;
 pub mod origin;
 pub mod reducer;
 pub mod reload;
 pub mod resp;
+pub mod service;
 pub mod shutdown;
 
 use std::cell::Cell;
@@ -32,37 +36,62 @@
 /// Runs a node on this thread until SIGTERM and until all that it has taken is answered. SIGHUP has the
 /// configuration read again.
 pub fn run(config: Config) -> io::Result<()> {
+    let inherited = config.inherited.map(inherit::listener).transpose()?;
     let limits = config.limits.clone();
     let writer = log::start(&limits);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let served = LocalSet::new().block_on(&runtime, async {
         let again = Rc::new(Notify::new());
         spawn_local(reload::hangups(again.clone())?);
-        serve(config, shutdown::asked()?, again).await
+        serve(config, inherited, shutdown::asked()?, again).await
     });
     writer.end(&limits);
     served
 }
 
 /// The same within a `LocalSet` of the caller's, until `asked` is ready; `again`: the configuration is to be
-/// read again.
-pub async fn serve(mut config: Config, asked: impl Future<Output = ()>, again: Rc<Notify>) -> io::Result<()> {
+/// read again. `inherited`: a listening socket that other processes serve too, instead of one of the node's own.
+pub async fn serve(
+    mut config: Config,
+    inherited: Option<std::net::TcpListener>,
+    asked: impl Future<Output = ()>,
+    again: Rc<Notify>,
+) -> io::Result<()> {
     let clock = clock::Clock::start();
-    let listener = clients::listen(config.listen, clock, &config.limits).await?;
+    let shared = inherited.is_some();
+    let listener = match inherited {
+        Some(listener) => tokio::net::TcpListener::from_std(listener)?,
+        None => clients::listen(config.listen, clock, &config.limits).await?,
+    };
     let listen = listener.local_addr()?;
     let hub = effects::Hub::new(reducer::Reducer::new(&config), config.limits.clone(), clock);
     hub.tell(|reducer, now| reducer.start(now));
     let known = std::mem::take(&mut config.known);
     hub.tell(|reducer, now| reducer.list(now, &known, false, |unix| clock.started(unix)));
     spawn_local(effects::timer(hub.clone()));
+    if let Some(on) = config.ops {
+        let listener = clients::listen(on, clock, &config.limits).await?;
+        crate::log!("operators may call {}", listener.local_addr()?);
+        spawn_local(ops::accept(hub.clone(), listener));
+    }
     let (named, discovery) = watch::channel(config.discovery);
     spawn_local(discovery::follow(hub.clone(), discovery.clone(), known.version, config.seed));
     spawn_local(discovery::reload(hub.clone(), discovery));
+    // Guards against clients that the process before would have served, while this one knows only an old list.
+    if shared && config.discovery.is_some() {
+        let heard = async {
+            while !hub.ask(reducer::Reducer::has_news) {
+                hub.news.notified().await;
+            }
+        };
+        let _ = tokio::time::timeout(clock::duration(hub.limits.first_news), heard).await;
+    }
     let last = Rc::new(Cell::new(clock.now()));
-    spawn_local(clients::accept(hub.clone(), listener, last.clone()));
+    let accepting = spawn_local(clients::accept(hub.clone(), listener, last.clone()));
+    hub.tell(|reducer, _| reducer.takes_clients());
     config.passed_over.iter().for_each(|fault| crate::log!("configuration: {fault}"));
     crate::log!("{} serves on {listen}", config.name);
-    spawn_local(reload::follow(config, again, named));
-    shutdown::ended(hub, last, asked).await;
+    spawn_local(reload::follow(hub.clone(), config, again, named));
+    shutdown::ended(hub, last, asked, shared.then_some(accepting)).await;
     Ok(())
 }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -98,6 +98,20 @@
     pub stop_answered: Span,
     pub stop_longest: Span,
     pub stop_look: Span,
+    /// After operators send clients away, or SIGTERM hands them over: until the front knows, and from when on they
+    /// are closed in the shortest pause; and until the rest of half a command must have come.
+    pub leave_front: Span,
+    pub leave_firm: Span,
+    pub last_half: Span,
+    /// For the first news of discovery, before clients that another process serves too are taken.
+    pub first_news: Span,
+    /// Operators' calls at once; the time for one, and bytes of its head and its body.
+    pub ops_calls: usize,
+    pub ops_call: Span,
+    pub ops_head: usize,
+    pub ops_body: usize,
+    /// Products whose answers are counted in the node's life.
+    pub products: usize,
     /// Log lines a second, and saved up.
     pub log_rate: f64,
     pub log_burst: f64,
@@ -121,6 +135,8 @@
 
 /// Descriptors for the listener, discovery, the event queue, signals, standard streams and what libraries open.
 const DESCRIPTORS_KEPT: usize = 24;
+/// Operators' calls at once: a few tools, and callers that hold a connection with half a call.
+const OPS_CALLS: usize = 16;
 /// Bytes that an open API call takes at the most, its value apart.
 const CALL_BYTES: f64 = 4096.0;
 
@@ -196,12 +212,27 @@
             stop_answered: longest + Span::ms(540),
             stop_longest: longest + Span::ms(620),
             stop_look: Span::ms(5),
+            leave_front: Span::ms(350),
+            leave_firm: Span::ms(1_500),
+            last_half: Span::ms(500),
+            first_news: Span::ms(1_500),
+            ops_calls: OPS_CALLS,
+            ops_call: Span::ms(5_000),
+            ops_head: 8 * 1024,
+            ops_body: 4 * 1024,
+            products: 1024,
             log_rate: 20.0,
             log_burst: 100.0,
             log_last: Span::ms(100),
         }
     }
 
+    /// Sets descriptors aside for operators' calls.
+    pub fn with_ops(mut self) -> Limits {
+        self.sockets = self.sockets.saturating_sub(self.ops_calls).max(8);
+        self
+    }
+
     /// Bytes that a client's connection may hold unread: one whole command.
     pub fn command(&self) -> usize {
         self.value + self.words * (self.word.min(256)) + 4096
--- /dev/null
+++ b/crates/node/src/ops.rs
@@ -0,0 +1,112 @@
+//! Where operators call: HTTP/1.1 by hyper, one call to a connection. It owns no state; what is asked goes to
+//! the reducer.
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, AbortHandle};
+
+use crate::clock::duration;
+use crate::effects::Hub;
+use crate::reducer::Reducer;
+
+/// Takes operators' connections. Guards against callers that hold them with half a call: only so many are kept,
+/// and the oldest, which has had the most time, gives way to the next.
+pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
+    let open: Rc<RefCell<VecDeque<(u64, AbortHandle)>>> = Rc::default();
+    for id in 0u64.. {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if open.borrow().len() >= hub.limits.ops_calls {
+                    if let Some((_, oldest)) = open.borrow_mut().pop_front() {
+                        oldest.abort();
+                    }
+                    // Its descriptor is closed before the next is taken.
+                    tokio::task::yield_now().await;
+                }
+                let (hub, kept) = (hub.clone(), open.clone());
+                let task = spawn_local(async move {
+                    let whole = duration(hub.limits.ops_call);
+                    let _ = tokio::time::timeout(whole, converse(hub, stream)).await;
+                    kept.borrow_mut().retain(|other| other.0 != id);
+                });
+                open.borrow_mut().push_back((id, task.abort_handle()));
+            }
+            Err(e) => {
+                crate::log!("operators: accept: {e}");
+                tokio::time::sleep(duration(hub.limits.accept_pause)).await;
+            }
+        }
+    }
+}
+
+async fn converse(hub: Rc<Hub>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let (head, fields) = (hub.limits.ops_head, hub.limits.http_fields);
+    let whole = duration(hub.limits.ops_call);
+    let answer = service_fn(move |call| {
+        let hub = hub.clone();
+        async move { Ok::<_, Infallible>(answer(&hub, call).await) }
+    });
+    let mut front = http1::Builder::new();
+    front.keep_alive(false).half_close(true).timer(TokioTimer::new()).header_read_timeout(whole);
+    front.max_buf_size(head).max_headers(fields);
+    if let Err(e) = front.serve_connection(TokioIo::new(stream), answer).await {
+        crate::log!("operators: {e}");
+    }
+}
+
+async fn answer(hub: &Rc<Hub>, call: Request<Incoming>) -> Response<Full<Bytes>> {
+    let wants = match call.uri().path() {
+        "/control/ready" | "/control/counters" => Method::GET,
+        "/control/out-of-service" | "/control/in-service" => Method::POST,
+        _ => return plain(StatusCode::NOT_FOUND, "no such call\n"),
+    };
+    if *call.method() != wants {
+        let mut refusal = plain(StatusCode::METHOD_NOT_ALLOWED, "another method is needed\n");
+        let allowed = HeaderValue::from_static(if wants == Method::GET { "GET" } else { "POST" });
+        refusal.headers_mut().insert(ALLOW, allowed);
+        return refusal;
+    }
+    let path = call.uri().path().to_owned();
+    // Guards against acting on half a call: it counts once all of it is there.
+    if Limited::new(call.into_body(), hub.limits.ops_body).collect().await.is_err() {
+        return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is cut short or too long\n");
+    }
+    match path.as_str() {
+        "/control/ready" if hub.ask(Reducer::is_ready) => plain(StatusCode::OK, "ready\n"),
+        "/control/ready" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/control/counters" => {
+            let figures = hub.ask(|reducer| serde_json::to_string(&reducer.figures(hub.clock.now())));
+            let mut told = plain(StatusCode::OK, figures.unwrap_or_default());
+            told.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            told
+        }
+        "/control/out-of-service" => {
+            crate::log!("operators: out of service");
+            hub.tell(|reducer, now| reducer.out_of_service(now));
+            plain(StatusCode::OK, "out of service\n")
+        }
+        _ => {
+            crate::log!("operators: in service");
+            hub.tell(|reducer, now| reducer.in_service(now));
+            plain(StatusCode::OK, "in service\n")
+        }
+    }
+}
+
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -13,7 +13,9 @@
 
 use crate::caches::Answer;
 use crate::config::{Config, News};
+use crate::figures::{Counted, Figures};
 use crate::limits::Limits;
+use crate::service::{Idle, Service};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClientId(pub u64);
@@ -42,9 +44,10 @@
         client: ClientId,
         said: Said,
     },
-    /// Once what it was answered is written.
+    /// Once what it was answered is written and nothing has come from it for so long.
     CloseClient {
         client: ClientId,
+        quiet: Span,
     },
     Watch,
     Reload,
@@ -111,6 +114,8 @@
 struct Call {
     words: Rc<Words>,
     client: ClientId,
+    /// Where its answer is counted.
+    counted: Option<usize>,
     /// Which of its client's commands this is.
     turn: u64,
     until: Time,
@@ -172,6 +177,8 @@
     Tick,
     Link(LinkId),
     Call(CallIx),
+    /// Clients are closed in another way from now on.
+    Service,
 }
 
 /// All but the module, which acts on it through `Answers`.
@@ -192,7 +199,10 @@
     dropped: Vec<ServerIx>,
     last_id: u64,
     held: usize,
-    stopping: bool,
+    service: Service,
+    counted: Counted,
+    /// Shots whose last byte is written, to a cache or to the origin.
+    shots: u64,
     /// When all must be answered, as the node is about to end.
     end: Option<Time>,
     /// When the module's timer is due, and the last time that it was far too late, and by how much.
@@ -205,8 +215,15 @@
     world: World,
     places: Places,
     products: Vec<Product>,
+    /// Where the answers to each product are counted.
+    counted: Vec<Option<usize>>,
     servers: Servers,
     origin_kind: usize,
+    /// Discovery has told a list since the start.
+    news: bool,
+    /// Configurations read at SIGHUP: taken, and turned down.
+    applied: u64,
+    rejected: u64,
 }
 
 /// Reports of the sockets. Each takes the time at which it is made.
@@ -215,7 +232,14 @@
         let places = Places::new(&config.settings);
         let told = config.settings.number("extra.origin_kind", -1.0);
         let named = place(&places.kinds, Some("origin"));
+        let mut counts = Counted::default();
+        let most = config.limits.products;
+        let counted = places.products.iter().map(|name| counts.place(name, most)).collect();
         Reducer {
+            counted,
+            news: false,
+            applied: 0,
+            rejected: 0,
             balancer: Balancer::new(&config.settings, config.seed),
             origin_kind: if told >= 0.0 { told as usize } else { named },
             places,
@@ -235,7 +259,9 @@
                 dropped: Vec::new(),
                 last_id: 0,
                 held: 0,
-                stopping: false,
+                service: Service::default(),
+                counted: counts,
+                shots: 0,
                 end: None,
                 tick: Time(0),
                 stall: (Time(0), Span::ZERO),
@@ -341,6 +367,13 @@
         }
     }
 
+    /// Whether new clients are welcome here; asked by the front, and answered in RESP's form.
+    pub fn ping(&mut self, now: Time, id: ClientId, welcome: Vec<u8>) {
+        let out = || b"-ERR out of service\r\n".to_vec();
+        let answer = if self.world.service.welcomes() { welcome } else { out() };
+        self.plain(now, id, answer);
+    }
+
     /// A command that can't be done; it gets an error and reaches no server.
     pub fn faulty(&mut self, now: Time, id: ClientId, what: &str) {
         if let Some(client) = self.world.clients.get_mut(&id) {
@@ -373,7 +406,9 @@
             _ if self.world.ids.contains_key(&words.id) => Some("an API call with this id is open"),
             _ => None,
         };
+        let counted = self.counted.get(product).copied().flatten();
         if let Some(what) = what {
+            self.world.counted.count(counted, &Said::Errored(what));
             return self.faulty(now, id, what);
         }
         let Some(turn) = self.world.turn(id) else { return };
@@ -381,6 +416,7 @@
         let size = words.value.as_ref().map_or(0, Vec::len);
         let (calls, limits) = (self.world.calls.len(), &self.world.limits);
         if calls >= limits.calls || self.world.held + size > limits.held {
+            self.world.counted.count(counted, &Said::RateLimited(None));
             return self.world.answer(id, turn, Said::RateLimited(None));
         }
         self.world.held += size;
@@ -389,8 +425,8 @@
         let until = now + left;
         let tenant = place(&self.places.tenants, facts.tenant);
         let (key, write, name) = (words.key.clone(), words.value.is_some(), words.id.clone());
-        let call =
-            Call { words: Rc::new(words), client: id, turn, until, answered: false, shots: Vec::new() };
+        let words = Rc::new(words);
+        let call = Call { words, client: id, counted, turn, until, answered: false, shots: Vec::new() };
         let ix = self.world.calls.put(call);
         self.world.due.insert((until + self.world.limits.overdue, Due::Call(ix)));
         self.world.ids.insert(name, ix);
@@ -417,9 +453,10 @@
 
     /// The last byte of what a link carries is written.
     pub fn written(&mut self, id: LinkId) {
-        if let Some(Use::Carrying { written, .. }) = self.world.links.get_mut(&id).map(|link| &mut link.used)
-        {
-            *written = true;
+        let world = &mut self.world;
+        let Some(link) = world.links.get_mut(&id) else { return };
+        if let Use::Carrying { written, .. } = &mut link.used {
+            world.shots += u64::from(!std::mem::replace(written, true));
         }
     }
 
@@ -501,6 +538,7 @@
         started: impl Fn(Option<f64>) -> Option<Time>,
     ) {
         self.at(now);
+        self.news |= fresh;
         let complete = news.full || !fresh;
         if complete {
             self.world.servers.iter_mut().for_each(|server| server.state = State::Gone);
@@ -595,6 +633,7 @@
                     self.balancer.tick(now, &mut self.world);
                 }
                 Due::Link(id) => self.world.link_due(id, at),
+                Due::Service => self.world.close_idle_clients(),
                 // Guards against an API call that would never be answered, whatever went wrong: its
                 // answer is owed now.
                 Due::Call(ix) => {
@@ -615,13 +654,55 @@
         self.world.end = Some(end);
     }
 
-    /// From now on clients are closed between answers.
+    /// From now on clients are closed between answers, for good.
     pub fn stop(&mut self, now: Time) {
         self.at(now);
-        self.world.stopping = true;
-        let idle = self.world.clients.iter().filter(|(_, client)| client.turns.is_empty() && !client.closing);
-        let idle: Vec<_> = idle.map(|(id, _)| *id).collect();
-        idle.into_iter().for_each(|id| self.world.close_client(id));
+        self.world.service.stop(now);
+        self.world.move_clients();
+    }
+
+    /// The process takes clients.
+    pub fn takes_clients(&mut self) {
+        self.world.service.starts();
+    }
+
+    /// Operators send clients away: the front is told no, and once it knows, clients are closed between answers.
+    pub fn out_of_service(&mut self, now: Time) {
+        self.at(now);
+        self.world.service.leave(now);
+        self.world.move_clients();
+    }
+
+    pub fn in_service(&mut self, now: Time) {
+        self.at(now);
+        self.world.service.come_back();
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.world.service.is_in()
+    }
+
+    /// Whether discovery has told a list.
+    pub fn has_news(&self) -> bool {
+        self.news
+    }
+
+    /// A configuration was read again, and taken or turned down.
+    pub fn configured(&mut self, taken: bool) {
+        *(if taken { &mut self.applied } else { &mut self.rejected }) += 1;
+    }
+
+    pub fn figures(&self, now: Time) -> Figures<'_> {
+        let listed = self.world.servers.iter().filter(|server| server.state != State::Gone && !server.origin);
+        Figures {
+            responses: self.world.counted.all(),
+            shots: self.world.shots,
+            active: self.world.ids.len(),
+            pool_size: listed.count(),
+            pool_ejected: self.balancer.avoided(now),
+            config_applied: self.applied,
+            config_rejected: self.rejected,
+        }
     }
 
     fn at(&mut self, now: Time) {
@@ -686,7 +767,8 @@
             client.first += 1;
             self.effects.push_back(Effect::Answer { client: id, said });
         }
-        if client.turns.is_empty() && (self.stopping || client.closing) {
+        let closing = client.closing || self.service.idle(self.now, &self.limits) != Idle::Kept;
+        if client.turns.is_empty() && closing {
             self.close_client(id);
         }
     }
@@ -697,6 +779,7 @@
         call.answered = true;
         self.ids.remove(&call.words.id);
         let (client, turn) = (call.client, call.turn);
+        self.counted.count(call.counted, &said);
         if let Some(client) = self.clients.get_mut(&client) {
             client.open.retain(|open| *open != ix);
         }
@@ -706,10 +789,31 @@
     fn close_client(&mut self, id: ClientId) {
         if let Some(client) = self.clients.get_mut(&id) {
             client.closing = true;
-            self.effects.push_back(Effect::CloseClient { client: id });
+            let quiet = match self.service.idle(self.now, &self.limits) {
+                Idle::Closed(quiet) => quiet,
+                Idle::Kept => Span::ZERO,
+            };
+            self.effects.push_back(Effect::CloseClient { client: id, quiet });
         }
     }
 
+    /// Clients are to leave: those that are idle do so now, or when they are due to.
+    fn move_clients(&mut self) {
+        for after in [self.limits.leave_front, self.limits.leave_firm] {
+            self.due.insert((self.now + after, Due::Service));
+        }
+        self.close_idle_clients();
+    }
+
+    fn close_idle_clients(&mut self) {
+        if self.service.idle(self.now, &self.limits) == Idle::Kept {
+            return;
+        }
+        let idle = self.clients.iter().filter(|(_, client)| client.turns.is_empty());
+        let idle: Vec<_> = idle.map(|(id, _)| *id).collect();
+        idle.into_iter().for_each(|id| self.close_client(id));
+    }
+
     fn end_shot(&mut self, call: CallIx, shot: usize, outcome: Outcome) {
         let Some(record) = self.calls.get_mut(call).and_then(|call| call.shots.get_mut(shot)) else { return };
         record.link = None;
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{watch, Notify};
 
 use crate::config::Config;
+use crate::effects::Hub;
 
 /// Passes each SIGHUP on; from the call on, it no longer ends the process.
 pub fn hangups(again: Rc<Notify>) -> io::Result<impl Future<Output = ()>> {
@@ -20,10 +21,17 @@
 }
 
 /// Reads the configuration again whenever it is asked for, and names the discovery that is to be followed.
-pub async fn follow(mut config: Config, again: Rc<Notify>, discovery: watch::Sender<Option<SocketAddr>>) {
+pub async fn follow(
+    hub: Rc<Hub>,
+    mut config: Config,
+    again: Rc<Notify>,
+    discovery: watch::Sender<Option<SocketAddr>>,
+) {
     loop {
         again.notified().await;
-        match config.read_again() {
+        let read = config.read_again();
+        hub.tell(|reducer, _| reducer.configured(read.is_ok()));
+        match read {
             Ok(changed) => {
                 crate::log!("configuration read again");
                 config.passed_over.iter().for_each(|fault| crate::log!("configuration: {fault}"));
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -220,6 +220,8 @@
         .arg(env!("CARGO_BIN_EXE_quartzhub"))
         .env_remove("LB_LISTEN")
         .env_remove("LB_DISCOVERY")
+        .env_remove("LB_OPS")
+        .env_remove("LB_INHERITED_FD")
         .env("LB_CONFIG", &file)
         .stderr(log)
         .spawn()
@@ -733,3 +735,160 @@
     let said = String::from_utf8_lossy(&output.stderr);
     assert!(said.contains(r#"listen: "here" is not an address"#), "{said}");
 }
+
+/// What the operators' front answers to these bytes, up to its close.
+fn ops(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
+    stream.write_all(bytes).expect("sent");
+    let mut said = String::new();
+    stream.read_to_string(&mut said).expect("a close");
+    said
+}
+
+fn operate(addr: SocketAddr, call: &str) -> String {
+    let said = ops(addr, format!("{call} HTTP/1.1\r\nHost: node\r\n\r\n").as_bytes());
+    let head = said.lines().next().unwrap_or_default().replace("HTTP/1.1 ", "");
+    let body = said.split_once("\r\n\r\n").map_or("", |parts| parts.1);
+    format!("{head}: {body}").trim_end().to_owned()
+}
+
+/// A port that was free a moment ago.
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address")
+}
+
+#[test]
+fn operators_read_figures_send_clients_away_and_call_them_back() {
+    let (tell, _seen) = channel();
+    let cache = server("a", tell, |_| hit("v"));
+    let addr = free();
+    let mut node = Node::start(&[("a", cache)], &format!(r#""ops":"{addr}","#));
+    let mut client = node.client();
+    assert_eq!(client.ask(&["OBJ.GET", "k1", "id1", FACTS]), "v");
+    // Callers with half a call, more than are kept, hold up nobody.
+    let half: Vec<_> = (0..40).map(|_| TcpStream::connect(addr).expect("a connection")).collect();
+    half.iter().for_each(|mut stream| drop(stream.write_all(b"GET /control/re")));
+    let mut told = String::new();
+    for call in ["GET /control/ready", "GET /control/counters", "POST /control/ready", "GET /nothing"] {
+        told += &format!("{call}: {}\n", operate(addr, call));
+    }
+    for broken in [&b"\0\xff\r\n\r\n"[..], &[b"GET /".to_vec(), vec![b'x'; 20_000]].concat()] {
+        let said = ops(addr, broken);
+        told += &format!("{}: {}\n", broken.len(), said.lines().next().unwrap_or_default());
+    }
+    told += &format!("POST /control/out-of-service: {}\n", operate(addr, "POST /control/out-of-service"));
+    told += &format!("GET /control/ready: {}\n", operate(addr, "GET /control/ready"));
+    let mut front = node.client();
+    told += &format!("PING: {}\n", front.ask(&["PING"]));
+    // What still comes is served; a kept connection is closed between answers.
+    told += &format!("OBJ.GET: {}\n", client.ask(&["OBJ.GET", "k1", "id2", FACTS]));
+    told += &format!("then: {}\n", client.answer());
+    told += &format!("POST /control/in-service: {}\n", operate(addr, "POST /control/in-service"));
+    told += &format!("GET /control/ready: {}\n", operate(addr, "GET /control/ready"));
+    told += &format!("PING: {}\n", node.client().ask(&["PING"]));
+    drop(half);
+    node.says("operators: in service");
+    expect_test::expect![[r#"
+        GET /control/ready: 200 OK: ready
+        GET /control/counters: 200 OK: {"responses":{"book":{"ok":0,"shed":0,"errors":0},"view":{"ok":1,"shed":0,"errors":0}},"tries":1,"active":0,"pool_size":1,"pool_ejected":0,"config_applied":0,"config_rejected":0}
+        POST /control/ready: 405 Method Not Allowed: another method is needed
+        GET /nothing: 404 Not Found: no such call
+        6: HTTP/1.1 400 Bad Request
+        20005: HTTP/1.1 431 Request Header Fields Too Large
+        POST /control/out-of-service: 200 OK: out of service
+        GET /control/ready: 503 Service Unavailable: not ready
+        PING: -ERR out of service
+        OBJ.GET: v
+        then: closed
+        POST /control/in-service: 200 OK: in service
+        GET /control/ready: 200 OK: ready
+        PING: +PONG
+    "#]]
+    .assert_eq(&told);
+}
+
+/// A node that inherits the listener as descriptor 4, once it says yes.
+fn heir(listener: &TcpListener, config: &str, ops: SocketAddr) -> Node {
+    static COUNT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+    let count = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let file = std::env::temp_dir().join(format!("quartzhub-heir-{}-{count}.json", std::process::id()));
+    std::fs::write(&file, config).expect("a file");
+    let inherited = std::os::fd::OwnedFd::from(listener.try_clone().expect("a descriptor"));
+    let child = Command::new("sh")
+        .args(["-c", "exec 4<&0 0</dev/null; exec \"$0\"", env!("CARGO_BIN_EXE_quartzhub")])
+        .stdin(Stdio::from(inherited))
+        .env_remove("LB_LISTEN")
+        .env_remove("LB_DISCOVERY")
+        .env("LB_OPS", ops.to_string())
+        .env("LB_INHERITED_FD", "4")
+        .env("LB_CONFIG", &file)
+        .spawn()
+        .expect("the program starts");
+    let addr = listener.local_addr().expect("an address");
+    let begun = std::time::Instant::now();
+    while begun.elapsed() < PATIENCE {
+        if TcpStream::connect(ops).is_ok() && operate(ops, "GET /control/ready").starts_with("200") {
+            break;
+        }
+        std::thread::yield_now();
+    }
+    Node { child, addr, log: None, file }
+}
+
+#[test]
+fn a_new_version_takes_over_on_the_same_socket_and_no_call_is_lost() {
+    let (tell, seen) = channel();
+    let (free_it, held) = channel();
+    let mut held = Some(held);
+    let cache = server("a", tell, move |words| match held.take_if(|_| words.ends_with("id1")) {
+        Some(held) => Deed::SayAfter(held, found("slow")),
+        None => hit("v"),
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let config = config(&[("a", cache)], "");
+    let (first, second) = (free(), free());
+    let mut old = heir(&listener, &config, first);
+    let (mut busy, mut idle) = (old.client(), old.client());
+    assert_eq!(idle.ask(&["PING"]), "+PONG");
+    busy.send(&command(&["OBJ.GET", "k1", "id1", FACTS]));
+    assert_eq!(next(&seen), "a: OBJ.GET k1 id1");
+    let new = heir(&listener, &config, second);
+    old.signal("-TERM");
+    // The idle client is let go; the one at work gets its answer first.
+    assert_eq!(idle.answer(), "closed");
+    let mut fresh = new.client();
+    assert_eq!(fresh.ask(&["OBJ.GET", "k1", "id2", FACTS]), "v");
+    free_it.send(()).expect("the server waits");
+    assert_eq!((busy.answer(), busy.answer()), ("slow".into(), "closed".into()));
+    assert!(old.child.wait().expect("an end").success());
+    assert_eq!(fresh.ask(&["OBJ.GET", "k1", "id3", FACTS]), "v");
+    assert_eq!(operate(second, "GET /control/ready"), "200 OK: ready");
+}
+
+#[test]
+fn an_inherited_descriptor_that_is_no_listening_socket_is_told() {
+    let file = std::env::temp_dir().join(format!("quartzhub-fd-{}.json", std::process::id()));
+    std::fs::write(&file, config(&[], "")).expect("a file");
+    let mut told = String::new();
+    for (number, setup) in [("9", ""), ("4", "exec 4</dev/null;"), ("x", ""), ("2", "")] {
+        let script = format!("{setup} exec \"$0\"");
+        let done = Command::new("sh")
+            .args(["-c", &script, env!("CARGO_BIN_EXE_quartzhub")])
+            .env("LB_INHERITED_FD", number)
+            .env("LB_CONFIG", &file)
+            .output()
+            .expect("the program runs");
+        let log = String::from_utf8_lossy(&done.stderr).into_owned();
+        let said = log.lines().last().unwrap_or_default().rsplit("descriptor").next().unwrap_or_default();
+        told += &format!("{number}: {}, {said}\n", done.status.success());
+    }
+    let _ = std::fs::remove_file(&file);
+    expect_test::expect![[r#"
+        9: false,  9 is not open
+        4: false,  4: no socket
+        x: false, 
+        2: false, 
+    "#]]
+    .assert_eq(&told);
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -616,6 +616,12 @@
         }
     }
 
+    /// How many ready caches are doubtful now, and so are mostly passed over.
+    pub fn avoided(&self, now: Time) -> usize {
+        let ready = self.line.ranked.iter().map(|ix| &self.servers[ix.0]);
+        ready.filter(|server| self.health.doubtful(server, now)).count()
+    }
+
     pub fn outcome(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut impl Answers) {
         self.now = now;
         self.run_due(to);
