--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,4 +1,5 @@
 //! The configuration: read, checked and given its defaults here and nowhere else. Messages name the faulty key.
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -27,11 +28,22 @@
     pub passed_over: Vec<Fault>,
     /// What the limits were made from.
     machine: Machine,
+    /// Keys that its file has, but for the list of known servers.
+    keys: BTreeSet<String>,
     /// Where it was read, and the discovery that stood there.
     source: Option<Source>,
     named: Option<SocketAddr>,
 }
 
+/// What a file read again has brought.
+#[derive(Debug, PartialEq)]
+pub struct Again {
+    /// Keys that have changed and do so at a restart only.
+    pub at_restart: Vec<String>,
+    /// Settings have changed.
+    pub settings: bool,
+}
+
 #[derive(Debug)]
 struct Source {
     file: PathBuf,
@@ -58,6 +70,10 @@
     settings: serde_json::Value,
 }
 
+/// Longest deadline and most shots that settings may name: a day, and far more than any API call is worth.
+const LONGEST_MS: f64 = 86_400_000.0;
+const MOST_SHOTS: f64 = 1000.0;
+
 /// A server list, whole or as changes, in the form that discovery gives it.
 #[derive(Debug, Default, serde::Deserialize)]
 pub struct News {
@@ -153,14 +169,14 @@
         Ok(config)
     }
 
-    /// Reads the same file again, checks it whole, and takes over what may change while the node runs; tells
-    /// which other keys have changed. A variable goes before the file as it did at the start, but not before
-    /// a discovery that the file has been given since. On a fault all stays as it is.
-    pub fn read_again(&mut self) -> Result<Vec<&'static str>, Fault> {
+    /// Reads the same file again, checks it whole, and takes over what may change while the node runs. A variable
+    /// goes before the file as it did at the start, but not before a discovery that the file has been given since.
+    /// On a fault all stays as it is. Guards against half a file: what it had before must still be there.
+    pub fn read_again(&mut self) -> Result<Again, Fault> {
         let source = self.source.as_ref().ok_or_else(|| Fault("not read from a file".to_owned()))?;
         let new = Config::read(&source.file, source.environment.clone())?;
-        if new.named.is_none() && self.named.is_some() {
-            return Err(Fault(format!("{}: discovery: missing", source.file.display())));
+        if let Some(key) = self.keys.difference(&new.keys).next() {
+            return Err(Fault(format!("{}: {key}: missing", source.file.display())));
         }
         if new.named != self.named {
             (self.named, self.discovery) = (new.named, new.named);
@@ -169,10 +185,19 @@
         let changed = [
             ("name", new.name != self.name),
             ("listen", new.listen != self.listen),
+            ("ops", new.ops != self.ops),
             ("limits", new.machine != self.machine),
-            ("settings", new.settings.0 != self.settings.0),
         ];
-        Ok(changed.iter().filter(|key| key.1).map(|key| key.0).collect())
+        let mut at_restart: Vec<_> = changed.iter().filter(|key| key.1).map(|key| key.0.to_owned()).collect();
+        let (old, new) = (std::mem::replace(&mut self.settings, new.settings).0, &self.settings.0);
+        let differs = |key: &&String| old.get(*key) != new.get(*key);
+        let fixed = |key: &&String| {
+            let first = key.split('.').next().unwrap_or_default();
+            ["kinds", "localities", "zone", "me", "extra", "membership_mode"].contains(&first)
+        };
+        let keys: BTreeSet<_> = old.keys().chain(new.keys()).filter(differs).collect();
+        at_restart.extend(keys.iter().filter(|key| fixed(key)).map(|key| format!("settings.{key}")));
+        Ok(Again { at_restart, settings: !keys.is_empty() })
     }
 
     pub fn parse(text: &str, environment: Environment) -> Result<Config, Fault> {
@@ -212,6 +237,14 @@
             text.parse().ok().filter(|number| *number > 2).ok_or_else(fault)
         };
         let inherited = environment.inherited.map(number).transpose()?;
+        let mut keys = BTreeSet::new();
+        let whole: BTreeMap<String, serde_json::Value> = serde_json::from_str(text).unwrap_or_default();
+        for (key, value) in &whole {
+            keys.insert(key.clone());
+            if key != "known" {
+                put_keys(key, value, &mut keys);
+            }
+        }
         let ops = variable("LB_OPS", environment.ops)?.or(file.ops);
         let limits = Limits::new(file.limits, &settings);
         Ok(Config {
@@ -226,12 +259,36 @@
             known,
             passed_over,
             machine: file.limits,
+            keys,
             source: None,
             named: file.discovery,
         })
     }
 }
 
+/// The dotted names of all keys under one; of a list's items, those that each of them has.
+fn put_keys(under: &str, value: &serde_json::Value, into: &mut BTreeSet<String>) {
+    match value {
+        serde_json::Value::Object(fields) => {
+            for (key, value) in fields {
+                let key = format!("{under}.{key}");
+                put_keys(&key, value, into);
+                into.insert(key);
+            }
+        }
+        serde_json::Value::Array(items) => {
+            let of = |item| {
+                let mut keys = BTreeSet::new();
+                put_keys(&format!("{under}[]"), item, &mut keys);
+                keys
+            };
+            let all = items.iter().map(of).reduce(|all, keys| &all & &keys);
+            into.extend(all.unwrap_or_default());
+        }
+        _ => {}
+    }
+}
+
 /// A seed where the configuration gives none.
 fn chance() -> u64 {
     use std::hash::{BuildHasher, Hasher};
@@ -254,12 +311,23 @@
     let Some(products) = settings.get("Products").and_then(|p| p.as_array()).filter(|p| !p.is_empty()) else {
         return fault(".Products", "a list of at least one product is needed");
     };
+    let number = |value: Option<&serde_json::Value>, most: f64| {
+        value.and_then(|n| n.as_f64()).is_some_and(|n| n > 0.0 && n <= most)
+    };
+    let shots = settings.get("Caps").and_then(|caps| caps.get("MostShots"));
+    if shots.is_some() && !number(shots, MOST_SHOTS) {
+        return fault(".Caps.MostShots", "a number of shots above 0 is needed");
+    }
+    let mut names = BTreeSet::new();
     for (i, product) in products.iter().enumerate() {
-        if product.get("Name").and_then(|name| name.as_str()).is_none() {
+        let Some(name) = product.get("Name").and_then(|name| name.as_str()) else {
             return fault(&format!(".Products[{i}].Name"), "a text is needed");
+        };
+        if !names.insert(name) {
+            return fault(&format!(".Products[{i}].Name"), &format!("{name:?} stands twice"));
         }
         for key in ["LatencySlo", "ClientTimeout"] {
-            if !product.get(key).and_then(|n| n.as_f64()).is_some_and(|n| n > 0.0) {
+            if !number(product.get(key), LONGEST_MS) {
                 return fault(&format!(".Products[{i}].{key}"), "a number of milliseconds above 0 is needed");
             }
         }
@@ -311,13 +379,64 @@
         again(r#""discovery":"127.0.0.1:3","#, r#""limits":{"sockets":3},"#);
         again("", "");
         again(r#""discovery":"127.0.0.1:1","#, "");
+        again(r#""discovery":"127.0.0.1:1","#, r#""limits":{"sockets":99},"name":"n","#);
         let _ = std::fs::remove_file(&file);
         expect![[r#"
-            Some(9): Ok([])
-            Some(2): Ok(["name", "limits"])
+            Some(9): Ok(Again { at_restart: [], settings: false })
+            Some(2): Ok(Again { at_restart: ["name", "limits"], settings: false })
             Some(2): Err("file: limits.sockets: 3 is under 32")
             Some(2): Err("file: discovery: missing")
-            Some(1): Ok([])
+            Some(1): Ok(Again { at_restart: [], settings: false })
+            Some(1): Ok(Again { at_restart: ["name", "limits"], settings: false })
+        "#]]
+        .assert_eq(&told);
+    }
+
+    #[test]
+    fn settings_read_again_are_taken_whole_or_turned_down_whole() {
+        let file = std::env::temp_dir().join(format!("quartzhub-settings-{}.json", std::process::id()));
+        let product = |name: &str, timeout: &str, more: &str| {
+            format!(r#"{{"Name":"{name}","LatencySlo":100,"ClientTimeout":{timeout}{more}}}"#)
+        };
+        let put = |zone: &str, caps: &str, products: &[String]| {
+            let products = products.join(",");
+            let settings = format!(r#"{{"Zone":"{zone}","Caps":{{{caps}}},"Products":[{products}]}}"#);
+            let text = format!(r#"{{"listen":"127.0.0.1:6379","settings":{settings}}}"#);
+            std::fs::write(&file, text).expect("written");
+        };
+        let view = product("view", "500", r#","Effect":"idempotent""#);
+        let (caps, fewer) = (r#""MostShots":3,"Probing":true"#, r#""MostShots":2,"Probing":true"#);
+        put("a", caps, std::slice::from_ref(&view));
+        let mut config = Config::read(&file, Environment::default()).expect("a configuration");
+        let mut told = String::new();
+        let mut again = |zone: &str, caps: &str, products: &[String]| {
+            put(zone, caps, products);
+            let what = config.read_again();
+            let what = what.map_err(|e| e.to_string().replace(&*file.to_string_lossy(), "file"));
+            let shots = config.settings.number("caps.most_shots", 0.0);
+            told += &format!("{shots} shots, {} products: {what:?}\n", config.settings.products().len());
+        };
+        let put = product("put", "400", r#","Effect":"deduplicated""#);
+        again("a", caps, std::slice::from_ref(&view));
+        again("a", fewer, &[view.clone(), put.clone()]);
+        again("b", caps, std::slice::from_ref(&put));
+        again("a", r#""MostShots":2"#, &[view.clone(), put.clone()]);
+        again("a", fewer, &[view.clone(), product("put", "400", "")]);
+        again("a", fewer, &[view.clone(), product("put", "-5", r#","Effect":"deduplicated""#)]);
+        again("a", fewer, &[view.clone(), put.clone(), put.clone()]);
+        again("a", fewer, &[]);
+        std::fs::write(&file, "").expect("written");
+        assert!(config.read_again().is_err_and(|e| e.to_string().contains("EOF")));
+        let _ = std::fs::remove_file(&file);
+        expect![[r#"
+            3 shots, 1 products: Ok(Again { at_restart: [], settings: false })
+            2 shots, 2 products: Ok(Again { at_restart: [], settings: true })
+            3 shots, 1 products: Ok(Again { at_restart: ["settings.zone"], settings: true })
+            3 shots, 1 products: Err("file: settings.Caps.Probing: missing")
+            3 shots, 1 products: Err("file: settings.Products[].Effect: missing")
+            3 shots, 1 products: Err("file: settings.Products[1].ClientTimeout: a number of milliseconds above 0 is needed")
+            3 shots, 1 products: Err("file: settings.Products[2].Name: \"put\" stands twice")
+            3 shots, 1 products: Err("file: settings.Products: a list of at least one product is needed")
         "#]]
         .assert_eq(&told);
     }
@@ -339,6 +458,16 @@
             with(product, ""),
             with(r#""LatencySlo":100"#, r#""LatencySlo":"100 ms""#),
             with(r#""LatencySlo""#, r#""Effect":"safe","LatencySlo""#),
+            with("500", "-5"),
+            with("500", "0"),
+            with("500", "1e300"),
+            with("500", "1e999"),
+            with("500", "null"),
+            with(product, &format!("{product},{product}")),
+            with(r#""Products""#, r#""Caps":{"MostShots":0},"Products""#),
+            with(r#""Products""#, r#""Caps":{"MostShots":"3"},"Products""#),
+            faults(&good[..good.len() - 1]),
+            faults(""),
             faults("{"),
         ];
         expect![[r#"
@@ -353,6 +482,16 @@
             settings.Products: a list of at least one product is needed
             settings.Products[0].LatencySlo: a number of milliseconds above 0 is needed
             quartzhub on 127.0.0.1:6379 (settings.Products[0].Effect: none of idempotent, deduplicated and at_most_once: taken as the last)
+            settings.Products[0].ClientTimeout: a number of milliseconds above 0 is needed
+            settings.Products[0].ClientTimeout: a number of milliseconds above 0 is needed
+            settings.Products[0].ClientTimeout: a number of milliseconds above 0 is needed
+            settings.Products[0].ClientTimeout: number out of range at line 1 column 104
+            settings.Products[0].ClientTimeout: a number of milliseconds above 0 is needed
+            settings.Products[1].Name: "view" stands twice
+            settings.Caps.MostShots: a number of shots above 0 is needed
+            settings.Caps.MostShots: a number of shots above 0 is needed
+            EOF while parsing an object at line 1 column 105
+            EOF while parsing a value at line 1 column 0
             EOF while parsing an object at line 1 column 1
         "#]]
         .assert_eq(&all.concat());
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -227,6 +227,20 @@
         }
     }
 
+    /// With the times that settings tell, where others are live than at the start.
+    pub fn retuned(&self, settings: &Settings) -> Limits {
+        let new = Limits::new(Machine::default(), settings);
+        Limits {
+            connect: new.connect,
+            link_idle: new.link_idle,
+            answer_whole: new.answer_whole,
+            stop_serve: new.stop_serve,
+            stop_answered: new.stop_answered,
+            stop_longest: new.stop_longest,
+            ..self.clone()
+        }
+    }
+
     /// Sets descriptors aside for operators' calls.
     pub fn with_ops(mut self) -> Limits {
         self.sockets = self.sockets.saturating_sub(self.ops_calls).max(8);
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -118,7 +118,8 @@
 /// Connects, then reads and writes until the connection ends or is closed.
 pub async fn run(hub: Rc<Hub>, link: Rc<Link>) {
     let to = link.to;
-    let connect = tokio::time::timeout(duration(hub.limits.connect), TcpStream::connect(to));
+    let longest = hub.ask(|reducer| reducer.limits().connect);
+    let connect = tokio::time::timeout(duration(longest), TcpStream::connect(to));
     let connected = tokio::select! {
         connected = connect => connected,
         () = link.wake.notified() => return,
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -7,7 +7,8 @@
 
 use quartzhub_names::{place, Calls, Line, Places, Servers};
 use quartzhub_policy::{
-    Answers, Ask, Balancer, CallIx, Effect as Effects, Ending, Outcome, Product, ServerIx, Span, State, Time,
+    Answers, Ask, Balancer, CallIx, Effect as Effects, Ending, Outcome, Product, ServerIx, Settings, Span,
+    State, Time,
 };
 use rustc_hash::FxHashMap;
 
@@ -269,6 +270,23 @@
         }
     }
 
+    /// Goes by other settings from now on. Open API calls keep the rules that they came under, counts go on, and what
+    /// was learnt of servers stays; zones and kinds are read by their names at the start.
+    pub fn retune(&mut self, now: Time, settings: &Settings) {
+        self.at(now);
+        let Places { products, tenants, .. } = Places::new(settings);
+        let most = self.world.limits.products;
+        self.counted = products.iter().map(|name| self.world.counted.place(name, most)).collect();
+        self.products = settings.products();
+        (self.places.products, self.places.tenants) = (products, tenants);
+        self.world.limits = self.world.limits.retuned(settings);
+        self.balancer.retune(settings);
+    }
+
+    pub fn limits(&self) -> &Limits {
+        &self.world.limits
+    }
+
     pub fn start(&mut self, now: Time) {
         self.at(now);
         self.balancer.start(now, &mut self.world);
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -30,12 +30,21 @@
     loop {
         again.notified().await;
         let read = config.read_again();
-        hub.tell(|reducer, _| reducer.configured(read.is_ok()));
+        hub.tell(|reducer, now| {
+            reducer.configured(read.is_ok());
+            if read.as_ref().is_ok_and(|again| again.settings) {
+                reducer.retune(now, &config.settings);
+            }
+        });
         match read {
-            Ok(changed) => {
-                crate::log!("configuration read again");
+            Ok(again) => {
+                let what = if again.settings { ", with other settings" } else { "" };
+                crate::log!("configuration read again{what}");
                 config.passed_over.iter().for_each(|fault| crate::log!("configuration: {fault}"));
-                changed.iter().for_each(|key| crate::log!("configuration: {key}: changes at a restart only"));
+                again
+                    .at_restart
+                    .iter()
+                    .for_each(|key| crate::log!("configuration: {key}: changes at a restart only"));
                 let now = config.discovery;
                 discovery.send_if_modified(|named| std::mem::replace(named, now) != now);
             }
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -37,7 +37,7 @@
     asked.await;
     crate::log!("asked to stop with {} API calls open", hub.ask(Reducer::open_calls));
     let asked = hub.clock.now();
-    let limits = &hub.limits;
+    let limits = &hub.ask(|reducer| reducer.limits().clone());
     hub.tell(|reducer, _| reducer.answer_all_by(asked + limits.stop_answered));
     let shared = handed_over.is_some();
     if let Some(accepting) = handed_over {
--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -806,3 +806,54 @@
     "#]]
     .assert_eq(&all);
 }
+
+#[test]
+fn open_calls_keep_the_rules_they_came_under_and_a_dropped_product_is_no_more() {
+    let mut rig = Rig::new("{}");
+    let settings = |products: &str, shots: usize| {
+        let (caps, _) = SETTINGS.split_once(r#""Products""#).expect("products");
+        let caps = caps.replace(r#""MostShots":3"#, &format!(r#""MostShots":{shots}"#));
+        let text = format!(r#"{caps}"Products":[{products}]}}"#);
+        quartzhub_names::settings(&serde_json::from_str(&text).expect("settings"))
+    };
+    let client = rig.client();
+    rig.call(client, "view", "c1", 400);
+    rig.call(client, "book", "c2", 400);
+    let other = settings(r#"{"Name":"book","Effect":"idempotent","LatencySlo":100,"ClientTimeout":500}"#, 1);
+    rig.tell("view is dropped, book may run again, one shot each", |r, now| r.retune(now, &other));
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.tell("miss", |r, now| r.answered(now, LinkId(2), bare(Outcome::Miss)));
+    rig.tell("broken", |r, now| r.answered(now, LinkId(3), bare(Outcome::Broken)));
+    rig.tell("up 4", |r, now| r.connected(now, LinkId(4)));
+    rig.tell("value", |r, now| r.answered(now, LinkId(4), value("v")));
+    rig.call(client, "view", "c3", 400);
+    rig.call(client, "book", "c4", 400);
+    rig.tell("broken", |r, now| r.answered(now, LinkId(2), bare(Outcome::Broken)));
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 call c2
+        0   connect 3 to 1
+        0 view is dropped, book may run again, one shot each
+        0 up 2
+        0   write 2: c1, wait 397
+        0 up 3
+        0   write 3: c2, wait 397
+        0 miss
+        0   connect 4 to 9
+        0 broken
+        0 up 4
+        0   write 4: c1, wait 397
+        0 value
+        0   answer 1: v
+        0   answer 1: Errored("failed")
+        0 call c3
+        0   answer 1: plain
+        0 call c4
+        0   write 2: c4, wait 397
+        0 broken
+        0   answer 1: RateLimited(None)
+    "#]]
+    .assert_eq(&rig.trace);
+}
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -892,3 +892,29 @@
     "#]]
     .assert_eq(&told);
 }
+
+#[test]
+fn sighup_adds_and_drops_products_and_counts_what_it_turned_down() {
+    let (tell, seen) = channel();
+    let cache = server("a", tell, |_| hit("v"));
+    let addr = free();
+    let before = config(&[("a", cache)], &format!(r#""ops":"{addr}","#));
+    let mut node = Node::with(&before, 4096);
+    let mut client = node.client();
+    assert_eq!(client.ask(&["OBJ.GET", "k1", "id1", "c=new,d=30000"]), "-ERR no such product");
+    let mut again = |text: &str, line: &str| {
+        std::fs::write(&node.file, text).expect("written");
+        node.signal("-HUP");
+        node.says(line);
+    };
+    again(&before.replace(r#""view""#, r#""new""#), "configuration read again, with other settings");
+    again(&before[..before.len() / 2], "the one before is kept");
+    assert_eq!(client.ask(&["OBJ.GET", "k1", "id2", "c=new,d=30000"]), "v");
+    assert_eq!(next(&seen), "a: OBJ.GET k1 id2");
+    assert_eq!(client.ask(&["OBJ.GET", "k1", "id3", FACTS]), "-ERR no such product");
+    let told = operate(addr, "GET /control/counters");
+    expect_test::expect![[r#"
+        200 OK: {"responses":{"book":{"ok":0,"shed":0,"errors":0},"new":{"ok":1,"shed":0,"errors":0},"view":{"ok":0,"shed":0,"errors":0}},"tries":1,"active":0,"pool_size":1,"pool_ejected":0,"config_applied":1,"config_rejected":1}
+    "#]]
+    .assert_eq(&(told + "\n"));
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -101,14 +101,18 @@
 // ---- Admission: tenant share and overload -------------------------------------------------------
 
 impl Admission {
-    fn new(settings: &Settings) -> Admission {
+    /// Each tenant's share at this node; what one has used of it is kept while its share stays.
+    fn share(&mut self, settings: &Settings) {
         let nodes = settings.nodes();
-        let tenant = |i| {
-            let per_s = settings.number(&format!("projects.{i}.quota_per_s"), 0.0) / nodes;
-            Tenant { per_s, saved: (per_s * QUOTA_SAVED).max(QUOTA_LEAST), rate: 0.0, at: Time(0) }
-        };
-        let tenants: Vec<_> = (0..settings.count("projects")).map(tenant).collect();
-        Admission { quota: tenants.iter().map(|tenant| tenant.per_s).sum(), tenants, ..Admission::default() }
+        let per_s = |i| settings.number(&format!("projects.{i}.quota_per_s"), 0.0) / nodes;
+        let shares: Vec<f64> = (0..settings.count("projects")).map(per_s).collect();
+        if shares.iter().eq(self.tenants.iter().map(|tenant| &tenant.per_s)) {
+            return;
+        }
+        let saved = |per_s: f64| (per_s * QUOTA_SAVED).max(QUOTA_LEAST);
+        let tenant = |per_s| Tenant { per_s, saved: saved(per_s), rate: 0.0, at: self.at };
+        self.quota = shares.iter().sum();
+        self.tenants = shares.into_iter().map(tenant).collect();
     }
 
     /// How far beyond its tenant's share at this node this call is: 0 within it, 1 at twice it or more.
@@ -402,8 +406,9 @@
 
 impl Shots {
     /// Rules 1 and 2: whether this call may have a shot at this server now.
-    fn allows(&self, call: &Call, product: &Product, servers: &[Server], to: ServerIx, now: Time) -> bool {
-        let room = call.shots.len() < self.most && (self.may_duplicate || call.out() == 0);
+    fn allows(&self, call: &Call, servers: &[Server], to: ServerIx, now: Time) -> bool {
+        let product = &call.product;
+        let room = call.shots.len() < call.most && (self.may_duplicate || call.out() == 0);
         if call.ended || call.streaming || now >= call.until || !room {
             return false;
         }
@@ -426,7 +431,8 @@
     }
 
     /// Rule 2: a rate-limit reply says that trying again does no harm.
-    fn may_rate_limit(&self, call: &Call, product: &Product) -> bool {
+    fn may_rate_limit(&self, call: &Call) -> bool {
+        let product = &call.product;
         let free = product.effect == Effect::Idempotent
             || (product.effect == Effect::Deduplicated && product.scope == Scope::All);
         free || call.proven_unrun()
@@ -451,42 +457,27 @@
 impl Balancer {
     /// Missing settings get the safe reading: no duplicates, no cancelling, no retry time, one shot.
     pub fn new(settings: &Settings, seed: u64) -> Balancer {
-        let mut products = settings.products();
-        let shortest = products.iter().map(|p| p.slo).min().unwrap_or(Span::ms(1000)).0 as f64;
-        let (nodes, retry) = (settings.nodes(), settings.span("caps.max_retry_after", Span::ZERO));
-        // An unknown product is taken as the last entry: never to run twice, in the shortest time.
-        products.push(Product::unknown(Span(shortest as i64)));
+        let (nodes, mut rules) = (settings.nodes(), Balancer::default());
+        rules.retune(settings);
+        let shortest = rules.shortest.0 as f64;
         Balancer {
-            shortest: Span(shortest as i64),
             aside: settings.text("extra.mode") == "aside",
             origin_kind: settings.number("extra.origin_kind", -1.0),
-            max_retry: settings.flag("caps.retry_after").then_some(retry),
             chance: Pcg::new(seed),
-            admission: Admission::new(settings),
             line: Line::new(settings),
             health: Health {
                 median: shortest * FURTHER_FROM,
                 tail: shortest * FURTHER_TO,
-                longest: products.iter().map(|p| p.slo).max().unwrap_or(Span::ms(1000)).0 as f64,
                 success: 1.0,
-                cold_from: settings.number("invariants.cold_from", 0.0).clamp(0.0, 1.0),
-                warm_within: settings.span("invariants.warm_within", Span::ms(60_000)),
+                ..rules.health
             },
             origin: Origin {
                 limit: (ORIGIN_START_ALL / nodes).min(ORIGIN_START),
-                least: ORIGIN_LEAST / nodes,
                 times: [0.5, 1.0].map(|part| (shortest * ORIGIN_TARGET, shortest * ORIGIN_TARGET * part)),
-                target: shortest * ORIGIN_TARGET,
                 saved: ORIGIN_SAVED,
-                ..Origin::default()
-            },
-            shots: Shots {
-                most: settings.number("caps.most_shots", 1.0).max(1.0) as usize,
-                may_duplicate: settings.flag("caps.may_duplicate"),
-                may_cancel: settings.flag("caps.cancelling"),
-                saved: 1.0,
-                success: 0.5,
+                ..rules.origin
             },
+            shots: Shots { saved: 1.0, success: 0.5, ..rules.shots },
             following: Following {
                 on_request: settings.text("membership_mode") == "on_request",
                 heard: true,
@@ -494,11 +485,32 @@
                 ask_within: settings.span("invariants.ask_within", Span::ms(10_000)),
                 next: None,
             },
-            products,
-            ..Balancer::default()
+            ..rules
         }
     }
 
+    /// Goes by other rules from now on: products, shares, what is allowed and the figures of the rules. Calls that
+    /// are open keep theirs, and what was learnt of servers stays; zones, kinds and the mode are those of the start.
+    pub fn retune(&mut self, settings: &Settings) {
+        self.products = settings.products();
+        let shortest = self.products.iter().map(|p| p.slo).min().unwrap_or(Span::ms(1000));
+        let longest = self.products.iter().map(|p| p.slo).max().unwrap_or(Span::ms(1000));
+        // An unknown product is taken as the last entry: never to run twice, in the shortest time.
+        self.products.push(Product::unknown(shortest));
+        self.shortest = shortest;
+        let retry = settings.span("caps.max_retry_after", Span::ZERO);
+        self.max_retry = settings.flag("caps.retry_after").then_some(retry);
+        self.admission.share(settings);
+        self.health.longest = longest.0 as f64;
+        self.health.cold_from = settings.number("invariants.cold_from", 0.0).clamp(0.0, 1.0);
+        self.health.warm_within = settings.span("invariants.warm_within", Span::ms(60_000));
+        self.origin.least = ORIGIN_LEAST / settings.nodes();
+        self.origin.target = shortest.0 as f64 * ORIGIN_TARGET;
+        self.shots.most = settings.number("caps.most_shots", 1.0).max(1.0) as usize;
+        self.shots.may_duplicate = settings.flag("caps.may_duplicate");
+        self.shots.may_cancel = settings.flag("caps.cancelling");
+    }
+
     pub fn start(&mut self, now: Time, to: &mut impl Answers) {
         (self.now, self.ticked) = (now, now);
         to.wake(TICK);
@@ -577,10 +589,10 @@
         self.run_due(to);
         self.calls.resize_with(self.calls.len().max(ix.0 + 1), Call::default);
         let key = ask.key.map_or_else(|| (self.chance.unit() * 2f64.powi(53)) as u64, hash);
-        let product = ask.product.min(self.products.len() - 1);
         // Guards against tries that come back late already: a marked repeat does not draw on the share, and
         // yields by the part of its value that is lost when late.
-        let lost = if ask.repeat { 1.0 - self.products[product].late_value } else { 0.0 };
+        let product = self.products[ask.product.min(self.products.len() - 1)];
+        let lost = if ask.repeat { 1.0 - product.late_value } else { 0.0 };
         let beyond = self.admission.beyond_share(ask.tenant, lost, now);
         self.serial = self.serial.wrapping_add(1);
         let call = &mut self.calls[ix.0];
@@ -588,8 +600,9 @@
         (call.place, call.product, call.over, call.write) = (Place::Chain, product, beyond > 0.0, ask.write);
         (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
         (call.until, call.due) = (now + ask.left, now);
+        call.most = self.shots.most;
         call.shots.clear();
-        let slo = self.products[product].slo;
+        let slo = product.slo;
         let at_line = !(ask.write && self.aside);
         let wait = if at_line { self.line.wait() } else { 0.0 };
         match self.admission.admit(beyond, wait / slo.seconds(), &mut self.chance) {
@@ -633,7 +646,7 @@
         self.line.out -= u32::from(std::mem::take(&mut shot.counted));
         let (server, further) = (&mut self.servers[shot.server.0], shot.further);
         server.out = server.out.saturating_sub(1);
-        let slo = self.products[call.product].slo;
+        let slo = call.product.slo;
         if server.origin {
             self.origin.out = self.origin.out.saturating_sub(1);
             self.origin.settle(&ending, slo, call.write);
@@ -748,7 +761,7 @@
             return self.give_up(ix, to);
         }
         let call = &self.calls[ix.0];
-        let slo = self.products[call.product].slo.times(PATIENCE);
+        let slo = call.product.slo.times(PATIENCE);
         let due = (self.now + slo).min(self.now + (call.until - self.now).times(PATIENCE));
         self.set_due(ix, due);
     }
@@ -763,7 +776,7 @@
 
     fn enter_line(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
-        let last = call.shots.len() + 1 >= self.shots.most;
+        let last = call.shots.len() + 1 >= call.most;
         if self.aside && (call.write || (last && !call.shots.is_empty())) {
             return self.enter_origin(ix, to);
         }
@@ -791,7 +804,7 @@
         }
         // What would wait too long is ended now; writes go ahead of the queue.
         let ahead = if call.write { 0 } else { self.origin.queue.len() };
-        let patience = self.products[call.product].slo.times(PATIENCE);
+        let patience = call.product.slo.times(PATIENCE);
         if !self.origin.room(self.now) && self.origin.wait(ahead) > patience {
             return self.give_up(ix, to);
         }
@@ -803,7 +816,7 @@
     /// Which waiting call goes first: writes, then in-share work, then what is billed higher.
     fn rank(&self, ix: CallIx) -> (bool, bool, u64) {
         let call = &self.calls[ix.0];
-        (call.write, !call.over, self.products[call.product].value.to_bits())
+        (call.write, !call.over, call.product.value.to_bits())
     }
 
     /// Sends waiting calls to the origin while its limit has room.
@@ -822,9 +835,9 @@
     /// Alone dispatches: rules 1 and 2 by `Shots::allows`, 3 by the list's state, 4 by the line's budget.
     fn shoot(&mut self, ix: CallIx, at: ServerIx, further: bool, to: &mut impl Answers) -> bool {
         let call = &mut self.calls[ix.0];
-        let product = &self.products[call.product];
+        let product = call.product;
         let ready = self.servers[at.0].state == State::Ready;
-        if !ready || !self.shots.allows(call, product, &self.servers, at, self.now) {
+        if !ready || !self.shots.allows(call, &self.servers, at, self.now) {
             return false;
         }
         let server = &mut self.servers[at.0];
@@ -856,8 +869,8 @@
     fn again(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
         let out = call.out() > 0;
-        let product = &self.products[call.product];
-        let may = call.shots.len() < self.shots.most
+        let product = &call.product;
+        let may = call.shots.len() < call.most
             && (self.shots.may_duplicate || !out)
             && (call.proven_unrun() || product.effect != Effect::NonIdempotent);
         if call.place != Place::Flying || out && (!may || !call.missed || call.leads) {
@@ -899,8 +912,7 @@
         if server.origin || call.streaming || call.write && self.aside || call.out() > 1 {
             return;
         }
-        let product = &self.products[call.product];
-        let allowed = self.shots.allows(call, product, &self.servers, at, self.now);
+        let allowed = self.shots.allows(call, &self.servers, at, self.now);
         if allowed && (failing || self.shots.further()) {
             // Guards against further shots that miss at the next nearest and load it in a jam.
             let needed = f64::from(self.origin.out) * 2.0 + 1.0;
@@ -912,7 +924,7 @@
                 return;
             }
         }
-        let wait = self.products[self.calls[ix.0].product].slo.times(FURTHER_FROM);
+        let wait = self.calls[ix.0].product.slo.times(FURTHER_FROM);
         self.set_due(ix, self.now + wait);
     }
 
@@ -922,8 +934,8 @@
         if call.ended {
             return;
         }
-        let product = &self.products[call.product];
-        if self.shots.may_rate_limit(call, product) {
+        let product = &call.product;
+        if self.shots.may_rate_limit(call) {
             let most = self.max_retry.map(|most| most.min(product.timeout));
             let jitter = 0.5 + 0.5 * self.chance.unit();
             to.rate_limit(ix, most.map(|most| most.times(jitter)));
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -142,7 +142,7 @@
     One,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub struct Product {
     pub slo: Span,
     pub timeout: Span,
@@ -162,6 +162,12 @@
     }
 }
 
+impl Default for Product {
+    fn default() -> Product {
+        Product::unknown(Span::ZERO)
+    }
+}
+
 impl Settings {
     /// The products. A missing effect is read as non-idempotent, a missing scope as one server.
     pub fn products(&self) -> Vec<Product> {
