Pass values over 64 KiB on as they come, and hold large writes within one budget

Also a moving peer was given the time for a connect for its whole answer, not for each next piece.

A link on whose answer a large value begins is settled there: the reducer gives the final answer `Passed`, tells the module of the success at its first bytes, so that a client which takes slowly says nothing of the server, and from then on the client's task writes straight from the link's buffer; the link reads no further than one window ahead. The last byte goes once what ends the value has been seen, so that a spoilt one can be told; a break closes the client, or gives an error where nothing was said yet. Large writes are promised their room as soon as their size is told, wait for it unread (their time counts from the last byte), and go from the client's buffer to the link without a copy. Ways not taken: one more buffer between the two sockets (twice the memory, another end to watch), and passing writes on as they come (a slow client would hold a place at the origin). A process with an inherited socket plans for half of the memory and keeps fewer idle links, as two such processes count as one.

Ruled out: late heads.

--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -1,6 +1,7 @@
 //! The one buffer of a connection: grows as it needs, is compacted in place.
 use std::io;
 
+use bytes::Bytes;
 use tokio::net::TcpStream;
 
 #[derive(Default)]
@@ -36,6 +37,20 @@
         }
     }
 
+    /// Takes the first bytes out without copying them, for what is large.
+    pub fn take(&mut self, count: usize) -> Bytes {
+        let start = std::mem::take(&mut self.start);
+        let mut bytes = std::mem::take(&mut self.bytes);
+        self.bytes = bytes.split_off((start + count).min(bytes.len()));
+        Bytes::from(bytes).slice(start..)
+    }
+
+    /// Has room for so many bytes in all.
+    pub fn make_room(&mut self, count: usize) {
+        self.compact();
+        self.bytes.reserve_exact(count.saturating_sub(self.bytes.len()));
+    }
+
     pub fn clear(&mut self) {
         self.bytes.clear();
         self.start = 0;
@@ -96,6 +111,7 @@
         buffer.consume(4);
         buffer.put(b"gh");
         assert_eq!((buffer.filled(), buffer.start), (&b"efgh"[..], 0));
+        assert_eq!((buffer.take(1), buffer.filled()), (bytes::Bytes::from_static(b"e"), &b"fgh"[..]));
         buffer.consume(99);
         assert!(buffer.is_empty());
     }
--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -15,19 +15,36 @@
     pub reusable: bool,
 }
 
-/// The command for a cache server: as the client sent it, but with the time that the node will wait.
+/// The command for a cache server: as the client sent it, but with the time that the node will wait. A value and
+/// its end follow behind it.
 pub fn command(words: &Words, wait: Span) -> Vec<u8> {
-    let mut out = Vec::new();
     let facts = facts(&words.facts, wait);
-    let name: &[u8] = if words.value.is_some() { b"OBJ.SET" } else { b"OBJ.GET" };
-    let head: [&[u8]; 4] = [name, words.key.as_bytes(), words.id.as_bytes(), facts.as_bytes()];
-    match &words.value {
-        Some(value) => resp::put_command(&mut out, &[head[0], head[1], head[2], head[3], value]),
-        None => resp::put_command(&mut out, &head),
+    let (name, count) = if words.value.is_some() { ("OBJ.SET", 5) } else { ("OBJ.GET", 4) };
+    let mut out = format!("*{count}\r\n").into_bytes();
+    [name, &words.key, &words.id, &facts].iter().for_each(|word| resp::put_bulk(&mut out, word.as_bytes()));
+    if let Some(value) = &words.value {
+        out.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
     }
     out
 }
 
+/// Where a value begins that is too large to be kept, and its size; it ends in `END`.
+pub fn large(bytes: &[u8], limits: &Limits) -> Option<(usize, usize)> {
+    let Parsed::Whole(3, head) = resp::array(bytes) else { return None };
+    let Parsed::Whole(size, count) = resp::bulk_head(&bytes[head..]) else { return None };
+    let size = usize::try_from(size).ok().filter(|size| (limits.whole + 1..=limits.value).contains(size))?;
+    Some((head + count, size))
+}
+
+/// What stands behind a value.
+pub const END: &[u8] = b"\r\n";
+
+/// Whether what stands behind a value and its end is whole and as it should be.
+pub fn rest(bytes: &[u8], limits: &Limits) -> bool {
+    let Parsed::Whole(Reply::Bulk(_), first) = resp::reply(bytes, limits) else { return false };
+    matches!(resp::reply(&bytes[first..], limits), Parsed::Whole(Reply::Bulk(_), second) if first + second == bytes.len())
+}
+
 /// The client's list with the wait put in place of its own.
 fn facts(given: &str, wait: Span) -> String {
     let wait = format!("d={}", (wait.as_ms() as i64).max(1));
@@ -108,7 +125,7 @@
             key: "7f3a".into(),
             id: "9b1f".into(),
             facts: facts.into(),
-            value: value.map(<[u8]>::to_vec),
+            value: value.map(bytes::Bytes::copy_from_slice),
         };
         let text = |words: Words| {
             String::from_utf8_lossy(&command(&words, Span::ms(123))).replace("\r\n", " ") + "\n"
@@ -121,7 +138,7 @@
         ];
         expect![[r#"
             *4 $7 OBJ.GET $4 7f3a $4 9b1f $12 c=read,d=123 
-            *5 $7 OBJ.SET $4 7f3a $4 9b1f $18 c=put,d=123,k=5c0f $5 VALUE 
+            *5 $7 OBJ.SET $4 7f3a $4 9b1f $18 c=put,d=123,k=5c0f $5 
             *4 $7 OBJ.GET $4 7f3a $4 9b1f $16 r=1,c=read,d=123 
             *4 $7 OBJ.GET $4 7f3a $4 9b1f $12 size=3,d=123 
         "#]]
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use quartzhub_policy::{Span, Time};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -16,14 +17,23 @@
 use crate::clock::{duration, Clock};
 use crate::effects::Hub;
 use crate::limits::Limits;
+use crate::links::Link;
 use crate::reducer::{ClientId, Facts, Reducer, Room, Said, Words};
 use crate::resp::{self, put_bulk, Parsed};
 
+/// What a client is still to be sent.
+enum Out {
+    /// With the size it is held under.
+    Bytes(Vec<u8>, usize),
+    /// What a link passes on.
+    Value(Rc<Link>),
+}
+
 pub struct Client {
     stream: TcpStream,
     /// Answers that the socket has not taken yet, with the size they are held under; and how much of the first
     /// it has taken.
-    out: RefCell<VecDeque<(Vec<u8>, usize)>>,
+    out: RefCell<VecDeque<Out>>,
     sent: Cell<usize>,
     /// It is to be closed once nothing has come from it for so long.
     closing: Cell<Option<Span>>,
@@ -33,10 +43,20 @@
 
 impl Client {
     /// Hands the socket an answer; tells the size of those that it has now taken whole.
-    pub fn answer(&self, said: Said) -> usize {
+    pub fn answer(&self, said: Said, from: Option<Rc<Link>>) -> usize {
         let behind = !self.out.borrow().is_empty();
         let size = said.size();
-        self.out.borrow_mut().push_back((encoded(said), size));
+        if let (Said::Passed { .. }, None) = (&said, &from) {
+            // What it came by is gone: only a close tells that.
+            self.cut();
+            return 0;
+        }
+        let mut out = self.out.borrow_mut();
+        out.push_back(Out::Bytes(encoded(said), size));
+        if let Some(link) = from {
+            out.extend([Out::Value(link), Out::Bytes(b"\r\n".to_vec(), 0)]);
+        }
+        drop(out);
         // The task may have to write the rest, read on, or close.
         self.wake.notify_one();
         if behind {
@@ -52,6 +72,26 @@
         self.wake.notify_one();
     }
 
+    /// Ends the connection now, so that the client can tell that an answer is not whole.
+    pub fn cut(&self) {
+        self.broken.set(true);
+        self.wake.notify_one();
+    }
+
+    /// More of what a link passes on is at hand.
+    pub fn more(&self) {
+        self.wake.notify_one();
+    }
+
+    /// Whether there is something that the socket could take now.
+    fn has_bytes(&self) -> bool {
+        match self.out.borrow().front() {
+            Some(Out::Bytes(..)) => true,
+            Some(Out::Value(link)) => link.ready() > 0,
+            None => false,
+        }
+    }
+
     /// How many answers the socket has not taken.
     pub fn unwritten(&self) -> usize {
         self.out.borrow().len()
@@ -60,17 +100,22 @@
     fn flush(&self) -> usize {
         let mut out = self.out.borrow_mut();
         let mut taken = 0;
-        while let Some((first, size)) = out.front() {
-            match self.stream.try_write(&first[self.sent.get()..]) {
-                Ok(count) if count > 0 => {
+        while let Some(first) = out.front() {
+            let written = match first {
+                Out::Bytes(bytes, size) => self.stream.try_write(&bytes[self.sent.get()..]).map(|count| {
                     self.sent.set(self.sent.get() + count);
-                    if self.sent.get() < first.len() {
-                        continue;
-                    }
+                    (count > 0, self.sent.get() == bytes.len(), *size)
+                }),
+                Out::Value(link) => link.pass(&self.stream).map(|whole| (true, whole, 0)),
+            };
+            match written {
+                Ok((true, true, size)) => {
                     taken += size;
                     out.pop_front();
                     self.sent.set(0);
                 }
+                Ok((true, false, _)) if matches!(first, Out::Bytes(..)) => {}
+                Ok((true, false, _)) => break,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 _ => {
                     self.broken.set(true);
@@ -90,6 +135,7 @@
             put_bulk(&mut bytes, &value);
             bytes
         }
+        Said::Passed { size, .. } => format!("${size}\r\n").into_bytes(),
         Said::RateLimited(None) => b"-BUSY\r\n".to_vec(),
         Said::RateLimited(Some(wait)) => {
             format!("-BUSY {}\r\n", wait.as_ms().max(0.0).ceil() as u64).into_bytes()
@@ -181,6 +227,8 @@
     // When it came; when it last said or took something; when the half command at hand began.
     let came = hub.clock.now();
     let (mut active, mut begun) = (came, None);
+    // Bytes promised to a large command that is on its way, and since when it is.
+    let (mut promised, mut since) = (0, None);
     loop {
         if client.broken.get() {
             return;
@@ -198,9 +246,12 @@
                 Taken::Last => reading = false,
             }
         }
-        held.set(buffer.room());
+        if taken > 0 {
+            (promised, since) = (0, None);
+        }
+        held.set(buffer.room().max(promised));
         let waiting = hub.ask(|reducer| reducer.waiting(id));
-        let writing = client.unwritten() > 0;
+        let (owed, writing) = (client.unwritten() > 0, client.has_bytes());
         if taken > 0 {
             (active, begun) = (hub.clock.now(), None);
         }
@@ -210,7 +261,7 @@
             continue;
         }
         // Guards against closing on a command that has come already, read or not: it is answered first.
-        if let Some(pause) = client.closing.get().filter(|_| !writing && waiting == 0) {
+        if let Some(pause) = client.closing.get().filter(|_| !owed && waiting == 0) {
             if !reading {
                 held.set(0);
                 drop(buffer);
@@ -229,12 +280,19 @@
         }
         let due = if writing {
             active + limits.untaken_answer
-        } else if waiting > 0 {
+        } else if waiting > 0 || owed {
             // A client that waits for an answer is not idle.
             hub.clock.now() + limits.client_wait
         } else if !hub.ask(|reducer| reducer.has_asked(id)) {
             // Guards against clients that say nothing, or too little at a time.
-            came.max(active) + limits.client_silent
+            let silent = came.max(active) + limits.client_silent;
+            match buffer.is_empty() {
+                true => silent,
+                false => {
+                    let half = *begun.get_or_insert(hub.clock.now()) + limits.half_command;
+                    half.min(came.max(active) + limits.half_first).max(silent)
+                }
+            }
         } else if buffer.is_empty() {
             active + limits.client_idle
         } else {
@@ -247,11 +305,20 @@
                 if ready.is_err() || !matches!(read(&mut buffer, &client.stream, limits), Ok(true)) {
                     return;
                 }
-                // Guards against many half commands filling the memory together.
-                held.set(buffer.room());
-                if buffer.room() > 2 * limits.read && hub.buffered.get() > limits.buffered {
-                    reading = false;
-                    fault(hub, id, "no room for the command");
+                held.set(buffer.room().max(promised));
+                if let Some(size) = resp::large_command(buffer.filled(), limits) {
+                    if promised == 0 && !room_for(hub, &mut held, size).await {
+                        reading = false;
+                        fault(hub, id, "no room for the command");
+                        continue;
+                    }
+                    buffer.make_room(size);
+                    promised = size;
+                    // One that goes on coming is no half command, if it ends some day.
+                    let now = hub.clock.now();
+                    if now - *since.get_or_insert(now) < limits.large_command {
+                        (active, begun) = (now, Some(now));
+                    }
                 }
             }
             ready = client.stream.writable(), if writing => {
@@ -262,12 +329,16 @@
                 active = hub.clock.now();
                 hub.tell(|reducer, _| reducer.delivered(id, written));
             }
-            () = client.wake.notified() => active = hub.clock.now(),
+            () = client.wake.notified() => {
+                let written = client.flush();
+                active = hub.clock.now();
+                hub.tell(|reducer, _| reducer.delivered(id, written));
+            }
             () = tokio::time::sleep_until(hub.clock.instant(due)) => {
-                if writing || waiting == 0 && buffer.is_empty() && quiet(&client.stream) {
+                if writing || waiting == 0 && !owed && buffer.is_empty() && quiet(&client.stream) {
                     return;
                 }
-                if waiting == 0 && !buffer.is_empty() {
+                if waiting == 0 && !owed && !buffer.is_empty() {
                     reading = false;
                     fault(hub, id, "Protocol error: the command did not come whole");
                 }
@@ -278,6 +349,22 @@
     }
 }
 
+/// Promises a large command its room, once there is some. Guards against many large commands filling the memory, and
+/// against each having half of the room that one needs; while it waits, nothing is read from its client.
+async fn room_for(hub: &Rc<Hub>, held: &mut Held<'_>, size: usize) -> bool {
+    let until = hub.clock.instant(hub.clock.now() + hub.limits.room_wait);
+    loop {
+        let others = hub.buffered.get() - held.bytes + hub.ask(Reducer::held);
+        if others + size <= hub.limits.held {
+            held.set(size);
+            return true;
+        }
+        if tokio::time::timeout_at(until, hub.room.notified()).await.is_err() {
+            return false;
+        }
+    }
+}
+
 /// Bytes that a connection's buffer takes of what all may take together.
 struct Held<'a> {
     hub: &'a Hub,
@@ -287,6 +374,9 @@
 impl Held<'_> {
     fn set(&mut self, bytes: usize) {
         self.hub.buffered.set(self.hub.buffered.get() - self.bytes + bytes);
+        if bytes < self.bytes {
+            self.hub.room.notify_waiters();
+        }
         self.bytes = bytes;
     }
 }
@@ -346,8 +436,17 @@
         _ if buffer.is_empty() => Taken::None,
         Parsed::Whole(words, used) => {
             let last = words.first().is_some_and(|name| name.eq_ignore_ascii_case(b"QUIT"));
-            hub.tell(|reducer, now| obey(reducer, now, id, &words, limits));
-            buffer.consume(used);
+            if used <= limits.whole {
+                hub.tell(|reducer, now| obey(reducer, now, id, &words, Bytes::copy_from_slice, limits));
+                buffer.consume(used);
+            } else {
+                drop(words);
+                let bytes = buffer.take(used);
+                if let Parsed::Whole(words, _) = resp::command(&bytes, limits) {
+                    let value = |word: &[u8]| bytes.slice_ref(word);
+                    hub.tell(|reducer, now| obey(reducer, now, id, &words, value, limits));
+                }
+            }
             // Guards against a client that goes on sending what can't be done.
             let many = hub.ask(|reducer| reducer.faults(id)) >= limits.faults_per_client;
             if many {
@@ -371,17 +470,27 @@
     taken
 }
 
-fn obey(reducer: &mut Reducer, now: Time, id: ClientId, words: &[&[u8]], limits: &Limits) {
+/// `own`: makes a word one that can be kept.
+fn obey(
+    reducer: &mut Reducer,
+    now: Time,
+    id: ClientId,
+    words: &[&[u8]],
+    own: impl Fn(&[u8]) -> Bytes,
+    limits: &Limits,
+) {
     let name = words.first().map(|name| name.to_ascii_uppercase()).unwrap_or_default();
     let answer = match (&name[..], words) {
         (b"OBJ.GET", [_, key, call, facts]) => match api_call(key, call, facts, None, limits) {
             Ok((words, facts)) => return reducer.call(now, id, words, facts),
             Err(what) => return reducer.faulty(now, id, what),
         },
-        (b"OBJ.SET", [_, key, call, facts, value]) => match api_call(key, call, facts, Some(value), limits) {
-            Ok((words, facts)) => return reducer.call(now, id, words, facts),
-            Err(what) => return reducer.faulty(now, id, what),
-        },
+        (b"OBJ.SET", [_, key, call, facts, value]) => {
+            match api_call(key, call, facts, Some(own(value)), limits) {
+                Ok((words, facts)) => return reducer.call(now, id, words, facts),
+                Err(what) => return reducer.faulty(now, id, what),
+            }
+        }
         (b"OBJ.GET" | b"OBJ.SET" | b"PING", [_, _, _, ..]) | (b"OBJ.GET" | b"OBJ.SET", _) => {
             return reducer.faulty(now, id, "wrong number of arguments")
         }
@@ -404,7 +513,7 @@
     key: &'a [u8],
     id: &'a [u8],
     facts: &'a [u8],
-    value: Option<&[u8]>,
+    value: Option<Bytes>,
     limits: &Limits,
 ) -> Result<(Words, Facts<'a>), &'static str> {
     let text = |word: &'a [u8]| {
@@ -415,7 +524,6 @@
     let id = text(id).ok_or("the id is no short plain text")?;
     let list = text(facts).ok_or("the list of names and values is no short plain text")?;
     let facts = read_facts(list, limits).ok_or("the list of names and values can't be read")?;
-    let value = value.map(<[u8]>::to_vec);
     Ok((Words { key: key.to_owned(), id: id.to_owned(), facts: list.to_owned(), value }, facts))
 }
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -247,6 +247,7 @@
         }
         let ops = variable("LB_OPS", environment.ops)?.or(file.ops);
         let limits = Limits::new(file.limits, &settings);
+        let limits = if inherited.is_some() { limits.shared() } else { limits };
         Ok(Config {
             ops,
             inherited,
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -10,7 +10,7 @@
 use crate::clock::Clock;
 use crate::limits::Limits;
 use crate::links::Link;
-use crate::reducer::{shrink, ClientId, Effect, LinkId, Reducer};
+use crate::reducer::{shrink, ClientId, Effect, LinkId, Reducer, Said};
 
 /// What the tasks of a node share; all of them run on one thread.
 pub struct Hub {
@@ -26,8 +26,10 @@
     pub reload: Notify,
     /// Discovery has told a list.
     pub news: Notify,
-    /// Bytes that clients' buffers take together; and where bytes go that nobody wants.
+    /// Bytes that clients' buffers take together, or have been promised; some of what is held has been let go; and
+    /// where bytes go that nobody wants.
     pub buffered: Cell<usize>,
+    pub room: Notify,
     pub scratch: RefCell<Vec<u8>>,
 }
 
@@ -45,6 +47,7 @@
             reload: Notify::new(),
             news: Notify::new(),
             buffered: Cell::new(0),
+            room: Notify::new(),
             scratch: RefCell::new(vec![0; scratch]),
         })
     }
@@ -55,7 +58,7 @@
 
     /// Reports to the reducer and carries out what it asks for.
     pub fn tell<T>(self: &Rc<Hub>, report: impl FnOnce(&mut Reducer, Time) -> T) -> T {
-        let before = self.ask(Reducer::next_due);
+        let (before, held) = (self.ask(Reducer::next_due), self.ask(Reducer::held));
         let told = report(&mut self.reducer.borrow_mut(), self.clock.now());
         loop {
             let effect = self.reducer.borrow_mut().next_effect();
@@ -64,6 +67,9 @@
                 None => break,
             }
         }
+        if self.ask(Reducer::held) < held {
+            self.room.notify_waiters();
+        }
         let after = self.ask(Reducer::next_due);
         if after.is_some_and(|after| before.is_none_or(|before| after < before)) {
             self.due.notify_one();
@@ -96,7 +102,14 @@
             Effect::Answer { client, said } => {
                 let socket = self.clients.borrow().get(&client).cloned();
                 if let Some(socket) = socket {
-                    let written = socket.answer(said);
+                    let from = match &said {
+                        Said::Passed { link, .. } => self.links.borrow().get(link).cloned(),
+                        _ => None,
+                    };
+                    if let Some(link) = &from {
+                        link.passes_to(socket.clone());
+                    }
+                    let written = socket.answer(said, from);
                     self.reducer.borrow_mut().delivered(client, written);
                 }
             }
@@ -105,6 +118,11 @@
                     socket.close(quiet);
                 }
             }
+            Effect::CutClient { client } => {
+                if let Some(socket) = self.clients.borrow().get(&client) {
+                    socket.cut();
+                }
+            }
             // The watch stands always, and is asked for again by itself.
             Effect::Watch => {}
             Effect::Reload => self.reload.notify_one(),
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -47,7 +47,7 @@
     pub fn count(&mut self, place: Option<usize>, said: &Said) {
         let Some((_, answers)) = place.and_then(|place| self.products.get_mut(place)) else { return };
         match said {
-            Said::Fulfilled(_) => answers.fulfilled += 1,
+            Said::Fulfilled(_) | Said::Passed { .. } => answers.fulfilled += 1,
             Said::RateLimited(_) => answers.rate_limited += 1,
             Said::Errored(_) | Said::Plain(_) => answers.errored += 1,
         }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -13,11 +13,15 @@
     pub clients_kept: usize,
     /// Idle connections kept to one server.
     pub idle_links: usize,
+    /// Connections to servers beyond which none is kept idle.
+    pub links_kept: usize,
     /// API calls open at once, in all and on one client's connection.
     pub calls: usize,
     pub calls_per_client: usize,
-    /// Bytes: a value, any other word of a command, and the words of a command.
+    /// Bytes: a value; one up to which it is kept whole and checked before any of it is passed on; any other word of
+    /// a command; and the words of a command.
     pub value: usize,
+    pub whole: usize,
     pub word: usize,
     pub words: usize,
     /// Of a RESP reply: bytes of a line that is no value and of the word on how it went, items of an array, and
@@ -34,14 +38,19 @@
     pub list_line: usize,
     /// Servers that discovery may name in the node's life.
     pub servers: usize,
-    /// Bytes of values and unwritten answers held, in all; beyond it new API calls are turned away. And of what
-    /// clients have sent in part; beyond it large commands are.
+    /// Bytes of values and unwritten answers held, and of what clients have sent in part, in all; beyond it new API
+    /// calls are turned away, and large commands wait.
     pub held: usize,
-    pub buffered: usize,
     /// Bytes under which an answer is never too long to be held.
     pub short_answer: usize,
     /// Bytes of buffer that a connection with nothing in it keeps.
     pub buffer_kept: usize,
+    /// Bytes of a value on its way from a server to a client that the node keeps at the most, and how long either
+    /// may stand still meanwhile.
+    pub window: usize,
+    pub stands_still: Span,
+    /// How long a client with a large command waits for room.
+    pub room_wait: Span,
     /// Bytes asked of a socket in one read.
     pub read: usize,
     /// Until a connection to a server must be up.
@@ -50,13 +59,16 @@
     /// been idle before it is used again: a server's stray bytes have come by then.
     pub link_idle: Span,
     pub link_rest: Span,
-    /// From an answer's first byte to its last.
+    /// From some of an answer to the next, while it is not whole.
     pub answer_whole: Span,
-    /// After which a client's connection is closed: with no API call open, with none ever made, with half a
-    /// command sent, and with an answer that it does not take.
+    /// After which a client's connection is closed: with no API call open, with none ever made, with half a command
+    /// sent, the same where it is the first and counted from its coming, with half a large one that still comes,
+    /// and with an answer that it does not take.
     pub client_idle: Span,
     pub client_silent: Span,
     pub half_command: Span,
+    pub half_first: Span,
+    pub large_command: Span,
     pub untaken_answer: Span,
     /// From when on an idle client is the first to make room: one that has made API calls, and one that has not.
     pub client_spare: Span,
@@ -160,9 +172,11 @@
             for_servers: sockets / 4,
             clients_kept: machine.sockets / 4,
             idle_links: 64,
+            links_kept: sockets,
             calls: held.min((memory / 8.0 / CALL_BYTES) as usize),
             calls_per_client: 128,
-            value: 64 * 1024,
+            value: 4 * 1024 * 1024,
+            whole: 64 * 1024,
             word: 1024,
             words: 16,
             reply_line: 1024,
@@ -174,10 +188,13 @@
             http_head: 16 * 1024,
             list_line: 1024 * 1024,
             servers: 16 * 1024,
-            held: (memory / 4.0) as usize,
-            buffered: (memory / 8.0) as usize,
+            held: (memory / 3.0) as usize,
             short_answer: 64,
             buffer_kept: 4 * 1024,
+            // A quarter of the memory, where half of the sockets have clients that take slowly.
+            window: ((memory / 2.0) as usize / sockets).clamp(8 * 1024, 128 * 1024),
+            stands_still: Span::ms(5_000),
+            room_wait: Span::ms(1_500),
             read: 16 * 1024,
             connect: settings.span("caps.connect_timeout", Span::ms(250)).max(Span::ms(1)),
             link_idle: keepalive.times(0.8),
@@ -186,6 +203,8 @@
             client_idle: Span::ms(5_000),
             client_silent: Span::ms(2_500),
             half_command: Span::ms(2_500),
+            half_first: Span::ms(2_900),
+            large_command: Span::ms(15_000),
             untaken_answer: Span::ms(5_000),
             client_spare: Span::ms(2_000),
             client_new: Span::ms(20),
@@ -241,6 +260,15 @@
         }
     }
 
+    /// For a process that now and then serves beside the one before or after it, on one machine's limits: neither may
+    /// take more than half of the memory, or keep links that it does not need now beyond a quarter of the sockets.
+    /// Clients' sockets need no share, as one client is at one of the two.
+    pub fn shared(mut self) -> Limits {
+        (self.held, self.window) = (self.held / 2, (self.window / 2).max(8 * 1024));
+        self.links_kept = self.sockets / 4;
+        self
+    }
+
     /// Sets descriptors aside for operators' calls.
     pub fn with_ops(mut self) -> Limits {
         self.sockets = self.sockets.saturating_sub(self.ops_calls).max(8);
@@ -252,8 +280,8 @@
         self.value + self.words * (self.word.min(256)) + 4096
     }
 
-    /// Bytes that a connection to a server may hold: one whole reply.
+    /// Bytes that a connection to a server may hold: one whole reply, or the beginning of a larger one.
     pub fn reply(&self) -> usize {
-        self.value + self.http_head + 4096
+        self.whole + self.http_head + 4096
     }
 }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -1,21 +1,29 @@
-//! Connections to servers: one shot at a time on each, so that none waits behind a slow one.
+//! Connections to servers: one shot at a time on each, so that none waits behind a slow one. A value too large to
+//! be kept is passed on from the link's buffer to the client's socket as it comes, and read no faster than taken.
 use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use quartzhub_policy::Span;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use crate::buffer::{quiet, Buffer};
-use crate::caches::Answer;
+use crate::caches::{self, Answer};
+use crate::clients::Client;
 use crate::clock::duration;
 use crate::effects::Hub;
+use crate::http;
 use crate::limits::Limits;
+use crate::origin;
 use crate::reducer::{LinkId, Words};
 use crate::resp::Parsed;
 
+/// Bytes of a value that is copied behind its command, to go out in one write.
+const SMALL: usize = 4096;
+
 pub struct Link {
     id: LinkId,
     to: SocketAddr,
@@ -23,10 +31,18 @@
     stream: OnceCell<TcpStream>,
     /// A command until it is written, then its reply.
     buffer: RefCell<Buffer>,
+    /// The value that goes behind the command, how much of it is written, and what ends it.
+    body: RefCell<Option<(Bytes, usize)>>,
+    /// Bytes of a value being passed on that its client has still to take, and which client that is.
+    left: Cell<usize>,
+    taker: RefCell<Option<Rc<Client>>>,
+    passing: Cell<bool>,
+    /// The server keeps the connection behind what is passed on.
+    kept: Cell<bool>,
+    spoilt: Cell<bool>,
     writing: Cell<bool>,
-    /// It carries a shot whose answer is still to come, or has begun to.
+    /// It carries a shot whose answer is still to come.
     asked: Cell<bool>,
-    begun: Cell<bool>,
     closed: Cell<bool>,
     wake: Notify,
 }
@@ -39,9 +55,14 @@
             origin,
             stream: OnceCell::new(),
             buffer: RefCell::default(),
+            body: RefCell::default(),
+            left: Cell::new(0),
+            taker: RefCell::default(),
+            passing: Cell::new(false),
+            kept: Cell::new(false),
+            spoilt: Cell::new(false),
             writing: Cell::new(false),
             asked: Cell::new(false),
-            begun: Cell::new(false),
             closed: Cell::new(false),
             wake: Notify::new(),
         })
@@ -49,6 +70,8 @@
 
     pub fn close(&self) {
         self.closed.set(true);
+        // The client holds this link in turn.
+        self.taker.take();
         self.wake.notify_one();
     }
 
@@ -62,11 +85,11 @@
                 return None;
             }
             match self.origin {
-                true => buffer.put(&crate::origin::request(words, self.to)),
-                false => buffer.put(&crate::caches::command(words, wait)),
+                true => buffer.put(&origin::request(words, self.to)),
+                false => buffer.put(&caches::command(words, wait)),
             }
+            *self.body.borrow_mut() = words.value.clone().map(|value| (value, 0));
             self.asked.set(true);
-            self.begun.set(false);
         }
         let done = self.flush().ok()?;
         if !done {
@@ -75,13 +98,98 @@
         Some(done)
     }
 
+    /// Writes on; true once all is written. What is small goes in one piece.
     fn flush(&self) -> io::Result<bool> {
         let mut buffer = self.buffer.borrow_mut();
-        if let Some(stream) = self.stream.get() {
-            buffer.write(stream)?;
+        let Some(stream) = self.stream.get() else { return Ok(false) };
+        let mut body = self.body.borrow_mut();
+        let end = if self.origin { &b""[..] } else { caches::END };
+        if let Some((value, _)) = body.take_if(|(value, sent)| *sent == 0 && value.len() <= SMALL) {
+            buffer.put(&value);
+            buffer.put(end);
+        }
+        buffer.write(stream)?;
+        while let Some((value, sent)) = body.as_mut().filter(|_| buffer.is_empty()) {
+            match stream.try_write(&value[*sent..]) {
+                Ok(count) => *sent += count,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) => return Err(e),
+            }
+            if *sent == value.len() {
+                *body = None;
+                buffer.put(end);
+                buffer.write(stream)?;
+            }
+        }
+        let done = buffer.is_empty() && body.is_none();
+        self.writing.set(!done);
+        Ok(done)
+    }
+
+    /// Begins to pass on a value too large to be kept, if that is what has come; tells its size.
+    fn begins_to_pass(&self, limits: &Limits) -> Option<usize> {
+        let mut buffer = self.buffer.borrow_mut();
+        let bytes = buffer.filled();
+        let (from, size) = match self.origin {
+            true => origin::large(bytes, limits),
+            false => caches::large(bytes, limits),
+        }?;
+        // Some of it is there, not only what announces it.
+        if bytes.len() == from {
+            return None;
+        }
+        let keep = !self.origin || matches!(http::head(bytes, limits), Parsed::Whole(head, _) if head.keep);
+        buffer.consume(from);
+        self.kept.set(keep);
+        self.left.set(size);
+        self.passing.set(true);
+        self.spoilt.set(false);
+        Some(size)
+    }
+
+    /// The client that takes what is passed on.
+    pub fn passes_to(&self, client: Rc<Client>) {
+        *self.taker.borrow_mut() = Some(client);
+    }
+
+    /// How much there is for the client. Guards against passing a spoilt value on as a whole one: its last byte goes
+    /// once what stands behind it has been seen to be its end.
+    pub fn ready(&self) -> usize {
+        let buffer = self.buffer.borrow();
+        let (bytes, left) = (buffer.filled(), self.left.get());
+        let end = if self.origin { &b""[..] } else { caches::END };
+        if bytes.len() >= left + end.len() {
+            self.spoilt.set(left > 0 && !bytes[left..].starts_with(end));
+            return if self.spoilt.get() { 0 } else { left };
+        }
+        bytes.len().min(left.saturating_sub(1))
+    }
+
+    /// Writes what there is to the client's socket; true once the value is whole there.
+    pub fn pass(&self, to: &TcpStream) -> io::Result<bool> {
+        let mut taken = false;
+        loop {
+            let ready = self.ready();
+            if ready == 0 {
+                break;
+            }
+            let mut buffer = self.buffer.borrow_mut();
+            match to.try_write(&buffer.filled()[..ready]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => {
+                    buffer.consume(count);
+                    self.left.set(self.left.get() - count);
+                    taken = true;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) => return Err(e),
+            }
+        }
+        if taken || self.spoilt.get() {
+            // There is room to read on, or the end of it.
+            self.wake.notify_one();
         }
-        self.writing.set(!buffer.is_empty());
-        Ok(buffer.is_empty())
+        Ok(self.left.get() == 0)
     }
 
     /// Reads; false at the end.
@@ -89,7 +197,9 @@
         let mut buffer = self.buffer.borrow_mut();
         match buffer.read(stream, limits.read) {
             Ok(0) => Ok(false),
-            Ok(_) if buffer.filled().len() > limits.reply() => Err(io::ErrorKind::InvalidData.into()),
+            Ok(_) if !self.passing.get() && buffer.filled().len() > limits.reply() => {
+                Err(io::ErrorKind::InvalidData.into())
+            }
             Ok(_) => Ok(true),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(true),
             Err(e) => Err(e),
@@ -103,8 +213,8 @@
             return Parsed::Part;
         }
         let parsed = match self.origin {
-            true => crate::origin::answer(buffer.filled(), ended, limits),
-            false => crate::caches::answer(buffer.filled(), limits),
+            true => origin::answer(buffer.filled(), ended, limits),
+            false => caches::answer(buffer.filled(), limits),
         };
         if let Parsed::Whole(_, used) = &parsed {
             self.asked.set(false);
@@ -149,6 +259,15 @@
     }
     let Some(stream) = link.stream.get() else { return };
     while !link.closed.get() {
+        if link.passing.get() {
+            match pass_on(&hub, &link, stream).await {
+                true => continue,
+                false => {
+                    hub.tell(|reducer, now| reducer.broke(now, link.id));
+                    return hub.close_link(link.id);
+                }
+            }
+        }
         let goes_on = tokio::select! {
             ready = stream.writable(), if link.writing.get() => ready.is_ok() && write_on(&hub, &link),
             ready = stream.readable(), if !link.writing.get() => ready.is_ok() && read_on(&hub, &link, stream),
@@ -169,6 +288,53 @@
     kinds.contains(&e.kind()) || e.kind() == NetworkUnreachable
 }
 
+/// Reads a value as fast as its client takes it, until it is whole there; false if it never will be. Guards against a
+/// server that stands still in the middle; a client that does is closed by its own task.
+async fn pass_on(hub: &Rc<Hub>, link: &Link, stream: &TcpStream) -> bool {
+    let mut ended = false;
+    while !link.closed.get() {
+        if link.left.get() == 0 {
+            let whole = link
+                .buffer
+                .borrow()
+                .filled()
+                .strip_prefix(caches::END)
+                .is_some_and(|rest| caches::rest(rest, &hub.limits));
+            let clean = if link.origin { link.buffer.borrow().is_empty() } else { whole };
+            link.buffer.borrow_mut().clear();
+            link.buffer.borrow_mut().shrink(hub.limits.buffer_kept);
+            link.taker.take();
+            link.asked.set(false);
+            link.passing.set(false);
+            let reusable = clean && !ended && link.kept.get();
+            hub.tell(|reducer, now| reducer.passed(now, link.id, reusable));
+            return true;
+        }
+        let missing = link.buffer.borrow().filled().len()
+            < link.left.get() + if link.origin { 0 } else { caches::END.len() };
+        if link.spoilt.get() || ended && missing {
+            crate::log!("a value of {} has no good end", link.to);
+            return false;
+        }
+        let room = !ended && link.buffer.borrow().filled().len() < hub.limits.window;
+        let still = tokio::time::sleep(duration(hub.limits.stands_still));
+        tokio::select! {
+            ready = stream.readable(), if room => {
+                ended = ready.is_err() || !matches!(link.read(stream, &hub.limits), Ok(true));
+                if let Some(client) = link.taker.borrow().as_ref() {
+                    client.more();
+                }
+            }
+            () = link.wake.notified() => {}
+            () = still, if room => {
+                crate::log!("{} stands still in the middle of a value", link.to);
+                return false;
+            }
+        }
+    }
+    true
+}
+
 fn write_on(hub: &Rc<Hub>, link: &Link) -> bool {
     match link.flush() {
         Ok(true) => hub.tell(|reducer, _| reducer.written(link.id)),
@@ -185,6 +351,11 @@
     if !link.asked.get() && !link.buffer.borrow().is_empty() {
         return false;
     }
+    if let Some(size) = link.begins_to_pass(&hub.limits) {
+        hub.tell(|reducer, now| reducer.passes(now, link.id, size));
+        // An end that has come already is met again by the next read.
+        return true;
+    }
     match link.parsed(matches!(read, Ok(false)), &hub.limits) {
         Parsed::Whole(mut answer, _) => {
             // Guards against a next shot on a link that the server has closed behind its answer.
@@ -192,7 +363,7 @@
             hub.tell(|reducer, now| reducer.answered(now, link.id, answer));
         }
         Parsed::Part => {
-            if !link.buffer.borrow().is_empty() && !link.begun.replace(true) {
+            if !link.buffer.borrow().is_empty() {
                 hub.tell(|reducer, now| reducer.began(now, link.id));
             }
         }
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -4,11 +4,12 @@
 use quartzhub_policy::Outcome;
 
 use crate::caches::Answer;
-use crate::http;
+use crate::http::{self, Body, Head};
 use crate::limits::Limits;
 use crate::reducer::Words;
 use crate::resp::Parsed;
 
+/// A value follows behind it as the body.
 pub fn request(words: &Words, to: SocketAddr) -> Vec<u8> {
     let method = if words.value.is_some() { "PUT" } else { "GET" };
     let key = path(&words.key);
@@ -18,7 +19,6 @@
             .into_bytes();
     if let Some(value) = &words.value {
         out.extend_from_slice(format!("Content-Length: {}\r\n\r\n", value.len()).as_bytes());
-        out.extend_from_slice(value);
     } else {
         out.extend_from_slice(b"\r\n");
     }
@@ -38,9 +38,19 @@
     out
 }
 
+/// Where a body begins that is too large to be kept, and its size.
+pub fn large(bytes: &[u8], limits: &Limits) -> Option<(usize, usize)> {
+    match http::head(bytes, limits) {
+        Parsed::Whole(Head { status: 200, body: Body::Counted(size), .. }, used) => {
+            Some((used, size)).filter(|_| (limits.whole + 1..=limits.value).contains(&size))
+        }
+        _ => None,
+    }
+}
+
 /// `ended`: the connection has.
 pub fn answer(bytes: &[u8], ended: bool, limits: &Limits) -> Parsed<Answer> {
-    let ((head, body), used) = match http::answer(bytes, limits.value, ended, limits) {
+    let ((head, body), used) = match http::answer(bytes, limits.whole, ended, limits) {
         Parsed::Whole(answer, used) => (answer, used),
         Parsed::Part => return Parsed::Part,
         Parsed::Broken => return Parsed::Broken,
@@ -65,13 +75,13 @@
             key: "7f/3a 9".into(),
             id: "9b1f".into(),
             facts: "c=put,d=480,k=5c".into(),
-            value: value.map(<[u8]>::to_vec),
+            value: value.map(bytes::Bytes::copy_from_slice),
         };
         let to = "127.0.0.1:80".parse().expect("an address");
         let text = |value| String::from_utf8_lossy(&request(&words(value), to)).replace("\r\n", "|") + "\n";
         expect![[r#"
             GET /7f%2F3a%209 HTTP/1.1|Host: 127.0.0.1:80|X-Correlation-Id: 9b1f|X-Facts: c=put,d=480,k=5c||
-            PUT /7f%2F3a%209 HTTP/1.1|Host: 127.0.0.1:80|X-Correlation-Id: 9b1f|X-Facts: c=put,d=480,k=5c|Content-Length: 5||VALUE
+            PUT /7f%2F3a%209 HTTP/1.1|Host: 127.0.0.1:80|X-Correlation-Id: 9b1f|X-Facts: c=put,d=480,k=5c|Content-Length: 5||
         "#]]
         .assert_eq(&(text(None) + &text(Some(b"VALUE"))));
     }
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use quartzhub_names::{place, Calls, Line, Places, Servers};
 use quartzhub_policy::{
     Answers, Ask, Balancer, CallIx, Effect as Effects, Ending, Outcome, Product, ServerIx, Settings, Span,
@@ -45,6 +46,10 @@
         client: ClientId,
         said: Said,
     },
+    /// At once, as what it was being answered can't be had whole.
+    CutClient {
+        client: ClientId,
+    },
     /// Once what it was answered is written and nothing has come from it for so long.
     CloseClient {
         client: ClientId,
@@ -58,6 +63,11 @@
 #[derive(Debug, PartialEq)]
 pub enum Said {
     Fulfilled(Vec<u8>),
+    /// With a value of so many bytes that comes by this link, and is passed on as it comes.
+    Passed {
+        link: LinkId,
+        size: usize,
+    },
     /// Trying again is harmless, after this wait.
     RateLimited(Option<Span>),
     Errored(&'static str),
@@ -70,7 +80,7 @@
     pub fn size(&self) -> usize {
         match self {
             Said::Fulfilled(bytes) | Said::Plain(bytes) => bytes.len(),
-            Said::RateLimited(_) | Said::Errored(_) => 0,
+            Said::Passed { .. } | Said::RateLimited(_) | Said::Errored(_) => 0,
         }
     }
 }
@@ -91,7 +101,7 @@
     pub id: String,
     pub facts: String,
     /// Of a write.
-    pub value: Option<Vec<u8>>,
+    pub value: Option<Bytes>,
 }
 
 /// What a client's list of names and values tells the node.
@@ -132,6 +142,8 @@
     /// The number of the first entry.
     first: u64,
     open: Vec<CallIx>,
+    /// Links that pass a value on to it.
+    passing: Vec<LinkId>,
     /// Bytes of answers not yet written.
     held: usize,
     closing: bool,
@@ -153,7 +165,14 @@
         /// The first bytes of its answer have come.
         begun: bool,
     },
+    /// Its value goes to a client as it comes; nothing of the API call is left to decide.
+    Passing {
+        client: ClientId,
+        counted: Option<usize>,
+    },
     Idle,
+    /// It has done what it was for.
+    Closing,
 }
 
 struct Link {
@@ -202,6 +221,8 @@
     held: usize,
     service: Service,
     counted: Counted,
+    /// Values that are being passed on.
+    passing: usize,
     /// Shots whose last byte is written, to a cache or to the origin.
     shots: u64,
     /// When all must be answered, as the node is about to end.
@@ -262,6 +283,7 @@
                 held: 0,
                 service: Service::default(),
                 counted: counts,
+                passing: 0,
                 shots: 0,
                 end: None,
                 tick: Time(0),
@@ -309,8 +331,13 @@
         self.world.due.first().map(|due| due.0)
     }
 
+    /// Bytes held for API calls and answers.
+    pub fn held(&self) -> usize {
+        self.world.held
+    }
+
     pub fn open_calls(&self) -> usize {
-        self.world.calls.len()
+        self.world.calls.len() + self.world.passing
     }
 
     /// Commands of this client that have no answer yet.
@@ -340,6 +367,9 @@
         self.at(now);
         let Some(client) = self.world.clients.remove(&id) else { return };
         self.world.held = self.world.held.saturating_sub(client.held);
+        for link in client.passing {
+            self.world.close_link(link);
+        }
         for ix in client.open {
             if let Some(call) = self.world.calls.get_mut(ix) {
                 call.answered = true;
@@ -431,7 +461,7 @@
         }
         let Some(turn) = self.world.turn(id) else { return };
         // Guards against running out of memory: what is over the limits is turned away before it is taken.
-        let size = words.value.as_ref().map_or(0, Vec::len);
+        let size = words.value.as_ref().map_or(0, Bytes::len);
         let (calls, limits) = (self.world.calls.len(), &self.world.limits);
         if calls >= limits.calls || self.world.held + size > limits.held {
             self.world.counted.count(counted, &Said::RateLimited(None));
@@ -483,7 +513,7 @@
         self.at(now);
         let Some(link) = self.world.drop_link(id) else { return };
         match link.used {
-            Use::Idle => {}
+            Use::Idle | Use::Closing => {}
             Use::Connecting(call, shot) => self.world.end_shot(call, shot, Outcome::Unreachable),
             Use::Carrying { call, shot, written: true, .. } => {
                 self.world.end_shot(call, shot, Outcome::Reset);
@@ -491,6 +521,7 @@
             Use::Carrying { call, shot, fresh: true, .. } => {
                 self.world.end_shot(call, shot, Outcome::Unreachable);
             }
+            Use::Passing { client, counted } => self.world.passing_failed(id, client, counted),
             // Guards against blaming a server for an idle link that it had just closed: the last byte was
             // not written, so the shot has not been made yet, and a new link carries it.
             Use::Carrying { call, shot, .. } => self.world.open(call, shot),
@@ -529,16 +560,71 @@
         self.settle();
     }
 
-    /// The first bytes of an answer have come. Guards against one that is said to be longer than it is: the rest
+    /// A value too large to be kept has begun to come. From here on the answer is settled: there is no other shot
+    /// and no other answer. The module is told of the success now, as its time is that of the first bytes, and a
+    /// client that takes the rest slowly says nothing of the server.
+    pub fn passes(&mut self, now: Time, id: LinkId, size: usize) {
+        self.at(now);
+        let world = &mut self.world;
+        let Some(Link { used: Use::Carrying { call, shot, written, .. }, .. }) = world.links.get(&id) else {
+            return;
+        };
+        let (ix, shot, written) = (*call, *shot, *written);
+        let call = world.calls.get(ix).filter(|call| !call.answered && written);
+        let Some((client, counted)) = call.map(|call| (call.client, call.counted)) else {
+            world.close_link(id);
+            world.end_shot(ix, shot, Outcome::Broken);
+            return self.settle();
+        };
+        if let Some(link) = world.links.get_mut(&id) {
+            link.used = Use::Passing { client, counted };
+            world.due.remove(&(link.due, Due::Link(id)));
+        }
+        if let Some(client) = world.clients.get_mut(&client) {
+            client.passing.push(id);
+        }
+        world.passing += 1;
+        world.final_answer(ix, Said::Passed { link: id, size });
+        world.end_shot(ix, shot, Outcome::Fulfilled);
+        self.settle();
+    }
+
+    /// The client has taken the whole value that this link passed on.
+    pub fn passed(&mut self, now: Time, id: LinkId, reusable: bool) {
+        self.at(now);
+        let world = &mut self.world;
+        let Some(Link { used: Use::Passing { client, counted }, .. }) = world.links.get(&id) else { return };
+        let (client, counted) = (*client, *counted);
+        world.counted.count(counted, &Said::Passed { link: id, size: 0 });
+        if let Some(link) = world.links.get_mut(&id) {
+            link.used = Use::Closing;
+            world.passing -= 1;
+        }
+        if let Some(client) = world.clients.get_mut(&client) {
+            client.passing.retain(|link| *link != id);
+            client.last = now;
+        }
+        if reusable {
+            world.rest(id);
+        } else {
+            world.close_link(id);
+        }
+        self.settle();
+    }
+
+    /// More of an answer has come, but not all. Guards against one that is said to be longer than it is: the rest
     /// never comes, and the shot would stay out until its call's time is up.
     pub fn began(&mut self, now: Time, id: LinkId) {
         self.at(now);
         let whole = now + self.world.limits.answer_whole;
-        if let Some(due) = self.world.links.get(&id).map(|link| link.due.min(whole)) {
-            if let Some(Link { used: Use::Carrying { begun, .. }, .. }) = self.world.links.get_mut(&id) {
-                *begun = true;
-                self.world.set_due(id, due);
-            }
+        let Some(Link { used: Use::Carrying { call, shot, begun, .. }, .. }) = self.world.links.get_mut(&id)
+        else {
+            return;
+        };
+        *begun = true;
+        let shot = self.world.calls.get(*call).and_then(|call| call.shots.get(*shot));
+        if let Some(until) = shot.map(|shot| shot.until) {
+            self.world.set_due(id, until.min(whole));
         }
     }
 
@@ -715,7 +801,7 @@
         Figures {
             responses: self.world.counted.all(),
             shots: self.world.shots,
-            active: self.world.ids.len(),
+            active: self.world.ids.len() + self.world.passing,
             pool_size: listed.count(),
             pool_ejected: self.balancer.avoided(now),
             config_applied: self.applied,
@@ -797,7 +883,10 @@
         call.answered = true;
         self.ids.remove(&call.words.id);
         let (client, turn) = (call.client, call.turn);
-        self.counted.count(call.counted, &said);
+        // One that is passed on counts once it has been.
+        if !matches!(said, Said::Passed { .. }) {
+            self.counted.count(call.counted, &said);
+        }
         if let Some(client) = self.clients.get_mut(&client) {
             client.open.retain(|open| *open != ix);
         }
@@ -846,9 +935,23 @@
         }
     }
 
+    /// A value that was being passed on has no end. Guards against a client that would wait for it or take the next
+    /// answer for its rest; one that was told nothing yet gets an error.
+    fn passing_failed(&mut self, id: LinkId, client: ClientId, counted: Option<usize>) {
+        self.counted.count(counted, &Said::Errored(""));
+        let Some(record) = self.clients.get_mut(&client) else { return };
+        record.passing.retain(|link| *link != id);
+        let waits = |said: &Option<Said>| matches!(said, Some(Said::Passed { link, .. }) if *link == id);
+        match record.turns.iter().position(waits) {
+            Some(turn) => record.turns[turn] = Some(Said::Errored("failed")),
+            None => self.effects.push_back(Effect::CutClient { client }),
+        }
+    }
+
     /// Takes a link out of all tables; its socket is closed by an effect or is gone already.
     fn drop_link(&mut self, id: LinkId) -> Option<Link> {
         let link = self.links.remove(&id)?;
+        self.passing -= usize::from(matches!(link.used, Use::Passing { .. }));
         self.due.remove(&(link.due, Due::Link(id)));
         if link.used == Use::Idle {
             self.servers[link.server.0].idle.retain(|idle| *idle != id);
@@ -870,10 +973,12 @@
 
     /// A link has no more to carry.
     fn rest(&mut self, id: LinkId) {
+        let links = self.links.len();
         let Some(link) = self.links.get_mut(&id) else { return };
         link.used = Use::Idle;
         let server = &mut self.servers[link.server.0];
-        if server.state != State::Ready || server.idle.len() >= self.limits.idle_links {
+        let enough = server.idle.len() >= self.limits.idle_links || links > self.limits.links_kept;
+        if server.state != State::Ready || enough {
             self.close_link(id);
             return;
         }
@@ -1002,7 +1107,7 @@
         }
         let Some(link) = self.close_link(id) else { return };
         match link.used {
-            Use::Idle => {}
+            Use::Idle | Use::Closing | Use::Passing { .. } => {}
             Use::Connecting(call, shot) => self.end_shot(call, shot, Outcome::Unreachable),
             Use::Carrying { call, shot, begun: true, .. } => self.end_shot(call, shot, Outcome::Broken),
             Use::Carrying { call, shot, written: true, .. } => self.end_shot(call, shot, Outcome::TimedOut),
@@ -1046,7 +1151,7 @@
 
     fn forget(&mut self, call: CallIx) {
         if let Some(record) = self.calls.take(call) {
-            self.held = self.held.saturating_sub(record.words.value.as_ref().map_or(0, Vec::len));
+            self.held = self.held.saturating_sub(record.words.value.as_ref().map_or(0, Bytes::len));
             self.due.remove(&(record.until + self.limits.overdue, Due::Call(call)));
             if let Some(client) = self.clients.get_mut(&record.client) {
                 client.open.retain(|open| *open != call);
@@ -1060,7 +1165,10 @@
         let to = self.links.iter().filter(|(_, link)| link.server == server);
         let to: Vec<_> = to.map(|(id, _)| *id).collect();
         for id in to {
-            self.close_link(id);
+            // What one passes on ends with it.
+            if let Some(Link { used: Use::Passing { client, counted }, .. }) = self.close_link(id) {
+                self.passing_failed(id, client, counted);
+            }
         }
         if let Some(record) = self.servers.get_mut(server.0) {
             *record = Server::default();
--- a/crates/node/src/resp.rs
+++ b/crates/node/src/resp.rs
@@ -11,6 +11,9 @@
 /// More than a sign and the digits of any number that fits.
 const MOST_DIGITS: usize = 24;
 
+/// Which word of a command is a value.
+const VALUE: i64 = 4;
+
 type Input<'a> = Partial<&'a [u8]>;
 
 /// What a parser makes of the bytes at hand: a whole message and its length, part of one, or none.
@@ -72,8 +75,10 @@
             return fail.parse_next(input);
         }
         let mut command = Vec::with_capacity(count as usize);
-        for _ in 0..count {
-            match bulk(input, limits.value)? {
+        for i in 0..count {
+            // Only a value may be large.
+            let most = if i == VALUE { limits.value } else { limits.whole };
+            match bulk(input, most)? {
                 Some(word) => command.push(word),
                 None => return fail.parse_next(input),
             }
@@ -82,6 +87,24 @@
     })
 }
 
+/// How many bytes a command takes whose value is said to be larger than `whole`, once that is known: what comes
+/// before the value, the value and its end.
+pub fn large_command(bytes: &[u8], limits: &Limits) -> Option<usize> {
+    let mut input = Partial::new(bytes);
+    preceded(b'*', number).verify(|count| *count == VALUE + 1).parse_next(&mut input).ok()?;
+    for _ in 0..VALUE {
+        bulk(&mut input, limits.word).ok()?;
+    }
+    let size = preceded(b'$', number).parse_next(&mut input).ok()?;
+    let size = usize::try_from(size).ok().filter(|size| (limits.whole + 1..=limits.value).contains(size))?;
+    Some(bytes.len() - input.len() + size + 2)
+}
+
+/// The length of a bulk string, and where it begins.
+pub fn bulk_head(bytes: &[u8]) -> Parsed<i64> {
+    parsed(bytes, |input: &mut Input| preceded(b'$', number).parse_next(input))
+}
+
 /// The head of an array: how many items follow.
 pub fn array(bytes: &[u8]) -> Parsed<i64> {
     parsed(bytes, |input: &mut Input| preceded(b'*', number).parse_next(input))
@@ -111,7 +134,7 @@
         preceded(b'+', line).map(Reply::Status),
         preceded(b'-', line).map(Reply::Error),
         preceded(b':', number).map(Reply::Number),
-        (|input: &mut Input<'a>| bulk(input, limits.value)).map(Reply::Bulk),
+        (|input: &mut Input<'a>| bulk(input, limits.whole)).map(Reply::Bulk),
     ))
     .parse_next(input)
 }
@@ -134,7 +157,7 @@
     use super::*;
 
     fn few() -> Limits {
-        Limits { value: 64, ..Limits::default() }
+        Limits { value: 64, whole: 64, ..Limits::default() }
     }
 
     #[test]
--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -108,6 +108,7 @@
                 Effect::CloseClient { client, quiet } => {
                     format!("close client {} after {} ms of silence", client.0, quiet.as_ms())
                 }
+                Effect::CutClient { client } => format!("cut client {}", client.0),
                 Effect::Watch => "watch".to_owned(),
                 Effect::Reload => "reload".to_owned(),
             };
