Read fields behind the last chunk, and gather large bodies that tell no length

A probe that logged their heads showed good answers in chunks with trailer fields behind the last one ("0", then "X-Sum: 5f3a"); `chunk` wanted the empty line at once (http.rs). Ruled out by the same probe: heads over 16 KiB (they had 300 to 1,400 bytes; a limit of 128 KiB changed nothing), a missing reason phrase and spaces about the field's value (both were read).

Change: the fields go with the last chunk, bounded as a head is. Bodies of no told length are taken up piece by piece and held within what all may hold, as RESP must be told the length first; the way not taken was to decode all of it again at each read, as for small ones until now.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -157,7 +157,7 @@
         let mut ended = !goes_on;
         match body {
             Some(Body::Chunked) => loop {
-                match http::chunk(buffer.filled(), hub.limits.list_line) {
+                match http::chunk(buffer.filled(), hub.limits.list_line, &hub.limits) {
                     Parsed::Whole(part, used) => {
                         ended |= part.is_empty();
                         text.put(part);
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -86,13 +86,17 @@
     Parsed::Broken
 }
 
-/// One chunk; an empty one is the last.
-pub fn chunk<'a>(bytes: &'a [u8], most: usize) -> Parsed<&'a [u8]> {
+/// One chunk; an empty one is the last, and the fields that may stand behind it go with it.
+pub fn chunk<'a>(bytes: &'a [u8], most: usize, limits: &Limits) -> Parsed<&'a [u8]> {
     parsed(bytes, |input: &mut Input<'a>| {
         let count = terminated(hex_uint::<_, u32, _>, (text, eol)).parse_next(input)? as usize;
-        if count > most {
+        // Guards against waiting for the end of fields without end.
+        if count > most || count == 0 && input.len() > limits.http_head {
             return winnow::combinator::fail.parse_next(input);
         }
+        if count == 0 {
+            repeat::<_, _, (), _, _>(0..limits.http_fields, field).parse_next(input)?;
+        }
         terminated(take(count), eol).parse_next(input)
     })
 }
@@ -115,7 +119,7 @@
         Body::Chunked => {
             let mut body = Vec::new();
             loop {
-                match chunk(&bytes[used..], most) {
+                match chunk(&bytes[used..], most, limits) {
                     Parsed::Whole([], count) => return Parsed::Whole((head, body), used + count),
                     Parsed::Whole(part, count) if body.len() + part.len() <= most => {
                         body.extend_from_slice(part);
@@ -189,6 +193,24 @@
         }
     }
 
+    #[test]
+    fn fields_behind_the_last_chunk_belong_to_the_answer() {
+        let limits = Limits::default();
+        let bytes =
+            b"HTTP/1.1 200 \r\nTransfer-Encoding:  chunked \r\n\r\n00002;part=1\r\nab\r\nA\r\n0123456789\r\n\
+            0\r\nX-Sum: 5f3a\r\nX-Done: 1\r\n\r\nHTTP";
+        let whole = bytes.len() - 4;
+        for cut in 0..whole {
+            assert_eq!(answer(&bytes[..cut], 99, false, &limits), Parsed::Part, "cut at {cut}");
+        }
+        let head = Head { status: 200, body: Body::Chunked, keep: true, unprocessed: false };
+        assert_eq!(answer(bytes, 99, false, &limits), Parsed::Whole((head, b"ab0123456789".to_vec()), whole));
+        let endless = [&b"0\r\n"[..], &b"X: y\r\n".repeat(9_999)].concat();
+        for bytes in [&b"0\r\nno colon\r\n\r\n"[..], b"g\r\n", b"3\r\nabcd\r\n", &endless] {
+            assert_eq!(chunk(bytes, 9, &limits), Parsed::Broken);
+        }
+    }
+
     /// Good messages with a few bytes changed, cut or doubled: any outcome is fine, a panic is not.
     #[test]
     fn no_bytes_make_a_parser_panic() {
@@ -214,7 +236,7 @@
                     _ => bytes.insert(at, bytes[at]),
                 }
             }
-            let _ = (answer(&bytes, 64, round % 2 == 0, &limits), chunk(&bytes, 64));
+            let _ = (answer(&bytes, 64, round % 2 == 0, &limits), chunk(&bytes, 64, &limits));
             let _ = (crate::resp::command(&bytes, &limits), crate::resp::reply(&bytes, &limits));
         }
     }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use quartzhub_policy::Span;
+use quartzhub_policy::{Outcome, Span};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -15,10 +15,10 @@
 use crate::clients::Client;
 use crate::clock::duration;
 use crate::effects::Hub;
-use crate::http;
+use crate::http::{self, Body, Head};
 use crate::limits::Limits;
 use crate::origin;
-use crate::reducer::{LinkId, Words};
+use crate::reducer::{LinkId, Reducer, Words};
 use crate::resp::Parsed;
 
 /// Bytes of a value that is copied behind its command, to go out in one write.
@@ -39,6 +39,9 @@
     passing: Cell<bool>,
     /// The server keeps the connection behind what is passed on.
     kept: Cell<bool>,
+    /// What has come of a body whose length nobody tells; and what that takes of what all may hold.
+    gathered: RefCell<Option<(Head, Vec<u8>)>>,
+    taken: Cell<usize>,
     spoilt: Cell<bool>,
     writing: Cell<bool>,
     /// It carries a shot whose answer is still to come.
@@ -60,6 +63,8 @@
             taker: RefCell::default(),
             passing: Cell::new(false),
             kept: Cell::new(false),
+            gathered: RefCell::default(),
+            taken: Cell::new(0),
             spoilt: Cell::new(false),
             writing: Cell::new(false),
             asked: Cell::new(false),
@@ -90,6 +95,7 @@
             }
             *self.body.borrow_mut() = words.value.clone().map(|value| (value, 0));
             self.asked.set(true);
+            *self.gathered.borrow_mut() = None;
         }
         let done = self.flush().ok()?;
         if !done {
@@ -147,6 +153,71 @@
         Some(size)
     }
 
+    /// Takes up what has come of a body whose length nobody tells, and gives the answer once it is whole. The client
+    /// must be told the length first, so all of it is held, within what all may hold.
+    fn gather(&self, hub: &Hub, ended: bool) -> Parsed<Answer> {
+        let limits = &hub.limits;
+        let (mut gathered, mut buffer) = (self.gathered.borrow_mut(), self.buffer.borrow_mut());
+        if gathered.is_none() && self.origin {
+            if let Parsed::Whole(head, used) = http::head(buffer.filled(), limits) {
+                if head.status == 200 && matches!(head.body, Body::Chunked | Body::ToTheEnd) {
+                    buffer.consume(used);
+                    *gathered = Some((head, Vec::new()));
+                }
+            }
+        }
+        let Some((head, body)) = gathered.as_mut() else { return Parsed::Part };
+        let mut whole = false;
+        loop {
+            let (bytes, left) = (buffer.filled(), limits.value - body.len());
+            let (part, used) = match head.body {
+                Body::Chunked => match http::chunk(bytes, left, limits) {
+                    Parsed::Whole(part, used) => (part, used),
+                    Parsed::Part => break,
+                    Parsed::Broken => return Parsed::Broken,
+                },
+                _ if bytes.len() > left => return Parsed::Broken,
+                _ => (bytes, bytes.len()),
+            };
+            whole = part.is_empty() && (head.body == Body::Chunked || ended);
+            if part.is_empty() {
+                break;
+            }
+            body.extend_from_slice(part);
+            buffer.consume(used);
+        }
+        if !self.takes(hub, body.capacity() + buffer.room()) {
+            crate::log!("no room for an answer of {}", self.to);
+            return Parsed::Broken;
+        }
+        if !whole {
+            return Parsed::Part;
+        }
+        if let Parsed::Whole(_, used) = http::chunk(buffer.filled(), 0, limits) {
+            buffer.consume(used);
+        }
+        let reusable = head.keep && !ended && buffer.is_empty();
+        let value = Some(std::mem::take(body));
+        *gathered = None;
+        self.asked.set(false);
+        buffer.clear();
+        buffer.shrink(limits.buffer_kept);
+        Parsed::Whole(Answer { outcome: Outcome::Fulfilled, value, reusable }, 0)
+    }
+
+    /// Counts what a large answer takes of what all may hold; false if it does not fit.
+    fn takes(&self, hub: &Hub, bytes: usize) -> bool {
+        let bytes = if bytes > 2 * hub.limits.whole { bytes } else { 0 };
+        let others = hub.buffered.get() - self.taken.get();
+        let fits = bytes == 0 || others + bytes + hub.ask(Reducer::held) <= hub.limits.held;
+        let bytes = if fits { bytes } else { 0 };
+        hub.buffered.set(others + bytes);
+        if bytes < self.taken.replace(bytes) {
+            hub.room.notify_waiters();
+        }
+        fits
+    }
+
     /// The client that takes what is passed on.
     pub fn passes_to(&self, client: Rc<Client>) {
         *self.taker.borrow_mut() = Some(client);
@@ -197,6 +268,12 @@
         let mut buffer = self.buffer.borrow_mut();
         match buffer.read(stream, limits.read) {
             Ok(0) => Ok(false),
+            Ok(_)
+                if self.gathered.borrow().is_some()
+                    && buffer.filled().len() <= limits.value + limits.reply() =>
+            {
+                Ok(true)
+            }
             Ok(_) if !self.passing.get() && buffer.filled().len() > limits.reply() => {
                 Err(io::ErrorKind::InvalidData.into())
             }
@@ -227,6 +304,11 @@
 
 /// Connects, then reads and writes until the connection ends or is closed.
 pub async fn run(hub: Rc<Hub>, link: Rc<Link>) {
+    converse(hub.clone(), link.clone()).await;
+    link.takes(&hub, 0);
+}
+
+async fn converse(hub: Rc<Hub>, link: Rc<Link>) {
     let to = link.to;
     let longest = hub.ask(|reducer| reducer.limits().connect);
     let connect = tokio::time::timeout(duration(longest), TcpStream::connect(to));
@@ -356,14 +438,23 @@
         // An end that has come already is met again by the next read.
         return true;
     }
-    match link.parsed(matches!(read, Ok(false)), &hub.limits) {
+    let over = matches!(read, Ok(false));
+    let answer = match link.gather(hub, over) {
+        Parsed::Part if link.gathered.borrow().is_some() => Parsed::Part,
+        Parsed::Part => link.parsed(over, &hub.limits),
+        gathered => {
+            link.takes(hub, 0);
+            gathered
+        }
+    };
+    match answer {
         Parsed::Whole(mut answer, _) => {
             // Guards against a next shot on a link that the server has closed behind its answer.
             answer.reusable &= !ended;
             hub.tell(|reducer, now| reducer.answered(now, link.id, answer));
         }
         Parsed::Part => {
-            if !link.buffer.borrow().is_empty() {
+            if !link.buffer.borrow().is_empty() || link.gathered.borrow().is_some() {
                 hub.tell(|reducer, now| reducer.began(now, link.id));
             }
         }
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -1054,3 +1054,33 @@
         assert!(begun.elapsed() < PATIENCE, "the API call is still open");
     }
 }
+
+#[test]
+fn a_body_in_chunks_is_taken_with_its_last_fields_also_when_it_is_large() {
+    let (tell, seen) = channel();
+    let value = "v".repeat(1_000_000);
+    let mut large = "HTTP/1.1 200 \r\ntransfer-encoding:chunked\r\n\r\n".to_owned();
+    for part in [&value[..3], &value[..700_000], &value[..299_997]] {
+        large += &format!("{:06x};part=1\r\n{part}\r\n", part.len());
+    }
+    large += "0\r\nX-Sum: 5f3a\r\nX-Done: 1\r\n\r\n";
+    let (mut count, to_the_end) = (0, format!("HTTP/1.1 200 OK\r\n\r\n{value}"));
+    let origin = server("origin", tell, move |_| {
+        count += 1;
+        match count {
+            1 | 2 => Deed::Say(large.clone().into_bytes()),
+            3 => Deed::Last(to_the_end.clone().into_bytes()),
+            _ => Deed::Say(
+                [&b"HTTP/1.1 200 \r\nTransfer-Encoding: chunked\r\n\r\n"[..], &b"9\r\n".repeat(9)].concat(),
+            ),
+        }
+    });
+    let node = Node::start(&[("origin", origin)], "");
+    let mut client = node.client();
+    for id in ["id1", "id2", "id3"] {
+        assert!(client.ask(&["OBJ.GET", "k1", id, FACTS]) == value, "{id}");
+        assert_eq!(next(&seen), format!("origin: GET /k1 {id} "));
+    }
+    assert_eq!(next(&seen), "origin: closed");
+    assert!(client.ask(&["OBJ.SET", "k1", "id4", "c=book,d=30000", "w"]).starts_with("-ERR"));
+}
