--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -308,8 +308,9 @@
                 held.set(buffer.room().max(promised));
                 if let Some(size) = resp::large_command(buffer.filled(), limits) {
                     if promised == 0 && !room_for(hub, &mut held, size).await {
+                        // It has not been taken: trying again does no harm.
                         reading = false;
-                        fault(hub, id, "no room for the command");
+                        hub.tell(|reducer, now| reducer.last_answer(now, id, b"-BUSY\r\n".to_vec()));
                         continue;
                     }
                     buffer.make_room(size);
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -1084,3 +1084,94 @@
     assert_eq!(next(&seen), "origin: closed");
     assert!(client.ask(&["OBJ.SET", "k1", "id4", "c=book,d=30000", "w"]).starts_with("-ERR"));
 }
+
+#[test]
+fn an_upgrade_of_a_node_out_of_service_and_a_reload_amid_it() {
+    let (tell, _seen) = channel();
+    let cache = server("a", tell, |_| hit("v"));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let text = config(&[("a", cache)], "");
+    let (first, second) = (free(), free());
+    let mut old = heir(&listener, &text, first);
+    let mut kept = old.client();
+    assert_eq!(kept.ask(&["OBJ.GET", "k1", "id1", FACTS]), "v");
+    assert_eq!(operate(first, "POST /control/out-of-service"), "200 OK: out of service");
+    assert_eq!(kept.answer(), "closed");
+    // The new process knows nothing of the drain: it is in service, and so is the node.
+    let new = heir(&listener, &text, second);
+    let other = text.replace(r#""view""#, r#""new""#);
+    for node in [&old, &new] {
+        std::fs::write(&node.file, &other).expect("written");
+        node.signal("-HUP");
+    }
+    let begun = std::time::Instant::now();
+    while [first, second]
+        .iter()
+        .any(|addr| !operate(*addr, "GET /control/counters").contains(r#""config_applied":1"#))
+    {
+        assert!(begun.elapsed() < PATIENCE, "no reload");
+    }
+    old.signal("-TERM");
+    assert!(old.child.wait().expect("an end").success());
+    let mut client = new.client();
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+    assert_eq!(client.ask(&["OBJ.GET", "k1", "id2", "c=new,d=30000"]), "v");
+    assert_eq!(client.ask(&["OBJ.GET", "k1", "id3", FACTS]), "-ERR no such product");
+}
+
+#[test]
+fn peers_that_write_a_byte_at_a_time_are_served() {
+    let value = "v".repeat(66_000);
+    let small = found("small").into_iter().map(|byte| vec![byte]).collect();
+    let (cache, go) = in_pieces(small);
+    let node = Node::start(&[("a", cache)], "");
+    let mut client = node.client();
+    for byte in command(&["OBJ.GET", "k1", "id1", FACTS]) {
+        client.send(&[byte]);
+    }
+    for _ in found("small") {
+        go.send(()).expect("the server waits");
+    }
+    assert_eq!(client.answer(), "small");
+    // A large one, of which the beginning and the end come byte by byte.
+    let whole = found(&value);
+    let (head, rest) = whole.split_at(40);
+    let (middle, tail) = rest.split_at(rest.len() - 40);
+    let bytes_of = |part: &[u8]| part.iter().map(|byte| vec![*byte]).collect::<Vec<_>>();
+    let pieces = [bytes_of(head), vec![middle.to_vec()], bytes_of(tail)].concat();
+    let count = pieces.len();
+    let (cache, go) = in_pieces(pieces);
+    let node = Node::start(&[("a", cache)], "");
+    let mut client = node.client();
+    client.send(&command(&["OBJ.GET", "k1", "id1", FACTS]));
+    for _ in 0..count {
+        go.send(()).expect("the server waits");
+    }
+    assert!(client.answer() == value);
+}
+
+#[test]
+fn figures_are_told_and_true_in_a_flood() {
+    let (tell, _seen) = channel();
+    let cache = server("a", tell, |_| hit("v"));
+    let addr = free();
+    let node = Node::start(&[("a", cache)], &format!(r#""ops":"{addr}","#));
+    const EACH: usize = 300;
+    std::thread::scope(|scope| {
+        for i in 0..8 {
+            let node = &node;
+            scope.spawn(move || {
+                let mut client = node.client();
+                for j in 0..EACH {
+                    assert_eq!(client.ask(&["OBJ.GET", "k1", &format!("id{i}-{j}"), FACTS]), "v");
+                }
+            });
+        }
+        for _ in 0..20 {
+            assert!(operate(addr, "GET /control/counters").starts_with("200 OK"));
+        }
+    });
+    let told = operate(addr, "GET /control/counters");
+    let wanted = format!(r#""view":{{"ok":{},"shed":0,"errors":0}}}},"tries":"#, 8 * EACH);
+    assert!(told.contains(&wanted) && told.contains(r#""active":0"#), "{told}");
+}
