Add a laboratory: an emulator round the unchanged module, baselines, experiments with plots

Need: questions that sockets on one machine can't reach (hundreds of nodes, hundreds of seeds) had no tool of the project's own.

Baselines stand behind one generic trait beside it, not behind `dyn`, as the module's `Answers` are generic.

Found while building it: the module may ask for a further shot in the very report of a fulfilled one (its timer's due list runs first); the real node never writes it, as it looks before each write, so the emulator looks there too.

The node's build does not include the laboratory.

--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,154 @@
+//! The laboratory's program: plays a scenario, or an experiment with its table and plots.
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command};
+use quartzhub_lab::scenario::Bad;
+use quartzhub_lab::stats::FIGURES;
+use quartzhub_lab::sweep::Sweep;
+use quartzhub_lab::{plot, run, Report, Scenario};
+
+fn main() -> ExitCode {
+    let file = |help: &'static str| Arg::new("file").value_name("FILE").required(true).help(help);
+    let out = || {
+        Arg::new("out").long("out").value_name("FOLDER").help("where plots and tables go; made if missing")
+    };
+    let policies =
+        Arg::new("policies").long("policies").value_name("A,B").help("instead of the scenario's one");
+    let app = Command::new("quartzhub-lab")
+        .about("Emulates fleets round quartzhub's decision module")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("run").about("Plays one scenario").arg(file("a scenario")).arg(policies).arg(out()),
+        )
+        .subcommand(Command::new("sweep").about("Plays an experiment").arg(file("an experiment")).arg(out()))
+        .subcommand(
+            Command::new("check")
+                .about("Says whether a scenario or an experiment can be played")
+                .arg(file("either")),
+        );
+    let matches = app.get_matches();
+    let done = match matches.subcommand() {
+        Some(("run", given)) => one(given),
+        Some(("sweep", given)) => many(given),
+        Some(("check", given)) => check(given),
+        _ => Ok(()),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(bad) => {
+            eprintln!("quartzhub-lab: {bad}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn path(given: &ArgMatches, name: &str) -> Option<PathBuf> {
+    given.get_one::<String>(name).map(PathBuf::from)
+}
+
+fn read(given: &ArgMatches) -> Result<(PathBuf, String), Bad> {
+    let file = path(given, "file").unwrap_or_default();
+    let text = std::fs::read_to_string(&file).map_err(|e| Bad(format!("{}: {e}", file.display())))?;
+    Ok((file, text))
+}
+
+fn in_file(file: &Path) -> impl Fn(Bad) -> Bad + '_ {
+    move |bad| Bad(format!("{}: {bad}", file.display()))
+}
+
+/// The folder is there and can be written to: said before any run.
+fn folder(given: &ArgMatches) -> Result<Option<PathBuf>, Bad> {
+    let Some(folder) = path(given, "out") else { return Ok(None) };
+    let bad = |e: std::io::Error| Bad(format!("{}: {e}", folder.display()));
+    std::fs::create_dir_all(&folder).map_err(bad)?;
+    let probe = folder.join(".quartzhub-lab");
+    std::fs::write(&probe, "").map_err(bad)?;
+    std::fs::remove_file(&probe).map_err(bad)?;
+    Ok(Some(folder))
+}
+
+fn is_sweep(text: &str) -> bool {
+    text.parse::<toml::Table>().is_ok_and(|table| table.contains_key("seeds"))
+}
+
+fn check(given: &ArgMatches) -> Result<(), Bad> {
+    let (file, text) = read(given)?;
+    match is_sweep(&text) {
+        true => Sweep::parse(&text).map(drop),
+        false => Scenario::parse(&text).map(drop),
+    }
+    .map_err(in_file(&file))?;
+    println!("{}: can be played", file.display());
+    Ok(())
+}
+
+fn one(given: &ArgMatches) -> Result<(), Bad> {
+    let (file, text) = read(given)?;
+    let scenario = Scenario::parse(&text).map_err(in_file(&file))?;
+    let folder = folder(given)?;
+    let policies = match given.get_one::<String>("policies") {
+        Some(list) => list.split(',').map(str::to_owned).collect(),
+        None => vec![scenario.policy.clone()],
+    };
+    let mut reports = Vec::new();
+    for policy in policies {
+        let scenario = Scenario { policy: policy.clone(), ..scenario.clone() };
+        let report = run(&scenario).map_err(in_file(&file))?;
+        println!("{}", told(&policy, &report));
+        reports.push((policy, report));
+    }
+    let name = file.file_stem().map_or("run".into(), |stem| stem.to_string_lossy().into_owned());
+    for file in folder
+        .iter()
+        .map(|folder| plot::run(folder, &name, &reports))
+        .collect::<Result<Vec<_>, _>>()?
+        .concat()
+    {
+        println!("drawn: {}", file.display());
+    }
+    // A broken rule fails the run, with the offending API call's history.
+    match reports
+        .iter()
+        .flat_map(|(policy, report)| report.broken.first().map(|broken| (policy, report, broken)))
+        .next()
+    {
+        Some((policy, report, broken)) => Err(Bad(format!(
+            "{policy}: rules broken {} times, first at {:.1} ms, {:?}: {}. {}",
+            report.broken_count,
+            broken.at.ms(),
+            broken.rule,
+            broken.what,
+            broken.history
+        ))),
+        None => Ok(()),
+    }
+}
+
+fn told(policy: &str, report: &Report) -> String {
+    let figures = FIGURES.iter().filter_map(|name| Some(format!("{name} {:.4}", report.figure(name)?)));
+    let products = report.products.iter().map(|(name, counts)| format!("{name} {:.4}", counts.service()));
+    let (figures, products): (Vec<_>, Vec<_>) = (figures.collect(), products.collect());
+    format!("{policy}: {}\n  by product: {}", figures.join(", "), products.join(", "))
+}
+
+fn many(given: &ArgMatches) -> Result<(), Bad> {
+    let (file, text) = read(given)?;
+    let sweep = Sweep::parse(&text).map_err(in_file(&file))?;
+    let folder = folder(given)?;
+    let rows = sweep.play().map_err(in_file(&file))?;
+    let table = sweep.table(&rows);
+    print!("{table}");
+    if let Some(folder) = folder {
+        let name = folder.join("table.md");
+        std::fs::write(&name, &table).map_err(|e| Bad(format!("{}: {e}", name.display())))?;
+        for file in plot::sweep(&folder, &sweep, &rows)? {
+            println!("drawn: {}", file.display());
+        }
+    }
+    match rows.iter().find_map(|row| row.example.as_ref().map(|example| (row, example))) {
+        Some((row, example)) => Err(Bad(format!("{} {}: {example}", row.policy, row.at.join(" ")))),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/rules.rs
@@ -0,0 +1,194 @@
+//! The four rules, checked on every run by what really happened: the world tells what a node did and what a server
+//! began, and a broken rule keeps the offending API call's history.
+use std::fmt::Write as _;
+
+use quartzhub_policy::{Effect, Product, Span, Time};
+use rustc_hash::FxHashMap;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rule {
+    /// One final answer to what was taken, in time, and nothing sent for it afterwards.
+    OneAnswer,
+    /// No effect twice.
+    NoEffectTwice,
+    /// Nothing new to a draining or gone server after the grace.
+    Drains,
+    /// No cold server pushed over, nor the origin by their misses.
+    ColdServers,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub enum Deed {
+    Taken { node: usize },
+    Sent { server: usize },
+    Began { server: usize },
+    Missed { server: usize },
+    Fulfilled,
+    RateLimited,
+    Errored,
+    Left,
+}
+
+#[derive(Debug, Clone)]
+pub struct Broken {
+    pub rule: Rule,
+    pub at: Time,
+    pub what: String,
+    pub history: String,
+}
+
+struct Track {
+    product: Product,
+    until: Time,
+    answered: bool,
+    left: bool,
+    /// Where and when its effect was begun.
+    ran: Vec<(Time, usize)>,
+    deeds: Vec<(Time, Deed)>,
+}
+
+/// Deeds of one API call that are remembered: far more than any honest one has.
+const MOST_DEEDS: usize = 64;
+
+pub struct Watch {
+    tracks: FxHashMap<u64, Track>,
+    pub broken: Vec<Broken>,
+    /// Of each rule, broken ones that are kept whole; more are only counted.
+    pub most: usize,
+    pub count: u64,
+    slack: Span,
+}
+
+impl Watch {
+    pub fn new(slack: Span) -> Watch {
+        Watch { tracks: FxHashMap::default(), broken: Vec::new(), most: 5, count: 0, slack }
+    }
+
+    pub fn taken(&mut self, now: Time, call: u64, node: usize, product: Product, until: Time) {
+        let deeds = vec![(now, Deed::Taken { node })];
+        let track = Track { product, until, answered: false, left: false, ran: Vec::new(), deeds };
+        self.tracks.insert(call, track);
+    }
+
+    pub fn knows(&self, call: u64) -> bool {
+        self.tracks.contains_key(&call)
+    }
+
+    fn note(&mut self, now: Time, call: u64, deed: Deed) -> Option<&mut Track> {
+        let track = self.tracks.get_mut(&call)?;
+        if track.deeds.len() < MOST_DEEDS {
+            track.deeds.push((now, deed));
+        }
+        Some(track)
+    }
+
+    /// `told`: since when the node has known that the server drains or is gone.
+    pub fn sent(&mut self, now: Time, call: u64, server: usize, told: Option<Time>, grace: Span) {
+        let Some(track) = self.note(now, call, Deed::Sent { server }) else { return };
+        if track.answered || track.left {
+            self.broke(
+                Rule::OneAnswer,
+                now,
+                "a shot was sent for an API call that has its answer",
+                Some(call),
+            );
+        }
+        if told.is_some_and(|told| now - told > grace) {
+            self.broke(
+                Rule::Drains,
+                now,
+                "a shot was sent to a server known to drain or be gone",
+                Some(call),
+            );
+        }
+    }
+
+    /// A server has begun the effect, or found out that it can't.
+    pub fn began(&mut self, now: Time, call: u64, server: usize, miss: bool) {
+        let deed = if miss { Deed::Missed { server } } else { Deed::Began { server } };
+        let Some(track) = self.note(now, call, deed) else { return };
+        if miss {
+            return;
+        }
+        let first = track.ran.first().copied();
+        track.ran.push((now, server));
+        let twice = first.is_some_and(|(at, _)| match track.product.effect {
+            Effect::Idempotent => false,
+            Effect::Deduplicated => now - at > track.product.window,
+            Effect::NonIdempotent => true,
+        });
+        if twice {
+            self.broke(Rule::NoEffectTwice, now, "an effect was begun twice", Some(call));
+        }
+    }
+
+    pub fn answered(&mut self, now: Time, call: u64, deed: Deed) {
+        let Some(track) = self.note(now, call, deed) else { return };
+        let (again, late) = (track.answered, now > track.until);
+        track.answered = true;
+        // A rate-limit reply says that trying again does no harm.
+        let harm = matches!(deed, Deed::RateLimited)
+            && !track.ran.is_empty()
+            && track.product.effect == Effect::NonIdempotent;
+        if again {
+            self.broke(Rule::OneAnswer, now, "a second final answer", Some(call));
+        } else if late {
+            self.broke(Rule::OneAnswer, now, "a final answer after the client timeout", Some(call));
+        }
+        if harm {
+            self.broke(Rule::NoEffectTwice, now, "a rate-limit reply for what has run", Some(call));
+        }
+    }
+
+    pub fn left(&mut self, now: Time, call: u64) {
+        if let Some(track) = self.note(now, call, Deed::Left) {
+            track.left = true;
+        }
+    }
+
+    /// The node that had it is no more: nothing is owed.
+    pub fn lost_with_node(&mut self, call: u64) {
+        if let Some(track) = self.tracks.get_mut(&call) {
+            track.left = true;
+        }
+    }
+
+    /// Its client timeout is over.
+    pub fn due(&mut self, now: Time, call: u64) {
+        let owed = |track: &Track| !track.answered && !track.left && now >= track.until + self.slack;
+        if self.tracks.get(&call).is_some_and(owed) {
+            self.broke(Rule::OneAnswer, now, "no final answer before the client timeout", Some(call));
+        }
+    }
+
+    /// Nothing more can happen to it.
+    pub fn forget(&mut self, call: u64) {
+        self.tracks.remove(&call);
+    }
+
+    pub fn open(&self) -> usize {
+        self.tracks.len()
+    }
+
+    pub fn pushed_over(&mut self, now: Time, what: String) {
+        self.broke(Rule::ColdServers, now, &what, None);
+    }
+
+    fn broke(&mut self, rule: Rule, at: Time, what: &str, call: Option<u64>) {
+        self.count += 1;
+        if self.broken.iter().filter(|broken| broken.rule == rule).count() >= self.most {
+            return;
+        }
+        let history = call.map(|call| self.history(call)).unwrap_or_default();
+        self.broken.push(Broken { rule, at, what: what.to_owned(), history });
+    }
+
+    fn history(&self, call: u64) -> String {
+        let Some(track) = self.tracks.get(&call) else { return String::new() };
+        let mut out = format!("API call {call}, {:?}:", track.product.effect);
+        for (at, deed) in &track.deeds {
+            let _ = write!(out, " {:.3} {deed:?};", at.ms());
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/lab/src/server.rs
@@ -0,0 +1,113 @@
+//! Caches and the origin: cores, a queue, a memory, a start that is cold. The world asks them and moves time.
+use std::collections::VecDeque;
+
+use quartzhub_policy::{Span, Time};
+
+use crate::lru::Lru;
+
+/// One shot's work at a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Job {
+    pub id: u64,
+    pub node: usize,
+    /// The API call at its node, and which of its shots this is.
+    pub call: u64,
+    pub shot: usize,
+    pub key: u64,
+    pub write: bool,
+    /// At full speed, on one core.
+    pub work: Span,
+    /// It comes of a miss at a cache that was cold.
+    pub of_cold: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    Up,
+    /// Takes everything and answers nothing.
+    Hung,
+    Down,
+}
+
+pub struct Server {
+    pub origin: bool,
+    pub cores: usize,
+    pub speed: f64,
+    pub places: usize,
+    pub health: Health,
+    /// Multiples of the usual time that work takes now.
+    pub slow: f64,
+    pub started: Option<Time>,
+    /// Grows with each start; what belongs to an earlier one is void.
+    pub life: u64,
+    pub kept: Lru,
+    pub queue: VecDeque<Job>,
+    pub running: Vec<Job>,
+    pub connections: usize,
+    pub demand: Demand,
+    pub warm: Span,
+    pub cold: f64,
+    /// What it has begun, and how much of that was found.
+    pub begun: u64,
+    pub found: u64,
+    pub busy: Span,
+}
+
+impl Server {
+    /// Speed now as a part of the full one, by age.
+    pub fn warmth(&self, now: Time) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let age = (now - started).seconds() / self.warm.seconds().max(1e-6);
+        (self.cold + (1.0 - self.cold) * age.max(0.0)).min(1.0)
+    }
+
+    pub fn is_cold(&self, now: Time) -> bool {
+        self.started.is_some_and(|started| now - started < self.warm)
+    }
+
+    /// Work that it can do in a second, in seconds of a full-speed core.
+    pub fn capacity(&self, now: Time) -> f64 {
+        self.cores as f64 * self.speed * self.warmth(now) / self.slow
+    }
+
+    pub fn takes(&self, work: Span, now: Time) -> Span {
+        Span((work.0 as f64 * self.slow / (self.speed * self.warmth(now))).ceil().max(1.0) as i64)
+    }
+
+    pub fn is_full(&self) -> bool {
+        self.running.len() >= self.cores && self.queue.len() >= self.places
+    }
+
+    /// All that it had is lost.
+    pub fn stop(&mut self) -> Vec<Job> {
+        self.life += 1;
+        self.connections = 0;
+        self.demand = Demand::default();
+        self.running.drain(..).chain(self.queue.drain(..)).collect()
+    }
+}
+
+/// Work sent in a stretch of time that ends now.
+#[derive(Debug, Default)]
+pub struct Demand {
+    sent: VecDeque<(Time, f64, bool)>,
+    sum: f64,
+    of_cold: f64,
+}
+
+impl Demand {
+    /// Adds work; tells how much came in the last `over` a second, and which part of that was of cold caches' misses.
+    pub fn add(&mut self, now: Time, work: Span, of_cold: bool, over: Span) -> (f64, f64) {
+        let work = work.seconds();
+        self.sent.push_back((now, work, of_cold));
+        self.sum += work;
+        self.of_cold += if of_cold { work } else { 0.0 };
+        while self.sent.front().is_some_and(|first| now - first.0 > over) {
+            if let Some((_, work, of_cold)) = self.sent.pop_front() {
+                self.sum -= work;
+                self.of_cold -= if of_cold { work } else { 0.0 };
+            }
+        }
+        (self.sum / over.seconds().max(1e-6), self.of_cold / self.sum.max(1e-12))
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/validation.rs
@@ -0,0 +1,188 @@
+//! The emulator against what is known without it: closed forms of queues, an approximation of LRU, conservation,
+//! repeatability, and policies that break each rule on purpose.
+use quartzhub_lab::routers::{Plain, Random, Way, Wicked};
+use quartzhub_lab::rules::Rule;
+use quartzhub_lab::scenario::{Law, Product, Scenario};
+use quartzhub_lab::world::World;
+use quartzhub_lab::{run, Report};
+use quartzhub_policy::ServerIx;
+
+/// One queue behind one node and a network without delay; every key is there.
+fn queue(cores: usize, load: f64) -> Scenario {
+    let mut scenario = Scenario { nodes: 1, seconds: 400.0, settle: 20.0, shots: 1, ..Scenario::default() };
+    scenario.policy = "random".into();
+    (scenario.network.delay_ms, scenario.network.jitter_ms) = (0.0, 0.0);
+    scenario.clients.retries = 0;
+    scenario.clients.patience = [1.0, 1.0];
+    (scenario.keys.count, scenario.keys.skew) = (10, 0.0);
+    (scenario.caches.count, scenario.caches.cores, scenario.caches.queue) = (1, cores, 100_000);
+    (scenario.caches.speed, scenario.caches.work) = ([1.0, 1.0], Law::Exponential);
+    (scenario.caches.memory, scenario.caches.handshake_ms) = (100, 0.0);
+    scenario.products = vec![Product {
+        name: "view".into(),
+        share: 1.0,
+        effect: quartzhub_lab::scenario::Effect::Idempotent,
+        write: false,
+        slo_ms: 60_000.0,
+        timeout_ms: 60_000.0,
+        work_ms: 10.0,
+        value: 1.0,
+        late_value: 0.0,
+        window_ms: 0.0,
+    }];
+    scenario.traffic.rate = load * cores as f64 * 100.0;
+    scenario
+}
+
+/// Mean time in an M/M/c system, in service times (Erlang C).
+fn erlang(cores: usize, load: f64) -> f64 {
+    let offered = load * cores as f64;
+    let term = |k: usize| (1..=k).fold(1.0, |t, i| t * offered / i as f64);
+    let last = term(cores) / (1.0 - load);
+    let waits = last / ((0..cores).map(term).sum::<f64>() + last);
+    1.0 + waits / (cores as f64 * (1.0 - load))
+}
+
+#[test]
+fn queues_take_as_long_as_closed_forms_say() {
+    for (cores, load) in [(1, 0.5), (1, 0.7), (2, 0.8), (8, 0.8)] {
+        let mut sum = 0.0;
+        for seed in 1..=4 {
+            let report = run(&Scenario { seed, ..queue(cores, load) }).expect("a scenario");
+            sum += report.figure("mean_ms").expect("a figure") / 4.0;
+        }
+        let wanted = 10.0 * erlang(cores, load);
+        assert!(
+            (sum / wanted - 1.0).abs() < 0.05,
+            "{cores} cores at {load}: {sum:.2} ms, {wanted:.2} by Erlang"
+        );
+    }
+}
+
+/// Che's approximation: a key is hit if it is asked again within the time in which as many other keys as fit are.
+fn che(count: u64, skew: f64, room: f64) -> f64 {
+    let weights: Vec<f64> = (1..=count).map(|rank| (rank as f64).powf(-skew)).collect();
+    let sum: f64 = weights.iter().sum();
+    let kept = |time: f64| weights.iter().map(|w| 1.0 - (-w / sum * time).exp()).sum::<f64>();
+    let (mut low, mut high) = (0.0, 1e9);
+    for _ in 0..200 {
+        let middle = (low + high) / 2.0;
+        if kept(middle) < room {
+            low = middle
+        } else {
+            high = middle
+        }
+    }
+    weights.iter().map(|w| w / sum * (1.0 - (-w / sum * low).exp())).sum()
+}
+
+#[test]
+fn hits_of_a_memory_are_as_many_as_che_says() {
+    for (count, skew, room) in [(5_000, 0.9, 500), (5_000, 0.6, 1_000), (2_000, 1.1, 100)] {
+        let mut scenario = queue(4, 0.3);
+        (scenario.keys.count, scenario.keys.skew, scenario.caches.memory) = (count, skew, room);
+        scenario.shots = 3;
+        (scenario.seconds, scenario.settle, scenario.traffic.rate) = (300.0, 50.0, 200.0);
+        let report = run(&scenario).expect("a scenario");
+        let (told, wanted) = (report.hit_ratio(), che(count, skew, room as f64));
+        assert!(
+            (told - wanted).abs() < 0.02,
+            "{count} keys, {skew}, room {room}: {told:.3}, {wanted:.3} by Che"
+        );
+    }
+}
+
+fn rough(policy: &str, seed: u64) -> Scenario {
+    let text = r#"
+        seconds = 30.0
+        settle = 5.0
+        [[fault]]
+        kind = "crash"
+        at = 6.0
+        for = 5.0
+        share = 0.2
+        [[fault]]
+        kind = "hang"
+        at = 12.0
+        for = 4.0
+        share = 0.2
+        [[fault]]
+        kind = "drain"
+        at = 14.0
+        for = 4.0
+        share = 0.1
+        [[fault]]
+        kind = "node_roll"
+        at = 18.0
+        for = 6.0
+        [[fault]]
+        kind = "origin_slow"
+        at = 20.0
+        for = 4.0
+        factor = 3.0
+    "#;
+    Scenario { seed, policy: policy.into(), ..Scenario::parse(text).expect("a scenario") }
+}
+
+fn conserved(report: &Report) {
+    assert_eq!(report.begun, report.ended + report.open, "API calls are lost or doubled");
+    assert_eq!(report.open, 0, "API calls without an end");
+    let by_window: u64 = report.windows.iter().map(|counts| counts.ended()).sum();
+    assert_eq!(by_window, report.ended);
+}
+
+#[test]
+fn every_call_ends_once_and_the_same_seed_gives_the_same_trace() {
+    for policy in ["dema", "two_choices", "bounded_hash"] {
+        let (one, again) = (run(&rough(policy, 3)).expect("a run"), run(&rough(policy, 3)).expect("a run"));
+        conserved(&one);
+        assert_eq!((one.trace, one.begun), (again.trace, again.begun), "{policy}");
+        assert_ne!(one.trace, run(&rough(policy, 4)).expect("a run").trace);
+    }
+}
+
+#[test]
+fn the_module_keeps_the_rules_on_a_rough_day() {
+    for seed in 1..=3 {
+        let report = run(&rough("dema", seed)).expect("a run");
+        let first = report
+            .broken
+            .first()
+            .map(|b| format!("{:?} at {:.0} ms: {} {}", b.rule, b.at.ms(), b.what, b.history));
+        assert_eq!(first, None, "{} broken", report.broken_count);
+    }
+}
+
+#[test]
+fn each_rule_is_seen_to_be_broken_by_a_policy_that_breaks_it() {
+    let told = |way: Way| {
+        let mut scenario = rough("dema", 5);
+        scenario.clients.patience = [1.0, 1.0];
+        scenario.products[0].effect = quartzhub_lab::scenario::Effect::AtMostOnce;
+        let settings = |me| scenario.settings(me);
+        let origin = ServerIx(scenario.caches.count);
+        let make = |me, seed| {
+            let wicked = Wicked::new(Plain::new(Random, &settings(me), seed), way);
+            if way == Way::RepeatsWhatRan {
+                wicked.repeats_at(origin)
+            } else {
+                wicked
+            }
+        };
+        let report = World::new(&scenario, make).play();
+        let rules: Vec<Rule> = report.broken.iter().map(|broken| broken.rule).collect();
+        let history = report.broken.first().map(|broken| broken.history.clone()).unwrap_or_default();
+        (rules, history)
+    };
+    for (way, rule) in [
+        (Way::AnswersTwice, Rule::OneAnswer),
+        (Way::NeverAnswers, Rule::OneAnswer),
+        (Way::RepeatsWhatRan, Rule::NoEffectTwice),
+        (Way::SendsToDraining, Rule::Drains),
+        (Way::FloodsCold, Rule::ColdServers),
+    ] {
+        let (rules, history) = told(way);
+        assert!(rules.contains(&rule), "{way:?}: {rules:?}");
+        assert!(rule == Rule::ColdServers || history.contains("Taken"), "{way:?}: {history}");
+    }
+}
