Settle a fulfilled call before what is due, so that it gets no further shot or second answer

Cause, found by the laboratory: `outcome` ran what was due first, and only then the report at hand. Where a call's own due time had passed, it made a further shot for a call that the report says is fulfilled, or took it from the origin's queue and rate-limited it ("a second final answer", 1 to 3 times a minute at 1,200 calls a second, with the call's history). Ruled out: the emulator's order of events (the answer and the report are one step at the node, too). Setting only the call's due time aside was tried: the queue's part remained.

Change: a report that ends a call is settled first, then what is due is run. Test: fails without it by a shot that nobody needs. The laboratory counts a miss as the work that it takes when it watches cold caches; counted whole, it saw caches pushed over that were not.

--- a/crates/lab/src/lru.rs
+++ b/crates/lab/src/lru.rs
@@ -42,6 +42,11 @@
         true
     }
 
+    /// The same, and it stays as old as it was.
+    pub fn has(&self, key: u64) -> bool {
+        self.places.contains_key(&key)
+    }
+
     pub fn put(&mut self, key: u64) {
         if self.most == 0 || self.get(key) {
             return;
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -395,7 +395,10 @@
             false => (Span::from_ms(self.scenario.rules.overload_ms), self.scenario.rules.overload),
         };
         let it = &mut self.servers[server];
-        let (rate, of_cold) = it.demand.add(now, job.work, job.of_cold, over);
+        // What it will have to do: a miss is found out soon.
+        let miss = !it.origin && !job.write && !it.kept.has(job.key);
+        let part = if miss { self.scenario.caches.miss_part } else { 1.0 };
+        let (rate, of_cold) = it.demand.add(now, job.work.times(part), job.of_cold, over);
         let cold = it.is_cold(now);
         if rate <= most * it.capacity(now) || !cold && !it.origin {
             return true;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -637,7 +637,16 @@
 
     pub fn outcome(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut impl Answers) {
         self.now = now;
+        // Guards against a further shot, or a second answer, for a call that this very report says has its answer.
+        if ending.call_ended {
+            self.settle(now, ix, ending, to);
+            return self.run_due(to);
+        }
         self.run_due(to);
+        self.settle(now, ix, ending, to);
+    }
+
+    fn settle(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut impl Answers) {
         let Some(call) = self.calls.get_mut(ix.0).filter(|call| call.live) else { return };
         let shot = call.shots.get_mut(ending.shot);
         let Some(shot) = shot.filter(|shot| shot.fate == Fate::Out) else { return };
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -513,3 +513,30 @@
         "#]],
     );
 }
+
+// A report that a call was fulfilled came when its further shot was due: one was made, for nothing, or it was ended twice.
+#[test]
+fn a_report_of_a_fulfilled_call_makes_no_shot_that_was_due_for_it() {
+    let mut node = Node::new(2, &[]);
+    node.calm(0);
+    node.ask(100, 0, "key-a", false);
+    node.now += 210.0;
+    node.say("late, and fulfilled at the very same time");
+    node.end(100, 0, Fulfilled, 210.0);
+    node.say("another, late, and a report of something else first");
+    node.ask(101, 0, "key-a", false);
+    node.ask(102, 0, "key-b", false);
+    node.now += 210.0;
+    node.end(102, 0, Fulfilled, 210.0);
+    check(
+        node,
+        expect![[r#"
+              call 100 -> server 2 until 3000
+            1210 ms: late, and fulfilled at the very same time
+            1210 ms: another, late, and a report of something else first
+              call 101 -> server 2 until 3210
+              call 102 -> server 2 until 3210
+              call 101 -> server 0 until 3210
+        "#]],
+    );
+}
