Play one scenario emulated and by the real node; check configurations; take them in TOML

Need: the laboratory had no load tool, nothing showed how far its emulator is from the real node, and a configuration could only be tried by starting it.

`load` is open-loop with latencies from the intended send, on loopback only, bounded; a closed loop, which asks a slow node less often, was not taken. Stand-ins and the node run in the tool's own process on one thread: no ports to agree on, and all ends with it. `quartzhub check` reads as serving does and says what is wrong; TOML is read by the file's name into the same keys and the same checks, with no second set of defaults.

The test of policies that break rules was red since the demand of misses changed; cold caches are slower in it now.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,12 +1,14 @@
 //! The project's laboratory: an emulator of fleets, clients and networks round the unchanged decision module, at
 //! sizes that sockets don't reach; and experiments on it. Deterministic from a seed. `docs/lab.md` says what its
 //! models are and what they can't tell.
+pub mod load;
 pub mod lru;
 pub mod plot;
 pub mod routers;
 pub mod rules;
 pub mod scenario;
 pub mod server;
+pub mod standin;
 pub mod stats;
 pub mod sweep;
 pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,7 @@
 use quartzhub_lab::scenario::Bad;
 use quartzhub_lab::stats::FIGURES;
 use quartzhub_lab::sweep::Sweep;
-use quartzhub_lab::{plot, run, Report, Scenario};
+use quartzhub_lab::{load, plot, run, Report, Scenario};
 
 fn main() -> ExitCode {
     let file = |help: &'static str| Arg::new("file").value_name("FILE").required(true).help(help);
@@ -19,6 +19,26 @@
         .about("Emulates fleets round quartzhub's decision module")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
+        .subcommand(
+            Command::new("load")
+                .about("Asks a real node on loopback as a scenario's clients would")
+                .arg(file("a scenario"))
+                .arg(
+                    Arg::new("node")
+                        .long("node")
+                        .value_name("ADDR")
+                        .required(true)
+                        .help("such as 127.0.0.1:7000"),
+                )
+                .arg(Arg::new("connections").long("connections").value_name("N").default_value("64")),
+        )
+        .subcommand(
+            Command::new("compare")
+                .about(
+                    "Plays a scenario of one node emulated and by the real node, with stand-ins on loopback",
+                )
+                .arg(file("a scenario")),
+        )
         .subcommand(
             Command::new("run").about("Plays one scenario").arg(file("a scenario")).arg(policies).arg(out()),
         )
@@ -33,6 +53,8 @@
         Some(("run", given)) => one(given),
         Some(("sweep", given)) => many(given),
         Some(("check", given)) => check(given),
+        Some(("load", given)) => ask(given),
+        Some(("compare", given)) => compare(given),
         _ => Ok(()),
     };
     match done {
@@ -152,3 +174,41 @@
         None => Ok(()),
     }
 }
+
+fn ask(given: &ArgMatches) -> Result<(), Bad> {
+    let (file, text) = read(given)?;
+    let scenario = Scenario::parse(&text).map_err(in_file(&file))?;
+    let text = |name: &str| given.get_one::<String>(name).cloned().unwrap_or_default();
+    let node = text("node").parse().map_err(|_| Bad(format!("--node: {:?} is no address", text("node"))))?;
+    let connections = text("connections");
+    let connections =
+        connections.parse().map_err(|_| Bad(format!("--connections: {connections:?} is no number")))?;
+    load::check(&scenario, node, connections)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| Bad(e.to_string()))?;
+    let told = tokio::task::LocalSet::new().block_on(&runtime, load::load(&scenario, node, connections))?;
+    println!("{}", told.line());
+    Ok(())
+}
+
+fn compare(given: &ArgMatches) -> Result<(), Bad> {
+    let (file, text) = read(given)?;
+    let scenario = Scenario::parse(&text).map_err(in_file(&file))?;
+    let both = load::compare(&scenario).map_err(in_file(&file))?;
+    let (emulated, real) = (&both.emulated, &both.real);
+    println!("{}", told("emulated", emulated));
+    println!(
+        "real: {}; hit ratio {:.4}, shots to the origin {}",
+        real.line(),
+        both.real_hits,
+        both.real_fetches
+    );
+    println!(
+        "difference: service {:+.4}, hit ratio {:+.4}, p50 {:+.1} ms",
+        real.service() - emulated.all.service(),
+        both.real_hits - emulated.hit_ratio(),
+        (real.latency.value_at_quantile(0.5) as f64 - emulated.latency.value_at_quantile(0.5) as f64)
+            / 1000.0
+    );
+    Ok(())
+}
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -72,10 +72,16 @@
 /// One plot a figure: the first key that is varied goes across, a curve for each policy and other value.
 pub fn sweep(folder: &Path, sweep: &Sweep, rows: &[Row]) -> Result<Vec<std::path::PathBuf>, Bad> {
     let mut files = Vec::new();
+    let places: Vec<Option<f64>> =
+        rows.iter().map(|row| row.at.first().and_then(|at| at.trim_matches('"').parse().ok())).collect();
+    let (least, most) =
+        places.iter().flatten().fold((f64::INFINITY, 0.0f64), |(a, b), v| (a.min(*v), b.max(*v)));
+    // What spans so much is told by its powers of two.
+    let logarithmic = least > 0.0 && most / least >= 50.0;
     for (i, figure) in sweep.figures.iter().enumerate() {
         let mut curves: Vec<Curve> = Vec::new();
-        for row in rows {
-            let across = row.at.first().and_then(|at| at.trim_matches('"').parse().ok());
+        for (row, across) in rows.iter().zip(&places) {
+            let across = across.map(|at: f64| if logarithmic { at.log2() } else { at });
             let rest: Vec<&str> = row.at.iter().skip(1).map(String::as_str).collect();
             let name = [&[row.policy.as_str()], &rest[..]].concat().join(" ");
             let at = curves.iter().position(|curve| curve.name == name).unwrap_or_else(|| {
@@ -86,8 +92,9 @@
             curves[at].points.push((across.unwrap_or(count), row.means[i].value, row.means[i].half));
         }
         let file = folder.join(format!("{figure}.svg"));
-        let x = sweep.varied.first().map_or("run", |vary| vary.key.as_str());
-        draw(&file, &sweep.title, x, figure, &curves)?;
+        let key = sweep.varied.first().map_or("run", |vary| vary.key.as_str());
+        let x = if logarithmic { format!("{key}, as a power of two") } else { key.to_owned() };
+        draw(&file, &sweep.title, &x, figure, &curves)?;
         files.push(file);
     }
     Ok(files)
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -395,8 +395,12 @@
         Ok(())
     }
 
-    /// The settings as a node's configuration would have them.
     pub fn settings(&self, me: usize) -> Settings {
+        quartzhub_names::settings(&self.settings_json(me))
+    }
+
+    /// The settings as a node's configuration would have them.
+    pub fn settings_json(&self, me: usize) -> serde_json::Value {
         let products = self.products.iter().map(|product| {
             serde_json::json!({
                 "Name": product.name, "Effect": product.effect, "KeyScope": "all", "Window": product.window_ms,
@@ -405,7 +409,7 @@
             })
         });
         let products: Vec<_> = products.collect();
-        let settings = serde_json::json!({
+        serde_json::json!({
             "Balancers": self.nodes, "Me": me, "Zone": "lab", "Localities": ["lab"], "Kinds": ["cache", "origin"],
             "MembershipMode": "pushed", "Extra": {"Mode": "aside", "OriginKind": 1},
             "Caps": {"MostShots": self.shots, "MayDuplicate": true, "Cancelling": true, "RetryAfter": true,
@@ -413,8 +417,7 @@
             "Invariants": {"ColdFrom": self.caches.cold, "WarmWithin": self.caches.warm_ms,
                            "DrainGrace": self.rules.grace_ms},
             "Products": products,
-        });
-        quartzhub_names::settings(&settings)
+        })
     }
 
     pub fn grace(&self) -> Span {
--- a/crates/lab/tests/validation.rs
+++ b/crates/lab/tests/validation.rs
@@ -158,6 +158,7 @@
     let told = |way: Way| {
         let mut scenario = rough("dema", 5);
         scenario.clients.patience = [1.0, 1.0];
+        (scenario.caches.cold, scenario.caches.miss_part) = (0.1, 1.0);
         scenario.products[0].effect = quartzhub_lab::scenario::Effect::AtMostOnce;
         let settings = |me| scenario.settings(me);
         let origin = ServerIx(scenario.caches.count);
@@ -186,3 +187,35 @@
         assert!(rule == Rule::ColdServers || history.contains("Taken"), "{way:?}: {history}");
     }
 }
+
+#[test]
+fn the_emulator_and_the_real_node_agree_on_a_small_calm_scenario() {
+    let text = r#"
+        nodes = 1
+        seconds = 6.0
+        settle = 2.0
+        [clients]
+        retries = 0
+        patience = [1.0, 1.0]
+        [network]
+        delay_ms = 0.05
+        jitter_ms = 0.02
+        [traffic]
+        rate = 150.0
+        [keys]
+        count = 500
+        [caches]
+        count = 4
+        memory = 200
+        filled = false
+    "#;
+    let both =
+        quartzhub_lab::load::compare(&Scenario::parse(text).expect("a scenario")).expect("both are played");
+    conserved(&both.emulated);
+    let (emulated, real) = (both.emulated.all.service(), both.real.service());
+    // Loose, as the machine's own lateness is in the one and not in the other.
+    assert!((emulated - real).abs() < 0.1, "service: emulated {emulated:.3}, real {real:.3}");
+    let (emulated, real) = (both.emulated.hit_ratio(), both.real_hits);
+    assert!((emulated - real).abs() < 0.1, "hits: emulated {emulated:.3}, real {real:.3}");
+    assert!(both.real.sent > 400, "{}", both.real.line());
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -163,7 +163,10 @@
 impl Config {
     pub fn read(file: &Path, environment: Environment) -> Result<Config, Fault> {
         let text = std::fs::read_to_string(file).map_err(|e| Fault(format!("{}: {e}", file.display())))?;
-        let read = Config::parse(&text, environment.clone());
+        let read = match file.extension().is_some_and(|form| form == "toml") {
+            true => Config::parse_toml(&text, environment.clone()),
+            false => Config::parse(&text, environment.clone()),
+        };
         let mut config = read.map_err(|fault| Fault(format!("{}: {fault}", file.display())))?;
         config.source = Some(Source { file: file.to_owned(), environment });
         Ok(config)
@@ -202,7 +205,30 @@
 
     pub fn parse(text: &str, environment: Environment) -> Result<Config, Fault> {
         let mut json = serde_json::Deserializer::from_str(text);
-        let mut file: File = serde_path_to_error::deserialize(&mut json).map_err(|e| located("", &e))?;
+        let file: File = serde_path_to_error::deserialize(&mut json).map_err(|e| located("", &e))?;
+        let whole = serde_json::from_str(text).map_err(|e| Fault(e.to_string()))?;
+        Config::checked(file, whole, environment)
+    }
+
+    /// The same keys with the same checks, as TOML.
+    pub fn parse_toml(text: &str, environment: Environment) -> Result<Config, Fault> {
+        let one_line = |e: &dyn fmt::Display| {
+            let text = e.to_string();
+            let lines: Vec<&str> = text.lines().map(str::trim).filter(|line| !line.is_empty()).collect();
+            Fault(lines.join(" "))
+        };
+        let table: toml::Table = text.parse().map_err(|e: toml::de::Error| one_line(&e))?;
+        let value = serde_json::to_value(&table).map_err(|e| one_line(&e))?;
+        let file: File = serde_path_to_error::deserialize(&value).map_err(|e| located("", &e))?;
+        let whole = serde_json::from_value(value).map_err(|e| one_line(&e))?;
+        Config::checked(file, whole, environment)
+    }
+
+    fn checked(
+        mut file: File,
+        whole: BTreeMap<String, serde_json::Value>,
+        environment: Environment,
+    ) -> Result<Config, Fault> {
         let variable = |name: &str, value: Option<String>| {
             let parse = |text: String| {
                 text.parse::<SocketAddr>().map_err(|_| Fault(format!("{name}: {}", not_an_address(&text))))
@@ -238,7 +264,6 @@
         };
         let inherited = environment.inherited.map(number).transpose()?;
         let mut keys = BTreeSet::new();
-        let whole: BTreeMap<String, serde_json::Value> = serde_json::from_str(text).unwrap_or_default();
         for (key, value) in &whole {
             keys.insert(key.clone());
             if key != "known" {
@@ -442,6 +467,33 @@
         .assert_eq(&told);
     }
 
+    #[test]
+    fn toml_has_the_same_keys_and_checks() {
+        let good = "listen = \"127.0.0.1:6379\"\n[limits]\nsockets = 99\n[[settings.Products]]\n\
+            Name = \"view\"\nLatencySlo = 100\nClientTimeout = 500.0\n";
+        let of = |text: &str| match Config::parse_toml(text, Environment::default()) {
+            Ok(config) => format!("{}, {} products\n", config.listen, config.settings.products().len()),
+            Err(fault) => format!("{fault}\n"),
+        };
+        let all = [
+            of(good),
+            of(&good.replace("500.0", "\"long\"")),
+            of(&good.replace("\"127.0.0.1:6379\"", "6379")),
+            of(&good.replace("sockets = 99", "sockets = -1")),
+            of(&good.replace("[limits]", "[limits")),
+            of(&good.replace("ClientTimeout", "Timeout")),
+        ];
+        expect![[r#"
+            127.0.0.1:6379, 1 products
+            settings.Products[0].ClientTimeout: a number of milliseconds above 0 is needed
+            listen: invalid type: integer `6379`, expected a string
+            limits.sockets: invalid value: integer `-1`, expected usize
+            TOML parse error at line 2, column 8 | 2 | [limits |        ^ unclosed table, expected `]`
+            settings.Products[0].ClientTimeout: a number of milliseconds above 0 is needed
+        "#]]
+        .assert_eq(&all.concat());
+    }
+
     #[test]
     fn messages_name_the_faulty_key() {
         let product = r#"{"Name":"view","LatencySlo":100,"ClientTimeout":500}"#;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,11 +6,19 @@
 use quartzhub_node::{log, run, Config, Environment};
 
 fn main() -> ExitCode {
-    let config = Arg::new("config").long("config").value_name("FILE").help("instead of what LB_CONFIG names");
+    let config = || {
+        let help = "JSON, or TOML where its name ends in .toml; instead of what LB_CONFIG names";
+        Arg::new("config").long("config").value_name("FILE").help(help)
+    };
     let about = "Routes API calls to a fleet of cache servers";
-    let command = Command::new("quartzhub").version(env!("CARGO_PKG_VERSION")).about(about).arg(config);
-    let given = command.get_matches().remove_one::<String>("config").or(std::env::var("LB_CONFIG").ok());
-    let Some(file) = given.map(PathBuf::from) else {
+    let check = Command::new("check").about("Says whether a configuration can be served").arg(config());
+    let command = Command::new("quartzhub").version(env!("CARGO_PKG_VERSION")).about(about);
+    let mut given = command.arg(config()).subcommand(check).get_matches();
+    let checks = given.remove_subcommand().map(|(_, given)| given);
+    let only = checks.is_some();
+    let named = checks.and_then(|mut given| given.remove_one::<String>("config"));
+    let named = named.or(given.remove_one::<String>("config")).or(std::env::var("LB_CONFIG").ok());
+    let Some(file) = named.map(PathBuf::from) else {
         log!("no configuration: name a file by --config or LB_CONFIG");
         return ExitCode::FAILURE;
     };
@@ -21,6 +29,11 @@
             return ExitCode::FAILURE;
         }
     };
+    if only {
+        config.passed_over.iter().for_each(|fault| log!("{}: {fault}", file.display()));
+        println!("{}: can be served", file.display());
+        return ExitCode::SUCCESS;
+    }
     let listen = config.listen;
     match run(config) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -1175,3 +1175,33 @@
     let wanted = format!(r#""view":{{"ok":{},"shed":0,"errors":0}}}},"tries":"#, 8 * EACH);
     assert!(told.contains(&wanted) && told.contains(r#""active":0"#), "{told}");
 }
+
+#[test]
+fn a_configuration_is_checked_without_being_served() {
+    let folder = std::env::temp_dir();
+    let name = |form: &str| folder.join(format!("quartzhub-check-{}.{form}", std::process::id()));
+    let good = config(&[], "");
+    let toml = "listen = \"127.0.0.1:0\"\n[[settings.Products]]\nName = \"view\"\nLatencySlo = 0\nClientTimeout = 9\n";
+    let mut told = String::new();
+    for (form, text) in
+        [("json", &good[..]), ("json", &good[..99]), ("toml", toml), ("toml", &toml.replace("= 0", "= 5"))]
+    {
+        std::fs::write(name(form), text).expect("a file");
+        let program = Command::new(env!("CARGO_BIN_EXE_quartzhub"))
+            .args(["check", "--config"])
+            .arg(name(form))
+            .output()
+            .expect("the program runs");
+        let said = [program.stdout, program.stderr].concat();
+        let said = String::from_utf8_lossy(&said).replace(&*name(form).to_string_lossy(), "file");
+        told += &format!("{}: {said}", program.status.success());
+        let _ = std::fs::remove_file(name(form));
+    }
+    expect_test::expect![[r#"
+        true: file: can be served
+        false: quartzhub: file: settings.?: EOF while parsing a string at line 1 column 99
+        false: quartzhub: file: settings.Products[0].LatencySlo: a number of milliseconds above 0 is needed
+        true: file: can be served
+    "#]]
+    .assert_eq(&told);
+}
