--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -93,7 +93,8 @@
 const ASK_LONGEST: Span = Span::ms(5000);
 /// Part of the time after which an unheard node must have asked, at which it asks.
 const ASK_AT: f64 = 0.4;
-/// How long the record of a gone server is kept: longer than a restart takes, so that it finds its point again.
+/// How long the record of a gone server is kept: longer than a restart takes, so that it finds its point
+/// again.
 const GONE_KEPT: Span = Span::ms(30_000);
 /// Time kept in hand before a deduplication window closes: one round and a network delay.
 const WINDOW_MARGIN: Span = Span::ms(20);
@@ -180,8 +181,9 @@
         Line { zone: settings.own_zone(), anchor, reach: 1.0, ..Line::default() }
     }
 
-    /// Guards against the uneven ranges of hashed seeds, which a small alpha takes minutes to even out: at the first
-    /// list, points start where even keys would bring them. Golden-section steps keep any run of caches even too.
+    /// Guards against the uneven ranges of hashed seeds, which a small alpha takes minutes to even out: at
+    /// the first list, points start where even keys would bring them. Golden-section steps keep any run of
+    /// caches even too.
     fn settle(&self, servers: &mut [Server]) {
         let step = |(rank, ix): (usize, &ServerIx)| ((rank as f64 * GOLDEN).fract(), *ix);
         let mut order: Vec<_> = self.ranked.iter().enumerate().map(step).collect();
@@ -271,7 +273,8 @@
         server.unheard.map_or(0.0, |since| (now - since).0 as f64 / feared)
     }
 
-    /// Guards against storms at full caches: what one had then is its room, and more for each two answer times.
+    /// Guards against storms at full caches: what one had then is its room, and more for each two answer
+    /// times.
     fn freed(&self, server: &Server, now: Time) -> f64 {
         (now - server.full_at).0 as f64 / (FREED_AFTER * self.median)
     }
@@ -299,8 +302,9 @@
         (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
     }
 
-    /// Refills a cold cache's budget, and tells whether it covers one more shot: what a cache answers of this
-    /// node's shots on average, cut by the stated warm-up; sends are many times that in a storm of full boxes.
+    /// Refills a cold cache's budget, and tells whether it covers one more shot: what a cache answers of
+    /// this node's shots on average, cut by the stated warm-up; sends are many times that in a storm of
+    /// full boxes.
     fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
         let warmth = self.warmth(server.started, now);
         if warmth >= 1.0 {
@@ -489,8 +493,9 @@
         }
     }
 
-    /// Goes by other rules from now on: products, shares, what is allowed and the figures of the rules. Calls that
-    /// are open keep theirs, and what was learnt of servers stays; zones, kinds and the mode are those of the start.
+    /// Goes by other rules from now on: products, shares, what is allowed and the figures of the rules.
+    /// Calls that are open keep theirs, and what was learnt of servers stays; zones, kinds and the mode are
+    /// those of the start.
     pub fn retune(&mut self, settings: &Settings) {
         self.products = settings.products();
         let shortest = self.products.iter().map(|p| p.slo).min().unwrap_or(Span::ms(1000));
@@ -637,7 +642,8 @@
 
     pub fn outcome(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut impl Answers) {
         self.now = now;
-        // Guards against a further shot, or a second answer, for a call that this very report says has its answer.
+        // Guards against a further shot, or a second answer, for a call that this very report says has its
+        // answer.
         if ending.call_ended {
             self.settle(now, ix, ending, to);
             return self.run_due(to);
@@ -716,7 +722,8 @@
                 to.drop_server(ServerIx(i));
             }
         }
-        // Guards against tables that keep the size of the worst minute: what is used last stands at their ends.
+        // Guards against tables that keep the size of the worst minute: what is used last stands at their
+        // ends.
         self.servers.truncate(self.servers.iter().rposition(|s| s.seed != 0.0).map_or(0, |i| i + 1));
         self.calls.truncate(self.calls.iter().rposition(|call| call.live).map_or(0, |i| i + 1));
         let done = std::mem::take(&mut self.line.done) / passed;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -39,7 +39,8 @@
     pub ended: bool,
     pub streaming: bool,
     pub place: Place,
-    /// The rules it came under, also once the settings have others: its product's, and the most shots it may have.
+    /// The rules it came under, also once the settings have others: its product's, and the most shots it
+    /// may have.
     pub product: Product,
     pub most: usize,
     pub over: bool,
