Judge crowding beyond calm time, weigh records by a prior, keep few idle connections

Refused connections come back within one round trip (tap: 6,834 of 7,662 in under 10 ms), so they are cheap to try again. Change: crowding counts what is beyond the calm answer time and, at few answers a second, goes by the mean of what was out; a record is weighed against the fleet's success; a refused connection cuts how many connections may stand idle, no longer which caches are used.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -21,13 +21,17 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Multiple of this node's mean in-flight per cache above which a cache is skipped. The design's factor.
 const SKIP_FACTOR: f64 = 2.0;
-/// Factors on the part of the ready caches held, for a shot that got no connection and for one answered.
+/// Factors on the part of the ready caches that may stay connected idle, for a shot that got no connection and for one answered.
 const REACH_CUT: f64 = 0.85;
 const REACH_GROWTH: f64 = 1.002;
 /// The golden section: steps of it stay evenly spread, however many.
 const GOLDEN: f64 = 0.618_034;
-/// Caches held at the least: one, and two to go on to.
-const REACH_LEAST: usize = 3;
+/// Least of it: what is refused for long counts no further.
+const REACH_LEAST: f64 = 0.01;
+/// A connection last used within this time is about to be used again at a node of many calls.
+const SOON: Span = Span::ms(100);
+/// How long a connection stays open unused where the settings do not say.
+const KEEPALIVE: Span = Span::ms(15_000);
 /// The one timer's period: a small part of the shortest SLO seen in service, and cheap at 50 a second.
 const TICK: Span = Span::ms(20);
 /// Seconds in which what was learnt of a server loses half its weight: short against troubles.
@@ -36,6 +40,8 @@
 const EVIDENCE: f64 = 20.0;
 /// Chance of success a doubtful server must draw to be given work: better than even.
 const TRUST: f64 = 0.5;
+/// Outcomes that the fleet's own success weighs against a server's.
+const PRIOR: f64 = 4.0;
 /// Part of the fleet's own success under which a server is doubtful, so that a common trouble blames nobody.
 const DOUBT: f64 = 0.7;
 /// Multiple of the median answer time without any word from a server with shots out that makes it silent.
@@ -78,6 +84,8 @@
 /// Seconds of quota that a tenant may save up, under a burst; and at least, in calls, to tell it from chance.
 const QUOTA_SAVED: f64 = 2.0;
 const QUOTA_LEAST: f64 = 6.0;
+/// Answers a second from which a node's own means over time say enough.
+const ENOUGH: f64 = 16.0;
 /// Multiple of all shares at this node that tenants may send in excess before it takes itself for the cause.
 const QUOTA_HOT: f64 = 8.0;
 /// Share of full answers, and wait at the caches over the shortest SLO, at which over-share work is shed.
@@ -177,8 +185,7 @@
 
 impl Line {
     fn new(settings: &Settings) -> Line {
-        let anchor = (settings.number("me", 0.0) * GOLDEN).rem_euclid(1.0);
-        Line { zone: settings.own_zone(), anchor, reach: 1.0, ..Line::default() }
+        Line { keepalive: settings.span("caps.keepalive", KEEPALIVE), reach: 1.0, ..Line::default() }
     }
 
     /// Guards against the uneven ranges of hashed seeds, which a small alpha takes minutes to even out: at
@@ -193,39 +200,49 @@
         }
     }
 
-    /// Puts the ready caches in the order in which this node would hold them: those of its zone first, from
-    /// its own place among their seeds outward, so that neighbours choose alike.
+    /// Ready caches in the order of their indices, and by zone and seed.
     fn order(&mut self, servers: &[Server], ready: Vec<ServerIx>) {
         let place = |ix: &ServerIx| (servers[ix.0].zone, servers[ix.0].seed.to_bits());
-        let far = |ix: &ServerIx| {
-            let away = (servers[ix.0].seed - self.anchor).abs();
-            (servers[ix.0].zone != self.zone, away.min(1.0 - away).to_bits())
-        };
-        self.near = ready.clone();
-        self.near.sort_by_key(far);
-        self.ranked = ready;
+        self.ranked = ready.clone();
         self.ranked.sort_by_key(place);
+        self.caches = ready;
     }
 
-    fn within_reach(&self) -> usize {
-        ((self.reach * self.near.len() as f64).ceil() as usize).max(REACH_LEAST).min(self.near.len())
-    }
-
-    /// Guards against more nodes than a cache takes connections: one that was refused holds a part of them.
-    fn hold(&mut self, servers: &[Server], to: &mut impl Answers) {
-        let mut held = self.near[..self.within_reach()].to_vec();
-        held.sort();
-        for ix in self.caches.iter().filter(|ix| held.binary_search(ix).is_err()) {
-            if servers[ix.0].state == State::Ready {
-                to.close(*ix);
+    /// Guards against more nodes than a cache takes connections: a node that was refused one leaves fewer
+    /// idle, the longest unused closed first. Every cache keeps its range, so that keys stay where they are.
+    fn let_go(&self, servers: &mut [Server], now: Time, to: &mut impl Answers) {
+        if self.reach >= 1.0 {
+            return;
+        }
+        let idle = |ix: &&ServerIx| {
+            let server = &servers[ix.0];
+            server.linked && server.out == 0 && now - server.used < self.keepalive
+        };
+        let mut held: Vec<ServerIx> = self.caches.iter().filter(idle).copied().collect();
+        held.sort_by_key(|ix| servers[ix.0].used);
+        let over = held.len().saturating_sub((self.reach * self.caches.len() as f64) as usize);
+        for ix in held.into_iter().take(over) {
+            if now - servers[ix.0].used > SOON {
+                servers[ix.0].linked = false;
+                to.close(ix);
             }
         }
-        self.caches = held;
     }
 
-    /// Seconds that a shot now sent must expect: by Little's law, out at sound caches over answers a second.
-    fn wait(&self) -> f64 {
-        f64::from(self.out) * self.heard / self.done_rate.max(1.0)
+    /// The part of an SLO, beyond what an answer takes in calm, that a shot now sent must expect to wait: by
+    /// Little's law, out at sound caches over answers a second. Guards against nodes of few calls a second,
+    /// where one shot out looks like a crowd: the fewer their answers, the more goes by the mean of what was
+    /// out. And against work that itself takes a large part of the SLO.
+    fn crowding(&self, slo: Span) -> f64 {
+        let pace = self.pace();
+        let out = pace * f64::from(self.out) * self.heard + (1.0 - pace) * self.mean_out;
+        let (calm, slo) = (self.calm.1 / 1e6, slo.seconds());
+        (out / self.done_rate.max(0.2) - calm) / (slo - calm).max(0.25 * slo)
+    }
+
+    /// How fast means over time may go here, so that each still holds enough answers.
+    fn pace(&self) -> f64 {
+        (self.done_rate / (self.heard * ENOUGH).max(0.1)).clamp(0.1, 1.0)
     }
 
     /// The nearest point wins unless its cache is over the skip line or Health refuses it; the winner's point
@@ -280,7 +297,7 @@
     }
 
     fn doubtful(&self, server: &Server, now: Time) -> bool {
-        let mean = (server.good + 1.0) / (server.good + server.bad + 1.0);
+        let mean = (server.good + PRIOR * self.success) / (server.good + server.bad + PRIOR);
         mean < DOUBT * self.success || self.silence(server, now) > 1.0
     }
 
@@ -329,7 +346,7 @@
             self.median += MEAN_STEP * self.median * if took > self.median { 0.5 } else { -0.5 };
             self.tail += MEAN_STEP * self.tail * if took > self.tail { 0.95 } else { -0.05 };
         }
-        let slow = took > CROWDED * slo.0 as f64;
+        let slow = took > (CROWDED * slo.0 as f64).max(self.tail);
         if ending.outcome == Full {
             (server.room, server.full_at) = (f64::from(server.out), now);
         }
@@ -468,7 +485,7 @@
             aside: settings.text("extra.mode") == "aside",
             origin_kind: settings.number("extra.origin_kind", -1.0),
             chance: Pcg::new(seed),
-            line: Line::new(settings),
+            line: Line { calm: (shortest * FURTHER_FROM, shortest * FURTHER_TO), ..Line::new(settings) },
             health: Health {
                 median: shortest * FURTHER_FROM,
                 tail: shortest * FURTHER_TO,
@@ -574,7 +591,6 @@
         let first = self.line.caches.is_empty();
         self.origin.servers = ready(true);
         self.line.order(&self.servers, ready(false));
-        self.line.hold(&self.servers, to);
         if first {
             self.line.settle(&mut self.servers);
         }
@@ -609,8 +625,8 @@
         call.shots.clear();
         let slo = product.slo;
         let at_line = !(ask.write && self.aside);
-        let wait = if at_line { self.line.wait() } else { 0.0 };
-        match self.admission.admit(beyond, wait / slo.seconds(), &mut self.chance) {
+        let crowding = if at_line { self.line.crowding(slo) } else { 0.0 };
+        match self.admission.admit(beyond, crowding, &mut self.chance) {
             // Guards against refusing reads in a crowd at the caches while the origin has places free.
             Step::End if at_line && beyond <= 0.0 && self.origin.free(now) => self.enter_origin(ix, to),
             Step::End => self.give_up(ix, to),
@@ -661,6 +677,7 @@
         self.line.out -= u32::from(std::mem::take(&mut shot.counted));
         let (server, further) = (&mut self.servers[shot.server.0], shot.further);
         server.out = server.out.saturating_sub(1);
+        server.used = now;
         let slo = call.product.slo;
         if server.origin {
             self.origin.out = self.origin.out.saturating_sub(1);
@@ -669,12 +686,16 @@
             match ending.outcome {
                 Outcome::Unreachable => {
                     server.refused += 1;
-                    let least = REACH_LEAST as f64 / self.line.near.len().max(REACH_LEAST) as f64;
-                    self.line.reach = (self.line.reach * REACH_CUT).max(least);
+                    server.linked = server.out > 0;
+                    self.line.reach = (self.line.reach * REACH_CUT).max(REACH_LEAST);
                 }
                 Outcome::Fulfilled | Outcome::Miss => {
                     server.refused = 0;
                     self.line.done += 1.0;
+                    let took = ending.took.0 as f64;
+                    let (mean, calm) = &mut self.line.calm;
+                    *mean += 2.0 * MEAN_STEP * (took - *mean);
+                    *calm = (*calm * ORIGIN_DRIFT).min(*mean);
                     self.line.reach = (self.line.reach * REACH_GROWTH).min(1.0);
                 }
                 _ => {}
@@ -690,9 +711,6 @@
             self.shots.success += MEAN_STEP * (won - self.shots.success);
         }
         let (streaming, was_origin) = (call.streaming, server.origin);
-        if self.line.within_reach() != self.line.caches.len() {
-            self.line.hold(&self.servers, to);
-        }
         if call.ended {
             return self.forget_if_done(ix, to);
         }
@@ -727,13 +745,15 @@
         self.servers.truncate(self.servers.iter().rposition(|s| s.seed != 0.0).map_or(0, |i| i + 1));
         self.calls.truncate(self.calls.iter().rposition(|call| call.live).map_or(0, |i| i + 1));
         let done = std::mem::take(&mut self.line.done) / passed;
-        let step = 1.0 - 0.25f64.powf(passed);
+        let step = 1.0 - 0.25f64.powf(passed * self.line.pace());
+        self.line.mean_out += step * (f64::from(self.line.out) - self.line.mean_out);
         self.line.done_rate += step * (done - self.line.done_rate);
         self.line.heard += step * (1.0 - self.line.heard);
-        self.admission.tick(self.line.wait() / self.shortest.seconds());
+        self.admission.tick(self.line.crowding(self.shortest));
         if self.origin.limit < 1.0 {
             self.origin.limit *= 1.0 + passed / ORIGIN_DOUBLES;
         }
+        self.line.let_go(&mut self.servers, now, to);
         self.run_due(to);
         self.pump(to);
         if self.following.on_request && self.following.next.is_some_and(|next| now >= next) {
@@ -858,6 +878,7 @@
         }
         let server = &mut self.servers[at.0];
         (server.out, server.held) = (server.out + 1, server.held + 1);
+        (server.linked, server.used) = (true, self.now);
         server.unheard = server.unheard.or(Some(self.now));
         let counted = !server.origin;
         self.line.out += u32::from(counted);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -78,6 +78,9 @@
     /// Shots here of calls not yet forgotten; and when it was last in the list or had one.
     pub held: u32,
     pub left: Time,
+    /// It may have an idle connection from here, last used then.
+    pub linked: bool,
+    pub used: Time,
     /// Connections it refused since it last answered.
     pub refused: u32,
     /// Since when nothing was heard although something is out.
@@ -145,22 +148,21 @@
 
 #[derive(Default)]
 pub struct Line {
-    /// Caches held: ready, and within reach; in the order of their indices.
+    /// Ready caches, in the order of their indices, and by zone and seed.
     pub caches: Vec<ServerIx>,
-    /// Ready caches by zone and seed, and in the order in which this node would hold them.
     pub ranked: Vec<ServerIx>,
-    pub near: Vec<ServerIx>,
-    /// Part of the ready caches that this node holds.
+    /// Part of the ready caches to which connections may stand idle, and how long one does at the most.
     pub reach: f64,
-    /// This node's zone, and its place in it.
-    pub zone: u32,
-    pub anchor: f64,
+    pub keepalive: Span,
     pub order: Vec<(f64, ServerIx)>,
     /// Answers a second from caches, and those since the last tick.
     pub done_rate: f64,
     pub done: f64,
     /// How much of a full mean `done_rate` holds yet.
     pub heard: f64,
+    /// Mean of `out` over the same time; mean answer time of caches and its calm level, in microseconds.
+    pub mean_out: f64,
+    pub calm: (f64, f64),
     /// Shots out from here at caches in good standing.
     pub out: u32,
 }
