Remember a server for some of its answers, so that seldom asked ones are judged

Change: evidence lasts for some three answers of a cache, 2 to 10 s; the fleet's success weighs as one outcome, no longer four.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -37,12 +37,15 @@
 const TICK: Span = Span::ms(20);
 /// Seconds in which what was learnt of a server loses half its weight: short against troubles.
 const MEMORY_HALF_LIFE: f64 = 2.0;
+/// At nodes of few calls it is the time in which a server gives so many answers, up to so many seconds.
+const MEMORY_ANSWERS: f64 = 3.0;
+const MEMORY_LONGEST: f64 = 10.0;
 /// Outcomes: most evidence kept on a server; one odd answer in twenty says little, ten in a row say it all.
 const EVIDENCE: f64 = 20.0;
 /// Chance of success a doubtful server must draw to be given work: better than even.
 const TRUST: f64 = 0.5;
 /// Outcomes that the fleet's own success weighs against a server's.
-const PRIOR: f64 = 4.0;
+const PRIOR: f64 = 1.0;
 /// Part of the fleet's own success under which a server is doubtful, so that a common trouble blames nobody.
 const DOUBT: f64 = 0.7;
 /// Multiple of the median answer time without any word from a server with shots out that makes it silent.
@@ -708,7 +711,10 @@
         let passed = (now - self.ticked).seconds().max(1e-6);
         (self.now, self.ticked) = (now, now);
         to.wake(TICK);
-        let kept = 0.5f64.powf(passed / MEMORY_HALF_LIFE);
+        // Guards against nodes that ask a cache so seldom that each outcome is forgotten before the next.
+        let each = self.line.done_rate / self.line.caches.len().max(1) as f64;
+        let half = (MEMORY_ANSWERS / each.max(1e-3)).clamp(MEMORY_HALF_LIFE, MEMORY_LONGEST);
+        let kept = 0.5f64.powf(passed / half);
         for (i, server) in self.servers.iter_mut().enumerate() {
             (server.good, server.bad) = (server.good * kept, server.bad * kept);
             if server.state != State::Gone || server.held > 0 {
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -583,3 +583,30 @@
     "#]],
     );
 }
+
+// A cache that answered one node's calls late every few seconds was forgotten between them, and kept its whole range.
+#[test]
+fn a_seldom_asked_cache_that_answers_late_is_remembered() {
+    let mut node = Node::new(4, &[("caps.may_duplicate", Value::Flag(false))]);
+    for round in 0..4 {
+        for i in 0..5 {
+            node.ask(round * 10 + i, 0, ["key-a", "key-f", "key-h"][i % 3], false);
+            node.pass(40.0);
+            node.end(round * 10 + i, 0, Fulfilled, 40.0);
+            node.pass(960.0);
+        }
+        node.ask(round * 10 + 5, 0, "key-c", false);
+        node.pass(380.0);
+        node.end(round * 10 + 5, 0, Fulfilled, 380.0);
+    }
+    node.trace.0.clear();
+    node.pass(5000.0);
+    let avoided = node.balancer.avoided(quartzhub_policy::Time::from_ms(node.now));
+    node.say(&format!("five seconds after the last late answer {avoided} cache is doubtful"));
+    check(
+        node,
+        expect![[r#"
+            26520 ms: five seconds after the last late answer 1 cache is doubtful
+        "#]],
+    );
+}
