Await a large value whose head comes by itself, no longer taking it for spoilt

Seen: peers_that_write_a_byte_at_a_time_are_served failed in 3 of 25 runs beside busy cores, also on the state before this change; the client got -BUSY. Log of the node: "an answer of 127.0.0.1:41173 can't be read". Ruled out: a stalled process ("stood still" was not logged), the parser of numbers (each prefix of a head alone reads as a part). Cause: links.rs, begins_to_pass gives nothing where the bytes end with the head (bytes.len() == from), and read_on then read them as an answer to be kept, whose 66,000 bytes are over the limit: Broken.

--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -132,14 +132,20 @@
         Ok(done)
     }
 
+    /// Where a value too large to be kept begins, and its size, if that is what comes.
+    fn large(&self, limits: &Limits) -> Option<(usize, usize)> {
+        let buffer = self.buffer.borrow();
+        match self.origin {
+            true => origin::large(buffer.filled(), limits),
+            false => caches::large(buffer.filled(), limits),
+        }
+    }
+
     /// Begins to pass on a value too large to be kept, if that is what has come; tells its size.
     fn begins_to_pass(&self, limits: &Limits) -> Option<usize> {
+        let (from, size) = self.large(limits)?;
         let mut buffer = self.buffer.borrow_mut();
         let bytes = buffer.filled();
-        let (from, size) = match self.origin {
-            true => origin::large(bytes, limits),
-            false => caches::large(bytes, limits),
-        }?;
         // Some of it is there, not only what announces it.
         if bytes.len() == from {
             return None;
@@ -440,6 +446,8 @@
     }
     let over = matches!(read, Ok(false));
     let answer = match link.gather(hub, over) {
+        // Guards against taking for spoilt what only announces a large value: its head may come by itself.
+        Parsed::Part if !over && link.large(&hub.limits).is_some() => Parsed::Part,
         Parsed::Part if link.gathered.borrow().is_some() => Parsed::Part,
         Parsed::Part => link.parsed(over, &hub.limits),
         gathered => {
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -1119,6 +1119,23 @@
     assert_eq!(client.ask(&["OBJ.GET", "k1", "id3", FACTS]), "-ERR no such product");
 }
 
+// What announced a large value was taken for a spoilt answer where it came by itself, and the call was turned away.
+#[test]
+fn the_head_of_a_large_value_may_come_by_itself() {
+    let value = "v".repeat(66_000);
+    let whole = found(&value);
+    let (head, rest) = whole.split_at("*3\r\n$66000\r\n".len());
+    let (cache, go) = in_pieces(vec![head.to_vec(), rest.to_vec()]);
+    let node = Node::start(&[("a", cache)], "");
+    let (mut client, mut other) = (node.client(), node.client());
+    client.send(&command(&["OBJ.GET", "k1", "id1", FACTS]));
+    go.send(()).expect("the server waits");
+    // The node reads the head among these.
+    (0..200).for_each(|_| assert_eq!(other.ask(&["PING"]), "+PONG"));
+    go.send(()).expect("the server waits");
+    assert!(client.answer() == value);
+}
+
 #[test]
 fn peers_that_write_a_byte_at_a_time_are_served() {
     let value = "v".repeat(66_000);
