Take zones, kinds and the mode live, and keep what was learnt where it still means the same

Need: the node moves to other deployments, and what it knows of servers is worth keeping. Zones, kinds and the mode were read at the start only, so a move meant a restart; taken live as they were, an origin under another number would have been spoken to as to a cache (the new socket test says so), and a zone's number could have stood for another zone, whose servers drop other repeats. Change: on SIGHUP all settings are live; a zone keeps its number, a server whose kind the settings no longer name keeps its nature. What carries over: points, records, answer times, the node's own rates, connections. Places at the origin are scaled by the number of nodes; records, shedding and the fleet's success begin afresh with other SLOs, further shots with another rule on second shots; where a whole list names none of the caches known, or another origin, their figures begin afresh and points are settled as at a start. Tests: the module's figures over a move and its first second; the program with stand-ins on loopback, there and back, with an open call; with second shots left on it fails ("a second shot at once").

--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -67,6 +67,18 @@
         }
     }
 
+    /// Goes by other settings. A zone that was known keeps its place: servers known by it must not seem to stand in
+    /// another's, since repeats may be dropped zone by zone.
+    pub fn renew(&mut self, settings: &Settings) {
+        let Places { products, tenants, zones, kinds } = Places::new(settings);
+        (self.products, self.tenants, self.kinds) = (products, tenants, kinds);
+        for zone in zones {
+            if !self.zones.contains(&zone) {
+                self.zones.push(zone);
+            }
+        }
+    }
+
     /// A line of a server list as the module reads it.
     pub fn listing<'a>(&self, server: ServerIx, line: Line<'a>) -> Listing<'a> {
         Listing {
@@ -207,6 +219,14 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn zones_keep_their_places_under_other_settings() {
+        let of = |json: &str| settings(&serde_json::from_str(json).expect("settings"));
+        let mut places = Places::new(&of(r#"{"Localities":["a","b"],"Kinds":["box","origin"]}"#));
+        places.renew(&of(r#"{"Localities":["c","b"],"Kinds":["origin"]}"#));
+        assert_eq!(format!("{:?} {:?}", places.zones, places.kinds), r#"["a", "b", "c"] ["origin"]"#);
+    }
+
     #[test]
     fn indices_are_given_out_again_and_the_table_shrinks() {
         let mut servers = Servers::default();
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -73,6 +73,8 @@
 /// Longest deadline and most shots that settings may name: a day, and far more than any API call is worth.
 const LONGEST_MS: f64 = 86_400_000.0;
 const MOST_SHOTS: f64 = 1000.0;
+/// Most nodes that settings may name, far more than any fleet has.
+const MOST_NODES: f64 = 1e6;
 
 /// A server list, whole or as changes, in the form that discovery gives it.
 #[derive(Debug, Default, serde::Deserialize)]
@@ -191,16 +193,11 @@
             ("ops", new.ops != self.ops),
             ("limits", new.machine != self.machine),
         ];
-        let mut at_restart: Vec<_> = changed.iter().filter(|key| key.1).map(|key| key.0.to_owned()).collect();
+        let at_restart: Vec<_> = changed.iter().filter(|key| key.1).map(|key| key.0.to_owned()).collect();
         let (old, new) = (std::mem::replace(&mut self.settings, new.settings).0, &self.settings.0);
         let differs = |key: &&String| old.get(*key) != new.get(*key);
-        let fixed = |key: &&String| {
-            let first = key.split('.').next().unwrap_or_default();
-            ["kinds", "localities", "zone", "me", "extra"].contains(&first)
-        };
-        let keys: BTreeSet<_> = old.keys().chain(new.keys()).filter(differs).collect();
-        at_restart.extend(keys.iter().filter(|key| fixed(key)).map(|key| format!("settings.{key}")));
-        Ok(Again { at_restart, settings: !keys.is_empty() })
+        let settings = old.keys().chain(new.keys()).any(|key| differs(&key));
+        Ok(Again { at_restart, settings })
     }
 
     pub fn parse(text: &str, environment: Environment) -> Result<Config, Fault> {
@@ -328,6 +325,26 @@
     }
 }
 
+/// Optional settings that the module reads: where each stands, what it may be, and what is said otherwise.
+type Fits = fn(&serde_json::Value) -> bool;
+const OPTIONAL: [(&str, &str, Fits, &str); 7] = [
+    ("Caps", "MayDuplicate", serde_json::Value::is_boolean, "true or false is needed"),
+    ("Caps", "Cancelling", serde_json::Value::is_boolean, "true or false is needed"),
+    ("Caps", "RetryAfter", serde_json::Value::is_boolean, "true or false is needed"),
+    ("Caps", "Keepalive", is_span, "a number of milliseconds is needed"),
+    ("Caps", "MaxRetryAfter", is_span, "a number of milliseconds is needed"),
+    ("Invariants", "WarmWithin", is_span, "a number of milliseconds is needed"),
+    ("Invariants", "ColdFrom", is_part, "a number from 0 to 1 is needed"),
+];
+
+fn is_span(value: &serde_json::Value) -> bool {
+    value.as_f64().is_some_and(|ms| (0.0..=LONGEST_MS).contains(&ms))
+}
+
+fn is_part(value: &serde_json::Value) -> bool {
+    value.as_f64().is_some_and(|part| (0.0..=1.0).contains(&part))
+}
+
 /// The settings as the module reads them, once the keys it can't do without are there.
 fn checked(settings: &serde_json::Value, passed_over: &mut Vec<Fault>) -> Result<Settings, Fault> {
     let fault = |key: &str, what: &str| Err(Fault(format!("settings{key}: {what}")));
@@ -344,6 +361,24 @@
     if shots.is_some() && !number(shots, MOST_SHOTS) {
         return fault(".Caps.MostShots", "a number of shots above 0 is needed");
     }
+    // What else the module reads may be left out, but not be something else than it is.
+    for (under, key, fits, what) in OPTIONAL {
+        let value = settings.get(under).map_or(&serde_json::Value::Null, |under| &under[key]);
+        if !value.is_null() && !fits(value) {
+            return fault(&format!(".{under}.{key}"), what);
+        }
+    }
+    let nodes = settings.get("Balancers");
+    if nodes.is_some_and(|n| !n.as_f64().is_some_and(|n| (1.0..=MOST_NODES).contains(&n))) {
+        return fault(".Balancers", "a number of nodes from 1 on is needed");
+    }
+    let tenants = settings.get("Projects").and_then(|tenants| tenants.as_array());
+    for (i, tenant) in tenants.into_iter().flatten().enumerate() {
+        let rate = &tenant["QuotaPerS"];
+        if !rate.is_null() && !rate.as_f64().is_some_and(|rate| rate >= 0.0) {
+            return fault(&format!(".Projects[{i}].QuotaPerS"), "a number of API calls a second is needed");
+        }
+    }
     let mut names = BTreeSet::new();
     for (i, product) in products.iter().enumerate() {
         let Some(name) = product.get("Name").and_then(|name| name.as_str()) else {
@@ -457,7 +492,7 @@
         expect![[r#"
             3 shots, 1 products: Ok(Again { at_restart: [], settings: false })
             2 shots, 2 products: Ok(Again { at_restart: [], settings: true })
-            3 shots, 1 products: Ok(Again { at_restart: ["settings.zone"], settings: true })
+            3 shots, 1 products: Ok(Again { at_restart: [], settings: true })
             3 shots, 1 products: Err("file: settings.Caps.Probing: missing")
             3 shots, 1 products: Err("file: settings.Products[].Effect: missing")
             3 shots, 1 products: Err("file: settings.Products[1].ClientTimeout: a number of milliseconds above 0 is needed")
@@ -519,6 +554,18 @@
             with(product, &format!("{product},{product}")),
             with(r#""Products""#, r#""Caps":{"MostShots":0},"Products""#),
             with(r#""Products""#, r#""Caps":{"MostShots":"3"},"Products""#),
+            with(
+                r#""Products""#,
+                r#""Caps":{"Keepalive":null,"MayDuplicate":false},"Projects":[{}],"Products""#,
+            ),
+            with(r#""Products""#, r#""Caps":{"Keepalive":"5 s"},"Products""#),
+            with(r#""Products""#, r#""Caps":{"Keepalive":-1},"Products""#),
+            with(r#""Products""#, r#""Caps":{"MayDuplicate":"no"},"Products""#),
+            with(r#""Products""#, r#""Caps":{"Cancelling":1},"Products""#),
+            with(r#""Products""#, r#""Invariants":{"ColdFrom":12},"Products""#),
+            with(r#""Products""#, r#""Invariants":{"WarmWithin":-1},"Products""#),
+            with(r#""Products""#, r#""Balancers":0,"Products""#),
+            with(r#""Products""#, r#""Projects":[{"QuotaPerS":"many"}],"Products""#),
             faults(&good[..good.len() - 1]),
             faults(""),
             faults("{"),
@@ -543,6 +590,15 @@
             settings.Products[1].Name: "view" stands twice
             settings.Caps.MostShots: a number of shots above 0 is needed
             settings.Caps.MostShots: a number of shots above 0 is needed
+            quartzhub on 127.0.0.1:6379
+            settings.Caps.Keepalive: a number of milliseconds is needed
+            settings.Caps.Keepalive: a number of milliseconds is needed
+            settings.Caps.MayDuplicate: true or false is needed
+            settings.Caps.Cancelling: true or false is needed
+            settings.Invariants.ColdFrom: a number from 0 to 1 is needed
+            settings.Invariants.WarmWithin: a number of milliseconds is needed
+            settings.Balancers: a number of nodes from 1 on is needed
+            settings.Projects[0].QuotaPerS: a number of API calls a second is needed
             EOF while parsing an object at line 1 column 105
             EOF while parsing a value at line 1 column 0
             EOF while parsing an object at line 1 column 1
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -253,12 +253,20 @@
     rejected: u64,
 }
 
+/// The place of the origin's kind among the kinds: as told, or the one of that name.
+fn origin_kind(settings: &Settings, places: &Places) -> usize {
+    let told = settings.number("extra.origin_kind", -1.0);
+    if told >= 0.0 {
+        told as usize
+    } else {
+        place(&places.kinds, Some("origin"))
+    }
+}
+
 /// Reports of the sockets. Each takes the time at which it is made.
 impl Reducer {
     pub fn new(config: &Config) -> Reducer {
         let places = Places::new(&config.settings);
-        let told = config.settings.number("extra.origin_kind", -1.0);
-        let named = place(&places.kinds, Some("origin"));
         let mut counts = Counted::default();
         let most = config.limits.products;
         let counted = places.products.iter().map(|name| counts.place(name, most)).collect();
@@ -268,7 +276,7 @@
             applied: 0,
             rejected: 0,
             balancer: Balancer::new(&config.settings, config.seed),
-            origin_kind: if told >= 0.0 { told as usize } else { named },
+            origin_kind: origin_kind(&config.settings, &places),
             places,
             products: config.settings.products(),
             servers: Servers::default(),
@@ -297,15 +305,15 @@
         }
     }
 
-    /// Goes by other settings from now on. Open API calls keep the rules that they came under, counts go on, and what
-    /// was learnt of servers stays; zones and kinds are read by their names at the start.
+    /// Goes by other settings from now on. Open API calls keep the rules that they came under, counts go on, and the
+    /// module keeps what it learnt where it still means the same.
     pub fn retune(&mut self, now: Time, settings: &Settings) {
         self.at(now);
-        let Places { products, tenants, .. } = Places::new(settings);
-        let most = self.world.limits.products;
-        self.counted = products.iter().map(|name| self.world.counted.place(name, most)).collect();
+        self.places.renew(settings);
+        self.origin_kind = origin_kind(settings, &self.places);
+        let (names, most) = (&self.places.products, self.world.limits.products);
+        self.counted = names.iter().map(|name| self.world.counted.place(name, most)).collect();
         self.products = settings.products();
-        (self.places.products, self.places.tenants) = (products, tenants);
         self.world.limits = self.world.limits.retuned(settings);
         self.balancer.retune(settings);
     }
@@ -679,7 +687,10 @@
             (server.addr, server.started) = (addr, started);
             server.state = state;
             let kind = place(&self.places.kinds, entry.kind.as_deref());
-            server.origin = kind == self.origin_kind && kind != usize::MAX;
+            // Guards against speaking to an origin as to a cache while the settings are those of the deployment to
+            // come and the list is still the old one: a kind without a name changes nothing.
+            server.origin = if kind == usize::MAX { server.origin } else { kind == self.origin_kind };
+            let origin = server.origin;
             // Guards against writing to a process that is no more.
             if moved {
                 self.world.close_idle(ix);
@@ -693,7 +704,11 @@
                 scale: entry.weight,
                 started,
             };
-            lines.push(self.places.listing(ix, line));
+            let mut line = self.places.listing(ix, line);
+            if origin {
+                line.kind = self.origin_kind as u32;
+            }
+            lines.push(line);
         }
         // Guards against writing to a new server what was meant for the one that had its address before, and
         // has gone, although the list does not say so yet.
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -1222,3 +1222,84 @@
     "#]]
     .assert_eq(&told);
 }
+
+// A move needed a restart, as kinds and zones were read at the start only: an origin under another number would have
+// been spoken to as a cache.
+#[test]
+fn a_move_to_another_deployment_and_back_drops_no_call_and_keeps_its_rules() {
+    let (tell, seen) = channel();
+    let (free_old, held_old) = channel();
+    let (free_new, held_new) = channel();
+    let (mut held_old, mut held_new) = (Some(held_old), Some(held_new));
+    let a = server("a", tell.clone(), move |words| match held_old.take_if(|_| words.ends_with("id1")) {
+        Some(held) => Deed::SayAfter(held, found("of a")),
+        None => hit("of a"),
+    });
+    let b = server("b", tell.clone(), move |words| match words.rsplit(' ').next() {
+        Some("id3") => miss(),
+        Some("id4") => held_new.take().map_or_else(miss, |held| Deed::SayAfter(held, found("of b, late"))),
+        _ => hit("of b"),
+    });
+    let origin = server("origin", tell, |_| http("200 OK", "of the origin"));
+    let (old_says, old_news) = channel();
+    let (new_says, new_news) = channel();
+    let (back_says, back_news) = channel();
+    let (asked, asks) = channel();
+    let old = discovery(vec![old_news, back_news], asked.clone());
+    let new = discovery(vec![new_news], asked);
+    let known = [("a", a)];
+    let before = config(&known, &format!(r#""discovery":"{old}","#));
+    // Other kinds in another order, forty nodes, never two shots at once, a read that is late soon.
+    let after = config(&known, &format!(r#""discovery":"{new}","#))
+        .replace(r#"["box","origin"]"#, r#"["origin","twin","box"]"#)
+        .replace(r#""OriginKind":1"#, r#""OriginKind":0"#)
+        .replace(r#""MayDuplicate":true"#, r#""MayDuplicate":false"#)
+        .replace(r#""Kinds""#, r#""Balancers":40,"Localities":["east"],"Kinds""#)
+        .replacen("20000", "100", 1);
+    let mut node = Node::with(&before, 4096);
+    let (mut client, mut other) = (node.client(), node.client());
+    old_says.send(list(true, 1, &[("a", a, "in_service")]) + "\n").expect("said");
+    client.send(&command(&["OBJ.GET", "k", "id1", FACTS]));
+    assert_eq!(next(&seen), "a: OBJ.GET k id1");
+    let mut again = |text: &str| {
+        std::fs::write(&node.file, text).expect("a new file");
+        node.signal("-HUP");
+        node.says("configuration read again, with other settings");
+    };
+    again(&after);
+    // Until the new list is there, what is known serves on by the new rules.
+    assert_eq!(other.ask(&["OBJ.GET", "k", "id2", FACTS]), "of a");
+    assert_eq!(next(&seen), "a: OBJ.GET k id2");
+    new_says
+        .send(list(true, 7, &[("b", b, "in_service"), ("origin", origin, "in_service")]) + "\n")
+        .expect("said");
+    while other.ask(&["OBJ.GET", "k2", "id0", FACTS]) != "of b" {
+        assert_eq!(next(&seen), "a: OBJ.GET k2 id0");
+    }
+    assert_eq!(next(&seen), "b: OBJ.GET k2 id0");
+    // The first seconds: a miss is fetched from the origin under its new number, and a late read has one shot.
+    assert_eq!(other.ask(&["OBJ.GET", "k3", "id3", FACTS]), "of the origin");
+    assert_eq!([next(&seen), next(&seen)], ["b: OBJ.GET k3 id3", "origin: GET /k3 id3 "]);
+    other.send(&command(&["OBJ.GET", "k4", "id4", FACTS]));
+    assert_eq!(next(&seen), "b: OBJ.GET k4 id4");
+    let mut third = node.client();
+    for round in 0..50 {
+        assert_eq!(third.ask(&["OBJ.GET", "k5", "id5", FACTS]), "of b");
+        assert_eq!(next(&seen), "b: OBJ.GET k5 id5", "round {round}: a second shot at once");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    free_new.send(()).expect("freed");
+    assert_eq!(other.answer(), "of b, late");
+    // The call that was open has come under the old rules and is answered; and back again.
+    free_old.send(()).expect("freed");
+    assert_eq!(client.answer(), "of a");
+    let mut back = |text: &str| {
+        std::fs::write(&node.file, text).expect("a new file");
+        node.signal("-HUP");
+        node.says("configuration read again, with other settings");
+    };
+    back(&before);
+    back_says.send(list(true, 9, &[("a", a, "in_service")]) + "\n").expect("said");
+    while client.ask(&["OBJ.GET", "k", "id6", FACTS]) != "of a" {}
+    drop(asks);
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -21,13 +21,11 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Multiple of this node's mean in-flight per cache above which a cache is skipped. The design's factor.
 const SKIP_FACTOR: f64 = 2.0;
-/// Factors on the part of the ready caches that may stay connected idle, for a shot that got no connection
-/// and for one answered.
-const REACH_CUT: f64 = 0.85;
-const REACH_GROWTH: f64 = 1.002;
 /// The golden section: steps of it stay evenly spread, however many.
 const GOLDEN: f64 = 0.618_034;
-/// Least of it: what is refused for long counts no further.
+/// Part of the caches that may stay connected idle: factors for a refused and an answered shot; the least.
+const REACH_CUT: f64 = 0.85;
+const REACH_GROWTH: f64 = 1.002;
 const REACH_LEAST: f64 = 0.01;
 /// A connection last used within this time is about to be used again at a node of many calls.
 const SOON: Span = Span::ms(100);
@@ -103,8 +101,7 @@
 /// Change of a shedding level a tick, up and down: full in about half a second, gone in two.
 const SHED_UP: f64 = 0.04;
 const SHED_DOWN: f64 = 0.01;
-/// How long the record of a gone server is kept: longer than a restart takes, so that it finds its point
-/// again.
+/// How long the record of a gone server is kept: longer than a restart, so that it finds its point again.
 const GONE_KEPT: Span = Span::ms(30_000);
 /// Time kept in hand before a deduplication window closes: one round and a network delay.
 const WINDOW_MARGIN: Span = Span::ms(20);
@@ -189,40 +186,27 @@
 // ---- Line: DEMA ---------------------------------------------------------------------------------
 
 impl Line {
-    fn new(settings: &Settings) -> Line {
-        Line { keepalive: settings.span("caps.keepalive", KEEPALIVE), reach: 1.0, ..Line::default() }
-    }
-
     /// Guards against the uneven ranges of hashed seeds, which a small alpha takes minutes to even out: at
     /// the first list, points start where even keys would bring them. Golden-section steps keep any run of
     /// caches even too.
     fn settle(&self, servers: &mut [Server]) {
+        let mut ranked = self.caches.clone();
+        ranked.sort_by_key(|ix| (servers[ix.0].zone, servers[ix.0].seed.to_bits()));
         let step = |(rank, ix): (usize, &ServerIx)| ((rank as f64 * GOLDEN).fract(), *ix);
-        let mut order: Vec<_> = self.ranked.iter().enumerate().map(step).collect();
+        let mut order: Vec<_> = ranked.iter().enumerate().map(step).collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (place, (_, ix)) in order.iter().enumerate() {
             servers[ix.0].point = (place as f64 + 0.5) / order.len() as f64;
         }
     }
 
-    /// Ready caches in the order of their indices, and by zone and seed.
-    fn order(&mut self, servers: &[Server], ready: Vec<ServerIx>) {
-        let place = |ix: &ServerIx| (servers[ix.0].zone, servers[ix.0].seed.to_bits());
-        self.ranked = ready.clone();
-        self.ranked.sort_by_key(place);
-        self.caches = ready;
-    }
-
     /// Guards against more nodes than a cache takes connections: a node that was refused one leaves fewer
     /// idle, the longest unused closed first. Every cache keeps its range, so that keys stay where they are.
     fn let_go(&self, servers: &mut [Server], now: Time, to: &mut impl Answers) {
         if self.reach >= 1.0 {
             return;
         }
-        let idle = |ix: &&ServerIx| {
-            let server = &servers[ix.0];
-            server.linked && server.out == 0 && now - server.used < self.keepalive
-        };
+        let idle = |ix: &&ServerIx| servers[ix.0].idle(now, self.keepalive);
         let mut held: Vec<ServerIx> = self.caches.iter().filter(idle).copied().collect();
         held.sort_by_key(|ix| servers[ix.0].used);
         let over = held.len().saturating_sub((self.reach * self.caches.len() as f64) as usize);
@@ -235,9 +219,8 @@
     }
 
     /// The part of an SLO, beyond what an answer takes in calm, that a shot now sent must expect to wait: by
-    /// Little's law, out at sound caches over answers a second. Guards against nodes of few calls a second,
-    /// where one shot out looks like a crowd: the fewer their answers, the more goes by the mean of what was
-    /// out. And against work that itself takes a large part of the SLO.
+    /// Little's law, out at sound caches over answers a second. Guards against nodes of few calls, where one
+    /// shot out looks like a crowd (there the mean of what was out counts), and work as long as the SLO.
     fn crowding(&self, slo: Span) -> f64 {
         let pace = self.pace();
         let out = pace * f64::from(self.out) * self.heard + (1.0 - pace) * self.mean_out;
@@ -483,52 +466,62 @@
 impl Balancer {
     /// Missing settings get the safe reading: no duplicates, no cancelling, no retry time, one shot.
     pub fn new(settings: &Settings, seed: u64) -> Balancer {
-        let (nodes, mut rules) = (settings.nodes(), Balancer::default());
-        rules.retune(settings);
-        let shortest = rules.shortest.0 as f64;
-        Balancer {
-            aside: settings.text("extra.mode") == "aside",
-            origin_kind: settings.number("extra.origin_kind", -1.0),
-            chance: Pcg::new(seed),
-            line: Line { calm: (shortest * FURTHER_TO, shortest * FURTHER_TO), ..Line::new(settings) },
-            health: Health {
-                median: shortest * FURTHER_FROM,
-                tail: shortest * FURTHER_TO,
-                success: 1.0,
-                ..rules.health
-            },
-            origin: Origin {
-                limit: (ORIGIN_START_ALL / nodes).min(ORIGIN_START),
-                times: [0.5, 1.0].map(|part| (shortest * ORIGIN_TARGET, shortest * ORIGIN_TARGET * part)),
-                saved: ORIGIN_SAVED,
-                ..rules.origin
-            },
-            shots: Shots { saved: 1.0, success: 0.5, ..rules.shots },
-            ..rules
-        }
+        let mut node = Balancer { chance: Pcg::new(seed), ..Balancer::default() };
+        node.retune(settings);
+        node.origin_afresh();
+        node.caches_afresh();
+        node
     }
 
     /// Goes by other rules from now on: products, shares, what is allowed and the figures of the rules.
-    /// Calls that are open keep theirs, and what was learnt of servers stays; zones, kinds and the mode are
-    /// those of the start.
+    /// Open calls keep theirs, and servers their nature until the next list. What was learnt stays where it
+    /// means the same, as points, times and rates do: places at the origin are a part of all nodes',
+    /// records and shedding are judged by the SLOs, further shots by whether two may be out.
     pub fn retune(&mut self, settings: &Settings) {
+        self.aside = settings.text("extra.mode") == "aside";
+        self.origin_kind = settings.number("extra.origin_kind", -1.0);
         self.products = settings.products();
+        let before = (self.shortest, self.health.longest, self.shots.may_duplicate, self.nodes);
         let shortest = self.products.iter().map(|p| p.slo).min().unwrap_or(Span::ms(1000));
         let longest = self.products.iter().map(|p| p.slo).max().unwrap_or(Span::ms(1000));
         // An unknown product is taken as the last entry: never to run twice, in the shortest time.
         self.products.push(Product::unknown(shortest));
-        self.shortest = shortest;
-        let retry = settings.span("caps.max_retry_after", Span::ZERO);
-        self.max_retry = settings.flag("caps.retry_after").then_some(retry);
+        (self.shortest, self.health.longest, self.nodes) = (shortest, longest.0 as f64, settings.nodes());
+        let retry = || settings.span("caps.max_retry_after", Span::ZERO);
+        self.max_retry = settings.flag("caps.retry_after").then(retry);
         self.admission.share(settings);
-        self.health.longest = longest.0 as f64;
         self.health.cold_from = settings.number("invariants.cold_from", 0.0).clamp(0.0, 1.0);
         self.health.warm_within = settings.span("invariants.warm_within", Span::ms(60_000));
-        self.origin.least = ORIGIN_LEAST / settings.nodes();
+        self.line.keepalive = settings.span("caps.keepalive", KEEPALIVE);
+        self.origin.least = ORIGIN_LEAST / self.nodes;
         self.origin.target = shortest.0 as f64 * ORIGIN_TARGET;
+        self.origin.limit = (self.origin.limit * before.3 / self.nodes).max(self.origin.least);
         self.shots.most = settings.number("caps.most_shots", 1.0).max(1.0) as usize;
-        self.shots.may_duplicate = settings.flag("caps.may_duplicate");
         self.shots.may_cancel = settings.flag("caps.cancelling");
+        self.shots.may_duplicate = settings.flag("caps.may_duplicate");
+        if before.2 != self.shots.may_duplicate {
+            (self.shots.saved, self.shots.success) = (1.0, 0.5);
+        }
+        if (before.0, before.1) != (shortest, self.health.longest) {
+            (self.health.success, self.admission.level, self.admission.strain) = (1.0, 0.0, 0.0);
+            self.servers.iter_mut().for_each(|server| (server.good, server.bad) = (0.0, 0.0));
+        }
+    }
+
+    /// What is taken for the origin's figures before it has answered.
+    fn origin_afresh(&mut self) {
+        let target = self.origin.target;
+        self.origin.limit = (ORIGIN_START_ALL / self.nodes).min(ORIGIN_START);
+        self.origin.times = [0.5, 1.0].map(|part| (target, target * part));
+        self.origin.saved = ORIGIN_SAVED;
+    }
+
+    /// The same for the caches', as one fleet.
+    fn caches_afresh(&mut self) {
+        let shortest = self.shortest.0 as f64;
+        (self.line.calm, self.line.reach) = ((shortest * FURTHER_TO, shortest * FURTHER_TO), 1.0);
+        (self.health.median, self.health.tail) = (shortest * FURTHER_FROM, shortest * FURTHER_TO);
+        (self.health.success, self.shots.saved, self.shots.success) = (1.0, 1.0, 0.5);
     }
 
     pub fn start(&mut self, now: Time, to: &mut impl Answers) {
@@ -548,6 +541,7 @@
         if complete {
             self.servers.iter_mut().for_each(|server| server.state = State::Gone);
         }
+        let (mut known, mut first) = ([None; 2], self.line.caches.is_empty());
         for line in lines {
             let at = line.server.0;
             self.servers.resize_with(self.servers.len().max(at + 1), Server::unknown);
@@ -558,6 +552,11 @@
                 let refused = std::mem::take(&mut server.refused);
                 self.line.reach = (self.line.reach / REACH_CUT.powi(refused as i32)).min(1.0);
             }
+            let origin = self.aside && f64::from(line.kind) == self.origin_kind;
+            if line.state == State::Ready {
+                let known = &mut known[usize::from(origin)];
+                *known = Some(*known == Some(true) || server.seed != 0.0);
+            }
             // One that comes back finds its place again; only one never seen is seeded.
             if server.seed == 0.0 {
                 server.seed = place_on_line(hash(line.name));
@@ -567,19 +566,22 @@
                 (server.good, server.bad, server.unheard, server.room) = (0.0, 0.0, None, f64::INFINITY);
                 (server.warm, server.warm_at) = (0.0, now);
             }
-            server.state = line.state;
-            server.origin = self.aside && f64::from(line.kind) == self.origin_kind;
+            (server.state, server.origin) = (line.state, origin);
             (server.zone, server.cell, server.started) = (line.zone, line.cell, line.started);
             server.scale = if line.scale > 0.0 { line.scale } else { 1.0 };
         }
-        let ready = |origin: bool| {
-            let each = self.servers.iter().enumerate();
-            let fits = each.filter(|(_, s)| s.state == State::Ready && s.origin == origin);
-            fits.map(|(i, _)| ServerIx(i)).collect::<Vec<_>>()
-        };
-        let first = self.line.caches.is_empty();
-        self.origin.servers = ready(true);
-        self.line.order(&self.servers, ready(false));
+        let fits = |s: &Server, origin: bool| s.state == State::Ready && s.origin == origin;
+        let each = || self.servers.iter().enumerate().map(|(i, server)| (ServerIx(i), server));
+        let ready = |origin| each().filter(|(_, s)| fits(s, origin)).map(|(ix, _)| ix).collect::<Vec<_>>();
+        (self.origin.servers, self.line.caches) = (ready(true), ready(false));
+        // Guards against figures of servers that are all others now: what is left of a move is the traffic.
+        if complete && known[1] == Some(false) {
+            self.origin_afresh();
+        }
+        if complete && known[0] == Some(false) {
+            self.caches_afresh();
+            first = true;
+        }
         if first {
             self.line.settle(&mut self.servers);
         }
@@ -633,7 +635,7 @@
 
     /// How many ready caches are doubtful now, and so are mostly passed over.
     pub fn avoided(&self, now: Time) -> usize {
-        let ready = self.line.ranked.iter().map(|ix| &self.servers[ix.0]);
+        let ready = self.line.caches.iter().map(|ix| &self.servers[ix.0]);
         ready.filter(|server| self.health.doubtful(server, now)).count()
     }
 
@@ -724,8 +726,7 @@
                 to.drop_server(ServerIx(i));
             }
         }
-        // Guards against tables that keep the size of the worst minute: what is used last stands at their
-        // ends.
+        // Guards against tables that keep the size of the worst minute: what is used last ends them.
         self.servers.truncate(self.servers.iter().rposition(|s| s.seed != 0.0).map_or(0, |i| i + 1));
         self.calls.truncate(self.calls.iter().rposition(|call| call.live).map_or(0, |i| i + 1));
         let done = std::mem::take(&mut self.line.done) / passed;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -95,6 +95,11 @@
 }
 
 impl Server {
+    /// Whether a connection to it may stand open and unused.
+    pub fn idle(&self, now: Time, keepalive: Span) -> bool {
+        self.linked && self.out == 0 && now - self.used < keepalive
+    }
+
     /// One that no answer has told anything of yet: nothing is known against its having room.
     pub fn unknown() -> Server {
         Server { room: f64::INFINITY, ..Server::default() }
@@ -150,9 +155,8 @@
 
 #[derive(Default)]
 pub struct Line {
-    /// Ready caches, in the order of their indices, and by zone and seed.
+    /// Ready caches, in the order of their indices.
     pub caches: Vec<ServerIx>,
-    pub ranked: Vec<ServerIx>,
     /// Part of the ready caches to which connections may stand idle, and how long one does at the most.
     pub reach: f64,
     pub keepalive: Span,
@@ -220,6 +224,7 @@
 pub struct Balancer {
     pub(crate) products: Vec<Product>,
     pub(crate) shortest: Span,
+    pub(crate) nodes: f64,
     pub(crate) aside: bool,
     pub(crate) origin_kind: f64,
     pub(crate) max_retry: Option<Span>,
@@ -237,3 +242,13 @@
     pub(crate) origin: Origin,
     pub(crate) shots: Shots,
 }
+
+impl Balancer {
+    /// What was learnt, to be looked at: the median answer time of caches (ms), the places at the origin, the caches'
+    /// share of good answers, their answers a second, and where this server's point stands.
+    pub fn learnt(&self, server: ServerIx) -> [f64; 5] {
+        let point = self.servers.get(server.0).map_or(f64::NAN, |server| server.point);
+        let median = self.health.median / 1000.0;
+        [median, self.origin.limit, self.health.success, self.line.done_rate, point]
+    }
+}
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -108,11 +108,6 @@
     pub fn nodes(&self) -> f64 {
         self.number("balancers", 1.0).max(1.0)
     }
-    /// The place of this node's zone among the zones, or one beyond them all.
-    pub fn own_zone(&self) -> u32 {
-        let own = |i: &usize| self.text(&format!("localities.{i}")) == self.text("zone");
-        (0..self.count("localities")).find(own).map_or(u32::MAX, |i| i as u32)
-    }
     /// How many entries stand under `name.0`, `name.1`, and so on.
     pub fn count(&self, name: &str) -> usize {
         let has = |i: &usize| {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -70,9 +70,17 @@
 }
 
 pub fn line(server: usize, state: State, started: Option<f64>) -> Listing<'static> {
-    const NAMES: [&str; 6] =
-        ["10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"];
-    let (kind, started) = (u32::from(server == 0), started.map(Time::from_ms));
+    const NAMES: [&str; 8] = [
+        "10.0.0.0:1",
+        "10.0.0.1:1",
+        "10.0.0.2:1",
+        "10.0.0.3:1",
+        "10.0.0.4:1",
+        "10.0.0.5:1",
+        "10.0.0.6:1",
+        "10.0.0.7:1",
+    ];
+    let (kind, started) = (u32::from(server == 0 || server == 6), started.map(Time::from_ms));
     Listing {
         server: ServerIx(server),
         name: NAMES[server],
@@ -102,6 +110,12 @@
     pub fn say(&mut self, what: &str) {
         let _ = writeln!(self.trace.0, "{} ms: {what}", self.now);
     }
+    pub fn at(&self) -> Time {
+        Time::from_ms(self.now)
+    }
+    pub fn list_all(&mut self, lines: &[Listing]) {
+        self.balancer.list(self.at(), true, lines.iter().copied(), &mut self.trace);
+    }
     pub fn list(&mut self, lines: &[Listing]) {
         let at = Time::from_ms(self.now);
         self.balancer.list(at, false, lines.iter().copied(), &mut self.trace);
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -1,9 +1,9 @@
 //! Printed traces of decisions, read by people: the ordinary path, the four rules, and each failure met so far.
 mod common;
 
-use common::{line, Node};
+use common::{line, settings, Node};
 use expect_test::{expect, Expect};
-use quartzhub_policy::{Outcome::*, State::*, Value};
+use quartzhub_policy::{Outcome::*, ServerIx, State::*, Value};
 
 fn check(node: Node, expected: Expect) {
     expected.assert_eq(&node.trace.0);
@@ -545,7 +545,7 @@
     node.ask(100, 0, "key-a", false);
     node.pass(340.0);
     node.end(100, 0, Fulfilled, 340.0);
-    let avoided = node.balancer.avoided(quartzhub_policy::Time::from_ms(node.now));
+    let avoided = node.balancer.avoided(node.at());
     node.say(&format!("one slow answer makes {avoided} caches doubtful"));
     check(
         node,
@@ -601,7 +601,7 @@
     }
     node.trace.0.clear();
     node.pass(5000.0);
-    let avoided = node.balancer.avoided(quartzhub_policy::Time::from_ms(node.now));
+    let avoided = node.balancer.avoided(node.at());
     node.say(&format!("five seconds after the last late answer {avoided} cache is doubtful"));
     check(
         node,
@@ -610,3 +610,60 @@
         "#]],
     );
 }
+
+// At a move to another deployment every figure was kept, also what is measured by other SLOs, other nodes or other servers.
+#[test]
+fn a_move_keeps_what_still_means_the_same() {
+    let once = ("caps.may_duplicate", Value::Flag(false));
+    let mut node = Node::new(4, std::slice::from_ref(&once));
+    node.calm(0);
+    for call in 100..103 {
+        node.ask(call, 0, "key-a", false);
+        node.pass(380.0);
+        node.end(call, 0, Broken, 380.0);
+    }
+    let known = |node: &Node, what: &str| {
+        let [median, limit, success, rate, point] = node.balancer.learnt(ServerIx(1));
+        let doubtful = node.balancer.avoided(node.at());
+        format!(
+            "{what}: median {median:.0} ms, {limit:.2} places at the origin, success {success:.2}, \
+             {rate:.0} answers a second, {doubtful} doubtful, point of server 1 at {point:.3}"
+        )
+    };
+    let mut told = known(&node, "before") + "\n";
+    node.balancer.retune(&settings(std::slice::from_ref(&once)));
+    told += &(known(&node, "the same settings again") + "\n");
+    let moved = [("balancers", Value::Number(40.0)), once, ("products.0.latency_slo", Value::Number(300.0))];
+    node.balancer.retune(&settings(&moved));
+    told += &(known(&node, "another SLO, forty nodes") + "\n");
+    node.list_all(&[line(0, Ready, None), line(1, Ready, None), line(5, Ready, None)]);
+    told += &(known(&node, "one cache of before is in the list") + "\n");
+    node.list_all(&[line(7, Ready, None), line(6, Ready, None)]);
+    told += &(known(&node, "all servers are others") + "\n");
+    expect![[r#"
+        before: median 20 ms, 4.00 places at the origin, success 0.97, 9 answers a second, 1 doubtful, point of server 1 at 0.123
+        the same settings again: median 20 ms, 4.00 places at the origin, success 0.97, 9 answers a second, 1 doubtful, point of server 1 at 0.123
+        another SLO, forty nodes: median 20 ms, 0.10 places at the origin, success 1.00, 9 answers a second, 1 doubtful, point of server 1 at 0.123
+        one cache of before is in the list: median 20 ms, 0.10 places at the origin, success 1.00, 9 answers a second, 0 doubtful, point of server 1 at 0.123
+        all servers are others: median 38 ms, 4.00 places at the origin, success 1.00, 9 answers a second, 0 doubtful, point of server 1 at 0.123
+    "#]]
+    .assert_eq(&told);
+    node.trace.0.clear();
+    node.say("the first second after: one answer each, one shot at a time, a write that may have run is not refused");
+    node.ask(200, 0, "key-a", false);
+    node.ask(201, 2, "key-b", false);
+    node.end(201, 0, Reset, 5.0);
+    node.pass(400.0);
+    node.end(200, 0, Miss, 400.0);
+    node.end(200, 1, Fulfilled, 20.0);
+    check(
+        node,
+        expect![[r#"
+            2140 ms: the first second after: one answer each, one shot at a time, a write that may have run is not refused
+              call 200 -> server 7 until 4140
+              call 201 -> server 6 until 4140
+              call 201 errored
+              call 200 -> server 6 until 4140
+        "#]],
+    );
+}
