--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -180,7 +180,10 @@
     pub fn read_again(&mut self) -> Result<Again, Fault> {
         let source = self.source.as_ref().ok_or_else(|| Fault("not read from a file".to_owned()))?;
         let new = Config::read(&source.file, source.environment.clone())?;
-        if let Some(key) = self.keys.difference(&new.keys).next() {
+        // A list that is there and empty, as of tenants, is not half a file.
+        let emptied =
+            |key: &str| key.match_indices("[]").any(|(at, mark)| new.keys.contains(&key[..at + mark.len()]));
+        if let Some(key) = self.keys.difference(&new.keys).find(|key| !emptied(key) && !key.ends_with("[]")) {
             return Err(Fault(format!("{}: {key}: missing", source.file.display())));
         }
         if new.named != self.named {
@@ -306,7 +309,7 @@
                 keys
             };
             let all = items.iter().map(of).reduce(|all, keys| &all & &keys);
-            into.extend(all.unwrap_or_default());
+            into.extend(all.unwrap_or_else(|| BTreeSet::from([format!("{under}[]")])));
         }
         _ => {}
     }
@@ -502,6 +505,40 @@
         .assert_eq(&told);
     }
 
+    // The way back from a deployment with tenants to one without was turned down as half a file.
+    #[test]
+    fn tenants_come_and_go_at_a_move() {
+        let file = std::env::temp_dir().join(format!("quartzhub-tenants-{}.json", std::process::id()));
+        let put = |tenants: &str| {
+            let product = r#"{"Name":"view","LatencySlo":100,"ClientTimeout":500}"#;
+            let settings = format!(r#"{{"Products":[{product}],{tenants}}}"#);
+            let text = format!(r#"{{"listen":"127.0.0.1:6379","settings":{settings}}}"#);
+            std::fs::write(&file, text).expect("written");
+        };
+        put(r#""Projects":[]"#);
+        let mut config = Config::read(&file, Environment::default()).expect("a configuration");
+        let mut told = String::new();
+        for tenants in [
+            r#""Projects":[{"Name":"a","QuotaPerS":9},{"Name":"b","QuotaPerS":3}]"#,
+            r#""Projects":[{"Name":"a"}]"#,
+            r#""Projects":[]"#,
+            r#""Round":5"#,
+        ] {
+            put(tenants);
+            let what =
+                config.read_again().map_err(|e| e.to_string().replace(&*file.to_string_lossy(), "file"));
+            told += &format!("{} tenants: {what:?}\n", config.settings.count("projects"));
+        }
+        let _ = std::fs::remove_file(&file);
+        expect![[r#"
+            2 tenants: Ok(Again { at_restart: [], settings: true })
+            1 tenants: Ok(Again { at_restart: [], settings: true })
+            0 tenants: Ok(Again { at_restart: [], settings: true })
+            0 tenants: Err("file: settings.Projects: missing")
+        "#]]
+        .assert_eq(&told);
+    }
+
     #[test]
     fn toml_has_the_same_keys_and_checks() {
         let good = "listen = \"127.0.0.1:6379\"\n[limits]\nsockets = 99\n[[settings.Products]]\n\
