--- a/crates/lab/src/server.rs
+++ b/crates/lab/src/server.rs
@@ -4,6 +4,7 @@
 use quartzhub_policy::{Span, Time};
 
 use crate::lru::Lru;
+use crate::scenario::Scenario;
 
 /// One shot's work at a server.
 #[derive(Debug, Clone, Copy)]
@@ -29,6 +30,42 @@
     Down,
 }
 
+/// What is asked of a server, as far as rule 4 is concerned.
+#[derive(Debug, Clone, Copy)]
+pub struct Work {
+    pub key: u64,
+    pub write: bool,
+    pub takes: Span,
+    pub of_cold: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Falls {
+    No,
+    /// The origin stops; which part of what it was sent came of cold caches' misses.
+    Origin {
+        of_cold: f64,
+    },
+    /// A cold cache is pushed over.
+    Cold,
+}
+
+impl Falls {
+    /// What to say where it breaks rule 4.
+    pub fn broken(&self, server: usize) -> Option<String> {
+        match *self {
+            Falls::Origin { of_cold } if of_cold > 0.5 => {
+                Some(format!("the origin stopped, {of_cold:.2} of its work of cold misses"))
+            }
+            Falls::Cold => Some(format!("cache {server} was pushed over while cold")),
+            _ => None,
+        }
+    }
+}
+
+/// How long a server that was pushed over, or an origin that stopped, stays away.
+pub const FALLEN: Span = Span::ms(8_000);
+
 pub struct Server {
     pub origin: bool,
     pub cores: usize,
@@ -74,6 +111,61 @@
         Span((work.0 as f64 * self.slow / (self.speed * self.warmth(now))).ceil().max(1.0) as i64)
     }
 
+    /// One as a scenario describes it.
+    pub fn of(scenario: &Scenario, origin: bool, speed: f64) -> Server {
+        let caches = &scenario.caches;
+        Server {
+            origin,
+            cores: if origin { scenario.origin.cores } else { caches.cores },
+            speed,
+            places: if origin { scenario.origin.queue } else { caches.queue },
+            health: Health::Up,
+            slow: 1.0,
+            started: None,
+            life: 1,
+            kept: Lru::new(if origin { 0 } else { caches.memory }),
+            queue: VecDeque::new(),
+            running: Vec::new(),
+            connections: 0,
+            demand: Demand::default(),
+            warm: Span::from_ms(caches.warm_ms),
+            cold: caches.cold,
+            begun: 0,
+            found: 0,
+            busy: Span::ZERO,
+        }
+    }
+
+    /// Starts, with nothing kept and cold.
+    pub fn restart(&mut self, now: Time) {
+        (self.health, self.slow) = (Health::Up, 1.0);
+        self.kept.clear();
+        self.life += 1;
+        self.connections = 0;
+        if !self.origin {
+            self.started = Some(now);
+        }
+    }
+
+    /// Work comes in. Rule 4: a cold cache that is sent too much falls over, and so does the origin.
+    pub fn takes_in(&mut self, now: Time, work: Work, scenario: &Scenario) -> Falls {
+        let (over, most) = match self.origin {
+            true => (Span::from_ms(scenario.origin.falls_after_ms), scenario.origin.falls_at),
+            false => (Span::from_ms(scenario.rules.overload_ms), scenario.rules.overload),
+        };
+        // What it will have to do: a miss is found out soon.
+        let miss = !self.origin && !work.write && !self.kept.has(work.key);
+        let part = if miss { scenario.caches.miss_part } else { 1.0 };
+        let (rate, of_cold) = self.demand.add(now, work.takes.times(part), work.of_cold, over);
+        if rate <= most * self.capacity(now) || !self.is_cold(now) && !self.origin {
+            return Falls::No;
+        }
+        match self.origin {
+            true => Falls::Origin { of_cold },
+            false => Falls::Cold,
+        }
+    }
+
     pub fn is_full(&self) -> bool {
         self.running.len() >= self.cores && self.queue.len() >= self.places
     }
