Tell a lost API call from a closed connection in the load tool, as the protocol has it

The guess that the tool was at fault was measured: it kept connections newest first, so old ones stood idle for over 5 s, after which the node closes a client (limits.rs, client_idle), and a burst took them again: its call ended with the connection. The protocol has a client ask once more on a new connection; the tool did not (load.rs, ask). Now it looks before it writes, asks once more where the end crosses its call, and tells no answer, closed with no answer and never taken apart, and second answers.

--- /dev/null
+++ b/crates/lab/src/judge.rs
@@ -0,0 +1,182 @@
+//! The rules' checks round real processes: what stand-ins were really sent and began, and what clients really got.
+//! Everything here is seen by one thread, which may itself be late; how late is measured, and allowed for.
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use quartzhub_policy::{Product, Span, Time};
+use tokio::time::{sleep, Instant};
+
+use crate::rules::{Broken, Deed, Rule, Watch};
+use crate::server::Falls;
+
+/// How much later than it was done a deed may be seen on a machine that is not late: a pass over all sockets, and
+/// the time for which a node may stand in a queue for a core.
+const SEEN_WITHIN: Span = Span::ms(250);
+/// After its client timeout, when an API call without an answer is taken to have none: as the platform's slack, and
+/// more, since a machine may be busy.
+pub const OWED_WITHIN: Span = Span::ms(1_000);
+/// How often the checks' own lateness is looked at, and how much of it is left at the next look.
+const LOOK: Duration = Duration::from_millis(10);
+const FADES: f64 = 0.998;
+/// Between a call's end and the end of interest in it: longer than any shot for it can be under way.
+const REMEMBERED: Span = Span::ms(20_000);
+
+pub struct Judge {
+    zero: Instant,
+    watch: RefCell<Watch>,
+    late: Cell<f64>,
+    pub latest: Cell<f64>,
+    /// Since when a node has known that a server drains or is gone.
+    told: RefCell<HashMap<(usize, usize), Time>>,
+    /// API calls that a node has, and since when; and when they may be forgotten.
+    held: RefCell<HashMap<usize, Vec<u64>>>,
+    due: RefCell<std::collections::BTreeSet<(Time, u64)>>,
+    grace: Span,
+}
+
+impl Judge {
+    /// Needs a `LocalSet`.
+    pub fn start(grace: Span) -> Rc<Judge> {
+        let judge = Rc::new(Judge {
+            zero: Instant::now(),
+            watch: RefCell::new(Watch::new(OWED_WITHIN)),
+            late: Cell::new(0.0),
+            latest: Cell::new(0.0),
+            told: RefCell::default(),
+            held: RefCell::default(),
+            due: RefCell::default(),
+            grace,
+        });
+        let looks = judge.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                let meant = Instant::now() + LOOK;
+                sleep(LOOK).await;
+                looks.look(meant.elapsed().as_secs_f64());
+            }
+        });
+        judge
+    }
+
+    fn look(&self, late: f64) {
+        self.late.set((self.late.get() * FADES).max(late));
+        self.latest.set(self.latest.get().max(late));
+        let lag = SEEN_WITHIN + Span::from_ms(self.late.get() * 2_000.0);
+        let mut watch = self.watch.borrow_mut();
+        watch.lag = lag;
+        let now = self.now();
+        let mut due = self.due.borrow_mut();
+        while let Some(&(at, call)) = due.first().filter(|due| due.0 <= now - lag) {
+            due.pop_first();
+            // Once for its answer, once to be forgotten.
+            watch.due(now, call);
+            if watch.ends(call, REMEMBERED).is_some_and(|until| at >= until) {
+                watch.forget(call);
+            } else if let Some(until) = watch.ends(call, REMEMBERED) {
+                due.insert((until, call));
+            }
+        }
+    }
+
+    pub fn now(&self) -> Time {
+        self.at(Instant::now())
+    }
+
+    pub fn at(&self, instant: Instant) -> Time {
+        Time(instant.saturating_duration_since(self.zero).as_micros() as i64)
+    }
+
+    /// A node has taken it: its last byte is written to a connection that the node's machine accepted.
+    pub fn taken(&self, call: u64, node: usize, product: &Product, until: Time) {
+        let mut watch = self.watch.borrow_mut();
+        if watch.knows(call) {
+            return;
+        }
+        watch.taken(self.now(), call, node, *product, until);
+        self.held.borrow_mut().entry(node).or_default().push(call);
+        self.due.borrow_mut().insert((until + OWED_WITHIN, call));
+    }
+
+    /// A shot for it was sent at this time.
+    pub fn sent(&self, at: Time, call: u64, node: usize, server: usize) {
+        let told = self.told.borrow().get(&(node, server)).copied();
+        self.watch.borrow_mut().sent(at, call, server, told, self.grace);
+    }
+
+    pub fn began(&self, call: u64, server: usize, miss: bool) {
+        self.watch.borrow_mut().began(self.now(), call, server, miss);
+    }
+
+    pub fn answered(&self, call: u64, node: usize, deed: Deed) {
+        self.watch.borrow_mut().answered(self.now(), call, deed);
+        self.over(call, node);
+    }
+
+    /// Its client has gone.
+    pub fn left(&self, call: u64, node: usize) {
+        let now = self.now();
+        self.watch.borrow_mut().due(now, call);
+        self.watch.borrow_mut().left(now, call);
+        self.over(call, node);
+    }
+
+    /// The connection ended with no answer to it.
+    pub fn cut(&self, call: u64, node: usize) {
+        let now = self.now();
+        let mut watch = self.watch.borrow_mut();
+        if watch.owes(call) {
+            let what = "its connection ended with no answer to it";
+            watch.broke(Rule::OneAnswer, now, what, Some(call));
+        }
+        watch.lost_with_node(call);
+        drop(watch);
+        self.over(call, node);
+    }
+
+    fn over(&self, call: u64, node: usize) {
+        if let Some(held) = self.held.borrow_mut().get_mut(&node) {
+            held.retain(|other| *other != call);
+        }
+    }
+
+    /// The process stands still or is no more: for what it has it owes nothing.
+    pub fn excuse(&self, node: usize) {
+        let held = std::mem::take(self.held.borrow_mut().entry(node).or_default());
+        let mut watch = self.watch.borrow_mut();
+        held.into_iter().for_each(|call| watch.lost_with_node(call));
+    }
+
+    /// A process knows nothing of what the one before under its name was told.
+    pub fn new_life(&self, node: usize) {
+        self.told.borrow_mut().retain(|key, _| key.0 != node);
+    }
+
+    /// The node was told that a server drains or is gone, or that it is in service.
+    pub fn told(&self, node: usize, server: usize, out: bool) {
+        let now = self.now();
+        let mut told = self.told.borrow_mut();
+        match out {
+            true => drop(told.entry((node, server)).or_insert(now)),
+            false => drop(told.remove(&(node, server))),
+        }
+    }
+
+    /// A server was sent more than it stands.
+    pub fn fell(&self, server: usize, falls: Falls) {
+        if let Some(what) = falls.broken(server) {
+            self.watch.borrow_mut().pushed_over(self.now(), what);
+        }
+    }
+
+    pub fn platform(&self, what: &str) {
+        self.watch.borrow_mut().broke(Rule::Platform, self.now(), what, None);
+    }
+
+    /// Broken rules, and how many there are in all.
+    pub fn verdict(&self) -> (Vec<Broken>, u64) {
+        let watch = self.watch.borrow();
+        (watch.broken.clone(), watch.count)
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,8 @@
 //! The project's laboratory: an emulator of fleets, clients and networks round the unchanged decision module, at
 //! sizes that sockets don't reach; and experiments on it. Deterministic from a seed. `docs/lab.md` says what its
 //! models are and what they can't tell.
+pub mod clients;
+pub mod judge;
 pub mod load;
 pub mod lru;
 pub mod plot;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -187,7 +187,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Bad(e.to_string()))?;
     let told = tokio::task::LocalSet::new().block_on(&runtime, load::load(&scenario, node, connections))?;
-    println!("{}", told.line());
+    println!("{}", load::line(&told));
     Ok(())
 }
 
@@ -199,13 +199,13 @@
     println!("{}", told("emulated", emulated));
     println!(
         "real: {}; hit ratio {:.4}, shots to the origin {}",
-        real.line(),
+        load::line(real),
         both.real_hits,
         both.real_fetches
     );
     println!(
         "difference: service {:+.4}, hit ratio {:+.4}, p50 {:+.1} ms",
-        real.service() - emulated.all.service(),
+        real.all.service() - emulated.all.service(),
         both.real_hits - emulated.hit_ratio(),
         (real.latency.value_at_quantile(0.5) as f64 - emulated.latency.value_at_quantile(0.5) as f64)
             / 1000.0
--- a/crates/lab/src/stats.rs
+++ b/crates/lab/src/stats.rs
@@ -84,6 +84,9 @@
     pub hits: u64,
     pub refused: u64,
     pub handshakes: u64,
+    /// Of real clients: connections that had ended before they were taken again, and under an API call.
+    pub ended_idle: u64,
+    pub crossed: u64,
     /// In each second, at the origin: shots sent, and whether it stood.
     pub origin: Vec<u64>,
     pub origin_fell: u64,
@@ -114,6 +117,8 @@
             hits: 0,
             refused: 0,
             handshakes: 0,
+            ended_idle: 0,
+            crossed: 0,
             origin: vec![0; scenario.seconds.ceil() as usize],
             origin_fell: 0,
             caches_fell: 0,
