Add the fleet rig: several processes of the program, faults between them, rules judged

Processes are signalled by their ids only, and end with the rig (guard: a death signal before exec).

A cut is silent: bytes wait, and a connect hears nothing (the listening queue is plugged), or it resets. When a shot was sent counts, not when a healed way brings it. What a killed or standing process holds is owed no answer. Verdicts allow for the rig's own measured lateness. Tests: that play; and eight programs that break one rule each on purpose are each caught, with the history of the API call. Failed on the way: calls taken between a kill's signal and the process's end looked unanswered; a call whose retry by protocol found nobody was told as never taken.

--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -88,12 +88,13 @@
                         let _ = stream.set_nodelay(true);
                         BufReader::new(stream)
                     }
-                    Err(_) => return (End::NeverTaken, None),
+                    // Once taken, it is lost with its connection.
+                    Err(_) => return (if again { End::Closed } else { End::NeverTaken }, None),
                 },
             };
             if stream.get_mut().write_all(&call.bytes()).await.is_err() {
                 if fresh || life != self.life.get() {
-                    return (End::NeverTaken, None);
+                    return (if again { End::Closed } else { End::NeverTaken }, None);
                 }
                 continue;
             }
--- /dev/null
+++ b/crates/lab/src/fleet/gate.rs
@@ -0,0 +1,204 @@
+//! Where a node reaches one server: a listening socket of its own for each pair, so that the way between the two can be
+//! spoilt by itself, in each direction.
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{split, DuplexStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{watch, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use super::way::Way;
+use crate::standin::Stamps;
+
+/// How a machine treats new connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Door {
+    Open,
+    /// A connect hears nothing.
+    Silent,
+    /// A connect is refused, and connections are reset.
+    Refusing,
+}
+
+/// Connections not yet taken that an open door holds.
+const BACKLOG: u32 = 1024;
+const BIND_AGAIN: Duration = Duration::from_millis(20);
+/// Bytes between the way and the stand-in.
+const BETWEEN: usize = 64 * 1024;
+
+pub struct Gate {
+    pub addr: SocketAddr,
+    pub there: Rc<Way>,
+    pub back: Rc<Way>,
+    pub door: watch::Sender<Door>,
+    /// Number of resetting cuts on it now.
+    pub resets: Cell<usize>,
+}
+
+/// A connection as the server has it.
+pub struct Arrival {
+    pub stream: DuplexStream,
+    pub stamps: Rc<Stamps>,
+    pub delivered: Rc<Delivered>,
+}
+
+/// Bytes that have been handed to the node on one connection.
+#[derive(Default)]
+pub struct Delivered {
+    bytes: Cell<u64>,
+    more: Notify,
+}
+
+impl Delivered {
+    /// Ready once so many bytes are there.
+    pub async fn upto(&self, bytes: u64) {
+        loop {
+            let more = self.more.notified();
+            if self.bytes.get() >= bytes {
+                return;
+            }
+            more.await;
+        }
+    }
+}
+
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
+impl Gate {
+    pub fn new(addr: SocketAddr, there: Rc<Way>, back: Rc<Way>) -> Rc<Gate> {
+        let (door, resets) = (watch::Sender::new(Door::Open), Cell::new(0));
+        Rc::new(Gate { addr, there, back, door, resets })
+    }
+
+    /// The address can be had.
+    pub fn probe(&self) -> io::Result<()> {
+        listen(self.addr).map(drop)
+    }
+
+    /// What the door is, by the server and by the ways.
+    pub fn settle(&self, up: bool) {
+        let cut = self.there.shape().cut || self.back.shape().cut;
+        let door = match (self.resets.get() > 0, cut, up) {
+            (true, ..) => Door::Refusing,
+            // Who is cut off hears of no refusal either.
+            (_, true, _) => Door::Silent,
+            (_, _, false) => Door::Refusing,
+            _ => Door::Open,
+        };
+        self.door.send_if_modified(|now| std::mem::replace(now, door) != door);
+    }
+
+    /// Takes connections for ever, and hands each to `serve`.
+    pub async fn run(
+        self: Rc<Gate>,
+        clock: Rc<crate::judge::Judge>,
+        serve: impl Fn(Arrival) + Clone + 'static,
+    ) {
+        let mut door = self.door.subscribe();
+        let mut listener: Option<TcpListener> = None;
+        let mut plug: Option<TcpStream> = None;
+        loop {
+            let now = *door.borrow_and_update();
+            if now == Door::Refusing {
+                (listener, plug) = (None, None);
+                if door.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            let Some(open) = &listener else {
+                match listen(self.addr) {
+                    Ok(open) => listener = Some(open),
+                    Err(_) => sleep(BIND_AGAIN).await,
+                }
+                continue;
+            };
+            let socket = SockRef::from(open);
+            if now == Door::Silent {
+                if plug.is_none() {
+                    // With no room behind the one connection that fills the queue, the system passes over a connect
+                    // as if its first packet had been lost.
+                    let _ = socket.listen(0);
+                    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, open.accept()).await {
+                        spawn_local(self.clone().conversation(stream, clock.clone(), serve.clone()));
+                    }
+                    plug = TcpStream::connect(self.addr).await.ok();
+                }
+                if door.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            if let Some(plug) = plug.take() {
+                let _ = socket.listen(BACKLOG as i32);
+                let ours = plug.local_addr().ok();
+                while let Ok(Ok((stream, from))) = timeout(Duration::from_millis(50), open.accept()).await {
+                    if Some(from) == ours {
+                        break;
+                    }
+                    spawn_local(self.clone().conversation(stream, clock.clone(), serve.clone()));
+                }
+            }
+            tokio::select! {
+                taken = open.accept() => if let Ok((stream, _)) = taken {
+                    spawn_local(self.clone().conversation(stream, clock.clone(), serve.clone()));
+                },
+                changed = door.changed() => if changed.is_err() {
+                    return;
+                },
+            }
+        }
+    }
+
+    async fn conversation(
+        self: Rc<Gate>,
+        mut stream: TcpStream,
+        clock: Rc<crate::judge::Judge>,
+        serve: impl Fn(Arrival),
+    ) {
+        let _ = stream.set_nodelay(true);
+        let (near, far) = tokio::io::duplex(BETWEEN);
+        let (stamps, delivered) = (Rc::new(Stamps::default()), Rc::new(Delivered::default()));
+        serve(Arrival { stream: far, stamps: stamps.clone(), delivered: delivered.clone() });
+        let mut door = self.door.subscribe();
+        let reset = {
+            let (from_node, to_node) = stream.split();
+            let (from_server, to_server) = split(near);
+            let stamp = |upto: u64| stamps.put(upto, clock.now());
+            let count = |upto: u64| {
+                delivered.bytes.set(upto);
+                delivered.more.notify_waiters();
+            };
+            let both = both(
+                self.there.carry(from_node, to_server, stamp, |_| {}),
+                self.back.carry(from_server, to_node, |_| {}, count),
+            );
+            tokio::select! {
+                () = both => false,
+                _ = door.wait_for(|door| *door == Door::Refusing) => true,
+            }
+        };
+        if reset {
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+/// Ready once both have ended well, or one has not.
+async fn both(
+    one: impl std::future::Future<Output = io::Result<()>>,
+    other: impl std::future::Future<Output = io::Result<()>>,
+) {
+    let _ = tokio::try_join!(one, other);
+}
--- /dev/null
+++ b/crates/lab/src/fleet/host.rs
@@ -0,0 +1,216 @@
+//! A node's machine: the process on it, what signals it is sent, and what it says. Only processes started here are ever
+//! signalled, by the ids that starting them gave; if this process dies, they do.
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rustix::process::{kill_process, Pid, Signal};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{ChildStderr, Command};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::timeline::Timeline;
+use crate::clients::Door;
+use crate::judge::Judge;
+
+/// What is started for a node, and what is put before it so that it ends with this process.
+#[derive(Debug, Clone)]
+pub struct Programs {
+    pub node: PathBuf,
+    pub args: Vec<String>,
+    pub lab: PathBuf,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    Down,
+    Starting,
+    Up,
+    Paused,
+    Ending,
+}
+
+/// At a planned end clients go elsewhere so soon.
+const FRONT_HEARS_OF_END: Duration = Duration::from_millis(300);
+/// A log line that is kept.
+const MOST_LINE: usize = 2_000;
+
+pub struct Host {
+    pub node: usize,
+    pub name: String,
+    pub config: PathBuf,
+    pub log: PathBuf,
+    pub programs: Programs,
+    pub judge: Rc<Judge>,
+    pub timeline: Rc<Timeline>,
+    pub door: Rc<Door>,
+    pub front_late: Duration,
+    pub state: Cell<State>,
+    pub pid: Cell<Option<Pid>>,
+    /// Its end is wanted, and without notice.
+    pub ends: Cell<bool>,
+    pub killed: Cell<bool>,
+    pub changed: Notify,
+    pub lives: Cell<u64>,
+    pub said: RefCell<Vec<String>>,
+}
+
+impl Host {
+    fn note(&self, what: impl Into<String>) {
+        self.timeline.note(&self.name, what);
+    }
+
+    fn becomes(&self, state: State) {
+        self.state.set(state);
+        self.changed.notify_waiters();
+    }
+
+    pub async fn reaches(&self, wanted: impl Fn(State) -> bool) {
+        loop {
+            let changed = self.changed.notified();
+            if wanted(self.state.get()) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Starts the process, with nothing kept of the one before.
+    pub fn start(self: &Rc<Host>) -> io::Result<()> {
+        if self.state.get() != State::Down {
+            return Ok(());
+        }
+        let me = std::process::id().to_string();
+        let mut command = Command::new(&self.programs.lab);
+        command.arg("guard").arg(me).arg(&self.programs.node).args(&self.programs.args);
+        for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_OPS", "LB_INHERITED_FD"] {
+            command.env_remove(name);
+        }
+        command.env("LB_CONFIG", &self.config).env("QUARTZHUB_LOG", "json");
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
+        let mut child = command.spawn()?;
+        self.pid.set(child.id().and_then(|id| Pid::from_raw(id as i32)));
+        self.ends.set(false);
+        self.killed.set(false);
+        self.lives.set(self.lives.get() + 1);
+        self.judge.new_life(self.node);
+        self.becomes(State::Starting);
+        self.note(format!("process {} starts, its life {}", child.id().unwrap_or(0), self.lives.get()));
+        if let Some(log) = child.stderr.take() {
+            spawn_local(self.clone().listens(log));
+        }
+        let host = self.clone();
+        spawn_local(async move {
+            let status = child.wait().await;
+            host.pid.set(None);
+            // What came between the signal and the end is owed no more than what was there before.
+            if host.killed.get() {
+                host.judge.excuse(host.node);
+            }
+            host.door.life.set(host.door.life.get() + 1);
+            let status = status.map_or_else(|e| e.to_string(), |status| status.to_string());
+            host.note(format!("process ended: {status}"));
+            if !host.ends.get() {
+                let last = host.said.borrow().last().cloned().unwrap_or_default();
+                host.judge
+                    .platform(&format!("{} ended by itself, {status}; it said last: {last}", host.name));
+            }
+            host.becomes(State::Down);
+            host.front_hears(false, host.front_late);
+        });
+        Ok(())
+    }
+
+    /// The front hears a while later that a process is up or gone, if that is still so then.
+    fn front_hears(self: &Rc<Host>, up: bool, after: Duration) {
+        let host = self.clone();
+        spawn_local(async move {
+            sleep(after).await;
+            let state = host.state.get();
+            if up == matches!(state, State::Up | State::Paused) {
+                host.door.open.set(up);
+            }
+        });
+    }
+
+    async fn listens(self: Rc<Host>, log: ChildStderr) {
+        let mut lines = BufReader::new(log).lines();
+        let mut kept = std::fs::OpenOptions::new().create(true).append(true).open(&self.log).ok();
+        while let Ok(Some(mut line)) = lines.next_line().await {
+            line.truncate(line.floor_char_boundary(MOST_LINE));
+            if let Some(kept) = &mut kept {
+                use std::io::Write;
+                let _ = writeln!(kept, "{line}");
+            }
+            let what = said(&line);
+            if what.contains("serves on") && self.state.get() == State::Starting {
+                self.becomes(State::Up);
+                self.front_hears(true, if self.lives.get() == 1 { Duration::ZERO } else { self.front_late });
+            }
+            self.note(what.clone());
+            let mut all = self.said.borrow_mut();
+            all.push(what);
+        }
+    }
+
+    fn signal(&self, signal: Signal) -> bool {
+        self.pid.get().is_some_and(|pid| kill_process(pid, signal).is_ok())
+    }
+
+    /// At once, with all that it has.
+    pub fn kill(&self) {
+        self.ends.set(true);
+        self.killed.set(true);
+        self.judge.excuse(self.node);
+        if self.signal(Signal::KILL) {
+            self.note("killed");
+            self.becomes(State::Ending);
+        }
+    }
+
+    /// As planned; what it has taken it still answers.
+    pub fn end(self: &Rc<Host>) {
+        self.ends.set(true);
+        if self.signal(Signal::TERM) {
+            self.note("asked to end");
+            self.becomes(State::Ending);
+            self.front_hears(false, FRONT_HEARS_OF_END);
+        }
+    }
+
+    pub fn pause(&self) {
+        if self.state.get() == State::Up && self.signal(Signal::STOP) {
+            self.judge.excuse(self.node);
+            self.note("stands still");
+            self.becomes(State::Paused);
+        }
+    }
+
+    pub fn go_on(&self) {
+        if self.state.get() == State::Paused && self.signal(Signal::CONT) {
+            // What came meanwhile was never seen by it in time.
+            self.judge.excuse(self.node);
+            self.note("goes on");
+            self.becomes(State::Up);
+        }
+    }
+}
+
+/// What a line of a log says, in the program's JSON or as plain text.
+fn said(line: &str) -> String {
+    let json: Option<serde_json::Value> = serde_json::from_str(line).ok();
+    let Some(fields) = json.as_ref().and_then(|json| json.get("fields")?.as_object()) else {
+        return line.strip_prefix("quartzhub: ").unwrap_or(line).to_owned();
+    };
+    let mut what = fields.get("message").and_then(|text| text.as_str()).unwrap_or_default().to_owned();
+    for (name, value) in fields.iter().filter(|field| field.0 != "message") {
+        let value = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+        what += &format!(" {name}={value}");
+    }
+    what
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! sizes that sockets don't reach; and experiments on it. Deterministic from a seed. `docs/lab.md` says what its
 //! models are and what they can't tell.
 pub mod clients;
+pub mod fleet;
 pub mod judge;
 pub mod load;
 pub mod lru;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command};
+use quartzhub_lab::fleet::{play, wicked, Plan, Programs};
 use quartzhub_lab::scenario::Bad;
 use quartzhub_lab::stats::FIGURES;
 use quartzhub_lab::sweep::Sweep;
@@ -39,14 +40,34 @@
                 )
                 .arg(file("a scenario")),
         )
+        .subcommand(
+            Command::new("fleet")
+                .about("Plays a plan with several processes of the built program, stand-ins and faults on loopback")
+                .arg(file("a plan"))
+                .arg(Arg::new("program").long("program").value_name("FILE").help("instead of quartzhub beside this one"))
+                .arg(out()),
+        )
+        .subcommand(
+            Command::new("guard")
+                .about("Becomes a program that ends when the process named by its id does")
+                .hide(true)
+                .arg(Arg::new("parent").required(true))
+                .arg(Arg::new("command").required(true).num_args(1..).trailing_var_arg(true).allow_hyphen_values(true)),
+        )
+        .subcommand(
+            Command::new("wicked")
+                .about("Serves in a node's place and breaks a rule, to show that the rig sees it")
+                .hide(true)
+                .arg(Arg::new("way").required(true).value_parser(wicked::WAYS)),
+        )
         .subcommand(
             Command::new("run").about("Plays one scenario").arg(file("a scenario")).arg(policies).arg(out()),
         )
         .subcommand(Command::new("sweep").about("Plays an experiment").arg(file("an experiment")).arg(out()))
         .subcommand(
             Command::new("check")
-                .about("Says whether a scenario or an experiment can be played")
-                .arg(file("either")),
+                .about("Says whether a scenario, an experiment or a plan can be played")
+                .arg(file("one of them")),
         );
     let matches = app.get_matches();
     let done = match matches.subcommand() {
@@ -55,6 +76,9 @@
         Some(("check", given)) => check(given),
         Some(("load", given)) => ask(given),
         Some(("compare", given)) => compare(given),
+        Some(("fleet", given)) => several(given),
+        Some(("guard", given)) => guard(given),
+        Some(("wicked", given)) => wicked_node(given),
         _ => Ok(()),
     };
     match done {
@@ -91,15 +115,27 @@
     Ok(Some(folder))
 }
 
-fn is_sweep(text: &str) -> bool {
-    text.parse::<toml::Table>().is_ok_and(|table| table.contains_key("seeds"))
+enum File {
+    Scenario,
+    Sweep,
+    Plan,
+}
+
+fn kind(text: &str) -> File {
+    let table = text.parse::<toml::Table>().unwrap_or_default();
+    match (table.contains_key("seeds"), table.contains_key("scenario")) {
+        (true, _) => File::Sweep,
+        (false, true) => File::Plan,
+        (false, false) => File::Scenario,
+    }
 }
 
 fn check(given: &ArgMatches) -> Result<(), Bad> {
     let (file, text) = read(given)?;
-    match is_sweep(&text) {
-        true => Sweep::parse(&text).map(drop),
-        false => Scenario::parse(&text).map(drop),
+    match kind(&text) {
+        File::Sweep => Sweep::parse(&text).map(drop),
+        File::Plan => Plan::parse(&text).map(drop),
+        File::Scenario => Scenario::parse(&text).map(drop),
     }
     .map_err(in_file(&file))?;
     println!("{}: can be played", file.display());
@@ -212,3 +248,46 @@
     );
     Ok(())
 }
+
+fn several(given: &ArgMatches) -> Result<(), Bad> {
+    let (file, text) = read(given)?;
+    let plan = Plan::parse(&text).map_err(in_file(&file))?;
+    let folder = folder(given)?;
+    let lab = std::env::current_exe().map_err(|e| Bad(e.to_string()))?;
+    let node = path(given, "program").unwrap_or_else(|| lab.with_file_name("quartzhub"));
+    let outcome =
+        play(&plan, &Programs { node, args: Vec::new(), lab }, folder.as_deref()).map_err(in_file(&file))?;
+    print!("{}\n{}", quartzhub_lab::fleet::timeline::text(&outcome.events), outcome.table());
+    if let Some(folder) = folder {
+        let name = file.file_stem().map_or("fleet".into(), |stem| stem.to_string_lossy().into_owned());
+        for file in outcome.keep(&plan, &folder, &name)? {
+            println!("kept: {}", file.display());
+        }
+    }
+    match &outcome.failures()[..] {
+        [] => Ok(()),
+        failures => Err(Bad(failures.join("\n"))),
+    }
+}
+
+/// Guards against processes that outlive a rig which was killed: the system ends this one with its parent.
+fn guard(given: &ArgMatches) -> Result<(), Bad> {
+    use std::os::unix::process::CommandExt;
+    let text = |name: &str| given.get_many::<String>(name).into_iter().flatten().cloned().collect::<Vec<_>>();
+    let bad = |e: &dyn std::fmt::Display| Bad(e.to_string());
+    rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL))
+        .map_err(|e| bad(&e))?;
+    let parent = rustix::process::getppid().map(|id| id.as_raw_nonzero().to_string());
+    if parent.as_ref() != text("parent").first() {
+        return Err(bad(&"the process that it should end with has ended"));
+    }
+    let command = text("command");
+    Err(bad(&std::process::Command::new(&command[0]).args(&command[1..]).exec()))
+}
+
+fn wicked_node(given: &ArgMatches) -> Result<(), Bad> {
+    let way = given.get_one::<String>("way").cloned().unwrap_or_default();
+    let file = std::env::var("LB_CONFIG").map_err(|e| Bad(format!("LB_CONFIG: {e}")))?;
+    let text = std::fs::read_to_string(&file).map_err(|e| Bad(format!("{file}: {e}")))?;
+    wicked::run(&way, &text).map_err(|e| Bad(e.to_string()))
+}
--- /dev/null
+++ b/crates/lab/tests/fleet.rs
@@ -0,0 +1,113 @@
+//! Several processes of the program, with faults between them; and programs that break a rule, to show that it is seen.
+//! Expectations are on events and counts and on generous bounds, never on a sharp time.
+use std::path::{Path, PathBuf};
+
+use quartzhub_lab::fleet::{play, Outcome, Plan, Programs};
+use quartzhub_lab::rules::Rule;
+
+fn lab() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_quartzhub-lab"))
+}
+
+/// The program as the workspace's build leaves it beside the laboratory's.
+fn programs() -> Programs {
+    Programs { node: lab().with_file_name("quartzhub"), args: Vec::new(), lab: lab() }
+}
+
+fn wicked(way: &str) -> Programs {
+    Programs { node: lab(), args: vec!["wicked".into(), way.into()], lab: lab() }
+}
+
+fn plan(name: &str) -> Plan {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/fleet").join(name);
+    Plan::parse(&std::fs::read_to_string(file).expect("a file")).expect("a plan")
+}
+
+fn holds(plan: &Plan) -> Outcome {
+    let outcome = play(plan, &programs(), None).expect("played");
+    assert_eq!(outcome.failures(), Vec::<String>::new(), "\n{}", outcome.table());
+    outcome
+}
+
+#[test]
+fn one_node_of_three_is_killed_and_comes_back() {
+    let outcome = holds(&plan("kill.toml"));
+    let of = |what: &str| {
+        outcome.events.iter().filter(|event| event.who == "node-1" && event.what.contains(what)).count()
+    };
+    assert_eq!((of("serves on"), of("SIGKILL")), (2, 1));
+}
+
+#[test]
+fn each_rule_is_seen_to_be_broken_by_a_program_that_breaks_it() {
+    let text = r#"
+        [scenario]
+        nodes = 2
+        seconds = 6.0
+        settle = 0.5
+        [scenario.traffic]
+        rate = 60.0
+        [scenario.keys]
+        count = 50
+        [scenario.caches]
+        count = 3
+        filled = false
+        cold = 0.1
+        miss_part = 1.0
+        [scenario.clients]
+        retries = 0
+        patience = [1.0, 1.0]
+        [scenario.network]
+        list_late_ms = [10.0, 50.0]
+        [[scenario.product]]
+        name = "view"
+        share = 0.7
+        slo_ms = 1000.0
+        timeout_ms = 1500.0
+        work_ms = 2.0
+        [[scenario.product]]
+        name = "book"
+        share = 0.3
+        effect = "at_most_once"
+        write = true
+        slo_ms = 1000.0
+        timeout_ms = 1500.0
+        work_ms = 2.0
+        [[scenario.fault]]
+        kind = "drain"
+        at = 1.0
+        for = 4.0
+        share = 0.3
+        [[scenario.fault]]
+        kind = "cold_restart"
+        at = 3.0
+    "#;
+    let plan = Plan::parse(text).expect("a plan");
+    let ways = [
+        ("answers-twice", Rule::OneAnswer, "a second final answer"),
+        ("never-answers", Rule::OneAnswer, "no final answer"),
+        ("closes", Rule::OneAnswer, "ended with no answer"),
+        ("sends-after-answer", Rule::OneAnswer, "a shot was sent for an API call that has its answer"),
+        ("writes-twice", Rule::NoEffectTwice, "begun twice"),
+        ("goes-on-to-drained", Rule::Drains, "known to drain"),
+        ("floods-cold", Rule::ColdServers, "pushed over while cold"),
+        ("ends-by-itself", Rule::Platform, "ended by itself"),
+    ];
+    // Side by side: each waits for its clients most of the time.
+    let played: Vec<_> = std::thread::scope(|scope| {
+        let all: Vec<_> = ways
+            .iter()
+            .map(|way| {
+                let plan = &plan;
+                scope.spawn(move || play(plan, &wicked(way.0), None))
+            })
+            .collect();
+        all.into_iter().map(|one| one.join().expect("no panic").expect("played")).collect()
+    });
+    for ((way, rule, what), outcome) in ways.into_iter().zip(played) {
+        let seen = outcome.broken.iter().find(|broken| broken.rule == rule && broken.what.contains(what));
+        assert!(seen.is_some(), "{way}: {:?}", outcome.failures());
+        let seen = seen.map(|seen| seen.history.contains("Taken")).unwrap_or_default();
+        assert!(seen || matches!(rule, Rule::Platform | Rule::ColdServers), "{way}: no history");
+    }
+}
