Log through tracing: text as before, JSON lines on request, the hand-made macro goes

Need: the fleet rig reads many processes' logs at once, by fields. An embedder brings its own subscriber, or none. Another value of LB_LOG is refused with its name.

--- a/crates/lab/src/fleet/host.rs
+++ b/crates/lab/src/fleet/host.rs
@@ -91,7 +91,7 @@
         for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_OPS", "LB_INHERITED_FD"] {
             command.env_remove(name);
         }
-        command.env("LB_CONFIG", &self.config).env("QUARTZHUB_LOG", "json");
+        command.env("LB_CONFIG", &self.config).env("LB_LOG", "json");
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
         let mut child = command.spawn()?;
         self.pid.set(child.id().and_then(|id| Pid::from_raw(id as i32)));
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -155,7 +155,7 @@
                 if e.kind() == io::ErrorKind::AddrInUse && clock.now() - Time(0) < limits.listen_longest =>
             {
                 if !std::mem::replace(&mut told, true) {
-                    crate::log!("{on} is in use: waiting for it");
+                    tracing::info!("{on} is in use: waiting for it");
                 }
                 tokio::time::sleep(duration(limits.listen_pause)).await;
             }
@@ -177,7 +177,7 @@
                 continue;
             }
             Room::None => {
-                crate::log!("no descriptor is idle: the next client waits");
+                tracing::info!("no descriptor is idle: the next client waits");
                 let _ = tokio::time::timeout(duration(hub.limits.accept_pause), hub.left.notified()).await;
                 continue;
             }
@@ -203,7 +203,7 @@
                 tokio::task::spawn_local(serve(hub.clone(), id, client));
             }
             Err(e) => {
-                crate::log!("accept: {e}");
+                tracing::warn!("accept: {e}");
                 tokio::time::sleep(duration(hub.limits.accept_pause)).await;
             }
         }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -38,7 +38,7 @@
                 continue;
             }
             if let Some(before) = standing.replace(next) {
-                crate::log!("discovery: moved to {from}");
+                tracing::info!("discovery: moved to {from}");
                 before.abort();
             }
             if moved {
@@ -58,7 +58,7 @@
     loop {
         let before = version;
         let what = one_watch(&hub, from, &mut version, &heard).await;
-        crate::log!("discovery: {what}");
+        tracing::warn!(%from, "discovery: {what}");
         wait = if version == before {
             wait.times(2.0).min(hub.limits.watch_longest)
         } else {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -71,7 +71,7 @@
     spawn_local(effects::timer(hub.clone()));
     if let Some(on) = config.ops {
         let listener = clients::listen(on, clock, &config.limits).await?;
-        crate::log!("operators may call {}", listener.local_addr()?);
+        tracing::info!("operators may call {}", listener.local_addr()?);
         spawn_local(ops::accept(hub.clone(), listener));
     }
     let (named, discovery) = watch::channel(config.discovery);
@@ -88,8 +88,8 @@
     let last = Rc::new(Cell::new(clock.now()));
     let accepting = spawn_local(clients::accept(hub.clone(), listener, last.clone()));
     hub.tell(|reducer, _| reducer.takes_clients());
-    config.passed_over.iter().for_each(|fault| crate::log!("configuration: {fault}"));
-    crate::log!("{} serves on {listen}", config.name);
+    config.passed_over.iter().for_each(|fault| tracing::warn!("configuration: {fault}"));
+    tracing::info!(node = config.name, %listen, "{} serves on {listen}", config.name);
     spawn_local(reload::follow(hub.clone(), config, again, named));
     shutdown::ended(hub, last, asked, shared.then_some(accepting)).await;
     Ok(())
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -193,7 +193,7 @@
             buffer.consume(used);
         }
         if !self.takes(hub, body.capacity() + buffer.room()) {
-            crate::log!("no room for an answer of {}", self.to);
+            tracing::warn!("no room for an answer of {}", self.to);
             return Parsed::Broken;
         }
         if !whole {
@@ -332,7 +332,7 @@
         failed => {
             let own = match failed {
                 Ok(Err(e)) => {
-                    crate::log!("no connection to {to}: {e}");
+                    tracing::warn!("no connection to {to}: {e}");
                     !is_the_servers(&e)
                 }
                 _ => false,
@@ -401,7 +401,7 @@
         let missing = link.buffer.borrow().filled().len()
             < link.left.get() + if link.origin { 0 } else { caches::END.len() };
         if link.spoilt.get() || ended && missing {
-            crate::log!("a value of {} has no good end", link.to);
+            tracing::warn!("a value of {} has no good end", link.to);
             return false;
         }
         let room = !ended && link.buffer.borrow().filled().len() < hub.limits.window;
@@ -415,7 +415,7 @@
             }
             () = link.wake.notified() => {}
             () = still, if room => {
-                crate::log!("{} stands still in the middle of a value", link.to);
+                tracing::warn!("{} stands still in the middle of a value", link.to);
                 return false;
             }
         }
@@ -467,7 +467,7 @@
             }
         }
         Parsed::Broken => {
-            crate::log!("an answer of {} can't be read", link.to);
+            tracing::warn!("an answer of {} can't be read", link.to);
             hub.tell(|reducer, now| reducer.spoilt(now, link.id));
         }
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,6 +6,13 @@
 use quartzhub_node::{log, run, Config, Environment};
 
 fn main() -> ExitCode {
+    let form = std::env::var("LB_LOG").ok().filter(|name| !name.is_empty());
+    let named = form.as_deref().map_or(Some(log::Form::Text), log::Form::named);
+    log::begin(named.unwrap_or_default());
+    if named.is_none() {
+        tracing::error!("LB_LOG: {:?} is neither text nor json", form.unwrap_or_default());
+        return ExitCode::FAILURE;
+    }
     let config = || {
         let help = "JSON, or TOML where its name ends in .toml; instead of what LB_CONFIG names";
         Arg::new("config").long("config").value_name("FILE").help(help)
@@ -19,18 +26,18 @@
     let named = checks.and_then(|mut given| given.remove_one::<String>("config"));
     let named = named.or(given.remove_one::<String>("config")).or(std::env::var("LB_CONFIG").ok());
     let Some(file) = named.map(PathBuf::from) else {
-        log!("no configuration: name a file by --config or LB_CONFIG");
+        tracing::error!("no configuration: name a file by --config or LB_CONFIG");
         return ExitCode::FAILURE;
     };
     let config = match Config::read(&file, Environment::of_process()) {
         Ok(config) => config,
         Err(fault) => {
-            log!("{fault}");
+            tracing::error!("{fault}");
             return ExitCode::FAILURE;
         }
     };
     if only {
-        config.passed_over.iter().for_each(|fault| log!("{}: {fault}", file.display()));
+        config.passed_over.iter().for_each(|fault| tracing::error!("{}: {fault}", file.display()));
         println!("{}: can be served", file.display());
         return ExitCode::SUCCESS;
     }
@@ -38,7 +45,7 @@
     match run(config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            log!("{listen}: {e}");
+            tracing::error!("{listen}: {e}");
             ExitCode::FAILURE
         }
     }
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -43,7 +43,7 @@
                 open.borrow_mut().push_back((id, task.abort_handle()));
             }
             Err(e) => {
-                crate::log!("operators: accept: {e}");
+                tracing::warn!("operators: accept: {e}");
                 tokio::time::sleep(duration(hub.limits.accept_pause)).await;
             }
         }
@@ -62,7 +62,7 @@
     front.keep_alive(false).half_close(true).timer(TokioTimer::new()).header_read_timeout(whole);
     front.max_buf_size(head).max_headers(fields);
     if let Err(e) = front.serve_connection(TokioIo::new(stream), answer).await {
-        crate::log!("operators: {e}");
+        tracing::warn!("operators: {e}");
     }
 }
 
@@ -93,12 +93,12 @@
             told
         }
         "/control/out-of-service" => {
-            crate::log!("operators: out of service");
+            tracing::info!("operators: out of service");
             hub.tell(|reducer, now| reducer.out_of_service(now));
             plain(StatusCode::OK, "out of service\n")
         }
         _ => {
-            crate::log!("operators: in service");
+            tracing::info!("operators: in service");
             hub.tell(|reducer, now| reducer.in_service(now));
             plain(StatusCode::OK, "in service\n")
         }
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -664,7 +664,7 @@
         for entry in &news.servers {
             // Guards against a discovery that names new servers without end.
             if self.servers.len() >= self.world.limits.servers && !self.servers.knows(&entry.id) {
-                crate::log!(
+                tracing::info!(
                     "discovery: more than {} servers, {:?} is passed over",
                     self.servers.len(),
                     entry.id
@@ -745,7 +745,8 @@
             match due {
                 Due::Tick => {
                     if now - at > self.world.limits.stalled {
-                        crate::log!("stood still for {:.0} ms", (now - at).as_ms());
+                        let ms = (now - at).as_ms();
+                        tracing::warn!(ms, "stood still for {ms:.0} ms");
                         self.world.stall = (now, now - at);
                     }
                     self.balancer.tick(now, &mut self.world);
@@ -757,7 +758,7 @@
                 Due::Call(ix) => {
                     let over = |call: &&Call| !call.answered && call.until + self.world.limits.overdue <= now;
                     if self.world.calls.get(ix).as_ref().is_some_and(over) {
-                        crate::log!("an API call was still open at its client timeout");
+                        tracing::warn!("an API call was still open at its client timeout");
                         self.world.final_answer(ix, Said::Errored("no answer in time"));
                         self.balancer.withdrawn(now, ix, &mut self.world);
                     }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -39,17 +39,17 @@
         match read {
             Ok(again) => {
                 let what = if again.settings { ", with other settings" } else { "" };
-                crate::log!("configuration read again{what}");
-                config.passed_over.iter().for_each(|fault| crate::log!("configuration: {fault}"));
+                tracing::info!("configuration read again{what}");
+                config.passed_over.iter().for_each(|fault| tracing::warn!("configuration: {fault}"));
                 again
                     .at_restart
                     .iter()
-                    .for_each(|key| crate::log!("configuration: {key}: changes at a restart only"));
+                    .for_each(|key| tracing::info!("configuration: {key}: changes at a restart only"));
                 let now = config.discovery;
                 discovery.send_if_modified(|named| std::mem::replace(named, now) != now);
             }
             // Guards against a fault in a new file that would take the node out of service.
-            Err(fault) => crate::log!("configuration: {fault}; the one before is kept"),
+            Err(fault) => tracing::warn!("configuration: {fault}; the one before is kept"),
         }
     }
 }
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -35,7 +35,8 @@
     handed_over: Option<JoinHandle<()>>,
 ) {
     asked.await;
-    crate::log!("asked to stop with {} API calls open", hub.ask(Reducer::open_calls));
+    let open = hub.ask(Reducer::open_calls);
+    tracing::info!(open, "asked to stop with {open} API calls open");
     let asked = hub.clock.now();
     let limits = &hub.ask(|reducer| reducer.limits().clone());
     hub.tell(|reducer, _| reducer.answer_all_by(asked + limits.stop_answered));
@@ -54,7 +55,8 @@
         let quiet = shared || now - last.get() >= limits.stop_quiet && now - asked >= limits.stop_accept;
         let done = hub.ask(Reducer::open_calls) == 0 && hub.clients.borrow().is_empty();
         if quiet && done || now - asked >= limits.stop_longest {
-            crate::log!("stopped with {} API calls open", hub.ask(Reducer::open_calls));
+            let open = hub.ask(Reducer::open_calls);
+            tracing::info!(open, "stopped with {open} API calls open");
             return;
         }
     }
