--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -115,6 +115,26 @@
         rows.iter().map(|(name, value)| format!("{name:<36}{value}\n")).collect()
     }
 
+    pub fn heading() -> String {
+        let names =
+            ["service", "worst 10 s", "worst s", "p99 ms", "origin", "peak s", "fell", "lost", "broken"];
+        let names: Vec<_> = names.iter().map(|name| format!("{name:>10}")).collect();
+        format!("{:<16}{}", "play", names.concat())
+    }
+
+    /// The table's main figures in a row, for several plays beside one another.
+    pub fn row(&self, name: &str) -> String {
+        let all = &self.report.all;
+        let worst = self.service_by_second().into_iter().fold(1.0, f64::min);
+        let peak = self.origin.iter().copied().max().unwrap_or(0);
+        let figures = [all.service(), self.report.worst(), worst].map(|figure| format!("{figure:>10.4}"));
+        let p99 = self.report.latency.value_at_quantile(0.99) as f64 / 1000.0;
+        let lost = all.gave_up + all.closed + all.never_taken;
+        let counts =
+            [self.fetches, peak, self.fell, lost, self.broken_count].map(|count| format!("{count:>10}"));
+        format!("{name:<16}{}{p99:>10.1}{}", figures.concat(), counts.concat())
+    }
+
     /// For programs: everything but the histories of single API calls.
     pub fn record(&self, plan: &Plan) -> serde_json::Value {
         #[derive(Serialize)]
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command};
-use quartzhub_lab::fleet::{play, wicked, Plan, Programs};
+use quartzhub_lab::fleet::{play, wicked, Outcome, Plan, Programs};
 use quartzhub_lab::scenario::Bad;
 use quartzhub_lab::stats::FIGURES;
 use quartzhub_lab::sweep::Sweep;
@@ -43,7 +43,8 @@
         .subcommand(
             Command::new("fleet")
                 .about("Plays a plan with several processes of the built program, stand-ins and faults on loopback")
-                .arg(file("a plan"))
+                .arg(file("plans").num_args(1..))
+                .arg(Arg::new("plays").long("plays").value_name("N").default_value("1").help("of each plan; from two on, or of several plans, only a table is told"))
                 .arg(Arg::new("program").long("program").value_name("FILE").help("instead of quartzhub beside this one"))
                 .arg(out()),
         )
@@ -250,21 +251,43 @@
 }
 
 fn several(given: &ArgMatches) -> Result<(), Bad> {
-    let (file, text) = read(given)?;
-    let plan = Plan::parse(&text).map_err(in_file(&file))?;
+    let files = given.get_many::<String>("file").into_iter().flatten().map(PathBuf::from);
+    let plans = files.map(|file| {
+        let text = std::fs::read_to_string(&file).map_err(|e| Bad(format!("{}: {e}", file.display())))?;
+        Ok((Plan::parse(&text).map_err(in_file(&file))?, file))
+    });
+    let plans = plans.collect::<Result<Vec<_>, Bad>>()?;
+    let plays =
+        given.get_one::<String>("plays").and_then(|plays| plays.parse().ok()).filter(|plays| *plays > 0);
+    let plays: usize = plays.ok_or_else(|| Bad("--plays: a number of plays is needed".to_owned()))?;
     let folder = folder(given)?;
     let lab = std::env::current_exe().map_err(|e| Bad(e.to_string()))?;
     let node = path(given, "program").unwrap_or_else(|| lab.with_file_name("quartzhub"));
-    let outcome =
-        play(&plan, &Programs { node, args: Vec::new(), lab }, folder.as_deref()).map_err(in_file(&file))?;
-    print!("{}\n{}", quartzhub_lab::fleet::timeline::text(&outcome.events), outcome.table());
-    if let Some(folder) = folder {
+    let programs = Programs { node, args: Vec::new(), lab };
+    let (mut failures, many) = (Vec::new(), plays > 1 || plans.len() > 1);
+    if many {
+        println!("{}", Outcome::heading());
+    }
+    for (plan, file) in &plans {
         let name = file.file_stem().map_or("fleet".into(), |stem| stem.to_string_lossy().into_owned());
-        for file in outcome.keep(&plan, &folder, &name)? {
-            println!("kept: {}", file.display());
+        for number in 0..plays {
+            let name = if many { format!("{name}-{number}") } else { name.clone() };
+            let folder = folder.as_ref().map(|folder| if many { folder.join(&name) } else { folder.clone() });
+            let outcome = play(plan, &programs, folder.as_deref()).map_err(in_file(file))?;
+            match many {
+                true => println!("{}", outcome.row(&name)),
+                false => {
+                    print!("{}\n{}", quartzhub_lab::fleet::timeline::text(&outcome.events), outcome.table())
+                }
+            }
+            if let Some(folder) = folder {
+                let kept = outcome.keep(plan, &folder, &name)?;
+                kept.iter().filter(|_| !many).for_each(|file| println!("kept: {}", file.display()));
+            }
+            failures.extend(outcome.failures().into_iter().map(|failure| format!("{name}: {failure}")));
         }
     }
-    match &outcome.failures()[..] {
+    match &failures[..] {
         [] => Ok(()),
         failures => Err(Bad(failures.join("\n"))),
     }
