Add the membership's core: a failure detector without sockets and clock, tested by faults

Need: a node knows of the others only a number in its settings. crates/members holds who is alive, suspected, left or gone: random probes in rounds, indirect probes through three others, refutation by a number that a node raises above whatever is said of it, and own health. Beyond the published protocol, for one-sided cuts: news that a node is gone is never believed as such but counts as one suspector, three have to agree; who hears a suspected node says so, which ends the suspicion; who hears nobody, who stood still and who is itself doubted blames nobody. Datagrams of 256 bytes at most with version, fleet and checksum (postcard, crc32fast); senders are bounded in rate. Tests (1 s and 5 s): pauses of 3 and 30 s, a fifth lost with two kills, a pair, one node and a third cut in one direction, a partition of 60 s, lives, leaves, joins; random troubles (150 cases), any bytes, floods, replays; each also against a detector broken on purpose where it rests on that. Load a node: the same at 8 and 256 nodes, under 600 bytes a second. Failed on the way: both sides of a partition ignored what the other, given up, said of them, and never met again; a longer period for an ill node made it too rarely heard; without the rule for the doubted a third that is not heard removed the rest.

--- /dev/null
+++ b/crates/members/src/limits.rs
@@ -0,0 +1,101 @@
+//! Every figure of the membership, each with its unit and its reason.
+use quartzhub_policy::Span;
+
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// From one probe to the next. With a ping, an answer and their entries some 60 bytes each, a node sends about 400
+    /// bytes a second, whatever the size of the fleet.
+    pub period: Span,
+    /// For an answer to a ping, before others are asked to try: several round trips of a slow network.
+    pub direct: Span,
+    /// Members asked to try in one's place: one lost message in five on each way leaves one probe in a thousand.
+    pub helpers: usize,
+    /// Suspectors that have to agree before a member counts as gone, where there are so many.
+    pub observers: usize,
+    /// How long a suspicion lasts at the least, and with one suspector only. A node that stood still for less
+    /// refutes in time.
+    pub suspect_least: Span,
+    pub suspect_most: Span,
+    /// Without any sign that anybody answers here, for so many periods, nobody is suspected.
+    pub deaf_after: f64,
+    /// After hearing that others suspect this node, nobody is suspected by it: its own ways are in doubt.
+    pub doubted: Span,
+    /// A member heard so lately is not suspected for a probe that failed.
+    pub fresh: Span,
+    /// After a refutation, or another's word that it hears the member, old rumours don't raise the suspicion again:
+    /// longer than a rumour goes round.
+    pub spared: Span,
+    /// Own health: failed probes that count, each a whole period more before one is taken for lost.
+    pub ill_most: u32,
+    /// Lateness of the own timer from which this node takes itself to have stood still.
+    pub stalled: Span,
+    /// Each rumour is sent so many times the logarithm of the fleet's size.
+    pub times: f64,
+    /// Rumours kept, and entries of the own table that ride along with each datagram beside them.
+    pub rumours: usize,
+    pub fill: usize,
+    /// Every so many periods one is probed that is no member: gone, left, or never seen.
+    pub strangers: u32,
+    /// Members that a new node asks for their tables at a time, how often, and until when at the least.
+    pub joins: usize,
+    pub join_rounds: u32,
+    /// Datagrams of one sender: a second, and saved up.
+    pub rate: f64,
+    pub burst: f64,
+    /// Probes relayed for others at once.
+    pub relays: usize,
+    /// Changes kept for operators.
+    pub changes: usize,
+    /// What a plain detector has not, switched off one by one: others' probes, refutation, own health, word of who
+    /// hears a member, and several observers.
+    pub without: Without,
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Without {
+    pub helpers: bool,
+    pub refutation: bool,
+    pub own_health: bool,
+    pub vouching: bool,
+    pub observers: bool,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            period: Span::ms(250),
+            direct: Span::ms(80),
+            helpers: 3,
+            observers: 3,
+            suspect_least: Span::ms(1_000),
+            suspect_most: Span::ms(5_000),
+            deaf_after: 4.0,
+            doubted: Span::ms(5_000),
+            fresh: Span::ms(1_000),
+            spared: Span::ms(4_000),
+            ill_most: 8,
+            stalled: Span::ms(150),
+            times: 3.0,
+            rumours: 512,
+            fill: 3,
+            strangers: 4,
+            joins: 4,
+            join_rounds: 8,
+            rate: 40.0,
+            burst: 80.0,
+            relays: 64,
+            changes: 64,
+            without: Without::default(),
+        }
+    }
+}
+
+impl Limits {
+    /// As the first published form of the protocol has it: others probe too, a suspicion has a fixed end, one
+    /// suspector is enough, and an observer never doubts itself.
+    pub fn plain() -> Limits {
+        let without = Without { own_health: true, vouching: true, observers: true, ..Without::default() };
+        let least = Limits::default().suspect_least;
+        Limits { suspect_most: least, without, ..Limits::default() }
+    }
+}
--- /dev/null
+++ b/crates/members/src/wire.rs
@@ -0,0 +1,152 @@
+//! What goes between nodes: datagrams of 256 bytes at most, with a version, the fleet's name and a checksum. What can't
+//! be read is told apart by its fault, and dropped.
+use serde::{Deserialize, Serialize};
+
+use crate::Id;
+
+/// The platform's bound on a datagram.
+pub const LONGEST: usize = 256;
+const VERSION: u8 = 1;
+const CHECK: usize = 4;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Asks for an answer. `hello`: from one that knows of nobody, and wants as much as fits.
+    Ping { hello: bool },
+    /// Asks to ping `about` in the sender's place.
+    Try,
+    /// `about` answers.
+    Ack,
+    /// `about` has not answered whoever was asked to try; who says so does.
+    Nack,
+}
+
+/// A piece of news about one node, as of a number that the node itself raises.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Entry {
+    Alive {
+        of: Id,
+        number: u32,
+    },
+    Suspect {
+        of: Id,
+        number: u32,
+        by: Id,
+    },
+    /// `by` has heard it after it was suspected.
+    Heard {
+        of: Id,
+        number: u32,
+        by: Id,
+    },
+    Gone {
+        of: Id,
+        number: u32,
+    },
+    Left {
+        of: Id,
+        number: u32,
+    },
+}
+
+impl Entry {
+    pub fn of(&self) -> Id {
+        match *self {
+            Entry::Alive { of, .. }
+            | Entry::Suspect { of, .. }
+            | Entry::Heard { of, .. }
+            | Entry::Gone { of, .. }
+            | Entry::Left { of, .. } => of,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    pub kind: Kind,
+    pub from: Id,
+    pub number: u32,
+    /// Grows with each datagram of one life.
+    pub count: u32,
+    /// Which probe this belongs to, by the count of its ping.
+    pub probe: u32,
+    pub about: Id,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    Length,
+    Checksum,
+    Version,
+    Fleet,
+    Form,
+}
+
+/// A datagram in the making: entries are added while they fit.
+pub struct Packet {
+    bytes: [u8; LONGEST],
+    used: usize,
+}
+
+impl Packet {
+    pub fn new(fleet: u32, head: &Head) -> Packet {
+        let mut packet = Packet { bytes: [0; LONGEST], used: 5 };
+        packet.bytes[0] = VERSION;
+        packet.bytes[1..5].copy_from_slice(&fleet.to_le_bytes());
+        packet.put(head);
+        packet
+    }
+
+    fn put<T: Serialize>(&mut self, what: &T) -> bool {
+        let room = &mut self.bytes[self.used..LONGEST - CHECK];
+        match postcard::to_slice(what, room) {
+            Ok(written) => {
+                let written = written.len();
+                self.used += written;
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Whether there was room for it.
+    pub fn add(&mut self, entry: &Entry) -> bool {
+        self.put(entry)
+    }
+
+    pub fn done(mut self) -> Vec<u8> {
+        let sum = crc32fast::hash(&self.bytes[..self.used]).to_le_bytes();
+        self.bytes[self.used..self.used + CHECK].copy_from_slice(&sum);
+        self.bytes[..self.used + CHECK].to_vec()
+    }
+}
+
+/// Reads a datagram whole or not at all.
+pub fn read(bytes: &[u8], fleet: u32) -> Result<(Head, Vec<Entry>), Fault> {
+    if bytes.len() > LONGEST || bytes.len() < 5 + CHECK {
+        return Err(Fault::Length);
+    }
+    let (body, sum) = bytes.split_at(bytes.len() - CHECK);
+    if crc32fast::hash(body).to_le_bytes() != sum {
+        return Err(Fault::Checksum);
+    }
+    if body[0] != VERSION {
+        return Err(Fault::Version);
+    }
+    if body[1..5] != fleet.to_le_bytes() {
+        return Err(Fault::Fleet);
+    }
+    let (head, mut rest) = postcard::take_from_bytes::<Head>(&body[5..]).map_err(|_| Fault::Form)?;
+    let mut entries = Vec::new();
+    while !rest.is_empty() {
+        let (entry, after) = postcard::take_from_bytes::<Entry>(rest).map_err(|_| Fault::Form)?;
+        entries.push(entry);
+        rest = after;
+    }
+    Ok((head, entries))
+}
+
+/// A fleet's name as it stands in each datagram.
+pub fn fleet(name: &str) -> u32 {
+    crc32fast::hash(name.as_bytes())
+}
--- /dev/null
+++ b/crates/members/tests/properties.rs
@@ -0,0 +1,151 @@
+//! What holds whatever happens: views agree again once the network is whole, datagrams keep to their bound, and no bytes
+//! harm.
+use proptest::prelude::*;
+use quartzhub_members::sim::{Net, FLEET};
+use quartzhub_members::wire::{fleet, read, Entry, Fault, Head, Kind, Packet, LONGEST};
+use quartzhub_members::{Id, Limits, Members, State};
+use quartzhub_policy::{Span, Time};
+
+#[derive(Debug, Clone)]
+enum Trouble {
+    Cut(Vec<usize>, Vec<usize>),
+    Heal,
+    Loss(f64),
+    Pause(usize, i64),
+    Kill(usize),
+    Start(usize),
+    Leave(usize),
+}
+
+fn troubles(nodes: usize) -> impl Strategy<Value = Vec<(i64, Trouble)>> {
+    let some = || proptest::collection::vec(0..nodes, 1..nodes);
+    let one = prop_oneof![
+        (some(), some()).prop_map(|(from, to)| Trouble::Cut(from, to)),
+        Just(Trouble::Heal),
+        (0.0..0.4).prop_map(Trouble::Loss),
+        (0..nodes, 200..8_000i64).prop_map(|(node, ms)| Trouble::Pause(node, ms)),
+        (0..nodes).prop_map(Trouble::Kill),
+        (0..nodes).prop_map(Trouble::Start),
+        (0..nodes).prop_map(Trouble::Leave),
+    ];
+    proptest::collection::vec((50..4_000i64, one), 1..14)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 150, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn views_agree_with_what_runs_once_the_network_is_whole_again(
+        nodes in 3usize..10, seed in 0u64..1_000_000, all in troubles(9),
+    ) {
+        let mut net = Net::new(nodes, Limits::default(), seed);
+        net.start_all();
+        net.play(Span::ms(5_000));
+        for (after, trouble) in all {
+            net.play(Span::ms(after));
+            let known = |node: usize| node % nodes;
+            match trouble {
+                Trouble::Cut(from, to) => {
+                    let (from, to): (Vec<_>, Vec<_>) =
+                        (from.into_iter().map(known).collect(), to.into_iter().map(known).collect());
+                    net.cut(&from, &to);
+                }
+                Trouble::Heal => net.cuts.clear(),
+                Trouble::Loss(part) => net.loss = part,
+                Trouble::Pause(node, ms) => net.pause(known(node), Span::ms(ms)),
+                Trouble::Kill(node) => net.kill(known(node)),
+                Trouble::Start(node) => net.start(known(node)),
+                Trouble::Leave(node) => net.leave(known(node)),
+            }
+        }
+        // Two have to be up at least for a view of each other; whoever is down comes back.
+        net.cuts.clear();
+        net.loss = 0.0;
+        net.play(Span::ms(8_000));
+        for node in 0..nodes {
+            if net.get(node).is_none() {
+                net.start(node);
+            }
+        }
+        net.play(Span::ms(20_000));
+        prop_assert_eq!(net.wrong(), 0);
+        prop_assert!(net.longest <= LONGEST);
+    }
+
+    #[test]
+    fn no_bytes_harm(
+        all in proptest::collection::vec((0u16..20, proptest::collection::vec(any::<u8>(), 0..300)), 0..50),
+    ) {
+        let mut members = Members::new(Id(1), 5, fleet(FLEET), 7, Limits::default());
+        members.start(Time(0));
+        let mut out = Vec::new();
+        for (from, bytes) in all {
+            members.receive(Time(1), Id(from), &bytes, &mut out);
+        }
+        prop_assert!(out.is_empty());
+        prop_assert!(members.all().filter(|(id, _)| *id != Id(1)).all(|(_, member)| member.state == State::Absent));
+    }
+
+    #[test]
+    fn a_datagram_changed_in_any_place_is_dropped(place in 0usize..1000, bit in 0u8..8, cut in 0usize..60) {
+        let good = datagram(FLEET, Id(0), 3);
+        let mut bad = good.clone();
+        bad[place % good.len()] ^= 1 << bit;
+        prop_assert!(read(&bad, fleet(FLEET)).is_err());
+        let short = &good[..good.len().saturating_sub(cut + 1)];
+        prop_assert!(read(short, fleet(FLEET)).is_err());
+    }
+}
+
+fn datagram(name: &str, from: Id, number: u32) -> Vec<u8> {
+    let kind = Kind::Ping { hello: false };
+    let head = Head { kind, from, number, count: 9, probe: 9, about: Id(1) };
+    let mut packet = Packet::new(fleet(name), &head);
+    packet.add(&Entry::Suspect { of: Id(2), number: 4, by: Id(3) });
+    packet.done()
+}
+
+#[test]
+fn what_is_of_another_fleet_former_life_or_sender_or_too_often_is_dropped_and_counted() {
+    let mut members = Members::new(Id(1), 5, fleet(FLEET), 7, Limits::default());
+    members.start(Time(0));
+    let mut out = Vec::new();
+    let mut hand = |members: &mut Members, from: u16, bytes: &[u8]| {
+        members.receive(Time(1_000), Id(from), bytes, &mut out);
+        std::mem::take(&mut out).len()
+    };
+    assert_eq!(read(&datagram("other", Id(0), 3), fleet(FLEET)), Err(Fault::Fleet));
+    assert_eq!(hand(&mut members, 0, &datagram("other", Id(0), 3)), 0);
+    // From the address of another, from nobody's, and from this node itself.
+    assert_eq!(hand(&mut members, 2, &datagram(FLEET, Id(0), 3)), 0);
+    assert_eq!(hand(&mut members, 9, &datagram(FLEET, Id(9), 3)), 0);
+    assert_eq!(hand(&mut members, 1, &datagram(FLEET, Id(1), 3)), 0);
+    assert_eq!((members.counts.spoilt, members.counts.forged, members.counts.received), (1, 3, 0));
+    // Good, then the same again, then one of a former life: answered, and believed in nothing.
+    assert_eq!(hand(&mut members, 0, &datagram(FLEET, Id(0), 3)), 1);
+    let heard = members.member(Id(0)).and_then(|member| member.heard);
+    assert_eq!(hand(&mut members, 0, &datagram(FLEET, Id(0), 3)), 1);
+    assert_eq!(hand(&mut members, 0, &datagram(FLEET, Id(0), 2)), 1);
+    assert_eq!((members.counts.old, members.member(Id(0)).map(|member| member.number)), (2, Some(3)));
+    assert_eq!(heard, members.member(Id(0)).and_then(|member| member.heard));
+    // A flood is answered no more than its bound.
+    let answered: usize = (0..10_000).map(|_| hand(&mut members, 0, &datagram(FLEET, Id(0), 3))).sum();
+    assert!(answered < 100, "{answered}");
+    assert!(members.counts.flood > 9_900);
+}
+
+#[test]
+fn the_load_of_a_node_does_not_grow_with_the_fleet() {
+    let load = |nodes: usize| {
+        let mut net = Net::new(nodes, Limits::default(), 1);
+        net.start_all();
+        net.play(Span::ms(15_000));
+        let before = (net.sent, net.sent_bytes);
+        net.play(Span::ms(10_000));
+        let part = |of: u64| of as f64 / 10.0 / nodes as f64;
+        (part(net.sent - before.0), part(net.sent_bytes - before.1))
+    };
+    let (few, many) = (load(8), load(256));
+    assert!((many.0 / few.0 - 1.0).abs() < 0.1, "datagrams a second and node: {few:?}, {many:?}");
+    assert!(few.1 < 600.0 && many.1 < 600.0, "bytes a second and node: {few:?}, {many:?}");
+}
