Send nothing for clients that left while the process stood still

Ruled out: calls taken before the stop, whose timers end them first. Lines at fault: converse in clients.rs takes up what it has read without looking whether the client's end lies behind it, and World::waited counts a stall only for what is read within 5 ms of it, while a crowd of clients takes longer. For a second after a stall a connection is read to its end before its command is taken up. Test: fifty clients ask a stopped process and leave; without the change the first of their calls reaches the cache, with it none.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -305,6 +305,11 @@
                 if ready.is_err() || !matches!(read(&mut buffer, &client.stream, limits), Ok(true)) {
                     return;
                 }
+                // Guards against shots for a client that gave up while this process stood still: its end lies behind
+                // its command, and is read before that is taken up.
+                if hub.ask(|reducer| reducer.stood_still(hub.clock.now())) && has_ended(&mut buffer, &client.stream, limits) {
+                    return;
+                }
                 held.set(buffer.room().max(promised));
                 if let Some(size) = resp::large_command(buffer.filled(), limits) {
                     if promised == 0 && !room_for(hub, &mut held, size).await {
@@ -414,6 +419,18 @@
     }
 }
 
+/// Whether the client's end lies behind what it has sent, read as far as one command may reach.
+fn has_ended(buffer: &mut Buffer, stream: &TcpStream, limits: &Limits) -> bool {
+    while buffer.filled().len() < limits.read {
+        match buffer.read(stream, limits.read) {
+            Ok(0) => return true,
+            Ok(_) => {}
+            Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+    false
+}
+
 /// Reads; false at the end.
 fn read(buffer: &mut Buffer, stream: &TcpStream, limits: &Limits) -> io::Result<bool> {
     match buffer.read(stream, limits.read) {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -92,6 +92,8 @@
     /// after that what it reads is taken to have waited as long.
     pub stalled: Span,
     pub stall_read: Span,
+    /// How long after that it is looked whether a client has gone before what it asked is taken up.
+    pub stall_gone: Span,
     /// How often, and how long, it is tried to listen on an address that is still in use.
     pub listen_pause: Span,
     pub listen_longest: Span,
@@ -218,6 +220,7 @@
             overdue: Span::ms(10),
             stalled: Span::ms(20),
             stall_read: Span::ms(5),
+            stall_gone: Span::ms(1_000),
             listen_pause: Span::ms(20),
             listen_longest: Span::ms(10_000),
             accept_pause: Span::ms(20),
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -344,6 +344,10 @@
         self.world.due.first().map(|due| due.0)
     }
 
+    pub fn stood_still(&self, now: Time) -> bool {
+        self.world.stood_still(now)
+    }
+
     /// Bytes held for API calls and answers.
     pub fn held(&self) -> usize {
         self.world.held
@@ -855,6 +859,12 @@
         }
     }
 
+    /// The node stood still just now: what lies unread may be of clients that have gone meanwhile.
+    fn stood_still(&self, now: Time) -> bool {
+        let (since, lasted) = self.stall;
+        now - self.tick > self.limits.stalled || lasted > Span::ZERO && now - since < self.limits.stall_gone
+    }
+
     fn id(&mut self) -> u64 {
         self.last_id += 1;
         self.last_id
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -610,6 +610,28 @@
     assert_eq!(next(&seen), "a: OBJ.GET k id3");
 }
 
+#[test]
+fn for_clients_that_left_while_the_process_stood_still_nothing_is_sent() {
+    let (tell, seen) = channel();
+    let cache = server("a", tell, |_| hit("v"));
+    let node = Node::start(&[("a", cache)], "");
+    let mut stays = node.client();
+    assert_eq!(stays.ask(&["OBJ.GET", "k", "id", FACTS]), "v");
+    assert_eq!(next(&seen), "a: OBJ.GET k id");
+    let mut leave: Vec<_> = (0..50).map(|_| node.client()).collect();
+    leave.iter_mut().for_each(|client| assert_eq!(client.ask(&["PING"]), "+PONG"));
+    node.signal("-STOP");
+    for (i, client) in leave.iter_mut().enumerate() {
+        client.send(&command(&["OBJ.GET", "k", &format!("gone{i}"), FACTS]));
+    }
+    drop(leave);
+    // Long enough to be seen as a stall.
+    std::thread::sleep(Duration::from_millis(100));
+    node.signal("-CONT");
+    assert_eq!(stays.ask(&["OBJ.GET", "k", "last", FACTS]), "v");
+    assert_eq!(next(&seen), "a: OBJ.GET k last");
+}
+
 #[test]
 fn a_silent_discovery_is_asked_again() {
     let (tell, _seen) = channel();
