Split the reducer by job: its words, its reports, and the tables' own steps

Moved, not changed: words.rs holds what sockets and reducer say to one another, world.rs the steps of shots, links and clients and what the module asks for, mod.rs the reports.

--- /dev/null
+++ b/crates/node/src/reducer/words.rs
@@ -0,0 +1,100 @@
+//! What the reducer and the sockets say to one another.
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use quartzhub_policy::Span;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientId(pub u64);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
+
+/// What the reducer asks for. Effects are carried out in their order.
+#[derive(Debug)]
+pub enum Effect {
+    Connect {
+        link: LinkId,
+        to: SocketAddr,
+        origin: bool,
+    },
+    /// The server is told that the node will wait so long.
+    Write {
+        link: LinkId,
+        words: Rc<Words>,
+        wait: Span,
+    },
+    CloseLink {
+        link: LinkId,
+    },
+    Answer {
+        client: ClientId,
+        said: Said,
+    },
+    /// At once, as what it was being answered can't be had whole.
+    CutClient {
+        client: ClientId,
+    },
+    /// Once what it was answered is written and nothing has come from it for so long.
+    CloseClient {
+        client: ClientId,
+        quiet: Span,
+    },
+}
+
+/// What a client is told, in no protocol's form.
+#[derive(Debug, PartialEq)]
+pub enum Said {
+    Fulfilled(Vec<u8>),
+    /// With a value of so many bytes that comes by this link, and is passed on as it comes.
+    Passed {
+        link: LinkId,
+        size: usize,
+    },
+    /// Trying again is harmless, after this wait.
+    RateLimited(Option<Span>),
+    Errored(&'static str),
+    /// To a command that is no API call, in the form that it came in.
+    Plain(Vec<u8>),
+}
+
+impl Said {
+    /// Bytes that are held until it is written.
+    pub fn size(&self) -> usize {
+        match self {
+            Said::Fulfilled(bytes) | Said::Plain(bytes) => bytes.len(),
+            Said::Passed { .. } | Said::RateLimited(_) | Said::Errored(_) => 0,
+        }
+    }
+}
+
+/// Whether there is room for one more client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    Free,
+    /// Once the tasks have had their turn.
+    Soon,
+    None,
+}
+
+/// The words of an API call that go on to servers.
+#[derive(Debug, Clone)]
+pub struct Words {
+    pub key: String,
+    pub id: String,
+    pub facts: String,
+    /// Of a write.
+    pub value: Option<Bytes>,
+}
+
+/// What a client's list of names and values tells the node.
+#[derive(Debug, Default, PartialEq)]
+pub struct Facts<'a> {
+    pub product: Option<&'a str>,
+    pub tenant: Option<&'a str>,
+    pub wait: Span,
+    /// It has the mark by which a repeated write is known.
+    pub mark: bool,
+    pub repeat: bool,
+}
