Run the membership in the node: datagrams to peers, members for operators, planned leave

Need: nodes are to know which others are alive. membership = true turns it on, with peers, peer_listen, settings.Me and a fleet's name; where the settings forbid messages between nodes (Caps.Peers) it stays off, also where a file asks for it, with one log line. A task owns the socket; GET /control/members and quartzhub members tell operators state, number, since when, last heard and suspected by whom; SIGTERM tells the others of a planned leave. The rig asks each process for its members at the end, counts how often one was taken out or in, replays a former life's datagrams and floods.

--- a/crates/lab/src/fleet/host.rs
+++ b/crates/lab/src/fleet/host.rs
@@ -52,9 +52,8 @@
     pub front_late: Duration,
     pub state: Cell<State>,
     pub pid: Cell<Option<Pid>>,
-    /// Its end is wanted, and without notice.
+    /// Its end is wanted.
     pub ends: Cell<bool>,
-    pub killed: Cell<bool>,
     pub changed: Notify,
     pub lives: Cell<u64>,
     pub said: RefCell<Vec<String>>,
@@ -96,7 +95,6 @@
         let mut child = command.spawn()?;
         self.pid.set(child.id().and_then(|id| Pid::from_raw(id as i32)));
         self.ends.set(false);
-        self.killed.set(false);
         self.lives.set(self.lives.get() + 1);
         self.judge.new_life(self.node);
         self.becomes(State::Starting);
@@ -108,10 +106,6 @@
         spawn_local(async move {
             let status = child.wait().await;
             host.pid.set(None);
-            // What came between the signal and the end is owed no more than what was there before.
-            if host.killed.get() {
-                host.judge.excuse(host.node);
-            }
             host.door.life.set(host.door.life.get() + 1);
             let status = status.map_or_else(|e| e.to_string(), |status| status.to_string());
             host.note(format!("process ended: {status}"));
@@ -165,7 +159,6 @@
     /// At once, with all that it has.
     pub fn kill(&self) {
         self.ends.set(true);
-        self.killed.set(true);
         self.judge.excuse(self.node);
         if self.signal(Signal::KILL) {
             self.note("killed");
@@ -194,7 +187,7 @@
     pub fn go_on(&self) {
         if self.state.get() == State::Paused && self.signal(Signal::CONT) {
             // What came meanwhile was never seen by it in time.
-            self.judge.excuse(self.node);
+            self.judge.goes_on(self.node);
             self.note("goes on");
             self.becomes(State::Up);
         }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -7,7 +7,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use quartzhub_node::http;
+use quartzhub_node::limits::Limits;
+use quartzhub_node::resp::Parsed;
+use quartzhub_policy::Pcg;
 use serde::Serialize;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -41,6 +47,8 @@
 const READY_WITHIN: Duration = Duration::from_secs(30);
 /// Connections of all clients to one node.
 const CONNECTIONS: usize = 512;
+/// Spoilt datagrams are handed over in steps of this.
+const FLOOD_STEP: Duration = Duration::from_millis(5);
 /// Between a node's planned end in a roll and the next one's.
 const LEAST_STEP: Duration = Duration::from_millis(50);
 
@@ -282,6 +290,8 @@
     ways: BTreeMap<(End, End), Rc<Way>>,
     /// By node and server, discovery behind the servers.
     gates: BTreeMap<(usize, usize), Rc<Gate>>,
+    post: Rc<Post>,
+    ops: Vec<SocketAddr>,
 }
 
 impl Rig {
@@ -339,16 +349,16 @@
                 state: std::cell::Cell::new(State::Down),
                 pid: Default::default(),
                 ends: Default::default(),
-                killed: Default::default(),
                 changed: Default::default(),
                 lives: Default::default(),
                 said: Default::default(),
             }));
         }
         let plan = plan.clone();
-        let rig = Rc::new(Rig { plan, fleet, judge, timeline, hosts, ways, gates });
+        let ops = (0..nodes).map(|node| block.ops(node)).collect();
+        let rig = Rc::new(Rig { plan, fleet, judge, timeline, hosts, ways, gates, post, ops });
         rig.clone().open(block);
-        post.run(&rig.judge);
+        rig.post.run(&rig.judge);
         rig.start_all().await?;
         rig.timeline.begin();
         rig.fleet.clone().play_faults();
@@ -360,7 +370,8 @@
         let report = drive(&rig.plan.scenario, &doors, &rig.judge).await;
         // Until what is still on its way has been seen.
         sleep(Duration::from_millis(500)).await;
-        Ok(rig.outcome(report))
+        let views = rig.views().await;
+        Ok(rig.outcome(report, &views))
     }
 
     /// Opens every gate, and has each follow its server.
@@ -416,6 +427,8 @@
         sleep_until(begun + Duration::from_secs_f64(fault.at)).await;
         match fault.kind {
             Kind::Cut | Kind::Spoil => self.spoil(i, lasts).await,
+            Kind::Replay => self.replay(i, lasts.unwrap_or_default()).await,
+            Kind::Flood => self.flood(i, lasts.unwrap_or_default()).await,
             Kind::Roll => self.roll(i, lasts.unwrap_or_default()).await,
             _ => {
                 let hosts: Vec<_> =
@@ -519,7 +532,78 @@
         }
     }
 
-    fn outcome(&self, report: Report) -> Outcome {
+    /// Datagrams of a former life, again and again.
+    async fn replay(&self, i: usize, lasts: Duration) {
+        let until = Instant::now() + lasts;
+        let nodes = self.plan.nodes(i);
+        let sent: Vec<_> = nodes
+            .iter()
+            .flat_map(|from| self.post.sent(*from).into_iter().map(|(to, bytes)| (*from, to, bytes)))
+            .collect();
+        self.timeline.note("ways", format!("{} datagrams of nodes {nodes:?} come again", sent.len()));
+        while Instant::now() < until {
+            for (from, to, bytes) in &sent {
+                self.post.hand(*from, *to, bytes).await;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    async fn flood(&self, i: usize, lasts: Duration) {
+        let (until, nodes) = (Instant::now() + lasts, self.plan.nodes(i));
+        let mut chance = Pcg::new(self.plan.scenario.seed);
+        self.timeline.note(
+            "ways",
+            format!("nodes {nodes:?} get {} spoilt datagrams a second each", self.plan.faults[i].rate),
+        );
+        let a_step = (self.plan.faults[i].rate * FLOOD_STEP.as_secs_f64()).ceil() as usize;
+        while Instant::now() < until {
+            for to in &nodes {
+                for _ in 0..a_step {
+                    self.post.spoilt(*to, &mut chance).await;
+                }
+            }
+            sleep(FLOOD_STEP).await;
+        }
+        self.timeline.note("ways", "the flood ends");
+    }
+
+    /// Whom each process that serves takes for members, as operators are told; none where it is off.
+    async fn views(&self) -> BTreeMap<usize, serde_json::Value> {
+        let mut views = BTreeMap::new();
+        for host in self.hosts.iter().filter(|host| host.state.get() == State::Up) {
+            let asked = timeout(READY_WITHIN, ask(self.ops[host.node], "/control/members")).await;
+            if let Some(view) = asked.ok().flatten() {
+                self.timeline
+                    .note(&host.name, format!("holds at the end {}", quartzhub_node::peers::summary(&view)));
+                views.insert(host.node, view);
+            }
+        }
+        views
+    }
+
+    /// Where views differ from what runs, in words.
+    fn disagreements(&self, views: &BTreeMap<usize, serde_json::Value>) -> Vec<String> {
+        let up: Vec<_> =
+            self.hosts.iter().filter(|host| host.state.get() == State::Up).map(|host| host.node).collect();
+        let mut wrong: Vec<_> = up
+            .iter()
+            .filter(|node| !views.contains_key(node))
+            .map(|node| format!("node-{node} tells no members"))
+            .collect();
+        for (at, view) in views {
+            for node in view["nodes"].as_array().into_iter().flatten() {
+                let of = node["node"].as_u64().unwrap_or(u64::MAX) as usize;
+                let member = matches!(node["state"].as_str(), Some("alive" | "suspect"));
+                if member != up.contains(&of) {
+                    wrong.push(format!("node-{at} holds node-{of} for {}", node["state"]));
+                }
+            }
+        }
+        wrong
+    }
+
+    fn outcome(&self, report: Report, views: &BTreeMap<usize, serde_json::Value>) -> Outcome {
         let (broken, broken_count) = self.judge.verdict();
         let up = self.hosts.iter().filter(|host| host.state.get() == State::Up).count();
         let all = &report.all;
@@ -534,6 +618,15 @@
         if expect.up.is_some_and(|wanted| wanted != up) {
             failures.push(format!("expect.up: {up} processes serve at the end"));
         }
+        if expect.members_agree {
+            failures.extend(
+                self.disagreements(views).into_iter().map(|wrong| format!("expect.members_agree: {wrong}")),
+            );
+        }
+        let (flips, most) = timeline::flips(&self.timeline.events());
+        if expect.flips.is_some_and(|bound| most > bound) {
+            failures.push(format!("expect.flips: {flips}"));
+        }
         let stretches = self.plan.faults.iter().map(|fault| Stretch {
             name: format!("{:?}", fault.kind).to_lowercase(),
             from: fault.at,
@@ -596,3 +689,15 @@
         (under, over) => *under = over.clone(),
     }
 }
+
+/// One operators' call.
+async fn ask(to: SocketAddr, path: &str) -> Option<serde_json::Value> {
+    let mut stream = TcpStream::connect(to).await.ok()?;
+    stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: {to}\r\n\r\n").as_bytes()).await.ok()?;
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.ok()?;
+    match http::answer(&bytes, 1 << 24, true, &Limits::default()) {
+        Parsed::Whole((head, body), _) if head.status == 200 => serde_json::from_slice(&body).ok(),
+        _ => None,
+    }
+}
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -41,6 +41,10 @@
     Cut,
     /// The ways named lose, delay, double, reorder or squeeze.
     Spoil,
+    /// What these nodes last sent to others comes once more, every tenth of a second.
+    Replay,
+    /// These nodes get spoilt, forged and repeated datagrams, `rate` a second each.
+    Flood,
 }
 
 /// Only what its kind needs is read.
@@ -80,6 +84,8 @@
     pub reorder: f64,
     #[serde(default)]
     pub bytes_per_s: Option<f64>,
+    #[serde(default)]
+    pub rate: f64,
 }
 
 /// What must have been so at the end. Generous: times are measured and told, not judged.
@@ -92,11 +98,15 @@
     pub no_answer: u64,
     /// Processes up at the end.
     pub up: Option<usize>,
+    /// At the end each process takes just those that run for members.
+    pub members_agree: bool,
+    /// How often at most any process has taken another out of the members, or in again.
+    pub flips: Option<usize>,
 }
 
 impl Default for Expect {
     fn default() -> Expect {
-        Expect { service: 0.0, no_answer: 0, up: None }
+        Expect { service: 0.0, no_answer: 0, up: None, members_agree: false, flips: None }
     }
 }
 
@@ -140,6 +150,7 @@
 const MOST_CACHES: usize = 64;
 const MOST_SECONDS: f64 = 600.0;
 const MOST_RATE: f64 = 5_000.0;
+const MOST_DATAGRAMS: f64 = 20_000.0;
 const LEAST_BYTES_PER_S: f64 = 1_000.0;
 
 impl Plan {
@@ -202,6 +213,7 @@
             if let Some(bytes) = fault.bytes_per_s {
                 within(&key("bytes_per_s"), bytes, LEAST_BYTES_PER_S, 1e12)?;
             }
+            within(&key("rate"), fault.rate, 0.0, MOST_DATAGRAMS)?;
             fault.nodes.iter().try_for_each(|of| node(&key("nodes"), *of))?;
             if let Some(share) = fault.share {
                 within(&key("share"), share, 0.0, 1.0)?;
@@ -214,7 +226,9 @@
             if !of_ways && nodes.is_empty() {
                 return Err(Bad(format!("{}: nodes or a share of them are needed", key("nodes"))));
             }
-            if matches!(fault.kind, Kind::Pause | Kind::Roll) && fault.lasts.is_none() {
+            if matches!(fault.kind, Kind::Pause | Kind::Roll | Kind::Replay | Kind::Flood)
+                && fault.lasts.is_none()
+            {
                 return Err(Bad(format!("{}: is needed", key("for"))));
             }
             for (field, names) in [("from", &fault.from), ("to", &fault.to)] {
@@ -304,7 +318,7 @@
             fault[0].from: from and to are needed
             fault[0].to: "cache-99" is no end of a way
             fault[0].loss: 1.5 is not within 0 to 0.99
-            fault[0].kind: unknown variant `cutt`, expected one of `kill`, `end`, `pause`, `start`, `roll`, `cut`, `spoil`
+            fault[0].kind: unknown variant `cutt`, expected one of `kill`, `end`, `pause`, `start`, `roll`, `cut`, `spoil`, `replay`, `flood`
             scenario.nodes: 500 is not within 1 to 96
             scenario.node: unknown field `node`, expected one of `seed`, `seconds`, `settle`, `policy`, `nodes`, `network`, `clients`, `traffic`, `keys`, `caches`, `origin`, `rules`, `shots`, `product`, `fault`
             scenario.fault[0].kind: stand-ins can't play it; [[fault]] may
--- a/crates/lab/src/fleet/post.rs
+++ b/crates/lab/src/fleet/post.rs
@@ -1,11 +1,12 @@
 //! Datagrams between nodes: a socket for each ordered pair, so that each way can be spoilt by itself, and each node sees the
 //! others under the addresses that its configuration names.
-use std::cell::Cell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use quartzhub_policy::Pcg;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
@@ -13,9 +14,14 @@
 use super::way::Way;
 use crate::judge::Judge;
 
+/// Datagrams of one way that are kept.
+const KEPT: usize = 8;
 /// The platform's bound on a datagram; a longer one voids a run.
 pub const LONGEST: usize = 256;
 
+/// Who sends, and to whom.
+type Pair = (usize, usize);
+
 pub struct Post {
     /// At the place (from, to): where `from` sends what is for `to`, and what reaches `from` of `to`.
     sockets: HashMap<(usize, usize), Rc<UdpSocket>>,
@@ -25,6 +31,8 @@
     /// Datagrams that came to a pair's socket from nobody's address.
     pub strangers: Cell<u64>,
     pub too_long: Cell<u64>,
+    /// The last datagrams of each way, to be handed over again.
+    kept: RefCell<HashMap<Pair, VecDeque<Vec<u8>>>>,
 }
 
 impl Post {
@@ -40,7 +48,14 @@
                 sockets.insert((from, to), Rc::new(socket));
             }
         }
-        Ok(Rc::new(Post { sockets, ways, real, strangers: Cell::new(0), too_long: Cell::new(0) }))
+        Ok(Rc::new(Post {
+            sockets,
+            ways,
+            real,
+            strangers: Cell::new(0),
+            too_long: Cell::new(0),
+            kept: RefCell::default(),
+        }))
     }
 
     pub fn run(self: &Rc<Post>, judge: &Rc<Judge>) {
@@ -64,6 +79,7 @@
                 judge.platform(&format!("node {from} sent node {to} a datagram of {size} bytes or more"));
                 continue;
             }
+            self.keep(from, to, &buffer[..size]);
             for at in way.datagram(size).into_iter().flatten() {
                 let (post, bytes, way) = (self.clone(), buffer[..size].to_vec(), way.clone());
                 spawn_local(async move {
@@ -78,6 +94,40 @@
         }
     }
 
+    fn keep(&self, from: usize, to: usize, bytes: &[u8]) {
+        let mut kept = self.kept.borrow_mut();
+        let of = kept.entry((from, to)).or_default();
+        of.push_back(bytes.to_vec());
+        if of.len() > KEPT {
+            of.pop_front();
+        }
+    }
+
+    /// What a node has sent last, by whom it was for.
+    pub fn sent(&self, from: usize) -> Vec<(usize, Vec<u8>)> {
+        let kept = self.kept.borrow();
+        let of = kept.iter().filter(|(way, _)| way.0 == from);
+        of.flat_map(|(way, all)| all.iter().map(|bytes| (way.1, bytes.clone()))).collect()
+    }
+
+    /// Something for a node that no peer of it has sent: noise, a true datagram with a bit turned, or one again.
+    pub async fn spoilt(&self, to: usize, chance: &mut Pcg) {
+        let from = (chance.unit() * self.real.len() as f64) as usize;
+        if from == to {
+            return;
+        }
+        let kept = self.kept.borrow().get(&(from, to)).and_then(|all| all.back().cloned());
+        let mut bytes = kept.unwrap_or_default();
+        let kind = chance.unit();
+        if kind < 0.4 || bytes.is_empty() {
+            bytes = (0..(chance.unit() * 300.0) as usize).map(|_| (chance.unit() * 256.0) as u8).collect();
+        } else if kind < 0.8 {
+            let place = (chance.unit() * bytes.len() as f64) as usize;
+            bytes[place] ^= 1 << (chance.unit() * 8.0) as u8;
+        }
+        self.hand(from, to, &bytes).await;
+    }
+
     /// Hands a datagram to `to`, as if it came from `from`.
     pub async fn hand(&self, from: usize, to: usize, bytes: &[u8]) {
         if let Some(socket) = self.sockets.get(&(to, from)) {
--- a/crates/lab/src/fleet/timeline.rs
+++ b/crates/lab/src/fleet/timeline.rs
@@ -62,6 +62,28 @@
     events.iter().map(line).collect()
 }
 
+/// How often at most one process has taken another out of the members or in again, after it first took it in; by what they
+/// said, in words and as a number.
+pub fn flips(events: &[Event]) -> (String, usize) {
+    let mut counts = std::collections::BTreeMap::<(&str, &str), usize>::new();
+    for event in events {
+        let Some((of, rest)) =
+            event.what.strip_prefix("membership: node ").and_then(|what| what.split_once(" was "))
+        else {
+            continue;
+        };
+        let Some((from, to)) = rest.split_once(", is ") else { continue };
+        let member = |state: &str| state.starts_with("alive") || state.starts_with("suspect");
+        if member(from) != member(to) && !from.starts_with("absent") {
+            *counts.entry((&event.who, of)).or_default() += 1;
+        }
+    }
+    match counts.into_iter().max_by_key(|pair| pair.1) {
+        Some(((who, of), most)) => (format!("{who} has taken node-{of} out or in {most} times"), most),
+        None => ("nobody has taken another out".to_owned(), 0),
+    }
+}
+
 /// A stretch of a fault, with its name.
 #[derive(Debug, Clone, Serialize)]
 pub struct Stretch {
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -1,7 +1,7 @@
 //! The rules' checks round real processes: what stand-ins were really sent and began, and what clients really got.
 //! Everything here is seen by one thread, which may itself be late; how late is measured, and allowed for.
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,7 +32,9 @@
     told: RefCell<HashMap<(usize, usize), Time>>,
     /// API calls that a node has, and since when; and when they may be forgotten.
     held: RefCell<HashMap<usize, Vec<u64>>>,
-    due: RefCell<std::collections::BTreeSet<(Time, u64)>>,
+    due: RefCell<BTreeSet<(Time, u64)>>,
+    /// Nodes whose processes stand still, or are being ended without notice.
+    out: RefCell<BTreeSet<usize>>,
     grace: Span,
 }
 
@@ -47,6 +49,7 @@
             told: RefCell::default(),
             held: RefCell::default(),
             due: RefCell::default(),
+            out: RefCell::default(),
             grace,
         });
         let looks = judge.clone();
@@ -95,6 +98,10 @@
             return;
         }
         watch.taken(self.now(), call, node, *product, until);
+        // Between a signal and its effect the system still takes calls for the process.
+        if self.out.borrow().contains(&node) {
+            watch.lost_with_node(call);
+        }
         self.held.borrow_mut().entry(node).or_default().push(call);
         self.due.borrow_mut().insert((until + OWED_WITHIN, call));
     }
@@ -141,15 +148,22 @@
         }
     }
 
-    /// The process stands still or is no more: for what it has it owes nothing.
+    /// The process stands still or is being killed: for what it has, and gets until it is back, it owes nothing.
     pub fn excuse(&self, node: usize) {
+        self.out.borrow_mut().insert(node);
         let held = std::mem::take(self.held.borrow_mut().entry(node).or_default());
         let mut watch = self.watch.borrow_mut();
         held.into_iter().for_each(|call| watch.lost_with_node(call));
     }
 
+    /// The process runs again.
+    pub fn goes_on(&self, node: usize) {
+        self.out.borrow_mut().remove(&node);
+    }
+
     /// A process knows nothing of what the one before under its name was told.
     pub fn new_life(&self, node: usize) {
+        self.goes_on(node);
         self.told.borrow_mut().retain(|key, _| key.0 != node);
     }
 
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -38,6 +38,76 @@
     assert_eq!((of("serves on"), of("SIGKILL")), (2, 1));
 }
 
+#[test]
+fn sleepers_are_taken_back_and_have_removed_nobody() {
+    holds(&plan("members-pause.toml"));
+}
+
+#[test]
+fn exactly_the_two_killed_are_removed_by_all_while_a_fifth_is_lost() {
+    holds(&plan("members-loss.toml"));
+}
+
+#[test]
+fn one_sided_cuts_of_one_node_remove_nobody_who_is_heard() {
+    let outcome = holds(&plan("members-one-sided.toml"));
+    let removed = |of: &str| {
+        outcome
+            .events
+            .iter()
+            .any(|event| event.what.starts_with(&format!("membership: node {of} was suspect, is gone")))
+    };
+    // Node 1 and 2 are reached round the cut; node 4 hears nobody, but is heard; node 7 is heard by nobody.
+    assert!(!removed("1") && !removed("2") && !removed("4") && removed("7"));
+    let alone = |of: &str| {
+        outcome.events.iter().any(|event| event.who == of && event.what.contains("nobody answers"))
+    };
+    assert!(
+        alone("node-4") && alone("node-7") && !alone("node-1"),
+        "the two that are cut off know it, and they alone"
+    );
+}
+
+#[test]
+fn a_third_that_is_not_heard_removes_nobody_of_the_rest() {
+    let outcome = holds(&plan("members-third.toml"));
+    let third = ["node-0", "node-1", "node-2", "node-3"];
+    let by_third = outcome
+        .events
+        .iter()
+        .filter(|event| third.contains(&event.who.as_str()) && event.what.contains("is gone"));
+    assert_eq!(by_third.count(), 0);
+}
+
+#[test]
+fn views_are_equal_again_after_a_partition_of_a_minute() {
+    holds(&plan("members-partition.toml"));
+}
+
+#[test]
+fn a_new_life_goes_above_the_former_whose_datagrams_come_again() {
+    holds(&plan("members-lives.toml"));
+}
+
+#[test]
+fn a_roll_under_load_removes_nobody_and_loses_nothing() {
+    let outcome = holds(&plan("members-roll.toml"));
+    assert!(
+        !outcome.events.iter().any(|event| event.what.contains("is gone")),
+        "a planned end is no failure"
+    );
+}
+
+#[test]
+fn many_join_at_once_and_others_leave() {
+    holds(&plan("members-join.toml"));
+}
+
+#[test]
+fn spoilt_and_flooding_datagrams_harm_neither_views_nor_service() {
+    holds(&plan("members-flood.toml"));
+}
+
 #[test]
 fn each_rule_is_seen_to_be_broken_by_a_program_that_breaks_it() {
     let text = r#"
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -8,6 +8,7 @@
 use serde::de::{Deserialize, Deserializer, Error as _};
 
 use crate::limits::{Limits, Machine};
+use crate::peers::Peering;
 
 /// Everything a node is told at its start.
 #[derive(Debug)]
@@ -24,6 +25,8 @@
     pub settings: Settings,
     pub known: News,
     pub limits: Limits,
+    /// The other nodes, where it is on.
+    pub membership: Option<Peering>,
     /// Faults that the node starts without minding; it says them in its log.
     pub passed_over: Vec<Fault>,
     /// What the limits were made from.
@@ -63,6 +66,15 @@
     discovery: Option<SocketAddr>,
     #[serde(default, deserialize_with = "seed")]
     seed: Option<u64>,
+    /// Whether nodes watch one another; their addresses, and the fleet's name.
+    #[serde(default)]
+    membership: bool,
+    #[serde(default, deserialize_with = "address")]
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: serde_json::Value,
+    #[serde(default)]
+    fleet: Option<String>,
     #[serde(default)]
     limits: Machine,
     #[serde(default)]
@@ -126,6 +138,12 @@
 #[derive(Debug)]
 pub struct Fault(String);
 
+impl Fault {
+    pub fn new(what: &str) -> Fault {
+        Fault(what.to_owned())
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(&self.0)
@@ -195,6 +213,7 @@
             ("listen", new.listen != self.listen),
             ("ops", new.ops != self.ops),
             ("limits", new.machine != self.machine),
+            ("membership", new.membership != self.membership),
         ];
         let at_restart: Vec<_> = changed.iter().filter(|key| key.1).map(|key| key.0.to_owned()).collect();
         let (old, new) = (std::mem::replace(&mut self.settings, new.settings).0, &self.settings.0);
@@ -240,7 +259,7 @@
         let settings = checked(&file.settings, &mut passed_over)?;
         // Guards against a node that does not come back because of a list that it had kept: discovery has a
         // better one.
-        let known = match file.known {
+        let known = match std::mem::take(&mut file.known) {
             serde_json::Value::Null => News::default(),
             list => serde_path_to_error::deserialize(list).unwrap_or_else(|e| {
                 passed_over.push(located("known.", &e));
@@ -271,6 +290,15 @@
             }
         }
         let ops = variable("LB_OPS", environment.ops)?.or(file.ops);
+        let File { peer_listen, peers, fleet, .. } = &file;
+        let membership = Peering::checked(
+            file.membership,
+            *peer_listen,
+            peers,
+            fleet.clone(),
+            &settings,
+            &mut passed_over,
+        )?;
         let limits = Limits::new(file.limits, &settings);
         let limits = if inherited.is_some() { limits.shared() } else { limits };
         Ok(Config {
@@ -281,6 +309,7 @@
             discovery: variable("LB_DISCOVERY", environment.discovery)?.or(file.discovery),
             seed: file.seed.unwrap_or_else(chance),
             limits: if ops.is_some() { limits.with_ops() } else { limits },
+            membership,
             settings,
             known,
             passed_over,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod log;
 pub mod ops;
 pub mod origin;
+pub mod peers;
 pub mod reducer;
 pub mod reload;
 pub mod resp;
@@ -69,10 +70,17 @@
     let known = std::mem::take(&mut config.known);
     hub.tell(|reducer, now| reducer.list(now, &known, false, |unix| clock.started(unix)));
     spawn_local(effects::timer(hub.clone()));
+    let peers = match config.membership.clone() {
+        Some(named) => Some(peers::Peers::open(named, config.seed, clock).await?),
+        None => None,
+    };
+    if let Some(peers) = &peers {
+        spawn_local(peers.clone().run());
+    }
     if let Some(on) = config.ops {
         let listener = clients::listen(on, clock, &config.limits).await?;
         tracing::info!("operators may call {}", listener.local_addr()?);
-        spawn_local(ops::accept(hub.clone(), listener));
+        spawn_local(ops::accept(hub.clone(), listener, peers.clone()));
     }
     let (named, discovery) = watch::channel(config.discovery);
     spawn_local(discovery::follow(hub.clone(), discovery, known.version, config.seed));
@@ -91,6 +99,10 @@
     config.passed_over.iter().for_each(|fault| tracing::warn!("configuration: {fault}"));
     tracing::info!(node = config.name, %listen, "{} serves on {listen}", config.name);
     spawn_local(reload::follow(hub.clone(), config, again, named));
+    let asked = async {
+        asked.await;
+        peers.iter().for_each(|peers| peers.leave());
+    };
     shutdown::ended(hub, last, asked, shared.then_some(accepting)).await;
     Ok(())
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,52 +1,118 @@
-//! The node as a program: reads its configuration and serves.
+//! The node as a program: reads its configuration and serves; or asks a node that runs.
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
-use clap::{Arg, Command};
-use quartzhub_node::{log, run, Config, Environment};
+use clap::{Arg, ArgMatches, Command};
+use quartzhub_node::limits::Limits;
+use quartzhub_node::resp::Parsed;
+use quartzhub_node::{http, log, peers, run, Config, Environment};
+
+/// For a node's answer to an operator, and its bytes.
+const ANSWERS_WITHIN: Duration = Duration::from_secs(5);
+const MOST_ANSWER: u64 = 16 * 1024 * 1024;
 
 fn main() -> ExitCode {
     let form = std::env::var("LB_LOG").ok().filter(|name| !name.is_empty());
     let named = form.as_deref().map_or(Some(log::Form::Text), log::Form::named);
     log::begin(named.unwrap_or_default());
     if named.is_none() {
-        tracing::error!("LB_LOG: {:?} is neither text nor json", form.unwrap_or_default());
-        return ExitCode::FAILURE;
+        return failed(&format!("LB_LOG: {:?} is neither text nor json", form.unwrap_or_default()));
     }
     let config = || {
         let help = "JSON, or TOML where its name ends in .toml; instead of what LB_CONFIG names";
         Arg::new("config").long("config").value_name("FILE").help(help)
     };
+    let help = "where operators call the node; instead of what its configuration says";
+    let ops = Arg::new("ops").long("ops").value_name("ADDR").help(help);
     let about = "Routes API calls to a fleet of cache servers";
     let check = Command::new("check").about("Says whether a configuration can be served").arg(config());
-    let command = Command::new("quartzhub").version(env!("CARGO_PKG_VERSION")).about(about);
-    let mut given = command.arg(config()).subcommand(check).get_matches();
-    let checks = given.remove_subcommand().map(|(_, given)| given);
-    let only = checks.is_some();
-    let named = checks.and_then(|mut given| given.remove_one::<String>("config"));
-    let named = named.or(given.remove_one::<String>("config")).or(std::env::var("LB_CONFIG").ok());
+    let members = Command::new("members").about("Asks a running node who is alive").arg(config()).arg(ops);
+    let command = Command::new("quartzhub").version(env!("CARGO_PKG_VERSION")).about(about).arg(config());
+    let given = command.subcommand(check).subcommand(members).get_matches();
+    match given.subcommand() {
+        Some(("members", below)) => match below.get_one::<String>("ops") {
+            Some(addr) => members_of(addr),
+            None => match read(&given, Some(below)) {
+                Ok((_, Config { ops: Some(addr), .. })) => members_of(&addr.to_string()),
+                Ok((file, _)) => failed(&format!("{}: ops: missing", file.display())),
+                Err(fault) => failed(&fault),
+            },
+        },
+        Some((_, below)) => match read(&given, Some(below)) {
+            Ok((file, config)) => {
+                config.passed_over.iter().for_each(|fault| tracing::error!("{}: {fault}", file.display()));
+                println!("{}: can be served", file.display());
+                ExitCode::SUCCESS
+            }
+            Err(fault) => failed(&fault),
+        },
+        None => match read(&given, None) {
+            Ok((_, config)) => {
+                let listen = config.listen;
+                run(config).map_or_else(|e| failed(&format!("{listen}: {e}")), |()| ExitCode::SUCCESS)
+            }
+            Err(fault) => failed(&fault),
+        },
+    }
+}
+
+fn failed(what: &str) -> ExitCode {
+    tracing::error!("{what}");
+    ExitCode::FAILURE
+}
+
+fn read(given: &ArgMatches, below: Option<&ArgMatches>) -> Result<(PathBuf, Config), String> {
+    let named = below.and_then(|below| below.get_one::<String>("config"));
+    let named = named.or(given.get_one::<String>("config")).cloned().or(std::env::var("LB_CONFIG").ok());
     let Some(file) = named.map(PathBuf::from) else {
-        tracing::error!("no configuration: name a file by --config or LB_CONFIG");
-        return ExitCode::FAILURE;
+        return Err("no configuration: name a file by --config or LB_CONFIG".to_owned());
     };
-    let config = match Config::read(&file, Environment::of_process()) {
-        Ok(config) => config,
-        Err(fault) => {
-            tracing::error!("{fault}");
-            return ExitCode::FAILURE;
+    let config = Config::read(&file, Environment::of_process()).map_err(|fault| fault.to_string())?;
+    Ok((file, config))
+}
+
+fn members_of(addr: &str) -> ExitCode {
+    match ask(addr, "/control/members") {
+        Ok(view) => {
+            println!("{}", peers::summary(&view));
+            for node in view["nodes"].as_array().into_iter().flatten() {
+                println!("{}", line(node));
+            }
+            ExitCode::SUCCESS
         }
-    };
-    if only {
-        config.passed_over.iter().for_each(|fault| tracing::error!("{}: {fault}", file.display()));
-        println!("{}: can be served", file.display());
-        return ExitCode::SUCCESS;
+        Err(what) => failed(&format!("{addr}: {what}")),
     }
-    let listen = config.listen;
-    match run(config) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            tracing::error!("{listen}: {e}");
-            ExitCode::FAILURE
+}
+
+fn line(node: &serde_json::Value) -> String {
+    let seconds =
+        |key: &str| node[key].as_f64().map_or("never".to_owned(), |ms| format!("{:.1} s", ms / 1000.0));
+    let by: Vec<_> = node["suspected_by"].as_array().into_iter().flatten().map(|by| by.to_string()).collect();
+    let by = if by.is_empty() { String::new() } else { format!(", suspected by {}", by.join(" ")) };
+    let (id, addr, state) = (&node["node"], &node["addr"], &node["state"]);
+    let (id, addr, state) = (id.to_string(), addr.as_str().unwrap_or(""), state.as_str().unwrap_or(""));
+    let (since, heard, number) = (seconds("since_ms"), seconds("heard_ms"), &node["number"]);
+    format!("{id:>5}  {addr:<22}{state:<9}for {since:<10} number {number}, last heard {heard}{by}")
+}
+
+fn ask(addr: &str, path: &str) -> Result<serde_json::Value, String> {
+    let to: SocketAddr = addr.parse().map_err(|_| "not an address such as 127.0.0.1:7001".to_owned())?;
+    let text = |e: std::io::Error| e.to_string();
+    let mut stream = TcpStream::connect_timeout(&to, ANSWERS_WITHIN).map_err(text)?;
+    stream.set_read_timeout(Some(ANSWERS_WITHIN)).map_err(text)?;
+    stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: {to}\r\n\r\n").as_bytes()).map_err(text)?;
+    let mut bytes = Vec::new();
+    stream.take(MOST_ANSWER).read_to_end(&mut bytes).map_err(text)?;
+    match http::answer(&bytes, MOST_ANSWER as usize, true, &Limits::default()) {
+        Parsed::Whole((head, body), _) if head.status == 200 => {
+            serde_json::from_slice(&body).map_err(|e| e.to_string())
+        }
+        Parsed::Whole((head, body), _) => {
+            Err(format!("{}: {}", head.status, String::from_utf8_lossy(&body).trim_end()))
         }
+        _ => Err("an answer that can't be read".to_owned()),
     }
 }
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -18,11 +18,12 @@
 
 use crate::clock::duration;
 use crate::effects::Hub;
+use crate::peers::Peers;
 use crate::reducer::Reducer;
 
 /// Takes operators' connections. Guards against callers that hold them with half a call: only so many are kept,
 /// and the oldest, which has had the most time, gives way to the next.
-pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
+pub async fn accept(hub: Rc<Hub>, listener: TcpListener, peers: Option<Rc<Peers>>) {
     let open: Rc<RefCell<VecDeque<(u64, AbortHandle)>>> = Rc::default();
     for id in 0u64.. {
         match listener.accept().await {
@@ -34,10 +35,10 @@
                     // Its descriptor is closed before the next is taken.
                     tokio::task::yield_now().await;
                 }
-                let (hub, kept) = (hub.clone(), open.clone());
+                let (hub, peers, kept) = (hub.clone(), peers.clone(), open.clone());
                 let task = spawn_local(async move {
                     let whole = duration(hub.limits.ops_call);
-                    let _ = tokio::time::timeout(whole, converse(hub, stream)).await;
+                    let _ = tokio::time::timeout(whole, converse(hub, peers, stream)).await;
                     kept.borrow_mut().retain(|other| other.0 != id);
                 });
                 open.borrow_mut().push_back((id, task.abort_handle()));
@@ -50,13 +51,13 @@
     }
 }
 
-async fn converse(hub: Rc<Hub>, stream: TcpStream) {
+async fn converse(hub: Rc<Hub>, peers: Option<Rc<Peers>>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let (head, fields) = (hub.limits.ops_head, hub.limits.http_fields);
     let whole = duration(hub.limits.ops_call);
     let answer = service_fn(move |call| {
-        let hub = hub.clone();
-        async move { Ok::<_, Infallible>(answer(&hub, call).await) }
+        let (hub, peers) = (hub.clone(), peers.clone());
+        async move { Ok::<_, Infallible>(answer(&hub, peers.as_deref(), call).await) }
     });
     let mut front = http1::Builder::new();
     front.keep_alive(false).half_close(true).timer(TokioTimer::new()).header_read_timeout(whole);
@@ -66,9 +67,9 @@
     }
 }
 
-async fn answer(hub: &Rc<Hub>, call: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer(hub: &Rc<Hub>, peers: Option<&Peers>, call: Request<Incoming>) -> Response<Full<Bytes>> {
     let wants = match call.uri().path() {
-        "/control/ready" | "/control/counters" => Method::GET,
+        "/control/ready" | "/control/counters" | "/control/members" => Method::GET,
         "/control/out-of-service" | "/control/in-service" => Method::POST,
         _ => return plain(StatusCode::NOT_FOUND, "no such call\n"),
     };
@@ -88,10 +89,12 @@
         "/control/ready" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         "/control/counters" => {
             let figures = hub.ask(|reducer| serde_json::to_string(&reducer.figures(hub.clock.now())));
-            let mut told = plain(StatusCode::OK, figures.unwrap_or_default());
-            told.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-            told
+            json(figures)
         }
+        "/control/members" => match peers {
+            Some(peers) => json(serde_json::to_string(&peers.view())),
+            None => plain(StatusCode::NOT_FOUND, "membership is off\n"),
+        },
         "/control/out-of-service" => {
             tracing::info!("operators: out of service");
             hub.tell(|reducer, now| reducer.out_of_service(now));
@@ -110,3 +113,9 @@
     *response.status_mut() = status;
     response
 }
+
+fn json(text: serde_json::Result<String>) -> Response<Full<Bytes>> {
+    let mut told = plain(StatusCode::OK, text.unwrap_or_default());
+    told.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    told
+}
