Agree on a crash sooner, and measure the membership at up to 1,000 emulated nodes

quartzhub-lab members plays the core beside a plain detector. Seen at 1,000 nodes: 4.0 s at the 99th percentile until all have removed a crashed node, of which the third suspector and the wait of those who hear late took most; and 1,640 bytes a second and node, as each arrival was sent 30 times by each. Failed on the way: removal at once where three have given a node up let a sleeper's backlog of old news remove four; fewer sendings without a least number lost the word of who hears a cut node. A rig now ends its processes before the next takes their addresses.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -371,7 +371,13 @@
         // Until what is still on its way has been seen.
         sleep(Duration::from_millis(500)).await;
         let views = rig.views().await;
-        Ok(rig.outcome(report, &views))
+        let outcome = rig.outcome(report, &views);
+        // The next rig may be given the same addresses.
+        for host in &rig.hosts {
+            host.kill();
+            let _ = timeout(READY_WITHIN, host.reaches(|state| state == State::Down)).await;
+        }
+        Ok(outcome)
     }
 
     /// Opens every gate, and has each follow its server.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! models are and what they can't tell.
 pub mod clients;
 pub mod fleet;
+pub mod gossip;
 pub mod judge;
 pub mod load;
 pub mod lru;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,7 +7,7 @@
 use quartzhub_lab::scenario::Bad;
 use quartzhub_lab::stats::FIGURES;
 use quartzhub_lab::sweep::Sweep;
-use quartzhub_lab::{load, plot, run, Report, Scenario};
+use quartzhub_lab::{gossip, load, plot, run, Report, Scenario};
 
 fn main() -> ExitCode {
     let file = |help: &'static str| Arg::new("file").value_name("FILE").required(true).help(help);
@@ -48,6 +48,15 @@
                 .arg(Arg::new("program").long("program").value_name("FILE").help("instead of quartzhub beside this one"))
                 .arg(out()),
         )
+        .subcommand(
+            Command::new("members")
+                .about("Emulates the membership at several sizes, beside a plain detector")
+                .arg(Arg::new("sizes").long("sizes").value_name("N,N").default_value("8,32,128,512"))
+                .arg(Arg::new("crashes").long("crashes").value_name("N").default_value("40"))
+                .arg(Arg::new("hours").long("hours").value_name("H").default_value("20").help("node-hours without a crash"))
+                .arg(Arg::new("seed").long("seed").value_name("N").default_value("1"))
+                .arg(out()),
+        )
         .subcommand(
             Command::new("guard")
                 .about("Becomes a program that ends when the process named by its id does")
@@ -78,6 +87,7 @@
         Some(("load", given)) => ask(given),
         Some(("compare", given)) => compare(given),
         Some(("fleet", given)) => several(given),
+        Some(("members", given)) => members(given),
         Some(("guard", given)) => guard(given),
         Some(("wicked", given)) => wicked_node(given),
         _ => Ok(()),
@@ -293,6 +303,28 @@
     }
 }
 
+fn members(given: &ArgMatches) -> Result<(), Bad> {
+    let text = |name: &str| given.get_one::<String>(name).cloned().unwrap_or_default();
+    let bad = |name: &str| Bad(format!("--{name}: {:?} is no number", text(name)));
+    let sizes = text("sizes")
+        .split(',')
+        .map(|size| size.parse::<usize>().ok().filter(|size| (3..=8_000).contains(size)))
+        .collect::<Option<Vec<_>>>();
+    let sizes =
+        sizes.ok_or_else(|| Bad(format!("--sizes: {:?} are no sizes from 3 to 8000", text("sizes"))))?;
+    let crashes = text("crashes").parse().map_err(|_| bad("crashes"))?;
+    let hours = text("hours").parse().map_err(|_| bad("hours"))?;
+    let folder = folder(given)?;
+    let rows = gossip::play(&sizes, crashes, hours, text("seed").parse().map_err(|_| bad("seed"))?);
+    print!("{}", gossip::table(&rows));
+    for file in
+        folder.iter().map(|folder| gossip::plot(folder, &rows)).collect::<Result<Vec<_>, _>>()?.concat()
+    {
+        println!("drawn: {}", file.display());
+    }
+    Ok(())
+}
+
 /// Guards against processes that outlive a rig which was killed: the system ends this one with its parent.
 fn guard(given: &ArgMatches) -> Result<(), Bad> {
     use std::os::unix::process::CommandExt;
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -214,7 +214,8 @@
         if let Some(probe) = self.probe.take() {
             self.judge(now, probe);
         }
-        self.table.expire(now, |count| self.limits.suspicion(count, self.ill), &mut self.rumours);
+        let late = self.limits.suspect_late;
+        self.table.expire(now, late, |count| self.limits.suspicion(count, self.ill), &mut self.rumours);
         self.periods = self.periods.wrapping_add(1);
         self.next = now + self.limits.period;
         self.join(now, out);
@@ -271,6 +272,11 @@
             return;
         }
         self.rumours.put(Entry::Suspect { of, number, by });
+        // Some look for themselves, by lot, so that those who have to agree need not come upon it by chance.
+        let first = self.table.get(of).is_some_and(|member| member.suspectors.len() == 1);
+        if by != self.me && first && self.chance.unit() * (self.table.living() as f64) < self.limits.look {
+            self.order.push(of);
+        }
         // A probe fails a period after it began: who was heard within one was heard after that.
         let heard = self.table.get(of).and_then(|member| member.heard);
         if by != self.me
@@ -432,8 +438,8 @@
         if let Some(entry) = &told {
             packet.add(entry);
         }
-        let most = (self.limits.times * (self.table.len() as f64 + 1.0).log2()).ceil() as u32;
-        self.rumours.take(most.max(2), |entry| packet.add(entry));
+        let most = (self.limits.times * (self.table.len() as f64 + 1.0).log10()).ceil() as u32;
+        self.rumours.take(most.max(self.limits.times_least), |entry| packet.add(entry));
         let hello =
             matches!(head.kind, Kind::Ack) && self.table.get(to).is_some_and(|member| member.wants_all);
         let fill = if hello { usize::MAX } else { self.limits.fill };
@@ -577,7 +583,8 @@
             }
             // Who takes it for gone is one more that suspects it, and no more than that.
             Entry::Gone { of, number } if !self.limits.without.observers => {
-                self.suspect(now, of, number, from)
+                self.suspect(now, of, number, from);
+                self.table.given_up(of, number, from);
             }
             Entry::Gone { of, number } => {
                 if self.table.gone(now, of, number) {
--- a/crates/members/src/limits.rs
+++ b/crates/members/src/limits.rs
@@ -16,6 +16,9 @@
     /// refutes in time.
     pub suspect_least: Span,
     pub suspect_most: Span,
+    /// The least where as many as have to agree have given the member up already, each after its own wait: still long
+    /// enough that one that slept hears the refutation behind the old news.
+    pub suspect_late: Span,
     /// Without any sign that anybody answers here, for so many periods, nobody is suspected.
     pub deaf_after: f64,
     /// After hearing that others suspect this node, nobody is suspected by it: its own ways are in doubt.
@@ -29,8 +32,12 @@
     pub ill_most: u32,
     /// Lateness of the own timer from which this node takes itself to have stood still.
     pub stalled: Span,
-    /// Each rumour is sent so many times the logarithm of the fleet's size.
+    /// Each rumour is sent so many times the common logarithm of the fleet's size by each that hears it.
     pub times: f64,
+    /// And so often at the least: in a small fleet a few sendings may all be lost.
+    pub times_least: u32,
+    /// Of all that hear of a suspicion, so many look for themselves.
+    pub look: f64,
     /// Rumours kept, and entries of the own table that ride along with each datagram beside them.
     pub rumours: usize,
     pub fill: usize,
@@ -69,13 +76,16 @@
             observers: 3,
             suspect_least: Span::ms(1_000),
             suspect_most: Span::ms(5_000),
+            suspect_late: Span::ms(400),
             deaf_after: 4.0,
             doubted: Span::ms(5_000),
             fresh: Span::ms(1_000),
             spared: Span::ms(4_000),
             ill_most: 8,
             stalled: Span::ms(150),
-            times: 3.0,
+            times: 4.0,
+            times_least: 10,
+            look: 6.0,
             rumours: 512,
             fill: 3,
             strangers: 4,
--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -36,6 +36,8 @@
     pub heard: Option<Time>,
     /// Who has had no answer from it, in the order in which that was heard.
     pub suspectors: Vec<Id>,
+    /// Who has said that it is gone.
+    given_up: Vec<Id>,
     needed: usize,
     spared: Time,
     /// The count of its newest datagram.
@@ -70,6 +72,7 @@
             since: Time(0),
             heard: None,
             suspectors: Vec::new(),
+            given_up: Vec::new(),
             needed: 1,
             spared: Time(0),
             count: 0,
@@ -126,6 +129,7 @@
         let suspectors = member.suspectors.clone();
         if to != State::Suspect {
             member.suspectors.clear();
+            member.given_up.clear();
         }
         self.changed += 1;
         self.changes.push_back(Change { at: now, of, from, to, number, suspectors });
@@ -168,6 +172,7 @@
         }
         if number > member.number {
             member.suspectors.clear();
+            member.given_up.clear();
         }
         member.needed = needed;
         // More would change nothing.
@@ -187,6 +192,15 @@
         self.set(now, of, State::Alive, number);
     }
 
+    /// One more has given it up.
+    pub fn given_up(&mut self, of: Id, number: u32, by: Id) {
+        let suspected = |member: &&mut Member| member.state == State::Suspect && member.number == number;
+        let Some(member) = self.members.get_mut(of.0 as usize).filter(suspected) else { return };
+        if !member.given_up.contains(&by) && member.given_up.len() < member.needed {
+            member.given_up.push(by);
+        }
+    }
+
     pub fn gone(&mut self, now: Time, of: Id, number: u32) -> bool {
         let news = self.get(of).is_some_and(|member| member.state.is_member() && number >= member.number);
         if news {
@@ -218,12 +232,13 @@
     }
 
     /// Suspicions that have lasted long enough and that enough share: the member is gone.
-    pub fn expire(&mut self, now: Time, lasts: impl Fn(usize) -> Span, rumours: &mut Rumours) {
+    /// `late`: how long one lasts where as many have given it up already.
+    pub fn expire(&mut self, now: Time, late: Span, lasts: impl Fn(usize) -> Span, rumours: &mut Rumours) {
         for i in 0..self.members.len() {
             let member = &self.members[i];
             let agreed = member.suspectors.len();
-            if member.state != State::Suspect || agreed < member.needed || now - member.since < lasts(agreed)
-            {
+            let wait = if member.given_up.len() >= member.needed { late } else { lasts(agreed) };
+            if member.state != State::Suspect || agreed < member.needed || now - member.since < wait {
                 continue;
             }
             let (of, number) = (Id(i as u16), member.number);
