--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -14,6 +14,8 @@
     pub policy: String,
     /// Nodes behind a front that spreads clients evenly.
     pub nodes: usize,
+    /// How many the settings name, where that is not how many there are; 0: just those.
+    pub nodes_told: usize,
     pub network: Network,
     pub clients: Clients,
     pub traffic: Traffic,
@@ -227,6 +229,7 @@
             settle: 10.0,
             policy: "dema".to_owned(),
             nodes: 4,
+            nodes_told: 0,
             network: Network::default(),
             clients: Clients::default(),
             traffic: Traffic::default(),
@@ -410,7 +413,7 @@
         });
         let products: Vec<_> = products.collect();
         serde_json::json!({
-            "Balancers": self.nodes, "Me": me, "Zone": "lab", "Localities": ["lab"], "Kinds": ["cache", "origin"],
+            "Balancers": if self.nodes_told > 0 { self.nodes_told } else { self.nodes }, "Me": me, "Zone": "lab", "Localities": ["lab"], "Kinds": ["cache", "origin"],
             "MembershipMode": "pushed", "Extra": {"Mode": "aside", "OriginKind": 1},
             "Caps": {"MostShots": self.shots, "MayDuplicate": true, "Cancelling": true, "RetryAfter": true,
                      "MaxRetryAfter": self.clients.wait_ms * 2.0},
@@ -458,7 +461,7 @@
         assert!(said.iter().all(|line| line.lines().count() == 1));
         expect![[r#"
             nodes: 0 is not within 1 to 5000
-            node: unknown field `node`, expected one of `seed`, `seconds`, `settle`, `policy`, `nodes`, `network`, `clients`, `traffic`, `keys`, `caches`, `origin`, `rules`, `shots`, `product`, `fault`
+            node: unknown field `node`, expected one of `seed`, `seconds`, `settle`, `policy`, `nodes`, `nodes_told`, `network`, `clients`, `traffic`, `keys`, `caches`, `origin`, `rules`, `shots`, `product`, `fault`
             seconds: invalid type: string "long", expected f64
             settle: 70 is not within 0 to 59.4
             product: at least one is needed
