Remove nobody while in doubt of oneself, and call out to more while nobody answers

Cause: between the third suspector and the word of who hears there is a race of some hundred milliseconds, and a node that had come to doubt itself still let older suspicions run out.

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -184,6 +184,17 @@
             && now - self.answered > self.limits.period.times(2.0 * self.limits.deaf_after)
     }
 
+    /// Who hears nobody, and who is told that others don't hear it, is more likely cut off itself: it suspects and
+    /// removes nobody.
+    fn doubts_itself(&self, now: Time) -> bool {
+        let doubted = self.doubted.is_some_and(|doubted| now - doubted < self.limits.doubted);
+        (self.is_deaf(now) || doubted) && !self.limits.without.own_health
+    }
+
+    fn is_deaf(&self, now: Time) -> bool {
+        now - self.answered > self.limits.period.times(self.limits.deaf_after)
+    }
+
     /// Own health: 0 is well.
     pub fn ill(&self) -> u32 {
         self.ill
@@ -214,8 +225,10 @@
         if let Some(probe) = self.probe.take() {
             self.judge(now, probe);
         }
-        let late = self.limits.suspect_late;
-        self.table.expire(now, late, |count| self.limits.suspicion(count, self.ill), &mut self.rumours);
+        if !self.doubts_itself(now) {
+            let late = self.limits.suspect_late;
+            self.table.expire(now, late, |count| self.limits.suspicion(count, self.ill), &mut self.rumours);
+        }
         self.periods = self.periods.wrapping_add(1);
         self.next = now + self.limits.period;
         self.join(now, out);
@@ -249,10 +262,7 @@
         if !well && probe.asked.is_some_and(|asked| asked > 0) && probe.nacks == 0 {
             self.ill = (self.ill + 1).min(self.limits.ill_most);
         }
-        // Who hears nobody, and who is told that others don't hear it, is more likely cut off itself.
-        let deaf = now - self.answered > self.limits.period.times(self.limits.deaf_after);
-        let doubted = self.doubted.is_some_and(|doubted| now - doubted < self.limits.doubted);
-        if (deaf || doubted) && !well {
+        if self.doubts_itself(now) {
             return;
         }
         let Some(member) = self.table.get(probe.target) else { return };
@@ -319,6 +329,15 @@
                 self.ping(now, stranger, stranger, None, out);
             }
         }
+        // Who hears nobody may yet be heard: it calls out to more, so that somebody says so before it is removed.
+        if self.is_deaf(now) && !self.limits.without.vouching {
+            for _ in 0..self.limits.helpers {
+                let draw = self.chance.unit();
+                if let Some(to) = self.table.drawn(draw, |member| member.state.is_member()) {
+                    self.ping(now, to, to, None, out);
+                }
+            }
+        }
         let Some(target) = self.next_target() else { return };
         self.counts.probes += 1;
         let count = self.ping(now, target, target, None, out);
