Let sockets and figures know the reducer's words without the reducer

One of the two circles of imports (caches, figures, reducer) goes: what they say to one another stands in words.rs, which imports none of them. Moved, not changed; tests as they stood. The circle of clients, effects and links is left.

--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -2,8 +2,8 @@
 use quartzhub_policy::{Outcome, Span};
 
 use crate::limits::Limits;
-use crate::reducer::Words;
 use crate::resp::{self, Parsed, Reply};
+use crate::words::Words;
 
 /// How a server ended a shot.
 #[derive(Debug, PartialEq)]
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -18,8 +18,9 @@
 use crate::effects::Hub;
 use crate::limits::Limits;
 use crate::links::Link;
-use crate::reducer::{ClientId, Facts, Reducer, Room, Said, Words};
+use crate::reducer::Reducer;
 use crate::resp::{self, put_bulk, Parsed};
+use crate::words::{ClientId, Facts, Room, Said, Words};
 
 /// What a client is still to be sent.
 enum Out {
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -10,7 +10,8 @@
 use crate::clock::Clock;
 use crate::limits::Limits;
 use crate::links::Link;
-use crate::reducer::{shrink, ClientId, Effect, LinkId, Reducer, Said};
+use crate::reducer::{shrink, Reducer};
+use crate::words::{ClientId, Effect, LinkId, Said};
 
 /// What the tasks of a node share; all of them run on one thread.
 pub struct Hub {
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -1,7 +1,7 @@
 //! What operators read of a node: plain counters from 0 with the process, and what is so right now.
 use std::collections::BTreeMap;
 
-use crate::reducer::Said;
+use crate::words::Said;
 
 /// Final answers to API calls of one product.
 #[derive(Debug, Clone, Copy, Default, PartialEq, serde::Serialize)]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod resp;
 pub mod service;
 pub mod shutdown;
+pub mod words;
 
 use std::cell::Cell;
 use std::future::Future;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -18,8 +18,9 @@
 use crate::http::{self, Body, Head};
 use crate::limits::Limits;
 use crate::origin;
-use crate::reducer::{LinkId, Reducer, Words};
+use crate::reducer::Reducer;
 use crate::resp::Parsed;
+use crate::words::{LinkId, Words};
 
 /// Bytes of a value that is copied behind its command, to go out in one write.
 const SMALL: usize = 4096;
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -6,8 +6,8 @@
 use crate::caches::Answer;
 use crate::http::{self, Body, Head};
 use crate::limits::Limits;
-use crate::reducer::Words;
 use crate::resp::Parsed;
+use crate::words::Words;
 
 /// A value follows behind it as the body.
 pub fn request(words: &Words, to: SocketAddr) -> Vec<u8> {
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -19,10 +19,9 @@
 use crate::limits::Limits;
 use crate::service::{Idle, Service};
 
-mod words;
 mod world;
 
-pub use words::*;
+pub use crate::words::*;
 
 struct Shot {
     server: ServerIx,
