Believe no number of a node that nobody could go above, and draw the properties' cases alike

A forged entry that named this node with the greatest number would have run over at the next raise: a panic in a debug build, a node that can't refute in release. Numbers above a billion are dropped as forged. Found by reading; the new property, well-formed datagrams with any content, fails without it. The rig keeps only a process's last line.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -418,7 +418,7 @@
         for host in present() {
             let serves = host.reaches(|state| state == State::Up || state == State::Down);
             if timeout(READY_WITHIN, serves).await.is_err() || host.state.get() == State::Down {
-                let said = host.said.borrow().last().cloned().unwrap_or_default();
+                let said = host.said.borrow().clone();
                 return Err(Bad(format!("{} does not serve; it said last: {said}", host.name)));
             }
         }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -20,6 +20,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Id(pub u16);
 
+/// The greatest number that is believed: a node raises its own at a restart and to refute, not a billion times.
+const MOST_NUMBER: u32 = 1 << 30;
+
 /// A datagram to be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Post {
@@ -317,7 +320,7 @@
 
     /// Goes above a number that is known of it.
     fn rise(&mut self, now: Time, number: u32) {
-        self.number = number + 1;
+        self.number = number.saturating_add(1).min(MOST_NUMBER);
         let (of, number) = (self.me, self.number);
         self.table.renumber(now, of, number);
         self.rumours.put(Entry::Alive { of, number });
@@ -498,7 +501,11 @@
             }
         };
         let known = |id: Id| (id.0 as usize) < self.table.len();
-        if head.from != from || !known(head.about) || !entries.iter().all(|entry| known(entry.of())) {
+        // Guards against a number that nobody could go above.
+        let numbers = entries.iter().map(Entry::number).chain([head.number]);
+        let sane = numbers.into_iter().all(|number| number <= MOST_NUMBER);
+        if head.from != from || !sane || !known(head.about) || !entries.iter().all(|entry| known(entry.of()))
+        {
             self.counts.forged += 1;
             return;
         }
--- a/crates/members/src/wire.rs
+++ b/crates/members/src/wire.rs
@@ -50,6 +50,16 @@
 }
 
 impl Entry {
+    pub fn number(&self) -> u32 {
+        match *self {
+            Entry::Alive { number, .. }
+            | Entry::Suspect { number, .. }
+            | Entry::Heard { number, .. }
+            | Entry::Gone { number, .. }
+            | Entry::Left { number, .. } => number,
+        }
+    }
+
     pub fn of(&self) -> Id {
         match *self {
             Entry::Alive { of, .. }
--- a/crates/members/tests/properties.rs
+++ b/crates/members/tests/properties.rs
@@ -32,7 +32,13 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 150, failure_persistence: None, ..ProptestConfig::default() })]
+    // The same cases every time; more of them, with other seeds, are for whoever changes the core.
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn views_agree_with_what_runs_once_the_network_is_whole_again(
@@ -86,6 +92,28 @@
         prop_assert!(members.all().filter(|(id, _)| *id != Id(1)).all(|(_, member)| member.state == State::Absent));
     }
 
+    #[test]
+    fn well_formed_lies_harm_nothing_but_views(
+        all in proptest::collection::vec((0u16..5, any::<u32>(), any::<u32>(), entries(), 0i64..2_000), 0..60),
+    ) {
+        let mut members = Members::new(Id(1), 5, fleet(FLEET), 7, Limits::default());
+        members.start(Time(0));
+        let (mut out, mut now) = (Vec::new(), Time(0));
+        for (from, number, count, entries, ms) in all {
+            now = now + Span::ms(ms);
+            let kind = Kind::Ping { hello: count % 2 == 0 };
+            let head = Head { kind, from: Id(from), number, count, probe: count, about: Id(from) };
+            let mut packet = Packet::new(fleet(FLEET), &head);
+            entries.iter().for_each(|entry| drop(packet.add(entry)));
+            members.receive(now, Id(from), &packet.done(), &mut out);
+            members.tick(now, &mut out);
+            prop_assert!(members.due() > now);
+            prop_assert!(out.iter().all(|post| post.bytes.len() <= LONGEST));
+            prop_assert!(members.member(Id(1)).is_some_and(|me| me.state == State::Alive));
+            out.clear();
+        }
+    }
+
     #[test]
     fn a_datagram_changed_in_any_place_is_dropped(place in 0usize..1000, bit in 0u8..8, cut in 0usize..60) {
         let good = datagram(FLEET, Id(0), 3);
@@ -97,6 +125,20 @@
     }
 }
 
+fn entries() -> impl Strategy<Value = Vec<Entry>> {
+    let one = (0u8..5, 0u16..7, any::<u32>(), 0u16..7).prop_map(|(kind, of, number, by)| {
+        let (of, by) = (Id(of), Id(by));
+        match kind {
+            0 => Entry::Alive { of, number },
+            1 => Entry::Suspect { of, number, by },
+            2 => Entry::Heard { of, number, by },
+            3 => Entry::Gone { of, number },
+            _ => Entry::Left { of, number },
+        }
+    });
+    proptest::collection::vec(one, 0..12)
+}
+
 fn datagram(name: &str, from: Id, number: u32) -> Vec<u8> {
     let kind = Kind::Ping { hello: false };
     let head = Head { kind, from, number, count: 9, probe: 9, about: Id(1) };
