--- a/crates/members/tests/properties.rs
+++ b/crates/members/tests/properties.rs
@@ -104,7 +104,9 @@
             let kind = Kind::Ping { hello: count % 2 == 0 };
             let head = Head { kind, from: Id(from), number, count, probe: count, about: Id(from) };
             let mut packet = Packet::new(fleet(FLEET), &head);
-            entries.iter().for_each(|entry| drop(packet.add(entry)));
+            for entry in &entries {
+                packet.add(entry);
+            }
             members.receive(now, Id(from), &packet.done(), &mut out);
             members.tick(now, &mut out);
             prop_assert!(members.due() > now);
@@ -126,7 +128,8 @@
 }
 
 fn entries() -> impl Strategy<Value = Vec<Entry>> {
-    let one = (0u8..5, 0u16..7, any::<u32>(), 0u16..7).prop_map(|(kind, of, number, by)| {
+    let number = prop_oneof![any::<u32>(), Just(u32::MAX), 0u32..5];
+    let one = (0u8..5, 0u16..7, number, 0u16..7).prop_map(|(kind, of, number, by)| {
         let (of, by) = (Id(of), Id(by));
         match kind {
             0 => Entry::Alive { of, number },
