Start the rig's processes once every gate listens

Cause: gates began to listen in tasks of their own, processes were started before those had their first turn, and the breaker, which asks discovery once, found nobody and was never told of the drain. Now the rig waits until all gates listen, and the breaker asks again.

--- a/crates/lab/src/fleet/gate.rs
+++ b/crates/lab/src/fleet/gate.rs
@@ -39,6 +39,8 @@
     pub door: watch::Sender<Door>,
     /// Number of resetting cuts on it now.
     pub resets: Cell<usize>,
+    /// It has begun to listen.
+    pub listens: Cell<bool>,
 }
 
 /// A connection as the server has it.
@@ -77,8 +79,8 @@
 
 impl Gate {
     pub fn new(addr: SocketAddr, there: Rc<Way>, back: Rc<Way>) -> Rc<Gate> {
-        let (door, resets) = (watch::Sender::new(Door::Open), Cell::new(0));
-        Rc::new(Gate { addr, there, back, door, resets })
+        let (door, resets, listens) = (watch::Sender::new(Door::Open), Cell::new(0), Cell::new(false));
+        Rc::new(Gate { addr, there, back, door, resets, listens })
     }
 
     /// The address can be had.
@@ -119,7 +121,10 @@
             }
             let Some(open) = &listener else {
                 match listen(self.addr) {
-                    Ok(open) => listener = Some(open),
+                    Ok(open) => {
+                        listener = Some(open);
+                        self.listens.set(true);
+                    }
                     Err(_) => sleep(BIND_AGAIN).await,
                 }
                 continue;
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -359,6 +359,13 @@
         let rig = Rc::new(Rig { plan, fleet, judge, timeline, hosts, ways, gates, post, ops });
         rig.clone().open(block);
         rig.post.run(&rig.judge);
+        // Guards against a process that finds nobody listening yet.
+        let listen = async {
+            while !rig.gates.values().all(|gate| gate.listens.get()) {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(READY_WITHIN, listen).await.map_err(|_| Bad("a gate does not listen".to_owned()))?;
         rig.start_all().await?;
         rig.timeline.begin();
         rig.fleet.clone().play_faults();
--- a/crates/lab/src/fleet/wicked.rs
+++ b/crates/lab/src/fleet/wicked.rs
@@ -46,7 +46,12 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async move {
         let listener = TcpListener::bind(listen).await?;
-        spawn_local(hear(discovery));
+        spawn_local(async move {
+            loop {
+                let _ = hear(discovery).await;
+                sleep(Duration::from_millis(100)).await;
+            }
+        });
         eprintln!("wicked serves on {listen}");
         if told.way == "ends-by-itself" {
             sleep(Duration::from_millis(1_500)).await;
