Take out an expectation of the rig's plans that was never looked at

expect.no_answer was read, had a default of 0, and was compared with nothing: a check that can't fail. A plan that names it is now refused by the key.

--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -94,8 +94,6 @@
 pub struct Expect {
     /// Least share of the billed value that is served.
     pub service: f64,
-    /// Most API calls that got no answer, or a closed connection, from a process that lived and ran.
-    pub no_answer: u64,
     /// Processes up at the end.
     pub up: Option<usize>,
     /// At the end each process takes just those that run for members.
@@ -106,7 +104,7 @@
 
 impl Default for Expect {
     fn default() -> Expect {
-        Expect { service: 0.0, no_answer: 0, up: None, members_agree: false, flips: None }
+        Expect { service: 0.0, up: None, members_agree: false, flips: None }
     }
 }
 
