Ask for the list where changes do not come unasked, spread out and again when it fails

Change: a stage Roster asks for changes at a moment drawn within half of `AskWithin`, and again after a failure or a broken subscription, up to four times as late, so that hundreds of nodes that start at one moment do not ask one small service in step. Not asked where news is pushed. Real node: its own discovery watches by itself, so `watch` does nothing there.

--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -83,6 +83,9 @@
     fn wake(&mut self, after: Span) {
         Action::new(self.out, "SetAlarm").number("FromNow", after.as_ms()).text("Label", "tick").end();
     }
+    fn watch(&mut self) {
+        Action::new(self.out, "Watch").flag("On", true).end();
+    }
     fn close(&mut self, server: ServerIx) {
         Action::new(self.out, "Close").text("Server", self.names.servers.id(server)).end();
     }
@@ -186,8 +189,8 @@
             }
             "Fleet" => {
                 let kind = text(&news.kind);
-                // No call for the list is made, so none fails.
                 if kind == "Error" {
+                    self.balancer.list_failed(now);
                     return Ok(());
                 }
                 let list = news.list.ok_or("Fleet without List")? as usize;
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -156,6 +156,9 @@
     pub fn number(self, name: &str, value: f64) -> Action<'a> {
         self.field(name, value)
     }
+    pub fn flag(self, name: &str, value: bool) -> Action<'a> {
+        self.field(name, value)
+    }
     pub fn count(self, name: &str, value: usize) -> Action<'a> {
         self.field(name, value)
     }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -101,11 +101,46 @@
 /// Change of a shedding level a tick, up and down: full in about half a second, gone in two.
 const SHED_UP: f64 = 0.04;
 const SHED_DOWN: f64 = 0.01;
+/// Within what time to ask for the list where the settings do not say.
+const ASK_WITHIN: Span = Span::ms(5_000);
+/// Asking for the list: parts of the time within which to ask over which nodes spread, at first and later.
+const ASK_SPREAD: f64 = 0.5;
+const ASK_LATER: f64 = 2.0;
+const ASK_LATER_MOST: u32 = 2;
 /// How long the record of a gone server is kept: longer than a restart, so that it finds its point again.
 const GONE_KEPT: Span = Span::ms(30_000);
 /// Time kept in hand before a deduplication window closes: one round and a network delay.
 const WINDOW_MARGIN: Span = Span::ms(20);
 
+// ---- Roster: the list where it has to be asked for -----------------------------------------------
+
+impl Roster {
+    /// Guards against a list service that answers few at a time: nodes that start or lose their subscription at one
+    /// moment ask spread out, and seldomer the more tries failed.
+    fn put_off(&mut self, now: Time, chance: &mut Pcg) {
+        let longer = ASK_LATER.powi(self.failed.min(ASK_LATER_MOST) as i32);
+        self.next = now + self.within.times(ASK_SPREAD * longer * chance.unit());
+    }
+
+    /// News came: the first after asking says that changes will come by themselves.
+    fn heard(&mut self) {
+        (self.watched, self.failed) = (self.asked, 0);
+    }
+
+    /// A try failed, or the subscription broke; which one is not told.
+    fn failed(&mut self, now: Time, chance: &mut Pcg) {
+        (self.asked, self.watched, self.failed) = (false, false, self.failed + 1);
+        self.put_off(now, chance);
+    }
+
+    fn tick(&mut self, now: Time, to: &mut impl Answers) {
+        if self.asks && !self.watched && now >= self.next {
+            (self.asked, self.next) = (true, now + self.within);
+            to.watch();
+        }
+    }
+}
+
 // ---- Admission: tenant share and overload -------------------------------------------------------
 
 impl Admission {
@@ -497,6 +532,8 @@
         self.origin.target = shortest.0 as f64 * ORIGIN_TARGET;
         self.origin.limit = (self.origin.limit * before.3 / self.nodes).max(self.origin.least);
         self.shots.most = settings.number("caps.most_shots", 1.0).max(1.0) as usize;
+        self.roster.asks = settings.text("membership_mode") == "on_request";
+        self.roster.within = settings.span("invariants.ask_within", ASK_WITHIN);
         self.shots.may_cancel = settings.flag("caps.cancelling");
         self.shots.may_duplicate = settings.flag("caps.may_duplicate");
         if before.2 != self.shots.may_duplicate {
@@ -526,9 +563,17 @@
 
     pub fn start(&mut self, now: Time, to: &mut impl Answers) {
         (self.now, self.ticked, self.admission.at) = (now, now, now);
+        if self.roster.asks {
+            self.roster.put_off(now, &mut self.chance);
+        }
         to.wake(TICK);
     }
 
+    /// No list came of asking for it, or none will come any more; the one held stays.
+    pub fn list_failed(&mut self, now: Time) {
+        self.roster.failed(now, &mut self.chance);
+    }
+
     /// News of the list. `complete`: what is not named is gone.
     pub fn list<'a>(
         &mut self,
@@ -538,6 +583,7 @@
         to: &mut impl Answers,
     ) {
         self.now = now;
+        self.roster.heard();
         if complete {
             self.servers.iter_mut().for_each(|server| server.state = State::Gone);
         }
@@ -739,6 +785,7 @@
             self.origin.limit *= 1.0 + passed / ORIGIN_DOUBLES;
         }
         self.line.let_go(&mut self.servers, now, to);
+        self.roster.tick(now, to);
         self.run_due(to);
         self.pump(to);
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -212,6 +212,19 @@
     pub success: f64,
 }
 
+/// The list where it has to be asked for.
+#[derive(Default)]
+pub struct Roster {
+    pub asks: bool,
+    /// Who asks seldomer than this counts as told of what was listed so long ago.
+    pub within: Span,
+    pub asked: bool,
+    pub watched: bool,
+    /// When to ask next, and how many tries in a row failed.
+    pub next: Time,
+    pub failed: u32,
+}
+
 /// What a stage does with an API call: pass it on, keep it or end it.
 pub enum Step {
     Pass,
@@ -235,6 +248,7 @@
     pub(crate) due: BTreeSet<(Time, CallIx, u32)>,
     pub(crate) now: Time,
     pub(crate) ticked: Time,
+    pub(crate) roster: Roster,
     pub(crate) admission: Admission,
     pub(crate) coalescing: Coalescing,
     pub(crate) line: Line,
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -279,4 +279,6 @@
     fn wake(&mut self, after: Span);
     /// Idle connections to this server are not wanted any more.
     fn close(&mut self, server: ServerIx);
+    /// Changes of the list are asked for, where they do not come unasked. Also another try.
+    fn watch(&mut self) {}
 }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -25,6 +25,9 @@
         let _ = writeln!(self.0, "  server {} dropped", server.0);
     }
     fn wake(&mut self, _after: Span) {}
+    fn watch(&mut self) {
+        let _ = writeln!(self.0, "  asks for the list's changes");
+    }
     fn close(&mut self, server: ServerIx) {
         let _ = writeln!(self.0, "  connections to server {} closed", server.0);
     }
