Keep the budget of further shots where the settings state one, and fetch no read twice

Cause: the module earned further shots by its own measure and knew of no budget; other tries after `full` or an error were never counted.

Change: `Budget` keeps the times of calls taken and of shots beyond the first within the stated span, both ends counted against itself; `allows` asks it, a miss earns its call one shot outside, and what finds no room is answered at once, with a time to come back.

A read with a shot at the origin out now waits for that one, also where there is no budget.

Tests: further_shots_stay_within_their_budget_and_a_miss_is_outside_it, a_miss_told_at_the_moment_of_a_further_shot_excuses_that_one.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -359,7 +359,7 @@
 
 /// Optional settings that the module reads: where each stands, what it may be, and what is said otherwise.
 type Fits = fn(&serde_json::Value) -> bool;
-const OPTIONAL: [(&str, &str, Fits, &str); 7] = [
+const OPTIONAL: [(&str, &str, Fits, &str); 11] = [
     ("Caps", "MayDuplicate", serde_json::Value::is_boolean, "true or false is needed"),
     ("Caps", "Cancelling", serde_json::Value::is_boolean, "true or false is needed"),
     ("Caps", "RetryAfter", serde_json::Value::is_boolean, "true or false is needed"),
@@ -367,12 +367,20 @@
     ("Caps", "MaxRetryAfter", is_span, "a number of milliseconds is needed"),
     ("Invariants", "WarmWithin", is_span, "a number of milliseconds is needed"),
     ("Invariants", "ColdFrom", is_part, "a number from 0 to 1 is needed"),
+    ("Invariants", "AskWithin", is_span, "a number of milliseconds is needed"),
+    ("Invariants", "RatioSpan", is_span, "a number of milliseconds is needed"),
+    ("Invariants", "ExtraFree", is_amount, "a number of shots is needed"),
+    ("Invariants", "FurtherRatio", is_amount, "a number of shots an API call is needed"),
 ];
 
 fn is_span(value: &serde_json::Value) -> bool {
     value.as_f64().is_some_and(|ms| (0.0..=LONGEST_MS).contains(&ms))
 }
 
+fn is_amount(value: &serde_json::Value) -> bool {
+    value.as_f64().is_some_and(|amount| amount >= 0.0)
+}
+
 fn is_part(value: &serde_json::Value) -> bool {
     value.as_f64().is_some_and(|part| (0.0..=1.0).contains(&part))
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -448,12 +448,43 @@
 
 // ---- Shots: what settings allow, and how far further shots pay ----------------------------------
 
+impl Budget {
+    fn took(&mut self, now: Time) {
+        if self.span > Span::ZERO {
+            self.calls.push_back(now);
+            let span = self.span;
+            let old = |at: &Time| now - *at > span;
+            self.calls.drain(..self.calls.partition_point(old));
+            self.further.drain(..self.further.partition_point(old));
+        }
+    }
+
+    /// A miss lets its call have a shot outside the budget: one sent at this very moment was that shot, since the news
+    /// had come before it went.
+    fn missed(&mut self, call: &mut Call, now: Time) {
+        match call.shots.last_mut().filter(|shot| shot.charged && shot.sent == now) {
+            Some(shot) => {
+                shot.charged = false;
+                self.further.pop_back();
+            }
+            None => call.excused += 1,
+        }
+    }
+
+    /// Whether one more may be made now: both ends of the window are counted to the budget's disadvantage.
+    fn allows(&self, now: Time) -> bool {
+        let calls = self.calls.len() - self.calls.partition_point(|at| now - *at >= self.span);
+        let further = self.further.len() - self.further.partition_point(|at| now - *at > self.span);
+        self.span == Span::ZERO || further as f64 + 1.0 <= self.free + self.ratio * calls as f64
+    }
+}
+
 impl Shots {
     /// Rules 1 and 2: whether this call may have a shot at this server now.
     fn allows(&self, call: &Call, servers: &[Server], to: ServerIx, now: Time) -> bool {
         let product = &call.product;
         let room = call.shots.len() < call.most && (self.may_duplicate || call.out() == 0);
-        if call.ended || call.streaming || now >= call.until || !room {
+        if call.ended || call.streaming || now >= call.until || !room || !self.affords(call, now) {
             return false;
         }
         let ran = call.shots.iter().find(|shot| shot.fate != Fate::NeverRan);
@@ -474,6 +505,11 @@
         }
     }
 
+    /// The budget of further shots, where there is one; a miss earns its call one outside it.
+    fn affords(&self, call: &Call, now: Time) -> bool {
+        call.shots.is_empty() || call.excused > 0 || self.budget.allows(now)
+    }
+
     /// Rule 2: a rate-limit reply says that trying again does no harm.
     fn may_rate_limit(&self, call: &Call) -> bool {
         let product = &call.product;
@@ -532,6 +568,9 @@
         self.origin.target = shortest.0 as f64 * ORIGIN_TARGET;
         self.origin.limit = (self.origin.limit * before.3 / self.nodes).max(self.origin.least);
         self.shots.most = settings.number("caps.most_shots", 1.0).max(1.0) as usize;
+        self.shots.budget.span = settings.span("invariants.ratio_span", Span::ZERO);
+        self.shots.budget.free = settings.number("invariants.extra_free", 0.0);
+        self.shots.budget.ratio = settings.number("invariants.further_ratio", 0.0);
         self.roster.asks = settings.text("membership_mode") == "on_request";
         self.roster.within = settings.span("invariants.ask_within", ASK_WITHIN);
         self.shots.may_cancel = settings.flag("caps.cancelling");
@@ -649,9 +688,10 @@
         (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
         (call.place, call.product, call.over, call.write) = (Place::Chain, product, beyond > 0.0, ask.write);
         (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
-        (call.until, call.due) = (now + ask.left, now);
+        (call.until, call.due, call.excused) = (now + ask.left, now, 0);
         call.most = self.shots.most;
         call.shots.clear();
+        self.shots.budget.took(now);
         let slo = product.slo;
         let at_line = !(ask.write && self.aside);
         let crowding = if at_line { self.line.crowding(slo) } else { 0.0 };
@@ -750,6 +790,9 @@
             self.end(ix, was_origin && ending.outcome == Outcome::Fulfilled, to);
         } else {
             call.missed |= ending.outcome == Outcome::Miss && !was_origin;
+            if ending.outcome == Outcome::Miss {
+                self.shots.budget.missed(call, now);
+            }
             self.again(ix, to);
         }
         self.pump(to);
@@ -901,7 +944,12 @@
         server.unheard = server.unheard.or(Some(self.now));
         let counted = !server.origin;
         self.line.out += u32::from(counted);
-        call.shots.push(Shot { server: at, sent: self.now, fate: Fate::Out, further, counted });
+        let charged = !call.shots.is_empty() && call.excused == 0;
+        call.excused = call.excused.saturating_sub(1);
+        if charged {
+            self.shots.budget.further.push_back(self.now);
+        }
+        call.shots.push(Shot { server: at, sent: self.now, fate: Fate::Out, further, charged, counted });
         call.place = Place::Flying;
         to.dispatch(ix, at, call.until);
         if server.origin {
@@ -927,9 +975,13 @@
         let out = call.out() > 0;
         let product = &call.product;
         let may = call.shots.len() < call.most
+            && self.shots.affords(call, self.now)
             && (self.shots.may_duplicate || !out)
             && (call.proven_unrun() || product.effect != Effect::NonIdempotent);
-        if call.place != Place::Flying || out && (!may || !call.missed || call.leads) {
+        // Guards against fetching twice: a further shot may be at the origin already when the cache says miss.
+        let at_origin = |shot: &Shot| shot.fate == Fate::Out && self.servers[shot.server.0].origin;
+        let fetching = call.leads || call.shots.iter().any(at_origin);
+        if call.place != Place::Flying || out && (!may || !call.missed || fetching) {
             return;
         }
         match may && self.now < call.until {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,6 +1,6 @@
 //! What the module keeps of API calls and servers, and what each of its stages remembers. Plain records;
 //! `policy` decides on them.
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 use rustc_hash::FxHashMap;
 
@@ -28,6 +28,8 @@
     pub sent: Time,
     pub fate: Fate,
     pub further: bool,
+    /// Drawn from the budget of further shots.
+    pub charged: bool,
     /// Part of what is out at caches in good standing.
     pub counted: bool,
 }
@@ -52,6 +54,8 @@
     pub until: Time,
     pub due: Time,
     pub shots: Vec<Shot>,
+    /// Misses for which no shot outside the budget was made yet.
+    pub excused: u32,
 }
 
 impl Call {
@@ -210,6 +214,18 @@
     pub may_cancel: bool,
     pub saved: f64,
     pub success: f64,
+    pub budget: Budget,
+}
+
+/// A limit on shots beyond each API call's first in any `span`: `free` and a `ratio` of the API calls taken.
+#[derive(Default)]
+pub struct Budget {
+    pub span: Span,
+    pub free: f64,
+    pub ratio: f64,
+    /// When API calls were taken, and when such shots were made, lately.
+    pub calls: VecDeque<Time>,
+    pub further: VecDeque<Time>,
 }
 
 /// The list where it has to be asked for.
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -3,12 +3,84 @@
 
 use common::{line, Node};
 use expect_test::{expect, Expect};
-use quartzhub_policy::{State::*, Value};
+use quartzhub_policy::{Outcome::*, State::*, Value};
 
 fn check(node: Node, expected: Expect) {
     expected.assert_eq(&node.trace.0);
 }
 
+/// Two further shots in two seconds, whatever the traffic.
+fn budget() -> [(&'static str, Value); 3] {
+    [
+        ("invariants.extra_free", Value::Number(2.0)),
+        ("invariants.further_ratio", Value::Number(0.05)),
+        ("invariants.ratio_span", Value::Number(2000.0)),
+    ]
+}
+
+#[test]
+fn further_shots_stay_within_their_budget_and_a_miss_is_outside_it() {
+    let mut node = Node::new(4, &budget());
+    node.say("three reads whose first cache broke: two get another shot, the third is told to come back");
+    for call in 0..3 {
+        node.ask(call, 0, &format!("key-{call}"), false);
+        node.end(call, 0, Broken, 5.0);
+    }
+    node.say("a miss goes on to the origin all the same");
+    node.ask(3, 0, "key-a", false);
+    node.end(3, 0, Miss, 5.0);
+    node.pass(2040.0);
+    node.say("two seconds later there is room again");
+    node.ask(4, 0, "key-b", false);
+    node.end(4, 0, Broken, 5.0);
+    check(
+        node,
+        expect![[r#"
+        0 ms: three reads whose first cache broke: two get another shot, the third is told to come back
+          call 0 -> server 1 until 2000
+          call 0 -> server 2 until 2000
+          call 1 -> server 4 until 2000
+          call 1 -> server 3 until 2000
+          call 2 -> server 3 until 2000
+          call 2 rate-limited, told when to come back
+        0 ms: a miss goes on to the origin all the same
+          call 3 -> server 2 until 2000
+          call 3 -> server 0 until 2000
+        2040 ms: two seconds later there is room again
+          call 4 -> server 0 until 4040
+          call 4 -> server 1 until 4040
+    "#]],
+    );
+}
+
+#[test]
+fn a_miss_told_at_the_moment_of_a_further_shot_excuses_that_one() {
+    let mut node = Node::new(4, &budget());
+    node.calm(10);
+    node.ask(0, 0, "key-a", false);
+    node.pass(200.0);
+    node.say("due for a further shot; in the same round the first cache says miss: no second fetch, nothing counted");
+    node.end(0, 0, Miss, 200.0);
+    for call in 1..4 {
+        node.ask(call, 0, &format!("key-{call}"), false);
+        node.end(call, 0, Broken, 5.0);
+    }
+    check(
+        node,
+        expect![[r#"
+          call 0 -> server 4 until 3000
+          call 0 -> server 0 until 3000
+        1200 ms: due for a further shot; in the same round the first cache says miss: no second fetch, nothing counted
+          call 1 -> server 4 until 3200
+          call 1 -> server 3 until 3200
+          call 2 -> server 3 until 3200
+          call 2 -> server 4 until 3200
+          call 3 -> server 2 until 3200
+          call 3 -> server 1 until 3200
+    "#]],
+    );
+}
+
 #[test]
 fn a_list_that_must_be_asked_for_is_asked_for_again_when_that_fails() {
     let asks = [
