Take what is left of an API call, and a cache's start, by clocks that may differ

`Grace` arrives up to 1,500 ms short at six in ten nodes; product `price-read` has 1,500 ms in all, so calls arrived with nothing left and were ended at once.

Where `StampOff` is stated, a cache is taken to have started as late as it can have, at the latest when it was first named; no site states it yet. Both default to none, so nothing changes elsewhere; the node checks the keys.

Could do harm: a client whose clock is right is taken to wait longer than it does, so a further shot may go for a call that has ended; it is then never sent (`TOO_LATE`). Test: clocks_that_differ_neither_cut_a_call_short_nor_warm_a_cache.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -359,7 +359,7 @@
 
 /// Optional settings that the module reads: where each stands, what it may be, and what is said otherwise.
 type Fits = fn(&serde_json::Value) -> bool;
-const OPTIONAL: [(&str, &str, Fits, &str); 11] = [
+const OPTIONAL: [(&str, &str, Fits, &str); 13] = [
     ("Caps", "MayDuplicate", serde_json::Value::is_boolean, "true or false is needed"),
     ("Caps", "Cancelling", serde_json::Value::is_boolean, "true or false is needed"),
     ("Caps", "RetryAfter", serde_json::Value::is_boolean, "true or false is needed"),
@@ -368,6 +368,8 @@
     ("Invariants", "WarmWithin", is_span, "a number of milliseconds is needed"),
     ("Invariants", "ColdFrom", is_part, "a number from 0 to 1 is needed"),
     ("Invariants", "AskWithin", is_span, "a number of milliseconds is needed"),
+    ("Invariants", "DeadlineDrift", is_span, "a number of milliseconds is needed"),
+    ("Invariants", "StampOff", is_span, "a number of milliseconds is needed"),
     ("Invariants", "RatioSpan", is_span, "a number of milliseconds is needed"),
     ("Invariants", "ExtraFree", is_amount, "a number of shots is needed"),
     ("Invariants", "FurtherRatio", is_amount, "a number of shots an API call is needed"),
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -346,7 +346,7 @@
     /// this node's shots on average, cut by the stated warm-up; sends are many times that in a storm of
     /// full boxes.
     fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
-        let warmth = self.warmth(server.started, now);
+        let warmth = self.warmth(server.cold_at, now);
         if warmth >= 1.0 {
             return true;
         }
@@ -573,6 +573,8 @@
         self.shots.budget.ratio = settings.number("invariants.further_ratio", 0.0);
         self.roster.asks = settings.text("membership_mode") == "on_request";
         self.roster.within = settings.span("invariants.ask_within", ASK_WITHIN);
+        self.drift = settings.span("invariants.deadline_drift", Span::ZERO);
+        self.stamp_off = settings.span("invariants.stamp_off", Span::ZERO);
         self.shots.may_cancel = settings.flag("caps.cancelling");
         self.shots.may_duplicate = settings.flag("caps.may_duplicate");
         if before.2 != self.shots.may_duplicate {
@@ -650,6 +652,9 @@
             if restarted {
                 (server.good, server.bad, server.unheard, server.room) = (0.0, 0.0, None, f64::INFINITY);
                 (server.warm, server.warm_at) = (0.0, now);
+                // Guards against stamps of clocks that differ: it started before it was first named here.
+                let latest = |at: Time| at.max(now.min(at + self.stamp_off));
+                server.cold_at = line.started.map(latest);
             }
             (server.state, server.origin) = (line.state, origin);
             (server.zone, server.cell, server.started) = (line.zone, line.cell, line.started);
@@ -688,7 +693,9 @@
         (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
         (call.place, call.product, call.over, call.write) = (Place::Chain, product, beyond > 0.0, ask.write);
         (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
-        (call.until, call.due, call.excused) = (now + ask.left, now, 0);
+        // Guards against clients whose clocks differ: what is left is at most the product's time.
+        let left = ask.left.max(product.timeout.min(ask.left + self.drift));
+        (call.until, call.due, call.excused) = (now + left, now, 0);
         call.most = self.shots.most;
         call.shots.clear();
         self.shots.budget.took(now);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -74,7 +74,9 @@
     pub zone: u32,
     pub cell: u32,
     pub scale: f64,
+    /// When the list says that it started, and the latest that it can have.
     pub started: Option<Time>,
+    pub cold_at: Option<Time>,
     /// Its point, and the hash of its id that first gave it one.
     pub point: f64,
     pub seed: f64,
@@ -265,6 +267,8 @@
     pub(crate) now: Time,
     pub(crate) ticked: Time,
     pub(crate) roster: Roster,
+    pub(crate) drift: Span,
+    pub(crate) stamp_off: Span,
     pub(crate) admission: Admission,
     pub(crate) coalescing: Coalescing,
     pub(crate) line: Line,
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -110,3 +110,29 @@
     "#]],
     );
 }
+
+#[test]
+fn clocks_that_differ_neither_cut_a_call_short_nor_warm_a_cache() {
+    let off = [
+        ("invariants.deadline_drift", Value::Number(1500.0)),
+        ("invariants.stamp_off", Value::Number(30_000.0)),
+    ];
+    let mut node = Node::new(0, &off);
+    node.say("told 100 ms, which may be 1,600");
+    node.ask_within(0, 0, "key-a", 100);
+    node.pass(200.0);
+    node.say(
+        "a cache first named now, stamped long before: taken to have started now, so without a budget yet",
+    );
+    node.list(&[line(1, Ready, Some(-20_000.0))]);
+    node.ask(1, 0, "key-b", false);
+    check(
+        node,
+        expect![[r#"
+        0 ms: told 100 ms, which may be 1,600
+          call 0 -> server 0 until 1600
+        200 ms: a cache first named now, stamped long before: taken to have started now, so without a budget yet
+          call 1 -> server 0 until 2200
+    "#]],
+    );
+}
