Give a key that errs wherever it is asked a limit of its own, and blame no cache for it

Counted from the wire: all other keys are served whole, of the four locked ones 236 of 3,869 calls, none at a cache: their calls wait longer than their clients. `again` and `review` sent more of them, Health blamed the caches. Change: `Keys`, a bounded table of keys that err; `Gate`, the adaptive limit that the origin had, now for both. Late answers count only where `ReplySlots` says that slow readers fill the node's buffers. Settings are read in tune.rs, so that policy.rs holds decisions.

Could do harm: two errors of chance at two caches in a row limit a key at one node for a while; its limit grows back with each answer. Test: a_key_that_goes_badly_everywhere_gets_a_limit_and_costs_no_cache_its_name.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -359,10 +359,11 @@
 
 /// Optional settings that the module reads: where each stands, what it may be, and what is said otherwise.
 type Fits = fn(&serde_json::Value) -> bool;
-const OPTIONAL: [(&str, &str, Fits, &str); 13] = [
+const OPTIONAL: [(&str, &str, Fits, &str); 14] = [
     ("Caps", "MayDuplicate", serde_json::Value::is_boolean, "true or false is needed"),
     ("Caps", "Cancelling", serde_json::Value::is_boolean, "true or false is needed"),
     ("Caps", "RetryAfter", serde_json::Value::is_boolean, "true or false is needed"),
+    ("Caps", "ReplySlots", is_amount, "a number of answers is needed"),
     ("Caps", "Keepalive", is_span, "a number of milliseconds is needed"),
     ("Caps", "MaxRetryAfter", is_span, "a number of milliseconds is needed"),
     ("Invariants", "WarmWithin", is_span, "a number of milliseconds is needed"),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,8 +2,9 @@
 mod pcg;
 pub mod policy;
 mod state;
+mod tune;
 mod types;
 
 pub use pcg::Pcg;
-pub use state::Balancer;
+pub use state::{hash, Balancer};
 pub use types::*;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -21,6 +21,8 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Multiple of this node's mean in-flight per cache above which a cache is skipped. The design's factor.
 const SKIP_FACTOR: f64 = 2.0;
+/// Caches that are put in order before it is seen whether more are needed.
+const NEAREST: usize = 8;
 /// The golden section: steps of it stay evenly spread, however many.
 const GOLDEN: f64 = 0.618_034;
 /// Part of the caches that may stay connected idle: factors for a refused and an answered shot; the least.
@@ -30,7 +32,7 @@
 /// A connection last used within this time is about to be used again at a node of many calls.
 const SOON: Span = Span::ms(100);
 /// How long a connection stays open unused where the settings do not say.
-const KEEPALIVE: Span = Span::ms(15_000);
+pub(crate) const KEEPALIVE: Span = Span::ms(15_000);
 /// The one timer's period: a small part of the shortest SLO seen in service, and cheap at 50 a second.
 const TICK: Span = Span::ms(20);
 /// Seconds in which what was learnt of a server loses half its weight: short against troubles.
@@ -69,9 +71,9 @@
 /// Shots out at the origin: at the start, from one node at most and from all together; at least, from all.
 const ORIGIN_START: f64 = 4.0;
 const ORIGIN_START_ALL: f64 = 200.0;
-const ORIGIN_LEAST: f64 = 2.0;
+pub(crate) const ORIGIN_LEAST: f64 = 2.0;
 /// Part of the SLO that the origin's answers may take: the rest is for the cache asked first and the wait.
-const ORIGIN_TARGET: f64 = 0.4;
+pub(crate) const ORIGIN_TARGET: f64 = 0.4;
 /// Multiple of its calm time that an answer may always take: half of it is then spent in queue.
 const ORIGIN_STRAINED: f64 = 2.0;
 /// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
@@ -86,8 +88,8 @@
 /// Part of the SLO that an API call may be kept waiting with nothing sent.
 const PATIENCE: f64 = 0.5;
 /// Seconds of quota that a tenant may save up, under a burst; and at least, in calls, to tell it from chance.
-const QUOTA_SAVED: f64 = 2.0;
-const QUOTA_LEAST: f64 = 6.0;
+pub(crate) const QUOTA_SAVED: f64 = 2.0;
+pub(crate) const QUOTA_LEAST: f64 = 6.0;
 /// Answers a second from which a node's own means over time say enough.
 const ENOUGH: f64 = 16.0;
 /// Seconds over which a node's own traffic is meant, long against a burst; and its usual part of all shares.
@@ -101,8 +103,16 @@
 /// Change of a shedding level a tick, up and down: full in about half a second, gone in two.
 const SHED_UP: f64 = 0.04;
 const SHED_DOWN: f64 = 0.01;
+/// Keys: how many are kept a record of, for how long, how fast it fades, in seconds, and what weighs against it.
+const KEYS_MOST: usize = 256;
+const KEY_KEPT: Span = Span::ms(15_000);
+const KEY_HALF_LIFE: f64 = 5.0;
+const KEY_PRIOR: f64 = 2.0;
+/// Its shots out at the start of its limit, and the least.
+const KEY_START: f64 = 1.0;
+const KEY_LEAST: f64 = 0.02;
 /// Within what time to ask for the list where the settings do not say.
-const ASK_WITHIN: Span = Span::ms(5_000);
+pub(crate) const ASK_WITHIN: Span = Span::ms(5_000);
 /// Asking for the list: parts of the time within which to ask over which nodes spread, at first and later.
 const ASK_SPREAD: f64 = 0.5;
 const ASK_LATER: f64 = 2.0;
@@ -144,20 +154,6 @@
 // ---- Admission: tenant share and overload -------------------------------------------------------
 
 impl Admission {
-    /// Each tenant's share at this node; what one has used of it is kept while its share stays.
-    fn share(&mut self, settings: &Settings) {
-        let nodes = settings.nodes();
-        let per_s = |i| settings.number(&format!("projects.{i}.quota_per_s"), 0.0) / nodes;
-        let shares: Vec<f64> = (0..settings.count("projects")).map(per_s).collect();
-        if shares.iter().eq(self.tenants.iter().map(|tenant| &tenant.per_s)) {
-            return;
-        }
-        let saved = |per_s: f64| (per_s * QUOTA_SAVED).max(QUOTA_LEAST);
-        let tenant = |per_s| Tenant { per_s, saved: saved(per_s), rate: 0.0, at: self.at };
-        self.quota = shares.iter().sum();
-        self.tenants = shares.into_iter().map(tenant).collect();
-    }
-
     /// How far beyond its tenant's share at this node this call is: 0 within it, 1 at twice it or more.
     /// Guards against nodes so many that a tenant's part at one is under a call a second, and against a front
     /// that sends a quarter of all traffic to one node, which then carries others' part of each share too.
@@ -280,23 +276,33 @@
     ) -> Option<ServerIx> {
         self.order.clear();
         self.order.extend(self.caches.iter().map(|ix| ((servers[ix.0].point - call.spot).abs(), *ix)));
-        self.order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        // All but a few calls end within the nearest, and so they alone are put in order at first.
+        let nearer = |a: &(f64, ServerIx), b: &(f64, ServerIx)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
+        let near = self.order.len().min(NEAREST);
+        if near < self.order.len() {
+            self.order.select_nth_unstable_by(near, nearer);
+        }
+        self.order[..near].sort_unstable_by(nearer);
         let out: u32 = self.caches.iter().map(|ix| servers[ix.0].out).sum();
         let skip = (SKIP_FACTOR * f64::from(out) / self.caches.len().max(1) as f64).max(SKIP_FLOOR);
         let mut second = None;
-        for (_, ix) in &self.order {
+        for i in 0..self.order.len() {
+            if i == near {
+                self.order[near..].sort_unstable_by(nearer);
+            }
+            let ix = self.order[i].1;
             let server = &mut servers[ix.0];
             let full = f64::from(server.out) + 1.0 > server.room + health.freed(server, now);
-            let had = call.shots.iter().any(|shot| shot.server == *ix);
+            let had = call.shots.iter().any(|shot| shot.server == ix);
             if f64::from(server.out) > skip || full || had || !health.warm_enough(server, self, now) {
                 continue;
             }
             if health.trusts(server, now, chance) {
-                second = Some(*ix);
+                second = Some(ix);
                 break;
             }
             // Guards against a fleet in which every cache is doubtful: the nearest of them is still used.
-            second = second.or(Some(*ix));
+            second = second.or(Some(ix));
         }
         let server = &mut servers[second?.0];
         server.point += ALPHA * (call.spot - server.point);
@@ -304,6 +310,54 @@
     }
 }
 
+// ---- Keys: what is believed of single keys ------------------------------------------------------
+
+impl Keys {
+    /// How a shot went. Only what goes badly begins a record, so that few keys have one.
+    fn settle(&mut self, key: u64, at: ServerIx, good: bool, now: Time) {
+        if !self.records.contains_key(&key) && (good || self.records.len() >= KEYS_MOST) {
+            return;
+        }
+        let record = self.records.entry(key).or_default();
+        let kept = 0.5f64.powf((now - record.at).seconds() / KEY_HALF_LIFE);
+        (record.good, record.bad, record.at) = (record.good * kept, record.bad * kept, now);
+        if good {
+            record.good += 1.0;
+        } else {
+            record.spread |= record.bad > 0.0 && record.last != at;
+            (record.bad, record.last) = (record.bad + 1.0, at);
+        }
+    }
+
+    /// Guards against a key that goes badly wherever it is asked, as behind a lock, while others go well: its calls that
+    /// wait, and those nobody waits for any more, fill the caches. It gets a limit of its own, and costs no cache its name.
+    fn suspect(&mut self, key: u64, success: f64, target: f64, now: Time) {
+        let Some(record) = self.records.get_mut(&key).filter(|record| record.gate.is_none()) else { return };
+        let mean = (record.good + KEY_PRIOR * success) / (record.good + record.bad + KEY_PRIOR);
+        if record.spread && mean < DOUBT * success {
+            let gate = Gate { limit: KEY_START, least: KEY_LEAST, saved_at: now, target, ..Gate::default() };
+            record.gate = Some(gate);
+        }
+    }
+
+    fn gate(&mut self, key: u64) -> Option<&mut Gate> {
+        self.records.get_mut(&key).and_then(|record| record.gate.as_mut())
+    }
+
+    fn gated(&self, key: u64) -> bool {
+        self.records.get(&key).is_some_and(|record| record.gate.is_some())
+    }
+
+    fn tick(&mut self, passed: f64, now: Time) {
+        self.records.retain(|_, record| {
+            if let Some(gate) = &mut record.gate {
+                gate.regrow(passed);
+            }
+            now - record.at < KEY_KEPT
+        });
+    }
+}
+
 // ---- Health: what is believed of each cache -----------------------------------------------------
 
 impl Health {
@@ -358,7 +412,7 @@
         server.warm >= 1.0
     }
 
-    fn settle(&mut self, server: &mut Server, ending: &Ending, slo: Span, now: Time) {
+    fn settle(&mut self, server: &mut Server, ending: &Ending, slo: Span, blamed: bool, now: Time) {
         use Outcome::*;
         let took = ending.took.0 as f64;
         let answered = matches!(ending.outcome, Fulfilled | Miss | Full | Broken);
@@ -377,6 +431,10 @@
             return;
         }
         let good = matches!(ending.outcome, Fulfilled | Miss) && !slow;
+        // Guards against blaming a cache for a key that goes badly everywhere.
+        if blamed && !good {
+            return;
+        }
         *(if good { &mut server.good } else { &mut server.bad }) += 1.0;
         let shrink = EVIDENCE / (server.good + server.bad).max(EVIDENCE);
         server.good *= shrink;
@@ -385,14 +443,9 @@
     }
 }
 
-// ---- Origin: an adaptive limit and a short queue ------------------------------------------------
-
-impl Origin {
-    /// Whether there is a place for a read that has not missed: one that no miss or write waits for.
-    fn free(&self, now: Time) -> bool {
-        self.room(now) && self.queue.is_empty() && !self.servers.is_empty()
-    }
+// ---- Gate: an adaptive limit on what is out, under one place a rate ------------------------------
 
+impl Gate {
     /// Under few places the limit is a rate of shots, too: hundreds of nodes have a place each.
     fn room(&self, now: Time) -> bool {
         f64::from(self.out) < self.limit.floor() || self.limit < ORIGIN_SAVED && self.saved(now) >= 1.0
@@ -402,9 +455,44 @@
         (self.saved + (now - self.saved_at).0 as f64 * self.limit / self.target).min(ORIGIN_SAVED)
     }
 
+    fn take(&mut self, now: Time) {
+        self.out += 1;
+        (self.saved, self.saved_at) = ((self.saved(now) - 1.0).max(0.0), now);
+    }
+
+    /// How an answer went: what it left of the time aimed at, as a part of it; below 0 it took longer, or was lost.
+    fn ended(&mut self, spare: f64) {
+        if spare < 0.0 || self.pressed || self.limit < ORIGIN_SAVED {
+            let step = ORIGIN_STEP.min(ORIGIN_PART * self.limit);
+            self.limit = (self.limit + step * spare.max(-1.0)).max(self.least);
+        }
+    }
+
+    /// Guards against what slows at once: late shots count before their answers come.
+    fn late(&mut self, now: Time) {
+        self.ended(-1.0);
+        (self.saved, self.saved_at) = (0.0, now);
+    }
+
+    /// Guards against answers that are far between at hundreds of nodes.
+    fn regrow(&mut self, passed: f64) {
+        if self.limit < 1.0 {
+            self.limit *= 1.0 + passed / ORIGIN_DOUBLES;
+        }
+    }
+}
+
+// ---- Origin: an adaptive limit and a short queue ------------------------------------------------
+
+impl Origin {
+    /// Whether there is a place for a read that has not missed: one that no miss or write waits for.
+    fn free(&self, now: Time) -> bool {
+        self.gate.room(now) && self.queue.is_empty() && !self.servers.is_empty()
+    }
+
     /// The wait that a newcomer behind `ahead` others has before it.
     fn wait(&self, ahead: usize) -> Span {
-        Span((self.times[0].0 * (ahead + 1) as f64 / self.limit) as i64)
+        Span((self.times[0].0 * (ahead + 1) as f64 / self.gate.limit) as i64)
     }
 
     /// The answer time aimed at. Guards against a spiral: writes take longer by nature, and where few reads
@@ -424,26 +512,15 @@
                 *calm = (*calm * ORIGIN_DRIFT).min(*mean);
                 // One that took longer was counted when it was late.
                 let spare = 1.0 - took / self.aim(slo, write);
-                if spare > 0.0 && (self.pressed || self.limit < ORIGIN_SAVED) {
-                    self.steer(spare);
+                if spare > 0.0 {
+                    self.gate.ended(spare);
                 }
-                self.pressed = !self.queue.is_empty();
+                self.gate.pressed = !self.queue.is_empty();
             }
-            Full | TimedOut | Unreachable | Reset => self.steer(-1.0),
+            Full | TimedOut | Unreachable | Reset => self.gate.ended(-1.0),
             _ => {}
         }
     }
-
-    fn steer(&mut self, spare: f64) {
-        let step = ORIGIN_STEP.min(ORIGIN_PART * self.limit);
-        self.limit = (self.limit + step * spare).max(self.least);
-    }
-
-    /// Guards against an origin that slows at once: late shots count before their answers come.
-    fn late(&mut self, now: Time) {
-        self.steer(-1.0);
-        (self.saved, self.saved_at) = (0.0, now);
-    }
 }
 
 // ---- Shots: what settings allow, and how far further shots pay ----------------------------------
@@ -535,67 +612,16 @@
 
 /// Interface.
 impl Balancer {
-    /// Missing settings get the safe reading: no duplicates, no cancelling, no retry time, one shot.
-    pub fn new(settings: &Settings, seed: u64) -> Balancer {
-        let mut node = Balancer { chance: Pcg::new(seed), ..Balancer::default() };
-        node.retune(settings);
-        node.origin_afresh();
-        node.caches_afresh();
-        node
-    }
-
-    /// Goes by other rules from now on: products, shares, what is allowed and the figures of the rules.
-    /// Open calls keep theirs, and servers their nature until the next list. What was learnt stays where it
-    /// means the same, as points, times and rates do: places at the origin are a part of all nodes',
-    /// records and shedding are judged by the SLOs, further shots by whether two may be out.
-    pub fn retune(&mut self, settings: &Settings) {
-        self.aside = settings.text("extra.mode") == "aside";
-        self.origin_kind = settings.number("extra.origin_kind", -1.0);
-        self.products = settings.products();
-        let before = (self.shortest, self.health.longest, self.shots.may_duplicate, self.nodes);
-        let shortest = self.products.iter().map(|p| p.slo).min().unwrap_or(Span::ms(1000));
-        let longest = self.products.iter().map(|p| p.slo).max().unwrap_or(Span::ms(1000));
-        // An unknown product is taken as the last entry: never to run twice, in the shortest time.
-        self.products.push(Product::unknown(shortest));
-        (self.shortest, self.health.longest, self.nodes) = (shortest, longest.0 as f64, settings.nodes());
-        let retry = || settings.span("caps.max_retry_after", Span::ZERO);
-        self.max_retry = settings.flag("caps.retry_after").then(retry);
-        self.admission.share(settings);
-        self.health.cold_from = settings.number("invariants.cold_from", 0.0).clamp(0.0, 1.0);
-        self.health.warm_within = settings.span("invariants.warm_within", Span::ms(60_000));
-        self.line.keepalive = settings.span("caps.keepalive", KEEPALIVE);
-        self.origin.least = ORIGIN_LEAST / self.nodes;
-        self.origin.target = shortest.0 as f64 * ORIGIN_TARGET;
-        self.origin.limit = (self.origin.limit * before.3 / self.nodes).max(self.origin.least);
-        self.shots.most = settings.number("caps.most_shots", 1.0).max(1.0) as usize;
-        self.shots.budget.span = settings.span("invariants.ratio_span", Span::ZERO);
-        self.shots.budget.free = settings.number("invariants.extra_free", 0.0);
-        self.shots.budget.ratio = settings.number("invariants.further_ratio", 0.0);
-        self.roster.asks = settings.text("membership_mode") == "on_request";
-        self.roster.within = settings.span("invariants.ask_within", ASK_WITHIN);
-        self.drift = settings.span("invariants.deadline_drift", Span::ZERO);
-        self.stamp_off = settings.span("invariants.stamp_off", Span::ZERO);
-        self.shots.may_cancel = settings.flag("caps.cancelling");
-        self.shots.may_duplicate = settings.flag("caps.may_duplicate");
-        if before.2 != self.shots.may_duplicate {
-            (self.shots.saved, self.shots.success) = (1.0, 0.5);
-        }
-        if (before.0, before.1) != (shortest, self.health.longest) {
-            (self.health.success, self.admission.level, self.admission.strain) = (1.0, 0.0, 0.0);
-            self.servers.iter_mut().for_each(|server| (server.good, server.bad) = (0.0, 0.0));
-        }
-    }
-
     /// What is taken for the origin's figures before it has answered.
-    fn origin_afresh(&mut self) {
-        let target = self.origin.target;
-        self.origin.limit = (ORIGIN_START_ALL / self.nodes).min(ORIGIN_START);
+    pub(crate) fn origin_afresh(&mut self) {
+        let target = self.origin.gate.target;
+        self.origin.gate.limit = (ORIGIN_START_ALL / self.nodes).min(ORIGIN_START);
         self.origin.times = [0.5, 1.0].map(|part| (target, target * part));
-        self.origin.saved = ORIGIN_SAVED;
+        self.origin.gate.saved = ORIGIN_SAVED;
     }
 
     /// The same for the caches', as one fleet.
-    fn caches_afresh(&mut self) {
+    pub(crate) fn caches_afresh(&mut self) {
         let shortest = self.shortest.0 as f64;
         (self.line.calm, self.line.reach) = ((shortest * FURTHER_TO, shortest * FURTHER_TO), 1.0);
         (self.health.median, self.health.tail) = (shortest * FURTHER_FROM, shortest * FURTHER_TO);
@@ -692,7 +718,8 @@
         let call = &mut self.calls[ix.0];
         (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
         (call.place, call.product, call.over, call.write) = (Place::Chain, product, beyond > 0.0, ask.write);
-        (call.missed, call.leads, call.key, call.spot) = (false, false, key, place_on_line(key));
+        (call.missed, call.leads, call.gated, call.key) = (false, false, false, key);
+        call.spot = place_on_line(key);
         // Guards against clients whose clocks differ: what is left is at most the product's time.
         let left = ask.left.max(product.timeout.min(ask.left + self.drift));
         (call.until, call.due, call.excused) = (now + left, now, 0);
@@ -701,6 +728,14 @@
         self.shots.budget.took(now);
         let slo = product.slo;
         let at_line = !(ask.write && self.aside);
+        if let Some(gate) = self.keys.gate(key).filter(|_| at_line) {
+            call.gated = gate.room(now);
+            gate.pressed = !call.gated;
+            match call.gated {
+                true => gate.take(now),
+                false => return self.give_up(ix, to),
+            }
+        }
         let crowding = if at_line { self.line.crowding(slo) } else { 0.0 };
         match self.admission.admit(beyond, crowding, &mut self.chance) {
             // Guards against refusing reads in a crowd at the caches while the origin has places free.
@@ -751,12 +786,19 @@
         let ran = !ending.outcome.proves_it_never_ran();
         shot.fate = if ran { Fate::MayHaveRun } else { Fate::NeverRan };
         self.line.out -= u32::from(std::mem::take(&mut shot.counted));
-        let (server, further) = (&mut self.servers[shot.server.0], shot.further);
+        let (server, further, at) = (&mut self.servers[shot.server.0], shot.further, shot.server);
         server.out = server.out.saturating_sub(1);
         server.used = now;
         let slo = call.product.slo;
+        if let Some(gate) = self.keys.gate(call.key) {
+            match ending.outcome {
+                Outcome::Fulfilled => gate.ended(1.0 - ending.took.0 as f64 / slo.times(CROWDED).0 as f64),
+                Outcome::Broken | Outcome::TimedOut => gate.ended(-1.0),
+                _ => {}
+            }
+        }
         if server.origin {
-            self.origin.out = self.origin.out.saturating_sub(1);
+            self.origin.gate.out = self.origin.gate.out.saturating_sub(1);
             self.origin.settle(&ending, slo, call.write);
         } else {
             match ending.outcome {
@@ -777,7 +819,16 @@
                 _ => {}
             }
             let trusted = !self.health.doubtful(server, now);
-            self.health.settle(server, &ending, slo, now);
+            let late = ending.took.0 as f64 > (CROWDED * slo.0 as f64).max(self.health.tail);
+            let late = late && self.keys.by_lateness;
+            match ending.outcome {
+                Outcome::Fulfilled | Outcome::Miss => self.keys.settle(call.key, at, !late, now),
+                Outcome::Broken => self.keys.settle(call.key, at, false, now),
+                Outcome::TimedOut if late => self.keys.settle(call.key, at, false, now),
+                _ => {}
+            }
+            self.keys.suspect(call.key, self.health.success, slo.times(CROWDED).0 as f64, now);
+            self.health.settle(server, &ending, slo, self.keys.gated(call.key), now);
             if trusted && ending.outcome != Outcome::TooLate {
                 self.admission.settle_shot(ending.outcome == Outcome::Full);
             }
@@ -831,9 +882,8 @@
         self.line.done_rate += step * (done - self.line.done_rate);
         self.line.heard += step * (1.0 - self.line.heard);
         self.admission.tick(self.line.crowding(self.shortest));
-        if self.origin.limit < 1.0 {
-            self.origin.limit *= 1.0 + passed / ORIGIN_DOUBLES;
-        }
+        self.origin.gate.regrow(passed);
+        self.keys.tick(passed, now);
         self.line.let_go(&mut self.servers, now, to);
         self.roster.tick(now, to);
         self.run_due(to);
@@ -861,7 +911,7 @@
     /// Keeps a call with nothing sent until a part of its SLO is gone.
     fn park(&mut self, ix: CallIx, place: Place, to: &mut impl Answers) {
         self.calls[ix.0].place = place;
-        let sent = place == Place::Queued && self.origin.room(self.now);
+        let sent = place == Place::Queued && self.origin.gate.room(self.now);
         if self.hurried(ix) && !sent {
             return self.give_up(ix, to);
         }
@@ -910,7 +960,7 @@
         // What would wait too long is ended now; writes go ahead of the queue.
         let ahead = if call.write { 0 } else { self.origin.queue.len() };
         let patience = call.product.slo.times(PATIENCE);
-        if !self.origin.room(self.now) && self.origin.wait(ahead) > patience {
+        if !self.origin.gate.room(self.now) && self.origin.wait(ahead) > patience {
             return self.give_up(ix, to);
         }
         self.origin.queue.push(ix);
@@ -926,8 +976,8 @@
 
     /// Sends waiting calls to the origin while its limit has room.
     fn pump(&mut self, to: &mut impl Answers) {
-        self.origin.pressed |= !self.origin.queue.is_empty() && !self.origin.room(self.now);
-        while self.origin.room(self.now) && !self.origin.queue.is_empty() {
+        self.origin.gate.pressed |= !self.origin.queue.is_empty() && !self.origin.gate.room(self.now);
+        while self.origin.gate.room(self.now) && !self.origin.queue.is_empty() {
             let server = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out);
             let best = (0..self.origin.queue.len()).rev().max_by_key(|i| self.rank(self.origin.queue[*i]));
             let ix = self.origin.queue.remove(best.unwrap_or(0));
@@ -960,9 +1010,7 @@
         call.place = Place::Flying;
         to.dispatch(ix, at, call.until);
         if server.origin {
-            self.origin.out += 1;
-            self.origin.saved = (self.origin.saved(self.now) - 1.0).max(0.0);
-            self.origin.saved_at = self.now;
+            self.origin.gate.take(self.now);
         } else {
             server.warm -= 1.0;
         }
@@ -991,7 +1039,8 @@
         if call.place != Place::Flying || out && (!may || !call.missed || fetching) {
             return;
         }
-        match may && self.now < call.until {
+        let hopeless = !call.missed && self.keys.gated(call.key);
+        match may && !hopeless && self.now < call.until {
             true => self.coalesce(ix, to),
             false => self.give_up(ix, to),
         }
@@ -1017,7 +1066,7 @@
         let Some(late) = call.shots.last_mut().filter(|shot| shot.fate == Fate::Out) else { return };
         let server = &self.servers[late.server.0];
         if server.origin {
-            self.origin.late(self.now);
+            self.origin.gate.late(self.now);
         }
         let failing = self.health.doubtful(server, self.now);
         // A failing cache's shots are no crowd, nor are those whose answers were lost.
@@ -1028,11 +1077,11 @@
         if server.origin || call.streaming || call.write && self.aside || call.out() > 1 {
             return;
         }
-        let allowed = self.shots.allows(call, &self.servers, at, self.now);
+        let allowed = self.shots.allows(call, &self.servers, at, self.now) && !self.keys.gated(call.key);
         if allowed && (failing || self.shots.further()) {
             // Guards against further shots that miss at the next nearest and load it in a jam.
-            let needed = f64::from(self.origin.out) * 2.0 + 1.0;
-            let spare = self.origin.free(self.now) && needed <= self.origin.limit;
+            let needed = f64::from(self.origin.gate.out) * 2.0 + 1.0;
+            let spare = self.origin.free(self.now) && needed <= self.origin.gate.limit;
             let chance = &mut self.chance;
             let near = || self.line.pick(&mut self.servers, &self.health, call, self.now, chance);
             let pick = self.origin.servers.first().copied().filter(|_| spare).or_else(near);
@@ -1065,6 +1114,9 @@
     fn end(&mut self, ix: CallIx, fetched: bool, to: &mut impl Answers) {
         let call = &mut self.calls[ix.0];
         call.ended = true;
+        if let Some(gate) = self.keys.gate(call.key).filter(|_| std::mem::take(&mut call.gated)) {
+            gate.out = gate.out.saturating_sub(1);
+        }
         let (leads, key, queued) = (std::mem::take(&mut call.leads), call.key, call.place == Place::Queued);
         if queued {
             self.origin.queue.retain(|other| *other != ix);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -49,6 +49,8 @@
     pub write: bool,
     pub missed: bool,
     pub leads: bool,
+    /// Holds a place of its key's.
+    pub gated: bool,
     pub key: u64,
     pub spot: f64,
     pub until: Time,
@@ -193,19 +195,9 @@
 #[derive(Default)]
 pub struct Origin {
     pub servers: Vec<ServerIx>,
-    pub out: u32,
-    /// Shots that may be out from here, under one too, and the least of it.
-    pub limit: f64,
-    pub least: f64,
-    /// For reads and for writes: mean answer time and its calm level, in microseconds; and the time aimed at
-    /// for the shortest SLO.
+    pub gate: Gate,
+    /// For reads and for writes: mean answer time and its calm level, in microseconds.
     pub times: [(f64, f64); 2],
-    pub target: f64,
-    /// A call had to wait for a place since the last answer.
-    pub pressed: bool,
-    /// Shots saved up, and when that was counted.
-    pub saved: f64,
-    pub saved_at: Time,
     pub queue: Vec<CallIx>,
 }
 
@@ -230,6 +222,43 @@
     pub further: VecDeque<Time>,
 }
 
+/// What is believed of keys whose calls went badly of late.
+#[derive(Default)]
+pub struct Keys {
+    /// Answers that come late count against a key as errors do: where its clients' slow reading keeps the node's few
+    /// buffers. Elsewhere they tell of a popular key, which wants more caches, not fewer calls.
+    pub by_lateness: bool,
+    pub records: FxHashMap<u64, Key>,
+}
+
+#[derive(Default)]
+pub struct Key {
+    pub good: f64,
+    pub bad: f64,
+    pub at: Time,
+    /// The cache of the last bad one; and whether there was another before.
+    pub last: ServerIx,
+    pub spread: bool,
+    /// Once it goes badly wherever it is asked: how many of its calls may be out.
+    pub gate: Option<Gate>,
+}
+
+/// A limit that follows answers: so many may be out, under one a rate.
+#[derive(Default)]
+pub struct Gate {
+    pub out: u32,
+    /// Shots that may be out from here, under one too, and the least of it.
+    pub limit: f64,
+    pub least: f64,
+    /// The time aimed at, in microseconds.
+    pub target: f64,
+    /// A call had to wait for a place, or got none, since the last answer.
+    pub pressed: bool,
+    /// Shots saved up, and when that was counted.
+    pub saved: f64,
+    pub saved_at: Time,
+}
+
 /// The list where it has to be asked for.
 #[derive(Default)]
 pub struct Roster {
@@ -271,6 +300,7 @@
     pub(crate) stamp_off: Span,
     pub(crate) admission: Admission,
     pub(crate) coalescing: Coalescing,
+    pub(crate) keys: Keys,
     pub(crate) line: Line,
     pub(crate) health: Health,
     pub(crate) origin: Origin,
@@ -283,6 +313,6 @@
     pub fn learnt(&self, server: ServerIx) -> [f64; 5] {
         let point = self.servers.get(server.0).map_or(f64::NAN, |server| server.point);
         let median = self.health.median / 1000.0;
-        [median, self.origin.limit, self.health.success, self.line.done_rate, point]
+        [median, self.origin.gate.limit, self.health.success, self.line.done_rate, point]
     }
 }
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -67,7 +67,7 @@
 }
 
 /// A server's small index, given out at the door; free again after `Answers::drop_server`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct ServerIx(pub usize);
 
 /// An API call's small index; free again after `Answers::forget`.
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -1,4 +1,6 @@
-//! Rules that hold where the settings state them: a budget of further shots, a list that has to be asked for, clocks that differ.
+//! What three further deployments brought: a budget of further shots, a list that has to be asked for, clocks that differ,
+//! keys that go badly wherever they are asked.
+#[allow(dead_code)] // Each file of tests uses a part of it.
 mod common;
 
 use common::{line, Node};
@@ -136,3 +138,55 @@
     "#]],
     );
 }
+
+#[test]
+fn a_key_that_goes_badly_everywhere_gets_a_limit_and_costs_no_cache_its_name() {
+    let mut node = Node::new(4, &[]);
+    node.calm(100);
+    node.say("behind a lock: two caches and the origin err for one key");
+    node.ask(0, 0, "key-a", false);
+    node.end(0, 0, Broken, 5.0);
+    node.end(0, 1, Broken, 5.0);
+    node.end(0, 2, Broken, 5.0);
+    for call in 1..4 {
+        node.ask(call, 0, "key-a", false);
+        node.end(call, 0, Broken, 5.0);
+    }
+    node.say("no further shots for it, and one or none out; other keys stay where they were");
+    for call in 4..7 {
+        node.ask(call, 0, "key-a", false);
+    }
+    node.ask(7, 0, "calm-1", false);
+    node.ask(8, 0, "calm-9", false);
+    assert_eq!(node.balancer.avoided(node.at()), 0, "caches taken for doubtful");
+    node.pass(16_000.0);
+    node.say("nothing of it for a while: as any other again");
+    for call in 10..13 {
+        node.ask(call, 0, "key-a", false);
+    }
+    check(
+        node,
+        expect![[r#"
+        1000 ms: behind a lock: two caches and the origin err for one key
+          call 0 -> server 4 until 3000
+          call 0 -> server 3 until 3000
+          call 0 rate-limited, told when to come back
+          call 1 -> server 4 until 3000
+          call 1 rate-limited, told when to come back
+          call 2 rate-limited, told when to come back
+          call 3 rate-limited, told when to come back
+        1000 ms: no further shots for it, and one or none out; other keys stay where they were
+          call 4 rate-limited, told when to come back
+          call 5 rate-limited, told when to come back
+          call 6 rate-limited, told when to come back
+          call 7 -> server 3 until 3000
+          call 8 -> server 4 until 3000
+          call 7 -> server 0 until 3000
+          call 8 -> server 0 until 3000
+        17000 ms: nothing of it for a while: as any other again
+          call 10 -> server 2 until 19000
+          call 11 -> server 2 until 19000
+          call 12 -> server 0 until 19000
+    "#]],
+    );
+}
