Carry operators' orders about servers in the membership: pushed, versioned, bounded

Need: an order to drain a cache, given to one node, has to reach every other, survive loss and not be undone by an older rumour that comes late. Change: `orders.rs`. At most one order for a server, the higher version holds, a drain before a revocation of the same version; a revocation is kept as an order. Who hears of one first pushes it to six others at once and again 100 ms later, its issuer to 32; rumours and one order in turn on every datagram do the rest. 128 orders; a drain never gives way. A node that has just started gives none, since it does not know what holds. Wire version 2.

Datagrams stay within 256 bytes. Tests: orders.rs, five; the one on late rumours also fails a node that disregards versions.

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -2,6 +2,7 @@
 //! and the time, and gives datagrams and the time of its next step; the same code runs in the node, in the emulator
 //! and under tests. `docs/membership.md` says what it promises, and what was weighed.
 pub mod limits;
+pub mod orders;
 pub mod sim;
 mod table;
 pub mod wire;
@@ -12,6 +13,8 @@
 use serde::{Deserialize, Serialize};
 
 pub use limits::{Limits, Without};
+use orders::Orders;
+pub use orders::{Held, Order, Refused, Server};
 pub use table::{Change, Member, State};
 use table::{Rumours, Table};
 use wire::{Entry, Fault, Head, Kind, Packet};
@@ -23,6 +26,9 @@
 /// The greatest number that is believed: a node raises its own at a restart and to refute, not a billion times.
 const MOST_NUMBER: u32 = 1 << 30;
 
+/// Orders in the answer to a node that knows of nobody: half of a datagram.
+const HELLO_ORDERS: usize = 7;
+
 /// A datagram to be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Post {
@@ -91,6 +97,7 @@
     chance: Pcg,
     table: Table,
     rumours: Rumours,
+    orders: Orders,
     allowances: Vec<Allowance>,
     probe: Option<Probe>,
     relays: VecDeque<Relay>,
@@ -124,6 +131,7 @@
             chance: Pcg::new(seed),
             table: Table::new(me, nodes, limits.changes),
             rumours: Rumours::new(limits.rumours),
+            orders: Orders::new(limits.orders, limits.without.versions),
             allowances: vec![Allowance { saved: burst, at: Time(0) }; nodes],
             limits,
             probe: None,
@@ -209,7 +217,7 @@
             .filter(|probe| !probe.answered && probe.asked.is_none())
             .map(|probe| probe.asks_others);
         let relays = self.relays.iter().map(|relay| if relay.nacked { relay.ends } else { relay.nack_at });
-        relays.chain(probe).fold(self.next, Time::min)
+        relays.chain(probe).chain(self.orders.due()).fold(self.next, Time::min)
     }
 
     /// Does what is due. Guards first against the own sleep: a node that stood still finds every answer overdue, and would
@@ -217,6 +225,7 @@
     pub fn tick(&mut self, now: Time, out: &mut Vec<Post>) {
         self.wakes(now);
         self.relays(now, out);
+        self.push_orders(now, out);
         if let Some(probe) = self.probe {
             if !probe.answered && probe.asked.is_none() && now >= probe.asks_others && now < probe.ends {
                 self.ask_others(now, out);
@@ -464,6 +473,12 @@
         self.rumours.take(most.max(self.limits.times_least), |entry| packet.add(entry));
         let hello =
             matches!(head.kind, Kind::Ack) && self.table.get(to).is_some_and(|member| member.wants_all);
+        // Orders ride along in turn, for a new node more of them.
+        for _ in 0..self.orders.len().min(if hello { HELLO_ORDERS } else { 1 }) {
+            if let Some(order) = self.orders.turn() {
+                packet.add(&Entry::Order(order));
+            }
+        }
         let fill = if hello { usize::MAX } else { self.limits.fill };
         let mut filled = 0;
         for _ in 0..self.table.len().min(fill.saturating_mul(8)) {
@@ -516,9 +531,16 @@
         // The view of a former life, or of one that this node has given up, is worth nothing but for what it says of
         // this node. What it asks is answered, so that it learns what it is known by.
         let me = self.me;
-        for entry in entries.iter().filter(|entry| current || entry.of() == me) {
-            self.news(now, from, entry);
+        let about_me = |entry: &Entry| !matches!(entry, Entry::Order(_)) && entry.of() == me;
+        for entry in &entries {
+            match entry {
+                // Whoever says it and however late: an older one changes nothing.
+                Entry::Order(order) => self.hears_order(now, *order),
+                _ if current || about_me(entry) => self.news(now, from, entry),
+                _ => {}
+            }
         }
+        self.push_orders(now, out);
         match head.kind {
             Kind::Ping { .. } => {
                 let answer = self.head(Kind::Ack, self.me, head.probe);
@@ -587,12 +609,14 @@
                 Entry::Alive { number, .. } | Entry::Heard { number, .. } if number <= self.number => {}
                 // Of a former life.
                 Entry::Alive { number, .. } | Entry::Heard { number, .. } => self.rise(now, number),
+                Entry::Order(order) => self.hears_order(now, order),
                 Entry::Suspect { number, .. } | Entry::Gone { number, .. } | Entry::Left { number, .. } => {
                     self.refute(now, number)
                 }
             };
         }
         match *entry {
+            Entry::Order(order) => self.hears_order(now, order),
             Entry::Alive { of, number } => {
                 if self.table.alive(now, of, number, self.limits.spared) {
                     self.rumours.put(*entry);
@@ -654,6 +678,54 @@
         }
     }
 
+    /// An operator's order about a server, from now on at this node, and soon at every one that can be reached.
+    pub fn order(
+        &mut self,
+        now: Time,
+        server: Server,
+        drain: bool,
+        out: &mut Vec<Post>,
+    ) -> Result<Order, Refused> {
+        let alone = self.table.len() == 1;
+        if self.joins > 0 && !alone {
+            return Err(Refused::Started);
+        }
+        let order = self.orders.give(now, self.me, server, drain, self.limits.push_rounds)?;
+        self.rumours.put(Entry::Order(order));
+        self.push_orders(now, out);
+        Ok(order)
+    }
+
+    pub fn orders(&self) -> impl Iterator<Item = &Held> {
+        self.orders.all()
+    }
+
+    /// Changes of orders so far.
+    pub fn orders_changed(&self) -> u64 {
+        self.orders.changed
+    }
+
+    fn hears_order(&mut self, now: Time, order: Order) {
+        if self.orders.put(now, order, self.limits.push_rounds) {
+            self.rumours.put(Entry::Order(order));
+        }
+    }
+
+    /// Guards against rumours that take a second or more round a large fleet: who hears of an order first hands it on at once.
+    fn push_orders(&mut self, now: Time, out: &mut Vec<Post>) {
+        while let Some(order) = self.orders.take_due(now, self.limits.push_apart) {
+            let most = if order.by == self.me { self.limits.first_pushes } else { self.limits.pushes };
+            let mut to: Vec<Id> = self.table.members().filter(|id| *id != self.me).collect();
+            while to.len() > most {
+                let drop = (self.chance.unit() * to.len() as f64) as usize;
+                to.swap_remove(drop);
+            }
+            for to in to {
+                self.ping(now, to, to, Some(Entry::Order(order)), out);
+            }
+        }
+    }
+
     /// Tells others that this node leaves as planned, which is no failure.
     pub fn leave(&mut self, now: Time, out: &mut Vec<Post>) {
         self.leaving = true;
--- a/crates/members/src/limits.rs
+++ b/crates/members/src/limits.rs
@@ -51,6 +51,14 @@
     pub burst: f64,
     /// Probes relayed for others at once.
     pub relays: usize,
+    /// Orders about servers: how many are kept, to how many each node that hears of a new one passes it on at once and
+    /// its issuer does, in how many rounds, and how far apart those are. Six to whom each hands it on leave one node in 400 out
+    /// in a round; rumours and tables reach that one.
+    pub orders: usize,
+    pub pushes: usize,
+    pub first_pushes: usize,
+    pub push_rounds: u32,
+    pub push_apart: Span,
     /// Changes kept for operators.
     pub changes: usize,
     /// What a plain detector has not, switched off one by one: others' probes, refutation, own health, word of who
@@ -65,6 +73,8 @@
     pub own_health: bool,
     pub vouching: bool,
     pub observers: bool,
+    /// Orders go by the last word heard, whatever its version.
+    pub versions: bool,
 }
 
 impl Default for Limits {
@@ -94,6 +104,11 @@
             rate: 40.0,
             burst: 80.0,
             relays: 64,
+            orders: 128,
+            pushes: 6,
+            first_pushes: 32,
+            push_rounds: 2,
+            push_apart: Span::ms(100),
             changes: 64,
             without: Without::default(),
         }
--- a/crates/members/src/sim.rs
+++ b/crates/members/src/sim.rs
@@ -110,6 +110,20 @@
         self.kill(node);
     }
 
+    /// An operator's order, given to one node.
+    pub fn order(
+        &mut self,
+        node: usize,
+        server: crate::Server,
+        drain: bool,
+    ) -> Result<crate::Order, crate::Refused> {
+        let (now, mut out) = (self.now, Vec::new());
+        let Some(members) = &mut self.nodes[node].members else { return Err(crate::Refused::Started) };
+        let order = members.order(now, server, drain, &mut out);
+        self.post(node, out);
+        order
+    }
+
     pub fn pause(&mut self, node: usize, lasts: Span) {
         self.nodes[node].paused = true;
         self.at(self.now + lasts, Event::Wakes { node: node as u16 });
--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -303,6 +303,8 @@
             (Entry::Suspect { of, number, by }, Entry::Suspect { of: o, number: n, by: b }) => {
                 of == o && (n > number || by == b)
             }
+            (Entry::Order(old), Entry::Order(new)) => old.server == new.server,
+            (Entry::Order(_), _) | (_, Entry::Order(_)) => false,
             _ => old.of() == entry.of(),
         };
         self.all.retain(|(old, _)| !replaced(old));
@@ -318,7 +320,7 @@
     /// Hands over what fits, the least sent first, and what is urgent before what is not; each a bounded number of times.
     pub fn take(&mut self, most: u32, mut add: impl FnMut(&Entry) -> bool) {
         let urgent = |entry: &Entry| match entry {
-            Entry::Suspect { .. } | Entry::Heard { .. } => 0,
+            Entry::Suspect { .. } | Entry::Heard { .. } | Entry::Order(_) => 0,
             Entry::Alive { .. } | Entry::Left { .. } => 1,
             Entry::Gone { .. } => 2,
         };
--- a/crates/members/src/wire.rs
+++ b/crates/members/src/wire.rs
@@ -2,11 +2,12 @@
 //! be read is told apart by its fault, and dropped.
 use serde::{Deserialize, Serialize};
 
+use crate::orders::Order;
 use crate::Id;
 
 /// The platform's bound on a datagram.
 pub const LONGEST: usize = 256;
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 const CHECK: usize = 4;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,7 +22,7 @@
     Nack,
 }
 
-/// A piece of news about one node, as of a number that the node itself raises.
+/// A piece of news about one node, as of a number that the node itself raises; or an operator's order about a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Entry {
     Alive {
@@ -47,9 +48,11 @@
         of: Id,
         number: u32,
     },
+    Order(Order),
 }
 
 impl Entry {
+    /// What must not be raised beyond belief.
     pub fn number(&self) -> u32 {
         match *self {
             Entry::Alive { number, .. }
@@ -57,9 +60,11 @@
             | Entry::Heard { number, .. }
             | Entry::Gone { number, .. }
             | Entry::Left { number, .. } => number,
+            Entry::Order(order) => order.version,
         }
     }
 
+    /// Whom it names.
     pub fn of(&self) -> Id {
         match *self {
             Entry::Alive { of, .. }
@@ -67,6 +72,7 @@
             | Entry::Heard { of, .. }
             | Entry::Gone { of, .. }
             | Entry::Left { of, .. } => of,
+            Entry::Order(order) => order.by,
         }
     }
 }
