--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The fleet rig: several processes of the built program on loopback, with stand-ins for caches, origin and discovery,
 //! relays on every way between them, faults on a schedule, clients, and the rules judged by what servers really began and
 //! clients really got.
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -10,7 +11,7 @@
 use quartzhub_node::http;
 use quartzhub_node::limits::Limits;
 use quartzhub_node::resp::Parsed;
-use quartzhub_policy::Pcg;
+use quartzhub_policy::{Pcg, Time};
 use serde::Serialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -52,6 +53,8 @@
 /// Between a node's planned end in a roll and the next one's.
 const LEAST_STEP: Duration = Duration::from_millis(50);
 
+/// An order has to be known at every node that serves and is reached by then: well within the list's own lateness.
+const KNOWN_WITHIN: Duration = Duration::from_millis(1_500);
 /// Characters of an API call's history that are told.
 const MOST_HISTORY: usize = 1_500;
 
@@ -74,6 +77,8 @@
     pub datagrams: (u64, u64),
     /// The rig's own greatest lateness, in seconds.
     pub late: f64,
+    /// When each server was last sent a shot, in seconds from the beginning.
+    pub last_shots: Vec<f64>,
     failures: Vec<String>,
 }
 
@@ -292,6 +297,8 @@
     gates: BTreeMap<(usize, usize), Rc<Gate>>,
     post: Rc<Post>,
     ops: Vec<SocketAddr>,
+    /// Caches that operators have ordered drained, and since when every node that serves has to go by it.
+    ordered: RefCell<BTreeMap<usize, Instant>>,
 }
 
 impl Rig {
@@ -356,7 +363,8 @@
         }
         let plan = plan.clone();
         let ops = (0..nodes).map(|node| block.ops(node)).collect();
-        let rig = Rc::new(Rig { plan, fleet, judge, timeline, hosts, ways, gates, post, ops });
+        let ordered = RefCell::default();
+        let rig = Rc::new(Rig { plan, fleet, judge, timeline, hosts, ways, gates, post, ops, ordered });
         rig.clone().open(block);
         rig.post.run(&rig.judge);
         // Guards against a process that finds nobody listening yet.
@@ -370,6 +378,7 @@
         rig.timeline.begin();
         rig.fleet.clone().play_faults();
         let begun = Instant::now();
+        spawn_local(rig.clone().hold_to_orders());
         for fault in 0..rig.plan.faults.len() {
             spawn_local(rig.clone().fault(fault, begun));
         }
@@ -443,6 +452,7 @@
             Kind::Replay => self.replay(i, lasts.unwrap_or_default()).await,
             Kind::Flood => self.flood(i, lasts.unwrap_or_default()).await,
             Kind::Roll => self.roll(i, lasts.unwrap_or_default()).await,
+            Kind::Order => self.order(i, lasts).await,
             _ => {
                 let hosts: Vec<_> =
                     self.plan.nodes(i).into_iter().map(|node| self.hosts[node].clone()).collect();
@@ -476,6 +486,61 @@
         }
     }
 
+    /// Operators give the order to the nodes named, one after the other, and take it back there.
+    async fn order(&self, i: usize, lasts: Option<Duration>) {
+        let (nodes, caches) = (self.plan.nodes(i), self.plan.ordered(i));
+        for drain in [true, false] {
+            for (node, cache) in nodes.iter().flat_map(|node| caches.iter().map(move |cache| (*node, *cache)))
+            {
+                let what = if drain { "drain" } else { "restore" };
+                let id = self.fleet.id(cache);
+                if !drain {
+                    self.ordered.borrow_mut().remove(&cache);
+                    (0..self.hosts.len()).for_each(|node| self.judge.told(node, cache, false));
+                }
+                let path = format!("/control/{what}");
+                let said =
+                    timeout(READY_WITHIN, ask(self.ops[node], "POST", &path, &id)).await.ok().flatten();
+                self.timeline.note("operators", format!("{what} {id} at node-{node}: {}", told(&said)));
+                match said {
+                    Some((200, _)) if drain => {
+                        self.ordered.borrow_mut().insert(cache, Instant::now() + KNOWN_WITHIN);
+                    }
+                    Some((200, _)) => {}
+                    _ => self.judge.platform(&format!("node-{node}, order to {what} {id}: {}", told(&said))),
+                }
+            }
+            match lasts {
+                Some(lasts) if drain => sleep(lasts).await,
+                _ => return,
+            }
+        }
+    }
+
+    /// Holds every node that has served for long enough to operators' orders, as to the list's.
+    async fn hold_to_orders(self: Rc<Rig>) {
+        let mut served: BTreeMap<usize, (u64, Instant)> = BTreeMap::new();
+        loop {
+            sleep(Duration::from_millis(50)).await;
+            let now = Instant::now();
+            for host in &self.hosts {
+                let life = host.lives.get();
+                if host.state.get() != State::Up {
+                    served.remove(&host.node);
+                    continue;
+                }
+                let (of, since) = *served.entry(host.node).or_insert((life, now));
+                if of != life {
+                    served.insert(host.node, (life, now));
+                } else if now >= since + KNOWN_WITHIN {
+                    for (cache, _) in self.ordered.borrow().iter().filter(|(_, due)| now >= **due) {
+                        self.judge.told(host.node, *cache, true);
+                    }
+                }
+            }
+        }
+    }
+
     fn start(&self, host: &Rc<Host>) {
         if let Err(e) = host.start() {
             self.judge.platform(&format!("{}: {e}", host.name));
@@ -585,8 +650,9 @@
     async fn views(&self) -> BTreeMap<usize, serde_json::Value> {
         let mut views = BTreeMap::new();
         for host in self.hosts.iter().filter(|host| host.state.get() == State::Up) {
-            let asked = timeout(READY_WITHIN, ask(self.ops[host.node], "/control/members")).await;
-            if let Some(view) = asked.ok().flatten() {
+            let asked = timeout(READY_WITHIN, ask(self.ops[host.node], "GET", "/control/members", "")).await;
+            let view = asked.ok().flatten().filter(|said| said.0 == 200);
+            if let Some(view) = view.and_then(|said| serde_json::from_slice(&said.1).ok()) {
                 self.timeline
                     .note(&host.name, format!("holds at the end {}", quartzhub_node::peers::summary(&view)));
                 views.insert(host.node, view);
@@ -655,6 +721,8 @@
         let datagrams =
             posts.fold((0, 0), |sum, (_, way)| (sum.0 + way.datagrams.get(), sum.1 + way.arrived.get()));
         let begun = (self.timeline.begun().0 / 1_000_000) as usize;
+        let since = |at: &Time| (*at - self.timeline.begun()).seconds();
+        let last_shots = self.fleet.last_shot.borrow().iter().map(since).collect();
         let origin = self.fleet.origin_by_second.borrow().iter().skip(begun).copied().collect();
         Outcome {
             broken,
@@ -670,6 +738,7 @@
             origin,
             datagrams,
             late: self.judge.latest.get(),
+            last_shots,
             failures,
             report,
         }
@@ -703,14 +772,23 @@
     }
 }
 
-/// One operators' call.
-async fn ask(to: SocketAddr, path: &str) -> Option<serde_json::Value> {
+/// One operators' call: the answer's status and body.
+async fn ask(to: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, Vec<u8>)> {
     let mut stream = TcpStream::connect(to).await.ok()?;
-    stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: {to}\r\n\r\n").as_bytes()).await.ok()?;
+    let head =
+        format!("{method} {path} HTTP/1.1\r\nHost: {to}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(head.as_bytes()).await.ok()?;
     let mut bytes = Vec::new();
     stream.read_to_end(&mut bytes).await.ok()?;
     match http::answer(&bytes, 1 << 24, true, &Limits::default()) {
-        Parsed::Whole((head, body), _) if head.status == 200 => serde_json::from_slice(&body).ok(),
+        Parsed::Whole((head, body), _) => Some((head.status, body)),
         _ => None,
     }
 }
+
+fn told(said: &Option<(u16, Vec<u8>)>) -> String {
+    match said {
+        Some((status, body)) => format!("{status} {}", String::from_utf8_lossy(body).trim()),
+        None => "no answer".to_owned(),
+    }
+}
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -33,6 +33,8 @@
     End,
     /// Processes stand still.
     Pause,
+    /// Operators order the caches in `to` drained, at these nodes; and take that back after `for`, if that is given.
+    Order,
     /// Absent nodes start.
     Start,
     /// Processes end as planned, one after the other over `for`, and start again at once.
@@ -224,6 +226,11 @@
             if !of_ways && nodes.is_empty() {
                 return Err(Bad(format!("{}: nodes or a share of them are needed", key("nodes"))));
             }
+            let caches =
+                |name: &String| self.ends(name).is_some_and(|ends| ends.iter().all(|end| self.is_cache(end)));
+            if fault.kind == Kind::Order && (fault.to.is_empty() || !fault.to.iter().all(caches)) {
+                return Err(Bad(format!("{}: the caches that are drained are needed", key("to"))));
+            }
             if matches!(fault.kind, Kind::Pause | Kind::Roll | Kind::Replay | Kind::Flood)
                 && fault.lasts.is_none()
             {
@@ -253,6 +260,20 @@
         nodes
     }
 
+    fn is_cache(&self, end: &End) -> bool {
+        matches!(end, End::Server(server) if *server < self.scenario.caches.count)
+    }
+
+    /// The caches that operators order drained.
+    pub fn ordered(&self, fault: usize) -> Vec<usize> {
+        let ends = self.faults[fault].to.iter().filter_map(|name| self.ends(name)).flatten();
+        let cache = |end| match end {
+            End::Server(server) => Some(server),
+            _ => None,
+        };
+        ends.filter_map(cache).collect()
+    }
+
     fn ends(&self, name: &str) -> Option<Vec<End>> {
         let (nodes, caches) = (self.scenario.nodes, self.scenario.caches.count);
         let numbered = |name: &str, most: usize| name.parse().ok().filter(|number| *number < most);
@@ -316,7 +337,7 @@
             fault[0].from: from and to are needed
             fault[0].to: "cache-99" is no end of a way
             fault[0].loss: 1.5 is not within 0 to 0.99
-            fault[0].kind: unknown variant `cutt`, expected one of `kill`, `end`, `pause`, `start`, `roll`, `cut`, `spoil`, `replay`, `flood`
+            fault[0].kind: unknown variant `cutt`, expected one of `kill`, `end`, `pause`, `order`, `start`, `roll`, `cut`, `spoil`, `replay`, `flood`
             scenario.nodes: 500 is not within 1 to 96
             scenario.node: unknown field `node`, expected one of `seed`, `seconds`, `settle`, `policy`, `nodes`, `nodes_told`, `network`, `clients`, `traffic`, `keys`, `caches`, `origin`, `rules`, `shots`, `product`, `fault`
             scenario.fault[0].kind: stand-ins can't play it; [[fault]] may
--- a/crates/lab/src/standin.rs
+++ b/crates/lab/src/standin.rs
@@ -74,6 +74,8 @@
     /// Shots to the origin by the second.
     pub origin_by_second: RefCell<Vec<u64>>,
     pub fell: Cell<u64>,
+    /// When each server was last sent a shot.
+    pub last_shot: RefCell<Vec<Time>>,
 }
 
 /// Faults that stand-ins can play where nobody tells nodes of a change of the list.
@@ -140,6 +142,7 @@
             fetches: Cell::new(0),
             origin_by_second: RefCell::default(),
             fell: Cell::new(0),
+            last_shot: RefCell::new(vec![Time(0); scenario.caches.count + 1]),
         }))
     }
 
@@ -203,15 +206,20 @@
     }
 
     pub fn entry(&self, server: usize, addr: SocketAddr, state: Listed, started: u64) -> serde_json::Value {
-        let origin = server == self.origin();
-        let (id, kind) = match origin {
-            true => ("origin".to_owned(), "origin"),
-            false => (format!("cache-{server}"), "cache"),
-        };
-        serde_json::json!({"id": id, "addr": addr.to_string(), "kind": kind, "zone": "lab", "cell": 0,
+        let kind = if server == self.origin() { "origin" } else { "cache" };
+        serde_json::json!({"id": self.id(server), "addr": addr.to_string(), "kind": kind, "zone": "lab", "cell": 0,
                            "state": state.word(), "started_ms": started})
     }
 
+    /// What a server is called in the list.
+    pub fn id(&self, server: usize) -> String {
+        if server == self.origin() {
+            "origin".to_owned()
+        } else {
+            format!("cache-{server}")
+        }
+    }
+
     pub fn origin(&self) -> usize {
         self.servers.len() - 1
     }
@@ -339,7 +347,9 @@
     fn sent<S>(&self, server: usize, line: &Line<S>, id: &str, place: u64) -> Option<u64> {
         let number = number(id)?;
         let at = line.stamps.as_ref().and_then(|stamps| stamps.at(place));
-        self.judge.sent(at.unwrap_or(self.judge.now()), number, line.node, server);
+        let at = at.unwrap_or(self.judge.now());
+        self.judge.sent(at, number, line.node, server);
+        self.last_shot.borrow_mut()[server] = at;
         Some(number)
     }
 
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -48,6 +48,15 @@
     holds(&plan("members-loss.toml"));
 }
 
+#[test]
+fn an_operators_order_reaches_every_node_and_no_late_word_undoes_it() {
+    let outcome = holds(&plan("members-order.toml"));
+    let last = |cache: usize| outcome.last_shots[cache];
+    // Drained at 7 s for good; drained from 5 to 13 s; never.
+    assert!(last(4) < 10.0, "cache-4 was sent a shot at {:.1} s", last(4));
+    assert!(last(2) > 16.0 && last(0) > 16.0, "no shot since {:.1} and {:.1} s", last(2), last(0));
+}
+
 #[test]
 fn one_sided_cuts_of_one_node_remove_nobody_who_is_heard() {
     let outcome = holds(&plan("members-one-sided.toml"));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -76,7 +76,7 @@
         None => None,
     };
     if let Some(peers) = &peers {
-        spawn_local(peers.clone().run());
+        spawn_local(peers.clone().run(hub.clone()));
     }
     if let Some(on) = config.ops {
         let listener = clients::listen(on, clock, &config.limits).await?;
@@ -94,6 +94,11 @@
         };
         let _ = tokio::time::timeout(clock::duration(hub.limits.first_news), heard).await;
     }
+    // Guards against sending to a server that operators drained while this process was not there: who has the order says so
+    // in its first datagram. Nobody there costs no more than the bound.
+    if let Some(peers) = &peers {
+        let _ = tokio::time::timeout(clock::duration(hub.limits.first_orders), peers.informed()).await;
+    }
     let last = Rc::new(Cell::new(clock.now()));
     let accepting = spawn_local(clients::accept(hub.clone(), listener, last.clone()));
     hub.tell(|reducer, _| reducer.takes_clients());
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -119,6 +119,8 @@
     pub last_half: Span,
     /// For the first news of discovery, before clients that another process serves too are taken.
     pub first_news: Span,
+    /// For the first word of another node, and with it operators' orders, before clients are taken.
+    pub first_orders: Span,
     /// Operators' calls at once; the time for one, and bytes of its head and its body.
     pub ops_calls: usize,
     pub ops_call: Span,
@@ -238,6 +240,7 @@
             leave_firm: Span::ms(1_500),
             last_half: Span::ms(500),
             first_news: Span::ms(1_500),
+            first_orders: Span::ms(400),
             ops_calls: OPS_CALLS,
             ops_call: Span::ms(5_000),
             ops_head: 8 * 1024,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -29,17 +29,24 @@
     let ops = Arg::new("ops").long("ops").value_name("ADDR").help(help);
     let about = "Routes API calls to a fleet of cache servers";
     let check = Command::new("check").about("Says whether a configuration can be served").arg(config());
-    let members = Command::new("members").about("Asks a running node who is alive").arg(config()).arg(ops);
+    let members = Command::new("members").about("Asks a running node who is alive, and which orders hold");
+    let members = members.arg(config()).arg(ops.clone());
+    let server = Arg::new("server").required(true).value_name("ID").help("the server's id in the list");
+    let order = |name: &'static str, about: &'static str| {
+        Command::new(name).about(about).arg(server.clone()).arg(config()).arg(ops.clone())
+    };
+    let drain = order("drain", "Has every node send nothing new to a server");
+    let restore = order("restore", "Takes such an order back, at every node");
     let command = Command::new("quartzhub").version(env!("CARGO_PKG_VERSION")).about(about).arg(config());
-    let given = command.subcommand(check).subcommand(members).get_matches();
+    let given = command.subcommands([check, members, drain, restore]).get_matches();
     match given.subcommand() {
-        Some(("members", below)) => match below.get_one::<String>("ops") {
-            Some(addr) => members_of(addr),
-            None => match read(&given, Some(below)) {
-                Ok((_, Config { ops: Some(addr), .. })) => members_of(&addr.to_string()),
-                Ok((file, _)) => failed(&format!("{}: ops: missing", file.display())),
-                Err(fault) => failed(&fault),
-            },
+        Some(("members", below)) => match operators_of(&given, below) {
+            Ok(addr) => members_of(&addr),
+            Err(fault) => failed(&fault),
+        },
+        Some((what @ ("drain" | "restore"), below)) => match operators_of(&given, below) {
+            Ok(addr) => order_at(&addr, what, below.get_one::<String>("server").map_or("", String::as_str)),
+            Err(fault) => failed(&fault),
         },
         Some((_, below)) => match read(&given, Some(below)) {
             Ok((file, config)) => {
@@ -74,19 +81,52 @@
     Ok((file, config))
 }
 
+/// Where operators call the node that is meant.
+fn operators_of(given: &ArgMatches, below: &ArgMatches) -> Result<String, String> {
+    if let Some(addr) = below.get_one::<String>("ops") {
+        return Ok(addr.clone());
+    }
+    match read(given, Some(below))? {
+        (_, Config { ops: Some(addr), .. }) => Ok(addr.to_string()),
+        (file, _) => Err(format!("{}: ops: missing", file.display())),
+    }
+}
+
+fn order_at(addr: &str, what: &str, server: &str) -> ExitCode {
+    match ask(addr, "POST", &format!("/control/{what}"), server) {
+        Ok(said) => {
+            print!("{}", String::from_utf8_lossy(&said));
+            ExitCode::SUCCESS
+        }
+        Err(what) => failed(&format!("{addr}: {what}")),
+    }
+}
+
 fn members_of(addr: &str) -> ExitCode {
-    match ask(addr, "/control/members") {
+    let view = ask(addr, "GET", "/control/members", "")
+        .and_then(|body| serde_json::from_slice::<serde_json::Value>(&body).map_err(|e| e.to_string()));
+    match view {
         Ok(view) => {
             println!("{}", peers::summary(&view));
             for node in view["nodes"].as_array().into_iter().flatten() {
                 println!("{}", line(node));
             }
+            for order in view["orders"].as_array().into_iter().flatten() {
+                println!("{}", order_line(order));
+            }
             ExitCode::SUCCESS
         }
         Err(what) => failed(&format!("{addr}: {what}")),
     }
 }
 
+fn order_line(order: &serde_json::Value) -> String {
+    let what = if order["drain"] == true { "drained" } else { "restored" };
+    let (server, seconds) =
+        (order["server"].as_str().unwrap_or(""), order["since_ms"].as_f64().unwrap_or(0.0) / 1000.0);
+    format!("{server}: {what} for {seconds:.1} s, version {} by node {}", order["version"], order["by"])
+}
+
 fn line(node: &serde_json::Value) -> String {
     let seconds =
         |key: &str| node[key].as_f64().map_or("never".to_owned(), |ms| format!("{:.1} s", ms / 1000.0));
@@ -98,18 +138,18 @@
     format!("{id:>5}  {addr:<22}{state:<9}for {since:<10} number {number}, last heard {heard}{by}")
 }
 
-fn ask(addr: &str, path: &str) -> Result<serde_json::Value, String> {
+fn ask(addr: &str, method: &str, path: &str, body: &str) -> Result<Vec<u8>, String> {
     let to: SocketAddr = addr.parse().map_err(|_| "not an address such as 127.0.0.1:7001".to_owned())?;
     let text = |e: std::io::Error| e.to_string();
     let mut stream = TcpStream::connect_timeout(&to, ANSWERS_WITHIN).map_err(text)?;
     stream.set_read_timeout(Some(ANSWERS_WITHIN)).map_err(text)?;
-    stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: {to}\r\n\r\n").as_bytes()).map_err(text)?;
+    let head =
+        format!("{method} {path} HTTP/1.1\r\nHost: {to}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(head.as_bytes()).map_err(text)?;
     let mut bytes = Vec::new();
     stream.take(MOST_ANSWER).read_to_end(&mut bytes).map_err(text)?;
     match http::answer(&bytes, MOST_ANSWER as usize, true, &Limits::default()) {
-        Parsed::Whole((head, body), _) if head.status == 200 => {
-            serde_json::from_slice(&body).map_err(|e| e.to_string())
-        }
+        Parsed::Whole((head, body), _) if head.status == 200 => Ok(body),
         Parsed::Whole((head, body), _) => {
             Err(format!("{}: {}", head.status, String::from_utf8_lossy(&body).trim_end()))
         }
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -70,7 +70,9 @@
 async fn answer(hub: &Rc<Hub>, peers: Option<&Peers>, call: Request<Incoming>) -> Response<Full<Bytes>> {
     let wants = match call.uri().path() {
         "/control/ready" | "/control/counters" | "/control/members" => Method::GET,
-        "/control/out-of-service" | "/control/in-service" => Method::POST,
+        "/control/out-of-service" | "/control/in-service" | "/control/drain" | "/control/restore" => {
+            Method::POST
+        }
         _ => return plain(StatusCode::NOT_FOUND, "no such call\n"),
     };
     if *call.method() != wants {
@@ -81,9 +83,10 @@
     }
     let path = call.uri().path().to_owned();
     // Guards against acting on half a call: it counts once all of it is there.
-    if Limited::new(call.into_body(), hub.limits.ops_body).collect().await.is_err() {
+    let Ok(body) = Limited::new(call.into_body(), hub.limits.ops_body).collect().await else {
         return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is cut short or too long\n");
-    }
+    };
+    let body = body.to_bytes();
     match path.as_str() {
         "/control/ready" if hub.ask(Reducer::is_ready) => plain(StatusCode::OK, "ready\n"),
         "/control/ready" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
@@ -92,9 +95,13 @@
             json(figures)
         }
         "/control/members" => match peers {
-            Some(peers) => json(serde_json::to_string(&peers.view())),
+            Some(peers) => {
+                let id = |name| hub.ask(|reducer| reducer.id_of(name).map(str::to_owned));
+                json(serde_json::to_string(&peers.view(id)))
+            }
             None => plain(StatusCode::NOT_FOUND, "membership is off\n"),
         },
+        "/control/drain" | "/control/restore" => order(hub, peers, &body, path == "/control/drain"),
         "/control/out-of-service" => {
             tracing::info!("operators: out of service");
             hub.tell(|reducer, now| reducer.out_of_service(now));
@@ -108,6 +115,20 @@
     }
 }
 
+/// A server is drained at every node, or that is taken back; the body is its id.
+fn order(hub: &Rc<Hub>, peers: Option<&Peers>, body: &[u8], drain: bool) -> Response<Full<Bytes>> {
+    let Some(peers) = peers else {
+        return plain(StatusCode::NOT_FOUND, "membership is off, so an order would reach this node alone\n");
+    };
+    let Some(id) = std::str::from_utf8(body).ok().map(str::trim).filter(|id| !id.is_empty()) else {
+        return plain(StatusCode::BAD_REQUEST, "the body has to be the server's id\n");
+    };
+    match peers.order(hub, id, drain) {
+        Ok(order) => plain(StatusCode::OK, format!("ordered, version {}\n", order.version)),
+        Err(why) => plain(StatusCode::CONFLICT, format!("{id}: {why}\n")),
+    }
+}
+
 fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(text.into()));
     *response.status_mut() = status;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,20 +1,22 @@
 //! The other nodes: a socket for datagrams between them, and the membership's core behind it. What it learns operators
 //! read; no API call waits for it.
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use quartzhub_members::wire::{fleet, LONGEST};
-use quartzhub_members::{Counts, Id, Limits, Members, Post, State};
+use quartzhub_members::{Counts, Id, Limits, Members, Order, Post, Refused, Server, State};
 use quartzhub_policy::Settings;
 use serde::Serialize;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
 use crate::clock::Clock;
 use crate::config::Fault;
+use crate::effects::Hub;
 
 /// What a node is told of the others.
 #[derive(Debug, Clone, PartialEq)]
@@ -106,6 +108,18 @@
     strangers: u64,
     counts: Counts,
     nodes: Vec<Told>,
+    orders: Vec<Ordered>,
+}
+
+/// An operators' order about a server.
+#[derive(Debug, Serialize)]
+pub struct Ordered {
+    /// Its id, or a hash of it where this node's list has no such server.
+    server: String,
+    drain: bool,
+    version: u32,
+    by: u16,
+    since_ms: f64,
 }
 
 pub struct Peers {
@@ -119,6 +133,10 @@
     /// Changes that the log has been told of.
     logged: Cell<u64>,
     was_alone: Cell<bool>,
+    /// Changes of orders that the reducer has been told of.
+    ordered: Cell<u64>,
+    /// Another node was heard for the first time.
+    heard: Notify,
 }
 
 impl Peers {
@@ -131,11 +149,23 @@
         let (strangers, logged, was_alone) = (Cell::new(0), Cell::new(0), Cell::new(false));
         let members = RefCell::new(members);
         tracing::info!(peers = named.peers.len(), "membership: listens on {}", named.listen);
-        Ok(Rc::new(Peers { members, named, ids, socket, clock, strangers, logged, was_alone }))
+        let (ordered, heard) = (Cell::new(0), Notify::new());
+        Ok(Rc::new(Peers {
+            members,
+            named,
+            ids,
+            socket,
+            clock,
+            strangers,
+            logged,
+            was_alone,
+            ordered,
+            heard,
+        }))
     }
 
     /// For ever.
-    pub async fn run(self: Rc<Peers>) {
+    pub async fn run(self: Rc<Peers>, hub: Rc<Hub>) {
         let mut buffer = [0; LONGEST + 1];
         loop {
             let due = self.clock.instant(self.members.borrow().due());
@@ -158,6 +188,7 @@
                 self.members.borrow_mut().tick(now, &mut out);
             }
             self.post(out);
+            self.apply(&hub);
             self.log();
             tokio::task::yield_now().await;
         }
@@ -165,7 +196,10 @@
 
     fn take(&self, from: SocketAddr, bytes: &[u8], out: &mut Vec<Post>) {
         match self.ids.get(&from) {
-            Some(id) => self.members.borrow_mut().receive(self.clock.now(), *id, bytes, out),
+            Some(id) => {
+                self.members.borrow_mut().receive(self.clock.now(), *id, bytes, out);
+                self.heard.notify_one();
+            }
             None => self.strangers.set(self.strangers.get() + 1),
         }
     }
@@ -204,6 +238,49 @@
         }
     }
 
+    /// Has the reducer go by the orders that hold now.
+    fn apply(&self, hub: &Rc<Hub>) {
+        let changed = self.members.borrow().orders_changed();
+        if self.ordered.replace(changed) == changed {
+            return;
+        }
+        let held = |held: &quartzhub_members::Held| held.order.drain.then_some(held.order.server);
+        let drained: HashSet<Server> = self.members.borrow().orders().filter_map(held).collect();
+        tracing::info!(drained = drained.len(), "orders: servers drained by operators: {}", drained.len());
+        hub.tell(|reducer, now| reducer.ordered(now, drained));
+    }
+
+    /// An operator's order about a server; why not, if it is not taken.
+    pub fn order(&self, hub: &Rc<Hub>, id: &str, drain: bool) -> Result<Order, &'static str> {
+        let server = Server::named(id);
+        let known = self.members.borrow().orders().any(|held| held.order.server == server);
+        if drain {
+            hub.ask(|reducer| reducer.drainable(id))?;
+        } else if !known {
+            return Err("no order about it is known");
+        }
+        let mut out = Vec::new();
+        let given = self.members.borrow_mut().order(self.clock.now(), server, drain, &mut out);
+        self.post(out);
+        self.apply(hub);
+        let order = given.map_err(|refused| match refused {
+            Refused::Started => {
+                "this node has just started and may not know what holds; ask again in some seconds"
+            }
+            Refused::Full => "as many servers are drained as orders are kept",
+        })?;
+        let what = if drain { "drained" } else { "in service again" };
+        tracing::info!(version = order.version, "orders: operators want {id} {what}");
+        Ok(order)
+    }
+
+    /// Until another node has been heard of, from which orders come too.
+    pub async fn informed(&self) {
+        if self.named.peers.len() > 1 {
+            self.heard.notified().await;
+        }
+    }
+
     /// This node ends as planned.
     pub fn leave(&self) {
         let mut out = Vec::new();
@@ -211,7 +288,8 @@
         self.post(out);
     }
 
-    pub fn view(&self) -> View {
+    /// `id`: what a server that an order names is called.
+    pub fn view(&self, id: impl Fn(Server) -> Option<String>) -> View {
         let (members, now) = (self.members.borrow(), self.clock.now());
         let told = |(id, member): (Id, &quartzhub_members::Member)| Told {
             node: id.0,
@@ -222,6 +300,13 @@
             heard_ms: member.heard.map(|heard| (now - heard).as_ms()),
             suspected_by: member.suspectors.iter().map(|by| by.0).collect(),
         };
+        let ordered = |held: &quartzhub_members::Held| Ordered {
+            server: id(held.order.server).unwrap_or_else(|| format!("#{:016x}", held.order.server.0)),
+            drain: held.order.drain,
+            version: held.order.version,
+            by: held.order.by.0,
+            since_ms: (now - held.since).as_ms(),
+        };
         View {
             me: self.named.me,
             number: members.number(),
@@ -233,6 +318,7 @@
             strangers: self.strangers.get(),
             counts: members.counts,
             nodes: members.all().map(told).collect(),
+            orders: members.orders().map(ordered).collect(),
         }
     }
 }
--- /dev/null
+++ b/crates/node/src/reducer/lists.rs
@@ -0,0 +1,173 @@
+//! The server list as this node goes by it: what discovery tells, and operators' orders laid over it. An order is a hint to drain,
+//! never to send: a shot goes only to servers that the list itself names in service.
+use super::*;
+
+/// What discovery said of a server last.
+pub(super) struct Listed {
+    name: Name,
+    state: State,
+    zone: u32,
+    kind: u32,
+    cell: u32,
+    scale: f64,
+    started: Option<Time>,
+}
+
+/// The state to go by. The origin has no stand-in, so it is never drained by order.
+fn ordered(told: State, origin: bool, drained: bool) -> State {
+    if told == State::Ready && drained && !origin {
+        State::Draining
+    } else {
+        told
+    }
+}
+
+impl Reducer {
+    /// News of discovery, or the list known from before (`fresh`: not).
+    pub fn list(
+        &mut self,
+        now: Time,
+        news: &News,
+        fresh: bool,
+        started: impl Fn(Option<f64>) -> Option<Time>,
+    ) {
+        self.at(now);
+        self.news |= fresh;
+        let complete = news.full || !fresh;
+        if complete {
+            self.world.servers.iter_mut().for_each(|server| server.state = State::Gone);
+            self.listed.iter_mut().flatten().for_each(|listed| listed.state = State::Gone);
+        }
+        let mut lines = Vec::with_capacity(news.servers.len());
+        for entry in &news.servers {
+            // Guards against a discovery that names new servers without end.
+            if self.servers.len() >= self.world.limits.servers && !self.servers.knows(&entry.id) {
+                tracing::info!(
+                    "discovery: more than {} servers, {:?} is passed over",
+                    self.servers.len(),
+                    entry.id
+                );
+                continue;
+            }
+            let ix = self.servers.index(&entry.id);
+            let name = Name::named(&entry.id);
+            let told = match entry.state.as_deref() {
+                Some("in_service") => State::Ready,
+                Some("terminated") => State::Gone,
+                // One that this build does not know gets nothing new.
+                _ => State::Draining,
+            };
+            let len = self.world.servers.len().max(ix.0 + 1);
+            self.world.servers.resize_with(len, Server::default);
+            self.listed.resize_with(len.max(self.listed.len()), || None);
+            let server = &mut self.world.servers[ix.0];
+            let started = started(entry.started_ms);
+            let addr = entry.addr.or(server.addr);
+            let moved = server.addr != addr || server.started != started;
+            (server.addr, server.started) = (addr, started);
+            let kind = place(&self.places.kinds, entry.kind.as_deref());
+            // Guards against speaking to an origin as to a cache while the settings are those of the deployment to
+            // come and the list is still the old one: a kind without a name changes nothing.
+            server.origin = if kind == usize::MAX { server.origin } else { kind == self.origin_kind };
+            let origin = server.origin;
+            let state = ordered(told, origin, self.drained.contains(&name));
+            server.state = state;
+            // Guards against writing to a process that is no more.
+            if moved {
+                self.world.close_idle(ix);
+            }
+            let line = Line {
+                name: &entry.id,
+                zone: entry.zone.as_deref(),
+                kind: entry.kind.as_deref(),
+                cell: entry.cell,
+                state,
+                scale: entry.weight,
+                started,
+            };
+            let mut line = self.places.listing(ix, line);
+            if origin {
+                line.kind = self.origin_kind as u32;
+            }
+            let Listing { zone, kind, cell, scale, started, .. } = line;
+            self.listed[ix.0] = Some(Listed { name, state: told, zone, kind, cell, scale, started });
+            lines.push(line);
+        }
+        // Guards against writing to a new server what was meant for the one that had its address before, and
+        // has gone, although the list does not say so yet.
+        let fresh_at: FxHashMap<SocketAddr, ServerIx> = lines
+            .iter()
+            .filter(|line| line.state == State::Ready)
+            .filter_map(|line| Some((self.world.servers[line.server.0].addr?, line.server)))
+            .collect();
+        for (i, server) in self.world.servers.iter_mut().enumerate() {
+            let heir = server.addr.and_then(|addr| fresh_at.get(&addr));
+            if server.state != State::Gone && !server.origin && heir.is_some_and(|heir| heir.0 != i) {
+                let named = lines.iter().any(|line| line.server.0 == i);
+                if !named {
+                    server.state = State::Gone;
+                    if let Some(listed) = self.listed.get_mut(i).and_then(Option::as_mut) {
+                        listed.state = State::Gone;
+                    }
+                    let line = Line { name: self.servers.id(ServerIx(i)), ..Line::default() };
+                    lines.push(self.places.listing(ServerIx(i), line));
+                }
+            }
+        }
+        for ix in (0..self.world.servers.len()).map(ServerIx) {
+            if self.world.servers[ix.0].state != State::Ready {
+                self.world.close_idle(ix);
+            }
+        }
+        self.balancer.list(now, complete, lines.into_iter(), &mut self.world);
+        self.settle();
+    }
+
+    /// From now on these servers are drained by operators' order, and no others.
+    pub fn ordered(&mut self, now: Time, drained: HashSet<Name>) {
+        self.at(now);
+        self.drained = drained;
+        let mut lines = Vec::new();
+        for (i, listed) in self.listed.iter().enumerate() {
+            let (Some(listed), Some(server)) = (listed, self.world.servers.get_mut(i)) else { continue };
+            let state = ordered(listed.state, server.origin, self.drained.contains(&listed.name));
+            if state == server.state {
+                continue;
+            }
+            server.state = state;
+            let &Listed { zone, kind, cell, scale, started, .. } = listed;
+            let (server, name) = (ServerIx(i), self.servers.id(ServerIx(i)));
+            lines.push(Listing { server, name, zone, kind, cell, state, scale, started });
+        }
+        if lines.is_empty() {
+            return;
+        }
+        for line in lines.iter().filter(|line| line.state != State::Ready) {
+            self.world.close_idle(line.server);
+        }
+        self.balancer.list(now, false, lines.into_iter(), &mut self.world);
+        self.settle();
+    }
+
+    /// Why a server can't be ordered drained here, if it can't.
+    pub fn drainable(&self, id: &str) -> Result<(), &'static str> {
+        let name = Name::named(id);
+        let known = self.listed.iter().position(|listed| listed.as_ref().is_some_and(|l| l.name == name));
+        let Some(known) = known else { return Err("this node's list names no such server") };
+        if self.world.servers[known].origin {
+            return Err("the origin can't be drained");
+        }
+        let ready =
+            |(i, server): (usize, &Server)| i != known && server.state == State::Ready && !server.origin;
+        match self.world.servers.iter().enumerate().any(ready) {
+            true => Ok(()),
+            false => Err("no cache in service would be left"),
+        }
+    }
+
+    /// The id of a server that an order names, where this node's list has it.
+    pub fn id_of(&self, name: Name) -> Option<&str> {
+        let known = self.listed.iter().position(|listed| listed.as_ref().is_some_and(|l| l.name == name))?;
+        Some(self.servers.id(ServerIx(known)))
+    }
+}
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -1,15 +1,16 @@
 //! The one place where state changes. It owns the module and the tables of clients, API calls, shots and
 //! links (connections to servers); sockets report to it by its methods, and it asks for reading and writing
 //! by effects. It has no socket and no clock.
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
+use quartzhub_members::Server as Name;
 use quartzhub_names::{place, Calls, Line, Places, Servers};
 use quartzhub_policy::{
-    Answers, Ask, Balancer, CallIx, Effect as Effects, Ending, Outcome, Product, ServerIx, Settings, Span,
-    State, Time,
+    Answers, Ask, Balancer, CallIx, Effect as Effects, Ending, Listing, Outcome, Product, ServerIx, Settings,
+    Span, State, Time,
 };
 use rustc_hash::FxHashMap;
 
@@ -19,6 +20,7 @@
 use crate::limits::Limits;
 use crate::service::{Idle, Service};
 
+mod lists;
 mod world;
 
 pub use crate::words::*;
@@ -158,6 +160,9 @@
     origin_kind: usize,
     /// Discovery has told a list since the start.
     news: bool,
+    /// What the list said of each server last, by its index; and those that operators have ordered drained.
+    listed: Vec<Option<lists::Listed>>,
+    drained: HashSet<Name>,
     /// Configurations read at SIGHUP: taken, and turned down.
     applied: u64,
     rejected: u64,
@@ -183,6 +188,8 @@
         Reducer {
             counted,
             news: false,
+            listed: Vec::new(),
+            drained: HashSet::new(),
             applied: 0,
             rejected: 0,
             balancer: Balancer::new(&config.settings, config.seed),
@@ -560,97 +567,6 @@
         self.answered(now, id, Answer { outcome: Outcome::Broken, value: None, reusable: false });
     }
 
-    /// News of discovery, or the list known from before (`fresh`: not).
-    pub fn list(
-        &mut self,
-        now: Time,
-        news: &News,
-        fresh: bool,
-        started: impl Fn(Option<f64>) -> Option<Time>,
-    ) {
-        self.at(now);
-        self.news |= fresh;
-        let complete = news.full || !fresh;
-        if complete {
-            self.world.servers.iter_mut().for_each(|server| server.state = State::Gone);
-        }
-        let mut lines = Vec::with_capacity(news.servers.len());
-        for entry in &news.servers {
-            // Guards against a discovery that names new servers without end.
-            if self.servers.len() >= self.world.limits.servers && !self.servers.knows(&entry.id) {
-                tracing::info!(
-                    "discovery: more than {} servers, {:?} is passed over",
-                    self.servers.len(),
-                    entry.id
-                );
-                continue;
-            }
-            let ix = self.servers.index(&entry.id);
-            let state = match entry.state.as_deref() {
-                Some("in_service") => State::Ready,
-                Some("terminated") => State::Gone,
-                // One that this build does not know gets nothing new.
-                _ => State::Draining,
-            };
-            let len = self.world.servers.len().max(ix.0 + 1);
-            self.world.servers.resize_with(len, Server::default);
-            let server = &mut self.world.servers[ix.0];
-            let started = started(entry.started_ms);
-            let addr = entry.addr.or(server.addr);
-            let moved = server.addr != addr || server.started != started;
-            (server.addr, server.started) = (addr, started);
-            server.state = state;
-            let kind = place(&self.places.kinds, entry.kind.as_deref());
-            // Guards against speaking to an origin as to a cache while the settings are those of the deployment to
-            // come and the list is still the old one: a kind without a name changes nothing.
-            server.origin = if kind == usize::MAX { server.origin } else { kind == self.origin_kind };
-            let origin = server.origin;
-            // Guards against writing to a process that is no more.
-            if moved {
-                self.world.close_idle(ix);
-            }
-            let line = Line {
-                name: &entry.id,
-                zone: entry.zone.as_deref(),
-                kind: entry.kind.as_deref(),
-                cell: entry.cell,
-                state,
-                scale: entry.weight,
-                started,
-            };
-            let mut line = self.places.listing(ix, line);
-            if origin {
-                line.kind = self.origin_kind as u32;
-            }
-            lines.push(line);
-        }
-        // Guards against writing to a new server what was meant for the one that had its address before, and
-        // has gone, although the list does not say so yet.
-        let fresh_at: FxHashMap<SocketAddr, ServerIx> = lines
-            .iter()
-            .filter(|line| line.state == State::Ready)
-            .filter_map(|line| Some((self.world.servers[line.server.0].addr?, line.server)))
-            .collect();
-        for (i, server) in self.world.servers.iter_mut().enumerate() {
-            let heir = server.addr.and_then(|addr| fresh_at.get(&addr));
-            if server.state != State::Gone && !server.origin && heir.is_some_and(|heir| heir.0 != i) {
-                let named = lines.iter().any(|line| line.server.0 == i);
-                if !named {
-                    server.state = State::Gone;
-                    let line = Line { name: self.servers.id(ServerIx(i)), ..Line::default() };
-                    lines.push(self.places.listing(ServerIx(i), line));
-                }
-            }
-        }
-        for ix in (0..self.world.servers.len()).map(ServerIx) {
-            if self.world.servers[ix.0].state != State::Ready {
-                self.world.close_idle(ix);
-            }
-        }
-        self.balancer.list(now, complete, lines.into_iter(), &mut self.world);
-        self.settle();
-    }
-
     /// What is due by now.
     pub fn due(&mut self, now: Time) {
         self.at(now);
@@ -751,7 +667,12 @@
             let ending = Ending { shot, outcome, took, call_ended: call.answered };
             self.balancer.outcome(self.world.now, ix, ending, &mut self.world);
         }
-        self.world.dropped.drain(..).for_each(|ix| self.servers.free(ix));
+        for ix in self.world.dropped.drain(..) {
+            self.servers.free(ix);
+            if let Some(listed) = self.listed.get_mut(ix.0) {
+                *listed = None;
+            }
+        }
     }
 }
 
--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -2,6 +2,7 @@
 use std::collections::BTreeMap;
 
 use expect_test::expect;
+use quartzhub_members::Server as Name;
 use quartzhub_node::caches::Answer;
 use quartzhub_node::config::{Config, Environment, News};
 use quartzhub_node::reducer::{ClientId, Effect, Facts, LinkId, Reducer, Room, Said, Words};
@@ -223,6 +224,50 @@
     .assert_eq(&rig.trace);
 }
 
+#[test]
+fn an_operators_order_drains_at_once_is_taken_back_and_sends_nothing_the_list_does_not_name() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    rig.list(false, &[("b", 2, "in_service")]);
+    let drained = |ids: &[&str]| ids.iter().map(|id| Name::named(id)).collect();
+    rig.call(client, "view", "c1", 400);
+    rig.tell("a is ordered drained", |r, now| r.ordered(now, drained(&["a", "o", "elsewhere"])));
+    let said = ["a", "b", "o", "elsewhere"].map(|id| rig.reducer.drainable(id));
+    rig.note(&format!("{said:?}"));
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.note("the list says again that a is in service");
+    rig.list(false, &[("a", 1, "in_service")]);
+    for call in ["c2", "c3", "c4"] {
+        rig.call(client, "view", call, 400);
+    }
+    rig.note("the list takes a out, and then the order ends: nothing goes there");
+    rig.list(false, &[("a", 1, "terminating")]);
+    rig.tell("no orders", |r, now| r.ordered(now, drained(&[])));
+    rig.call(client, "view", "c5", 400);
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 2
+        0 a is ordered drained
+        0 [Ok(()), Err("no cache in service would be left"), Err("the origin can't be drained"), Err("this node's list names no such server")]
+        0 up 2
+        0   write 2: c1, wait 397
+        0 up 3
+        0 the list says again that a is in service
+        0 call c2
+        0   connect 3 to 2
+        0 call c3
+        0   connect 4 to 2
+        0 call c4
+        0   connect 5 to 2
+        0 the list takes a out, and then the order ends: nothing goes there
+        0 no orders
+        0 call c5
+        0   connect 6 to 2
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
 #[test]
 fn only_an_unwritten_shot_is_made_again_for_a_non_idempotent_call() {
     let mut rig = Rig::new("{}");
