--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -190,3 +190,29 @@
         assert!(seen || matches!(rule, Rule::Platform | Rule::ColdServers), "{way}: no history");
     }
 }
+
+/// The same plan with a part of the detector left out at every node; what is then not as it must be.
+fn without(name: &str, part: &str) -> Outcome {
+    let mut plan = plan(name);
+    plan.config["membership_without"] = serde_json::json!([part]);
+    play(&plan, &programs(), None).expect("played")
+}
+
+#[test]
+fn without_versions_an_old_order_that_comes_again_drains_once_more() {
+    let outcome = without("members-order.toml", "versions");
+    assert!(outcome.last_shots[2] < 18.0, "cache-2 was sent a shot at {:.1} s", outcome.last_shots[2]);
+}
+
+#[test]
+fn without_refutation_sleepers_are_not_taken_back() {
+    let failures = without("members-pause.toml", "refutation").failures();
+    assert!(!failures.is_empty(), "broken on purpose, and not seen");
+}
+
+#[test]
+fn without_word_of_who_hears_one_that_is_heard_is_removed() {
+    let outcome = without("members-one-sided.toml", "vouching");
+    let removed = "membership: node 4 was suspect, is gone";
+    assert!(outcome.events.iter().any(|event| event.what.starts_with(removed)), "broken, and not seen");
+}
--- a/crates/members/src/limits.rs
+++ b/crates/members/src/limits.rs
@@ -77,6 +77,25 @@
     pub versions: bool,
 }
 
+/// What can be left out, by name.
+pub const PARTS: [&str; 6] = ["helpers", "refutation", "own_health", "vouching", "observers", "versions"];
+
+impl Without {
+    /// Leaves out a part by its name; whether there is one of that name.
+    pub fn leave_out(&mut self, part: &str) -> bool {
+        match part {
+            "helpers" => self.helpers = true,
+            "refutation" => self.refutation = true,
+            "own_health" => self.own_health = true,
+            "vouching" => self.vouching = true,
+            "observers" => self.observers = true,
+            "versions" => self.versions = true,
+            _ => return false,
+        }
+        true
+    }
+}
+
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -75,6 +75,9 @@
     peers: serde_json::Value,
     #[serde(default)]
     fleet: Option<String>,
+    /// Parts of the detector that tests leave out on purpose, to see that they are missed.
+    #[serde(default)]
+    membership_without: Vec<String>,
     #[serde(default)]
     limits: Machine,
     #[serde(default)]
@@ -296,6 +299,7 @@
             *peer_listen,
             peers,
             fleet.clone(),
+            &file.membership_without,
             &settings,
             &mut passed_over,
         )?;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -6,8 +6,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use quartzhub_members::limits::PARTS;
 use quartzhub_members::wire::{fleet, LONGEST};
-use quartzhub_members::{Counts, Id, Limits, Members, Order, Post, Refused, Server, State};
+use quartzhub_members::{Counts, Id, Limits, Members, Order, Post, Refused, Server, State, Without};
 use quartzhub_policy::Settings;
 use serde::Serialize;
 use tokio::net::UdpSocket;
@@ -27,6 +28,8 @@
     pub me: u16,
     /// Nodes of another fleet are not spoken to.
     pub fleet: String,
+    /// What a test leaves out on purpose.
+    pub without: Without,
 }
 
 /// Numbers of nodes that a datagram's bounded words leave room for.
@@ -41,6 +44,7 @@
         listen: Option<SocketAddr>,
         peers: &serde_json::Value,
         fleet: Option<String>,
+        without: &[String],
         settings: &Settings,
         passed_over: &mut Vec<Fault>,
     ) -> Result<Option<Peering>, Fault> {
@@ -72,11 +76,21 @@
         if distinct.len() < peers.len() {
             return fault("peers: an address stands twice");
         }
+        let mut left_out = Without::default();
+        for (i, part) in without.iter().enumerate() {
+            if !left_out.leave_out(part) {
+                let parts = PARTS.join(", ");
+                return fault(&format!("membership_without[{i}]: {part:?} is none of {parts}"));
+            }
+            passed_over
+                .push(Fault::new(&format!("membership_without: {part}: broken on purpose, for tests only")));
+        }
         Ok(Some(Peering {
             listen,
             peers,
             me: me as u16,
             fleet: fleet.unwrap_or_else(|| "quartzhub".to_owned()),
+            without: left_out,
         }))
     }
 }
@@ -143,7 +157,8 @@
     pub async fn open(named: Peering, seed: u64, clock: Clock) -> io::Result<Rc<Peers>> {
         let socket = UdpSocket::bind(named.listen).await?;
         let of = fleet(&named.fleet);
-        let mut members = Members::new(Id(named.me), named.peers.len(), of, seed, Limits::default());
+        let limits = Limits { without: named.without, ..Limits::default() };
+        let mut members = Members::new(Id(named.me), named.peers.len(), of, seed, limits);
         members.start(clock.now());
         let ids = named.peers.iter().enumerate().map(|(i, addr)| (*addr, Id(i as u16))).collect();
         let (strangers, logged, was_alone) = (Cell::new(0), Cell::new(0), Cell::new(false));
