--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,4 +1,5 @@
 //! The decisions of one quartzhub node, free of I/O, clocks and wire formats. See `policy`.
+mod bounds;
 mod pcg;
 pub mod policy;
 mod state;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -47,7 +47,7 @@
 /// Outcomes that the fleet's own success weighs against a server's.
 const PRIOR: f64 = 1.0;
 /// Part of the fleet's own success under which a server is doubtful, so that a common trouble blames nobody.
-const DOUBT: f64 = 0.7;
+pub(crate) const DOUBT: f64 = 0.7;
 /// Multiple of the median answer time without any word from a server with shots out that makes it silent.
 const SILENT_FACTOR: f64 = 6.0;
 /// Multiple of the 95th percentile of answer times after which an answer is taken for lost.
@@ -79,12 +79,12 @@
 /// Growth of the calm time's estimate an answer, so that an origin slowed for good is taken as it is.
 const ORIGIN_DRIFT: f64 = 1.002;
 /// Change of the limit for an answer in no time, or in twice the target: in places, or as a part of few.
-const ORIGIN_STEP: f64 = 0.25;
-const ORIGIN_PART: f64 = 0.5;
+pub(crate) const ORIGIN_STEP: f64 = 0.25;
+pub(crate) const ORIGIN_PART: f64 = 0.5;
 /// Seconds in which a limit under one place doubles by itself: at hundreds of nodes answers are far between.
-const ORIGIN_DOUBLES: f64 = 4.0;
+pub(crate) const ORIGIN_DOUBLES: f64 = 4.0;
 /// Shots that a node with few places may save up: misses come in twos and threes.
-const ORIGIN_SAVED: f64 = 2.0;
+pub(crate) const ORIGIN_SAVED: f64 = 2.0;
 /// Part of the SLO that an API call may be kept waiting with nothing sent.
 const PATIENCE: f64 = 0.5;
 /// Seconds of quota that a tenant may save up, under a burst; and at least, in calls, to tell it from chance.
@@ -103,54 +103,11 @@
 /// Change of a shedding level a tick, up and down: full in about half a second, gone in two.
 const SHED_UP: f64 = 0.04;
 const SHED_DOWN: f64 = 0.01;
-/// Keys: how many are kept a record of, for how long, how fast it fades, in seconds, and what weighs against it.
-const KEYS_MOST: usize = 256;
-const KEY_KEPT: Span = Span::ms(15_000);
-const KEY_HALF_LIFE: f64 = 5.0;
-const KEY_PRIOR: f64 = 2.0;
-/// Its shots out at the start of its limit, and the least.
-const KEY_START: f64 = 1.0;
-const KEY_LEAST: f64 = 0.02;
-/// Within what time to ask for the list where the settings do not say.
-pub(crate) const ASK_WITHIN: Span = Span::ms(5_000);
-/// Asking for the list: parts of the time within which to ask over which nodes spread, at first and later.
-const ASK_SPREAD: f64 = 0.5;
-const ASK_LATER: f64 = 2.0;
-const ASK_LATER_MOST: u32 = 2;
 /// How long the record of a gone server is kept: longer than a restart, so that it finds its point again.
 const GONE_KEPT: Span = Span::ms(30_000);
 /// Time kept in hand before a deduplication window closes: one round and a network delay.
 const WINDOW_MARGIN: Span = Span::ms(20);
 
-// ---- Roster: the list where it has to be asked for -----------------------------------------------
-
-impl Roster {
-    /// Guards against a list service that answers few at a time: nodes that start or lose their subscription at one
-    /// moment ask spread out, and seldomer the more tries failed.
-    fn put_off(&mut self, now: Time, chance: &mut Pcg) {
-        let longer = ASK_LATER.powi(self.failed.min(ASK_LATER_MOST) as i32);
-        self.next = now + self.within.times(ASK_SPREAD * longer * chance.unit());
-    }
-
-    /// News came: the first after asking says that changes will come by themselves.
-    fn heard(&mut self) {
-        (self.watched, self.failed) = (self.asked, 0);
-    }
-
-    /// A try failed, or the subscription broke; which one is not told.
-    fn failed(&mut self, now: Time, chance: &mut Pcg) {
-        (self.asked, self.watched, self.failed) = (false, false, self.failed + 1);
-        self.put_off(now, chance);
-    }
-
-    fn tick(&mut self, now: Time, to: &mut impl Answers) {
-        if self.asks && !self.watched && now >= self.next {
-            (self.asked, self.next) = (true, now + self.within);
-            to.watch();
-        }
-    }
-}
-
 // ---- Admission: tenant share and overload -------------------------------------------------------
 
 impl Admission {
@@ -310,54 +267,6 @@
     }
 }
 
-// ---- Keys: what is believed of single keys ------------------------------------------------------
-
-impl Keys {
-    /// How a shot went. Only what goes badly begins a record, so that few keys have one.
-    fn settle(&mut self, key: u64, at: ServerIx, good: bool, now: Time) {
-        if !self.records.contains_key(&key) && (good || self.records.len() >= KEYS_MOST) {
-            return;
-        }
-        let record = self.records.entry(key).or_default();
-        let kept = 0.5f64.powf((now - record.at).seconds() / KEY_HALF_LIFE);
-        (record.good, record.bad, record.at) = (record.good * kept, record.bad * kept, now);
-        if good {
-            record.good += 1.0;
-        } else {
-            record.spread |= record.bad > 0.0 && record.last != at;
-            (record.bad, record.last) = (record.bad + 1.0, at);
-        }
-    }
-
-    /// Guards against a key that goes badly wherever it is asked, as behind a lock, while others go well: its calls that
-    /// wait, and those nobody waits for any more, fill the caches. It gets a limit of its own, and costs no cache its name.
-    fn suspect(&mut self, key: u64, success: f64, target: f64, now: Time) {
-        let Some(record) = self.records.get_mut(&key).filter(|record| record.gate.is_none()) else { return };
-        let mean = (record.good + KEY_PRIOR * success) / (record.good + record.bad + KEY_PRIOR);
-        if record.spread && mean < DOUBT * success {
-            let gate = Gate { limit: KEY_START, least: KEY_LEAST, saved_at: now, target, ..Gate::default() };
-            record.gate = Some(gate);
-        }
-    }
-
-    fn gate(&mut self, key: u64) -> Option<&mut Gate> {
-        self.records.get_mut(&key).and_then(|record| record.gate.as_mut())
-    }
-
-    fn gated(&self, key: u64) -> bool {
-        self.records.get(&key).is_some_and(|record| record.gate.is_some())
-    }
-
-    fn tick(&mut self, passed: f64, now: Time) {
-        self.records.retain(|_, record| {
-            if let Some(gate) = &mut record.gate {
-                gate.regrow(passed);
-            }
-            now - record.at < KEY_KEPT
-        });
-    }
-}
-
 // ---- Health: what is believed of each cache -----------------------------------------------------
 
 impl Health {
@@ -443,45 +352,6 @@
     }
 }
 
-// ---- Gate: an adaptive limit on what is out, under one place a rate ------------------------------
-
-impl Gate {
-    /// Under few places the limit is a rate of shots, too: hundreds of nodes have a place each.
-    fn room(&self, now: Time) -> bool {
-        f64::from(self.out) < self.limit.floor() || self.limit < ORIGIN_SAVED && self.saved(now) >= 1.0
-    }
-
-    fn saved(&self, now: Time) -> f64 {
-        (self.saved + (now - self.saved_at).0 as f64 * self.limit / self.target).min(ORIGIN_SAVED)
-    }
-
-    fn take(&mut self, now: Time) {
-        self.out += 1;
-        (self.saved, self.saved_at) = ((self.saved(now) - 1.0).max(0.0), now);
-    }
-
-    /// How an answer went: what it left of the time aimed at, as a part of it; below 0 it took longer, or was lost.
-    fn ended(&mut self, spare: f64) {
-        if spare < 0.0 || self.pressed || self.limit < ORIGIN_SAVED {
-            let step = ORIGIN_STEP.min(ORIGIN_PART * self.limit);
-            self.limit = (self.limit + step * spare.max(-1.0)).max(self.least);
-        }
-    }
-
-    /// Guards against what slows at once: late shots count before their answers come.
-    fn late(&mut self, now: Time) {
-        self.ended(-1.0);
-        (self.saved, self.saved_at) = (0.0, now);
-    }
-
-    /// Guards against answers that are far between at hundreds of nodes.
-    fn regrow(&mut self, passed: f64) {
-        if self.limit < 1.0 {
-            self.limit *= 1.0 + passed / ORIGIN_DOUBLES;
-        }
-    }
-}
-
 // ---- Origin: an adaptive limit and a short queue ------------------------------------------------
 
 impl Origin {
@@ -525,37 +395,6 @@
 
 // ---- Shots: what settings allow, and how far further shots pay ----------------------------------
 
-impl Budget {
-    fn took(&mut self, now: Time) {
-        if self.span > Span::ZERO {
-            self.calls.push_back(now);
-            let span = self.span;
-            let old = |at: &Time| now - *at > span;
-            self.calls.drain(..self.calls.partition_point(old));
-            self.further.drain(..self.further.partition_point(old));
-        }
-    }
-
-    /// A miss lets its call have a shot outside the budget: one sent at this very moment was that shot, since the news
-    /// had come before it went.
-    fn missed(&mut self, call: &mut Call, now: Time) {
-        match call.shots.last_mut().filter(|shot| shot.charged && shot.sent == now) {
-            Some(shot) => {
-                shot.charged = false;
-                self.further.pop_back();
-            }
-            None => call.excused += 1,
-        }
-    }
-
-    /// Whether one more may be made now: both ends of the window are counted to the budget's disadvantage.
-    fn allows(&self, now: Time) -> bool {
-        let calls = self.calls.len() - self.calls.partition_point(|at| now - *at >= self.span);
-        let further = self.further.len() - self.further.partition_point(|at| now - *at > self.span);
-        self.span == Span::ZERO || further as f64 + 1.0 <= self.free + self.ratio * calls as f64
-    }
-}
-
 impl Shots {
     /// Rules 1 and 2: whether this call may have a shot at this server now.
     fn allows(&self, call: &Call, servers: &[Server], to: ServerIx, now: Time) -> bool {
@@ -1033,7 +872,8 @@
             && self.shots.affords(call, self.now)
             && (self.shots.may_duplicate || !out)
             && (call.proven_unrun() || product.effect != Effect::NonIdempotent);
-        // Guards against fetching twice: a further shot may be at the origin already when the cache says miss.
+        // Guards against fetching twice: a further shot may be at the origin already when the cache says
+        // miss.
         let at_origin = |shot: &Shot| shot.fate == Fate::Out && self.servers[shot.server.0].origin;
         let fetching = call.leads || call.shots.iter().any(at_origin);
         if call.place != Place::Flying || out && (!may || !call.missed || fetching) {
--- a/crates/policy/src/tune.rs
+++ b/crates/policy/src/tune.rs
@@ -1,4 +1,5 @@
 //! Takes settings into the stages: which rules hold, and the figures they come with. Decides nothing; `policy` does.
+use crate::bounds::ASK_WITHIN;
 use crate::pcg::Pcg;
 use crate::policy::*;
 use crate::state::*;
