Keep no record of further shots where no budget is set, and bound what one counts

Found on reading the change again: `shoot` noted each shot beyond a call's first in the budget's list, which only `took` trims, and that only where a budget is set: a node without one kept eight bytes for each such shot for ever, and looked through them. Cause: charging stood outside `Budget`. Now `Budget::charges` does it, and 65,536 calls and further shots are counted at most; forgetting older calls narrows the budget only. Also: orders go through `news` like other entries (two ways before), and a node that starts is told of another by a valid datagram only, not by noise.

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -531,14 +531,10 @@
         // The view of a former life, or of one that this node has given up, is worth nothing but for what it says of
         // this node. What it asks is answered, so that it learns what it is known by.
         let me = self.me;
-        let about_me = |entry: &Entry| !matches!(entry, Entry::Order(_)) && entry.of() == me;
-        for entry in &entries {
-            match entry {
-                // Whoever says it and however late: an older one changes nothing.
-                Entry::Order(order) => self.hears_order(now, *order),
-                _ if current || about_me(entry) => self.news(now, from, entry),
-                _ => {}
-            }
+        // An order counts whoever says it and however late: an older one changes nothing.
+        let counts = |entry: &&Entry| current || entry.of() == me || matches!(entry, Entry::Order(_));
+        for entry in entries.iter().filter(counts) {
+            self.news(now, from, entry);
         }
         self.push_orders(now, out);
         match head.kind {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -212,8 +212,13 @@
     fn take(&self, from: SocketAddr, bytes: &[u8], out: &mut Vec<Post>) {
         match self.ids.get(&from) {
             Some(id) => {
-                self.members.borrow_mut().receive(self.clock.now(), *id, bytes, out);
-                self.heard.notify_one();
+                let mut members = self.members.borrow_mut();
+                let before = members.counts.received;
+                members.receive(self.clock.now(), *id, bytes, out);
+                // Guards against taking noise for word of another node.
+                if members.counts.received > before {
+                    self.heard.notify_one();
+                }
             }
             None => self.strangers.set(self.strangers.get() + 1),
         }
--- a/crates/policy/src/bounds.rs
+++ b/crates/policy/src/bounds.rs
@@ -1,12 +1,13 @@
 //! Bounds that stages go by: how often the list is asked for, an adaptive limit on what is out, single keys,
-//! and the budget of further shots. Part of the module; its constants stand in policy.rs.
+//! and the budget of further shots. Part of the module; constants of the stages stand in policy.rs.
 use crate::pcg::Pcg;
 use crate::policy::*;
 use crate::state::*;
 use crate::types::*;
 
-/// Keys: how many are kept a record of, for how long, how fast it fades, in seconds, and what weighs against
-/// it.
+/// API calls and further shots that a budget counts; forgetting older calls only narrows it.
+pub(crate) const COUNTED: usize = 1 << 16;
+/// Keys: records kept, for how long, how fast they fade, in seconds, and what weighs against one.
 const KEYS_MOST: usize = 256;
 const KEY_KEPT: Span = Span::ms(15_000);
 const KEY_HALF_LIFE: f64 = 5.0;
@@ -14,8 +15,6 @@
 /// Its shots out at the start of its limit, and the least.
 const KEY_START: f64 = 1.0;
 const KEY_LEAST: f64 = 0.02;
-/// Within what time to ask for the list where the settings do not say.
-pub(crate) const ASK_WITHIN: Span = Span::ms(5_000);
 /// Asking for the list: parts of the time within which to ask over which nodes spread, at first and later.
 const ASK_SPREAD: f64 = 0.5;
 const ASK_LATER: f64 = 2.0;
@@ -101,23 +100,21 @@
         let record = self.records.entry(key).or_default();
         let kept = 0.5f64.powf((now - record.at).seconds() / KEY_HALF_LIFE);
         (record.good, record.bad, record.at) = (record.good * kept, record.bad * kept, now);
-        if good {
-            record.good += 1.0;
-        } else {
-            record.spread |= record.bad > 0.0 && record.last != at;
-            (record.bad, record.last) = (record.bad + 1.0, at);
+        record.spread |= !good && record.bad > 0.0 && record.last != at;
+        match good {
+            true => record.good += 1.0,
+            false => (record.bad, record.last) = (record.bad + 1.0, at),
         }
     }
 
-    /// Guards against a key that goes badly wherever it is asked, as behind a lock, while others go well: its
-    /// calls that wait, and those nobody waits for any more, fill the caches. It gets a limit of its own, and
-    /// costs no cache its name.
+    /// Guards against a key that goes badly wherever it is asked, as behind a lock: its calls that wait, and
+    /// those nobody waits for any more, fill the caches. It gets a limit of its own.
     pub(crate) fn suspect(&mut self, key: u64, success: f64, target: f64, now: Time) {
         let Some(record) = self.records.get_mut(&key).filter(|record| record.gate.is_none()) else { return };
         let mean = (record.good + KEY_PRIOR * success) / (record.good + record.bad + KEY_PRIOR);
         if record.spread && mean < DOUBT * success {
-            let gate = Gate { limit: KEY_START, least: KEY_LEAST, saved_at: now, target, ..Gate::default() };
-            record.gate = Some(gate);
+            record.gate =
+                Some(Gate { limit: KEY_START, least: KEY_LEAST, saved_at: now, target, ..Gate::default() });
         }
     }
 
@@ -131,9 +128,7 @@
 
     pub(crate) fn tick(&mut self, passed: f64, now: Time) {
         self.records.retain(|_, record| {
-            if let Some(gate) = &mut record.gate {
-                gate.regrow(passed);
-            }
+            record.gate.iter_mut().for_each(|gate| gate.regrow(passed));
             now - record.at < KEY_KEPT
         });
     }
@@ -145,6 +140,7 @@
     pub(crate) fn took(&mut self, now: Time) {
         if self.span > Span::ZERO {
             self.calls.push_back(now);
+            self.calls.drain(..self.calls.len().saturating_sub(COUNTED));
             let span = self.span;
             let old = |at: &Time| now - *at > span;
             self.calls.drain(..self.calls.partition_point(old));
@@ -152,8 +148,7 @@
         }
     }
 
-    /// A miss lets its call have a shot outside the budget: one sent at this very moment was that shot, since
-    /// the news had come before it went.
+    /// A miss lets its call have a shot outside the budget; one sent since the news came was that shot.
     pub(crate) fn missed(&mut self, call: &mut Call, now: Time) {
         match call.shots.last_mut().filter(|shot| shot.charged && shot.sent == now) {
             Some(shot) => {
@@ -164,10 +159,19 @@
         }
     }
 
+    /// Charges a shot made now, if there is a budget and nothing excuses it.
+    pub(crate) fn charges(&mut self, call: &mut Call, now: Time) -> bool {
+        let charged = self.span > Span::ZERO && !call.shots.is_empty() && call.excused == 0;
+        call.excused = call.excused.saturating_sub(1);
+        self.further.extend(charged.then_some(now));
+        charged
+    }
+
     /// Whether one more may be made now: both ends of the window are counted to the budget's disadvantage.
     pub(crate) fn allows(&self, now: Time) -> bool {
         let calls = self.calls.len() - self.calls.partition_point(|at| now - *at >= self.span);
         let further = self.further.len() - self.further.partition_point(|at| now - *at > self.span);
-        self.span == Span::ZERO || further as f64 + 1.0 <= self.free + self.ratio * calls as f64
+        let room = further < COUNTED && further as f64 + 1.0 <= self.free + self.ratio * calls as f64;
+        self.span == Span::ZERO || room
     }
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -840,11 +840,7 @@
         server.unheard = server.unheard.or(Some(self.now));
         let counted = !server.origin;
         self.line.out += u32::from(counted);
-        let charged = !call.shots.is_empty() && call.excused == 0;
-        call.excused = call.excused.saturating_sub(1);
-        if charged {
-            self.shots.budget.further.push_back(self.now);
-        }
+        let charged = self.shots.budget.charges(call, self.now);
         call.shots.push(Shot { server: at, sent: self.now, fate: Fate::Out, further, charged, counted });
         call.place = Place::Flying;
         to.dispatch(ix, at, call.until);
--- a/crates/policy/src/tune.rs
+++ b/crates/policy/src/tune.rs
@@ -1,10 +1,12 @@
 //! Takes settings into the stages: which rules hold, and the figures they come with. Decides nothing; `policy` does.
-use crate::bounds::ASK_WITHIN;
 use crate::pcg::Pcg;
 use crate::policy::*;
 use crate::state::*;
 use crate::types::*;
 
+/// Within what time to ask for the list where the settings do not say.
+const ASK_WITHIN: Span = Span::ms(5_000);
+
 impl Balancer {
     /// Missing settings get the safe reading: no duplicates, no cancelling, no retry time, one shot.
     pub fn new(settings: &Settings, seed: u64) -> Balancer {
