Put the decisions in a folder, a file a stage, in the order in which an API call passes them

Change: `crates/policy/src/decide/`, 17 files, the longest 144 lines; `mod.rs` opens with how to call and in which order to read. Constants are a table, one a line with its reason.

--- /dev/null
+++ b/crates/policy/src/decide/budget.rs
@@ -0,0 +1,42 @@
+//! Budget: shots beyond each API call's first, where the settings limit them.
+use super::*;
+
+impl Budget {
+    pub fn took(&mut self, now: Time) {
+        if self.span > Span::ZERO {
+            self.calls.push_back(now);
+            self.calls.drain(..self.calls.len().saturating_sub(COUNTED));
+            let span = self.span;
+            let old = |at: &Time| now - *at > span;
+            self.calls.drain(..self.calls.partition_point(old));
+            self.further.drain(..self.further.partition_point(old));
+        }
+    }
+
+    /// A miss lets its call have a shot outside the budget; one sent since the news came was that shot.
+    pub fn missed(&mut self, call: &mut Call, now: Time) {
+        match call.shots.last_mut().filter(|shot| shot.charged && shot.sent == now) {
+            Some(shot) => {
+                shot.charged = false;
+                self.further.pop_back();
+            }
+            None => call.excused += 1,
+        }
+    }
+
+    /// Charges a shot made now, if there is a budget and nothing excuses it.
+    pub fn charges(&mut self, call: &mut Call, now: Time) -> bool {
+        let charged = self.span > Span::ZERO && !call.shots.is_empty() && call.excused == 0;
+        call.excused = call.excused.saturating_sub(1);
+        self.further.extend(charged.then_some(now));
+        charged
+    }
+
+    /// Whether one more may be made now: both ends of the window are counted to the budget's disadvantage.
+    pub fn allows(&self, now: Time) -> bool {
+        let calls = self.calls.len() - self.calls.partition_point(|at| now - *at >= self.span);
+        let further = self.further.len() - self.further.partition_point(|at| now - *at > self.span);
+        let room = further < COUNTED && further as f64 + 1.0 <= self.free + self.ratio * calls as f64;
+        self.span == Span::ZERO || room
+    }
+}
--- /dev/null
+++ b/crates/policy/src/decide/call.rs
@@ -0,0 +1,53 @@
+//! A new API call, and one whose client has left.
+use super::*;
+
+impl Balancer {
+    pub fn call(&mut self, now: Time, ix: CallIx, ask: Ask, to: &mut impl Answers) {
+        self.now = now;
+        self.run_due(to);
+        self.calls.resize_with(self.calls.len().max(ix.0 + 1), Call::default);
+        let key = ask.key.map_or_else(|| (self.chance.unit() * 2f64.powi(53)) as u64, hash);
+        // Guards against tries that come back late already: a marked repeat does not draw on the share, and
+        // yields by the part of its value that is lost when late.
+        let product = self.products[ask.product.min(self.products.len() - 1)];
+        let lost = if ask.repeat { 1.0 - product.late_value } else { 0.0 };
+        let beyond = self.admission.beyond_share(ask.tenant, lost, now);
+        self.serial = self.serial.wrapping_add(1);
+        let call = &mut self.calls[ix.0];
+        (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
+        (call.place, call.product, call.over, call.write) = (Place::Chain, product, beyond > 0.0, ask.write);
+        (call.missed, call.leads, call.gated, call.key) = (false, false, false, key);
+        call.spot = place_on_line(key);
+        // Guards against clients whose clocks differ: what is left is at most the product's time.
+        let left = ask.left.max(product.timeout.min(ask.left + self.drift));
+        (call.until, call.due, call.excused) = (now + left, now, 0);
+        call.most = self.shots.most;
+        call.shots.clear();
+        self.shots.budget.took(now);
+        let slo = product.slo;
+        let at_line = !(ask.write && self.aside);
+        if let Some(gate) = self.keys.gate(key).filter(|_| at_line) {
+            call.gated = gate.room(now);
+            gate.pressed = !call.gated;
+            match call.gated {
+                true => gate.take(now),
+                false => return self.give_up(ix, to),
+            }
+        }
+        let crowding = if at_line { self.line.crowding(slo) } else { 0.0 };
+        match self.admission.admit(beyond, crowding, &mut self.chance) {
+            true => self.coalesce(ix, to),
+            // Guards against refusing reads in a crowd at the caches while the origin has places free.
+            false if at_line && beyond <= 0.0 && self.origin.free(now) => self.enter_origin(ix, to),
+            false => self.give_up(ix, to),
+        }
+    }
+
+    /// The client left; nothing is owed any more.
+    pub fn withdrawn(&mut self, now: Time, ix: CallIx, to: &mut impl Answers) {
+        self.now = now;
+        if self.calls.get(ix.0).is_some_and(|call| call.live && !call.ended) {
+            self.end(ix, false, to);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/decide/ending.rs
@@ -0,0 +1,62 @@
+//! The one final answer, and what it lets go of.
+use super::*;
+
+impl Balancer {
+    /// The final answer: rate-limited with a retry time where rule 2 allows the claim, else errored.
+    pub(super) fn give_up(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0];
+        if call.ended {
+            return;
+        }
+        let product = &call.product;
+        if self.shots.may_rate_limit(call) {
+            let most = self.max_retry.map(|most| most.min(product.timeout));
+            let jitter = 0.5 + 0.5 * self.chance.unit();
+            to.rate_limit(ix, most.map(|most| most.times(jitter)));
+        } else {
+            to.error(ix);
+        }
+        self.end(ix, false, to);
+    }
+
+    /// Closes a call, calls off what is still out and lets go of the reads that waited for its fetch.
+    pub(super) fn end(&mut self, ix: CallIx, fetched: bool, to: &mut impl Answers) {
+        let call = &mut self.calls[ix.0];
+        call.ended = true;
+        if let Some(gate) = self.keys.gate(call.key).filter(|_| std::mem::take(&mut call.gated)) {
+            gate.out = gate.out.saturating_sub(1);
+        }
+        let (leads, key) = (std::mem::take(&mut call.leads), call.key);
+        self.origin.queue.retain(|other| *other != ix);
+        // A read that missed goes to the cache that has just been given its object.
+        let home = call.shots.first().map(|shot| shot.server).filter(|_| fetched);
+        self.call_off(ix, None, to);
+        self.forget_if_done(ix, to);
+        let fetch = if leads { self.coalescing.fetches.remove(&key) } else { None };
+        for (waiter, serial) in fetch.map(|fetch| fetch.waiters).unwrap_or_default() {
+            let Some(call) = self.calls.get(waiter.0) else { continue };
+            let waits = call.serial == serial && !call.ended && call.place == Place::Waiting;
+            let home = home.filter(|_| waits && call.missed);
+            if waits && !home.is_some_and(|home| self.shoot(waiter, home, false, to)) {
+                self.coalesce(waiter, to);
+            }
+        }
+    }
+
+    pub(super) fn call_off(&mut self, ix: CallIx, but: Option<usize>, to: &mut impl Answers) {
+        for (i, shot) in self.calls[ix.0].shots.iter().enumerate() {
+            if self.shots.may_cancel && shot.fate == Fate::Out && Some(i) != but {
+                to.cancel(ix, i);
+            }
+        }
+    }
+
+    pub(super) fn forget_if_done(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &mut self.calls[ix.0];
+        if call.live && call.out() == 0 {
+            call.live = false;
+            call.shots.iter().for_each(|shot| self.servers[shot.server.0].held -= 1);
+            to.forget(ix);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/decide/health.rs
@@ -0,0 +1,84 @@
+//! Health: what is believed of each cache.
+use super::*;
+use rand_distr::{Beta, Distribution};
+
+impl Health {
+    /// How many times the silence to be feared of a good cache this one's has lasted.
+    pub fn silence(&self, server: &Server, now: Time) -> f64 {
+        let feared = (SILENT_FACTOR * self.median).max(self.tail).min(FURTHER_TO * self.longest);
+        server.unheard.map_or(0.0, |since| (now - since).0 as f64 / feared)
+    }
+
+    /// Guards against storms at full caches: what one had is its room, and more for each two answer times.
+    pub fn freed(&self, server: &Server, now: Time) -> f64 {
+        (now - server.full_at).0 as f64 / (FREED_AFTER * self.median)
+    }
+
+    pub fn doubtful(&self, server: &Server, now: Time) -> bool {
+        let mean = (server.good + PRIOR * self.success) / (server.good + server.bad + PRIOR);
+        mean < DOUBT * self.success || self.silence(server, now) > 1.0
+    }
+
+    /// A doubtful cache is drawn from the posterior of its chance of success: rarely used, never forgotten.
+    pub fn trusts(&self, server: &Server, now: Time, chance: &mut Pcg) -> bool {
+        if !self.doubtful(server, now) {
+            return true;
+        }
+        // Guards against a long good record that vouches for a cache which has just hung.
+        let silence = self.silence(server, now).max(1.0);
+        let unheard = if silence > 1.0 { silence * f64::from(server.out) } else { 0.0 };
+        let posterior = Beta::new(server.good / silence + 1.0, server.bad + unheard + 1.0);
+        posterior.is_ok_and(|beta| beta.sample(chance) > TRUST)
+    }
+
+    pub fn warmth(&self, started: Option<Time>, now: Time) -> f64 {
+        let Some(started) = started else { return 1.0 };
+        let age = (now - started).seconds().max(0.0) / self.warm_within.seconds().max(1e-6);
+        (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
+    }
+
+    /// Refills a cold cache's budget, and tells whether it covers one more shot: what a cache answers this
+    /// node on average, cut by the stated warm-up; sends are many times that in a storm of full ones.
+    pub fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
+        let warmth = self.warmth(server.cold_at, now);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let passed = (now - server.warm_at).seconds().clamp(0.0, 1.0);
+        let share = line.done_rate / line.caches.len().max(1) as f64;
+        server.warm =
+            (server.warm + passed * share * warmth * WARM_SHARE * server.scale.min(1.0)).min(WARM_SAVED);
+        server.warm_at = now;
+        server.warm >= 1.0
+    }
+
+    pub fn settle(&mut self, server: &mut Server, ending: &Ending, slo: Span, blamed: bool, now: Time) {
+        use Outcome::*;
+        let took = ending.took.0 as f64;
+        let answered = matches!(ending.outcome, Fulfilled | Miss | Full | Broken);
+        if answered || server.out == 0 {
+            server.unheard = (server.out > 0).then_some(now);
+        }
+        if matches!(ending.outcome, Fulfilled | Miss) {
+            self.median += MEAN_STEP * self.median * if took > self.median { 0.5 } else { -0.5 };
+            self.tail += MEAN_STEP * self.tail * if took > self.tail { 0.95 } else { -0.05 };
+        }
+        let slow = took > (CROWDED * slo.0 as f64).max(self.tail);
+        if ending.outcome == Full {
+            (server.room, server.full_at) = (f64::from(server.out), now);
+        }
+        if matches!(ending.outcome, Full | TooLate) || (ending.outcome == Cancelled && !slow) {
+            return;
+        }
+        let good = matches!(ending.outcome, Fulfilled | Miss) && !slow;
+        // Guards against blaming a cache for a key that goes badly everywhere.
+        if blamed && !good {
+            return;
+        }
+        *(if good { &mut server.good } else { &mut server.bad }) += 1.0;
+        let shrink = EVIDENCE / (server.good + server.bad).max(EVIDENCE);
+        server.good *= shrink;
+        server.bad *= shrink;
+        self.success += 0.2 * MEAN_STEP * (f64::from(u8::from(good)) - self.success);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/decide/line.rs
@@ -0,0 +1,112 @@
+//! Line: DEMA. The cache whose point is nearest.
+use super::*;
+
+impl Line {
+    /// Guards against the uneven ranges of hashed seeds, which a small alpha evens out in minutes: at a first
+    /// list points start where even keys would bring them. Golden-section steps keep runs of caches even.
+    pub fn settle(&self, servers: &mut [Server]) {
+        let mut ranked = self.caches.clone();
+        ranked.sort_by_key(|ix| (servers[ix.0].zone, servers[ix.0].seed.to_bits()));
+        let step = |(rank, ix): (usize, &ServerIx)| ((rank as f64 * GOLDEN).fract(), *ix);
+        let mut order: Vec<_> = ranked.iter().enumerate().map(step).collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (place, (_, ix)) in order.iter().enumerate() {
+            servers[ix.0].point = (place as f64 + 0.5) / order.len() as f64;
+        }
+    }
+
+    /// Guards against more nodes than a cache takes connections: a node that was refused one leaves fewer
+    /// idle, the longest unused closed first. Every cache keeps its range, so that keys stay where they are.
+    pub fn let_go(&self, servers: &mut [Server], now: Time, to: &mut impl Answers) {
+        if self.reach >= 1.0 {
+            return;
+        }
+        let idle = |ix: &&ServerIx| servers[ix.0].idle(now, self.keepalive);
+        let mut held: Vec<ServerIx> = self.caches.iter().filter(idle).copied().collect();
+        held.sort_by_key(|ix| servers[ix.0].used);
+        let over = held.len().saturating_sub((self.reach * self.caches.len() as f64) as usize);
+        for ix in held.into_iter().take(over) {
+            if now - servers[ix.0].used > SOON {
+                servers[ix.0].linked = false;
+                to.close(ix);
+            }
+        }
+    }
+
+    /// The part of an SLO, beyond what an answer takes in calm, that a shot now sent must expect to wait: by
+    /// Little's law, out at sound caches over answers a second. Guards against nodes of few calls, where one
+    /// shot out looks like a crowd (there the mean of what was out counts), and work as long as the SLO.
+    pub fn crowding(&self, slo: Span) -> f64 {
+        let pace = self.pace();
+        let out = pace * f64::from(self.out) * self.heard + (1.0 - pace) * self.mean_out;
+        let (calm, slo) = (self.calm.1 / 1e6, slo.seconds());
+        (out / self.done_rate.max(0.2) - calm) / (slo - calm).max(0.25 * slo)
+    }
+
+    /// How fast means over time may go here, so that each still holds enough answers.
+    pub fn pace(&self) -> f64 {
+        (self.done_rate / (self.heard * ENOUGH).max(0.1)).clamp(0.1, 1.0)
+    }
+
+    /// The nearest point wins unless its cache is over the skip line or Health refuses it; the winner's point
+    /// moves. Caches that had this call are passed over.
+    pub fn pick(
+        &mut self,
+        servers: &mut [Server],
+        health: &Health,
+        call: &Call,
+        now: Time,
+        chance: &mut Pcg,
+    ) -> Option<ServerIx> {
+        self.order.clear();
+        self.order.extend(self.caches.iter().map(|ix| ((servers[ix.0].point - call.spot).abs(), *ix)));
+        // All but a few calls end within the nearest, and so they alone are put in order at first.
+        let nearer = |a: &(f64, ServerIx), b: &(f64, ServerIx)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
+        let near = self.order.len().min(NEAREST);
+        if near < self.order.len() {
+            self.order.select_nth_unstable_by(near, nearer);
+        }
+        self.order[..near].sort_unstable_by(nearer);
+        let out: u32 = self.caches.iter().map(|ix| servers[ix.0].out).sum();
+        let skip = (SKIP_FACTOR * f64::from(out) / self.caches.len().max(1) as f64).max(SKIP_FLOOR);
+        let mut second = None;
+        for i in 0..self.order.len() {
+            if i == near {
+                self.order[near..].sort_unstable_by(nearer);
+            }
+            let ix = self.order[i].1;
+            let server = &mut servers[ix.0];
+            let full = f64::from(server.out) + 1.0 > server.room + health.freed(server, now);
+            let had = call.shots.iter().any(|shot| shot.server == ix);
+            if f64::from(server.out) > skip || full || had || !health.warm_enough(server, self, now) {
+                continue;
+            }
+            if health.trusts(server, now, chance) {
+                second = Some(ix);
+                break;
+            }
+            // Guards against a fleet in which every cache is doubtful: the nearest of them is still used.
+            second = second.or(Some(ix));
+        }
+        let server = &mut servers[second?.0];
+        server.point += ALPHA * (call.spot - server.point);
+        second
+    }
+}
+
+impl Balancer {
+    pub(super) fn enter_line(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0];
+        let last = call.shots.len() + 1 >= call.most;
+        if self.aside && (call.write || (last && !call.shots.is_empty())) {
+            return self.enter_origin(ix, to);
+        }
+        match self.line.pick(&mut self.servers, &self.health, call, self.now, &mut self.chance) {
+            Some(server) if self.shoot(ix, server, false, to) => {}
+            Some(_) => self.give_up(ix, to),
+            // Guards against full caches turning all their reads into origin work.
+            None if self.aside && self.origin.free(self.now) => self.enter_origin(ix, to),
+            None => self.give_up(ix, to),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/decide/mod.rs
@@ -0,0 +1,40 @@
+//! All decisions of one quartzhub node, and nothing else.
+//!
+//! How to call it: make a `Balancer` from settings and a seed, call `start` once, then hand over what happens
+//! (`list`, `call`, `outcome`, `tick` and their kin). What the node must do in return is called on `Answers`
+//! given along (types.rs). Read the files in the order below, which is that of an API call; a stage passes it
+//! on, keeps it or ends it, and outcomes run back. Only `shoot` dispatches and checks rules 1 to 3.
+mod call; // a new API call
+
+mod admission; // shares and overload
+
+mod keys; // keys that go badly everywhere
+
+mod coalescing; // one fetch a key
+
+mod line; // DEMA, asking health for each cache
+
+mod health;
+
+mod origin; // its queue, behind a gate
+
+mod gate;
+
+mod shots; // alone dispatches, within a budget
+
+mod budget;
+
+mod outcome; // back from a shot
+
+mod ending; // the final answer
+
+mod waiting; // what is kept, and comes due
+
+mod tick;
+
+mod list; // the servers
+
+pub(crate) mod constants;
+
+use crate::{pcg::Pcg, state::*, types::*};
+use constants::*;
--- /dev/null
+++ b/crates/policy/src/decide/origin.rs
@@ -0,0 +1,86 @@
+//! Origin: a short queue behind an adaptive limit.
+use super::*;
+
+impl Origin {
+    /// Whether there is a place for a read that has not missed: one that no miss or write waits for.
+    pub fn free(&self, now: Time) -> bool {
+        self.gate.room(now) && self.queue.is_empty() && !self.servers.is_empty()
+    }
+
+    /// The wait that a newcomer behind `ahead` others has before it.
+    pub fn wait(&self, ahead: usize) -> Span {
+        Span((self.times[0].0 * (ahead + 1) as f64 / self.gate.limit) as i64)
+    }
+
+    /// The answer time aimed at. Guards against a spiral: writes take longer by nature, and where few reads
+    /// get through they would read as strain; so no kind is held to less than twice its own calm time.
+    pub fn aim(&self, slo: Span, write: bool) -> f64 {
+        (ORIGIN_TARGET * slo.0 as f64).max(ORIGIN_STRAINED * self.times[usize::from(write)].1)
+    }
+
+    /// Steers the limit so that an origin that is slow, yet in time, is used to the full.
+    pub fn settle(&mut self, ending: &Ending, slo: Span, write: bool) {
+        use Outcome::*;
+        let took = ending.took.0 as f64;
+        match ending.outcome {
+            Fulfilled | Miss | Broken => {
+                let (mean, calm) = &mut self.times[usize::from(write)];
+                *mean += 2.0 * MEAN_STEP * (took - *mean);
+                *calm = (*calm * ORIGIN_DRIFT).min(*mean);
+                // One that took longer was counted when it was late.
+                let spare = 1.0 - took / self.aim(slo, write);
+                if spare > 0.0 {
+                    self.gate.ended(spare);
+                }
+                self.gate.pressed = !self.queue.is_empty();
+            }
+            Full | TimedOut | Unreachable | Reset => self.gate.ended(-1.0),
+            _ => {}
+        }
+    }
+}
+
+impl Balancer {
+    pub(super) fn enter_origin(&mut self, ix: CallIx, to: &mut impl Answers) {
+        if self.origin.servers.is_empty() {
+            return self.give_up(ix, to);
+        }
+        let hurried = self.hurried(ix);
+        let call = &mut self.calls[ix.0];
+        if !call.write && !call.leads && !hurried {
+            if self.coalescing.keep(ix, call) {
+                return self.park(ix, Place::Waiting, to);
+            }
+            call.leads = true;
+            self.coalescing.fetches.insert(call.key, Fetch { leader: ix, waiters: Vec::new() });
+        }
+        // What would wait too long is ended now; writes go ahead of the queue.
+        let ahead = if call.write { 0 } else { self.origin.queue.len() };
+        let patience = call.product.slo.times(PATIENCE);
+        if !self.origin.gate.room(self.now) && self.origin.wait(ahead) > patience {
+            return self.give_up(ix, to);
+        }
+        self.origin.queue.push(ix);
+        self.park(ix, Place::Queued, to);
+        self.pump(to);
+    }
+
+    /// Which waiting call goes first: writes, then in-share work, then what is billed higher.
+    pub(super) fn rank(&self, ix: CallIx) -> (bool, bool, u64) {
+        let call = &self.calls[ix.0];
+        (call.write, !call.over, call.product.value.to_bits())
+    }
+
+    /// Sends waiting calls to the origin while its limit has room.
+    pub(super) fn pump(&mut self, to: &mut impl Answers) {
+        self.origin.gate.pressed |= !self.origin.queue.is_empty() && !self.origin.gate.room(self.now);
+        while self.origin.gate.room(self.now) && !self.origin.queue.is_empty() {
+            let server = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out);
+            let best = (0..self.origin.queue.len()).rev().max_by_key(|i| self.rank(self.origin.queue[*i]));
+            let ix = self.origin.queue.remove(best.unwrap_or(0));
+            if !server.is_some_and(|server| self.shoot(ix, server, false, to)) {
+                self.give_up(ix, to);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/decide/outcome.rs
@@ -0,0 +1,98 @@
+//! How a shot ended: what is learnt of it, and what its API call does next.
+use super::*;
+
+impl Balancer {
+    pub fn outcome(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut impl Answers) {
+        self.now = now;
+        // Guards against another shot, or answer, for a call that this very report says has its answer.
+        if ending.call_ended {
+            self.settle(now, ix, ending, to);
+            return self.run_due(to);
+        }
+        self.run_due(to);
+        self.settle(now, ix, ending, to);
+    }
+
+    pub(super) fn settle(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut impl Answers) {
+        let Some(call) = self.calls.get_mut(ix.0).filter(|call| call.live) else { return };
+        let shot = call.shots.get_mut(ending.shot);
+        let Some(shot) = shot.filter(|shot| shot.fate == Fate::Out) else { return };
+        let ran = !ending.outcome.proves_it_never_ran();
+        shot.fate = if ran { Fate::MayHaveRun } else { Fate::NeverRan };
+        self.line.out -= u32::from(std::mem::take(&mut shot.counted));
+        let (server, further, at) = (&mut self.servers[shot.server.0], shot.further, shot.server);
+        server.out = server.out.saturating_sub(1);
+        server.used = now;
+        let slo = call.product.slo;
+        if let Some(gate) = self.keys.gate(call.key) {
+            match ending.outcome {
+                Outcome::Fulfilled => gate.ended(1.0 - ending.took.0 as f64 / slo.times(CROWDED).0 as f64),
+                Outcome::Broken | Outcome::TimedOut => gate.ended(-1.0),
+                _ => {}
+            }
+        }
+        if server.origin {
+            self.origin.gate.out = self.origin.gate.out.saturating_sub(1);
+            self.origin.settle(&ending, slo, call.write);
+        } else {
+            match ending.outcome {
+                Outcome::Unreachable => {
+                    server.refused += 1;
+                    server.linked = server.out > 0;
+                    self.line.reach = (self.line.reach * REACH_CUT).max(REACH_LEAST);
+                }
+                Outcome::Fulfilled | Outcome::Miss => {
+                    server.refused = 0;
+                    self.line.done += 1.0;
+                    let took = ending.took.0 as f64;
+                    let (mean, calm) = &mut self.line.calm;
+                    *mean += MEAN_STEP * (took - *mean);
+                    *calm = (*calm * ORIGIN_DRIFT).min(*mean);
+                    self.line.reach = (self.line.reach * REACH_GROWTH).min(1.0);
+                }
+                _ => {}
+            }
+            let trusted = !self.health.doubtful(server, now);
+            let late = ending.took.0 as f64 > (CROWDED * slo.0 as f64).max(self.health.tail);
+            let late = late && self.keys.by_lateness;
+            let good = matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss);
+            if good || ending.outcome == Outcome::Broken || ending.outcome == Outcome::TimedOut && late {
+                self.keys.settle(call.key, at, good && !late, now);
+            }
+            self.keys.suspect(call.key, self.health.success, slo.times(CROWDED).0 as f64, now);
+            self.health.settle(server, &ending, slo, self.keys.gated(call.key), now);
+            if trusted && ending.outcome != Outcome::TooLate {
+                self.admission.settle_shot(ending.outcome == Outcome::Full);
+            }
+        }
+        if further && !matches!(ending.outcome, Outcome::TooLate) {
+            let won = f64::from(u8::from(ending.outcome == Outcome::Fulfilled));
+            self.shots.success += MEAN_STEP * (won - self.shots.success);
+        }
+        let (streaming, was_origin) = (call.streaming, server.origin);
+        if call.ended {
+            return self.forget_if_done(ix, to);
+        }
+        if ending.call_ended || streaming {
+            if !ending.call_ended {
+                to.error(ix);
+            }
+            self.end(ix, was_origin && ending.outcome == Outcome::Fulfilled, to);
+        } else {
+            call.missed |= ending.outcome == Outcome::Miss && !was_origin;
+            if ending.outcome == Outcome::Miss {
+                self.shots.budget.missed(call, now);
+            }
+            self.again(ix, to);
+        }
+        self.pump(to);
+    }
+
+    /// A streamed answer has begun; the call is the client's now and has no due time left.
+    pub fn first_byte(&mut self, now: Time, ix: CallIx, shot: usize, to: &mut impl Answers) {
+        self.now = now;
+        let Some(call) = self.calls.get_mut(ix.0).filter(|call| call.live) else { return };
+        call.streaming = true;
+        self.call_off(ix, Some(shot), to);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/decide/shots.rs
@@ -0,0 +1,144 @@
+//! Shots: what settings and rules allow, and how far further shots pay.
+use super::*;
+
+impl Shots {
+    /// Rules 1 and 2: whether this call may have a shot at this server now.
+    pub fn allows(&self, call: &Call, servers: &[Server], to: ServerIx, now: Time) -> bool {
+        let product = &call.product;
+        let room = call.shots.len() < call.most && (self.may_duplicate || call.out() == 0);
+        if call.ended || call.streaming || now >= call.until || !room || !self.affords(call, now) {
+            return false;
+        }
+        let ran = call.shots.iter().find(|shot| shot.fate != Fate::NeverRan);
+        let Some(ran) = ran else { return true };
+        let (a, b) = (&servers[ran.server.0], &servers[to.0]);
+        match product.effect {
+            Effect::Idempotent => true,
+            Effect::NonIdempotent => false,
+            Effect::Deduplicated => {
+                now + WINDOW_MARGIN < ran.sent + product.window
+                    && match product.scope {
+                        Scope::All => true,
+                        Scope::Zone => a.zone == b.zone,
+                        Scope::Cell => a.cell == b.cell,
+                        Scope::One => ran.server == to,
+                    }
+            }
+        }
+    }
+
+    /// The budget of further shots, where there is one; a miss earns its call one outside it.
+    pub fn affords(&self, call: &Call, now: Time) -> bool {
+        call.shots.is_empty() || call.excused > 0 || self.budget.allows(now)
+    }
+
+    /// Rule 2: a rate-limit reply says that trying again does no harm.
+    pub fn may_rate_limit(&self, call: &Call) -> bool {
+        let product = &call.product;
+        let free = product.effect == Effect::Idempotent
+            || (product.effect == Effect::Deduplicated && product.scope == Scope::All);
+        free || call.proven_unrun()
+    }
+
+    /// Whether a further shot may be made: they are earned by first shots, more when recent ones succeeded.
+    pub fn further(&mut self) -> bool {
+        let may = self.may_duplicate && self.saved >= 1.0;
+        self.saved -= f64::from(u8::from(may));
+        may
+    }
+
+    pub fn earn(&mut self) {
+        let rate = FURTHER_LEAST + (FURTHER_MOST - FURTHER_LEAST) * self.success;
+        self.saved = (self.saved + rate).min(FURTHER_SAVED);
+    }
+}
+
+impl Balancer {
+    /// Alone dispatches: rules 1 and 2 by `Shots::allows`, 3 by the list's state, 4 by the line's budget.
+    pub(super) fn shoot(&mut self, ix: CallIx, at: ServerIx, further: bool, to: &mut impl Answers) -> bool {
+        let call = &mut self.calls[ix.0];
+        let product = call.product;
+        let ready = self.servers[at.0].state == State::Ready;
+        if !ready || !self.shots.allows(call, &self.servers, at, self.now) {
+            return false;
+        }
+        let server = &mut self.servers[at.0];
+        (server.out, server.held) = (server.out + 1, server.held + 1);
+        (server.linked, server.used) = (true, self.now);
+        server.unheard = server.unheard.or(Some(self.now));
+        let counted = !server.origin;
+        self.line.out += u32::from(counted);
+        let charged = self.shots.budget.charges(call, self.now);
+        call.shots.push(Shot { server: at, sent: self.now, fate: Fate::Out, further, charged, counted });
+        call.place = Place::Flying;
+        to.dispatch(ix, at, call.until);
+        if server.origin {
+            self.origin.gate.take(self.now);
+        } else {
+            server.warm -= 1.0;
+        }
+        if call.shots.len() == 1 {
+            self.shots.earn();
+        }
+        let slo = product.slo.0 as f64;
+        let cache = self.health.tail.clamp(FURTHER_FROM * slo, FURTHER_TO * slo);
+        let wait = if server.origin { self.origin.aim(product.slo, call.write) } else { cache };
+        self.set_due(ix, self.now + Span(wait as i64));
+        true
+    }
+
+    /// After a shot ended without the final answer: another, or wait for those out, or give up.
+    pub(super) fn again(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &self.calls[ix.0];
+        let out = call.out() > 0;
+        let product = &call.product;
+        let may = call.shots.len() < call.most
+            && self.shots.affords(call, self.now)
+            && (self.shots.may_duplicate || !out)
+            && (call.proven_unrun() || product.effect != Effect::NonIdempotent);
+        // Guards against fetching twice: a further shot may be at the origin already when a cache misses.
+        let at_origin = |shot: &Shot| shot.fate == Fate::Out && self.servers[shot.server.0].origin;
+        let fetching = call.leads || call.shots.iter().any(at_origin);
+        if call.place != Place::Flying || out && (!may || !call.missed || fetching) {
+            return;
+        }
+        let hopeless = !call.missed && self.keys.gated(call.key);
+        match may && !hopeless && self.now < call.until {
+            true => self.coalesce(ix, to),
+            false => self.give_up(ix, to),
+        }
+    }
+
+    /// A shot is late: a further one is made, if earned or if the first cache is silent.
+    pub(super) fn review(&mut self, ix: CallIx, to: &mut impl Answers) {
+        let call = &mut self.calls[ix.0];
+        let Some(late) = call.shots.last_mut().filter(|shot| shot.fate == Fate::Out) else { return };
+        let server = &self.servers[late.server.0];
+        if server.origin {
+            self.origin.gate.late(self.now);
+        }
+        let failing = self.health.doubtful(server, self.now);
+        // A failing cache's shots are no crowd, nor are those whose answers were lost.
+        let lost = (self.now - late.sent).0 as f64 > LOST_AFTER * self.health.tail;
+        self.line.out -= u32::from((failing || lost) && std::mem::take(&mut late.counted));
+        let at = late.server;
+        let call = &self.calls[ix.0];
+        if server.origin || call.streaming || call.write && self.aside || call.out() > 1 {
+            return;
+        }
+        let allowed = self.shots.allows(call, &self.servers, at, self.now) && !self.keys.gated(call.key);
+        if allowed && (failing || self.shots.further()) {
+            // Guards against further shots that miss at the next nearest and load it in a jam.
+            let needed = f64::from(self.origin.gate.out) * 2.0 + 1.0;
+            let spare = self.origin.free(self.now) && needed <= self.origin.gate.limit;
+            let chance = &mut self.chance;
+            let near = || self.line.pick(&mut self.servers, &self.health, call, self.now, chance);
+            let pick = self.origin.servers.first().copied().filter(|_| spare).or_else(near);
+            if pick.is_some_and(|server| self.shoot(ix, server, true, to)) {
+                return;
+            }
+        }
+        let wait = self.calls[ix.0].product.slo.times(FURTHER_FROM);
+        self.set_due(ix, self.now + wait);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/decide/tick.rs
@@ -0,0 +1,38 @@
+//! The timer: what fades, what grows again and what is forgotten.
+use super::*;
+
+impl Balancer {
+    pub fn tick(&mut self, now: Time, to: &mut impl Answers) {
+        let passed = (now - self.ticked).seconds().max(1e-6);
+        (self.now, self.ticked) = (now, now);
+        to.wake(TICK);
+        // Guards against nodes that ask a cache so seldom that each outcome is forgotten before the next.
+        let each = self.line.done_rate / self.line.caches.len().max(1) as f64;
+        let half = (MEMORY_ANSWERS / each.max(1e-3)).clamp(MEMORY_HALF_LIFE, MEMORY_LONGEST);
+        let kept = 0.5f64.powf(passed / half);
+        for (i, server) in self.servers.iter_mut().enumerate() {
+            (server.good, server.bad) = (server.good * kept, server.bad * kept);
+            if server.state != State::Gone || server.held > 0 {
+                server.left = now;
+            } else if server.seed != 0.0 && now - server.left > GONE_KEPT {
+                *server = Server::unknown();
+                to.drop_server(ServerIx(i));
+            }
+        }
+        // Guards against tables that keep the size of the worst minute: what is used last ends them.
+        self.servers.truncate(self.servers.iter().rposition(|s| s.seed != 0.0).map_or(0, |i| i + 1));
+        self.calls.truncate(self.calls.iter().rposition(|call| call.live).map_or(0, |i| i + 1));
+        let done = std::mem::take(&mut self.line.done) / passed;
+        let step = 1.0 - 0.25f64.powf(passed * self.line.pace());
+        self.line.mean_out += step * (f64::from(self.line.out) - self.line.mean_out);
+        self.line.done_rate += step * (done - self.line.done_rate);
+        self.line.heard += step * (1.0 - self.line.heard);
+        self.admission.tick(self.line.crowding(self.shortest));
+        self.origin.gate.regrow(passed);
+        self.keys.tick(passed, now);
+        self.line.let_go(&mut self.servers, now, to);
+        self.roster.tick(now, to);
+        self.run_due(to);
+        self.pump(to);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/decide/waiting.rs
@@ -0,0 +1,43 @@
+//! API calls that are kept with nothing sent, and all that comes due.
+use super::*;
+
+impl Balancer {
+    /// Guards against a call that is kept and would come due only after its client timeout.
+    pub(super) fn hurried(&self, ix: CallIx) -> bool {
+        self.calls[ix.0].until < self.now + TICK.times(2.0)
+    }
+
+    /// Keeps a call with nothing sent until a part of its SLO is gone.
+    pub(super) fn park(&mut self, ix: CallIx, place: Place, to: &mut impl Answers) {
+        self.calls[ix.0].place = place;
+        let sent = place == Place::Queued && self.origin.gate.room(self.now);
+        if self.hurried(ix) && !sent {
+            return self.give_up(ix, to);
+        }
+        let call = &self.calls[ix.0];
+        let most = call.product.slo.min(call.until - self.now);
+        self.set_due(ix, self.now + most.times(PATIENCE));
+    }
+
+    // Guards against a due time that is already past coming round for ever within one event.
+    pub(super) fn set_due(&mut self, ix: CallIx, due: Time) {
+        let due = due.max(self.now + TICK.times(0.25));
+        let call = &mut self.calls[ix.0];
+        call.due = due;
+        self.due.insert((due, ix, call.serial));
+    }
+
+    pub(super) fn run_due(&mut self, to: &mut impl Answers) {
+        while let Some((due, ix, serial)) = self.due.first().copied().filter(|first| first.0 <= self.now) {
+            self.due.pop_first();
+            let call = self.calls.get(ix.0).filter(|call| call.serial == serial && call.due == due);
+            match call.filter(|call| call.live && !call.ended).map_or(Place::Chain, |call| call.place) {
+                Place::Queued => self.give_up(ix, to),
+                Place::Waiting if self.calls[ix.0].missed => self.give_up(ix, to),
+                Place::Waiting => self.enter_line(ix, to),
+                Place::Flying => self.review(ix, to),
+                Place::Chain => {}
+            }
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,7 +1,6 @@
-//! The decisions of one quartzhub node, free of I/O, clocks and wire formats. See `policy`.
-mod bounds;
+//! The decisions of one quartzhub node, free of I/O, clocks and wire formats. See `decide`.
+mod decide;
 mod pcg;
-pub mod policy;
 mod state;
 mod tune;
 mod types;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,5 +1,5 @@
 //! What the module keeps of API calls and servers, and what each of its stages remembers. Plain records;
-//! `policy` decides on them.
+//! `decide` decides on them.
 use std::collections::{BTreeSet, VecDeque};
 
 use rustc_hash::FxHashMap;
@@ -272,13 +272,6 @@
     pub failed: u32,
 }
 
-/// What a stage does with an API call: pass it on, keep it or end it.
-pub enum Step {
-    Pass,
-    Keep,
-    End,
-}
-
 /// One node.
 #[derive(Default)]
 pub struct Balancer {
@@ -315,12 +308,18 @@
         let median = self.health.median / 1000.0;
         [median, self.origin.gate.limit, self.health.success, self.line.done_rate, point]
     }
+
+    /// How many ready caches are doubtful now, and so are mostly passed over.
+    pub fn avoided(&self, now: Time) -> usize {
+        let ready = self.line.caches.iter().map(|ix| &self.servers[ix.0]);
+        ready.filter(|server| self.health.doubtful(server, now)).count()
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::bounds::COUNTED;
+    use crate::decide::constants::COUNTED;
 
     fn shots(budget: &mut Budget) -> usize {
         for i in 0..200_000 {
--- a/crates/policy/src/tune.rs
+++ b/crates/policy/src/tune.rs
@@ -1,6 +1,6 @@
-//! Takes settings into the stages: which rules hold, and the figures they come with. Decides nothing; `policy` does.
+//! Takes settings into the stages: which rules hold, and the figures they come with. Decides nothing; `decide` does.
+use crate::decide::constants::*;
 use crate::pcg::Pcg;
-use crate::policy::*;
 use crate::state::*;
 use crate::types::*;
 
