Bear a new watch that says nothing for 1 s only, so that two silences end before all counts as told

Need: the terms' one clock: what a watch that has fallen silent missed counts as told 6 s after the silence began, and 4 s after SIGHUP what the new discovery holds. Read against the code: a silence was noticed after 3 s in every phase (before the first byte, in the head, within a line, after a reset), but so was one of the watch asked for next, so that two in a row ended after 6.1 s and more, and two after SIGHUP after 6.1 s. At fault: `more` in discovery.rs had one wait for all phases.

Change: until its first byte a watch has 1 s, since the agent answers at once; each one in a row that says nothing doubles that, up to the 3 s as before, so a slow discovery is not asked ever again.

A test on sockets has a watch fall silent before its first byte, in its head and within a line, and end behind one; five are asked for, from the right version, and the drain that the fifth tells is kept.

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -102,6 +102,10 @@
     /// Silence on a watch after which it is asked for again: more than the time between two signs of life,
     /// less than the time after which all counts as told. And the waits before that.
     pub watch_silence: Span,
+    /// Silence of a watch just asked for, after which it is asked for again, doubled by each that said nothing: the agent
+    /// answers at once, and what a watch missed counts as told 6 s after it fell silent, also if the next one is
+    /// silent too.
+    pub watch_open: Span,
     pub watch_first: Span,
     pub watch_longest: Span,
     /// After SIGTERM: how long to accept at least, and how long without a new connection; until when clients are
@@ -227,6 +231,7 @@
             listen_longest: Span::ms(10_000),
             accept_pause: Span::ms(20),
             watch_silence: Span::ms(3_000),
+            watch_open: Span::ms(1_000),
             watch_first: Span::ms(50),
             watch_longest: Span::ms(1_000),
             stop_accept: Span::ms(500),
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -647,6 +647,45 @@
     assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
 }
 
+/// A watch may fall silent before its first byte, in its head, within a line, or end in a reset: each time another is
+/// asked for, from where the news had got to, and the drain that it tells is kept.
+#[test]
+fn a_watch_that_falls_silent_at_any_point_is_begun_anew() {
+    let (tell, seen) = channel();
+    let a = server("a", tell.clone(), |_| hit("of a"));
+    let b = server("b", tell, |_| hit("of b"));
+    let (asked, asks) = channel();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let from = listener.local_addr().expect("an address");
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunk = |text: &str| format!("{head}{:x}\r\n{text}\r\n", text.len());
+    let news = list(true, 4, &[("a", a, "terminating"), ("b", b, "in_service")]) + "\n";
+    let unchanged = list(false, 2, &[]) + "\n";
+    let says = ["".into(), head[..20].into(), chunk(&news[..30]), chunk(&unchanged), chunk(&news)].map(Some);
+    std::thread::spawn(move || {
+        let mut held = Vec::new();
+        for (number, (stream, mut says)) in listener.incoming().flatten().zip(says).enumerate() {
+            let mut reader = BufReader::new(stream);
+            let _ = asked.send(request(&mut reader).unwrap_or_default());
+            let _ = reader.get_mut().write_all(says.take().unwrap_or_default().as_bytes());
+            // The fourth ends behind its line, the others stay open and say no more.
+            if number != 3 {
+                held.push(reader);
+            }
+        }
+        std::thread::park();
+    });
+    let node = Node::start(&[("a", a)], &format!(r#""discovery":"{from}","#));
+    for index in [1, 1, 1, 1, 2] {
+        assert_eq!(next(&asks), format!("GET /api/targets?stream=1&index={index} "));
+    }
+    let mut client = node.client();
+    while client.ask(&["OBJ.GET", "k", "id", FACTS]) != "of b" {}
+    seen.try_iter().for_each(drop);
+    assert_eq!(client.ask(&["OBJ.GET", "k", "last", FACTS]), "of b");
+    assert_eq!(next(&seen), "b: OBJ.GET k last");
+}
+
 #[test]
 fn news_without_end_are_given_up_and_asked_for_again() {
     let (tell, _seen) = channel();
