--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod standin;
 pub mod stats;
 pub mod sweep;
+pub mod went;
 pub mod world;
 
 pub use scenario::Scenario;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,7 +7,7 @@
 use quartzhub_lab::scenario::Bad;
 use quartzhub_lab::stats::FIGURES;
 use quartzhub_lab::sweep::Sweep;
-use quartzhub_lab::{gossip, load, plot, run, Report, Scenario};
+use quartzhub_lab::{gossip, load, plot, run, went, Report, Scenario};
 
 fn main() -> ExitCode {
     let file = |help: &'static str| Arg::new("file").value_name("FILE").required(true).help(help);
@@ -71,7 +71,12 @@
                 .arg(Arg::new("way").required(true).value_parser(wicked::WAYS)),
         )
         .subcommand(
-            Command::new("run").about("Plays one scenario").arg(file("a scenario")).arg(policies).arg(out()),
+            Command::new("run")
+                .about("Plays one scenario")
+                .arg(file("a scenario"))
+                .arg(policies)
+                .arg(Arg::new("seconds").long("seconds").action(clap::ArgAction::SetTrue).help("also tells where shots and tries went, by the second"))
+                .arg(out()),
         )
         .subcommand(Command::new("sweep").about("Plays an experiment").arg(file("an experiment")).arg(out()))
         .subcommand(
@@ -166,6 +171,9 @@
         let scenario = Scenario { policy: policy.clone(), ..scenario.clone() };
         let report = run(&scenario).map_err(in_file(&file))?;
         println!("{}", told(&policy, &report));
+        if given.get_flag("seconds") {
+            print!("{}", went::table(&report));
+        }
         reports.push((policy, report));
     }
     let name = file.file_stem().map_or("run".into(), |stem| stem.to_string_lossy().into_owned());
--- a/crates/lab/src/stats.rs
+++ b/crates/lab/src/stats.rs
@@ -4,6 +4,7 @@
 
 use crate::rules::Broken;
 use crate::scenario::Scenario;
+use crate::went::{Went, WENT};
 
 /// Longest latency told: an hour.
 const LONGEST_US: u64 = 3_600_000_000;
@@ -89,6 +90,8 @@
     pub crossed: u64,
     /// In each second, at the origin: shots sent, and whether it stood.
     pub origin: Vec<u64>,
+    /// In each second, by what it was: see `Went`.
+    pub went: Vec<[u64; WENT]>,
     pub origin_fell: u64,
     pub caches_fell: u64,
     pub broken: Vec<Broken>,
@@ -100,11 +103,18 @@
     /// A number that any difference between two runs changes.
     pub trace: u64,
     settle: Time,
+    /// Seconds before the first fault and behind the last, 3 s after its end: what service is back to.
+    calm: [std::ops::Range<usize>; 2],
 }
 
 impl Report {
     pub fn new(scenario: &Scenario) -> Report {
+        let seconds = scenario.seconds.ceil() as usize;
+        let first = scenario.faults.iter().map(|fault| fault.at).fold(scenario.seconds, f64::min) as usize;
+        let last = scenario.faults.iter().map(|fault| fault.at + fault.lasts).fold(0.0, f64::max);
+        let back = (last + 3.0).ceil() as usize;
         Report {
+            calm: [scenario.settle as usize..first.min(seconds), back.min(seconds)..(back + 5).min(seconds)],
             seconds: scenario.seconds - scenario.settle,
             all: Counts::default(),
             products: scenario.products.iter().map(|p| (p.name.clone(), Counts::default())).collect(),
@@ -120,6 +130,7 @@
             ended_idle: 0,
             crossed: 0,
             origin: vec![0; scenario.seconds.ceil() as usize],
+            went: vec![[0; WENT]; scenario.seconds.ceil() as usize],
             origin_fell: 0,
             caches_fell: 0,
             broken: Vec::new(),
@@ -136,6 +147,12 @@
         self.trace = (self.trace ^ now.0 as u64 ^ what.rotate_left(32)).wrapping_mul(0x0100_0000_01b3);
     }
 
+    pub fn went(&mut self, now: Time, what: Went) {
+        if let Some(second) = self.went.get_mut((now.0 / 1_000_000) as usize) {
+            second[what as usize] += 1;
+        }
+    }
+
     /// A client's API call has ended.
     pub fn end(&mut self, ended: Ended) {
         let Ended { product, asked, took, end, in_slo, worth, part } = ended;
@@ -186,12 +203,25 @@
         windows.windows(10.min(windows.len().max(1))).map(service).fold(1.0, f64::min)
     }
 
+    /// Service in the five seconds that begin 3 s after the last fault, as a part of that before the first.
+    pub fn after(&self) -> f64 {
+        let service = |range: &std::ops::Range<usize>| {
+            let all = self.windows.get(range.clone()).unwrap_or_default();
+            let sum = |worth: fn(&Counts) -> f64| all.iter().map(worth).sum::<f64>();
+            sum(|w| w.worth_got) / sum(|w| w.worth_asked)
+        };
+        let [before, after] = &self.calm;
+        service(after) / service(before)
+    }
+
     /// Figures by their names, as experiments ask for them.
     pub fn figure(&self, name: &str) -> Option<f64> {
         let quantile = |q| self.latency.value_at_quantile(q) as f64 / 1000.0;
         Some(match name {
             "service" => self.all.service(),
             "worst_10s" => self.worst(),
+            "after" => self.after(),
+            "tries_per_call" => self.tries as f64 / self.begun.max(1) as f64,
             "p50_ms" => quantile(0.5),
             "p99_ms" => quantile(0.99),
             "mean_ms" => self.latency.mean() / 1000.0,
@@ -207,9 +237,11 @@
     }
 }
 
-pub const FIGURES: [&str; 12] = [
+pub const FIGURES: [&str; 14] = [
     "service",
     "worst_10s",
+    "after",
+    "tries_per_call",
     "p50_ms",
     "p99_ms",
     "mean_ms",
--- /dev/null
+++ b/crates/lab/src/world/desk.rs
@@ -0,0 +1,136 @@
+//! What a node's router asks for goes straight to the world.
+use super::*;
+
+/// What the module asks for goes straight to the world.
+pub(super) struct Desk<'a> {
+    pub(super) field: &'a mut Field,
+    pub(super) side: &'a mut Side,
+}
+
+impl Desk<'_> {
+    /// Writes a shot, if it is still wanted: as the real node, which looks when its bytes are due.
+    pub(super) fn carry(&mut self, server: usize, life: u64, job: Job, fresh: bool) {
+        let (field, side) = (&mut *self.field, &mut *self.side);
+        let now = field.now;
+        let ix = side.indices.get(&job.call).copied();
+        let ready = side.told[server].0 == State::Ready;
+        let wanted =
+            ix.and_then(|ix| side.calls.get_mut(ix)).filter(|open| !open.answered && now < open.until);
+        let shot =
+            wanted.and_then(|open| open.shots.get_mut(job.shot)).filter(|shot| shot.out && (ready || !fresh));
+        let Some(shot) = shot else {
+            if field.servers[server].life == life {
+                side.idle[server].push_back((life, now));
+            }
+            let (node, epoch, call, shot) = (side.me, side.epoch, job.call, job.shot);
+            let outcome = Outcome::TooLate;
+            return field.after(Span::ZERO, Event::Reply { node, epoch, call, shot, server, outcome });
+        };
+        (shot.written, shot.life) = (true, life);
+        field.watch.sent(now, job.call, server, side.told[server].1, field.scenario.grace());
+        field.report.shots += 1;
+        if server == field.origin() {
+            field.report.fetches += 1;
+            if let Some(second) = field.report.origin.get_mut((now.0 / 1_000_000) as usize) {
+                *second += 1;
+            }
+        }
+        let way = field.way();
+        field.after(way, Event::AtServer { job, server, life, fresh });
+    }
+
+    pub(super) fn answer(&mut self, ix: CallIx, end: End, deed: Deed, wait: Option<Span>) {
+        let Some(open) = self.side.calls.get_mut(ix) else { return };
+        self.field.watch.answered(self.field.now, open.call, deed);
+        self.field.report.mark(self.field.now, open.call ^ end as u64);
+        if std::mem::replace(&mut open.answered, true) {
+            return;
+        }
+        let (client, attempt, way) = (open.client, open.attempt, self.field.way());
+        self.field.after(way, Event::Told { client, attempt, end, wait });
+    }
+}
+
+impl Answers for Desk<'_> {
+    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time) {
+        let (field, side) = (&mut *self.field, &mut *self.side);
+        let Some(&at) = side.at.get(server.0) else { return };
+        let Some(open) = side.calls.get_mut(call) else { return };
+        let now = field.now;
+        field.report.mark(now, open.call ^ (at as u64) << 40);
+        let origin = at == field.origin();
+        let mean = if origin {
+            field.scenario.origin.work_ms
+        } else {
+            field.scenario.products[open.product].work_ms
+        };
+        let (work, id) = (field.work(mean), field.id());
+        let of_cold = open.missed.iter().any(|missed| missed.2);
+        let shot = open.shots.len();
+        let life = field.servers[at].life;
+        open.shots.push(Shot { server: at, life, job: id, sent: now, out: true, written: false });
+        let job =
+            Job { id, node: side.me, call: open.call, shot, key: open.key, write: open.write, work, of_cold };
+        // A connection that stands is used again; a new one takes a round more.
+        let idle = &mut side.idle[at];
+        while idle.front().is_some_and(|first| first.0 != life || now - first.1 > KEPT_ALIVE) {
+            let (of, _) = idle.pop_front().unwrap_or_default();
+            if of == life {
+                field.servers[at].connections = field.servers[at].connections.saturating_sub(1);
+            }
+        }
+        let fresh = idle.pop_back().is_none();
+        let (node, epoch, number) = (side.me, side.epoch, open.call);
+        field.at(until, Event::ShotDue { node, epoch, call: number, shot });
+        if fresh {
+            field.report.handshakes += 1;
+            let way = field.way();
+            field.after(way, Event::Connect { node, epoch, server: at, job });
+        } else {
+            self.carry(at, life, job, false);
+        }
+    }
+
+    fn cancel(&mut self, call: CallIx, shot: usize) {
+        let (field, side) = (&mut *self.field, &mut *self.side);
+        let Some(open) = side.calls.get_mut(call) else { return };
+        let Some(record) = open.shots.get_mut(shot).filter(|shot| shot.out) else { return };
+        let (server, life, job, written) = (record.server, record.life, record.job, record.written);
+        if written {
+            let way = field.way();
+            field.after(way, Event::CalledOff { server, life, job });
+        }
+        let outcome = if written { Outcome::Cancelled } else { Outcome::TooLate };
+        let (node, epoch, call) = (side.me, side.epoch, open.call);
+        field.after(Span::ZERO, Event::Reply { node, epoch, call, shot, server, outcome });
+    }
+
+    fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>) {
+        self.answer(call, End::RateLimited, Deed::RateLimited, retry_in);
+    }
+
+    fn error(&mut self, call: CallIx) {
+        self.answer(call, End::Errored, Deed::Errored, None);
+    }
+
+    fn forget(&mut self, call: CallIx) {
+        if let Some(open) = self.side.calls.take(call) {
+            self.side.indices.remove(&open.call);
+        }
+    }
+
+    fn drop_server(&mut self, _server: ServerIx) {}
+
+    fn wake(&mut self, after: Span) {
+        let (node, epoch) = (self.side.me, self.side.epoch);
+        self.field.after(after.max(LEAST_WAKE), Event::Tick { node, epoch });
+    }
+
+    fn close(&mut self, server: ServerIx) {
+        let Some(&at) = self.side.at.get(server.0) else { return };
+        let life = self.field.servers[at].life;
+        let closed = self.side.idle[at].drain(..).filter(|idle| idle.0 == life).count();
+        let it = &mut self.field.servers[at];
+        it.connections = it.connections.saturating_sub(closed);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/field.rs
@@ -0,0 +1,142 @@
+//! What all nodes share, at work: the clock, chance, the network, and the servers' work.
+use super::*;
+
+impl Field {
+    pub(super) fn at(&mut self, at: Time, event: Event) {
+        self.seq += 1;
+        self.due.push(Reverse(Due(at.max(self.now), self.seq, event)));
+    }
+
+    pub(super) fn after(&mut self, wait: Span, event: Event) {
+        self.at(self.now + wait, event);
+    }
+
+    pub(super) fn id(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// One way through the network.
+    pub(super) fn way(&mut self) -> Span {
+        let net = &self.scenario.network;
+        let jitter: f64 = Exp1.sample(&mut self.chance);
+        let mut ms = (net.delay_ms + net.jitter_ms * jitter) * self.network;
+        if net.loss > 0.0 && self.chance.unit() < net.loss {
+            ms += net.retransmit_ms;
+        }
+        Span::from_ms(ms)
+    }
+
+    pub(super) fn between(&mut self, [from, to]: [f64; 2]) -> f64 {
+        from + (to - from) * self.chance.unit()
+    }
+
+    /// Work of this mean, in one of the laws.
+    pub(super) fn work(&mut self, ms: f64) -> Span {
+        let factor: f64 = match self.scenario.caches.work {
+            Law::Fixed => 1.0,
+            Law::Exponential => Exp1.sample(&mut self.chance),
+            Law::Lognormal => {
+                let normal: f64 = StandardNormal.sample(&mut self.chance);
+                // Mean 1 and variance 1: sigma² = ln 2.
+                let sigma2 = std::f64::consts::LN_2;
+                (normal * sigma2.sqrt() - sigma2 / 2.0).exp()
+            }
+        };
+        Span::from_ms(ms * factor)
+    }
+
+    pub(super) fn key(&mut self) -> u64 {
+        if self.scan > 0.0 && self.chance.unit() < self.scan {
+            self.fresh_keys += 1;
+            return u64::MAX - self.fresh_keys;
+        }
+        if self.hot > 0.0 && self.chance.unit() < self.hot {
+            return 0;
+        }
+        let count = self.scenario.keys.count;
+        let rank = match &self.zipf {
+            Some(zipf) => (zipf.sample(&mut self.chance) as u64).clamp(1, count) - 1,
+            None => ((self.chance.unit() * count as f64) as u64).min(count - 1),
+        };
+        // What is at a rank moves on as popularity drifts, one rank at a time.
+        (rank + self.drifted * ((rank % 7 == 3) as u64)) % count
+    }
+
+    pub(super) fn origin(&self) -> usize {
+        self.servers.len() - 1
+    }
+
+    pub(super) fn reset_jobs(&mut self, server: usize, outcome: Outcome) {
+        for job in self.servers[server].stop() {
+            let wait = self.way();
+            let (node, call, shot) = (job.node, job.call, job.shot);
+            self.after(wait, Event::Reply { node, epoch: u64::MAX, call, shot, server, outcome });
+        }
+    }
+
+    pub(super) fn down(&mut self, server: usize) {
+        self.servers[server].health = Health::Down;
+        self.reset_jobs(server, Outcome::Reset);
+    }
+
+    /// Starts, with nothing kept and cold.
+    pub(super) fn up(&mut self, server: usize) {
+        let now = self.now;
+        self.servers[server].restart(now);
+    }
+
+    pub(super) fn begin_work(&mut self, server: usize) {
+        let now = self.now;
+        while let Some(job) = {
+            let it = &mut self.servers[server];
+            let free = it.health == Health::Up && it.running.len() < it.cores;
+            if free {
+                it.queue.pop_front()
+            } else {
+                None
+            }
+        } {
+            let it = &mut self.servers[server];
+            let miss = !it.origin && !job.write && !it.kept.get(job.key);
+            it.begun += 1;
+            it.found += u64::from(!miss);
+            let part = if miss { self.scenario.caches.miss_part } else { 1.0 };
+            let takes = it.takes(job.work.times(part), now);
+            it.busy = it.busy + takes;
+            it.running.push(job);
+            let life = it.life;
+            self.watch.began(now, job.call, server, miss);
+            self.after(takes, Event::Done { job, server, life, miss });
+        }
+    }
+
+    /// Work comes in at a server. Rule 4: a cold one that is sent too much falls over, and so does the origin.
+    pub(super) fn demand(&mut self, job: &Job, server: usize) -> bool {
+        let now = self.now;
+        let Job { key, write, work: takes, of_cold, .. } = *job;
+        let work = Work { key, write, takes, of_cold };
+        let falls = self.servers[server].takes_in(now, work, &self.scenario);
+        match falls {
+            Falls::No => return true,
+            Falls::Origin { .. } => self.report.origin_fell += 1,
+            Falls::Cold => self.report.caches_fell += 1,
+        }
+        if let Some(what) = falls.broken(server) {
+            self.watch.pushed_over(now, what);
+        }
+        self.down(server);
+        self.after(FALLEN, Event::Back { server });
+        false
+    }
+
+    /// The list changes; each node hears of it late.
+    pub(super) fn list(&mut self, server: usize, state: State, nodes: usize) {
+        let started = self.servers[server].started;
+        self.listed[server] = (state, started);
+        for node in 0..nodes {
+            let late = Span::from_ms(self.between(self.scenario.network.list_late_ms));
+            self.after(late, Event::News { node, server, state, started });
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/mod.rs
@@ -0,0 +1,253 @@
+//! The emulated world: clients, nodes, servers and what lies between, by discrete events in the order of time.
+mod asking;
+mod desk;
+mod event;
+mod faults;
+mod field;
+mod nodes;
+mod records;
+mod serving;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use quartzhub_names::{Calls, Line, Places, Servers};
+use quartzhub_policy::{
+    Answers, Ask, Balancer, CallIx, Ending, Outcome, Pcg, Product, ServerIx, Span, State, Time,
+};
+use rand_distr::{Distribution, Exp1, StandardNormal, Zipf};
+use rustc_hash::FxHashMap;
+
+use crate::routers::{BoundedHash, LeastInFlight, Plain, Random, Router, TwoChoices};
+use crate::rules::{Deed, Watch};
+use crate::scenario::{Bad, Kind, Law, Scenario};
+use crate::server::{Falls, Health, Job, Server, Work, FALLEN};
+use crate::stats::{End, Ended, Report};
+use crate::went::Went;
+use desk::Desk;
+use event::{Due, Event};
+use records::*;
+
+pub const POLICIES: [&str; 5] = ["dema", "random", "least_in_flight", "two_choices", "bounded_hash"];
+
+/// Plays a scenario under the policy that it names.
+pub fn run(scenario: &Scenario) -> Result<Report, Bad> {
+    scenario.check()?;
+    let settings = |me| scenario.settings(me);
+    Ok(match scenario.policy.as_str() {
+        "dema" => World::new(scenario, |me, seed| Balancer::new(&settings(me), seed)).play(),
+        "random" => World::new(scenario, |me, seed| Plain::new(Random, &settings(me), seed)).play(),
+        "least_in_flight" => {
+            World::new(scenario, |me, seed| Plain::new(LeastInFlight, &settings(me), seed)).play()
+        }
+        "two_choices" => World::new(scenario, |me, seed| Plain::new(TwoChoices, &settings(me), seed)).play(),
+        "bounded_hash" => {
+            World::new(scenario, |me, seed| Plain::new(BoundedHash, &settings(me), seed)).play()
+        }
+        other => return Err(Bad(format!("policy: {other:?} is none of {}", POLICIES.join(", ")))),
+    })
+}
+
+/// The module's timer at the least, against a router that asks to be woken in no time.
+const LEAST_WAKE: Span = Span::ms(1);
+/// How long past its client timeout an API call is remembered by the checks: longer than any work still queued for it.
+const REMEMBERED: Span = Span::ms(30_000);
+/// What a final answer may come late by: the rule's slack for one timer's round.
+const SLACK: Span = Span::ms(10);
+/// Idle connections to a server are closed after this.
+const KEPT_ALIVE: Span = Span::ms(15_000);
+pub struct World<R, F> {
+    field: Field,
+    nodes: Vec<Node<R>>,
+    make: F,
+    places: Places,
+    names: Vec<String>,
+}
+
+impl<R: Router, F: Fn(usize, u64) -> R> World<R, F> {
+    pub fn new(scenario: &Scenario, make: F) -> World<R, F> {
+        let seed = scenario.seed;
+        let mut chance = Pcg::new(seed);
+        let settings = scenario.settings(0);
+        let products = settings.products();
+        let sum: f64 = scenario.products.iter().map(|p| p.share).sum();
+        let mut upto = 0.0;
+        let shares = scenario.products.iter().map(|product| {
+            upto += product.share / sum;
+            upto
+        });
+        let shares = shares.collect();
+        let caches = &scenario.caches;
+        let mut server = |origin: bool| {
+            let speed = if origin {
+                1.0
+            } else {
+                caches.speed[0] + (caches.speed[1] - caches.speed[0]) * chance.unit()
+            };
+            Server::of(scenario, origin, speed)
+        };
+        let mut servers: Vec<_> = (0..caches.count).map(|_| server(false)).collect();
+        servers.push(server(true));
+        let names = (0..caches.count).map(|i| format!("cache-{i}")).chain(["origin".to_owned()]).collect();
+        let zipf = Some(scenario.keys.skew).filter(|skew| *skew > 0.0);
+        let zipf = zipf.and_then(|skew| Zipf::new(scenario.keys.count as f64, skew).ok());
+        let field = Field {
+            scenario: scenario.clone(),
+            now: Time(0),
+            end: Time::from_ms(scenario.seconds * 1000.0),
+            seq: 0,
+            due: BinaryHeap::new(),
+            chance,
+            products,
+            shares,
+            listed: vec![(State::Ready, None); servers.len()],
+            servers,
+            clients: FxHashMap::default(),
+            zipf,
+            drifted: 0,
+            burst: 1.0,
+            hot: 0.0,
+            scan: 0.0,
+            network: 1.0,
+            next: 0,
+            fresh_keys: 0,
+            watch: Watch::new(SLACK),
+            report: Report::new(scenario),
+        };
+        let mut world = World { field, nodes: Vec::new(), make, places: Places::new(&settings), names };
+        for me in 0..scenario.nodes {
+            let node = world.node(me, 0);
+            world.nodes.push(node);
+        }
+        world
+    }
+
+    pub fn play(mut self) -> Report {
+        if self.field.scenario.caches.filled {
+            self.fill();
+        }
+        for node in 0..self.nodes.len() {
+            self.desk(node, |router, desk, now| router.start(now, desk));
+            self.tell_all(node);
+        }
+        for (i, fault) in self.field.scenario.faults.clone().iter().enumerate() {
+            self.field.at(Time::from_ms(fault.at * 1000.0), Event::Begins(i));
+        }
+        self.field.after(Span::ZERO, Event::Arrive);
+        // After the end nothing new comes, and what is open has its time.
+        let last = self.field.end + Span::ms(120_000);
+        while let Some(Reverse(Due(at, _, event))) = self.field.due.pop() {
+            if at > last
+                || at > self.field.end && self.field.clients.is_empty() && self.field.watch.open() == 0
+            {
+                break;
+            }
+            self.field.now = at;
+            self.event(event);
+        }
+        let Field { mut report, watch, clients, .. } = self.field;
+        (report.broken, report.broken_count) = (watch.broken, watch.count);
+        report.open = clients.len() as u64;
+        report
+    }
+
+    /// Each cache keeps an even part of what is most popular: what a fleet that has run for long would hold.
+    fn fill(&mut self) {
+        let caches = self.field.servers.len() - 1;
+        let room = self.field.scenario.caches.memory * caches;
+        let most = (room as u64).min(self.field.scenario.keys.count);
+        // Nearest points and hashes both spread keys by their hash; which cache has which is for the run to find.
+        for key in (0..most).rev() {
+            let at = (key.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) as usize % caches;
+            self.field.servers[at].kept.put(key);
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        let now = self.field.now;
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::AtNode { client, attempt } => self.at_node(client, attempt),
+            Event::GivesUp { client, attempt } => self.gives_up(client, attempt),
+            Event::Retries { client } => self.attempt(client),
+            Event::Told { client, attempt, end, wait } => self.told(client, attempt, end, wait),
+            Event::AtServer { job, server, life, fresh } => self.at_server(job, server, life, fresh),
+            Event::Done { job, server, life, miss } => self.done(job, server, life, miss),
+            Event::Reply { node, epoch, call, shot, server, outcome } => {
+                if epoch == u64::MAX || self.nodes[node].side.epoch == epoch {
+                    self.reply(node, call, shot, server, outcome);
+                }
+            }
+            Event::ShotDue { node, epoch, call, shot } => self.shot_due(node, epoch, call, shot),
+            Event::CalledOff { server, life, job } => {
+                let it = &mut self.field.servers[server];
+                if it.life == life && it.health != Health::Down {
+                    let (queued, running) = (it.queue.len(), it.running.len());
+                    it.queue.retain(|other| other.id != job);
+                    it.running.retain(|other| other.id != job);
+                    if it.queue.len() < queued {
+                        self.field.report.went(now, Went::CalledOff);
+                    } else if it.running.len() < running {
+                        self.field.report.went(now, Went::CalledOffAtWork);
+                    }
+                    let it = &mut self.field.servers[server];
+                    // The connection goes with it.
+                    it.connections = it.connections.saturating_sub(1);
+                    self.field.begin_work(server);
+                }
+            }
+            Event::Stored { server, life, key } => {
+                if self.field.servers[server].life == life {
+                    self.field.servers[server].kept.put(key);
+                }
+            }
+            Event::CallDue { call } => {
+                self.field.watch.due(now, call);
+                self.field.after(REMEMBERED, Event::Forgotten { call });
+            }
+            Event::Forgotten { call } => self.field.watch.forget(call),
+            Event::Tick { node, epoch } => {
+                if self.nodes[node].side.up
+                    && self.nodes[node].side.epoch == epoch
+                    && now <= self.field.end + REMEMBERED
+                {
+                    self.desk(node, |router, desk, now| router.tick(now, desk));
+                }
+            }
+            Event::News { node, server, state, started } => {
+                let side = &self.nodes[node].side;
+                if side.up && !side.deaf {
+                    self.tell(node, false, &[(server, state, started)]);
+                }
+            }
+            Event::Begins(i) => self.fault(i, true),
+            Event::Ends(i) => self.fault(i, false),
+            Event::Back { server } => {
+                self.field.up(server);
+                self.field.list(server, State::Ready, self.nodes.len());
+            }
+            Event::Gone { server, life } => {
+                if self.field.servers[server].life == life {
+                    self.field.down(server);
+                    self.field.list(server, State::Gone, self.nodes.len());
+                }
+            }
+            Event::Rolls { node } => self.end_node(node),
+            Event::Connect { node, epoch, server, job } => self.connect(node, epoch, server, job),
+            Event::Connected { node, epoch, server, life, job } => {
+                if self.nodes[node].side.epoch == epoch && self.nodes[node].side.up {
+                    self.desk(node, |_, desk, _| desk.carry(server, life, job, true));
+                } else if self.field.servers[server].life == life {
+                    let it = &mut self.field.servers[server];
+                    it.connections = it.connections.saturating_sub(1);
+                }
+            }
+            Event::NodeBack { node } => {
+                let epoch = self.nodes[node].side.epoch;
+                self.nodes[node] = self.node(node, epoch);
+                self.desk(node, |router, desk, now| router.start(now, desk));
+                self.tell_all(node);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/nodes.rs
@@ -0,0 +1,87 @@
+//! Nodes: made, told of servers, ended and begun again.
+use super::*;
+
+impl<R: Router, F: Fn(usize, u64) -> R> World<R, F> {
+    pub(super) fn node(&self, me: usize, epoch: u64) -> Node<R> {
+        let count = self.field.servers.len();
+        let seed =
+            self.field.scenario.seed ^ (me as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ epoch << 48;
+        let side = Side {
+            me,
+            epoch,
+            up: true,
+            servers: Servers::default(),
+            at: Vec::new(),
+            calls: Calls::default(),
+            indices: FxHashMap::default(),
+            idle: vec![VecDeque::new(); count],
+            told: vec![(State::Gone, None); count],
+            deaf: false,
+        };
+        Node { side, router: (self.make)(me, seed) }
+    }
+
+    pub(super) fn desk<T>(&mut self, node: usize, act: impl FnOnce(&mut R, &mut Desk, Time) -> T) -> T {
+        let now = self.field.now;
+        let Node { side, router } = &mut self.nodes[node];
+        act(router, &mut Desk { field: &mut self.field, side }, now)
+    }
+
+    /// Tells a node of servers; `complete`: of all that there are.
+    pub(super) fn tell(&mut self, node: usize, complete: bool, news: &[(usize, State, Option<Time>)]) {
+        let now = self.field.now;
+        let side = &mut self.nodes[node].side;
+        let mut lines = Vec::with_capacity(news.len());
+        for &(server, state, started) in news {
+            let ix = side.servers.index(&self.names[server]);
+            side.at.resize(side.at.len().max(ix.0 + 1), 0);
+            side.at[ix.0] = server;
+            let since = side.told[server].1.or(Some(now)).filter(|_| state != State::Ready);
+            side.told[server] = (state, since);
+            let origin = server + 1 == self.names.len();
+            let kind = Some(if origin { "origin" } else { "cache" });
+            let name = &self.names[server];
+            let line = Line { name, zone: Some("lab"), kind, cell: Some(0), state, scale: None, started };
+            lines.push(self.places.listing(ix, line));
+        }
+        let Node { side, router } = &mut self.nodes[node];
+        router.list(now, complete, lines.into_iter(), &mut Desk { field: &mut self.field, side });
+    }
+
+    pub(super) fn tell_all(&mut self, node: usize) {
+        let all: Vec<_> = self.field.listed.iter().enumerate().map(|(i, told)| (i, told.0, told.1)).collect();
+        self.tell(node, true, &all);
+    }
+
+    /// A node ends, with all that it has, and comes back with nothing but the list.
+    pub(super) fn end_node(&mut self, node: usize) {
+        let side = &mut self.nodes[node].side;
+        if !side.up {
+            return;
+        }
+        (side.up, side.epoch) = (false, side.epoch + 1);
+        let open: Vec<_> = side.indices.iter().map(|(call, ix)| (*call, *ix)).collect();
+        for (call, ix) in open {
+            self.field.watch.lost_with_node(call);
+            let Some(open) = self.nodes[node].side.calls.get(ix) else { continue };
+            let (client, attempt, answered) = (open.client, open.attempt, open.answered);
+            let shots: Vec<_> = open.shots.iter().filter(|shot| shot.out).copied().collect();
+            for shot in shots {
+                let way = self.field.way();
+                let Shot { server, life, job, .. } = shot;
+                self.field.after(way, Event::CalledOff { server, life, job });
+            }
+            if !answered {
+                let way = self.field.way();
+                self.field.after(way, Event::Told { client, attempt, end: End::Errored, wait: None });
+            }
+        }
+        for server in 0..self.field.servers.len() {
+            let life = self.field.servers[server].life;
+            let idle = self.nodes[node].side.idle[server].iter().filter(|idle| idle.0 == life).count();
+            let it = &mut self.field.servers[server];
+            it.connections = it.connections.saturating_sub(idle);
+        }
+        self.field.after(Span::ms(500), Event::NodeBack { node });
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/records.rs
@@ -0,0 +1,90 @@
+//! What the world keeps of clients, API calls, shots and nodes, and what all nodes share.
+use super::*;
+
+/// A client's API call, with its tries.
+pub(super) struct Client {
+    pub(super) product: usize,
+    pub(super) key: u64,
+    pub(super) asked: Time,
+    pub(super) attempt: u32,
+    pub(super) tried: Time,
+    pub(super) node: usize,
+    /// The API call that its present try is at its node.
+    pub(super) call: Option<u64>,
+    pub(super) answered: bool,
+}
+
+/// An API call at its node.
+pub(super) struct Open {
+    pub(super) call: u64,
+    pub(super) client: u64,
+    pub(super) attempt: u32,
+    pub(super) product: usize,
+    pub(super) key: u64,
+    pub(super) write: bool,
+    pub(super) until: Time,
+    pub(super) answered: bool,
+    pub(super) shots: Vec<Shot>,
+    /// Caches that missed for it: they are given the value.
+    pub(super) missed: Vec<(usize, u64, bool)>,
+}
+
+#[derive(Clone, Copy)]
+pub(super) struct Shot {
+    pub(super) server: usize,
+    pub(super) life: u64,
+    pub(super) job: u64,
+    pub(super) sent: Time,
+    pub(super) out: bool,
+    /// Its bytes are on their way.
+    pub(super) written: bool,
+}
+
+/// A node but for its router: what sockets and tables are to the real one.
+pub(super) struct Side {
+    pub(super) me: usize,
+    pub(super) epoch: u64,
+    pub(super) up: bool,
+    pub(super) servers: Servers,
+    /// By the node's indices, which servers these are.
+    pub(super) at: Vec<usize>,
+    pub(super) calls: Calls<Open>,
+    pub(super) indices: FxHashMap<u64, CallIx>,
+    /// Idle connections to each server, with the life they belong to and since when.
+    pub(super) idle: Vec<VecDeque<(u64, Time)>>,
+    /// What it was told of each server, and since when it has known that one drains or is gone.
+    pub(super) told: Vec<(State, Option<Time>)>,
+    pub(super) deaf: bool,
+}
+
+pub(super) struct Node<R> {
+    pub(super) side: Side,
+    pub(super) router: R,
+}
+
+/// All that nodes share.
+pub(super) struct Field {
+    pub(super) scenario: Scenario,
+    pub(super) now: Time,
+    pub(super) end: Time,
+    pub(super) seq: u64,
+    pub(super) due: BinaryHeap<Reverse<Due>>,
+    pub(super) chance: Pcg,
+    pub(super) products: Vec<Product>,
+    pub(super) shares: Vec<f64>,
+    pub(super) servers: Vec<Server>,
+    /// What the list says of each server.
+    pub(super) listed: Vec<(State, Option<Time>)>,
+    pub(super) clients: FxHashMap<u64, Client>,
+    pub(super) zipf: Option<Zipf<f64>>,
+    /// Ranks are shifted by this as popularity drifts.
+    pub(super) drifted: u64,
+    pub(super) burst: f64,
+    pub(super) hot: f64,
+    pub(super) scan: f64,
+    pub(super) network: f64,
+    pub(super) next: u64,
+    pub(super) fresh_keys: u64,
+    pub(super) watch: Watch,
+    pub(super) report: Report,
+}
