Keep a place at the origin for writes, and shed tries that come again before first ones

Change: what is beyond a share is shed by half as much again and in addition to the crowd's own part, so a repeat worth a third goes before any first try. Writes have one place beside the limit, with a limit of its own that shrinks as they are late, begins as a part of 200 over all nodes, and is counted as that place's own.

The tests of a crowd stand in a file of their own, with one for each cause that fails without its answer.

--- a/crates/policy/src/decide/admission.rs
+++ b/crates/policy/src/decide/admission.rs
@@ -30,7 +30,8 @@
     /// `crowding`: the wait at the caches as a part of the SLO; outcomes tell of queues when it is too late.
     pub fn admit(&self, beyond: f64, crowding: f64, chance: &mut Pcg) -> bool {
         let crowded = (crowding - CROWDED) / (1.0 - CROWDED);
-        chance.unit() >= crowded.max(self.level * beyond)
+        // Guards against tries that come again in place of first ones: what is beyond is shed by both.
+        chance.unit() >= crowded.max(0.0) + SHED_BEYOND * self.level * beyond
     }
 
     pub fn settle_shot(&mut self, strained: bool) {
--- a/crates/policy/src/decide/constants.rs
+++ b/crates/policy/src/decide/constants.rs
@@ -1,7 +1,6 @@
 //! Every constant of the decisions, one a line, with its unit and reason.
 use crate::types::Span;
 
-// The line.
 pub const ALPHA: f64 = 0.01; // part of the way to a sent key's place that a point moves: the design's start
 pub const SKIP_FLOOR: f64 = 2.0; // shots out: so many or fewer skip no cache; one in work, one waiting
 pub const SKIP_FACTOR: f64 = 2.0; // times this node's mean in-flight a cache: beyond it a cache is skipped
@@ -42,6 +41,7 @@
 pub const ORIGIN_START: f64 = 4.0; // shots out at the start from one node at most,
 pub const ORIGIN_START_ALL: f64 = 200.0; // and from all
 pub const ORIGIN_LEAST: f64 = 2.0; // shots out from all at the least
+pub const ORIGIN_WRITES: f64 = 1.0; // shots out beside the limit where only writes go
 pub const ORIGIN_TARGET: f64 = 0.4; // part of the SLO for its answers: the rest is the cache's and the wait's
 pub const ORIGIN_STRAINED: f64 = 2.0; // times its calm time that an answer may always take: half is queue
 pub const ORIGIN_DRIFT: f64 = 1.002; // growth of that time an answer, so that one slowed for good is taken so
@@ -58,6 +58,7 @@
 pub const STRAIN_OVER: f64 = 0.06; // share of full answers at which over-share work is shed,
 pub const CROWDED_OVER: f64 = 0.3; // or wait at the caches over the shortest SLO
 pub const CROWDED: f64 = 0.5; // part of the SLO where an answer is slow, and in-share work begins to be shed
+pub const SHED_BEYOND: f64 = 1.5; // times what is beyond that a full level sheds: repeats before first tries
 pub const SHED_UP: f64 = 0.04; // change of the level a tick: full in half a second,
 pub const SHED_DOWN: f64 = 0.01; // gone in two
                                  // Single keys.
--- a/crates/policy/src/decide/health.rs
+++ b/crates/policy/src/decide/health.rs
@@ -77,8 +77,7 @@
         }
         *(if good { &mut server.good } else { &mut server.bad }) += 1.0;
         let shrink = EVIDENCE / (server.good + server.bad).max(EVIDENCE);
-        server.good *= shrink;
-        server.bad *= shrink;
+        (server.good, server.bad) = (server.good * shrink, server.bad * shrink);
         self.success += 0.2 * MEAN_STEP * (f64::from(u8::from(good)) - self.success);
     }
 }
--- a/crates/policy/src/decide/list.rs
+++ b/crates/policy/src/decide/list.rs
@@ -83,6 +83,7 @@
         self.origin.gate.limit = (ORIGIN_START_ALL / self.nodes).min(ORIGIN_START);
         self.origin.times = [0.5, 1.0].map(|part| (target, target * part));
         self.origin.gate.saved = ORIGIN_SAVED;
+        self.origin.writes.limit = (ORIGIN_START_ALL / self.nodes).min(ORIGIN_WRITES);
     }
 
     /// The same for the caches', as one fleet.
--- a/crates/policy/src/decide/origin.rs
+++ b/crates/policy/src/decide/origin.rs
@@ -7,6 +7,12 @@
         self.gate.room(now) && self.queue.is_empty() && !self.servers.is_empty()
     }
 
+    /// Whether a call may be sent now. Guards against reads that fill the one place, or part of one, while
+    /// writes, worth more, find none: they have a place of their own beside it, as long as they are in time.
+    pub fn place(&self, write: bool, now: Time) -> bool {
+        self.gate.room(now) || write && self.writes.room(now)
+    }
+
     /// The wait that a newcomer behind `ahead` others has before it.
     pub fn wait(&self, ahead: usize) -> Span {
         Span((self.times[0].0 * (ahead + 1) as f64 / self.gate.limit) as i64)
@@ -18,25 +24,30 @@
         (ORIGIN_TARGET * slo.0 as f64).max(ORIGIN_STRAINED * self.times[usize::from(write)].1)
     }
 
-    /// Steers the limit so that an origin that is slow, yet in time, is used to the full.
-    pub fn settle(&mut self, ending: &Ending, slo: Span, write: bool) {
+    /// Steers the limit so that an origin that is slow, yet in time, is used to the full. `own`: in the place
+    /// that writes have.
+    pub fn settle(&mut self, ending: &Ending, slo: Span, write: bool, own: bool) {
         use Outcome::*;
-        let took = ending.took.0 as f64;
-        match ending.outcome {
-            Fulfilled | Miss | Broken => {
+        let gate = if own { &mut self.writes } else { &mut self.gate };
+        gate.out = gate.out.saturating_sub(1);
+        let answered = matches!(ending.outcome, Fulfilled | Miss | Broken);
+        let spare = match ending.outcome {
+            Full | TimedOut | Unreachable | Reset => -1.0,
+            _ if !answered => return,
+            _ => {
+                let took = ending.took.0 as f64;
                 let (mean, calm) = &mut self.times[usize::from(write)];
                 *mean += 2.0 * MEAN_STEP * (took - *mean);
                 *calm = (*calm * ORIGIN_DRIFT).min(*mean);
                 // One that took longer was counted when it was late.
-                let spare = 1.0 - took / self.aim(slo, write);
-                if spare > 0.0 {
-                    self.gate.ended(spare);
-                }
-                self.gate.pressed = !self.queue.is_empty();
+                (1.0 - took / self.aim(slo, write)).max(0.0)
             }
-            Full | TimedOut | Unreachable | Reset => self.gate.ended(-1.0),
-            _ => {}
+        };
+        self.gate.ended(spare);
+        if own {
+            self.writes.ended(spare);
         }
+        self.gate.pressed = if answered { !self.queue.is_empty() } else { self.gate.pressed };
     }
 }
 
@@ -57,7 +68,7 @@
         // What would wait too long is ended now; writes go ahead of the queue.
         let ahead = if call.write { 0 } else { self.origin.queue.len() };
         let patience = call.product.slo.times(PATIENCE);
-        if !self.origin.gate.room(self.now) && self.origin.wait(ahead) > patience {
+        if !self.origin.place(call.write, self.now) && self.origin.wait(ahead) > patience {
             return self.give_up(ix, to);
         }
         self.origin.queue.push(ix);
@@ -74,10 +85,14 @@
     /// Sends waiting calls to the origin while its limit has room.
     pub(super) fn pump(&mut self, to: &mut impl Answers) {
         self.origin.gate.pressed |= !self.origin.queue.is_empty() && !self.origin.gate.room(self.now);
-        while self.origin.gate.room(self.now) && !self.origin.queue.is_empty() {
-            let server = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out);
+        loop {
             let best = (0..self.origin.queue.len()).rev().max_by_key(|i| self.rank(self.origin.queue[*i]));
-            let ix = self.origin.queue.remove(best.unwrap_or(0));
+            let Some(best) = best else { return };
+            if !self.origin.place(self.calls[self.origin.queue[best].0].write, self.now) {
+                return;
+            }
+            let server = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out);
+            let ix = self.origin.queue.remove(best);
             if !server.is_some_and(|server| self.shoot(ix, server, false, to)) {
                 self.give_up(ix, to);
             }
--- a/crates/policy/src/decide/outcome.rs
+++ b/crates/policy/src/decide/outcome.rs
@@ -20,7 +20,8 @@
         let ran = !ending.outcome.proves_it_never_ran();
         shot.fate = if ran { Fate::MayHaveRun } else { Fate::NeverRan };
         self.line.out -= u32::from(std::mem::take(&mut shot.counted));
-        let (server, further, at) = (&mut self.servers[shot.server.0], shot.further, shot.server);
+        let (further, own, at) = (shot.further, shot.own, shot.server);
+        let server = &mut self.servers[at.0];
         server.out = server.out.saturating_sub(1);
         server.used = now;
         let slo = call.product.slo;
@@ -32,8 +33,7 @@
             }
         }
         if server.origin {
-            self.origin.gate.out = self.origin.gate.out.saturating_sub(1);
-            self.origin.settle(&ending, slo, call.write);
+            self.origin.settle(&ending, slo, call.write, own);
         } else {
             match ending.outcome {
                 Outcome::Unreachable => {
--- a/crates/policy/src/decide/shots.rs
+++ b/crates/policy/src/decide/shots.rs
@@ -67,13 +67,14 @@
         (server.linked, server.used) = (true, self.now);
         server.unheard = server.unheard.or(Some(self.now));
         let counted = !server.origin;
+        let own = server.origin && !self.origin.gate.room(self.now);
         self.line.out += u32::from(counted);
         let charged = self.shots.budget.charges(call, self.now);
-        call.shots.push(Shot { server: at, sent: self.now, fate: Fate::Out, further, charged, counted });
+        call.shots.push(Shot { server: at, sent: self.now, fate: Fate::Out, further, charged, counted, own });
         call.place = Place::Flying;
         to.dispatch(ix, at, call.until);
         if server.origin {
-            self.origin.gate.take(self.now);
+            (if own { &mut self.origin.writes } else { &mut self.origin.gate }).take(self.now);
         } else {
             server.warm -= 1.0;
         }
@@ -91,11 +92,10 @@
     pub(super) fn again(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
         let out = call.out() > 0;
-        let product = &call.product;
         let may = call.shots.len() < call.most
             && self.shots.affords(call, self.now)
             && (self.shots.may_duplicate || !out)
-            && (call.proven_unrun() || product.effect != Effect::NonIdempotent);
+            && (call.proven_unrun() || call.product.effect != Effect::NonIdempotent);
         // Guards against fetching twice: a further shot may be at the origin already when a cache misses.
         let at_origin = |shot: &Shot| shot.fate == Fate::Out && self.servers[shot.server.0].origin;
         let fetching = call.leads || call.shots.iter().any(at_origin);
@@ -116,6 +116,9 @@
         let server = &self.servers[late.server.0];
         if server.origin {
             self.origin.gate.late(self.now);
+            if late.own {
+                self.origin.writes.late(self.now);
+            }
         }
         let failing = self.health.doubtful(server, self.now);
         // A failing cache's shots are no crowd, nor are those whose answers were lost.
--- a/crates/policy/src/decide/tick.rs
+++ b/crates/policy/src/decide/tick.rs
@@ -29,6 +29,7 @@
         self.line.heard += step * (1.0 - self.line.heard);
         self.admission.tick(self.line.crowding(self.shortest));
         self.origin.gate.regrow(passed);
+        self.origin.writes.regrow(passed);
         self.keys.tick(passed, now);
         self.line.let_go(&mut self.servers, now, to);
         self.roster.tick(now, to);
--- a/crates/policy/src/decide/waiting.rs
+++ b/crates/policy/src/decide/waiting.rs
@@ -10,7 +10,7 @@
     /// Keeps a call with nothing sent until a part of its SLO is gone.
     pub(super) fn park(&mut self, ix: CallIx, place: Place, to: &mut impl Answers) {
         self.calls[ix.0].place = place;
-        let sent = place == Place::Queued && self.origin.gate.room(self.now);
+        let sent = place == Place::Queued && self.origin.place(self.calls[ix.0].write, self.now);
         if self.hurried(ix) && !sent {
             return self.give_up(ix, to);
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -32,6 +32,8 @@
     pub charged: bool,
     /// Part of what is out at caches in good standing.
     pub counted: bool,
+    /// At the origin, in the place that only writes have.
+    pub own: bool,
 }
 
 #[derive(Default)]
@@ -196,6 +198,8 @@
 pub struct Origin {
     pub servers: Vec<ServerIx>,
     pub gate: Gate,
+    /// Beside it, for writes alone.
+    pub writes: Gate,
     /// For reads and for writes: mean answer time and its calm level, in microseconds.
     pub times: [(f64, f64); 2],
     pub queue: Vec<CallIx>,
@@ -330,6 +334,7 @@
                 further: false,
                 charged: false,
                 counted: false,
+                own: false,
             };
             let mut call = Call { shots: vec![shot], ..Call::default() };
             budget.took(Time(i));
--- a/crates/policy/src/tune.rs
+++ b/crates/policy/src/tune.rs
@@ -38,7 +38,9 @@
         self.health.warm_within = settings.span("invariants.warm_within", Span::ms(60_000));
         self.line.keepalive = settings.span("caps.keepalive", KEEPALIVE);
         self.origin.gate.least = ORIGIN_LEAST / self.nodes;
+        self.origin.writes.least = self.origin.gate.least;
         self.origin.gate.target = shortest.0 as f64 * ORIGIN_TARGET;
+        self.origin.writes.target = self.origin.gate.target;
         self.origin.gate.limit = (self.origin.gate.limit * before.3 / self.nodes).max(self.origin.gate.least);
         self.shots.most = settings.number("caps.most_shots", 1.0).max(1.0) as usize;
         self.shots.budget.span = settings.span("invariants.ratio_span", Span::ZERO);
--- a/crates/policy/tests/decisions/common.rs
+++ b/crates/policy/tests/decisions/common.rs
@@ -1,6 +1,7 @@
 //! A node under test: hands events to the module and keeps what it does as printed lines.
 use std::fmt::Write;
 
+use expect_test::Expect;
 use quartzhub_policy::*;
 
 #[derive(Default)]
@@ -159,3 +160,7 @@
         self.trace.0.truncate(before);
     }
 }
+
+pub fn check(node: Node, expected: Expect) {
+    expected.assert_eq(&node.trace.0);
+}
--- /dev/null
+++ b/crates/policy/tests/decisions/main.rs
@@ -0,0 +1,5 @@
+//! Traces of the decisions, read by people.
+mod common;
+mod crowds;
+mod rules;
+mod traces;
