Let a crowd stay a crowd: calm times drift with time, and unused limits don't grow for all at once

Seen and ruled out: at 16 nodes 700 of 1,700 served a second were late, at 64 nodes 200, with the same hits and fetches; shedding at less waiting helped there alone. Two causes: - `outcome.rs` and `origin.rs` let the calm time of answers grow by a part *an answer*. At a node of 150 answers a second it was what answers took in the crowd after some seconds, so there was no crowd any more and all was let in; at one node within half a second. At 1,000 nodes 1,000 to 2,000 places stood unused in calm, and were spent together.

Change: calm times double in 120 s at the soonest, however many answers come.

--- a/crates/policy/src/decide/constants.rs
+++ b/crates/policy/src/decide/constants.rs
@@ -44,10 +44,11 @@
 pub const ORIGIN_WRITES: f64 = 1.0; // shots out beside the limit where only writes go
 pub const ORIGIN_TARGET: f64 = 0.4; // part of the SLO for its answers: the rest is the cache's and the wait's
 pub const ORIGIN_STRAINED: f64 = 2.0; // times its calm time that an answer may always take: half is queue
-pub const ORIGIN_DRIFT: f64 = 1.002; // growth of that time an answer, so that one slowed for good is taken so
+pub const CALM_DOUBLES: f64 = 120.0; // seconds in which a calm time doubles: what slowed for good is taken so
 pub const ORIGIN_STEP: f64 = 0.25; // places by which an answer in no time, or in twice the target, moves it,
 pub const ORIGIN_PART: f64 = 0.5; // or as a part of few places
 pub const ORIGIN_DOUBLES: f64 = 4.0; // seconds in which less than a place doubles: answers are far between
+pub const ORIGIN_UNASKED: f64 = 800.0; // places to which all limits together grow while nothing waits
 pub const ORIGIN_SAVED: f64 = 2.0; // shots that a node with few places may save up: misses come in twos
 pub const PATIENCE: f64 = 0.5; // part of the SLO that a call may be kept with nothing sent
                                // Shares and shedding.
--- a/crates/policy/src/decide/gate.rs
+++ b/crates/policy/src/decide/gate.rs
@@ -18,7 +18,7 @@
 
     /// What an answer left of the time aimed at, as a part of it; below 0 it took longer, or was lost.
     pub fn ended(&mut self, spare: f64) {
-        if spare < 0.0 || self.pressed || self.limit < ORIGIN_SAVED {
+        if spare < 0.0 || self.pressed || self.limit < self.unasked {
             let step = ORIGIN_STEP.min(ORIGIN_PART * self.limit);
             self.limit = (self.limit + step * spare.max(-1.0)).max(self.least);
         }
@@ -30,9 +30,10 @@
         (self.saved, self.saved_at) = (0.0, now);
     }
 
-    /// Guards against answers that are far between at hundreds of nodes.
+    /// Guards against answers that are far between at hundreds of nodes; and, bounded, against limits that
+    /// a thousand of them let grow in calm and spend together in a crowd.
     pub fn regrow(&mut self, passed: f64) {
-        if self.limit < 1.0 {
+        if self.limit < self.unasked.min(1.0) {
             self.limit *= 1.0 + passed / ORIGIN_DOUBLES;
         }
     }
--- a/crates/policy/src/decide/health.rs
+++ b/crates/policy/src/decide/health.rs
@@ -9,11 +9,6 @@
         server.unheard.map_or(0.0, |since| (now - since).0 as f64 / feared)
     }
 
-    /// Guards against storms at full caches: what one had is its room, and more for each two answer times.
-    pub fn freed(&self, server: &Server, now: Time) -> f64 {
-        (now - server.full_at).0 as f64 / (FREED_AFTER * self.median)
-    }
-
     pub fn doubtful(&self, server: &Server, now: Time) -> bool {
         let mean = (server.good + PRIOR * self.success) / (server.good + server.bad + PRIOR);
         mean < DOUBT * self.success || self.silence(server, now) > 1.0
--- a/crates/policy/src/decide/keys.rs
+++ b/crates/policy/src/decide/keys.rs
@@ -24,7 +24,7 @@
         let mean = (record.good + KEY_PRIOR * success) / (record.good + record.bad + KEY_PRIOR);
         if record.spread && mean < DOUBT * success {
             record.gate =
-                Some(Gate { limit: KEY_START, least: KEY_LEAST, saved_at: now, target, ..Gate::default() });
+                Some(Gate { limit: KEY_START, least: KEY_LEAST, ..Gate::new(now, target, ORIGIN_SAVED) });
         }
     }
 
--- a/crates/policy/src/decide/line.rs
+++ b/crates/policy/src/decide/line.rs
@@ -76,7 +76,9 @@
             }
             let ix = self.order[i].1;
             let server = &mut servers[ix.0];
-            let full = f64::from(server.out) + 1.0 > server.room + health.freed(server, now);
+            // Guards against storms at full caches: what one had is its room, and more each two answer times.
+            let freed = (now - server.full_at).0 as f64 / (FREED_AFTER * health.median);
+            let full = f64::from(server.out) + 1.0 > server.room + freed;
             let had = call.shots.iter().any(|shot| shot.server == ix);
             if f64::from(server.out) > skip || full || had || !health.warm_enough(server, self, now) {
                 continue;
--- a/crates/policy/src/decide/origin.rs
+++ b/crates/policy/src/decide/origin.rs
@@ -36,9 +36,8 @@
             _ if !answered => return,
             _ => {
                 let took = ending.took.0 as f64;
-                let (mean, calm) = &mut self.times[usize::from(write)];
+                let mean = &mut self.times[usize::from(write)].0;
                 *mean += 2.0 * MEAN_STEP * (took - *mean);
-                *calm = (*calm * ORIGIN_DRIFT).min(*mean);
                 // One that took longer was counted when it was late.
                 (1.0 - took / self.aim(slo, write)).max(0.0)
             }
@@ -76,19 +75,16 @@
         self.pump(to);
     }
 
-    /// Which waiting call goes first: writes, then in-share work, then what is billed higher.
-    pub(super) fn rank(&self, ix: CallIx) -> (bool, bool, u64) {
-        let call = &self.calls[ix.0];
-        (call.write, !call.over, call.product.value.to_bits())
-    }
-
-    /// Sends waiting calls to the origin while its limit has room.
+    /// Sends waiting calls to the origin while its limit has room: writes, then in-share work, then what is
+    /// billed higher.
     pub(super) fn pump(&mut self, to: &mut impl Answers) {
         self.origin.gate.pressed |= !self.origin.queue.is_empty() && !self.origin.gate.room(self.now);
         loop {
-            let best = (0..self.origin.queue.len()).rev().max_by_key(|i| self.rank(self.origin.queue[*i]));
+            let call = |i: &usize| &self.calls[self.origin.queue[*i].0];
+            let rank = |call: &Call| (call.write, !call.over, call.product.value.to_bits());
+            let best = (0..self.origin.queue.len()).rev().max_by_key(|i| rank(call(i)));
             let Some(best) = best else { return };
-            if !self.origin.place(self.calls[self.origin.queue[best].0].write, self.now) {
+            if !self.origin.place(call(&best).write, self.now) {
                 return;
             }
             let server = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out);
--- a/crates/policy/src/decide/outcome.rs
+++ b/crates/policy/src/decide/outcome.rs
@@ -45,16 +45,14 @@
                     server.refused = 0;
                     self.line.done += 1.0;
                     let took = ending.took.0 as f64;
-                    let (mean, calm) = &mut self.line.calm;
-                    *mean += MEAN_STEP * (took - *mean);
-                    *calm = (*calm * ORIGIN_DRIFT).min(*mean);
+                    self.line.calm.0 += MEAN_STEP * (took - self.line.calm.0);
                     self.line.reach = (self.line.reach * REACH_GROWTH).min(1.0);
                 }
                 _ => {}
             }
             let trusted = !self.health.doubtful(server, now);
-            let late = ending.took.0 as f64 > (CROWDED * slo.0 as f64).max(self.health.tail);
-            let late = late && self.keys.by_lateness;
+            let most = (CROWDED * slo.0 as f64).max(self.health.tail);
+            let late = self.keys.by_lateness && ending.took.0 as f64 > most;
             let good = matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss);
             if good || ending.outcome == Outcome::Broken || ending.outcome == Outcome::TimedOut && late {
                 self.keys.settle(call.key, at, good && !late, now);
--- a/crates/policy/src/decide/shots.rs
+++ b/crates/policy/src/decide/shots.rs
@@ -141,7 +141,6 @@
                 return;
             }
         }
-        let wait = self.calls[ix.0].product.slo.times(FURTHER_FROM);
-        self.set_due(ix, self.now + wait);
+        self.set_due(ix, self.now + self.calls[ix.0].product.slo.times(FURTHER_FROM));
     }
 }
--- a/crates/policy/src/decide/tick.rs
+++ b/crates/policy/src/decide/tick.rs
@@ -30,6 +30,9 @@
         self.admission.tick(self.line.crowding(self.shortest));
         self.origin.gate.regrow(passed);
         self.origin.writes.regrow(passed);
+        // Guards against a calm time that follows a crowd within seconds at a node of many answers.
+        let times = self.origin.times.iter_mut().chain([&mut self.line.calm]);
+        times.for_each(|(mean, calm)| *calm = (*calm * 2f64.powf(passed / CALM_DOUBLES)).min(*mean));
         self.keys.tick(passed, now);
         self.line.let_go(&mut self.servers, now, to);
         self.roster.tick(now, to);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -254,6 +254,8 @@
     /// Shots that may be out from here, under one too, and the least of it.
     pub limit: f64,
     pub least: f64,
+    /// Up to where it grows while nothing waits.
+    pub unasked: f64,
     /// The time aimed at, in microseconds.
     pub target: f64,
     /// A call had to wait for a place, or got none, since the last answer.
@@ -263,6 +265,12 @@
     pub saved_at: Time,
 }
 
+impl Gate {
+    pub fn new(now: Time, target: f64, unasked: f64) -> Gate {
+        Gate { saved_at: now, target, unasked, ..Gate::default() }
+    }
+}
+
 /// The list where it has to be asked for.
 #[derive(Default)]
 pub struct Roster {
@@ -313,6 +321,12 @@
         [median, self.origin.gate.limit, self.health.success, self.line.done_rate, point]
     }
 
+    /// This node's own load, to be told to others: shots out at caches in good standing, a mean, and answers of caches a
+    /// second.
+    pub fn load(&self) -> [f64; 2] {
+        [self.line.mean_out, self.line.done_rate]
+    }
+
     /// How many ready caches are doubtful now, and so are mostly passed over.
     pub fn avoided(&self, now: Time) -> usize {
         let ready = self.line.caches.iter().map(|ix| &self.servers[ix.0]);
--- a/crates/policy/src/tune.rs
+++ b/crates/policy/src/tune.rs
@@ -40,6 +40,8 @@
         self.origin.gate.least = ORIGIN_LEAST / self.nodes;
         self.origin.writes.least = self.origin.gate.least;
         self.origin.gate.target = shortest.0 as f64 * ORIGIN_TARGET;
+        self.origin.gate.unasked = (ORIGIN_UNASKED / self.nodes).min(ORIGIN_SAVED);
+        self.origin.writes.unasked = self.origin.gate.unasked.min(ORIGIN_WRITES);
         self.origin.writes.target = self.origin.gate.target;
         self.origin.gate.limit = (self.origin.gate.limit * before.3 / self.nodes).max(self.origin.gate.least);
         self.shots.most = settings.number("caps.most_shots", 1.0).max(1.0) as usize;
--- a/crates/policy/tests/decisions/crowds.rs
+++ b/crates/policy/tests/decisions/crowds.rs
@@ -1,7 +1,7 @@
 //! Traces of decisions in a crowd: who is shed, what spills to the origin, and what its limit lets through.
 use crate::common::{check, Node};
 use expect_test::expect;
-use quartzhub_policy::{Outcome::*, Value};
+use quartzhub_policy::{Outcome::*, ServerIx, Value};
 
 // Tries that came back after their SLO used up their tenant's share, and late ones were a quarter of all admitted.
 #[test]
@@ -303,3 +303,56 @@
     "#]],
     );
 }
+
+// A node of 150 answers a second took what answers take in a crowd for their calm time within seconds, by a part an answer:
+// the crowd was none any more, and all that came was sent into it.
+#[test]
+fn a_crowd_stays_one_however_many_answers_a_node_gets() {
+    let mut node = Node::new(2, &[]);
+    node.calm(0);
+    node.say("for twenty seconds 300 calls a second come, and answers take 350 of the 400 ms that they may");
+    let before = node.trace.0.len();
+    let mut turned_away = [0; 4];
+    for step in 0..1000 {
+        let seen = node.trace.0.len();
+        (0..6).for_each(|i| node.ask(1000 + step * 6 + i, 0, &format!("key-{step}-{i}"), false));
+        turned_away[step / 250] += node.trace.0[seen..].matches("rate-limited").count();
+        node.pass(20.0);
+        if step >= 17 {
+            let sent = 1000 + (step - 17) * 6;
+            (0..6).for_each(|i| (0..3).for_each(|shot| node.end(sent + i, shot, Fulfilled, 350.0)));
+        }
+    }
+    node.trace.0.truncate(before);
+    node.say(&format!("turned away in each five seconds: {turned_away:?} of 1500"));
+    check(
+        node,
+        expect![[r#"
+        1000 ms: for twenty seconds 300 calls a second come, and answers take 350 of the 400 ms that they may
+        21000 ms: turned away in each five seconds: [795, 640, 616, 613] of 1500
+    "#]],
+    );
+}
+
+// In calm the limits of a thousand nodes grew to a place and more each; in a crowd all were spent together, and the origin
+// stopped.
+#[test]
+fn in_calm_a_limit_grows_no_further_than_all_nodes_limits_may_together() {
+    let places = |nodes: f64| {
+        let mut node = Node::new(2, &[("balancers", Value::Number(nodes))]);
+        for call in 0..40 {
+            node.ask(call, 1, &format!("key-{call}"), false);
+            node.end(call, 0, Fulfilled, 20.0);
+            node.pass(1_000.0);
+        }
+        node.balancer.learnt(ServerIx(0))[1] * nodes
+    };
+    let told: String =
+        [10.0, 100.0, 1000.0].map(|nodes| format!("{nodes} nodes: {:.0}\n", places(nodes))).concat();
+    expect![[r#"
+        10 nodes: 40
+        100 nodes: 200
+        1000 nodes: 940
+    "#]]
+    .assert_eq(&told);
+}
