Carry what processes share in the node: parts of budgets that narrow and return through a cut

Need: the leases and words had no process that carries them; the operators want proof by several processes with faults between them.

Change: `shared` in the configuration, off by default and only with membership, carries `crates/shared` on the datagrams' socket that is there; `/control/members` tells the part, whose words were heard and how long a shot takes by them; the log tells each change. No API call waits for it and no decision uses it yet.

With it off nothing changes.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod discovery;
 pub mod effects;
+pub mod fault;
 pub mod figures;
 pub mod http;
 pub mod inherit;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers/mod.rs
@@ -1,143 +1,37 @@
-//! The other nodes: a socket for datagrams between them, and the membership's core behind it. What it learns operators
-//! read; no API call waits for it.
+//! The other nodes: a socket for datagrams between them, and behind it the membership's core and what nodes share. What they
+//! learn operators read; no API call waits for it.
+pub mod named;
+mod view;
+
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use quartzhub_members::limits::PARTS;
 use quartzhub_members::wire::{fleet, LONGEST};
-use quartzhub_members::{Counts, Id, Limits, Members, Order, Post, Refused, Server, State, Without};
-use quartzhub_policy::Settings;
-use serde::Serialize;
+use quartzhub_members::{Id, Limits, Members, Order, Post, Refused, Server, State};
+use quartzhub_policy::Time;
+use quartzhub_shared::{wire, Load, Shared};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
 use crate::clock::Clock;
-use crate::config::Fault;
 use crate::effects::Hub;
+use crate::reducer::Reducer;
+use named::Peering;
+pub use view::{summary, Ordered, Told, View};
 
-/// What a node is told of the others.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Peering {
-    pub listen: SocketAddr,
-    /// By their numbers, this node's own among them.
-    pub peers: Vec<SocketAddr>,
-    pub me: u16,
-    /// Nodes of another fleet are not spoken to.
-    pub fleet: String,
-    /// What a test leaves out on purpose.
-    pub without: Without,
-}
-
-/// Numbers of nodes that a datagram's bounded words leave room for.
-const MOST_PEERS: usize = 8_192;
 /// Datagrams taken up before the timer has its turn: guards against a flood that would keep it from it.
 const A_TURN: usize = 64;
 
-impl Peering {
-    /// Whether membership is on, by keys that were read; `on` where the file asks for it.
-    pub fn checked(
-        on: bool,
-        listen: Option<SocketAddr>,
-        peers: &serde_json::Value,
-        fleet: Option<String>,
-        without: &[String],
-        settings: &Settings,
-        passed_over: &mut Vec<Fault>,
-    ) -> Result<Option<Peering>, Fault> {
-        let fault = |what: &str| Err(Fault::new(what));
-        if !on {
-            return Ok(None);
-        }
-        if !settings.flag("caps.peers") {
-            let what = "membership: the settings allow no messages between nodes (settings.Caps.Peers): off";
-            passed_over.push(Fault::new(what));
-            return Ok(None);
-        }
-        let Some(listen) = listen else { return fault("peer_listen: is needed for membership") };
-        let Some(peers) = peers.as_array().filter(|peers| (1..=MOST_PEERS).contains(&peers.len())) else {
-            return fault("peers: a list of addresses is needed for membership, one for each node");
-        };
-        let addr = |(i, peer): (usize, &serde_json::Value)| {
-            let addr = peer.as_str().and_then(|text| text.parse::<SocketAddr>().ok());
-            addr.ok_or_else(|| {
-                Fault::new(&format!("peers[{i}]: {peer} is not an address such as 127.0.0.1:7946"))
-            })
-        };
-        let peers = peers.iter().enumerate().map(addr).collect::<Result<Vec<_>, _>>()?;
-        let me = settings.number("me", -1.0);
-        if me < 0.0 || me as usize >= peers.len() {
-            return fault("settings.Me: this node's place in peers is needed for membership");
-        }
-        let distinct: std::collections::BTreeSet<_> = peers.iter().collect();
-        if distinct.len() < peers.len() {
-            return fault("peers: an address stands twice");
-        }
-        let mut left_out = Without::default();
-        for (i, part) in without.iter().enumerate() {
-            if !left_out.leave_out(part) {
-                let parts = PARTS.join(", ");
-                return fault(&format!("membership_without[{i}]: {part:?} is none of {parts}"));
-            }
-            passed_over
-                .push(Fault::new(&format!("membership_without: {part}: broken on purpose, for tests only")));
-        }
-        Ok(Some(Peering {
-            listen,
-            peers,
-            me: me as u16,
-            fleet: fleet.unwrap_or_else(|| "quartzhub".to_owned()),
-            without: left_out,
-        }))
-    }
-}
-
-/// One node as operators read it.
-#[derive(Debug, Serialize)]
-pub struct Told {
-    node: u16,
-    addr: SocketAddr,
-    state: State,
-    /// The number that the node goes by: it raises it to refute, and after a restart.
-    number: u32,
-    since_ms: f64,
-    /// Since a datagram of its present life came here.
-    heard_ms: Option<f64>,
-    suspected_by: Vec<u16>,
-}
-
-#[derive(Debug, Serialize)]
-pub struct View {
-    me: u16,
-    number: u32,
-    members: usize,
-    configured: usize,
-    /// Nobody answers: the others are gone, or this node is cut off.
-    hears_nobody: bool,
-    ill: u32,
-    changes: u64,
-    strangers: u64,
-    counts: Counts,
-    nodes: Vec<Told>,
-    orders: Vec<Ordered>,
-}
-
-/// An operators' order about a server.
-#[derive(Debug, Serialize)]
-pub struct Ordered {
-    /// Its id, or a hash of it where this node's list has no such server.
-    server: String,
-    drain: bool,
-    version: u32,
-    by: u16,
-    since_ms: f64,
-}
-
 pub struct Peers {
     members: RefCell<Members>,
+    /// What nodes tell one another beside who is alive, where that is on.
+    shared: Option<RefCell<Shared>>,
+    /// The part of a budget that the log was last told of.
+    part: Cell<f64>,
     named: Peering,
     ids: HashMap<SocketAddr, Id>,
     socket: UdpSocket,
@@ -160,6 +54,12 @@
         let limits = Limits { without: named.without, ..Limits::default() };
         let mut members = Members::new(Id(named.me), named.peers.len(), of, seed, limits);
         members.start(clock.now());
+        let shared = named.shared.then(|| {
+            let limits = quartzhub_shared::Limits::default();
+            let mut shared = Shared::new(Id(named.me), named.peers.len(), of, seed, limits);
+            shared.start(clock.now());
+            RefCell::new(shared)
+        });
         let ids = named.peers.iter().enumerate().map(|(i, addr)| (*addr, Id(i as u16))).collect();
         let (strangers, logged, was_alone) = (Cell::new(0), Cell::new(0), Cell::new(false));
         let members = RefCell::new(members);
@@ -167,6 +67,8 @@
         let (ordered, heard) = (Cell::new(0), Notify::new());
         Ok(Rc::new(Peers {
             members,
+            shared,
+            part: Cell::new(0.0),
             named,
             ids,
             socket,
@@ -183,7 +85,7 @@
     pub async fn run(self: Rc<Peers>, hub: Rc<Hub>) {
         let mut buffer = [0; LONGEST + 1];
         loop {
-            let due = self.clock.instant(self.members.borrow().due());
+            let due = self.clock.instant(self.due());
             let mut out = Vec::new();
             tokio::select! {
                 () = sleep_until(due) => {}
@@ -202,6 +104,7 @@
             if now >= self.members.borrow().due() {
                 self.members.borrow_mut().tick(now, &mut out);
             }
+            self.share(now, &hub, &mut out);
             self.post(out);
             self.apply(&hub);
             self.log();
@@ -209,7 +112,36 @@
         }
     }
 
+    fn due(&self) -> Time {
+        let members = self.members.borrow().due();
+        self.shared.iter().map(|shared| shared.borrow().due()).fold(members, Time::min)
+    }
+
+    /// Says what this node has to say of itself, and has its part of budgets asked for.
+    fn share(&self, now: Time, hub: &Rc<Hub>, out: &mut Vec<Post>) {
+        let Some(shared) = self.shared.as_ref().filter(|shared| now >= shared.borrow().due()) else { return };
+        let [shots, done] = hub.ask(Reducer::load);
+        let members = self.members.borrow();
+        let other =
+            |(id, member): &(Id, &quartzhub_members::Member)| member.state.is_member() && *id != members.me();
+        let living: Vec<Id> = members.all().filter(other).map(|(id, _)| id).collect();
+        let mut shared = shared.borrow_mut();
+        shared.say(Load { out: shots, done });
+        shared.tick(now, members.number(), &living, out);
+        let part = shared.part(now);
+        if (part - self.part.replace(part)).abs() > 1e-9 {
+            tracing::info!(part, "shared: may use {part:.4} of each budget");
+        }
+    }
+
     fn take(&self, from: SocketAddr, bytes: &[u8], out: &mut Vec<Post>) {
+        match (self.ids.get(&from), &self.shared) {
+            (Some(id), Some(shared)) if wire::is_mine(bytes) => {
+                shared.borrow_mut().receive(self.clock.now(), *id, bytes, out);
+                return;
+            }
+            _ => {}
+        }
         match self.ids.get(&from) {
             Some(id) => {
                 let mut members = self.members.borrow_mut();
@@ -307,49 +239,4 @@
         self.members.borrow_mut().leave(self.clock.now(), &mut out);
         self.post(out);
     }
-
-    /// `id`: what a server that an order names is called.
-    pub fn view(&self, id: impl Fn(Server) -> Option<String>) -> View {
-        let (members, now) = (self.members.borrow(), self.clock.now());
-        let told = |(id, member): (Id, &quartzhub_members::Member)| Told {
-            node: id.0,
-            addr: self.named.peers[id.0 as usize],
-            state: member.state,
-            number: member.number,
-            since_ms: (now - member.since).as_ms(),
-            heard_ms: member.heard.map(|heard| (now - heard).as_ms()),
-            suspected_by: member.suspectors.iter().map(|by| by.0).collect(),
-        };
-        let ordered = |held: &quartzhub_members::Held| Ordered {
-            server: id(held.fact.server).unwrap_or_else(|| format!("#{:016x}", held.fact.server.0)),
-            drain: held.fact.drain,
-            version: held.fact.version,
-            by: held.fact.by.0,
-            since_ms: (now - held.since).as_ms(),
-        };
-        View {
-            me: self.named.me,
-            number: members.number(),
-            members: members.living(),
-            configured: self.named.peers.len(),
-            hears_nobody: members.hears_nobody(now),
-            ill: members.ill(),
-            changes: members.changed(),
-            strangers: self.strangers.get(),
-            counts: members.counts,
-            nodes: members.all().map(told).collect(),
-            orders: members.orders().map(ordered).collect(),
-        }
-    }
-}
-
-/// States by how many nodes have them, for one line.
-pub fn summary(view: &serde_json::Value) -> String {
-    let mut states: BTreeMap<&str, usize> = BTreeMap::new();
-    for node in view["nodes"].as_array().into_iter().flatten() {
-        *states.entry(node["state"].as_str().unwrap_or("unknown")).or_default() += 1;
-    }
-    let states: Vec<_> = states.iter().map(|(state, count)| format!("{count} {state}")).collect();
-    let alone = if view["hears_nobody"] == true { "; hears nobody" } else { "" };
-    format!("node {}: {}{alone}", view["me"], states.join(", "))
 }
--- /dev/null
+++ b/crates/node/src/peers/named.rs
@@ -0,0 +1,85 @@
+//! What a node is told of the others, read and checked.
+use std::net::SocketAddr;
+
+use quartzhub_members::limits::PARTS;
+use quartzhub_members::Without;
+use quartzhub_policy::Settings;
+
+use crate::fault::Fault;
+
+/// What a node is told of the others.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Peering {
+    pub listen: SocketAddr,
+    /// By their numbers, this node's own among them.
+    pub peers: Vec<SocketAddr>,
+    pub me: u16,
+    /// Nodes of another fleet are not spoken to.
+    pub fleet: String,
+    /// Nodes also tell one another of their load, and lend one another parts of budgets.
+    pub shared: bool,
+    /// What a test leaves out on purpose.
+    pub without: Without,
+}
+
+/// Numbers of nodes that a datagram's bounded words leave room for.
+const MOST_PEERS: usize = 8_192;
+
+impl Peering {
+    /// Whether membership is on, by keys that were read; `on` where the file asks for it.
+    pub fn checked(
+        on: bool,
+        listen: Option<SocketAddr>,
+        peers: &serde_json::Value,
+        fleet: Option<String>,
+        without: &[String],
+        settings: &Settings,
+        passed_over: &mut Vec<Fault>,
+    ) -> Result<Option<Peering>, Fault> {
+        let fault = |what: &str| Err(Fault::new(what));
+        if !on {
+            return Ok(None);
+        }
+        if !settings.flag("caps.peers") {
+            let what = "membership: the settings allow no messages between nodes (settings.Caps.Peers): off";
+            passed_over.push(Fault::new(what));
+            return Ok(None);
+        }
+        let Some(listen) = listen else { return fault("peer_listen: is needed for membership") };
+        let Some(peers) = peers.as_array().filter(|peers| (1..=MOST_PEERS).contains(&peers.len())) else {
+            return fault("peers: a list of addresses is needed for membership, one for each node");
+        };
+        let addr = |(i, peer): (usize, &serde_json::Value)| {
+            let addr = peer.as_str().and_then(|text| text.parse::<SocketAddr>().ok());
+            addr.ok_or_else(|| {
+                Fault::new(format!("peers[{i}]: {peer} is not an address such as 127.0.0.1:7946"))
+            })
+        };
+        let peers = peers.iter().enumerate().map(addr).collect::<Result<Vec<_>, _>>()?;
+        let me = settings.number("me", -1.0);
+        if me < 0.0 || me as usize >= peers.len() {
+            return fault("settings.Me: this node's place in peers is needed for membership");
+        }
+        let distinct: std::collections::BTreeSet<_> = peers.iter().collect();
+        if distinct.len() < peers.len() {
+            return fault("peers: an address stands twice");
+        }
+        let mut left_out = Without::default();
+        for (i, part) in without.iter().enumerate() {
+            if !left_out.leave_out(part) {
+                let parts = PARTS.join(", ");
+                return fault(&format!("membership_without[{i}]: {part:?} is none of {parts}"));
+            }
+            passed_over
+                .push(Fault::new(format!("membership_without: {part}: broken on purpose, for tests only")));
+        }
+        Ok(Some(Peering {
+            listen,
+            peers,
+            me: me as u16,
+            fleet: fleet.unwrap_or_else(|| "quartzhub".to_owned()),
+            shared: false,
+            without: left_out,
+        }))
+    }
+}
--- /dev/null
+++ b/crates/node/src/peers/view.rs
@@ -0,0 +1,116 @@
+//! What operators read of the other nodes.
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use quartzhub_members::{Counts, Id, Server, State};
+use serde::Serialize;
+
+use super::Peers;
+
+/// One node as operators read it.
+#[derive(Debug, Serialize)]
+pub struct Told {
+    node: u16,
+    addr: SocketAddr,
+    state: State,
+    /// The number that the node goes by: it raises it to refute, and after a restart.
+    number: u32,
+    since_ms: f64,
+    /// Since a datagram of its present life came here.
+    heard_ms: Option<f64>,
+    suspected_by: Vec<u16>,
+}
+
+#[derive(Debug, Serialize)]
+pub struct View {
+    me: u16,
+    number: u32,
+    members: usize,
+    configured: usize,
+    /// Nobody answers: the others are gone, or this node is cut off.
+    hears_nobody: bool,
+    ill: u32,
+    changes: u64,
+    strangers: u64,
+    counts: Counts,
+    nodes: Vec<Told>,
+    orders: Vec<Ordered>,
+    /// Where it is on.
+    shared: Option<Sharing>,
+}
+
+/// What this node shares with the others.
+#[derive(Debug, Serialize)]
+pub struct Sharing {
+    /// The part of each budget that it may use now.
+    part: f64,
+    /// Nodes whose words it has heard of late, and by those how long a shot at a cache takes.
+    words: usize,
+    takes_ms: Option<f64>,
+    counts: quartzhub_shared::Counts,
+}
+
+/// An operators' order about a server.
+#[derive(Debug, Serialize)]
+pub struct Ordered {
+    /// Its id, or a hash of it where this node's list has no such server.
+    server: String,
+    drain: bool,
+    version: u32,
+    by: u16,
+    since_ms: f64,
+}
+
+impl Peers {
+    /// `id`: what a server that an order names is called.
+    pub fn view(&self, id: impl Fn(Server) -> Option<String>) -> View {
+        let (members, now) = (self.members.borrow(), self.clock.now());
+        let told = |(id, member): (Id, &quartzhub_members::Member)| Told {
+            node: id.0,
+            addr: self.named.peers[id.0 as usize],
+            state: member.state,
+            number: member.number,
+            since_ms: (now - member.since).as_ms(),
+            heard_ms: member.heard.map(|heard| (now - heard).as_ms()),
+            suspected_by: member.suspectors.iter().map(|by| by.0).collect(),
+        };
+        let ordered = |held: &quartzhub_members::Held| Ordered {
+            server: id(held.fact.server).unwrap_or_else(|| format!("#{:016x}", held.fact.server.0)),
+            drain: held.fact.drain,
+            version: held.fact.version,
+            by: held.fact.by.0,
+            since_ms: (now - held.since).as_ms(),
+        };
+        View {
+            me: self.named.me,
+            number: members.number(),
+            members: members.living(),
+            configured: self.named.peers.len(),
+            hears_nobody: members.hears_nobody(now),
+            ill: members.ill(),
+            changes: members.changed(),
+            strangers: self.strangers.get(),
+            counts: members.counts,
+            nodes: members.all().map(told).collect(),
+            orders: members.orders().map(ordered).collect(),
+            shared: self.shared.as_ref().map(|shared| {
+                let shared = shared.borrow();
+                let fleet = shared.fleet(now);
+                let words = fleet.map_or(0, |fleet| fleet.nodes);
+                let takes_ms = fleet.map(|fleet| fleet.takes * 1000.0);
+                Sharing { part: shared.part(now), words, takes_ms, counts: shared.counts }
+            }),
+        }
+    }
+}
+
+/// States by how many nodes have them, for one line.
+pub fn summary(view: &serde_json::Value) -> String {
+    let mut states: BTreeMap<&str, usize> = BTreeMap::new();
+    for node in view["nodes"].as_array().into_iter().flatten() {
+        *states.entry(node["state"].as_str().unwrap_or("unknown")).or_default() += 1;
+    }
+    let states: Vec<_> = states.iter().map(|(state, count)| format!("{count} {state}")).collect();
+    let alone = if view["hears_nobody"] == true { "; hears nobody" } else { "" };
+    format!("node {}: {}{alone}", view["me"], states.join(", "))
+}
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -270,6 +270,11 @@
         self.world.held
     }
 
+    /// This node's own load, for the others: shots out at caches, and their answers a second.
+    pub fn load(&self) -> [f64; 2] {
+        self.balancer.load()
+    }
+
     pub fn open_calls(&self) -> usize {
         self.world.calls.len() + self.world.passing
     }
