--- a/crates/lab/src/fleet/listing.rs
+++ b/crates/lab/src/fleet/listing.rs
@@ -6,7 +6,7 @@
 use quartzhub_policy::{Pcg, Span, Time};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep_until, timeout, Instant};
 
 use super::gate::Arrival;
 use crate::standin::{Fleet, Listed};
@@ -90,6 +90,8 @@
         };
         written += line(arrival, &first.to_string()).await?;
         self.tells(arrival, written, states);
+        // Guards against changes that are told late beginning the time to the next sign of life anew, each of them.
+        let mut spoke = Instant::now();
         loop {
             let changed = self.fleet.changed.notified();
             let (due, next) = self.due();
@@ -97,16 +99,19 @@
                 let (news, states) = self.since(upto, due);
                 upto = due;
                 written += line(arrival, &news.to_string()).await?;
+                spoke = Instant::now();
                 self.tells(arrival, written, states);
                 continue;
             }
-            let wait = next.map_or(SIGN_OF_LIFE, |next| Duration::from_micros(next.0.max(1_000) as u64));
-            let quiet = tokio::select! {
-                () = changed => false,
-                () = sleep(wait.min(SIGN_OF_LIFE)) => wait >= SIGN_OF_LIFE,
-            };
-            if quiet {
+            let next = next.map(|next| Instant::now() + Duration::from_micros(next.0.max(1_000) as u64));
+            let silent = spoke + SIGN_OF_LIFE;
+            tokio::select! {
+                () = changed => {}
+                () = sleep_until(next.map_or(silent, |next| next.min(silent))) => {}
+            }
+            if Instant::now() >= silent {
                 written += line(arrival, "").await?;
+                spoke = Instant::now();
                 // A node that has gone says nothing; a write into its closed connection fails at last.
                 if timeout(Duration::ZERO, arrival.stream.read(&mut [0; 1]))
                     .await
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,7 +7,7 @@
 use quartzhub_lab::scenario::Bad;
 use quartzhub_lab::stats::FIGURES;
 use quartzhub_lab::sweep::Sweep;
-use quartzhub_lab::{gossip, load, plot, run, went, Report, Scenario};
+use quartzhub_lab::{gossip, load, plot, run, Report, Scenario};
 
 fn main() -> ExitCode {
     let file = |help: &'static str| Arg::new("file").value_name("FILE").required(true).help(help);
@@ -172,7 +172,7 @@
         let report = run(&scenario).map_err(in_file(&file))?;
         println!("{}", told(&policy, &report));
         if given.get_flag("seconds") {
-            print!("{}", went::table(&report));
+            print!("{}", report.by_second());
         }
         reports.push((policy, report));
     }
--- a/crates/lab/src/stats.rs
+++ b/crates/lab/src/stats.rs
@@ -4,7 +4,7 @@
 
 use crate::rules::Broken;
 use crate::scenario::Scenario;
-use crate::went::{Went, WENT};
+use crate::went::{Went, HEADS, WENT};
 
 /// Longest latency told: an hour.
 const LONGEST_US: u64 = 3_600_000_000;
@@ -214,6 +214,18 @@
         service(after) / service(before)
     }
 
+    /// A line a second: where shots and tries went, and what was served of the API calls begun then.
+    pub fn by_second(&self) -> String {
+        let mut table =
+            format!("second  service in-time   late  {}\n", HEADS.map(|head| format!("{head:>10}")).concat());
+        for (second, (went, counts)) in self.went.iter().zip(&self.windows).enumerate() {
+            let went: String = went.iter().map(|count| format!("{count:>10}")).collect();
+            let (service, in_time, late) = (counts.service(), counts.in_slo, counts.late);
+            table += &format!("{second:>6}  {service:>7.3} {in_time:>7} {late:>6}  {went}\n");
+        }
+        table
+    }
+
     /// Figures by their names, as experiments ask for them.
     pub fn figure(&self, name: &str) -> Option<f64> {
         let quantile = |q| self.latency.value_at_quantile(q) as f64 / 1000.0;
