Make the membership's datagrams the one form that what is shared uses too

Need: `crates/shared/src/wire.rs` wrote a datagram's making and reading again.

Change: `members/src/wire.rs` makes and reads datagrams of any protocol's version, heads and entries; the shared one names only its own.

Measured: the tests of both as before, twelve processes through a cut as before.

--- a/crates/members/src/sending.rs
+++ b/crates/members/src/sending.rs
@@ -25,7 +25,7 @@
     /// Sends, with the rumours that are most urgent, and some entries of the own table behind them, so that what a
     /// rumour has not reached is heard later.
     pub(super) fn send(&mut self, _now: Time, to: Id, head: Head, first: Option<Entry>, out: &mut Vec<Post>) {
-        let mut packet = Packet::new(self.fleet, &head);
+        let mut packet = Packet::new(wire::VERSION, self.fleet, &head);
         // What is said of whom this goes to comes first: it can answer to it.
         let told = first.or_else(|| self.table.news_of(to));
         if let Some(entry) = &told {
--- a/crates/members/src/wire.rs
+++ b/crates/members/src/wire.rs
@@ -7,7 +7,7 @@
 
 /// The platform's bound on a datagram.
 pub const LONGEST: usize = 256;
-const VERSION: u8 = 2;
+pub const VERSION: u8 = 2;
 const CHECK: usize = 4;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -98,36 +98,27 @@
     Form,
 }
 
-/// A datagram in the making: entries are added while they fit.
+/// A datagram in the making: entries are added while they fit. The first byte tells which protocol, and its version.
 pub struct Packet {
     bytes: [u8; LONGEST],
     used: usize,
 }
 
 impl Packet {
-    pub fn new(fleet: u32, head: &Head) -> Packet {
+    pub fn new(version: u8, fleet: u32, head: &impl Serialize) -> Packet {
         let mut packet = Packet { bytes: [0; LONGEST], used: 5 };
-        packet.bytes[0] = VERSION;
+        packet.bytes[0] = version;
         packet.bytes[1..5].copy_from_slice(&fleet.to_le_bytes());
-        packet.put(head);
+        packet.add(head);
         packet
     }
 
-    fn put<T: Serialize>(&mut self, what: &T) -> bool {
-        let room = &mut self.bytes[self.used..LONGEST - CHECK];
-        match postcard::to_slice(what, room) {
-            Ok(written) => {
-                let written = written.len();
-                self.used += written;
-                true
-            }
-            Err(_) => false,
-        }
-    }
-
     /// Whether there was room for it.
-    pub fn add(&mut self, entry: &Entry) -> bool {
-        self.put(entry)
+    pub fn add(&mut self, what: &impl Serialize) -> bool {
+        let room = &mut self.bytes[self.used..LONGEST - CHECK];
+        let written = postcard::to_slice(what, room).map(|written| written.len());
+        self.used += *written.as_ref().unwrap_or(&0);
+        written.is_ok()
     }
 
     pub fn done(mut self) -> Vec<u8> {
@@ -139,6 +130,15 @@
 
 /// Reads a datagram whole or not at all.
 pub fn read(bytes: &[u8], fleet: u32) -> Result<(Head, Vec<Entry>), Fault> {
+    read_as(VERSION, bytes, fleet)
+}
+
+/// The same for another protocol's heads and entries.
+pub fn read_as<H, E>(version: u8, bytes: &[u8], fleet: u32) -> Result<(H, Vec<E>), Fault>
+where
+    H: for<'de> Deserialize<'de>,
+    E: for<'de> Deserialize<'de>,
+{
     if bytes.len() > LONGEST || bytes.len() < 5 + CHECK {
         return Err(Fault::Length);
     }
@@ -146,16 +146,16 @@
     if crc32fast::hash(body).to_le_bytes() != sum {
         return Err(Fault::Checksum);
     }
-    if body[0] != VERSION {
+    if body[0] != version {
         return Err(Fault::Version);
     }
     if body[1..5] != fleet.to_le_bytes() {
         return Err(Fault::Fleet);
     }
-    let (head, mut rest) = postcard::take_from_bytes::<Head>(&body[5..]).map_err(|_| Fault::Form)?;
+    let (head, mut rest) = postcard::take_from_bytes(&body[5..]).map_err(|_| Fault::Form)?;
     let mut entries = Vec::new();
     while !rest.is_empty() {
-        let (entry, after) = postcard::take_from_bytes::<Entry>(rest).map_err(|_| Fault::Form)?;
+        let (entry, after) = postcard::take_from_bytes(rest).map_err(|_| Fault::Form)?;
         entries.push(entry);
         rest = after;
     }
--- a/crates/members/tests/orders.rs
+++ b/crates/members/tests/orders.rs
@@ -61,7 +61,7 @@
     let about = Id(to as u16);
     let head =
         Head { kind: Kind::Ping { hello: false }, from: Id(from as u16), number, count: 1, probe: 1, about };
-    let mut packet = Packet::new(fleet(FLEET), &head);
+    let mut packet = Packet::new(quartzhub_members::wire::VERSION, fleet(FLEET), &head);
     assert!(packet.add(&Entry::Order(order)));
     net.inject(from, to, packet.done());
 }
--- a/crates/members/tests/properties.rs
+++ b/crates/members/tests/properties.rs
@@ -103,7 +103,7 @@
             now = now + Span::ms(ms);
             let kind = Kind::Ping { hello: count % 2 == 0 };
             let head = Head { kind, from: Id(from), number, count, probe: count, about: Id(from) };
-            let mut packet = Packet::new(fleet(FLEET), &head);
+            let mut packet = Packet::new(quartzhub_members::wire::VERSION, fleet(FLEET), &head);
             for entry in &entries {
                 packet.add(entry);
             }
@@ -145,7 +145,7 @@
 fn datagram(name: &str, from: Id, number: u32) -> Vec<u8> {
     let kind = Kind::Ping { hello: false };
     let head = Head { kind, from, number, count: 9, probe: 9, about: Id(1) };
-    let mut packet = Packet::new(fleet(name), &head);
+    let mut packet = Packet::new(quartzhub_members::wire::VERSION, fleet(name), &head);
     packet.add(&Entry::Suspect { of: Id(2), number: 4, by: Id(3) });
     packet.done()
 }
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -112,14 +112,14 @@
 
     /// Words, as many as fit.
     fn tell(&mut self, now: Time, to: Id, asks: bool, out: &mut Vec<Post>) {
-        let mut packet = Packet::new(self.fleet, &Head { from: self.me, asks });
+        let mut packet = Packet::new(wire::VERSION, self.fleet, &Head { from: self.me, asks });
         self.words.ride(now, |word| packet.add(&Entry::Word(word)));
         self.send(to, packet, out);
     }
 
     fn post(&mut self, entries: Vec<(Id, Entry)>, out: &mut Vec<Post>) {
         for (to, entry) in entries {
-            let mut packet = Packet::new(self.fleet, &Head { from: self.me, asks: false });
+            let mut packet = Packet::new(wire::VERSION, self.fleet, &Head { from: self.me, asks: false });
             packet.add(&entry);
             self.send(to, packet, out);
         }
