Divide the writes' place at the origin too when settings name more nodes

Cause, found in reading the change again: at SIGHUP `tune.rs` scaled the origin's limit by the number of nodes, but not the place that writes have beside it. After a move from one node to a thousand each kept a whole place, a thousand in all where the start allows 200.

A line in a rig test that did nothing goes.

Measured: a test fails without it (three writes sent at once in place of two).

--- a/crates/lab/tests/shared.rs
+++ b/crates/lab/tests/shared.rs
@@ -41,10 +41,7 @@
     let mut narrowed = 0;
     for (at, ..) in &told {
         let mut now: BTreeMap<&str, f64> = BTreeMap::new();
-        for (when, who, part) in told.iter().filter(|(when, ..)| when <= at) {
-            now.insert(who, *part);
-            let _ = when;
-        }
+        now.extend(told.iter().filter(|(when, ..)| when <= at).map(|(_, who, part)| (who.as_str(), *part)));
         for (_, who, part) in told.iter().filter(|(when, ..)| when > at && *when <= at + LATE_MS) {
             now.entry(who).and_modify(|now| *now = now.min(*part));
         }
--- a/crates/policy/src/tune.rs
+++ b/crates/policy/src/tune.rs
@@ -44,6 +44,10 @@
         self.origin.writes.unasked = self.origin.gate.unasked.min(ORIGIN_WRITES);
         self.origin.writes.target = self.origin.gate.target;
         self.origin.gate.limit = (self.origin.gate.limit * before.3 / self.nodes).max(self.origin.gate.least);
+        // Guards against places kept at a move to a deployment of many more nodes: all of them would have as many.
+        let writes = &mut self.origin.writes;
+        writes.limit =
+            (writes.limit * before.3 / self.nodes).clamp(writes.least.min(ORIGIN_WRITES), ORIGIN_WRITES);
         self.shots.most = settings.number("caps.most_shots", 1.0).max(1.0) as usize;
         self.shots.budget.span = settings.span("invariants.ratio_span", Span::ZERO);
         self.shots.budget.free = settings.number("invariants.extra_free", 0.0);
--- a/crates/policy/tests/decisions/crowds.rs
+++ b/crates/policy/tests/decisions/crowds.rs
@@ -1,5 +1,5 @@
 //! Traces of decisions in a crowd: who is shed, what spills to the origin, and what its limit lets through.
-use crate::common::{check, Node};
+use crate::common::{check, settings, Node};
 use expect_test::expect;
 use quartzhub_policy::{Outcome::*, ServerIx, Value};
 
@@ -356,3 +356,22 @@
     "#]]
     .assert_eq(&told);
 }
+
+// A move to a deployment of many more nodes divided the origin's limit among them, but left each the place that writes had.
+#[test]
+fn at_a_move_to_many_nodes_the_writes_place_is_divided_too() {
+    let mut node = Node::new(2, &[]);
+    node.balancer.retune(&settings(&[("balancers", Value::Number(1000.0))]));
+    node.say("writes at one node of what are now a thousand");
+    (0..4).for_each(|call| node.ask(call, 1, &format!("key-{call}"), false));
+    check(
+        node,
+        expect![[r#"
+        0 ms: writes at one node of what are now a thousand
+          call 0 -> server 0 until 2000
+          call 1 -> server 0 until 2000
+          call 2 rate-limited, told when to come back
+          call 3 rate-limited, told when to come back
+    "#]],
+    );
+}
