--- /dev/null
+++ b/crates/node/tests/reducer/lists.rs
@@ -0,0 +1,98 @@
+//! The server list and operators' orders.
+use super::common::*;
+
+#[test]
+fn an_operators_order_drains_at_once_is_taken_back_and_sends_nothing_the_list_does_not_name() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    rig.list(false, &[("b", 2, "in_service")]);
+    let drained = |ids: &[&str]| ids.iter().map(|id| Name::named(id)).collect();
+    rig.call(client, "view", "c1", 400);
+    rig.tell("a is ordered drained", |r, now| r.ordered(now, drained(&["a", "o", "elsewhere"])));
+    let said = ["a", "b", "o", "elsewhere"].map(|id| rig.reducer.drainable(id));
+    rig.note(&format!("{said:?}"));
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.note("the list says again that a is in service");
+    rig.list(false, &[("a", 1, "in_service")]);
+    for call in ["c2", "c3", "c4"] {
+        rig.call(client, "view", call, 400);
+    }
+    rig.note("the list takes a out, and then the order ends: nothing goes there");
+    rig.list(false, &[("a", 1, "terminating")]);
+    rig.tell("no orders", |r, now| r.ordered(now, drained(&[])));
+    rig.call(client, "view", "c5", 400);
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 2
+        0 a is ordered drained
+        0 [Ok(()), Err("no cache in service would be left"), Err("the origin can't be drained"), Err("this node's list names no such server")]
+        0 up 2
+        0   write 2: c1, wait 397
+        0 up 3
+        0 the list says again that a is in service
+        0 call c2
+        0   connect 3 to 2
+        0 call c3
+        0   connect 4 to 2
+        0 call c4
+        0   connect 5 to 2
+        0 the list takes a out, and then the order ends: nothing goes there
+        0 no orders
+        0 call c5
+        0   connect 6 to 2
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn a_server_at_the_address_of_one_that_has_gone_gets_new_links() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    rig.call(client, "view", "c1", 400);
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("hit", |r, now| r.answered(now, LinkId(2), value("v")));
+    rig.trace += "b is at the address of a, which the list does not name\n";
+    rig.list(false, &[("b", 1, "in_service")]);
+    rig.call(client, "view", "c2", 400);
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 up 2
+        0   write 2: c1, wait 397
+        0 hit
+        0   answer 1: v
+        b is at the address of a, which the list does not name
+        0   close link 2
+        0 call c2
+        0   connect 3 to 1
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn servers_are_taken_up_for_ever_as_others_go() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    for round in 0..4 {
+        let names: Vec<_> = (0..6000).map(|i| format!("r{round}-{i}")).collect();
+        let mut servers: Vec<_> = names.iter().map(|id| (id.as_str(), 2, "terminating")).collect();
+        let last = format!("last {round}");
+        servers.push((&last, 100 + round, "in_service"));
+        rig.list(true, &servers);
+        for _ in 0..3 {
+            rig.now += 31_000;
+            let now = rig.at();
+            rig.reducer.due(now);
+        }
+        rig.list(true, &[(&last, 100 + round, "in_service")]);
+        rig.pass(100);
+        rig.trace.clear();
+        rig.call(client, "view", &format!("c{round}"), 400);
+        assert!(rig.trace.contains(&format!("to {}", 100 + round)), "{}", rig.trace);
+        rig.now += 31_000;
+        let now = rig.at();
+        rig.reducer.due(now);
+        rig.pass(100);
+    }
+}
--- /dev/null
+++ b/crates/node/tests/reducer/main.rs
@@ -0,0 +1,7 @@
+//! The reducer without sockets: what it asks for, as a short printed trace.
+mod calls;
+mod clients;
+mod common;
+mod links;
+mod lists;
+mod random;
--- /dev/null
+++ b/crates/node/tests/reducer/random.rs
@@ -0,0 +1,90 @@
+//! Reports in any order.
+use super::common::*;
+
+/// Reports in any order: each command of a client that stays gets one answer, nothing is written on a link that is not
+/// up, and when all have gone nothing is left.
+#[test]
+fn whatever_is_reported_each_call_gets_one_answer_and_nothing_is_left() {
+    for seed in 0..150 {
+        let mut chance = Pcg::new(seed);
+        let mut below = |most: usize| (chance.unit() * most as f64) as usize;
+        let mut rig = Rig::new(r#"{"memory_mb":16,"sockets":60}"#);
+        let (mut owed, mut links) = (BTreeMap::new(), BTreeMap::new());
+        for step in 0..400 {
+            let now = rig.at();
+            let some = (!links.is_empty()).then(|| *links.keys().nth(below(links.len())).expect("a link"));
+            let client = (!owed.is_empty()).then(|| *owed.keys().nth(below(owed.len())).expect("a client"));
+            match (below(12), some, client) {
+                (0, _, _) if owed.len() < 8 => drop(owed.insert(rig.reducer.client_came(now), 0)),
+                (1, _, Some(client)) if below(6) == 0 => {
+                    rig.reducer.client_left(now, client);
+                    owed.remove(&client);
+                }
+                (1..=4, _, Some(client)) => {
+                    *owed.get_mut(&client).expect("it stays") += 1;
+                    rig.ask(client, ["view", "book", "none"][below(3)], &format!("{}", below(step + 5)), 300);
+                }
+                (5..=8, Some(link), _) => match (links[&link], below(6)) {
+                    (_, 0) => {
+                        links.remove(&link);
+                        rig.reducer.broke(now, link);
+                    }
+                    (false, 1) => {
+                        links.remove(&link);
+                        rig.reducer.not_opened(now, link);
+                    }
+                    (false, _) => {
+                        links.insert(link, true);
+                        rig.reducer.connected(now, link);
+                    }
+                    (true, 1) => rig.reducer.spoilt(now, link),
+                    (true, 2) => rig.reducer.began(now, link),
+                    (true, 3) => {
+                        rig.reducer.answered(now, link, bare([Outcome::Miss, Outcome::Full][below(2)]))
+                    }
+                    (true, _) => rig.reducer.answered(now, link, value("v")),
+                },
+                (9, _, _) => {
+                    let states = ["in_service", "in_service", "terminating", "terminated"];
+                    let ids: Vec<_> = (0..3).map(|i| format!("s{}", i + step / 100)).collect();
+                    let servers: Vec<_> =
+                        ids.iter().map(|id| (id.as_str(), 1 + below(3) as u16, states[below(4)])).collect();
+                    rig.list(false, &servers);
+                }
+                _ => rig.pass(5 * below(12) as i64),
+            }
+            settle(&mut rig, &mut owed, &mut links, below(2) == 0);
+        }
+        rig.pass(2_000);
+        settle(&mut rig, &mut owed, &mut links, false);
+        assert!(owed.values().all(|owed| *owed == 0), "seed {seed}: {owed:?} answers owed");
+        assert_eq!(rig.reducer.open_calls(), 0, "seed {seed}");
+        assert!(links.is_empty(), "seed {seed}: {links:?} open");
+    }
+}
+
+/// Takes what the effects printed into account: answers given, links opened and closed.
+fn settle(
+    rig: &mut Rig,
+    owed: &mut BTreeMap<ClientId, i64>,
+    links: &mut BTreeMap<LinkId, bool>,
+    written: bool,
+) {
+    rig.effects(written);
+    for line in std::mem::take(&mut rig.trace).lines() {
+        let words: Vec<_> = line.split([' ', ':']).filter(|word| !word.is_empty()).collect();
+        let number = |at: usize| words.get(at).and_then(|word| word.parse().ok()).expect("a number");
+        match words[1] {
+            "connect" => drop(links.insert(LinkId(number(2)), false)),
+            "write" => assert_eq!(links.get(&LinkId(number(2))), Some(&true), "{line}"),
+            "close" if words[2] == "link" => drop(links.remove(&LinkId(number(3)))),
+            "answer" => {
+                if let Some(owed) = owed.get_mut(&ClientId(number(2))) {
+                    *owed -= 1;
+                    assert!(*owed >= 0, "one answer too many");
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/sockets/main.rs
@@ -0,0 +1,11 @@
+//! Starts the program and speaks to it over sockets.
+mod calls;
+mod clients;
+mod common;
+mod config;
+mod discovery;
+mod ending;
+mod large;
+mod operating;
+mod stall;
+mod standins;
--- /dev/null
+++ b/crates/node/tests/sockets/stall.rs
@@ -0,0 +1,42 @@
+//! A process that stood still.
+use super::common::*;
+
+#[test]
+fn what_came_while_the_process_stood_still_too_long_is_turned_away_unsent() {
+    let (tell, seen) = channel();
+    let cache = server("a", tell, |_| hit("v"));
+    let node = Node::start(&[("a", cache)], "");
+    let mut client = node.client();
+    assert_eq!(client.ask(&["OBJ.GET", "k", "id1", FACTS]), "v");
+    assert_eq!(next(&seen), "a: OBJ.GET k id1");
+    node.signal("-STOP");
+    client.send(&command(&["OBJ.GET", "k", "id2", "c=view,d=300"]));
+    // The client's wait passes: time is what this is about.
+    std::thread::sleep(Duration::from_millis(400));
+    node.signal("-CONT");
+    assert!(client.answer().starts_with('-'));
+    assert_eq!(client.ask(&["OBJ.GET", "k", "id3", FACTS]), "v");
+    assert_eq!(next(&seen), "a: OBJ.GET k id3");
+}
+
+#[test]
+fn for_clients_that_left_while_the_process_stood_still_nothing_is_sent() {
+    let (tell, seen) = channel();
+    let cache = server("a", tell, |_| hit("v"));
+    let node = Node::start(&[("a", cache)], "");
+    let mut stays = node.client();
+    assert_eq!(stays.ask(&["OBJ.GET", "k", "id", FACTS]), "v");
+    assert_eq!(next(&seen), "a: OBJ.GET k id");
+    let mut leave: Vec<_> = (0..50).map(|_| node.client()).collect();
+    leave.iter_mut().for_each(|client| assert_eq!(client.ask(&["PING"]), "+PONG"));
+    node.signal("-STOP");
+    for (i, client) in leave.iter_mut().enumerate() {
+        client.send(&command(&["OBJ.GET", "k", &format!("gone{i}"), FACTS]));
+    }
+    drop(leave);
+    // Long enough to be seen as a stall.
+    std::thread::sleep(Duration::from_millis(100));
+    node.signal("-CONT");
+    assert_eq!(stays.ask(&["OBJ.GET", "k", "last", FACTS]), "v");
+    assert_eq!(next(&seen), "a: OBJ.GET k last");
+}
