End a stop within 3 s and 700 ms of SIGTERM, however long the client timeout

Cause: limits.rs cut only stop_serve at the 3 s that planned restarts leave; stop_answered and stop_longest went by the whole timeout, and calls open at SIGTERM kept theirs. Change: all three go by the same cut; what is open at SIGTERM is answered by the same end as what comes after. Tests: one over sockets (40 s timeout; fails without the mend at its 30 s patience) and one of the reducer (fails without it). The older SIGTERM test let a call run for longer than a restart may leave; it now frees its answer within that time.

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -157,6 +157,8 @@
 const DESCRIPTORS_KEPT: usize = 24;
 /// Operators' calls at once: a few tools, and callers that hold a connection with half a call.
 const OPS_CALLS: usize = 16;
+/// Part of the longest client timeout that planned restarts leave after SIGTERM at the most; 700 ms more, and SIGKILL comes.
+const STOP_GIVEN: Span = Span::ms(3_000);
 /// Bytes that an open API call takes at the most, its value apart.
 const CALL_BYTES: f64 = 4096.0;
 
@@ -171,7 +173,8 @@
         let sockets = machine.sockets.saturating_sub(DESCRIPTORS_KEPT).max(8);
         let memory = machine.memory_mb.clamp(16.0, 65536.0) * 1e6;
         let timeouts = settings.products().iter().map(|product| product.timeout).max();
-        let longest = timeouts.unwrap_or(Span::ms(1000)).min(Span::ms(60_000));
+        let longest = timeouts.unwrap_or(Span::ms(1000));
+        let given = longest.min(STOP_GIVEN);
         let keepalive = settings.span("caps.keepalive", Span::ms(15_000));
         let held = settings.number("caps.most_held", 40_000.0).max(1.0) as usize;
         Limits {
@@ -236,10 +239,10 @@
             watch_longest: Span::ms(1_000),
             stop_accept: Span::ms(500),
             stop_quiet: Span::ms(150),
-            // Planned restarts give the longest client timeout and 700 ms; 3 s at the most.
-            stop_serve: longest.min(Span::ms(3_000)) + Span::ms(430),
-            stop_answered: longest + Span::ms(540),
-            stop_longest: longest + Span::ms(620),
+            // Planned restarts give the longest client timeout and 700 ms; 3 s at the most, however long the timeout is.
+            stop_serve: given + Span::ms(430),
+            stop_answered: given + Span::ms(540),
+            stop_longest: given + Span::ms(620),
             stop_look: Span::ms(5),
             leave_front: Span::ms(350),
             leave_firm: Span::ms(1_500),
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -603,9 +603,17 @@
         }
     }
 
-    /// From now on no API call is given longer than until `end`.
+    /// No API call is given longer than until `end`, those that are open included. Guards against a client timeout
+    /// beyond the time that a planned restart leaves: the end of the process would take the call's answer with it.
     pub fn answer_all_by(&mut self, end: Time) {
-        self.world.end = Some(end);
+        let end = *self.world.end.get_or_insert(end);
+        let overdue = self.world.limits.overdue;
+        for ix in self.world.ids.values().copied() {
+            let Some(call) = self.world.calls.get_mut(ix).filter(|call| call.until > end) else { continue };
+            self.world.due.remove(&(call.until + overdue, Due::Call(ix)));
+            call.until = end;
+            self.world.due.insert((end + overdue, Due::Call(ix)));
+        }
     }
 
     /// From now on clients are closed between answers, for good.
--- a/crates/node/tests/reducer/clients.rs
+++ b/crates/node/tests/reducer/clients.rs
@@ -189,3 +189,35 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// A planned restart may leave less than a client timeout: what is open is answered by then, what comes is given no longer,
+/// and both in one answer.
+#[test]
+fn at_the_end_what_is_open_is_answered_in_the_time_that_the_process_has() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    rig.call(client, "book", "c1", 500);
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("asked to end", |r, now| r.answer_all_by(now + Span::ms(100)));
+    rig.pass(40);
+    rig.call(client, "book", "c2", 500);
+    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.pass(1000);
+    assert_eq!(rig.reducer.open_calls(), 0);
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 up 2
+        0   write 2: c1, wait 497
+        0 asked to end
+        40 call c2
+        40   connect 3 to 1
+        40 up 3
+        40   write 3: c2, wait 60
+        100   close link 3
+        110   answer 1: Errored("no answer in time")
+        110   answer 1: Errored("failed")
+        110   close link 2
+    "#]]
+    .assert_eq(&rig.trace);
+}
--- a/crates/node/tests/sockets/ending.rs
+++ b/crates/node/tests/sockets/ending.rs
@@ -21,13 +21,39 @@
     assert_eq!(late.ask(&["PING"]), "+PONG");
     // Those that it has are served on until its time is nearly over.
     assert_eq!(idle.ask(&["OBJ.GET", "other", "id2", FACTS]), "w");
-    assert_eq!((idle.answer(), late.answer()), ("closed".into(), "closed".into()));
     free.send(()).expect("freed");
     assert_eq!(busy.answer(), "v");
+    assert_eq!((idle.answer(), late.answer()), ("closed".into(), "closed".into()));
     assert_eq!(busy.answer(), "closed");
     assert!(node.child.wait().expect("an end").success());
 }
 
+/// The client timeout of 40 s is more than a planned restart leaves (3 s and 700 ms): an answer or an end that waited for it would
+/// come after `PATIENCE`.
+#[test]
+fn at_sigterm_a_call_with_a_long_client_timeout_is_answered_in_the_time_that_is_left() {
+    let (tell, seen) = channel();
+    let caches = ["a", "b", "c"].map(|name| (name, server(name, tell.clone(), |_| Deed::Hold)));
+    let mut node = Node::start(&caches, "");
+    let (mut before, mut idle) = (node.client(), node.client());
+    assert_eq!(idle.ask(&["PING"]), "+PONG");
+    before.send(&command(&["OBJ.GET", "k", "id1", "c=view,d=40000"]));
+    assert!(next(&seen).ends_with(": OBJ.GET k id1"));
+    node.signal("-TERM");
+    node.says("asked to stop");
+    let mut after = node.client();
+    after.send(&command(&["OBJ.GET", "k2", "id2", "c=view,d=40000"]));
+    // Each has its one answer and then the end, and so has the process.
+    for client in [&mut before, &mut after] {
+        let answer = client.answer();
+        assert!(answer.starts_with('-'), "{answer}");
+        assert_eq!(client.answer(), "closed");
+    }
+    assert_eq!(idle.answer(), "closed");
+    node.says("stopped with 0 API calls open");
+    assert!(node.child.wait().expect("an end").success());
+}
+
 #[test]
 fn what_lies_unread_on_an_idle_connection_at_the_end_is_answered() {
     let (tell, _seen) = channel();
