Keep a deduplicated call's window up to the last byte written, not to the decision

Checked: the module decides within the window less 20 ms; the bytes go out when the connection is up, up to a connect's time later (an open point of docs/node.md, true as long as no client timeout was longer than its window). Change: Call::harmless_for says until when a shot may still be written, first or further; the reducer looks again when the connection is up and ends a shot whose last byte is not out by then, as too late, so no server is blamed. Tests: two of the reducer, for the late connection and late bytes, and for a window shorter than a connect; both fail without the look.

--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -53,7 +53,7 @@
 }
 
 impl Answers for Reply<'_> {
-    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time) {
+    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time, _by: Time) {
         let ticket = self.names.ticket(call);
         let address = self.names.servers.id(server);
         let action = Action::new(self.out, "Dispatch").text("Ticket", ticket);
--- a/crates/lab/src/routers.rs
+++ b/crates/lab/src/routers.rs
@@ -188,7 +188,7 @@
                 if let Some(cache) = self.caches.iter_mut().find(|cache| cache.server == server) {
                     cache.out += 1;
                 }
-                to.dispatch(ix, server, call.until);
+                to.dispatch(ix, server, call.until, call.until);
             }
             None => {
                 call.ended = true;
@@ -342,7 +342,9 @@
                 to.error(ix);
                 to.forget(ix);
             }
-            (Way::SendsToDraining | Way::FloodsCold, Some(server)) => to.dispatch(ix, server, now + ask.left),
+            (Way::SendsToDraining | Way::FloodsCold, Some(server)) => {
+                to.dispatch(ix, server, now + ask.left, now + ask.left)
+            }
             _ => {
                 self.inner.call(now, ix, ask, to);
             }
@@ -360,7 +362,7 @@
     fn outcome<A: Answers>(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut A) {
         if self.way == Way::RepeatsWhatRan && !ending.outcome.proves_it_never_ran() && !ending.call_ended {
             if let Some((_, origin)) = self.last {
-                return to.dispatch(ix, origin, now + Span::ms(100));
+                return to.dispatch(ix, origin, now + Span::ms(100), now + Span::ms(100));
             }
         }
         self.inner.outcome(now, ix, ending, to);
--- a/crates/lab/src/world/desk.rs
+++ b/crates/lab/src/world/desk.rs
@@ -52,7 +52,7 @@
 }
 
 impl Answers for Desk<'_> {
-    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time) {
+    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time, _by: Time) {
         let (field, side) = (&mut *self.field, &mut *self.side);
         let Some(&at) = side.at.get(server.0) else { return };
         let Some(open) = side.calls.get_mut(call) else { return };
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -29,6 +29,8 @@
     server: ServerIx,
     started: Time,
     until: Time,
+    /// When its last byte must be written.
+    by: Time,
     link: Option<LinkId>,
 }
 
@@ -442,8 +444,11 @@
     pub fn written(&mut self, id: LinkId) {
         let world = &mut self.world;
         let Some(link) = world.links.get_mut(&id) else { return };
-        if let Use::Carrying { written, .. } = &mut link.used {
-            world.shots += u64::from(!std::mem::replace(written, true));
+        let Use::Carrying { call, shot, written, .. } = &mut link.used else { return };
+        world.shots += u64::from(!std::mem::replace(written, true));
+        let record = world.calls.get(*call).and_then(|call| call.shots.get(*shot));
+        if let Some(until) = record.map(|record| record.until) {
+            world.set_due(id, until);
         }
     }
 
--- a/crates/node/src/reducer/world.rs
+++ b/crates/node/src/reducer/world.rs
@@ -235,7 +235,7 @@
 
     pub(super) fn open(&mut self, ix: CallIx, shot: usize) {
         let Some(record) = self.calls.get(ix).and_then(|call| call.shots.get(shot)) else { return };
-        let (server, until) = (record.server, record.until);
+        let (server, until) = (record.server, record.until.min(record.by));
         let Some(to) = self.servers[server.0].addr else {
             return self.end_shot(ix, shot, Outcome::Unreachable);
         };
@@ -264,22 +264,30 @@
         let wanted = self.calls.get(ix).filter(|call| !call.answered);
         let record = wanted.and_then(|call| call.shots.get(shot).map(|shot| (call, shot)));
         let fits = record
-            .filter(|(_, shot)| self.now < shot.until && self.servers[shot.server.0].state == State::Ready);
+            .filter(|(_, shot)| self.now < shot.until.min(shot.by))
+            .filter(|(_, shot)| self.servers[shot.server.0].state == State::Ready);
         let Some((call, record)) = fits else {
             self.rest(id);
             return self.end_shot(ix, shot, Outcome::TooLate);
         };
-        let (until, words) = (record.until, call.words.clone());
+        let (until, by, words) = (record.until, record.by, call.words.clone());
         if let Some(link) = self.links.get_mut(&id) {
             link.used = Use::Carrying { call: ix, shot, written: false, fresh, begun: false };
         }
         if let Some(record) = self.calls.get_mut(ix).and_then(|call| call.shots.get_mut(shot)) {
             record.link = Some(id);
         }
-        self.set_due(id, until);
+        // Guards against a repeat whose last byte is out only when its window has closed.
+        self.set_due(id, until.min(by));
         self.effects.push_back(Effect::Write { link: id, words, wait: until - self.now });
     }
 
+    /// No server is to blame that this shot is not made any more: it could take effect twice.
+    fn too_late(&self, call: CallIx, shot: usize) -> bool {
+        let record = self.calls.get(call).and_then(|call| call.shots.get(shot));
+        record.is_some_and(|shot| shot.by <= self.now)
+    }
+
     /// A link's present use has lasted too long.
     pub(super) fn link_due(&mut self, id: LinkId, at: Time) {
         if self.links.get(&id).is_none_or(|link| link.due != at) {
@@ -288,6 +296,11 @@
         let Some(link) = self.close_link(id) else { return };
         match link.used {
             Use::Idle | Use::Closing | Use::Passing { .. } => {}
+            Use::Connecting(call, shot) | Use::Carrying { call, shot, written: false, .. }
+                if self.too_late(call, shot) =>
+            {
+                self.end_shot(call, shot, Outcome::TooLate);
+            }
             Use::Connecting(call, shot) => self.end_shot(call, shot, Outcome::Unreachable),
             Use::Carrying { call, shot, begun: true, .. } => self.end_shot(call, shot, Outcome::Broken),
             Use::Carrying { call, shot, written: true, .. } => self.end_shot(call, shot, Outcome::TimedOut),
@@ -298,10 +311,10 @@
 
 /// What the module asks for.
 impl Answers for World {
-    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time) {
+    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time, by: Time) {
         let now = self.now;
         let Some(record) = self.calls.get_mut(call) else { return };
-        record.shots.push(Shot { server, started: now, until: until.min(record.until), link: None });
+        record.shots.push(Shot { server, started: now, until: until.min(record.until), by, link: None });
         let shot = record.shots.len() - 1;
         self.launch(call, shot, server);
     }
--- a/crates/node/tests/reducer/common.rs
+++ b/crates/node/tests/reducer/common.rs
@@ -1,6 +1,7 @@
 //! The reducer driven by hand, and what it asks for in print.
 pub use std::collections::BTreeMap;
 
+pub use bytes::Bytes;
 pub use expect_test::expect;
 pub use quartzhub_members::Server as Name;
 pub use quartzhub_node::caches::Answer;
@@ -12,7 +13,7 @@
     "Caps":{"MostShots":3,"MayDuplicate":true,"Cancelling":true,"ConnectTimeout":100,"Keepalive":1000},
     "Products":[{"Name":"view","Effect":"idempotent","LatencySlo":100,"ClientTimeout":500},
                 {"Name":"book","Effect":"at_most_once","LatencySlo":100,"ClientTimeout":500},
-                {"Name":"put","Effect":"deduplicated","LatencySlo":100,"ClientTimeout":500}]}"#;
+                {"Name":"put","Effect":"deduplicated","Window":200,"LatencySlo":100,"ClientTimeout":500}]}"#;
 
 pub struct Rig {
     pub reducer: Reducer,
@@ -22,8 +23,12 @@
 
 impl Rig {
     pub fn new(limits: &str) -> Rig {
+        Rig::with(limits, SETTINGS)
+    }
+
+    pub fn with(limits: &str, settings: &str) -> Rig {
         let text =
-            format!(r#"{{"listen":"127.0.0.1:1","seed":"5","limits":{limits},"settings":{SETTINGS}}}"#);
+            format!(r#"{{"listen":"127.0.0.1:1","seed":"5","limits":{limits},"settings":{settings}}}"#);
         let config = Config::parse(&text, Environment::default()).expect("a configuration");
         let mut rig = Rig { reducer: Reducer::new(&config), now: 0, trace: String::new() };
         rig.reducer.start(Time(0));
@@ -66,8 +71,19 @@
     }
 
     pub fn ask(&mut self, client: ClientId, product: &str, id: &str, wait: i64) {
-        let words = Words { key: "k".into(), id: id.into(), facts: format!("c={product}"), value: None };
-        let facts = Facts { product: Some(product), wait: Span::ms(wait), ..Facts::default() };
+        self.send(client, product, id, wait, None);
+    }
+
+    /// A write under a mark.
+    pub fn put(&mut self, client: ClientId, id: &str, wait: i64) {
+        self.send(client, "put", id, wait, Some(Bytes::from_static(b"new")));
+        self.note(&format!("put {id}"));
+    }
+
+    fn send(&mut self, client: ClientId, product: &str, id: &str, wait: i64, value: Option<Bytes>) {
+        let mark = value.is_some();
+        let words = Words { key: "k".into(), id: id.into(), facts: format!("c={product}"), value };
+        let facts = Facts { product: Some(product), wait: Span::ms(wait), mark, ..Facts::default() };
         let now = self.at();
         self.reducer.call(now, client, words, facts);
     }
--- a/crates/node/tests/reducer/links.rs
+++ b/crates/node/tests/reducer/links.rs
@@ -196,3 +196,72 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// The window of a deduplicated call runs from its first shot. A repeat is decided on within it, and then its connection comes up
+/// late, or takes its bytes late: it is not made, no server is blamed, and the call is answered at once.
+#[test]
+fn a_repeat_is_not_written_once_its_window_has_closed() {
+    let mut rig = Rig::new("{}");
+    let client = rig.client();
+    rig.put(client, "c1", 500);
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.pass(150);
+    rig.tell("reset 2", |r, now| r.broke(now, LinkId(2)));
+    rig.pass(100);
+    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.put(client, "c2", 500);
+    rig.tell("up 4", |r, now| r.connected(now, LinkId(4)));
+    rig.pass(150);
+    rig.tell("reset 4", |r, now| r.broke(now, LinkId(4)));
+    rig.now += 10;
+    let now = rig.at();
+    rig.reducer.connected(now, LinkId(5));
+    rig.effects(false);
+    rig.pass(100);
+    assert_eq!(rig.reducer.open_calls(), 0);
+    expect![[r#"
+        0 put c1
+        0   connect 2 to 9
+        0 up 2
+        0   write 2: c1, wait 497
+        150 reset 2
+        150   connect 3 to 9
+        180   close link 3
+        180   answer 1: Errored("failed")
+        250 up 3
+        250 put c2
+        250   connect 4 to 9
+        250 up 4
+        250   write 4: c2, wait 497
+        400 reset 4
+        400   connect 5 to 9
+        410   write 5: c2, wait 337
+        430   close link 5
+        430   answer 1: Errored("failed")
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+/// Where the window is shorter than the time for a connect, the first shot keeps to it as well: a second one may have run by then.
+#[test]
+fn a_first_shot_of_a_deduplicated_call_is_not_written_outside_the_window_of_its_second() {
+    let mut rig = Rig::with("{}", &SETTINGS.replace(r#""ConnectTimeout":100"#, r#""ConnectTimeout":1000"#));
+    let client = rig.client();
+    rig.put(client, "c1", 500);
+    rig.pass(190);
+    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.pass(400);
+    assert_eq!(rig.reducer.open_calls(), 0);
+    expect![[r#"
+        0 put c1
+        0   connect 2 to 9
+        180   close link 2
+        180   connect 3 to 9
+        190 up 2
+        360   close link 3
+        360   connect 4 to 9
+        500   close link 4
+        500   answer 1: RateLimited(None)
+    "#]]
+    .assert_eq(&rig.trace);
+}
--- a/crates/policy/src/decide/ending.rs
+++ b/crates/policy/src/decide/ending.rs
@@ -8,9 +8,9 @@
         if call.ended {
             return;
         }
-        let product = &call.product;
-        if self.shots.may_rate_limit(call) {
-            let most = self.max_retry.map(|most| most.min(product.timeout));
+        if self.shots.may_rate_limit(call, self.now) {
+            let longest = call.product.timeout.min(call.harmless_for(self.now));
+            let most = self.max_retry.map(|most| most.min(longest));
             let jitter = 0.5 + 0.5 * self.chance.unit();
             to.rate_limit(ix, most.map(|most| most.times(jitter)));
         } else {
--- a/crates/policy/src/decide/shots.rs
+++ b/crates/policy/src/decide/shots.rs
@@ -1,30 +1,35 @@
 //! Shots: what settings and rules allow, and how far further shots pay.
 use super::*;
 
+impl Call {
+    /// Rule 2: for how long a shot, first or further, may still be written: within the window of all others.
+    pub fn harmless_for(&self, now: Time) -> Span {
+        let window = Span(self.product.window.0 - WINDOW_MARGIN.0);
+        match (self.ran(), self.product.effect) {
+            (Some(ran), Effect::Deduplicated) => ran.sent + window - now,
+            (None, Effect::Deduplicated) if window > Span::ZERO => window,
+            (Some(_), Effect::NonIdempotent) => Span::ZERO,
+            _ => Span::ms(i64::from(u32::MAX)),
+        }
+    }
+}
+
 impl Shots {
     /// Rules 1 and 2: whether this call may have a shot at this server now.
     pub fn allows(&self, call: &Call, servers: &[Server], to: ServerIx, now: Time) -> bool {
-        let product = &call.product;
         let room = call.shots.len() < call.most && (self.may_duplicate || call.out() == 0);
         if call.ended || call.streaming || now >= call.until || !room || !self.affords(call, now) {
             return false;
         }
-        let ran = call.shots.iter().find(|shot| shot.fate != Fate::NeverRan);
-        let Some(ran) = ran else { return true };
+        let Some(ran) = call.ran() else { return true };
         let (a, b) = (&servers[ran.server.0], &servers[to.0]);
-        match product.effect {
-            Effect::Idempotent => true,
-            Effect::NonIdempotent => false,
-            Effect::Deduplicated => {
-                now + WINDOW_MARGIN < ran.sent + product.window
-                    && match product.scope {
-                        Scope::All => true,
-                        Scope::Zone => a.zone == b.zone,
-                        Scope::Cell => a.cell == b.cell,
-                        Scope::One => ran.server == to,
-                    }
-            }
-        }
+        let grouped = match call.product.scope {
+            Scope::All => true,
+            Scope::Zone => a.zone == b.zone,
+            Scope::Cell => a.cell == b.cell,
+            Scope::One => ran.server == to,
+        };
+        call.harmless_for(now) > Span::ZERO && (grouped || call.product.effect != Effect::Deduplicated)
     }
 
     /// The budget of further shots, where there is one; a miss earns its call one outside it.
@@ -32,12 +37,10 @@
         call.shots.is_empty() || call.excused > 0 || self.budget.allows(now)
     }
 
-    /// Rule 2: a rate-limit reply says that trying again does no harm.
-    pub fn may_rate_limit(&self, call: &Call) -> bool {
-        let product = &call.product;
-        let free = product.effect == Effect::Idempotent
-            || (product.effect == Effect::Deduplicated && product.scope == Scope::All);
-        free || call.proven_unrun()
+    /// Rule 2: a rate-limit reply says that trying again does no harm, for as long as it names.
+    pub fn may_rate_limit(&self, call: &Call, now: Time) -> bool {
+        let free = call.product.effect == Effect::Idempotent || call.product.scope == Scope::All;
+        call.proven_unrun() || free && call.harmless_for(now) > Span::ZERO
     }
 
     /// Whether a further shot may be made: they are earned by first shots, more when recent ones succeeded.
@@ -66,13 +69,13 @@
         (server.out, server.held) = (server.out + 1, server.held + 1);
         (server.linked, server.used) = (true, self.now);
         server.unheard = server.unheard.or(Some(self.now));
-        let counted = !server.origin;
+        let (counted, by) = (!server.origin, self.now + call.harmless_for(self.now));
         let own = server.origin && !self.origin.gate.room(self.now);
         self.line.out += u32::from(counted);
         let charged = self.shots.budget.charges(call, self.now);
         call.shots.push(Shot { server: at, sent: self.now, fate: Fate::Out, further, charged, counted, own });
         call.place = Place::Flying;
-        to.dispatch(ix, at, call.until);
+        to.dispatch(ix, at, call.until, by);
         if server.origin {
             (if own { &mut self.origin.writes } else { &mut self.origin.gate }).take(self.now);
         } else {
@@ -95,7 +98,7 @@
         let may = call.shots.len() < call.most
             && self.shots.affords(call, self.now)
             && (self.shots.may_duplicate || !out)
-            && (call.proven_unrun() || call.product.effect != Effect::NonIdempotent);
+            && call.harmless_for(self.now) > Span::ZERO;
         // Guards against fetching twice: a further shot may be at the origin already when a cache misses.
         let at_origin = |shot: &Shot| shot.fate == Fate::Out && self.servers[shot.server.0].origin;
         let fetching = call.leads || call.shots.iter().any(at_origin);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -66,8 +66,12 @@
     pub fn out(&self) -> usize {
         self.shots.iter().filter(|shot| shot.fate == Fate::Out).count()
     }
+    /// The first shot that may have run, or may yet.
+    pub fn ran(&self) -> Option<&Shot> {
+        self.shots.iter().find(|shot| shot.fate != Fate::NeverRan)
+    }
     pub fn proven_unrun(&self) -> bool {
-        self.shots.iter().all(|shot| shot.fate == Fate::NeverRan)
+        self.ran().is_none()
     }
 }
 
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -268,7 +268,8 @@
 
 /// What the module does to the world. Calls take effect in the order they are made.
 pub trait Answers {
-    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time);
+    /// `by`: when its last byte must be out; later it could take effect twice, and is not to be made.
+    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time, by: Time);
     fn cancel(&mut self, call: CallIx, shot: usize);
     fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>);
     fn error(&mut self, call: CallIx);
--- a/crates/policy/tests/decisions/common.rs
+++ b/crates/policy/tests/decisions/common.rs
@@ -8,8 +8,9 @@
 pub struct Trace(pub String);
 
 impl Answers for Trace {
-    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time) {
-        let _ = writeln!(self.0, "  call {} -> server {} until {}", call.0, server.0, until.ms());
+    fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time, by: Time) {
+        let by = if by < until { format!(", written by {}", by.ms()) } else { String::new() };
+        let _ = writeln!(self.0, "  call {} -> server {} until {}{by}", call.0, server.0, until.ms());
     }
     fn cancel(&mut self, call: CallIx, shot: usize) {
         let _ = writeln!(self.0, "  call {} cancels shot {shot}", call.0);
--- a/crates/policy/tests/decisions/crowds.rs
+++ b/crates/policy/tests/decisions/crowds.rs
@@ -168,8 +168,8 @@
               call 7 -> server 1 until 30
               call 7 -> server 0 until 30
             0 ms: the origin has no place left: what can't wait is told at once
-              call 2 -> server 0 until 2000
-              call 3 -> server 0 until 2000
+              call 2 -> server 0 until 2000, written by 480
+              call 3 -> server 0 until 2000, written by 480
               call 6 rate-limited, told when to come back
         "#]],
     );
@@ -249,17 +249,17 @@
     check(
         node,
         expect![[r#"
-        0 ms: reads that miss take what this node has at the origin
-          call 0 -> server 1 until 2000
-          call 0 -> server 0 until 2000
-          call 1 -> server 2 until 2000
-          call 1 -> server 0 until 2000
-          call 2 -> server 2 until 2000
-          call 3 -> server 1 until 2000
-        0 ms: a write
-          call 4 -> server 0 until 2000
-        0 ms: further ones, once that place is taken too
-    "#]],
+            0 ms: reads that miss take what this node has at the origin
+              call 0 -> server 1 until 2000
+              call 0 -> server 0 until 2000
+              call 1 -> server 2 until 2000
+              call 1 -> server 0 until 2000
+              call 2 -> server 2 until 2000
+              call 3 -> server 1 until 2000
+            0 ms: a write
+              call 4 -> server 0 until 2000, written by 480
+            0 ms: further ones, once that place is taken too
+        "#]],
     );
 }
 
@@ -367,11 +367,11 @@
     check(
         node,
         expect![[r#"
-        0 ms: writes at one node of what are now a thousand
-          call 0 -> server 0 until 2000
-          call 1 -> server 0 until 2000
-          call 2 rate-limited, told when to come back
-          call 3 rate-limited, told when to come back
-    "#]],
+            0 ms: writes at one node of what are now a thousand
+              call 0 -> server 0 until 2000, written by 480
+              call 1 -> server 0 until 2000, written by 480
+              call 2 rate-limited, told when to come back
+              call 3 rate-limited, told when to come back
+        "#]],
     );
 }
--- a/crates/policy/tests/decisions/traces.rs
+++ b/crates/policy/tests/decisions/traces.rs
@@ -73,17 +73,17 @@
     check(
         node,
         expect![[r#"
-        0 ms: non-idempotent: turned away unseen, so another shot; then it may have run, so errored
-          call 0 -> server 0 until 2000
-          call 0 -> server 0 until 2000
-          call 0 errored
-        0 ms: deduplicated: again inside its window
-          call 1 -> server 0 until 2000
-          call 1 -> server 0 until 2000
-        0 ms: deduplicated: not after its window
-          call 2 -> server 0 until 2000
-          call 2 rate-limited, told when to come back
-    "#]],
+            0 ms: non-idempotent: turned away unseen, so another shot; then it may have run, so errored
+              call 0 -> server 0 until 2000
+              call 0 -> server 0 until 2000
+              call 0 errored
+            0 ms: deduplicated: again inside its window
+              call 1 -> server 0 until 2000, written by 480
+              call 1 -> server 0 until 2000, written by 480
+            0 ms: deduplicated: not after its window
+              call 2 -> server 0 until 2000, written by 480
+              call 2 errored
+        "#]],
     );
 }
 
