See a client's end while nothing is read from it, and linger at a close

Seen, in tests that force the crossing: a client with 400 commands in flight, or one whose second command can't be parsed, left; its shots stayed out for as long as its calls had time (40 s), and waiting ones would have begun. A command with the client's end right behind it was sent on when the process had been held up for less than 20 ms. A command that crossed the close of a client sent away made it a reset, and a 32 KiB answer was cut. Cause: converse() learns of an end by reading, and does not read at 128 open answers, behind a fault, while a large command waits for room; the look behind a command was taken after a stall only; the close was a plain one after an older look. Change: READ_CLOSED of the socket ends the connection while it is not read; each read looks for the end behind it (no more calls than before: the next read found nothing anyway); closes of clients sent away, and all in the process's last 60 ms, end the sending first and drop what still comes for 200 ms. A half command that trickles no longer puts off its close for ever. stall_gone and stood_still go: they have no use any more.

--- a/crates/node/src/clients/accept.rs
+++ b/crates/node/src/clients/accept.rs
@@ -66,6 +66,7 @@
                     out: RefCell::default(),
                     sent: Cell::new(0),
                     closing: Cell::new(None),
+                    parting: Cell::new(false),
                     broken: Cell::new(false),
                     wake: Notify::new(),
                 });
--- a/crates/node/src/clients/converse.rs
+++ b/crates/node/src/clients/converse.rs
@@ -12,6 +12,7 @@
 use crate::clock::duration;
 use crate::effects::Hub;
 use crate::limits::Limits;
+use crate::reducer::Reducer;
 use crate::resp;
 use crate::words::ClientId;
 
@@ -34,8 +35,11 @@
     let (mut active, mut begun) = (came, None);
     // Bytes promised to a large command that is on its way, and since when it is.
     let (mut promised, mut since) = (0, None);
+    // What had come when the process was about to end has been taken up.
+    let mut looked = false;
     loop {
-        if client.broken.get() {
+        // Guards against shots for a client that has left: its end may lie behind commands not taken up yet.
+        if client.broken.get() || client.has_gone().await {
             return;
         }
         // What has come is taken up as far as the limits allow, also when an answer has made room.
@@ -70,17 +74,28 @@
             if !reading {
                 held.set(0);
                 drop(buffer);
-                return drain(hub, &client.stream).await;
+                return drain(hub, &client.stream, limits.drain).await;
             }
-            // One that has sent half a command is given the time for the other half.
-            let pause = if buffer.is_empty() { pause } else { limits.last_half };
+            // One that has sent half a command is given the time for the other half, if it ends some day.
+            let now = hub.clock.now();
+            let half = (!buffer.is_empty()).then(|| *begun.get_or_insert(now) + limits.half_command - now);
+            let pause = half.map_or(pause, |left| left.min(limits.last_half).max(Span::ZERO));
+            let pause = if client.parting.get() { Span::ZERO } else { pause };
             let unread = !quiet(&client.stream);
+            let looks = unread && !std::mem::replace(&mut looked, client.parting.get());
             let wait = duration(if unread { limits.last_read } else { pause });
             let wait = tokio::time::timeout(wait, client.stream.readable());
-            let goes_on = (unread || pause > Span::ZERO) && wait.await.is_ok_and(|ready| ready.is_ok());
-            if goes_on && matches!(read(&mut buffer, &client.stream, limits), Ok(true)) {
+            let goes_on = (looks || pause > Span::ZERO) && wait.await.is_ok_and(|ready| ready.is_ok());
+            if goes_on && !has_ended(&mut buffer, &client.stream, limits) {
                 continue;
             }
+            // Guards against a command that crosses the close: the reset that it would bring takes along answers that the
+            // system still holds. One that is closed to make room has long had its answers.
+            if hub.ask(Reducer::sends_away) || client.parting.get() {
+                held.set(0);
+                drop(buffer);
+                drain(hub, &client.stream, limits.linger).await;
+            }
             return;
         }
         let due = if writing {
@@ -107,17 +122,18 @@
         let room = reading && !behind && client.closing.get().is_none();
         tokio::select! {
             ready = client.stream.readable(), if room => {
-                if ready.is_err() || !matches!(read(&mut buffer, &client.stream, limits), Ok(true)) {
-                    return;
-                }
-                // Guards against shots for a client that gave up while this process stood still: its end lies behind
-                // its command, and is read before that is taken up.
-                if hub.ask(|reducer| reducer.stood_still(hub.clock.now())) && has_ended(&mut buffer, &client.stream, limits) {
+                // Guards against shots for a client that has left: its end lies behind its command, and is read before that
+                // is taken up.
+                if ready.is_err() || has_ended(&mut buffer, &client.stream, limits) {
                     return;
                 }
                 held.set(buffer.room().max(promised));
                 if let Some(size) = resp::large_command(buffer.filled(), limits) {
-                    if promised == 0 && !room_for(hub, &mut held, size).await {
+                    let has_room = promised > 0 || tokio::select! {
+                        has_room = room_for(hub, &mut held, size) => has_room,
+                        () = client.gone() => return,
+                    };
+                    if !has_room {
                         // It has not been taken: trying again does no harm.
                         reading = false;
                         hub.tell(|reducer, now| reducer.last_answer(now, id, b"-BUSY\r\n".to_vec()));
@@ -140,6 +156,8 @@
                 active = hub.clock.now();
                 hub.tell(|reducer, _| reducer.delivered(id, written));
             }
+            // Guards against working on for a client that has left while nothing is read from it.
+            () = client.gone(), if !room => return,
             () = client.wake.notified() => {
                 let written = client.flush();
                 active = hub.clock.now();
@@ -162,11 +180,11 @@
 
 /// Ends the sending and reads what is left, without keeping it. Guards against a close on unread bytes, which
 /// the network makes a reset, so that the client would never read why it was turned away.
-async fn drain(hub: &Rc<Hub>, stream: &TcpStream) {
+async fn drain(hub: &Rc<Hub>, stream: &TcpStream, longest: Span) {
     if socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write).is_err() {
         return;
     }
-    let until = hub.clock.instant(hub.clock.now() + hub.limits.drain);
+    let until = hub.clock.instant(hub.clock.now() + longest);
     let mut left = hub.limits.drain_bytes;
     while let Ok(Ok(())) = tokio::time::timeout_at(until, stream.readable()).await {
         let read = stream.try_read(&mut hub.scratch.borrow_mut());
@@ -180,9 +198,10 @@
     }
 }
 
-/// Whether the client's end lies behind what it has sent, read as far as one command may reach.
+/// Reads what has come; whether the client's end lies behind it, as far as one command may reach.
 fn has_ended(buffer: &mut Buffer, stream: &TcpStream, limits: &Limits) -> bool {
-    while buffer.filled().len() < limits.read {
+    let most = buffer.filled().len() + limits.read;
+    while buffer.filled().len() < most {
         match buffer.read(stream, limits.read) {
             Ok(0) => return true,
             Ok(_) => {}
@@ -191,12 +210,3 @@
     }
     false
 }
-
-/// Reads; false at the end.
-fn read(buffer: &mut Buffer, stream: &TcpStream, limits: &Limits) -> io::Result<bool> {
-    match buffer.read(stream, limits.read) {
-        Ok(count) => Ok(count > 0),
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(true),
-        Err(e) => Err(e),
-    }
-}
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use quartzhub_policy::Span;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -35,6 +36,8 @@
     sent: Cell<usize>,
     /// It is to be closed once nothing has come from it for so long.
     closing: Cell<Option<Span>>,
+    /// The process is about to end: what has come by now is taken up, and nothing more.
+    parting: Cell<bool>,
     broken: Cell<bool>,
     wake: Notify,
 }
@@ -70,6 +73,25 @@
         self.wake.notify_one();
     }
 
+    /// Closes the connection once its answers are written, whatever may still come.
+    pub fn part(&self) {
+        self.parting.set(true);
+        self.close(Span::ZERO);
+    }
+
+    /// Ready once the client has closed its side, also where that lies behind bytes that nobody reads.
+    async fn gone(&self) {
+        let _ = self.stream.ready(Interest::PRIORITY).await;
+    }
+
+    async fn has_gone(&self) -> bool {
+        tokio::select! {
+            biased;
+            () = self.gone() => true,
+            () = std::future::ready(()) => false,
+        }
+    }
+
     /// Ends the connection now, so that the client can tell that an answer is not whole.
     pub fn cut(&self) {
         self.broken.set(true);
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -80,6 +80,8 @@
     /// How long, and how many bytes, are read from a client that was told what is wrong, before it is closed.
     pub drain: Span,
     pub drain_bytes: usize,
+    /// The same of one that is sent away.
+    pub linger: Span,
     /// Longest wait that a client may name.
     pub client_wait: Span,
     /// Until what lies unread at a client that is to be closed must be at hand.
@@ -92,8 +94,6 @@
     /// after that what it reads is taken to have waited as long.
     pub stalled: Span,
     pub stall_read: Span,
-    /// How long after that it is looked whether a client has gone before what it asked is taken up.
-    pub stall_gone: Span,
     /// How often, and how long, it is tried to listen on an address that is still in use.
     pub listen_pause: Span,
     pub listen_longest: Span,
@@ -109,11 +109,13 @@
     pub watch_first: Span,
     pub watch_longest: Span,
     /// After SIGTERM: how long to accept at least, and how long without a new connection; until when clients are
-    /// served on, until when all is answered, and the end; and how often it is looked whether all is.
+    /// served on, until when all is answered, when those still there are closed, and the end; and how often it is looked
+    /// whether all is.
     pub stop_accept: Span,
     pub stop_quiet: Span,
     pub stop_serve: Span,
     pub stop_answered: Span,
+    pub stop_part: Span,
     pub stop_longest: Span,
     pub stop_look: Span,
     /// After operators send clients away, or SIGTERM hands them over: until the front knows, and from when on they
@@ -223,13 +225,13 @@
             faults_per_client: 16,
             drain: Span::ms(1_000),
             drain_bytes: 64 * 1024 * 1024,
+            linger: Span::ms(200),
             client_wait: Span::ms(3_600_000),
             last_read: Span::ms(100),
             way: Span::ms(3),
             overdue: Span::ms(10),
             stalled: Span::ms(20),
             stall_read: Span::ms(5),
-            stall_gone: Span::ms(1_000),
             listen_pause: Span::ms(20),
             listen_longest: Span::ms(10_000),
             accept_pause: Span::ms(20),
@@ -242,6 +244,8 @@
             // Planned restarts give the longest client timeout and 700 ms; 3 s at the most, however long the timeout is.
             stop_serve: given + Span::ms(430),
             stop_answered: given + Span::ms(540),
+            // What is overdue has been answered, and there is time for the last answers to be taken.
+            stop_part: given + Span::ms(560),
             stop_longest: given + Span::ms(620),
             stop_look: Span::ms(5),
             leave_front: Span::ms(350),
@@ -269,6 +273,7 @@
             answer_whole: new.answer_whole,
             stop_serve: new.stop_serve,
             stop_answered: new.stop_answered,
+            stop_part: new.stop_part,
             stop_longest: new.stop_longest,
             ..self.clone()
         }
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -263,10 +263,6 @@
         self.world.due.first().map(|due| due.0)
     }
 
-    pub fn stood_still(&self, now: Time) -> bool {
-        self.world.stood_still(now)
-    }
-
     /// Bytes held for API calls and answers.
     pub fn held(&self) -> usize {
         self.world.held
@@ -645,6 +641,11 @@
         self.world.service.come_back();
     }
 
+    /// Clients are closed between answers: operators send them away, or the process ends.
+    pub fn sends_away(&self) -> bool {
+        self.world.service.idle(self.world.now, &self.world.limits) != Idle::Kept
+    }
+
     pub fn is_ready(&self) -> bool {
         self.world.service.is_in()
     }
--- a/crates/node/src/reducer/world.rs
+++ b/crates/node/src/reducer/world.rs
@@ -15,12 +15,6 @@
         }
     }
 
-    /// The node stood still just now: what lies unread may be of clients that have gone meanwhile.
-    pub(super) fn stood_still(&self, now: Time) -> bool {
-        let (since, lasted) = self.stall;
-        now - self.tick > self.limits.stalled || lasted > Span::ZERO && now - since < self.limits.stall_gone
-    }
-
     pub(super) fn id(&mut self) -> u64 {
         self.last_id += 1;
         self.last_id
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -52,6 +52,10 @@
         if shared || now - asked >= limits.stop_serve {
             hub.tell(|reducer, now| reducer.stop(now));
         }
+        // Guards against clients whose next command always comes in time: at the end of the process it would be cut off.
+        if now - asked >= limits.stop_part {
+            hub.clients.borrow().values().for_each(|client| client.part());
+        }
         let quiet = shared || now - last.get() >= limits.stop_quiet && now - asked >= limits.stop_accept;
         let done = hub.ask(Reducer::open_calls) == 0 && hub.clients.borrow().is_empty();
         if quiet && done || now - asked >= limits.stop_longest {
--- a/crates/node/tests/sockets/clients.rs
+++ b/crates/node/tests/sockets/clients.rs
@@ -99,3 +99,45 @@
         assert_eq!(client.ask(&["OBJ.GET", "k", "id", FACTS]), "v");
     }
 }
+
+/// While 128 of its commands are open nothing more is read from a client, so its end lies behind bytes that nobody reads.
+#[test]
+fn a_client_that_leaves_with_many_commands_unread_takes_its_shots_with_it() {
+    let (tell, seen) = channel();
+    let cache = server("a", tell, |_| Deed::Hold);
+    let node = Node::start(&[("a", cache)], "");
+    let mut client = node.client();
+    for i in 0..400 {
+        client.send(&command(&["OBJ.GET", &format!("k{i}"), &format!("id{i}"), "c=view,d=40000"]));
+    }
+    assert!(next(&seen).starts_with("a: OBJ.GET"));
+    // Somebody else is served: all that may be read of the first has been.
+    assert_eq!(node.client().ask(&["PING"]), "+PONG");
+    drop(client);
+    // As many as have begun are called off.
+    let (mut begun, mut closed) = (1, 0);
+    while closed < begun {
+        match next(&seen).as_str() {
+            "a: closed" => closed += 1,
+            more => {
+                assert!(more.starts_with("a: OBJ.GET"), "{more} with {begun} begun, {closed} closed");
+                begun += 1;
+            }
+        }
+    }
+}
+
+/// Behind a command that can't be parsed nothing is read any more, while the call before it is still open.
+#[test]
+fn a_client_that_leaves_after_a_fault_takes_its_shot_with_it() {
+    let (tell, seen) = channel();
+    let cache = server("a", tell, |_| Deed::Hold);
+    let node = Node::start(&[("a", cache)], "");
+    let mut client = node.client();
+    client.send(&command(&["OBJ.GET", "k", "id", "c=view,d=40000"]));
+    client.send(b"garbage\r\nand more of it\r\n");
+    assert_eq!(next(&seen), "a: OBJ.GET k id");
+    assert_eq!(node.client().ask(&["PING"]), "+PONG");
+    drop(client);
+    assert_eq!(next(&seen), "a: closed");
+}
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -78,6 +78,15 @@
         Client(BufReader::new(stream))
     }
 
+    /// Has the process stand still, and awaits that it does.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).expect("a process").contains(") T ") {
+            std::thread::yield_now();
+        }
+    }
+
     pub fn signal(&self, name: &str) {
         let done = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(done.expect("kill").success());
--- a/crates/node/tests/sockets/ending.rs
+++ b/crates/node/tests/sockets/ending.rs
@@ -1,4 +1,10 @@
 //! SIGTERM, and the address of a process that is about to end.
+use std::rc::Rc;
+
+use quartzhub_node::{serve, Config, Environment};
+use quartzhub_policy::Span;
+use socket2::{Domain, Socket, Type};
+
 use super::common::*;
 
 #[test]
@@ -85,3 +91,56 @@
     node.says(&format!("quartzhub: quartzhub serves on {addr}"));
     assert_eq!(node.client().ask(&["PING"]), "+PONG");
 }
+
+/// The state of the node's end of a client's connection, as the system has it: 1 is open, 4 has sent its end and waits.
+fn state_at(node: SocketAddr, client: SocketAddr) -> Option<u8> {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table");
+    let end = |addr: SocketAddr| format!(":{:04X}", addr.port());
+    let row = table.lines().map(|row| row.split_whitespace().collect::<Vec<_>>());
+    let mut ours = row.filter(|row| row[1].ends_with(&end(node)) && row[2].ends_with(&end(client)));
+    ours.next().and_then(|row| u8::from_str_radix(row[3], 16).ok())
+}
+
+/// A node within the test, whose times are the test's, serves a client that has yet to read its answer. The node is told to end and
+/// closes the connection; then, and only then, a further command comes, as a client's may that has not seen the close yet.
+#[test]
+fn a_command_that_crosses_the_close_at_the_end_does_not_cost_the_answer_before_it() {
+    let (tell, seen) = channel();
+    let value = "v".repeat(32 * 1024);
+    let sent = value.clone();
+    let cache = server("a", tell, move |_| hit(&sent));
+    let text = config(&[("a", cache)], "").replace("40000", "100");
+    let mut config = Config::parse(&text, Environment::default()).expect("a configuration");
+    config.limits.linger = Span::ms(PATIENCE.as_millis() as i64);
+    config.limits.stop_longest = Span::ms(PATIENCE.as_millis() as i64);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.set_nonblocking(true).expect("a socket");
+    let addr = listener.local_addr().expect("an address");
+    let (stop, asked) = tokio::sync::oneshot::channel::<()>();
+    let node = std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let asked = async { drop(asked.await) };
+        tokio::task::LocalSet::new().block_on(&runtime, serve(config, Some(listener), asked, Rc::default()))
+    });
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    // So small that most of the answer stays with the node's system.
+    socket.set_recv_buffer_size(2048).expect("a small buffer");
+    socket.connect(&addr.into()).expect("a connection");
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
+    let own = stream.local_addr().expect("an address");
+    let mut client = Client(BufReader::new(stream));
+    client.send(&command(&["OBJ.GET", "k", "id", FACTS]));
+    assert_eq!(next(&seen), "a: OBJ.GET k id");
+    stop.send(()).expect("it runs");
+    while state_at(addr, own) == Some(1) {
+        std::thread::yield_now();
+    }
+    client.send(&command(&["OBJ.GET", "k", "crossing", FACTS]));
+    assert!(client.answer() == value, "the answer comes whole");
+    assert_eq!(client.answer(), "closed");
+    drop(client);
+    node.join().expect("a node").expect("an end");
+    // What crossed was not sent on.
+    assert!(seen.try_recv().is_err());
+}
