Take only whole lines for a watch's signs of life, and bound its silences after an outage

After an outage the time for a new watch had grown to 3 s and the wait to 1.5 s: back at the worst moment, with one more silence, the next was asked for after up to 9 s, where all counts as told after 6. Cause: lines() took any bytes for life, and Pace doubled the time of a watch that says nothing up to 3 s. Change: the time runs from the last whole line, the empty one too. A new watch has 1 s, each third silent one in a row 2.5 s (for an agent that is slow), the wait is 0.7 s at most, jittered.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,22 +1,27 @@
-//! Follows discovery: a watch that stands always.
+//! Follows discovery: a watch that stands always. Only whole lines, the empty one too, are signs of its life.
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use quartzhub_policy::{Pcg, Span};
+use quartzhub_policy::{Pcg, Span, Time};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, JoinHandle};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 use crate::buffer::Buffer;
 use crate::clock::duration;
 use crate::config::News;
 use crate::effects::Hub;
 use crate::http::{self, Body};
-use crate::limits::Limits;
 use crate::resp::Parsed;
 
+mod pace;
+mod piece;
+
+use pace::Pace;
+use piece::Piece;
+
 type Named = watch::Receiver<Option<SocketAddr>>;
 
 /// Follows the discovery that is named, for ever, and moves when another is. Guards against a time without news:
@@ -52,34 +57,6 @@
     }
 }
 
-/// How long a watch is borne that says nothing, and the wait before the next.
-struct Pace {
-    limits: Limits,
-    /// Watches in a row that said nothing at all.
-    silent: u32,
-    wait: Span,
-}
-
-impl Pace {
-    fn new(limits: &Limits) -> Pace {
-        Pace { limits: limits.clone(), silent: 0, wait: limits.watch_first }
-    }
-
-    /// Guards against two silences in a row that together outlast the time after which all counts as told; and, as it
-    /// grows, against asking a slow discovery ever again.
-    fn opening(&self) -> Span {
-        self.limits.watch_open.times(f64::from(1u32 << self.silent.min(4))).min(self.limits.watch_silence)
-    }
-
-    /// A watch ended. Guards against all nodes asking in step.
-    fn ended(&mut self, said: bool, news: bool, chance: &mut Pcg) -> Span {
-        self.silent = if said { 0 } else { self.silent + 1 };
-        self.wait =
-            if news { self.limits.watch_first } else { self.wait.times(2.0).min(self.limits.watch_longest) };
-        self.wait.times(0.5 + chance.unit())
-    }
-}
-
 /// What is silent, ends or can't be read is watched again after a jittered wait; meanwhile what is known stands.
 async fn keep_watching(hub: Rc<Hub>, from: SocketAddr, mut version: u64, seed: u64, heard: Rc<Notify>) {
     let mut pace = Pace::new(&hub.limits);
@@ -107,10 +84,14 @@
 }
 
 /// Reads on; false at the end.
-async fn more(hub: &Hub, stream: &TcpStream, silence: Span, buffer: &mut Buffer) -> Result<bool, Fault> {
+async fn more(hub: &Hub, stream: &TcpStream, until: Time, buffer: &mut Buffer) -> Result<bool, Fault> {
     loop {
-        let ready = timeout(duration(silence), stream.readable()).await;
+        let ready = timeout_at(hub.clock.instant(until), stream.readable()).await;
         ready.map_err(|_| "silent")?.map_err(|_| "broken")?;
+        // Guards against a dribble that is always at hand by the time that the wait is begun.
+        if hub.clock.now() >= until {
+            return Err("silent");
+        }
         // Guards against a head, a chunk's mark or a body without end.
         if buffer.filled().len() > hub.limits.list_line + hub.limits.http_head {
             return Err("more than fits");
@@ -123,7 +104,7 @@
     }
 }
 
-/// One watch, until it ends. `said`: whether anything came on it.
+/// One watch, until it ends. `said`: whether a whole line came on it.
 async fn lines(
     hub: &Rc<Hub>,
     from: SocketAddr,
@@ -132,14 +113,16 @@
     version: &mut u64,
     heard: &Notify,
 ) -> Result<(), Fault> {
+    let mut lived = hub.clock.now();
     let stream = ask(hub, from, opening, &format!("/api/targets?stream=1&index={version}")).await?;
     // What has come, and of that what stands between the chunks' marks.
     let (mut buffer, mut text) = (Buffer::default(), Buffer::default());
     let mut body = None;
     loop {
+        // Guards against a watch that is taken for alive by half a line, a head without end, or a byte now and then: the
+        // time for the next whole line runs from the last one.
         let silence = if *said { hub.limits.watch_silence } else { opening };
-        let goes_on = more(hub, &stream, silence, &mut buffer).await?;
-        *said = true;
+        let goes_on = more(hub, &stream, lived + silence, &mut buffer).await?;
         if body.is_none() {
             body = match http::head(buffer.filled(), &hub.limits) {
                 Parsed::Whole(head, used) if head.status == 200 => {
@@ -172,19 +155,22 @@
             }
             None => {}
         }
-        while let Some(end) = text.filled().iter().position(|b| *b == b'\n') {
-            let line = text.filled()[..end].trim_ascii();
-            if !line.is_empty() {
-                // A line that can't be read may have held a change: all is asked for again.
-                let news: News = serde_json::from_slice(line).map_err(|_| {
+        while let Some((piece, used)) = piece::next(text.filled()) {
+            match piece {
+                Piece::Empty => {}
+                Piece::News(news) => {
+                    *version = news.version;
+                    tell(hub, &news);
+                    heard.notify_one();
+                }
+                Piece::Garbled => {
+                    // It may have held a change: all is asked for again.
                     *version = 0;
-                    "news that can't be read"
-                })?;
-                *version = news.version;
-                tell(hub, &news);
-                heard.notify_one();
+                    return Err("news that can't be read");
+                }
             }
-            text.consume(end + 1);
+            (lived, *said) = (hub.clock.now(), true);
+            text.consume(used);
         }
         if text.filled().len() > hub.limits.list_line {
             return Err("a line without end");
@@ -200,33 +186,3 @@
     hub.tell(|reducer, now| reducer.list(now, news, true, |unix| clock.started(unix)));
     hub.news.notify_one();
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// What a watch that falls silent missed counts as told 6 s later, and 4 s after SIGHUP what a new discovery holds,
-    /// whether or not it came: so another watch is asked for in time, also where one or two in a row say nothing.
-    #[test]
-    fn silences_in_a_row_are_over_before_all_counts_as_told() {
-        let limits = Limits::default();
-        for seed in 0..200 {
-            let mut chance = Pcg::new(seed);
-            // One that stood falls silent; the next says nothing; when is the one behind it asked for?
-            let mut pace = Pace::new(&limits);
-            let stood = limits.watch_silence + pace.ended(true, true, &mut chance);
-            let next = stood + pace.opening() + pace.ended(false, false, &mut chance);
-            assert!(next < Span::ms(5_000), "asked after {next:?}");
-            // A discovery just named: two in a row say nothing.
-            let mut pace = Pace::new(&limits);
-            let first = pace.opening() + pace.ended(false, false, &mut chance);
-            let second = first + pace.opening() + pace.ended(false, false, &mut chance);
-            assert!(second < Span::ms(3_500), "asked after {second:?}");
-            // One that never speaks is asked ever less often.
-            for _ in 0..10 {
-                pace.ended(false, false, &mut chance);
-            }
-            assert_eq!(pace.opening(), limits.watch_silence);
-        }
-    }
-}
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -99,13 +99,13 @@
     pub listen_longest: Span,
     /// The wait after an accept that failed for want of descriptors.
     pub accept_pause: Span,
-    /// Silence on a watch after which it is asked for again: more than the time between two signs of life,
+    /// Without a whole line on a watch after which it is asked for again: more than the time between two signs of life,
     /// less than the time after which all counts as told. And the waits before that.
     pub watch_silence: Span,
-    /// Silence of a watch just asked for, after which it is asked for again, doubled by each that said nothing: the agent
-    /// answers at once, and what a watch missed counts as told 6 s after it fell silent, also if the next one is
-    /// silent too.
+    /// The same for a watch just asked for: the agent answers at once, and what a watch missed counts as told 6 s after it
+    /// fell silent, also if the next one is silent too; and for each third one in a row, as an agent may be slow.
     pub watch_open: Span,
+    pub watch_slow: Span,
     pub watch_first: Span,
     pub watch_longest: Span,
     /// After SIGTERM: how long to accept at least, and how long without a new connection; until when clients are
@@ -237,8 +237,9 @@
             accept_pause: Span::ms(20),
             watch_silence: Span::ms(3_000),
             watch_open: Span::ms(1_000),
+            watch_slow: Span::ms(2_500),
             watch_first: Span::ms(50),
-            watch_longest: Span::ms(1_000),
+            watch_longest: Span::ms(700),
             stop_accept: Span::ms(500),
             stop_quiet: Span::ms(150),
             // Planned restarts give the longest client timeout and 700 ms; 3 s at the most, however long the timeout is.
--- a/crates/node/tests/sockets/discovery.rs
+++ b/crates/node/tests/sockets/discovery.rs
@@ -137,3 +137,53 @@
     free.send(()).expect("freed");
     assert_eq!(client.answer(), "of a");
 }
+
+/// A watch may live and say nothing: bytes come, but no line ends; and the head of one never ends. Each is given up, and what was
+/// missed meanwhile is told by the next.
+#[test]
+fn a_watch_on_which_no_line_ends_is_begun_anew_however_much_comes() {
+    let (tell, seen) = channel();
+    let a = server("a", tell.clone(), |_| hit("of a"));
+    let b = server("b", tell, |_| hit("of b"));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let from = listener.local_addr().expect("an address");
+    let (asked, asks) = channel();
+    std::thread::spawn(move || {
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+        let first = chunk(&(list(true, 5, &[("a", a, "in_service"), ("b", b, "in_service")]) + "\n"));
+        let drain = chunk(&(list(false, 6, &[("a", a, "terminating")]) + "\n"));
+        let begins =
+            [format!("{head}{first}"), "HTTP/1.1 200 OK\r\nX-Slow: ".to_owned(), format!("{head}{drain}")];
+        let goes_on = [chunk(" "), "x".to_owned(), chunk("\n")];
+        for (stream, (begin, more)) in listener.incoming().flatten().zip(begins.into_iter().zip(goes_on)) {
+            let asked = asked.clone();
+            std::thread::spawn(move || {
+                let mut reader = BufReader::new(stream);
+                let _ = asked.send(request(&mut reader).unwrap_or_default());
+                let stream = reader.get_mut();
+                let mut goes_on = stream.write_all(begin.as_bytes());
+                // A byte now and then, up to the node's close.
+                while goes_on.is_ok() {
+                    std::thread::sleep(Duration::from_millis(50));
+                    goes_on = stream.write_all(more.as_bytes());
+                }
+            });
+        }
+    });
+    let node = Node::start(&[("a", a)], &format!(r#""discovery":"{from}","#));
+    assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
+    assert_eq!(next(&asks), "GET /api/targets?stream=1&index=5 ");
+    assert_eq!(next(&asks), "GET /api/targets?stream=1&index=5 ");
+    let mut client = node.client();
+    let mut at_a = 0;
+    // The drain has been told on the third: soon nothing goes to it any more.
+    for i in 0.. {
+        assert_eq!(client.ask(&["OBJ.GET", "k", &format!("id{i}"), FACTS]).len(), 4);
+        match next(&seen).starts_with("a:") {
+            true => at_a = i,
+            false if i > at_a + 100 => break,
+            false => {}
+        }
+    }
+}
