End at once on a SIGTERM that comes before the node serves

Seen, in a test: a process that waits for its address (up to 10 s), for a first list (1.5 s) or a first order (0.4 s) took no notice of SIGTERM, then served, with its time to end counted from then. Cause: serve() looked for the signal only once all of that was over. Change: each of the three waits ends with it; nothing has been taken by then. Test: one over sockets; fails without the change (it ends after 10 s, as a failure).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -60,11 +60,17 @@
     asked: impl Future<Output = ()>,
     again: Rc<Notify>,
 ) -> io::Result<()> {
+    let mut asked = std::pin::pin!(asked);
     let clock = clock::Clock::start();
     let shared = inherited.is_some();
     let listener = match inherited {
         Some(listener) => tokio::net::TcpListener::from_std(listener)?,
-        None => clients::listen(config.listen, clock, &config.limits).await?,
+        // Guards against a process that is told to end before it serves, and outlasts what it is given with its waits: it has
+        // taken nothing, so it ends.
+        None => tokio::select! {
+            listener = clients::listen(config.listen, clock, &config.limits) => listener?,
+            () = &mut asked => return Ok(()),
+        },
     };
     let listen = listener.local_addr()?;
     let hub = effects::Hub::new(reducer::Reducer::new(&config), config.limits.clone(), clock);
@@ -93,12 +99,21 @@
                 hub.news.notified().await;
             }
         };
-        let _ = tokio::time::timeout(clock::duration(hub.limits.first_news), heard).await;
+        tokio::select! {
+            _ = tokio::time::timeout(clock::duration(hub.limits.first_news), heard) => {}
+            () = &mut asked => return Ok(()),
+        }
     }
     // Guards against sending to a server that operators drained while this process was not there: who has the order says so
     // in its first datagram. Nobody there costs no more than the bound.
     if let Some(peers) = &peers {
-        let _ = tokio::time::timeout(clock::duration(hub.limits.first_orders), peers.informed()).await;
+        tokio::select! {
+            _ = tokio::time::timeout(clock::duration(hub.limits.first_orders), peers.informed()) => {}
+            () = &mut asked => {
+                peers.leave();
+                return Ok(());
+            }
+        }
     }
     let last = Rc::new(Cell::new(clock.now()));
     let accepting = spawn_local(clients::accept(hub.clone(), listener, last.clone()));
--- a/crates/node/tests/sockets/ending.rs
+++ b/crates/node/tests/sockets/ending.rs
@@ -144,3 +144,19 @@
     // What crossed was not sent on.
     assert!(seen.try_recv().is_err());
 }
+
+/// It has taken nothing, so it ends, instead of waiting on for its address and then serving.
+#[test]
+fn a_process_that_is_told_to_end_before_it_serves_ends() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = taken.local_addr().expect("an address");
+    let config = config(&[], "").replace("127.0.0.1:0", &addr.to_string());
+    let (mut child, file) = spawn(&config, 4096);
+    let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
+    let waits = std::iter::from_fn(|| line(&mut log)).any(|line| line.contains("is in use"));
+    assert!(waits, "it waits for its address");
+    let told = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
+    assert!(told.expect("kill").success());
+    assert!(child.wait().expect("an end").success());
+    std::fs::remove_file(file).expect("a file");
+}
