--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -4,6 +4,9 @@
 
 use crate::limits::Limits;
 
+#[cfg(test)]
+mod tests;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 enum State {
     /// The process has yet to take its first client.
@@ -74,50 +77,3 @@
         Idle::Closed(if since < limits.leave_firm { limits.last_read } else { Span::ZERO })
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use expect_test::expect;
-
-    #[test]
-    fn clients_are_sent_away_and_called_back_at_any_moment() {
-        let limits = Limits::default();
-        let mut service = Service::default();
-        let mut trace = String::new();
-        let mut note = |what: &str, at: i64, service: &Service| {
-            let (now, is_in) = (Time::from_ms(at as f64), service.is_in());
-            let (welcomes, idle) = (service.welcomes(), service.idle(now, &limits));
-            trace += &format!("{at:4} {what}: in {is_in}, welcomes {welcomes}, idle {idle:?}\n");
-        };
-        note("new", 0, &service);
-        service.starts();
-        note("starts", 0, &service);
-        service.come_back();
-        note("called back", 0, &service);
-        service.leave(Time(0));
-        note("leaves", 0, &service);
-        service.leave(Time::from_ms(300.0));
-        note("told again", 350, &service);
-        note("later", 2000, &service);
-        service.come_back();
-        note("called back", 2000, &service);
-        service.leave(Time::from_ms(2000.0));
-        service.stop(Time::from_ms(2100.0));
-        note("stops", 2100, &service);
-        service.come_back();
-        note("called back", 2200, &service);
-        expect![[r#"
-               0 new: in false, welcomes true, idle Kept
-               0 starts: in true, welcomes true, idle Kept
-               0 called back: in true, welcomes true, idle Kept
-               0 leaves: in false, welcomes false, idle Kept
-             350 told again: in false, welcomes false, idle Closed(Span(100000))
-            2000 later: in false, welcomes false, idle Closed(Span(0))
-            2000 called back: in true, welcomes true, idle Kept
-            2100 stops: in false, welcomes true, idle Closed(Span(100000))
-            2200 called back: in false, welcomes true, idle Closed(Span(100000))
-        "#]]
-        .assert_eq(&trace);
-    }
-}
