--- a/crates/policy/tests/decisions/fleet.rs
+++ b/crates/policy/tests/decisions/fleet.rs
@@ -42,7 +42,7 @@
             if now == STARTS {
                 balancer.list(at, false, [line(2, State::Ready, started)].into_iter(), &mut quiet);
             }
-            if (now as usize + i) % 20 == 0 {
+            if (now as usize + i).is_multiple_of(20) {
                 balancer.tick(at, &mut quiet);
             }
             let times = if shifts || now < TURNS { 1.0 } else { 3.0 };
