--- a/crates/node/tests/sockets/ending.rs
+++ b/crates/node/tests/sockets/ending.rs
@@ -47,6 +47,8 @@
     assert!(next(&seen).ends_with(": OBJ.GET k id1"));
     node.signal("-TERM");
     node.says("asked to stop");
+    // A second one changes nothing.
+    node.signal("-TERM");
     let mut after = node.client();
     after.send(&command(&["OBJ.GET", "k2", "id2", "c=view,d=40000"]));
     // Each has its one answer and then the end, and so has the process.
