Set an attempt's timer at its write only where a window bounds it

Seen in reading the change again: written() moved the timer of every attempt, a removal and an insertion a write, and gave an answer that had begun before the last byte was out the whole time again, where it has the time for a connect from piece to piece. Change: the timer is moved only where the window was the nearer bound and no answer has begun.

--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -440,10 +440,11 @@
     pub fn written(&mut self, id: LinkId) {
         let world = &mut self.world;
         let Some(link) = world.links.get_mut(&id) else { return };
-        let Use::Carrying { call, shot, written, .. } = &mut link.used else { return };
+        let Use::Carrying { call, shot, written, begun, .. } = &mut link.used else { return };
         world.shots += u64::from(!std::mem::replace(written, true));
         let record = world.calls.get(*call).and_then(|call| call.shots.get(*shot));
-        if let Some(until) = record.map(|record| record.until) {
+        // Only what had to be out sooner has more time for its answer now, and not where that has begun.
+        if let Some(until) = record.filter(|shot| shot.by < shot.until && !*begun).map(|shot| shot.until) {
             world.set_due(id, until);
         }
     }
