--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -59,8 +59,8 @@
         let action = Action::new(self.out, "Dispatch").text("Ticket", ticket);
         action.text("Server", address).number("Until", until.ms()).end();
     }
-    fn cancel(&mut self, call: CallIx, shot: usize) {
-        self.about("AbortAttempt", call).count("Copy", shot).end();
+    fn cancel(&mut self, call: CallIx, attempt: usize) {
+        self.about("AbortAttempt", call).count("Copy", attempt).end();
     }
     fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>) {
         let action = self.about("Reject", call);
@@ -207,13 +207,13 @@
                 // An id that was dropped on an earlier outcome may still appear.
                 let Some(call) = self.names.indices.get(ticket).copied() else { return Ok(()) };
                 let mut reply = Reply { names: &mut self.names, out };
-                let shot = news.copy.unwrap_or(u64::MAX) as usize;
+                let attempt = news.copy.unwrap_or(u64::MAX) as usize;
                 match &*news.msg.0 {
                     "Withdrawn" => self.balancer.withdrawn(now, call, &mut reply),
-                    "FirstByte" => self.balancer.first_byte(now, call, shot, &mut reply),
+                    "FirstByte" => self.balancer.first_byte(now, call, attempt, &mut reply),
                     _ => {
                         let ending = Ending {
-                            shot,
+                            attempt,
                             outcome: wire::outcome(news.result.as_ref().map_or("", |t| &*t.0)),
                             took: Span::from_ms(news.lag.unwrap_or(0.0)),
                             call_ended: news.done_flag.unwrap_or(false),
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -256,18 +256,18 @@
         let product = &self.scenario.products[ix];
         let clients = &self.scenario.clients;
         let (mut end, mut ends) = (End::NeverTaken, meant);
-        for attempt in 0..=clients.retries {
+        for try_number in 0..=clients.retries {
             let number = self.tries.get();
             self.tries.set(number + 1);
             let part = {
                 let [from, to] = clients.patience;
                 from + (to - from) * self.chance.borrow_mut().unit()
             };
-            let begins = if attempt == 0 { meant } else { Instant::now() };
+            let begins = if try_number == 0 { meant } else { Instant::now() };
             let gives_up = begins + Duration::from_secs_f64(product.timeout_ms / 1000.0 * part);
             let until = self.judge.at(gives_up);
             let rules = &self.rules[ix];
-            let asked = Asked { number, key, product, rules, repeat: attempt > 0, until, gives_up };
+            let asked = Asked { number, key, product, rules, repeat: try_number > 0, until, gives_up };
             let wait;
             (end, wait) = match self.door() {
                 Some(door) => {
@@ -290,7 +290,7 @@
                 End::RateLimited | End::NeverTaken => true,
                 _ => rules.effect != Effect::NonIdempotent,
             };
-            if !harmless || attempt == clients.retries {
+            if !harmless || try_number == clients.retries {
                 break;
             }
             let wait = wait.unwrap_or_else(|| {
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -71,14 +71,14 @@
     pub misses: u64,
     pub fetches: u64,
     pub fell: u64,
-    /// Shots to the origin by the second.
+    /// Attempts to the origin by the second.
     pub origin: Vec<u64>,
     /// Datagrams between nodes: sent, and arrived.
     pub datagrams: (u64, u64),
     /// The rig's own greatest lateness, in seconds.
     pub late: f64,
-    /// When each server was last sent a shot, in seconds from the beginning.
-    pub last_shots: Vec<f64>,
+    /// When each server was last sent an attempt, in seconds from the beginning.
+    pub last_attempts: Vec<f64>,
     failures: Vec<String>,
 }
 
@@ -115,10 +115,10 @@
             ),
             ("p50, p99 from the first try", format!("{:.1} ms, {:.1} ms", quantile(0.5), quantile(0.99))),
             (
-                "hits, misses, shots to the origin",
+                "hits, misses, attempts to the origin",
                 format!("{}, {}, {}", self.hits, self.misses, self.fetches),
             ),
-            ("origin's greatest second", format!("{peak} shots")),
+            ("origin's greatest second", format!("{peak} attempts")),
             ("servers that fell", self.fell.to_string()),
             ("datagrams sent, arrived", format!("{}, {}", self.datagrams.0, self.datagrams.1)),
             ("processes up at the end", format!("{} of {}", self.up, self.nodes)),
@@ -171,7 +171,7 @@
             "service": all.service(), "worst_10s": self.report.worst(), "asked": all.asked, "in_slo": all.in_slo,
             "late": all.late, "rate_limited": all.rate_limited, "errored": all.errored, "no_answer": all.gave_up,
             "closed": all.closed, "never_taken": all.never_taken, "hits": self.hits, "misses": self.misses,
-            "origin_shots": self.fetches, "fell": self.fell, "up": self.up, "datagrams": self.datagrams.0,
+            "origin_attempts": self.fetches, "fell": self.fell, "up": self.up, "datagrams": self.datagrams.0,
             "rules_broken": self.broken_count, "failures": self.failures(), "rig_late_s": self.late,
         })
     }
@@ -722,7 +722,7 @@
             posts.fold((0, 0), |sum, (_, way)| (sum.0 + way.datagrams.get(), sum.1 + way.arrived.get()));
         let begun = (self.timeline.begun().0 / 1_000_000) as usize;
         let since = |at: &Time| (*at - self.timeline.begun()).seconds();
-        let last_shots = self.fleet.last_shot.borrow().iter().map(since).collect();
+        let last_attempts = self.fleet.last_attempt.borrow().iter().map(since).collect();
         let origin = self.fleet.origin_by_second.borrow().iter().skip(begun).copied().collect();
         Outcome {
             broken,
@@ -738,7 +738,7 @@
             origin,
             datagrams,
             late: self.judge.latest.get(),
-            last_shots,
+            last_attempts,
             failures,
             report,
         }
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -339,7 +339,7 @@
             fault[0].loss: 1.5 is not within 0 to 0.99
             fault[0].kind: unknown variant `cutt`, expected one of `kill`, `end`, `pause`, `order`, `start`, `roll`, `cut`, `spoil`, `replay`, `flood`
             scenario.nodes: 500 is not within 1 to 96
-            scenario.node: unknown field `node`, expected one of `seed`, `seconds`, `settle`, `policy`, `nodes`, `nodes_told`, `network`, `clients`, `traffic`, `keys`, `caches`, `origin`, `rules`, `shots`, `product`, `fault`
+            scenario.node: unknown field `node`, expected one of `seed`, `seconds`, `settle`, `policy`, `nodes`, `nodes_told`, `network`, `clients`, `traffic`, `keys`, `caches`, `origin`, `rules`, `attempts`, `product`, `fault`
             scenario.fault[0].kind: stand-ins can't play it; [[fault]] may
             absent: there is no node 9
             fault: invalid type: integer `3`, expected a sequence
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -21,7 +21,7 @@
 /// half a second, by when what had piled up has been seen.
 const LOOK: Duration = Duration::from_millis(10);
 const FADES: f64 = 0.985;
-/// Between a call's end and the end of interest in it: longer than any shot for it can be under way.
+/// Between a call's end and the end of interest in it: longer than any attempt for it can be under way.
 const REMEMBERED: Span = Span::ms(20_000);
 
 pub struct Judge {
@@ -107,7 +107,7 @@
         self.due.borrow_mut().insert((until + OWED_WITHIN, call));
     }
 
-    /// A shot for it was sent at this time.
+    /// An attempt for it was sent at this time.
     pub fn sent(&self, at: Time, call: u64, node: usize, server: usize) {
         let told = self.told.borrow().get(&(node, server)).copied();
         self.watch.borrow_mut().sent(at, call, server, told, self.grace);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -75,7 +75,7 @@
                 .about("Plays one scenario")
                 .arg(file("a scenario"))
                 .arg(policies)
-                .arg(Arg::new("seconds").long("seconds").action(clap::ArgAction::SetTrue).help("also tells where shots and tries went, by the second"))
+                .arg(Arg::new("seconds").long("seconds").action(clap::ArgAction::SetTrue).help("also tells where attempts and tries went, by the second"))
                 .arg(out()),
         )
         .subcommand(Command::new("sweep").about("Plays an experiment").arg(file("an experiment")).arg(out()))
@@ -253,7 +253,7 @@
     let (emulated, real) = (&both.emulated, &both.real);
     println!("{}", told("emulated", emulated));
     println!(
-        "real: {}; hit ratio {:.4}, shots to the origin {}",
+        "real: {}; hit ratio {:.4}, attempts to the origin {}",
         load::line(real),
         both.real_hits,
         both.real_fetches
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -100,7 +100,7 @@
     Ok(files)
 }
 
-/// Service and shots to the origin, second by second.
+/// Service and attempts to the origin, second by second.
 pub fn run(folder: &Path, name: &str, reports: &[(String, Report)]) -> Result<Vec<std::path::PathBuf>, Bad> {
     let curves = |of: &dyn Fn(&Report) -> Vec<f64>| -> Vec<Curve> {
         let curve = |(name, report): &(String, Report)| {
@@ -113,6 +113,6 @@
     let fetches = |report: &Report| report.origin.iter().map(|count| *count as f64).collect();
     let files = [folder.join(format!("{name}-service.svg")), folder.join(format!("{name}-origin.svg"))];
     draw(&files[0], name, "second", "service", &curves(&service))?;
-    draw(&files[1], name, "second", "shots to the origin a second", &curves(&fetches))?;
+    draw(&files[1], name, "second", "attempts to the origin a second", &curves(&fetches))?;
     Ok(files.to_vec())
 }
--- a/crates/lab/src/routers.rs
+++ b/crates/lab/src/routers.rs
@@ -1,5 +1,5 @@
 //! What a node decides by: the project's module, and baselines beside it behind one trait. Baselines are plain: the
-//! nearest textbook rule for which cache, the origin for misses and writes, another shot where rule 2 allows it.
+//! nearest textbook rule for which cache, the origin for misses and writes, another attempt where rule 2 allows it.
 use std::collections::BTreeMap;
 
 use quartzhub_policy::{
@@ -55,7 +55,7 @@
     pub server: ServerIx,
     /// A hash of its id.
     pub hash: u64,
-    /// Shots out from this node.
+    /// Attempts out from this node.
     pub out: u32,
 }
 
@@ -126,7 +126,7 @@
     }
 }
 
-struct Shot {
+struct Attempt {
     server: ServerIx,
     out: bool,
     ran: bool,
@@ -140,7 +140,7 @@
     ended: bool,
     until: Time,
     sent: Option<Time>,
-    shots: Vec<Shot>,
+    attempts: Vec<Attempt>,
 }
 
 /// A baseline.
@@ -167,24 +167,24 @@
         }
     }
 
-    fn shoot<A: Answers>(&mut self, now: Time, ix: CallIx, to: &mut A) {
+    fn send_attempt<A: Answers>(&mut self, now: Time, ix: CallIx, to: &mut A) {
         let Some(call) = self.calls.get_mut(&ix) else { return };
         let window = call.sent.is_none_or(|sent| now < sent + call.product.window);
-        let unrun = call.shots.iter().all(|shot| !shot.ran);
+        let unrun = call.attempts.iter().all(|attempt| !attempt.ran);
         let may = match call.product.effect {
             Effect::Idempotent => true,
             Effect::Deduplicated => unrun || window,
             Effect::NonIdempotent => unrun,
         };
-        let last = call.shots.len() + 1 >= self.most && !call.shots.is_empty();
+        let last = call.attempts.len() + 1 >= self.most && !call.attempts.is_empty();
         let server = match call.write || call.missed || last || self.caches.is_empty() {
             true => self.origin,
             false => Some(self.caches[self.pick.pick(&self.caches, call.key, &mut self.chance)].server),
         };
-        match server.filter(|_| may && now < call.until && call.shots.len() < self.most) {
+        match server.filter(|_| may && now < call.until && call.attempts.len() < self.most) {
             Some(server) => {
                 call.sent = call.sent.or(Some(now));
-                call.shots.push(Shot { server, out: true, ran: true });
+                call.attempts.push(Attempt { server, out: true, ran: true });
                 if let Some(cache) = self.caches.iter_mut().find(|cache| cache.server == server) {
                     cache.out += 1;
                 }
@@ -205,13 +205,13 @@
 
     fn finish<A: Answers>(&mut self, ix: CallIx, to: &mut A) {
         let Some(call) = self.calls.get(&ix).filter(|call| call.ended) else { return };
-        if call.shots.iter().all(|shot| !shot.out) {
+        if call.attempts.iter().all(|attempt| !attempt.out) {
             self.calls.remove(&ix);
             to.forget(ix);
             return;
         }
-        for shot in (0..call.shots.len()).filter(|i| call.shots[*i].out).collect::<Vec<_>>() {
-            to.cancel(ix, shot);
+        for attempt in (0..call.attempts.len()).filter(|i| call.attempts[*i].out).collect::<Vec<_>>() {
+            to.cancel(ix, attempt);
         }
     }
 }
@@ -254,10 +254,18 @@
                 .fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
         });
         let (until, write) = (now + ask.left, ask.write);
-        let call =
-            Call { product, key, write, missed: false, ended: false, until, sent: None, shots: Vec::new() };
+        let call = Call {
+            product,
+            key,
+            write,
+            missed: false,
+            ended: false,
+            until,
+            sent: None,
+            attempts: Vec::new(),
+        };
         self.calls.insert(ix, call);
-        self.shoot(now, ix, to);
+        self.send_attempt(now, ix, to);
     }
 
     fn withdrawn<A: Answers>(&mut self, _now: Time, ix: CallIx, to: &mut A) {
@@ -269,9 +277,11 @@
 
     fn outcome<A: Answers>(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut A) {
         let Some(call) = self.calls.get_mut(&ix) else { return };
-        let Some(shot) = call.shots.get_mut(ending.shot).filter(|shot| shot.out) else { return };
-        (shot.out, shot.ran) = (false, !ending.outcome.proves_it_never_ran());
-        let server = shot.server;
+        let Some(attempt) = call.attempts.get_mut(ending.attempt).filter(|attempt| attempt.out) else {
+            return;
+        };
+        (attempt.out, attempt.ran) = (false, !ending.outcome.proves_it_never_ran());
+        let server = attempt.server;
         call.missed |= ending.outcome == Outcome::Miss;
         call.ended |= ending.call_ended;
         let over = call.ended;
@@ -281,7 +291,7 @@
         if over {
             self.finish(ix, to);
         } else {
-            self.shoot(now, ix, to);
+            self.send_attempt(now, ix, to);
         }
     }
 
--- a/crates/lab/src/rules.rs
+++ b/crates/lab/src/rules.rs
@@ -99,7 +99,7 @@
             self.broke(
                 Rule::OneAnswer,
                 now,
-                "a shot was sent for an API call that has its answer",
+                "an attempt was sent for an API call that has its answer",
                 Some(call),
             );
         }
@@ -107,7 +107,7 @@
             self.broke(
                 Rule::Drains,
                 now,
-                "a shot was sent to a server known to drain or be gone",
+                "an attempt was sent to a server known to drain or be gone",
                 Some(call),
             );
         }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -23,7 +23,7 @@
     pub caches: Caches,
     pub origin: Origin,
     pub rules: Rules,
-    pub shots: usize,
+    pub attempts: usize,
     #[serde(rename = "product")]
     pub products: Vec<Product>,
     #[serde(rename = "fault")]
@@ -237,7 +237,7 @@
             caches: Caches::default(),
             origin: Origin::default(),
             rules: Rules::default(),
-            shots: 3,
+            attempts: 3,
             products: vec![
                 product("view", 0.94, Effect::Idempotent, false, 12.0, 1.0),
                 product("put", 0.04, Effect::Deduplicated, true, 12.0, 4.0),
@@ -356,7 +356,7 @@
         above("seconds", self.seconds)?;
         within("settle", self.settle, 0.0, self.seconds * 0.99)?;
         within("nodes", self.nodes as f64, 1.0, MOST_SERVERS as f64)?;
-        within("shots", self.shots as f64, 1.0, 10.0)?;
+        within("attempts", self.attempts as f64, 1.0, 10.0)?;
         above("traffic.rate", self.traffic.rate)?;
         within("traffic.rate times seconds", self.traffic.rate * self.seconds, 0.0, MOST_CALLS)?;
         within("network.delay_ms", self.network.delay_ms, 0.0, 10_000.0)?;
@@ -415,7 +415,7 @@
         serde_json::json!({
             "Balancers": if self.nodes_told > 0 { self.nodes_told } else { self.nodes }, "Me": me, "Zone": "lab", "Localities": ["lab"], "Kinds": ["cache", "origin"],
             "MembershipMode": "pushed", "Extra": {"Mode": "aside", "OriginKind": 1},
-            "Caps": {"MostShots": self.shots, "MayDuplicate": true, "Cancelling": true, "RetryAfter": true,
+            "Caps": {"MostShots": self.attempts, "MayDuplicate": true, "Cancelling": true, "RetryAfter": true,
                      "MaxRetryAfter": self.clients.wait_ms * 2.0},
             "Invariants": {"ColdFrom": self.caches.cold, "WarmWithin": self.caches.warm_ms,
                            "DrainGrace": self.rules.grace_ms},
@@ -461,7 +461,7 @@
         assert!(said.iter().all(|line| line.lines().count() == 1));
         expect![[r#"
             nodes: 0 is not within 1 to 5000
-            node: unknown field `node`, expected one of `seed`, `seconds`, `settle`, `policy`, `nodes`, `nodes_told`, `network`, `clients`, `traffic`, `keys`, `caches`, `origin`, `rules`, `shots`, `product`, `fault`
+            node: unknown field `node`, expected one of `seed`, `seconds`, `settle`, `policy`, `nodes`, `nodes_told`, `network`, `clients`, `traffic`, `keys`, `caches`, `origin`, `rules`, `attempts`, `product`, `fault`
             seconds: invalid type: string "long", expected f64
             settle: 70 is not within 0 to 59.4
             product: at least one is needed
--- a/crates/lab/src/server.rs
+++ b/crates/lab/src/server.rs
@@ -6,14 +6,14 @@
 use crate::lru::Lru;
 use crate::scenario::Scenario;
 
-/// One shot's work at a server.
+/// One attempt's work at a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Job {
     pub id: u64,
     pub node: usize,
-    /// The API call at its node, and which of its shots this is.
+    /// The API call at its node, and which of its attempts this is.
     pub call: u64,
-    pub shot: usize,
+    pub attempt: usize,
     pub key: u64,
     pub write: bool,
     /// At full speed, on one core.
--- a/crates/lab/src/standin.rs
+++ b/crates/lab/src/standin.rs
@@ -71,11 +71,11 @@
     pub hits: Cell<u64>,
     pub misses: Cell<u64>,
     pub fetches: Cell<u64>,
-    /// Shots to the origin by the second.
+    /// Attempts to the origin by the second.
     pub origin_by_second: RefCell<Vec<u64>>,
     pub fell: Cell<u64>,
-    /// When each server was last sent a shot.
-    pub last_shot: RefCell<Vec<Time>>,
+    /// When each server was last sent an attempt.
+    pub last_attempt: RefCell<Vec<Time>>,
 }
 
 /// Faults that stand-ins can play where nobody tells nodes of a change of the list.
@@ -142,7 +142,7 @@
             fetches: Cell::new(0),
             origin_by_second: RefCell::default(),
             fell: Cell::new(0),
-            last_shot: RefCell::new(vec![Time(0); scenario.caches.count + 1]),
+            last_attempt: RefCell::new(vec![Time(0); scenario.caches.count + 1]),
         }))
     }
 
@@ -331,7 +331,7 @@
     pub async fn serve<S: AsyncRead + AsyncWrite + Unpin>(self: Rc<Fleet>, server: usize, line: Line<S>) {
         let mut up = self.up(server);
         let serves = async {
-            // A connection that ends in the middle is the node's way to call a shot off.
+            // A connection that ends in the middle is the node's way to call an attempt off.
             let _ = match server == self.origin() {
                 true => self.as_origin(line).await,
                 false => self.as_cache(server, line).await,
@@ -343,13 +343,13 @@
         }
     }
 
-    /// The API call's number and when the shot for it was sent, as the judge wants them.
+    /// The API call's number and when the attempt for it was sent, as the judge wants them.
     fn sent<S>(&self, server: usize, line: &Line<S>, id: &str, place: u64) -> Option<u64> {
         let number = number(id)?;
         let at = line.stamps.as_ref().and_then(|stamps| stamps.at(place));
         let at = at.unwrap_or(self.judge.now());
         self.judge.sent(at, number, line.node, server);
-        self.last_shot.borrow_mut()[server] = at;
+        self.last_attempt.borrow_mut()[server] = at;
         Some(number)
     }
 
--- a/crates/lab/src/stats.rs
+++ b/crates/lab/src/stats.rs
@@ -77,9 +77,9 @@
     pub windows: Vec<Counts>,
     /// Of fulfilled ones, in microseconds from the client's first try.
     pub latency: Histogram<u64>,
-    /// Tries of clients, shots, shots to the origin, misses, fulfilled reads by caches, refused connections.
+    /// Tries of clients, attempts, attempts to the origin, misses, fulfilled reads by caches, refused connections.
     pub tries: u64,
-    pub shots: u64,
+    pub attempts: u64,
     pub fetches: u64,
     pub misses: u64,
     pub hits: u64,
@@ -88,7 +88,7 @@
     /// Of real clients: connections that had ended before they were taken again, and under an API call.
     pub ended_idle: u64,
     pub crossed: u64,
-    /// In each second, at the origin: shots sent, and whether it stood.
+    /// In each second, at the origin: attempts sent, and whether it stood.
     pub origin: Vec<u64>,
     /// In each second, by what it was: see `Went`.
     pub went: Vec<[u64; WENT]>,
@@ -121,7 +121,7 @@
             windows: vec![Counts::default(); scenario.seconds.ceil() as usize],
             latency: Histogram::new_with_bounds(1, LONGEST_US, 3).expect("bounds that a histogram takes"),
             tries: 0,
-            shots: 0,
+            attempts: 0,
             fetches: 0,
             misses: 0,
             hits: 0,
@@ -214,7 +214,7 @@
         service(after) / service(before)
     }
 
-    /// A line a second: where shots and tries went, and what was served of the API calls begun then.
+    /// A line a second: where attempts and tries went, and what was served of the API calls begun then.
     pub fn by_second(&self) -> String {
         let mut table =
             format!("second  service in-time   late  {}\n", HEADS.map(|head| format!("{head:>10}")).concat());
@@ -238,7 +238,7 @@
             "p99_ms" => quantile(0.99),
             "mean_ms" => self.latency.mean() / 1000.0,
             "hit_ratio" => self.hit_ratio(),
-            "shots_per_call" => self.shots as f64 / self.begun.max(1) as f64,
+            "attempts_per_call" => self.attempts as f64 / self.begun.max(1) as f64,
             "fetches_per_s" => self.fetches as f64 / self.windows.len().max(1) as f64,
             "rate_limited" => self.all.rate_limited as f64 / self.all.asked.max(1) as f64,
             "origin_fell" => self.origin_fell as f64,
@@ -258,7 +258,7 @@
     "p99_ms",
     "mean_ms",
     "hit_ratio",
-    "shots_per_call",
+    "attempts_per_call",
     "fetches_per_s",
     "rate_limited",
     "origin_fell",
--- a/crates/lab/src/sweep.rs
+++ b/crates/lab/src/sweep.rs
@@ -240,7 +240,7 @@
         expect![[r#"
             seeds: at least one is needed
             policies: "best" is none of dema, random, least_in_flight, two_choices, bounded_hash
-            figures: "beauty" is none of service, worst_10s, after, tries_per_call, p50_ms, p99_ms, mean_ms, hit_ratio, shots_per_call, fetches_per_s, rate_limited, origin_fell, caches_fell, broken
+            figures: "beauty" is none of service, worst_10s, after, tries_per_call, p50_ms, p99_ms, mean_ms, hit_ratio, attempts_per_call, fetches_per_s, rate_limited, origin_fell, caches_fell, broken
             vary[0].values: an empty sweep
             nodes: 0 is not within 1 to 5000
             vary: nodes.deep: no such key
--- a/crates/lab/src/went.rs
+++ b/crates/lab/src/went.rs
@@ -1,4 +1,4 @@
-//! Where shots and tries went, counted by the second: what the causes of lost service are read from.
+//! Where attempts and tries went, counted by the second: what the causes of lost service are read from.
 
 #[derive(Debug, Clone, Copy)]
 pub enum Went {
--- a/crates/lab/src/world/asking.rs
+++ b/crates/lab/src/world/asking.rs
@@ -17,32 +17,34 @@
         let key = field.key();
         let (id, asked) = (field.id(), field.now);
         let client =
-            Client { product, key, asked, attempt: 0, tried: asked, node: 0, call: None, answered: false };
+            Client { product, key, asked, try_number: 0, tried: asked, node: 0, call: None, answered: false };
         field.clients.insert(id, client);
         field.report.begun += 1;
-        self.attempt(id);
+        self.send_try(id);
     }
 
     /// A client makes its next try, at a node by chance.
-    pub(super) fn attempt(&mut self, id: u64) {
+    pub(super) fn send_try(&mut self, id: u64) {
         let nodes = self.nodes.len();
         let field = &mut self.field;
         let node = ((field.chance.unit() * nodes as f64) as usize).min(nodes - 1);
         let patience = field.between(field.scenario.clients.patience);
         let Some(client) = field.clients.get_mut(&id) else { return };
         client.tried = field.now;
-        (client.attempt, client.node, client.call, client.answered) = (client.attempt + 1, node, None, false);
-        let (attempt, timeout) = (client.attempt, field.products[client.product].timeout);
+        (client.try_number, client.node, client.call, client.answered) =
+            (client.try_number + 1, node, None, false);
+        let (try_number, timeout) = (client.try_number, field.products[client.product].timeout);
         field.report.tries += 1;
-        field.report.went(field.now, if attempt == 1 { Went::First } else { Went::Again });
+        field.report.went(field.now, if try_number == 1 { Went::First } else { Went::Again });
         let way = field.way();
-        field.after(way, Event::AtNode { client: id, attempt });
-        field.after(timeout.times(patience), Event::GivesUp { client: id, attempt });
+        field.after(way, Event::AtNode { client: id, try_number });
+        field.after(timeout.times(patience), Event::GivesUp { client: id, try_number });
     }
 
-    pub(super) fn at_node(&mut self, id: u64, attempt: u32) {
+    pub(super) fn at_node(&mut self, id: u64, try_number: u32) {
         let now = self.field.now;
-        let Some(client) = self.field.clients.get(&id).filter(|client| client.attempt == attempt) else {
+        let Some(client) = self.field.clients.get(&id).filter(|client| client.try_number == try_number)
+        else {
             return;
         };
         let (node, product, key) = (client.node, client.product, client.key);
@@ -51,7 +53,7 @@
             let way = self.field.way();
             return self
                 .field
-                .after(way, Event::Told { client: id, attempt, end: End::RateLimited, wait: None });
+                .after(way, Event::Told { client: id, try_number, end: End::RateLimited, wait: None });
         }
         let rules = self.field.products[product];
         let write = self.field.scenario.products[product].write;
@@ -66,26 +68,27 @@
         let open = Open {
             call,
             client: id,
-            attempt,
+            try_number,
             product,
             key,
             write,
             until,
             answered: false,
-            shots: Vec::new(),
+            attempts: Vec::new(),
             missed: Vec::new(),
         };
         let side = &mut self.nodes[node].side;
         let ix = side.calls.put(open);
         side.indices.insert(call, ix);
         let text = format!("{key:x}");
-        let ask = Ask { product, tenant: usize::MAX, key: Some(&text), write, repeat: attempt > 1, left };
+        let ask = Ask { product, tenant: usize::MAX, key: Some(&text), write, repeat: try_number > 1, left };
         self.desk(node, |router, desk, now| router.call(now, ix, ask, desk));
     }
 
     /// A try has had its time: the client closes, and may ask again.
-    pub(super) fn gives_up(&mut self, id: u64, attempt: u32) {
-        let Some(client) = self.field.clients.get(&id).filter(|client| client.attempt == attempt) else {
+    pub(super) fn gives_up(&mut self, id: u64, try_number: u32) {
+        let Some(client) = self.field.clients.get(&id).filter(|client| client.try_number == try_number)
+        else {
             return;
         };
         if client.answered {
@@ -110,15 +113,16 @@
         self.next_try(id, End::GaveUp, None);
     }
 
-    pub(super) fn told(&mut self, id: u64, attempt: u32, end: End, wait: Option<Span>) {
-        let Some(client) = self.field.clients.get_mut(&id).filter(|client| client.attempt == attempt) else {
+    pub(super) fn told(&mut self, id: u64, try_number: u32, end: End, wait: Option<Span>) {
+        let Some(client) = self.field.clients.get_mut(&id).filter(|client| client.try_number == try_number)
+        else {
             return;
         };
         if std::mem::replace(&mut client.answered, true) {
             return;
         }
         if end != End::Fulfilled {
-            let away = if attempt == 1 { Went::FirstAway } else { Went::AgainAway };
+            let away = if try_number == 1 { Went::FirstAway } else { Went::AgainAway };
             self.field.report.went(self.field.now, away);
             return self.next_try(id, end, wait);
         }
@@ -137,7 +141,8 @@
         let Some(client) = field.clients.get_mut(&id) else { return };
         let effect = field.products[client.product].effect;
         let harmless = effect != quartzhub_policy::Effect::NonIdempotent || end == End::RateLimited;
-        if harmless && (client.attempt as usize) <= field.scenario.clients.retries && field.now < field.end {
+        if harmless && (client.try_number as usize) <= field.scenario.clients.retries && field.now < field.end
+        {
             client.answered = true;
             let mean = wait.map_or(field.scenario.clients.wait_ms, Span::as_ms);
             let wait = Span::from_ms(mean * (0.5 + field.chance.unit()));
--- a/crates/lab/src/world/desk.rs
+++ b/crates/lab/src/world/desk.rs
@@ -8,7 +8,7 @@
 }
 
 impl Desk<'_> {
-    /// Writes a shot, if it is still wanted: as the real node, which looks when its bytes are due.
+    /// Writes an attempt, if it is still wanted: as the real node, which looks when its bytes are due.
     pub(super) fn carry(&mut self, server: usize, life: u64, job: Job, fresh: bool) {
         let (field, side) = (&mut *self.field, &mut *self.side);
         let now = field.now;
@@ -16,19 +16,20 @@
         let ready = side.told[server].0 == State::Ready;
         let wanted =
             ix.and_then(|ix| side.calls.get_mut(ix)).filter(|open| !open.answered && now < open.until);
-        let shot =
-            wanted.and_then(|open| open.shots.get_mut(job.shot)).filter(|shot| shot.out && (ready || !fresh));
-        let Some(shot) = shot else {
+        let attempt = wanted
+            .and_then(|open| open.attempts.get_mut(job.attempt))
+            .filter(|attempt| attempt.out && (ready || !fresh));
+        let Some(attempt) = attempt else {
             if field.servers[server].life == life {
                 side.idle[server].push_back((life, now));
             }
-            let (node, epoch, call, shot) = (side.me, side.epoch, job.call, job.shot);
+            let (node, epoch, call, attempt) = (side.me, side.epoch, job.call, job.attempt);
             let outcome = Outcome::TooLate;
-            return field.after(Span::ZERO, Event::Reply { node, epoch, call, shot, server, outcome });
+            return field.after(Span::ZERO, Event::Reply { node, epoch, call, attempt, server, outcome });
         };
-        (shot.written, shot.life) = (true, life);
+        (attempt.written, attempt.life) = (true, life);
         field.watch.sent(now, job.call, server, side.told[server].1, field.scenario.grace());
-        field.report.shots += 1;
+        field.report.attempts += 1;
         if server == field.origin() {
             field.report.fetches += 1;
             if let Some(second) = field.report.origin.get_mut((now.0 / 1_000_000) as usize) {
@@ -46,8 +47,8 @@
         if std::mem::replace(&mut open.answered, true) {
             return;
         }
-        let (client, attempt, way) = (open.client, open.attempt, self.field.way());
-        self.field.after(way, Event::Told { client, attempt, end, wait });
+        let (client, try_number, way) = (open.client, open.try_number, self.field.way());
+        self.field.after(way, Event::Told { client, try_number, end, wait });
     }
 }
 
@@ -66,11 +67,19 @@
         };
         let (work, id) = (field.work(mean), field.id());
         let of_cold = open.missed.iter().any(|missed| missed.2);
-        let shot = open.shots.len();
+        let attempt = open.attempts.len();
         let life = field.servers[at].life;
-        open.shots.push(Shot { server: at, life, job: id, sent: now, out: true, written: false });
-        let job =
-            Job { id, node: side.me, call: open.call, shot, key: open.key, write: open.write, work, of_cold };
+        open.attempts.push(Attempt { server: at, life, job: id, sent: now, out: true, written: false });
+        let job = Job {
+            id,
+            node: side.me,
+            call: open.call,
+            attempt,
+            key: open.key,
+            write: open.write,
+            work,
+            of_cold,
+        };
         // A connection that stands is used again; a new one takes a round more.
         let idle = &mut side.idle[at];
         while idle.front().is_some_and(|first| first.0 != life || now - first.1 > KEPT_ALIVE) {
@@ -81,7 +90,7 @@
         }
         let fresh = idle.pop_back().is_none();
         let (node, epoch, number) = (side.me, side.epoch, open.call);
-        field.at(until, Event::ShotDue { node, epoch, call: number, shot });
+        field.at(until, Event::AttemptDue { node, epoch, call: number, attempt });
         if fresh {
             field.report.handshakes += 1;
             let way = field.way();
@@ -91,10 +100,10 @@
         }
     }
 
-    fn cancel(&mut self, call: CallIx, shot: usize) {
+    fn cancel(&mut self, call: CallIx, attempt: usize) {
         let (field, side) = (&mut *self.field, &mut *self.side);
         let Some(open) = side.calls.get_mut(call) else { return };
-        let Some(record) = open.shots.get_mut(shot).filter(|shot| shot.out) else { return };
+        let Some(record) = open.attempts.get_mut(attempt).filter(|attempt| attempt.out) else { return };
         let (server, life, job, written) = (record.server, record.life, record.job, record.written);
         if written {
             let way = field.way();
@@ -102,7 +111,7 @@
         }
         let outcome = if written { Outcome::Cancelled } else { Outcome::TooLate };
         let (node, epoch, call) = (side.me, side.epoch, open.call);
-        field.after(Span::ZERO, Event::Reply { node, epoch, call, shot, server, outcome });
+        field.after(Span::ZERO, Event::Reply { node, epoch, call, attempt, server, outcome });
     }
 
     fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>) {
--- a/crates/lab/src/world/event.rs
+++ b/crates/lab/src/world/event.rs
@@ -9,11 +9,11 @@
     /// A client's try reaches its node.
     AtNode {
         client: u64,
-        attempt: u32,
+        try_number: u32,
     },
     GivesUp {
         client: u64,
-        attempt: u32,
+        try_number: u32,
     },
     Retries {
         client: u64,
@@ -21,7 +21,7 @@
     /// A final answer reaches its client.
     Told {
         client: u64,
-        attempt: u32,
+        try_number: u32,
         end: End,
         wait: Option<Span>,
     },
@@ -41,15 +41,15 @@
         node: usize,
         epoch: u64,
         call: u64,
-        shot: usize,
+        attempt: usize,
         server: usize,
         outcome: Outcome,
     },
-    ShotDue {
+    AttemptDue {
         node: usize,
         epoch: u64,
         call: u64,
-        shot: usize,
+        attempt: usize,
     },
     CalledOff {
         server: usize,
--- a/crates/lab/src/world/field.rs
+++ b/crates/lab/src/world/field.rs
@@ -70,8 +70,8 @@
     pub(super) fn reset_jobs(&mut self, server: usize, outcome: Outcome) {
         for job in self.servers[server].stop() {
             let wait = self.way();
-            let (node, call, shot) = (job.node, job.call, job.shot);
-            self.after(wait, Event::Reply { node, epoch: u64::MAX, call, shot, server, outcome });
+            let (node, call, attempt) = (job.node, job.call, job.attempt);
+            self.after(wait, Event::Reply { node, epoch: u64::MAX, call, attempt, server, outcome });
         }
     }
 
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -167,18 +167,18 @@
         let now = self.field.now;
         match event {
             Event::Arrive => self.arrive(),
-            Event::AtNode { client, attempt } => self.at_node(client, attempt),
-            Event::GivesUp { client, attempt } => self.gives_up(client, attempt),
-            Event::Retries { client } => self.attempt(client),
-            Event::Told { client, attempt, end, wait } => self.told(client, attempt, end, wait),
+            Event::AtNode { client, try_number } => self.at_node(client, try_number),
+            Event::GivesUp { client, try_number } => self.gives_up(client, try_number),
+            Event::Retries { client } => self.send_try(client),
+            Event::Told { client, try_number, end, wait } => self.told(client, try_number, end, wait),
             Event::AtServer { job, server, life, fresh } => self.at_server(job, server, life, fresh),
             Event::Done { job, server, life, miss } => self.done(job, server, life, miss),
-            Event::Reply { node, epoch, call, shot, server, outcome } => {
+            Event::Reply { node, epoch, call, attempt, server, outcome } => {
                 if epoch == u64::MAX || self.nodes[node].side.epoch == epoch {
-                    self.reply(node, call, shot, server, outcome);
+                    self.reply(node, call, attempt, server, outcome);
                 }
             }
-            Event::ShotDue { node, epoch, call, shot } => self.shot_due(node, epoch, call, shot),
+            Event::AttemptDue { node, epoch, call, attempt } => self.attempt_due(node, epoch, call, attempt),
             Event::CalledOff { server, life, job } => {
                 let it = &mut self.field.servers[server];
                 if it.life == life && it.health != Health::Down {
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -64,16 +64,16 @@
         for (call, ix) in open {
             self.field.watch.lost_with_node(call);
             let Some(open) = self.nodes[node].side.calls.get(ix) else { continue };
-            let (client, attempt, answered) = (open.client, open.attempt, open.answered);
-            let shots: Vec<_> = open.shots.iter().filter(|shot| shot.out).copied().collect();
-            for shot in shots {
+            let (client, try_number, answered) = (open.client, open.try_number, open.answered);
+            let attempts: Vec<_> = open.attempts.iter().filter(|attempt| attempt.out).copied().collect();
+            for attempt in attempts {
                 let way = self.field.way();
-                let Shot { server, life, job, .. } = shot;
+                let Attempt { server, life, job, .. } = attempt;
                 self.field.after(way, Event::CalledOff { server, life, job });
             }
             if !answered {
                 let way = self.field.way();
-                self.field.after(way, Event::Told { client, attempt, end: End::Errored, wait: None });
+                self.field.after(way, Event::Told { client, try_number, end: End::Errored, wait: None });
             }
         }
         for server in 0..self.field.servers.len() {
--- a/crates/lab/src/world/records.rs
+++ b/crates/lab/src/world/records.rs
@@ -1,4 +1,4 @@
-//! What the world keeps of clients, API calls, shots and nodes, and what all nodes share.
+//! What the world keeps of clients, API calls, attempts and nodes, and what all nodes share.
 use super::*;
 
 /// A client's API call, with its tries.
@@ -6,7 +6,7 @@
     pub(super) product: usize,
     pub(super) key: u64,
     pub(super) asked: Time,
-    pub(super) attempt: u32,
+    pub(super) try_number: u32,
     pub(super) tried: Time,
     pub(super) node: usize,
     /// The API call that its present try is at its node.
@@ -18,19 +18,19 @@
 pub(super) struct Open {
     pub(super) call: u64,
     pub(super) client: u64,
-    pub(super) attempt: u32,
+    pub(super) try_number: u32,
     pub(super) product: usize,
     pub(super) key: u64,
     pub(super) write: bool,
     pub(super) until: Time,
     pub(super) answered: bool,
-    pub(super) shots: Vec<Shot>,
+    pub(super) attempts: Vec<Attempt>,
     /// Caches that missed for it: they are given the value.
     pub(super) missed: Vec<(usize, u64, bool)>,
 }
 
 #[derive(Clone, Copy)]
-pub(super) struct Shot {
+pub(super) struct Attempt {
     pub(super) server: usize,
     pub(super) life: u64,
     pub(super) job: u64,
--- a/crates/lab/src/world/serving.rs
+++ b/crates/lab/src/world/serving.rs
@@ -1,4 +1,4 @@
-//! Shots at servers: connected, queued, done, and their replies.
+//! Attempts at servers: connected, queued, done, and their replies.
 use super::*;
 
 impl<R: Router, F: Fn(usize, u64) -> R> World<R, F> {
@@ -9,8 +9,8 @@
         let it = &mut field.servers[server];
         if it.health == Health::Down || !it.origin && it.connections >= most {
             field.report.refused += 1;
-            let (call, shot, outcome) = (job.call, job.shot, Outcome::Unreachable);
-            return field.after(way, Event::Reply { node, epoch, call, shot, server, outcome });
+            let (call, attempt, outcome) = (job.call, job.attempt, Outcome::Unreachable);
+            return field.after(way, Event::Reply { node, epoch, call, attempt, server, outcome });
         }
         it.connections += 1;
         let life = it.life;
@@ -20,8 +20,8 @@
     pub(super) fn at_server(&mut self, job: Job, server: usize, life: u64, fresh: bool) {
         let field = &mut self.field;
         let way = field.way();
-        let (node, call, shot) = (job.node, job.call, job.shot);
-        let reply = |outcome| Event::Reply { node, epoch: u64::MAX, call, shot, server, outcome };
+        let (node, call, attempt) = (job.node, job.call, job.attempt);
+        let reply = |outcome| Event::Reply { node, epoch: u64::MAX, call, attempt, server, outcome };
         let it = &mut field.servers[server];
         if it.health == Health::Down || it.life != life {
             // The connection was to an earlier life; what it had been sent may have run there.
@@ -87,13 +87,13 @@
             self.field.servers.iter_mut().for_each(|server| server.kept.remove(job.key));
         }
         let way = self.field.way();
-        let (node, call, shot) = (job.node, job.call, job.shot);
-        self.field.after(way, Event::Reply { node, epoch: u64::MAX, call, shot, server, outcome });
+        let (node, call, attempt) = (job.node, job.call, job.attempt);
+        self.field.after(way, Event::Reply { node, epoch: u64::MAX, call, attempt, server, outcome });
         self.field.begin_work(server);
     }
 
-    /// A shot has ended for its node: its connection may carry another.
-    pub(super) fn reply(&mut self, node: usize, call: u64, shot: usize, server: usize, outcome: Outcome) {
+    /// An attempt has ended for its node: its connection may carry another.
+    pub(super) fn reply(&mut self, node: usize, call: u64, attempt: usize, server: usize, outcome: Outcome) {
         let now = self.field.now;
         let side = &mut self.nodes[node].side;
         if !side.up {
@@ -101,7 +101,7 @@
         }
         let Some(&ix) = side.indices.get(&call) else { return };
         let Some(open) = side.calls.get_mut(ix) else { return };
-        let Some(record) = open.shots.get_mut(shot).filter(|shot| shot.out) else { return };
+        let Some(record) = open.attempts.get_mut(attempt).filter(|attempt| attempt.out) else { return };
         record.out = false;
         let (sent, life) = (record.sent, record.life);
         self.field.report.mark(now, call ^ (outcome as u64) << 8);
@@ -117,22 +117,31 @@
             self.desk(node, |_, desk, _| desk.answer(ix, End::Fulfilled, Deed::Fulfilled, None));
         }
         let call_ended = self.nodes[node].side.calls.get(ix).is_none_or(|open| open.answered);
-        let ending = Ending { shot, outcome, took: now - sent, call_ended };
+        let ending = Ending { attempt, outcome, took: now - sent, call_ended };
         self.desk(node, |router, desk, now| router.outcome(now, ix, ending, desk));
     }
 
-    pub(super) fn shot_due(&mut self, node: usize, epoch: u64, call: u64, shot: usize) {
+    pub(super) fn attempt_due(&mut self, node: usize, epoch: u64, call: u64, attempt: usize) {
         let side = &self.nodes[node].side;
         if side.epoch != epoch {
             return;
         }
         let open = side.indices.get(&call).and_then(|ix| side.calls.get(*ix));
-        let Some(record) = open.and_then(|open| open.shots.get(shot)).filter(|shot| shot.out) else { return };
+        let Some(record) = open.and_then(|open| open.attempts.get(attempt)).filter(|attempt| attempt.out)
+        else {
+            return;
+        };
         let (server, life, job, written) = (record.server, record.life, record.job, record.written);
         if written {
             let way = self.field.way();
             self.field.after(way, Event::CalledOff { server, life, job });
         }
-        self.reply(node, call, shot, server, if written { Outcome::TimedOut } else { Outcome::Unreachable });
+        self.reply(
+            node,
+            call,
+            attempt,
+            server,
+            if written { Outcome::TimedOut } else { Outcome::Unreachable },
+        );
     }
 }
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -52,10 +52,10 @@
 #[test]
 fn an_operators_order_reaches_every_node_and_no_late_word_undoes_it() {
     let outcome = holds(&plan("members-order.toml"));
-    let last = |cache: usize| outcome.last_shots[cache];
+    let last = |cache: usize| outcome.last_attempts[cache];
     // Drained at 7 s for good; drained from 5 to 13 s; never.
-    assert!(last(4) < 10.0, "cache-4 was sent a shot at {:.1} s", last(4));
-    assert!(last(2) > 16.0 && last(0) > 16.0, "no shot since {:.1} and {:.1} s", last(2), last(0));
+    assert!(last(4) < 10.0, "cache-4 was sent an attempt at {:.1} s", last(4));
+    assert!(last(2) > 16.0 && last(0) > 16.0, "no attempt since {:.1} and {:.1} s", last(2), last(0));
     assert_eq!(drained_again(&outcome), 0);
 }
 
@@ -175,7 +175,7 @@
         ("answers-twice", Rule::OneAnswer, "a second final answer"),
         ("never-answers", Rule::OneAnswer, "no final answer"),
         ("closes", Rule::OneAnswer, "ended with no answer"),
-        ("sends-after-answer", Rule::OneAnswer, "a shot was sent for an API call that has its answer"),
+        ("sends-after-answer", Rule::OneAnswer, "an attempt was sent for an API call that has its answer"),
         ("writes-twice", Rule::NoEffectTwice, "begun twice"),
         ("goes-on-to-drained", Rule::Drains, "known to drain"),
         ("floods-cold", Rule::ColdServers, "pushed over while cold"),
--- a/crates/lab/tests/validation.rs
+++ b/crates/lab/tests/validation.rs
@@ -9,7 +9,8 @@
 
 /// One queue behind one node and a network without delay; every key is there.
 fn queue(cores: usize, load: f64) -> Scenario {
-    let mut scenario = Scenario { nodes: 1, seconds: 400.0, settle: 20.0, shots: 1, ..Scenario::default() };
+    let mut scenario =
+        Scenario { nodes: 1, seconds: 400.0, settle: 20.0, attempts: 1, ..Scenario::default() };
     scenario.policy = "random".into();
     (scenario.network.delay_ms, scenario.network.jitter_ms) = (0.0, 0.0);
     scenario.clients.retries = 0;
@@ -81,7 +82,7 @@
     for (count, skew, room) in [(5_000, 0.9, 500), (5_000, 0.6, 1_000), (2_000, 1.1, 100)] {
         let mut scenario = queue(4, 0.3);
         (scenario.keys.count, scenario.keys.skew, scenario.caches.memory) = (count, skew, room);
-        scenario.shots = 3;
+        scenario.attempts = 3;
         (scenario.seconds, scenario.settle, scenario.traffic.rate) = (300.0, 50.0, 200.0);
         let report = run(&scenario).expect("a scenario");
         let (told, wanted) = (report.hit_ratio(), che(count, skew, room as f64));
--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -5,13 +5,13 @@
 use crate::resp::{self, Parsed, Reply};
 use crate::words::Words;
 
-/// How a server ended a shot.
+/// How a server ended an attempt.
 #[derive(Debug, PartialEq)]
 pub struct Answer {
     pub outcome: Outcome,
     /// The value or the write's receipt.
     pub value: Option<Vec<u8>>,
-    /// The connection may carry another shot.
+    /// The connection may carry another attempt.
     pub reusable: bool,
 }
 
@@ -175,8 +175,8 @@
             match answer(reply, &limits) {
                 Parsed::Whole(answer, _) => {
                     let ran = if answer.outcome.proves_it_never_ran() { "never ran" } else { "may have run" };
-                    let link = if answer.reusable { "kept" } else { "closed" };
-                    format!("{text}: {:?}, {ran}, {link}\n", answer.outcome)
+                    let upstream = if answer.reusable { "kept" } else { "closed" };
+                    format!("{text}: {:?}, {ran}, {upstream}\n", answer.outcome)
                 }
                 other => format!("{text}: {other:?}\n"),
             }
--- a/crates/node/src/clients/converse.rs
+++ b/crates/node/src/clients/converse.rs
@@ -38,7 +38,7 @@
     // What had come when the process was about to end has been taken up.
     let mut looked = false;
     loop {
-        // Guards against shots for a client that has left: its end may lie behind commands not taken up yet.
+        // Guards against attempts for a client that has left: its end may lie behind commands not taken up yet.
         if client.broken.get() || client.has_gone().await {
             return;
         }
@@ -122,7 +122,7 @@
         let room = reading && !behind && client.closing.get().is_none();
         tokio::select! {
             ready = client.stream.readable(), if room => {
-                // Guards against shots for a client that has left: its end lies behind its command, and is read before that
+                // Guards against attempts for a client that has left: its end lies behind its command, and is read before that
                 // is taken up.
                 if ready.is_err() || has_ended(&mut buffer, &client.stream, limits) {
                     return;
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -9,8 +9,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use crate::links::Link;
 use crate::resp::put_bulk;
+use crate::upstreams::Upstream;
 use crate::words::Said;
 
 mod accept;
@@ -24,8 +24,8 @@
 enum Out {
     /// With the size it is held under.
     Bytes(Vec<u8>, usize),
-    /// What a link passes on.
-    Value(Rc<Link>),
+    /// What an upstream passes on.
+    Value(Rc<Upstream>),
 }
 
 pub struct Client {
@@ -44,7 +44,7 @@
 
 impl Client {
     /// Hands the socket an answer; tells the size of those that it has now taken whole.
-    pub fn answer(&self, said: Said, from: Option<Rc<Link>>) -> usize {
+    pub fn answer(&self, said: Said, from: Option<Rc<Upstream>>) -> usize {
         let behind = !self.out.borrow().is_empty();
         let size = said.size();
         if let (Said::Passed { .. }, None) = (&said, &from) {
@@ -54,8 +54,8 @@
         }
         let mut out = self.out.borrow_mut();
         out.push_back(Out::Bytes(encoded(said), size));
-        if let Some(link) = from {
-            out.extend([Out::Value(link), Out::Bytes(b"\r\n".to_vec(), 0)]);
+        if let Some(upstream) = from {
+            out.extend([Out::Value(upstream), Out::Bytes(b"\r\n".to_vec(), 0)]);
         }
         drop(out);
         // The task may have to write the rest, read on, or close.
@@ -98,7 +98,7 @@
         self.wake.notify_one();
     }
 
-    /// More of what a link passes on is at hand.
+    /// More of what an upstream passes on is at hand.
     pub fn more(&self) {
         self.wake.notify_one();
     }
@@ -107,7 +107,7 @@
     fn has_bytes(&self) -> bool {
         match self.out.borrow().front() {
             Some(Out::Bytes(..)) => true,
-            Some(Out::Value(link)) => link.ready() > 0,
+            Some(Out::Value(upstream)) => upstream.ready() > 0,
             None => false,
         }
     }
@@ -126,7 +126,7 @@
                     self.sent.set(self.sent.get() + count);
                     (count > 0, self.sent.get() == bytes.len(), *size)
                 }),
-                Out::Value(link) => link.pass(&self.stream).map(|whole| (true, whole, 0)),
+                Out::Value(upstream) => upstream.pass(&self.stream).map(|whole| (true, whole, 0)),
             };
             match written {
                 Ok((true, true, size)) => {
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -94,7 +94,7 @@
     settings: serde_json::Value,
 }
 
-/// Longest deadline and most shots that settings may name: a day, and far more than any API call is worth.
+/// Longest deadline and most attempts that settings may name: a day, and far more than any API call is worth.
 const LONGEST_MS: f64 = 86_400_000.0;
 const MOST_SHOTS: f64 = 1000.0;
 /// Most nodes that settings may name, far more than any fleet has.
--- a/crates/node/src/config/settings.rs
+++ b/crates/node/src/config/settings.rs
@@ -13,9 +13,9 @@
     let number = |value: Option<&serde_json::Value>, most: f64| {
         value.and_then(|n| n.as_f64()).is_some_and(|n| n > 0.0 && n <= most)
     };
-    let shots = settings.get("Caps").and_then(|caps| caps.get("MostShots"));
-    if shots.is_some() && !number(shots, MOST_SHOTS) {
-        return fault(".Caps.MostShots", "a number of shots above 0 is needed");
+    let attempts = settings.get("Caps").and_then(|caps| caps.get("MostShots"));
+    if attempts.is_some() && !number(attempts, MOST_SHOTS) {
+        return fault(".Caps.MostShots", "a number of attempts above 0 is needed");
     }
     // What else the module reads may be left out, but not be something else than it is.
     for (under, key, fits, what) in OPTIONAL {
@@ -72,8 +72,8 @@
     ("Invariants", "DeadlineDrift", is_span, "a number of milliseconds is needed"),
     ("Invariants", "StampOff", is_span, "a number of milliseconds is needed"),
     ("Invariants", "RatioSpan", is_span, "a number of milliseconds is needed"),
-    ("Invariants", "ExtraFree", is_amount, "a number of shots is needed"),
-    ("Invariants", "FurtherRatio", is_amount, "a number of shots an API call is needed"),
+    ("Invariants", "ExtraFree", is_amount, "a number of attempts is needed"),
+    ("Invariants", "FurtherRatio", is_amount, "a number of attempts an API call is needed"),
 ];
 
 fn is_span(value: &serde_json::Value) -> bool {
--- a/crates/node/src/config/tests.rs
+++ b/crates/node/src/config/tests.rs
@@ -68,8 +68,8 @@
         put(zone, caps, products);
         let what = config.read_again();
         let what = what.map_err(|e| e.to_string().replace(&*file.to_string_lossy(), "file"));
-        let shots = config.settings.number("caps.most_shots", 0.0);
-        told += &format!("{shots} shots, {} products: {what:?}\n", config.settings.products().len());
+        let attempts = config.settings.number("caps.most_shots", 0.0);
+        told += &format!("{attempts} attempts, {} products: {what:?}\n", config.settings.products().len());
     };
     let put = product("put", "400", r#","Effect":"deduplicated""#);
     again("a", caps, std::slice::from_ref(&view));
@@ -84,14 +84,14 @@
     assert!(config.read_again().is_err_and(|e| e.to_string().contains("EOF")));
     let _ = std::fs::remove_file(&file);
     expect![[r#"
-        3 shots, 1 products: Ok(Again { at_restart: [], settings: false })
-        2 shots, 2 products: Ok(Again { at_restart: [], settings: true })
-        3 shots, 1 products: Ok(Again { at_restart: [], settings: true })
-        3 shots, 1 products: Err("file: settings.Caps.Probing: missing")
-        3 shots, 1 products: Err("file: settings.Products[].Effect: missing")
-        3 shots, 1 products: Err("file: settings.Products[1].ClientTimeout: a number of milliseconds above 0 is needed")
-        3 shots, 1 products: Err("file: settings.Products[2].Name: \"put\" stands twice")
-        3 shots, 1 products: Err("file: settings.Products: a list of at least one product is needed")
+        3 attempts, 1 products: Ok(Again { at_restart: [], settings: false })
+        2 attempts, 2 products: Ok(Again { at_restart: [], settings: true })
+        3 attempts, 1 products: Ok(Again { at_restart: [], settings: true })
+        3 attempts, 1 products: Err("file: settings.Caps.Probing: missing")
+        3 attempts, 1 products: Err("file: settings.Products[].Effect: missing")
+        3 attempts, 1 products: Err("file: settings.Products[1].ClientTimeout: a number of milliseconds above 0 is needed")
+        3 attempts, 1 products: Err("file: settings.Products[2].Name: \"put\" stands twice")
+        3 attempts, 1 products: Err("file: settings.Products: a list of at least one product is needed")
     "#]]
     .assert_eq(&told);
 }
@@ -212,8 +212,8 @@
         settings.Products[0].ClientTimeout: number out of range at line 1 column 104
         settings.Products[0].ClientTimeout: a number of milliseconds above 0 is needed
         settings.Products[1].Name: "view" stands twice
-        settings.Caps.MostShots: a number of shots above 0 is needed
-        settings.Caps.MostShots: a number of shots above 0 is needed
+        settings.Caps.MostShots: a number of attempts above 0 is needed
+        settings.Caps.MostShots: a number of attempts above 0 is needed
         quartzhub on 127.0.0.1:6379
         settings.Caps.Keepalive: a number of milliseconds is needed
         settings.Caps.Keepalive: a number of milliseconds is needed
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -9,15 +9,15 @@
 use crate::clients::Client;
 use crate::clock::Clock;
 use crate::limits::Limits;
-use crate::links::Link;
 use crate::reducer::{shrink, Reducer};
-use crate::words::{ClientId, Effect, LinkId, Said};
+use crate::upstreams::Upstream;
+use crate::words::{ClientId, Effect, Said, UpstreamId};
 
 /// What the tasks of a node share; all of them run on one thread.
 pub struct Hub {
     reducer: RefCell<Reducer>,
     pub clients: RefCell<FxHashMap<ClientId, Rc<Client>>>,
-    links: RefCell<FxHashMap<LinkId, Rc<Link>>>,
+    upstreams: RefCell<FxHashMap<UpstreamId, Rc<Upstream>>>,
     pub clock: Clock,
     pub limits: Limits,
     /// The first due time has changed.
@@ -39,7 +39,7 @@
         Rc::new(Hub {
             reducer: RefCell::new(reducer),
             clients: RefCell::default(),
-            links: RefCell::default(),
+            upstreams: RefCell::default(),
             clock,
             limits,
             due: Notify::new(),
@@ -78,35 +78,35 @@
 
     fn perform(self: &Rc<Hub>, effect: Effect) {
         match effect {
-            Effect::Connect { link, to, origin } => {
-                let socket = Link::new(link, to, origin);
-                self.links.borrow_mut().insert(link, socket.clone());
-                tokio::task::spawn_local(crate::links::run(self.clone(), socket));
+            Effect::Connect { upstream, to, origin } => {
+                let socket = Upstream::new(upstream, to, origin);
+                self.upstreams.borrow_mut().insert(upstream, socket.clone());
+                tokio::task::spawn_local(crate::upstreams::run(self.clone(), socket));
             }
-            Effect::Write { link, words, wait } => {
-                let socket = self.links.borrow().get(&link).cloned();
+            Effect::Write { upstream, words, wait } => {
+                let socket = self.upstreams.borrow().get(&upstream).cloned();
                 let done = socket.map_or(Some(false), |socket| socket.write(&words, wait));
                 let mut reducer = self.reducer.borrow_mut();
                 match done {
-                    Some(true) => reducer.written(link),
+                    Some(true) => reducer.written(upstream),
                     Some(false) => {}
                     None => {
-                        reducer.broke(self.clock.now(), link);
+                        reducer.broke(self.clock.now(), upstream);
                         drop(reducer);
-                        self.close_link(link);
+                        self.close_upstream(upstream);
                     }
                 }
             }
-            Effect::CloseLink { link } => self.close_link(link),
+            Effect::CloseUpstream { upstream } => self.close_upstream(upstream),
             Effect::Answer { client, said } => {
                 let socket = self.clients.borrow().get(&client).cloned();
                 if let Some(socket) = socket {
                     let from = match &said {
-                        Said::Passed { link, .. } => self.links.borrow().get(link).cloned(),
+                        Said::Passed { upstream, .. } => self.upstreams.borrow().get(upstream).cloned(),
                         _ => None,
                     };
-                    if let Some(link) = &from {
-                        link.passes_to(socket.clone());
+                    if let Some(upstream) = &from {
+                        upstream.passes_to(socket.clone());
                     }
                     let written = socket.answer(said, from);
                     self.reducer.borrow_mut().delivered(client, written);
@@ -131,11 +131,11 @@
         shrink(&mut clients);
     }
 
-    pub fn close_link(&self, link: LinkId) {
-        let mut links = self.links.borrow_mut();
-        if let Some(socket) = links.remove(&link) {
+    pub fn close_upstream(&self, upstream: UpstreamId) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        if let Some(socket) = upstreams.remove(&upstream) {
             socket.close();
-            shrink(&mut links);
+            shrink(&mut upstreams);
         }
     }
 }
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -19,7 +19,7 @@
 pub struct Figures<'a> {
     pub responses: BTreeMap<&'a str, Answers>,
     #[serde(rename = "tries")]
-    pub shots: u64,
+    pub attempts: u64,
     pub active: usize,
     pub pool_size: usize,
     pub pool_ejected: usize,
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -155,7 +155,7 @@
             answer(chunked, 9, false, &Limits::default()),
             Parsed::Whole((head, b"ab".to_vec()), chunked.len())
         );
-        let interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+        let interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nUpstream: </x>\r\n\r\n";
         for cut in 0..interim.len() {
             assert_eq!(answer(&interim[..cut], 9, false, &Limits::default()), Parsed::Part, "cut at {cut}");
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod http;
 pub mod inherit;
 pub mod limits;
-pub mod links;
 pub mod log;
 pub mod ops;
 pub mod origin;
@@ -24,6 +23,7 @@
 pub mod resp;
 pub mod service;
 pub mod shutdown;
+pub mod upstreams;
 pub mod words;
 
 use std::cell::Cell;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -12,9 +12,9 @@
     /// hold at the most.
     pub clients_kept: usize,
     /// Idle connections kept to one server.
-    pub idle_links: usize,
+    pub idle_upstreams: usize,
     /// Connections to servers beyond which none is kept idle.
-    pub links_kept: usize,
+    pub upstreams_kept: usize,
     /// API calls open at once, in all and on one client's connection.
     pub calls: usize,
     pub calls_per_client: usize,
@@ -57,8 +57,8 @@
     pub connect: Span,
     /// After which an idle connection to a server is closed: before the server does. And how long one should have
     /// been idle before it is used again: a server's stray bytes have come by then.
-    pub link_idle: Span,
-    pub link_rest: Span,
+    pub upstream_idle: Span,
+    pub upstream_rest: Span,
     /// From some of an answer to the next, while it is not whole.
     pub answer_whole: Span,
     /// After which a client's connection is closed: with no API call open, with none ever made, with half a command
@@ -184,8 +184,8 @@
             for_clients: (sockets / 16).max(2),
             for_servers: sockets / 4,
             clients_kept: machine.sockets / 4,
-            idle_links: 64,
-            links_kept: sockets,
+            idle_upstreams: 64,
+            upstreams_kept: sockets,
             calls: held.min((memory / 8.0 / CALL_BYTES) as usize),
             calls_per_client: 128,
             value: 4 * 1024 * 1024,
@@ -210,8 +210,8 @@
             room_wait: Span::ms(1_500),
             read: 16 * 1024,
             connect: settings.span("caps.connect_timeout", Span::ms(250)).max(Span::ms(1)),
-            link_idle: keepalive.times(0.8),
-            link_rest: Span::ms(2),
+            upstream_idle: keepalive.times(0.8),
+            upstream_rest: Span::ms(2),
             answer_whole: settings.span("caps.connect_timeout", Span::ms(250)).max(Span::ms(50)),
             client_idle: Span::ms(5_000),
             client_silent: Span::ms(2_500),
@@ -270,7 +270,7 @@
         let new = Limits::new(Machine::default(), settings);
         Limits {
             connect: new.connect,
-            link_idle: new.link_idle,
+            upstream_idle: new.upstream_idle,
             answer_whole: new.answer_whole,
             stop_serve: new.stop_serve,
             stop_answered: new.stop_answered,
@@ -281,11 +281,11 @@
     }
 
     /// For a process that now and then serves beside the one before or after it, on one machine's limits: neither may
-    /// take more than half of the memory, or keep links that it does not need now beyond a quarter of the sockets.
+    /// take more than half of the memory, or keep upstreams that it does not need now beyond a quarter of the sockets.
     /// Clients' sockets need no share, as one client is at one of the two.
     pub fn shared(mut self) -> Limits {
         (self.held, self.window) = (self.held / 2, (self.window / 2).max(8 * 1024));
-        self.links_kept = self.sockets / 4;
+        self.upstreams_kept = self.sockets / 4;
         self
     }
 
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -120,13 +120,13 @@
     /// Says what this node has to say of itself, and has its part of budgets asked for.
     fn share(&self, now: Time, hub: &Rc<Hub>, out: &mut Vec<Post>) {
         let Some(shared) = self.shared.as_ref().filter(|shared| now >= shared.borrow().due()) else { return };
-        let [shots, done] = hub.ask(Reducer::load);
+        let [attempts, done] = hub.ask(Reducer::load);
         let members = self.members.borrow();
         let other =
             |(id, member): &(Id, &quartzhub_members::Member)| member.state.is_member() && *id != members.me();
         let living: Vec<Id> = members.all().filter(other).map(|(id, _)| id).collect();
         let mut shared = shared.borrow_mut();
-        shared.say(Load { out: shots, done });
+        shared.say(Load { out: attempts, done });
         shared.tick(now, members.number(), &living, out);
         let part = shared.part(now);
         if (part - self.part.replace(part)).abs() > 1e-9 {
--- a/crates/node/src/peers/view.rs
+++ b/crates/node/src/peers/view.rs
@@ -44,7 +44,7 @@
 pub struct Sharing {
     /// The part of each budget that it may use now.
     part: f64,
-    /// Nodes whose words it has heard of late, and by those how long a shot at a cache takes.
+    /// Nodes whose words it has heard of late, and by those how long an attempt at a cache takes.
     words: usize,
     takes_ms: Option<f64>,
     counts: quartzhub_shared::Counts,
--- a/crates/node/src/reducer/lists.rs
+++ b/crates/node/src/reducer/lists.rs
@@ -1,5 +1,5 @@
 //! The server list as this node goes by it: what discovery tells, and operators' orders laid over it. An order is a hint to drain,
-//! never to send: a shot goes only to servers that the list itself names in service.
+//! never to send: an attempt goes only to servers that the list itself names in service.
 use super::*;
 
 /// What discovery said of a server last.
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -1,5 +1,5 @@
-//! The one place where state changes. It owns the module and the tables of clients, API calls, shots and
-//! links (connections to servers); sockets report to it by its methods, and it asks for reading and writing
+//! The one place where state changes. It owns the module and the tables of clients, API calls, attempts and
+//! upstreams (connections to servers); sockets report to it by its methods, and it asks for reading and writing
 //! by effects. It has no socket and no clock.
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -25,13 +25,13 @@
 
 pub use crate::words::*;
 
-struct Shot {
+struct Attempt {
     server: ServerIx,
     started: Time,
     until: Time,
     /// When its last byte must be written.
     by: Time,
-    link: Option<LinkId>,
+    upstream: Option<UpstreamId>,
 }
 
 struct Call {
@@ -44,7 +44,7 @@
     until: Time,
     /// The client has its final answer, or has gone.
     answered: bool,
-    shots: Vec<Shot>,
+    attempts: Vec<Attempt>,
 }
 
 /// A client's connection: one entry for each command not yet answered on it, in order.
@@ -54,8 +54,8 @@
     /// The number of the first entry.
     first: u64,
     open: Vec<CallIx>,
-    /// Links that pass a value on to it.
-    passing: Vec<LinkId>,
+    /// Upstreams that pass a value on to it.
+    passing: Vec<UpstreamId>,
     /// Bytes of answers not yet written.
     held: usize,
     closing: bool,
@@ -78,7 +78,7 @@
     /// `written`: its last byte is.
     Carrying {
         call: CallIx,
-        shot: usize,
+        attempt: usize,
         written: bool,
         fresh: bool,
         /// The first bytes of its answer have come.
@@ -94,7 +94,7 @@
     Closing,
 }
 
-struct Link {
+struct Upstream {
     server: ServerIx,
     used: Use,
     /// When the present use ends by itself.
@@ -107,14 +107,14 @@
     started: Option<Time>,
     origin: bool,
     state: State,
-    /// Idle links, the newest last.
-    idle: Vec<LinkId>,
+    /// Idle upstreams, the newest last.
+    idle: Vec<UpstreamId>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Tick,
-    Link(LinkId),
+    Upstream(UpstreamId),
     Call(CallIx),
     /// Clients are closed in another way from now on.
     Service,
@@ -129,9 +129,9 @@
     /// API calls without a final answer, by their ids.
     ids: HashMap<String, CallIx>,
     clients: FxHashMap<ClientId, Client>,
-    links: FxHashMap<LinkId, Link>,
+    upstreams: FxHashMap<UpstreamId, Upstream>,
     due: BTreeSet<(Time, Due)>,
-    /// Shots that ended and that the module has not been told of.
+    /// Attempts that ended and that the module has not been told of.
     ended: VecDeque<(CallIx, usize, Outcome)>,
     effects: VecDeque<Effect>,
     /// Servers that have gone for good and whose ids are to be forgotten.
@@ -142,8 +142,8 @@
     counted: Counted,
     /// Values that are being passed on.
     passing: usize,
-    /// Shots whose last byte is written, to a cache or to the origin.
-    shots: u64,
+    /// Attempts whose last byte is written, to a cache or to the origin.
+    attempts: u64,
     /// When all must be answered, as the node is about to end.
     end: Option<Time>,
     /// When the module's timer is due, and the last time that it was far too late, and by how much.
@@ -206,7 +206,7 @@
                 calls: Calls::default(),
                 ids: HashMap::new(),
                 clients: FxHashMap::default(),
-                links: FxHashMap::default(),
+                upstreams: FxHashMap::default(),
                 due: BTreeSet::new(),
                 ended: VecDeque::new(),
                 effects: VecDeque::new(),
@@ -216,7 +216,7 @@
                 service: Service::default(),
                 counted: counts,
                 passing: 0,
-                shots: 0,
+                attempts: 0,
                 end: None,
                 tick: Time(0),
                 stall: (Time(0), Span::ZERO),
@@ -247,13 +247,13 @@
         self.settle();
     }
 
-    /// Guards against a shot that is called off between being asked for and being written: what concerns a
-    /// link that is no more is not carried out.
+    /// Guards against an attempt that is called off between being asked for and being written: what concerns a
+    /// upstream that is no more is not carried out.
     pub fn next_effect(&mut self) -> Option<Effect> {
         loop {
             match self.world.effects.pop_front()? {
-                Effect::Write { link, .. } | Effect::Connect { link, .. }
-                    if !self.world.links.contains_key(&link) => {}
+                Effect::Write { upstream, .. } | Effect::Connect { upstream, .. }
+                    if !self.world.upstreams.contains_key(&upstream) => {}
                 effect => return Some(effect),
             }
         }
@@ -268,7 +268,7 @@
         self.world.held
     }
 
-    /// This node's own load, for the others: shots out at caches, and their answers a second.
+    /// This node's own load, for the others: attempts out at caches, and their answers a second.
     pub fn load(&self) -> [f64; 2] {
         self.balancer.load()
     }
@@ -304,8 +304,8 @@
         self.at(now);
         let Some(client) = self.world.clients.remove(&id) else { return };
         self.world.held = self.world.held.saturating_sub(client.held);
-        for link in client.passing {
-            self.world.close_link(link);
+        for upstream in client.passing {
+            self.world.close_upstream(upstream);
         }
         for ix in client.open {
             if let Some(call) = self.world.calls.get_mut(ix) {
@@ -326,9 +326,9 @@
         if world.sockets() < limits.sockets && world.clients.len() < most {
             return Room::Free;
         }
-        let link_helps = world.clients.len() < most;
+        let upstream_helps = world.clients.len() < most;
         // Guards against a crowd of new connections, bad clients' among them, that drives out those at work.
-        if self.world.close_spare_client() || link_helps && self.world.close_idlest_link() {
+        if self.world.close_spare_client() || upstream_helps && self.world.close_idlest_upstream() {
             Room::Soon
         } else {
             Room::None
@@ -411,7 +411,7 @@
         let tenant = place(&self.places.tenants, facts.tenant);
         let (key, write, name) = (words.key.clone(), words.value.is_some(), words.id.clone());
         let words = Rc::new(words);
-        let call = Call { words, client: id, counted, turn, until, answered: false, shots: Vec::new() };
+        let call = Call { words, client: id, counted, turn, until, answered: false, attempts: Vec::new() };
         let ix = self.world.calls.put(call);
         self.world.due.insert((until + self.world.limits.overdue, Due::Call(ix)));
         self.world.ids.insert(name, ix);
@@ -426,151 +426,158 @@
         self.settle();
     }
 
-    /// A link is up: what waited for it is written, if it is still wanted.
-    pub fn connected(&mut self, now: Time, id: LinkId) {
+    /// An upstream is up: what waited for it is written, if it is still wanted.
+    pub fn connected(&mut self, now: Time, id: UpstreamId) {
         self.at(now);
-        if let Some(Link { used: Use::Connecting(call, shot), .. }) = self.world.links.get(&id) {
-            let (call, shot) = (*call, *shot);
-            self.world.carry(id, call, shot, true);
+        if let Some(Upstream { used: Use::Connecting(call, attempt), .. }) = self.world.upstreams.get(&id) {
+            let (call, attempt) = (*call, *attempt);
+            self.world.carry(id, call, attempt, true);
         }
         self.settle();
     }
 
-    /// The last byte of what a link carries is written.
-    pub fn written(&mut self, id: LinkId) {
+    /// The last byte of what an upstream carries is written.
+    pub fn written(&mut self, id: UpstreamId) {
         let world = &mut self.world;
-        let Some(link) = world.links.get_mut(&id) else { return };
-        let Use::Carrying { call, shot, written, begun, .. } = &mut link.used else { return };
-        world.shots += u64::from(!std::mem::replace(written, true));
-        let record = world.calls.get(*call).and_then(|call| call.shots.get(*shot));
+        let Some(upstream) = world.upstreams.get_mut(&id) else { return };
+        let Use::Carrying { call, attempt, written, begun, .. } = &mut upstream.used else { return };
+        world.attempts += u64::from(!std::mem::replace(written, true));
+        let record = world.calls.get(*call).and_then(|call| call.attempts.get(*attempt));
         // Only what had to be out sooner has more time for its answer now, and not where that has begun.
-        if let Some(until) = record.filter(|shot| shot.by < shot.until && !*begun).map(|shot| shot.until) {
+        if let Some(until) =
+            record.filter(|attempt| attempt.by < attempt.until && !*begun).map(|attempt| attempt.until)
+        {
             world.set_due(id, until);
         }
     }
 
-    /// A link never came up, or broke, or ended.
-    pub fn broke(&mut self, now: Time, id: LinkId) {
+    /// An upstream never came up, or broke, or ended.
+    pub fn broke(&mut self, now: Time, id: UpstreamId) {
         self.at(now);
-        let Some(link) = self.world.drop_link(id) else { return };
-        match link.used {
+        let Some(upstream) = self.world.drop_upstream(id) else { return };
+        match upstream.used {
             Use::Idle | Use::Closing => {}
-            Use::Connecting(call, shot) => self.world.end_shot(call, shot, Outcome::Unreachable),
-            Use::Carrying { call, shot, written: true, .. } => {
-                self.world.end_shot(call, shot, Outcome::Reset);
+            Use::Connecting(call, attempt) => self.world.end_attempt(call, attempt, Outcome::Unreachable),
+            Use::Carrying { call, attempt, written: true, .. } => {
+                self.world.end_attempt(call, attempt, Outcome::Reset);
             }
-            Use::Carrying { call, shot, fresh: true, .. } => {
-                self.world.end_shot(call, shot, Outcome::Unreachable);
+            Use::Carrying { call, attempt, fresh: true, .. } => {
+                self.world.end_attempt(call, attempt, Outcome::Unreachable);
             }
             Use::Passing { client, counted } => self.world.passing_failed(id, client, counted),
-            // Guards against blaming a server for an idle link that it had just closed: the last byte was
-            // not written, so the shot has not been made yet, and a new link carries it.
-            Use::Carrying { call, shot, .. } => self.world.open(call, shot),
+            // Guards against blaming a server for an idle upstream that it had just closed: the last byte was
+            // not written, so the attempt has not been made yet, and a new upstream carries it.
+            Use::Carrying { call, attempt, .. } => self.world.open(call, attempt),
         }
         self.settle();
     }
 
-    /// A link could not be opened for want of something on this machine. Guards against blaming a server.
-    pub fn not_opened(&mut self, now: Time, id: LinkId) {
+    /// An upstream could not be opened for want of something on this machine. Guards against blaming a server.
+    pub fn not_opened(&mut self, now: Time, id: UpstreamId) {
         self.at(now);
-        if let Some(Link { used: Use::Connecting(call, shot), .. }) = self.world.drop_link(id) {
-            self.world.end_shot(call, shot, Outcome::TooLate);
+        if let Some(Upstream { used: Use::Connecting(call, attempt), .. }) = self.world.drop_upstream(id) {
+            self.world.end_attempt(call, attempt, Outcome::TooLate);
         }
         self.settle();
     }
 
-    /// A server has answered what the link carried.
-    pub fn answered(&mut self, now: Time, id: LinkId, answer: Answer) {
+    /// A server has answered what the upstream carried.
+    pub fn answered(&mut self, now: Time, id: UpstreamId, answer: Answer) {
         self.at(now);
-        let Some(link) = self.world.links.get(&id) else { return };
-        let Use::Carrying { call, shot, written, .. } = link.used else {
-            // Nothing was asked: whatever this is, the link can't be trusted.
-            self.world.close_link(id);
+        let Some(upstream) = self.world.upstreams.get(&id) else { return };
+        let Use::Carrying { call, attempt, written, .. } = upstream.used else {
+            // Nothing was asked: whatever this is, the upstream can't be trusted.
+            self.world.close_upstream(id);
             return self.settle();
         };
         if answer.reusable && written {
             self.world.rest(id);
         } else {
-            self.world.drop_link(id);
-            self.world.effects.push_back(Effect::CloseLink { link: id });
+            self.world.drop_upstream(id);
+            self.world.effects.push_back(Effect::CloseUpstream { upstream: id });
         }
         if let (Outcome::Fulfilled, Some(value)) = (answer.outcome, answer.value) {
             self.world.final_answer(call, Said::Fulfilled(value));
         }
-        self.world.end_shot(call, shot, answer.outcome);
+        self.world.end_attempt(call, attempt, answer.outcome);
         self.settle();
     }
 
-    /// A value too large to be kept has begun to come. From here on the answer is settled: there is no other shot
+    /// A value too large to be kept has begun to come. From here on the answer is settled: there is no other attempt
     /// and no other answer. The module is told of the success now, as its time is that of the first bytes, and a
     /// client that takes the rest slowly says nothing of the server.
-    pub fn passes(&mut self, now: Time, id: LinkId, size: usize) {
+    pub fn passes(&mut self, now: Time, id: UpstreamId, size: usize) {
         self.at(now);
         let world = &mut self.world;
-        let Some(Link { used: Use::Carrying { call, shot, written, .. }, .. }) = world.links.get(&id) else {
+        let Some(Upstream { used: Use::Carrying { call, attempt, written, .. }, .. }) =
+            world.upstreams.get(&id)
+        else {
             return;
         };
-        let (ix, shot, written) = (*call, *shot, *written);
+        let (ix, attempt, written) = (*call, *attempt, *written);
         let call = world.calls.get(ix).filter(|call| !call.answered && written);
         let Some((client, counted)) = call.map(|call| (call.client, call.counted)) else {
-            world.close_link(id);
-            world.end_shot(ix, shot, Outcome::Broken);
+            world.close_upstream(id);
+            world.end_attempt(ix, attempt, Outcome::Broken);
             return self.settle();
         };
-        if let Some(link) = world.links.get_mut(&id) {
-            link.used = Use::Passing { client, counted };
-            world.due.remove(&(link.due, Due::Link(id)));
+        if let Some(upstream) = world.upstreams.get_mut(&id) {
+            upstream.used = Use::Passing { client, counted };
+            world.due.remove(&(upstream.due, Due::Upstream(id)));
         }
         if let Some(client) = world.clients.get_mut(&client) {
             client.passing.push(id);
         }
         world.passing += 1;
-        world.final_answer(ix, Said::Passed { link: id, size });
-        world.end_shot(ix, shot, Outcome::Fulfilled);
+        world.final_answer(ix, Said::Passed { upstream: id, size });
+        world.end_attempt(ix, attempt, Outcome::Fulfilled);
         self.settle();
     }
 
-    /// The client has taken the whole value that this link passed on.
-    pub fn passed(&mut self, now: Time, id: LinkId, reusable: bool) {
+    /// The client has taken the whole value that this upstream passed on.
+    pub fn passed(&mut self, now: Time, id: UpstreamId, reusable: bool) {
         self.at(now);
         let world = &mut self.world;
-        let Some(Link { used: Use::Passing { client, counted }, .. }) = world.links.get(&id) else { return };
+        let Some(Upstream { used: Use::Passing { client, counted }, .. }) = world.upstreams.get(&id) else {
+            return;
+        };
         let (client, counted) = (*client, *counted);
-        world.counted.count(counted, &Said::Passed { link: id, size: 0 });
-        if let Some(link) = world.links.get_mut(&id) {
-            link.used = Use::Closing;
+        world.counted.count(counted, &Said::Passed { upstream: id, size: 0 });
+        if let Some(upstream) = world.upstreams.get_mut(&id) {
+            upstream.used = Use::Closing;
             world.passing -= 1;
         }
         if let Some(client) = world.clients.get_mut(&client) {
-            client.passing.retain(|link| *link != id);
+            client.passing.retain(|upstream| *upstream != id);
             client.last = now;
         }
         if reusable {
             world.rest(id);
         } else {
-            world.close_link(id);
+            world.close_upstream(id);
         }
         self.settle();
     }
 
     /// More of an answer has come, but not all. Guards against one that is said to be longer than it is: the rest
-    /// never comes, and the shot would stay out until its call's time is up.
-    pub fn began(&mut self, now: Time, id: LinkId) {
+    /// never comes, and the attempt would stay out until its call's time is up.
+    pub fn began(&mut self, now: Time, id: UpstreamId) {
         self.at(now);
         let whole = now + self.world.limits.answer_whole;
-        let Some(Link { used: Use::Carrying { call, shot, begun, .. }, .. }) = self.world.links.get_mut(&id)
+        let Some(Upstream { used: Use::Carrying { call, attempt, begun, .. }, .. }) =
+            self.world.upstreams.get_mut(&id)
         else {
             return;
         };
         *begun = true;
-        let shot = self.world.calls.get(*call).and_then(|call| call.shots.get(*shot));
-        if let Some(until) = shot.map(|shot| shot.until) {
+        let attempt = self.world.calls.get(*call).and_then(|call| call.attempts.get(*attempt));
+        if let Some(until) = attempt.map(|attempt| attempt.until) {
             self.world.set_due(id, until.min(whole));
         }
     }
 
-    /// What a server answered can't be read. The shot may have run, and the link is of no further use.
-    pub fn spoilt(&mut self, now: Time, id: LinkId) {
+    /// What a server answered can't be read. The attempt may have run, and the upstream is of no further use.
+    pub fn spoilt(&mut self, now: Time, id: UpstreamId) {
         self.answered(now, id, Answer { outcome: Outcome::Broken, value: None, reusable: false });
     }
 
@@ -588,7 +595,7 @@
                     }
                     self.balancer.tick(now, &mut self.world);
                 }
-                Due::Link(id) => self.world.link_due(id, at),
+                Due::Upstream(id) => self.world.upstream_due(id, at),
                 Due::Service => self.world.close_idle_clients(),
                 // Guards against an API call that would never be answered, whatever went wrong: its
                 // answer is owed now.
@@ -665,7 +672,7 @@
         let listed = self.world.servers.iter().filter(|server| server.state != State::Gone && !server.origin);
         Figures {
             responses: self.world.counted.all(),
-            shots: self.world.shots,
+            attempts: self.world.attempts,
             active: self.world.ids.len() + self.world.passing,
             pool_size: listed.count(),
             pool_ejected: self.balancer.avoided(now),
@@ -678,13 +685,13 @@
         self.world.now = self.world.now.max(now);
     }
 
-    /// Tells the module of shots that ended, until none is left.
+    /// Tells the module of attempts that ended, until none is left.
     fn settle(&mut self) {
-        while let Some((ix, shot, outcome)) = self.world.ended.pop_front() {
+        while let Some((ix, attempt, outcome)) = self.world.ended.pop_front() {
             let Some(call) = self.world.calls.get(ix) else { continue };
-            let Some(started) = call.shots.get(shot).map(|shot| shot.started) else { continue };
+            let Some(started) = call.attempts.get(attempt).map(|attempt| attempt.started) else { continue };
             let took = self.world.now - started;
-            let ending = Ending { shot, outcome, took, call_ended: call.answered };
+            let ending = Ending { attempt, outcome, took, call_ended: call.answered };
             self.balancer.outcome(self.world.now, ix, ending, &mut self.world);
         }
         for ix in self.world.dropped.drain(..) {
--- a/crates/node/src/reducer/world.rs
+++ b/crates/node/src/reducer/world.rs
@@ -1,4 +1,4 @@
-//! The tables' own steps: how shots, links and clients begin and end, and what the module asks of them.
+//! The tables' own steps: how attempts, upstreams and clients begin and end, and what the module asks of them.
 use super::*;
 
 impl World {
@@ -96,74 +96,78 @@
         idle.into_iter().for_each(|id| self.close_client(id));
     }
 
-    pub(super) fn end_shot(&mut self, call: CallIx, shot: usize, outcome: Outcome) {
-        let Some(record) = self.calls.get_mut(call).and_then(|call| call.shots.get_mut(shot)) else { return };
-        record.link = None;
-        self.ended.push_back((call, shot, outcome));
+    pub(super) fn end_attempt(&mut self, call: CallIx, attempt: usize, outcome: Outcome) {
+        let Some(record) = self.calls.get_mut(call).and_then(|call| call.attempts.get_mut(attempt)) else {
+            return;
+        };
+        record.upstream = None;
+        self.ended.push_back((call, attempt, outcome));
     }
 
-    pub(super) fn set_due(&mut self, id: LinkId, at: Time) {
-        if let Some(link) = self.links.get_mut(&id) {
-            self.due.remove(&(link.due, Due::Link(id)));
-            link.due = at;
-            self.due.insert((at, Due::Link(id)));
+    pub(super) fn set_due(&mut self, id: UpstreamId, at: Time) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            self.due.remove(&(upstream.due, Due::Upstream(id)));
+            upstream.due = at;
+            self.due.insert((at, Due::Upstream(id)));
         }
     }
 
     /// A value that was being passed on has no end. Guards against a client that would wait for it or take the next
     /// answer for its rest; one that was told nothing yet gets an error.
-    pub(super) fn passing_failed(&mut self, id: LinkId, client: ClientId, counted: Option<usize>) {
+    pub(super) fn passing_failed(&mut self, id: UpstreamId, client: ClientId, counted: Option<usize>) {
         self.counted.count(counted, &Said::Errored(""));
         let Some(record) = self.clients.get_mut(&client) else { return };
-        record.passing.retain(|link| *link != id);
-        let waits = |said: &Option<Said>| matches!(said, Some(Said::Passed { link, .. }) if *link == id);
+        record.passing.retain(|upstream| *upstream != id);
+        let waits =
+            |said: &Option<Said>| matches!(said, Some(Said::Passed { upstream, .. }) if *upstream == id);
         match record.turns.iter().position(waits) {
             Some(turn) => record.turns[turn] = Some(Said::Errored("failed")),
             None => self.effects.push_back(Effect::CutClient { client }),
         }
     }
 
-    /// Takes a link out of all tables; its socket is closed by an effect or is gone already.
-    pub(super) fn drop_link(&mut self, id: LinkId) -> Option<Link> {
-        let link = self.links.remove(&id)?;
-        self.passing -= usize::from(matches!(link.used, Use::Passing { .. }));
-        self.due.remove(&(link.due, Due::Link(id)));
-        if link.used == Use::Idle {
-            self.servers[link.server.0].idle.retain(|idle| *idle != id);
+    /// Takes an upstream out of all tables; its socket is closed by an effect or is gone already.
+    pub(super) fn drop_upstream(&mut self, id: UpstreamId) -> Option<Upstream> {
+        let upstream = self.upstreams.remove(&id)?;
+        self.passing -= usize::from(matches!(upstream.used, Use::Passing { .. }));
+        self.due.remove(&(upstream.due, Due::Upstream(id)));
+        if upstream.used == Use::Idle {
+            self.servers[upstream.server.0].idle.retain(|idle| *idle != id);
         }
-        Some(link)
+        Some(upstream)
     }
 
-    pub(super) fn close_link(&mut self, id: LinkId) -> Option<Link> {
-        let link = self.drop_link(id)?;
-        self.effects.push_back(Effect::CloseLink { link: id });
-        Some(link)
+    pub(super) fn close_upstream(&mut self, id: UpstreamId) -> Option<Upstream> {
+        let upstream = self.drop_upstream(id)?;
+        self.effects.push_back(Effect::CloseUpstream { upstream: id });
+        Some(upstream)
     }
 
     pub(super) fn close_idle(&mut self, server: ServerIx) {
         for id in std::mem::take(&mut self.servers[server.0].idle) {
-            self.close_link(id);
+            self.close_upstream(id);
         }
     }
 
-    /// A link has no more to carry.
-    pub(super) fn rest(&mut self, id: LinkId) {
-        let links = self.links.len();
-        let Some(link) = self.links.get_mut(&id) else { return };
-        link.used = Use::Idle;
-        let server = &mut self.servers[link.server.0];
-        let enough = server.idle.len() >= self.limits.idle_links || links > self.limits.links_kept;
+    /// An upstream has no more to carry.
+    pub(super) fn rest(&mut self, id: UpstreamId) {
+        let upstreams = self.upstreams.len();
+        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        upstream.used = Use::Idle;
+        let server = &mut self.servers[upstream.server.0];
+        let enough =
+            server.idle.len() >= self.limits.idle_upstreams || upstreams > self.limits.upstreams_kept;
         if server.state != State::Ready || enough {
-            self.close_link(id);
+            self.close_upstream(id);
             return;
         }
         server.idle.push(id);
-        let due = self.now + self.limits.link_idle;
+        let due = self.now + self.limits.upstream_idle;
         self.set_due(id, due);
     }
 
     pub(super) fn sockets(&self) -> usize {
-        self.clients.len() + self.links.len()
+        self.clients.len() + self.upstreams.len()
     }
 
     /// Closes a client that is idle and need not be kept, if there is one: one without an API call before others.
@@ -206,99 +210,103 @@
         idlest.map(|id| self.close_client(id)).is_some()
     }
 
-    /// The same of links.
-    pub(super) fn close_idlest_link(&mut self) -> bool {
-        let idle = self.links.iter().filter(|(_, link)| link.used == Use::Idle);
-        let idlest = idle.min_by_key(|(id, link)| (link.due, **id)).map(|(id, _)| *id);
-        idlest.and_then(|id| self.close_link(id)).is_some()
+    /// The same of upstreams.
+    pub(super) fn close_idlest_upstream(&mut self) -> bool {
+        let idle = self.upstreams.iter().filter(|(_, upstream)| upstream.used == Use::Idle);
+        let idlest = idle.min_by_key(|(id, upstream)| (upstream.due, **id)).map(|(id, _)| *id);
+        idlest.and_then(|id| self.close_upstream(id)).is_some()
     }
 
-    /// Gives a shot the newest idle link to its server that has rested, else the oldest, else a new one. Guards
-    /// against stray bytes behind an answer that are still on their way when the next shot is written.
-    pub(super) fn launch(&mut self, call: CallIx, shot: usize, server: ServerIx) {
-        let rested = self.now + self.limits.link_idle - self.limits.link_rest;
+    /// Gives an attempt the newest idle upstream to its server that has rested, else the oldest, else a new one. Guards
+    /// against stray bytes behind an answer that are still on their way when the next attempt is written.
+    pub(super) fn launch(&mut self, call: CallIx, attempt: usize, server: ServerIx) {
+        let rested = self.now + self.limits.upstream_idle - self.limits.upstream_rest;
         let idle = &self.servers[server.0].idle;
-        let fits = |id: &LinkId| self.links.get(id).is_some_and(|link| link.due <= rested);
+        let fits = |id: &UpstreamId| self.upstreams.get(id).is_some_and(|upstream| upstream.due <= rested);
         if idle.is_empty() {
-            return self.open(call, shot);
+            return self.open(call, attempt);
         }
         let place = idle.iter().rposition(fits).unwrap_or(0);
         let id = self.servers[server.0].idle.remove(place);
-        self.carry(id, call, shot, false);
+        self.carry(id, call, attempt, false);
     }
 
-    pub(super) fn open(&mut self, ix: CallIx, shot: usize) {
-        let Some(record) = self.calls.get(ix).and_then(|call| call.shots.get(shot)) else { return };
+    pub(super) fn open(&mut self, ix: CallIx, attempt: usize) {
+        let Some(record) = self.calls.get(ix).and_then(|call| call.attempts.get(attempt)) else { return };
         let (server, until) = (record.server, record.until.min(record.by));
         let Some(to) = self.servers[server.0].addr else {
-            return self.end_shot(ix, shot, Outcome::Unreachable);
+            return self.end_attempt(ix, attempt, Outcome::Unreachable);
         };
         // Guards against running out of descriptors: the connection idle longest makes room; if there is
-        // none, the shot is not made, and no server is blamed.
+        // none, the attempt is not made, and no server is blamed.
         let crowded = self.sockets() + self.limits.for_clients >= self.limits.sockets;
         let room = |world: &mut World| {
-            world.close_spare_client() || world.close_idlest_link() || world.close_idlest_client()
+            world.close_spare_client() || world.close_idlest_upstream() || world.close_idlest_client()
         };
         if crowded && !room(self) {
-            return self.end_shot(ix, shot, Outcome::TooLate);
+            return self.end_attempt(ix, attempt, Outcome::TooLate);
         }
-        let link = LinkId(self.id());
+        let upstream = UpstreamId(self.id());
         let due = until.min(self.now + self.limits.connect);
-        self.links.insert(link, Link { server, used: Use::Connecting(ix, shot), due });
-        self.due.insert((due, Due::Link(link)));
-        if let Some(record) = self.calls.get_mut(ix).and_then(|call| call.shots.get_mut(shot)) {
-            record.link = Some(link);
+        self.upstreams.insert(upstream, Upstream { server, used: Use::Connecting(ix, attempt), due });
+        self.due.insert((due, Due::Upstream(upstream)));
+        if let Some(record) = self.calls.get_mut(ix).and_then(|call| call.attempts.get_mut(attempt)) {
+            record.upstream = Some(upstream);
         }
-        self.effects.push_back(Effect::Connect { link, to, origin: self.servers[server.0].origin });
+        self.effects.push_back(Effect::Connect { upstream, to, origin: self.servers[server.0].origin });
     }
 
-    /// Writes a shot on a link that is up: only here do bytes go to a server. A connect may have taken its
-    /// time, so whether the shot is still wanted is looked at now.
-    pub(super) fn carry(&mut self, id: LinkId, ix: CallIx, shot: usize, fresh: bool) {
+    /// Writes an attempt on an upstream that is up: only here do bytes go to a server. A connect may have taken its
+    /// time, so whether the attempt is still wanted is looked at now.
+    pub(super) fn carry(&mut self, id: UpstreamId, ix: CallIx, attempt: usize, fresh: bool) {
         let wanted = self.calls.get(ix).filter(|call| !call.answered);
-        let record = wanted.and_then(|call| call.shots.get(shot).map(|shot| (call, shot)));
+        let record = wanted.and_then(|call| call.attempts.get(attempt).map(|attempt| (call, attempt)));
         let fits = record
-            .filter(|(_, shot)| self.now < shot.until.min(shot.by))
-            .filter(|(_, shot)| self.servers[shot.server.0].state == State::Ready);
+            .filter(|(_, attempt)| self.now < attempt.until.min(attempt.by))
+            .filter(|(_, attempt)| self.servers[attempt.server.0].state == State::Ready);
         let Some((call, record)) = fits else {
             self.rest(id);
-            return self.end_shot(ix, shot, Outcome::TooLate);
+            return self.end_attempt(ix, attempt, Outcome::TooLate);
         };
         let (until, by, words) = (record.until, record.by, call.words.clone());
-        if let Some(link) = self.links.get_mut(&id) {
-            link.used = Use::Carrying { call: ix, shot, written: false, fresh, begun: false };
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.used = Use::Carrying { call: ix, attempt, written: false, fresh, begun: false };
         }
-        if let Some(record) = self.calls.get_mut(ix).and_then(|call| call.shots.get_mut(shot)) {
-            record.link = Some(id);
+        if let Some(record) = self.calls.get_mut(ix).and_then(|call| call.attempts.get_mut(attempt)) {
+            record.upstream = Some(id);
         }
         // Guards against a repeat whose last byte is out only when its window has closed.
         self.set_due(id, until.min(by));
-        self.effects.push_back(Effect::Write { link: id, words, wait: until - self.now });
+        self.effects.push_back(Effect::Write { upstream: id, words, wait: until - self.now });
     }
 
-    /// No server is to blame that this shot is not made any more: it could take effect twice.
-    fn too_late(&self, call: CallIx, shot: usize) -> bool {
-        let record = self.calls.get(call).and_then(|call| call.shots.get(shot));
-        record.is_some_and(|shot| shot.by <= self.now)
+    /// No server is to blame that this attempt is not made any more: it could take effect twice.
+    fn too_late(&self, call: CallIx, attempt: usize) -> bool {
+        let record = self.calls.get(call).and_then(|call| call.attempts.get(attempt));
+        record.is_some_and(|attempt| attempt.by <= self.now)
     }
 
-    /// A link's present use has lasted too long.
-    pub(super) fn link_due(&mut self, id: LinkId, at: Time) {
-        if self.links.get(&id).is_none_or(|link| link.due != at) {
+    /// An upstream's present use has lasted too long.
+    pub(super) fn upstream_due(&mut self, id: UpstreamId, at: Time) {
+        if self.upstreams.get(&id).is_none_or(|upstream| upstream.due != at) {
             return;
         }
-        let Some(link) = self.close_link(id) else { return };
-        match link.used {
+        let Some(upstream) = self.close_upstream(id) else { return };
+        match upstream.used {
             Use::Idle | Use::Closing | Use::Passing { .. } => {}
-            Use::Connecting(call, shot) | Use::Carrying { call, shot, written: false, .. }
-                if self.too_late(call, shot) =>
+            Use::Connecting(call, attempt) | Use::Carrying { call, attempt, written: false, .. }
+                if self.too_late(call, attempt) =>
             {
-                self.end_shot(call, shot, Outcome::TooLate);
+                self.end_attempt(call, attempt, Outcome::TooLate);
+            }
+            Use::Connecting(call, attempt) => self.end_attempt(call, attempt, Outcome::Unreachable),
+            Use::Carrying { call, attempt, begun: true, .. } => {
+                self.end_attempt(call, attempt, Outcome::Broken)
+            }
+            Use::Carrying { call, attempt, written: true, .. } => {
+                self.end_attempt(call, attempt, Outcome::TimedOut)
             }
-            Use::Connecting(call, shot) => self.end_shot(call, shot, Outcome::Unreachable),
-            Use::Carrying { call, shot, begun: true, .. } => self.end_shot(call, shot, Outcome::Broken),
-            Use::Carrying { call, shot, written: true, .. } => self.end_shot(call, shot, Outcome::TimedOut),
-            Use::Carrying { call, shot, .. } => self.end_shot(call, shot, Outcome::Unreachable),
+            Use::Carrying { call, attempt, .. } => self.end_attempt(call, attempt, Outcome::Unreachable),
         }
     }
 }
@@ -308,17 +316,23 @@
     fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time, by: Time) {
         let now = self.now;
         let Some(record) = self.calls.get_mut(call) else { return };
-        record.shots.push(Shot { server, started: now, until: until.min(record.until), by, link: None });
-        let shot = record.shots.len() - 1;
-        self.launch(call, shot, server);
+        record.attempts.push(Attempt {
+            server,
+            started: now,
+            until: until.min(record.until),
+            by,
+            upstream: None,
+        });
+        let attempt = record.attempts.len() - 1;
+        self.launch(call, attempt, server);
     }
 
-    fn cancel(&mut self, call: CallIx, shot: usize) {
-        let record = self.calls.get(call).and_then(|call| call.shots.get(shot));
-        let Some(id) = record.and_then(|shot| shot.link) else { return };
-        let Some(link) = self.close_link(id) else { return };
-        let written = matches!(link.used, Use::Carrying { written: true, .. });
-        self.end_shot(call, shot, if written { Outcome::Cancelled } else { Outcome::TooLate });
+    fn cancel(&mut self, call: CallIx, attempt: usize) {
+        let record = self.calls.get(call).and_then(|call| call.attempts.get(attempt));
+        let Some(id) = record.and_then(|attempt| attempt.upstream) else { return };
+        let Some(upstream) = self.close_upstream(id) else { return };
+        let written = matches!(upstream.used, Use::Carrying { written: true, .. });
+        self.end_attempt(call, attempt, if written { Outcome::Cancelled } else { Outcome::TooLate });
     }
 
     fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>) {
@@ -339,14 +353,14 @@
         }
     }
 
-    /// Guards against a table that grows with every server there ever was, and against a link to one that has
+    /// Guards against a table that grows with every server there ever was, and against an upstream to one that has
     /// gone being taken for one to the next under its index.
     fn drop_server(&mut self, server: ServerIx) {
-        let to = self.links.iter().filter(|(_, link)| link.server == server);
+        let to = self.upstreams.iter().filter(|(_, upstream)| upstream.server == server);
         let to: Vec<_> = to.map(|(id, _)| *id).collect();
         for id in to {
             // What one passes on ends with it.
-            if let Some(Link { used: Use::Passing { client, counted }, .. }) = self.close_link(id) {
+            if let Some(Upstream { used: Use::Passing { client, counted }, .. }) = self.close_upstream(id) {
                 self.passing_failed(id, client, counted);
             }
         }
@@ -356,7 +370,7 @@
         let used = self.servers.iter().rposition(|server| server.addr.is_some());
         self.servers.truncate(used.map_or(0, |last| last + 1));
         shrink(&mut self.clients);
-        shrink(&mut self.links);
+        shrink(&mut self.upstreams);
         self.dropped.push(server);
     }
 
--- a/crates/node/src/links.rs
+++ b/crates/node/src/upstreams.rs
@@ -1,5 +1,5 @@
-//! Connections to servers: one shot at a time on each, so that none waits behind a slow one. A value too large to
-//! be kept is passed on from the link's buffer to the client's socket as it comes, and read no faster than taken.
+//! Connections to servers: one attempt at a time on each, so that none waits behind a slow one. A value too large to
+//! be kept is passed on from the upstream's buffer to the client's socket as it comes, and read no faster than taken.
 use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -20,13 +20,13 @@
 use crate::origin;
 use crate::reducer::Reducer;
 use crate::resp::Parsed;
-use crate::words::{LinkId, Words};
+use crate::words::{UpstreamId, Words};
 
 /// Bytes of a value that is copied behind its command, to go out in one write.
 const SMALL: usize = 4096;
 
-pub struct Link {
-    id: LinkId,
+pub struct Upstream {
+    id: UpstreamId,
     to: SocketAddr,
     origin: bool,
     stream: OnceCell<TcpStream>,
@@ -45,15 +45,15 @@
     taken: Cell<usize>,
     spoilt: Cell<bool>,
     writing: Cell<bool>,
-    /// It carries a shot whose answer is still to come.
+    /// It carries an attempt whose answer is still to come.
     asked: Cell<bool>,
     closed: Cell<bool>,
     wake: Notify,
 }
 
-impl Link {
-    pub fn new(id: LinkId, to: SocketAddr, origin: bool) -> Rc<Link> {
-        Rc::new(Link {
+impl Upstream {
+    pub fn new(id: UpstreamId, to: SocketAddr, origin: bool) -> Rc<Upstream> {
+        Rc::new(Upstream {
             id,
             to,
             origin,
@@ -76,17 +76,17 @@
 
     pub fn close(&self) {
         self.closed.set(true);
-        // The client holds this link in turn.
+        // The client holds this upstream in turn.
         self.taker.take();
         self.wake.notify_one();
     }
 
-    /// Writes as much of a shot as the socket takes: true if all, none if the connection is broken.
+    /// Writes as much of an attempt as the socket takes: true if all, none if the connection is broken.
     pub fn write(&self, words: &Words, wait: Span) -> Option<bool> {
         {
             let mut buffer = self.buffer.borrow_mut();
             // Guards against taking what came unasked for the answer, and against a write that a server
-            // which has closed an idle link never reads: the end may be there before tokio tells of it.
+            // which has closed an idle upstream never reads: the end may be there before tokio tells of it.
             if !buffer.is_empty() || !self.stream.get().is_some_and(quiet) {
                 return None;
             }
@@ -310,25 +310,25 @@
 }
 
 /// Connects, then reads and writes until the connection ends or is closed.
-pub async fn run(hub: Rc<Hub>, link: Rc<Link>) {
-    converse(hub.clone(), link.clone()).await;
-    link.takes(&hub, 0);
+pub async fn run(hub: Rc<Hub>, upstream: Rc<Upstream>) {
+    converse(hub.clone(), upstream.clone()).await;
+    upstream.takes(&hub, 0);
 }
 
-async fn converse(hub: Rc<Hub>, link: Rc<Link>) {
-    let to = link.to;
+async fn converse(hub: Rc<Hub>, upstream: Rc<Upstream>) {
+    let to = upstream.to;
     let longest = hub.ask(|reducer| reducer.limits().connect);
     let connect = tokio::time::timeout(duration(longest), TcpStream::connect(to));
     let connected = tokio::select! {
         connected = connect => connected,
-        () = link.wake.notified() => return,
+        () = upstream.wake.notified() => return,
     };
     match connected {
-        Ok(Ok(stream)) if !link.closed.get() => {
+        Ok(Ok(stream)) if !upstream.closed.get() => {
             // Without it an answer may come later; nothing else hangs on it.
             let _ = stream.set_nodelay(true);
-            let _ = link.stream.set(stream);
-            hub.tell(|reducer, now| reducer.connected(now, link.id));
+            let _ = upstream.stream.set(stream);
+            hub.tell(|reducer, now| reducer.connected(now, upstream.id));
         }
         failed => {
             let own = match failed {
@@ -339,32 +339,32 @@
                 _ => false,
             };
             if own {
-                hub.tell(|reducer, now| reducer.not_opened(now, link.id));
+                hub.tell(|reducer, now| reducer.not_opened(now, upstream.id));
             } else {
-                hub.tell(|reducer, now| reducer.broke(now, link.id));
+                hub.tell(|reducer, now| reducer.broke(now, upstream.id));
             }
-            return hub.close_link(link.id);
+            return hub.close_upstream(upstream.id);
         }
     }
-    let Some(stream) = link.stream.get() else { return };
-    while !link.closed.get() {
-        if link.passing.get() {
-            match pass_on(&hub, &link, stream).await {
+    let Some(stream) = upstream.stream.get() else { return };
+    while !upstream.closed.get() {
+        if upstream.passing.get() {
+            match pass_on(&hub, &upstream, stream).await {
                 true => continue,
                 false => {
-                    hub.tell(|reducer, now| reducer.broke(now, link.id));
-                    return hub.close_link(link.id);
+                    hub.tell(|reducer, now| reducer.broke(now, upstream.id));
+                    return hub.close_upstream(upstream.id);
                 }
             }
         }
         let goes_on = tokio::select! {
-            ready = stream.writable(), if link.writing.get() => ready.is_ok() && write_on(&hub, &link),
-            ready = stream.readable(), if !link.writing.get() => ready.is_ok() && read_on(&hub, &link, stream),
-            () = link.wake.notified() => true,
+            ready = stream.writable(), if upstream.writing.get() => ready.is_ok() && write_on(&hub, &upstream),
+            ready = stream.readable(), if !upstream.writing.get() => ready.is_ok() && read_on(&hub, &upstream, stream),
+            () = upstream.wake.notified() => true,
         };
         if !goes_on {
-            hub.tell(|reducer, now| reducer.broke(now, link.id));
-            return hub.close_link(link.id);
+            hub.tell(|reducer, now| reducer.broke(now, upstream.id));
+            return hub.close_upstream(upstream.id);
         }
     }
 }
@@ -379,44 +379,44 @@
 
 /// Reads a value as fast as its client takes it, until it is whole there; false if it never will be. Guards against a
 /// server that stands still in the middle; a client that does is closed by its own task.
-async fn pass_on(hub: &Rc<Hub>, link: &Link, stream: &TcpStream) -> bool {
+async fn pass_on(hub: &Rc<Hub>, upstream: &Upstream, stream: &TcpStream) -> bool {
     let mut ended = false;
-    while !link.closed.get() {
-        if link.left.get() == 0 {
-            let whole = link
+    while !upstream.closed.get() {
+        if upstream.left.get() == 0 {
+            let whole = upstream
                 .buffer
                 .borrow()
                 .filled()
                 .strip_prefix(caches::END)
                 .is_some_and(|rest| caches::rest(rest, &hub.limits));
-            let clean = if link.origin { link.buffer.borrow().is_empty() } else { whole };
-            link.buffer.borrow_mut().clear();
-            link.buffer.borrow_mut().shrink(hub.limits.buffer_kept);
-            link.taker.take();
-            link.asked.set(false);
-            link.passing.set(false);
-            let reusable = clean && !ended && link.kept.get();
-            hub.tell(|reducer, now| reducer.passed(now, link.id, reusable));
+            let clean = if upstream.origin { upstream.buffer.borrow().is_empty() } else { whole };
+            upstream.buffer.borrow_mut().clear();
+            upstream.buffer.borrow_mut().shrink(hub.limits.buffer_kept);
+            upstream.taker.take();
+            upstream.asked.set(false);
+            upstream.passing.set(false);
+            let reusable = clean && !ended && upstream.kept.get();
+            hub.tell(|reducer, now| reducer.passed(now, upstream.id, reusable));
             return true;
         }
-        let missing = link.buffer.borrow().filled().len()
-            < link.left.get() + if link.origin { 0 } else { caches::END.len() };
-        if link.spoilt.get() || ended && missing {
-            tracing::warn!("a value of {} has no good end", link.to);
+        let missing = upstream.buffer.borrow().filled().len()
+            < upstream.left.get() + if upstream.origin { 0 } else { caches::END.len() };
+        if upstream.spoilt.get() || ended && missing {
+            tracing::warn!("a value of {} has no good end", upstream.to);
             return false;
         }
-        let room = !ended && link.buffer.borrow().filled().len() < hub.limits.window;
+        let room = !ended && upstream.buffer.borrow().filled().len() < hub.limits.window;
         let still = tokio::time::sleep(duration(hub.limits.stands_still));
         tokio::select! {
             ready = stream.readable(), if room => {
-                ended = ready.is_err() || !matches!(link.read(stream, &hub.limits), Ok(true));
-                if let Some(client) = link.taker.borrow().as_ref() {
+                ended = ready.is_err() || !matches!(upstream.read(stream, &hub.limits), Ok(true));
+                if let Some(client) = upstream.taker.borrow().as_ref() {
                     client.more();
                 }
             }
-            () = link.wake.notified() => {}
+            () = upstream.wake.notified() => {}
             () = still, if room => {
-                tracing::warn!("{} stands still in the middle of a value", link.to);
+                tracing::warn!("{} stands still in the middle of a value", upstream.to);
                 return false;
             }
         }
@@ -424,52 +424,52 @@
     true
 }
 
-fn write_on(hub: &Rc<Hub>, link: &Link) -> bool {
-    match link.flush() {
-        Ok(true) => hub.tell(|reducer, _| reducer.written(link.id)),
+fn write_on(hub: &Rc<Hub>, upstream: &Upstream) -> bool {
+    match upstream.flush() {
+        Ok(true) => hub.tell(|reducer, _| reducer.written(upstream.id)),
         Ok(false) => {}
         Err(_) => return false,
     }
     true
 }
 
-fn read_on(hub: &Rc<Hub>, link: &Link, stream: &TcpStream) -> bool {
-    let read = link.read(stream, &hub.limits);
+fn read_on(hub: &Rc<Hub>, upstream: &Upstream, stream: &TcpStream) -> bool {
+    let read = upstream.read(stream, &hub.limits);
     let ended = !matches!(read, Ok(true));
-    // Guards against what comes unasked being taken for the answer to the next shot.
-    if !link.asked.get() && !link.buffer.borrow().is_empty() {
+    // Guards against what comes unasked being taken for the answer to the next attempt.
+    if !upstream.asked.get() && !upstream.buffer.borrow().is_empty() {
         return false;
     }
-    if let Some(size) = link.begins_to_pass(&hub.limits) {
-        hub.tell(|reducer, now| reducer.passes(now, link.id, size));
+    if let Some(size) = upstream.begins_to_pass(&hub.limits) {
+        hub.tell(|reducer, now| reducer.passes(now, upstream.id, size));
         // An end that has come already is met again by the next read.
         return true;
     }
     let over = matches!(read, Ok(false));
-    let answer = match link.gather(hub, over) {
+    let answer = match upstream.gather(hub, over) {
         // Guards against taking for spoilt what only announces a large value: its head may come by itself.
-        Parsed::Part if !over && link.large(&hub.limits).is_some() => Parsed::Part,
-        Parsed::Part if link.gathered.borrow().is_some() => Parsed::Part,
-        Parsed::Part => link.parsed(over, &hub.limits),
+        Parsed::Part if !over && upstream.large(&hub.limits).is_some() => Parsed::Part,
+        Parsed::Part if upstream.gathered.borrow().is_some() => Parsed::Part,
+        Parsed::Part => upstream.parsed(over, &hub.limits),
         gathered => {
-            link.takes(hub, 0);
+            upstream.takes(hub, 0);
             gathered
         }
     };
     match answer {
         Parsed::Whole(mut answer, _) => {
-            // Guards against a next shot on a link that the server has closed behind its answer.
+            // Guards against a next attempt on an upstream that the server has closed behind its answer.
             answer.reusable &= !ended;
-            hub.tell(|reducer, now| reducer.answered(now, link.id, answer));
+            hub.tell(|reducer, now| reducer.answered(now, upstream.id, answer));
         }
         Parsed::Part => {
-            if !link.buffer.borrow().is_empty() || link.gathered.borrow().is_some() {
-                hub.tell(|reducer, now| reducer.began(now, link.id));
+            if !upstream.buffer.borrow().is_empty() || upstream.gathered.borrow().is_some() {
+                hub.tell(|reducer, now| reducer.began(now, upstream.id));
             }
         }
         Parsed::Broken => {
-            tracing::warn!("an answer of {} can't be read", link.to);
-            hub.tell(|reducer, now| reducer.spoilt(now, link.id));
+            tracing::warn!("an answer of {} can't be read", upstream.to);
+            hub.tell(|reducer, now| reducer.spoilt(now, upstream.id));
         }
     }
     !ended
--- a/crates/node/src/words.rs
+++ b/crates/node/src/words.rs
@@ -9,24 +9,24 @@
 pub struct ClientId(pub u64);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct LinkId(pub u64);
+pub struct UpstreamId(pub u64);
 
 /// What the reducer asks for. Effects are carried out in their order.
 #[derive(Debug)]
 pub enum Effect {
     Connect {
-        link: LinkId,
+        upstream: UpstreamId,
         to: SocketAddr,
         origin: bool,
     },
     /// The server is told that the node will wait so long.
     Write {
-        link: LinkId,
+        upstream: UpstreamId,
         words: Rc<Words>,
         wait: Span,
     },
-    CloseLink {
-        link: LinkId,
+    CloseUpstream {
+        upstream: UpstreamId,
     },
     Answer {
         client: ClientId,
@@ -47,9 +47,9 @@
 #[derive(Debug, PartialEq)]
 pub enum Said {
     Fulfilled(Vec<u8>),
-    /// With a value of so many bytes that comes by this link, and is passed on as it comes.
+    /// With a value of so many bytes that comes by this upstream, and is passed on as it comes.
     Passed {
-        link: LinkId,
+        upstream: UpstreamId,
         size: usize,
     },
     /// Trying again is harmless, after this wait.
--- a/crates/node/tests/reducer/calls.rs
+++ b/crates/node/tests/reducer/calls.rs
@@ -8,10 +8,10 @@
     rig.call(client, "view", "c1", 400);
     rig.call(client, "view", "c2", 400);
     rig.tell("ping", |r, now| r.plain(now, client, b"+PONG\r\n".to_vec()));
-    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
-    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
-    rig.tell("second", |r, now| r.answered(now, LinkId(3), value("2")));
-    rig.tell("first", |r, now| r.answered(now, LinkId(2), value("1")));
+    rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
+    rig.tell("up 3", |r, now| r.connected(now, UpstreamId(3)));
+    rig.tell("second", |r, now| r.answered(now, UpstreamId(3), value("2")));
+    rig.tell("first", |r, now| r.answered(now, UpstreamId(2), value("1")));
     expect![[r#"
         0 call c1
         0   connect 2 to 1
@@ -32,17 +32,17 @@
 }
 
 #[test]
-fn only_an_unwritten_shot_is_made_again_for_a_non_idempotent_call() {
+fn only_an_unwritten_attempt_is_made_again_for_a_non_idempotent_call() {
     let mut rig = Rig::new("{}");
     let client = rig.client();
     rig.call(client, "book", "c1", 400);
-    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
-    rig.tell("value", |r, now| r.answered(now, LinkId(2), value("v")));
+    rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
+    rig.tell("value", |r, now| r.answered(now, UpstreamId(2), value("v")));
     rig.ask(client, "book", "c2", 400);
     rig.effects(false);
-    rig.tell("broke unwritten", |r, now| r.broke(now, LinkId(2)));
-    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
-    rig.tell("broke written", |r, now| r.broke(now, LinkId(3)));
+    rig.tell("broke unwritten", |r, now| r.broke(now, UpstreamId(2)));
+    rig.tell("up 3", |r, now| r.connected(now, UpstreamId(3)));
+    rig.tell("broke written", |r, now| r.broke(now, UpstreamId(3)));
     expect![[r#"
         0 call c1
         0   connect 2 to 1
@@ -66,14 +66,14 @@
     let mut rig = Rig::new("{}");
     let client = rig.client();
     rig.call(client, "book", "c1", 300);
-    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
     rig.pass(400);
     expect![[r#"
         0 call c1
         0   connect 2 to 1
         0 up 2
         0   write 2: c1, wait 297
-        300   close link 2
+        300   close upstream 2
         300   answer 1: Errored("failed")
     "#]]
     .assert_eq(&rig.trace);
@@ -110,10 +110,10 @@
         rig.call(client, "view", &format!("c{id}"), 400);
     }
     let big = "x".repeat(3_900_000);
-    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
-    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
-    rig.tell("c1 has a value", |r, now| r.answered(now, LinkId(3), value(&big)));
-    rig.tell("c0 has too large a value", |r, now| r.answered(now, LinkId(2), value(&big)));
+    rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
+    rig.tell("up 3", |r, now| r.connected(now, UpstreamId(3)));
+    rig.tell("c1 has a value", |r, now| r.answered(now, UpstreamId(3), value(&big)));
+    rig.tell("c0 has too large a value", |r, now| r.answered(now, UpstreamId(2), value(&big)));
     let trace = rig.trace.replace(&big, "...");
     expect![[r#"
         0 call c0
@@ -152,8 +152,8 @@
     rig.call(other, "view", "c1", 400);
     rig.call(other, "none", "c2", 400);
     rig.call(other, "put", "c3", 400);
-    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
-    rig.tell("hit", |r, now| r.answered(now, LinkId(3), value("v")));
+    rig.tell("up 3", |r, now| r.connected(now, UpstreamId(3)));
+    rig.tell("hit", |r, now| r.answered(now, UpstreamId(3), value("v")));
     rig.call(other, "view", "c1", 400);
     expect![[r#"
         0 call c1
@@ -175,19 +175,19 @@
 }
 
 #[test]
-fn figures_count_answers_where_they_are_owed_and_shots_once_written() {
+fn figures_count_answers_where_they_are_owed_and_attempts_once_written() {
     let mut rig = Rig::new("{}");
     let told =
         |rig: &Rig| serde_json::to_string(&rig.reducer.figures(Time(rig.now * 1000))).expect("figures");
     let mut all = told(&rig) + "\n";
     let client = rig.client();
     rig.call(client, "view", "c1", 400);
-    rig.tell("up", |r, now| r.connected(now, LinkId(2)));
-    rig.tell("miss", |r, now| r.answered(now, LinkId(2), bare(Outcome::Miss)));
-    rig.tell("up", |r, now| r.connected(now, LinkId(3)));
+    rig.tell("up", |r, now| r.connected(now, UpstreamId(2)));
+    rig.tell("miss", |r, now| r.answered(now, UpstreamId(2), bare(Outcome::Miss)));
+    rig.tell("up", |r, now| r.connected(now, UpstreamId(3)));
     all += &(told(&rig) + "\n");
-    rig.tell("value", |r, now| r.answered(now, LinkId(3), value("v")));
-    // The same id twice, an unknown product, one that is left by its client, and one that no shot is left for.
+    rig.tell("value", |r, now| r.answered(now, UpstreamId(3), value("v")));
+    // The same id twice, an unknown product, one that is left by its client, and one that no attempt is left for.
     rig.call(client, "view", "c2", 400);
     rig.call(client, "view", "c2", 400);
     rig.call(client, "none", "c3", 400);
@@ -211,9 +211,9 @@
 #[test]
 fn open_calls_keep_the_rules_they_came_under_and_a_dropped_product_is_no_more() {
     let mut rig = Rig::new("{}");
-    let settings = |products: &str, shots: usize| {
+    let settings = |products: &str, attempts: usize| {
         let (caps, _) = SETTINGS.split_once(r#""Products""#).expect("products");
-        let caps = caps.replace(r#""MostShots":3"#, &format!(r#""MostShots":{shots}"#));
+        let caps = caps.replace(r#""MostShots":3"#, &format!(r#""MostShots":{attempts}"#));
         let text = format!(r#"{caps}"Products":[{products}]}}"#);
         quartzhub_names::settings(&serde_json::from_str(&text).expect("settings"))
     };
@@ -221,22 +221,22 @@
     rig.call(client, "view", "c1", 400);
     rig.call(client, "book", "c2", 400);
     let other = settings(r#"{"Name":"book","Effect":"idempotent","LatencySlo":100,"ClientTimeout":500}"#, 1);
-    rig.tell("view is dropped, book may run again, one shot each", |r, now| r.retune(now, &other));
-    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
-    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
-    rig.tell("miss", |r, now| r.answered(now, LinkId(2), bare(Outcome::Miss)));
-    rig.tell("broken", |r, now| r.answered(now, LinkId(3), bare(Outcome::Broken)));
-    rig.tell("up 4", |r, now| r.connected(now, LinkId(4)));
-    rig.tell("value", |r, now| r.answered(now, LinkId(4), value("v")));
+    rig.tell("view is dropped, book may run again, one attempt each", |r, now| r.retune(now, &other));
+    rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
+    rig.tell("up 3", |r, now| r.connected(now, UpstreamId(3)));
+    rig.tell("miss", |r, now| r.answered(now, UpstreamId(2), bare(Outcome::Miss)));
+    rig.tell("broken", |r, now| r.answered(now, UpstreamId(3), bare(Outcome::Broken)));
+    rig.tell("up 4", |r, now| r.connected(now, UpstreamId(4)));
+    rig.tell("value", |r, now| r.answered(now, UpstreamId(4), value("v")));
     rig.call(client, "view", "c3", 400);
     rig.call(client, "book", "c4", 400);
-    rig.tell("broken", |r, now| r.answered(now, LinkId(2), bare(Outcome::Broken)));
+    rig.tell("broken", |r, now| r.answered(now, UpstreamId(2), bare(Outcome::Broken)));
     expect![[r#"
         0 call c1
         0   connect 2 to 1
         0 call c2
         0   connect 3 to 1
-        0 view is dropped, book may run again, one shot each
+        0 view is dropped, book may run again, one attempt each
         0 up 2
         0   write 2: c1, wait 397
         0 up 3
--- a/crates/node/tests/reducer/clients.rs
+++ b/crates/node/tests/reducer/clients.rs
@@ -6,11 +6,11 @@
     let mut rig = Rig::new("{}");
     let (idle, busy) = (rig.client(), rig.client());
     rig.call(busy, "view", "c1", 400);
-    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.tell("up 3", |r, now| r.connected(now, UpstreamId(3)));
     rig.tell("stop", |r, now| r.stop(now));
     let late = rig.client();
     rig.tell("ping", |r, now| r.plain(now, late, b"+PONG\r\n".to_vec()));
-    rig.tell("hit", |r, now| r.answered(now, LinkId(3), value("v")));
+    rig.tell("hit", |r, now| r.answered(now, UpstreamId(3), value("v")));
     assert_ne!(idle, busy);
     expect![[r#"
         0 call c1
@@ -34,8 +34,8 @@
     let mut rig = Rig::new(r#"{"sockets":34}"#);
     let asked = rig.client();
     rig.call(asked, "view", "c1", 400);
-    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
-    rig.tell("hit", |r, now| r.answered(now, LinkId(2), value("v")));
+    rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
+    rig.tell("hit", |r, now| r.answered(now, UpstreamId(2), value("v")));
     rig.pass(300);
     let silent: Vec<_> = (0..7).map(|_| rig.client()).collect();
     rig.pass(50);
@@ -61,9 +61,9 @@
         let client = rig.client();
         rig.call(client, "view", &format!("c{id}"), 400);
         if id == 0 {
-            rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+            rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
         }
-        rig.tell("hit", |r, now| r.answered(now, LinkId(2), value("v")));
+        rig.tell("hit", |r, now| r.answered(now, UpstreamId(2), value("v")));
         rig.pass(25);
     }
     let closed: String =
@@ -82,7 +82,7 @@
     rig.reducer.takes_clients();
     let (idle, busy) = (rig.client(), rig.client());
     rig.call(busy, "view", "c1", 450);
-    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.tell("up 3", |r, now| r.connected(now, UpstreamId(3)));
     rig.tell("out of service", |r, now| r.out_of_service(now));
     rig.tell("and again", |r, now| r.out_of_service(now));
     let front = rig.client();
@@ -90,7 +90,7 @@
     rig.pass(360);
     let late = rig.client();
     rig.call(late, "view", "c2", 450);
-    rig.tell("value", |r, now| r.answered(now, LinkId(3), value("v")));
+    rig.tell("value", |r, now| r.answered(now, UpstreamId(3), value("v")));
     rig.pass(1200);
     rig.trace += &format!("ready: {}\n", rig.reducer.is_ready());
     for client in [idle, front] {
@@ -109,7 +109,7 @@
         0 ping
         0   answer 4: plain
         60   connect 5 to 9
-        160   close link 5
+        160   close upstream 5
         350   close client 4 after 100 ms of silence
         350   close client 1 after 100 ms of silence
         360 call c2
@@ -118,13 +118,13 @@
         360   answer 2: v
         360   close client 2 after 100 ms of silence
         420   connect 8 to 9
-        460   close link 7
-        520   close link 8
+        460   close upstream 7
+        520   close upstream 8
         520   connect 9 to 9
-        620   close link 9
+        620   close upstream 9
         620   answer 6: RateLimited(None)
         620   close client 6 after 100 ms of silence
-        1160   close link 3
+        1160   close upstream 3
         1500   close client 1
         1500   close client 6
         1500   close client 4
@@ -146,8 +146,8 @@
     let mut rig = Rig::new(r#"{"sockets":32}"#);
     let taker = rig.client();
     rig.call(taker, "view", "c1", 400);
-    rig.tell("up", |r, now| r.connected(now, LinkId(2)));
-    rig.tell("a large value begins", |r, now| r.passes(now, LinkId(2), 100_000));
+    rig.tell("up", |r, now| r.connected(now, UpstreamId(2)));
+    rig.tell("a large value begins", |r, now| r.passes(now, UpstreamId(2), 100_000));
     rig.trace += &format!("active: {}\n", rig.reducer.figures(Time(0)).active);
     rig.pass(2500);
     // Others come until there is no place: none is made at the taker's cost.
@@ -160,10 +160,10 @@
     }
     rig.trace += &format!("{rooms:?}\n");
     others.into_iter().for_each(|id| rig.reducer.client_left(now, id));
-    rig.tell("whole", |r, now| r.passed(now, LinkId(2), true));
+    rig.tell("whole", |r, now| r.passed(now, UpstreamId(2), true));
     rig.call(taker, "view", "c2", 400);
-    rig.tell("a large value begins", |r, now| r.passes(now, LinkId(2), 100_000));
-    rig.tell("broke", |r, now| r.broke(now, LinkId(2)));
+    rig.tell("a large value begins", |r, now| r.passes(now, UpstreamId(2), 100_000));
+    rig.tell("broke", |r, now| r.broke(now, UpstreamId(2)));
     let figures = rig.reducer.figures(Time(0));
     rig.trace += &format!("active {}, {:?}\n", figures.active, figures.responses["view"]);
     expect![[r#"
@@ -172,7 +172,7 @@
         0 up
         0   write 2: c1, wait 397
         0 a large value begins
-        0   answer 1: Passed { link: LinkId(2), size: 100000 }
+        0   answer 1: Passed { upstream: UpstreamId(2), size: 100000 }
         active: 1
         2500 one more
         2500 one more
@@ -182,7 +182,7 @@
         2500 call c2
         2500   write 2: c2, wait 397
         2500 a large value begins
-        2500   answer 1: Passed { link: LinkId(2), size: 100000 }
+        2500   answer 1: Passed { upstream: UpstreamId(2), size: 100000 }
         2500 broke
         2500   cut client 1
         active 0, Answers { fulfilled: 1, rate_limited: 0, errored: 1 }
@@ -197,11 +197,11 @@
     let mut rig = Rig::new("{}");
     let client = rig.client();
     rig.call(client, "book", "c1", 500);
-    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
+    rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
     rig.tell("asked to end", |r, now| r.answer_all_by(now + Span::ms(100)));
     rig.pass(40);
     rig.call(client, "book", "c2", 500);
-    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.tell("up 3", |r, now| r.connected(now, UpstreamId(3)));
     rig.pass(1000);
     assert_eq!(rig.reducer.open_calls(), 0);
     expect![[r#"
@@ -214,10 +214,10 @@
         40   connect 3 to 1
         40 up 3
         40   write 3: c2, wait 60
-        100   close link 3
+        100   close upstream 3
         110   answer 1: Errored("no answer in time")
         110   answer 1: Errored("failed")
-        110   close link 2
+        110   close upstream 2
     "#]]
     .assert_eq(&rig.trace);
 }
--- a/crates/node/tests/reducer/common.rs
+++ b/crates/node/tests/reducer/common.rs
@@ -6,7 +6,7 @@
 pub use quartzhub_members::Server as Name;
 pub use quartzhub_node::caches::Answer;
 pub use quartzhub_node::config::{Config, Environment, News};
-pub use quartzhub_node::reducer::{ClientId, Effect, Facts, LinkId, Reducer, Room, Said, Words};
+pub use quartzhub_node::reducer::{ClientId, Effect, Facts, Reducer, Room, Said, UpstreamId, Words};
 pub use quartzhub_policy::{Outcome, Pcg, Span, Time};
 
 pub const SETTINGS: &str = r#"{"Kinds":["box","origin"],"Extra":{"Mode":"aside","OriginKind":1},
@@ -108,14 +108,14 @@
     pub fn effects(&mut self, written: bool) {
         while let Some(effect) = self.reducer.next_effect() {
             let line = match effect {
-                Effect::Connect { link, to, .. } => format!("connect {} to {}", link.0, to.port()),
-                Effect::Write { link, words, wait } => {
+                Effect::Connect { upstream, to, .. } => format!("connect {} to {}", upstream.0, to.port()),
+                Effect::Write { upstream, words, wait } => {
                     if written {
-                        self.reducer.written(link);
+                        self.reducer.written(upstream);
                     }
-                    format!("write {}: {}, wait {}", link.0, words.id, wait.as_ms())
+                    format!("write {}: {}, wait {}", upstream.0, words.id, wait.as_ms())
                 }
-                Effect::CloseLink { link } => format!("close link {}", link.0),
+                Effect::CloseUpstream { upstream } => format!("close upstream {}", upstream.0),
                 Effect::Answer { client, said: Said::Fulfilled(value) } => {
                     format!("answer {}: {}", client.0, String::from_utf8_lossy(&value))
                 }
--- a/crates/node/tests/reducer/lists.rs
+++ b/crates/node/tests/reducer/lists.rs
@@ -11,8 +11,8 @@
     rig.tell("a is ordered drained", |r, now| r.ordered(now, drained(&["a", "o", "elsewhere"])));
     let said = ["a", "b", "o", "elsewhere"].map(|id| rig.reducer.drainable(id));
     rig.note(&format!("{said:?}"));
-    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
-    rig.tell("up 3", |r, now| r.connected(now, LinkId(3)));
+    rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
+    rig.tell("up 3", |r, now| r.connected(now, UpstreamId(3)));
     rig.note("the list says again that a is in service");
     rig.list(false, &[("a", 1, "in_service")]);
     for call in ["c2", "c3", "c4"] {
@@ -46,12 +46,12 @@
 }
 
 #[test]
-fn a_server_at_the_address_of_one_that_has_gone_gets_new_links() {
+fn a_server_at_the_address_of_one_that_has_gone_gets_new_upstreams() {
     let mut rig = Rig::new("{}");
     let client = rig.client();
     rig.call(client, "view", "c1", 400);
-    rig.tell("up 2", |r, now| r.connected(now, LinkId(2)));
-    rig.tell("hit", |r, now| r.answered(now, LinkId(2), value("v")));
+    rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
+    rig.tell("hit", |r, now| r.answered(now, UpstreamId(2), value("v")));
     rig.trace += "b is at the address of a, which the list does not name\n";
     rig.list(false, &[("b", 1, "in_service")]);
     rig.call(client, "view", "c2", 400);
@@ -63,7 +63,7 @@
         0 hit
         0   answer 1: v
         b is at the address of a, which the list does not name
-        0   close link 2
+        0   close upstream 2
         0 call c2
         0   connect 3 to 1
     "#]]
--- a/crates/node/tests/reducer/main.rs
+++ b/crates/node/tests/reducer/main.rs
@@ -2,6 +2,6 @@
 mod calls;
 mod clients;
 mod common;
-mod links;
 mod lists;
 mod random;
+mod upstreams;
--- a/crates/node/tests/reducer/random.rs
+++ b/crates/node/tests/reducer/random.rs
@@ -1,7 +1,7 @@
 //! Reports in any order.
 use super::common::*;
 
-/// Reports in any order: each command of a client that stays gets one answer, nothing is written on a link that is not
+/// Reports in any order: each command of a client that stays gets one answer, nothing is written on an upstream that is not
 /// up, and when all have gone nothing is left.
 #[test]
 fn whatever_is_reported_each_call_gets_one_answer_and_nothing_is_left() {
@@ -9,10 +9,11 @@
         let mut chance = Pcg::new(seed);
         let mut below = |most: usize| (chance.unit() * most as f64) as usize;
         let mut rig = Rig::new(r#"{"memory_mb":16,"sockets":60}"#);
-        let (mut owed, mut links) = (BTreeMap::new(), BTreeMap::new());
+        let (mut owed, mut upstreams) = (BTreeMap::new(), BTreeMap::new());
         for step in 0..400 {
             let now = rig.at();
-            let some = (!links.is_empty()).then(|| *links.keys().nth(below(links.len())).expect("a link"));
+            let some = (!upstreams.is_empty())
+                .then(|| *upstreams.keys().nth(below(upstreams.len())).expect("an upstream"));
             let client = (!owed.is_empty()).then(|| *owed.keys().nth(below(owed.len())).expect("a client"));
             match (below(12), some, client) {
                 (0, _, _) if owed.len() < 8 => drop(owed.insert(rig.reducer.client_came(now), 0)),
@@ -24,25 +25,25 @@
                     *owed.get_mut(&client).expect("it stays") += 1;
                     rig.ask(client, ["view", "book", "none"][below(3)], &format!("{}", below(step + 5)), 300);
                 }
-                (5..=8, Some(link), _) => match (links[&link], below(6)) {
+                (5..=8, Some(upstream), _) => match (upstreams[&upstream], below(6)) {
                     (_, 0) => {
-                        links.remove(&link);
-                        rig.reducer.broke(now, link);
+                        upstreams.remove(&upstream);
+                        rig.reducer.broke(now, upstream);
                     }
                     (false, 1) => {
-                        links.remove(&link);
-                        rig.reducer.not_opened(now, link);
+                        upstreams.remove(&upstream);
+                        rig.reducer.not_opened(now, upstream);
                     }
                     (false, _) => {
-                        links.insert(link, true);
-                        rig.reducer.connected(now, link);
+                        upstreams.insert(upstream, true);
+                        rig.reducer.connected(now, upstream);
                     }
-                    (true, 1) => rig.reducer.spoilt(now, link),
-                    (true, 2) => rig.reducer.began(now, link),
+                    (true, 1) => rig.reducer.spoilt(now, upstream),
+                    (true, 2) => rig.reducer.began(now, upstream),
                     (true, 3) => {
-                        rig.reducer.answered(now, link, bare([Outcome::Miss, Outcome::Full][below(2)]))
+                        rig.reducer.answered(now, upstream, bare([Outcome::Miss, Outcome::Full][below(2)]))
                     }
-                    (true, _) => rig.reducer.answered(now, link, value("v")),
+                    (true, _) => rig.reducer.answered(now, upstream, value("v")),
                 },
                 (9, _, _) => {
                     let states = ["in_service", "in_service", "terminating", "terminated"];
@@ -53,21 +54,21 @@
                 }
                 _ => rig.pass(5 * below(12) as i64),
             }
-            settle(&mut rig, &mut owed, &mut links, below(2) == 0);
+            settle(&mut rig, &mut owed, &mut upstreams, below(2) == 0);
         }
         rig.pass(2_000);
-        settle(&mut rig, &mut owed, &mut links, false);
+        settle(&mut rig, &mut owed, &mut upstreams, false);
         assert!(owed.values().all(|owed| *owed == 0), "seed {seed}: {owed:?} answers owed");
         assert_eq!(rig.reducer.open_calls(), 0, "seed {seed}");
-        assert!(links.is_empty(), "seed {seed}: {links:?} open");
+        assert!(upstreams.is_empty(), "seed {seed}: {upstreams:?} open");
     }
 }
 
-/// Takes what the effects printed into account: answers given, links opened and closed.
+/// Takes what the effects printed into account: answers given, upstreams opened and closed.
 fn settle(
     rig: &mut Rig,
     owed: &mut BTreeMap<ClientId, i64>,
-    links: &mut BTreeMap<LinkId, bool>,
+    upstreams: &mut BTreeMap<UpstreamId, bool>,
     written: bool,
 ) {
     rig.effects(written);
@@ -75,9 +76,9 @@
         let words: Vec<_> = line.split([' ', ':']).filter(|word| !word.is_empty()).collect();
         let number = |at: usize| words.get(at).and_then(|word| word.parse().ok()).expect("a number");
         match words[1] {
-            "connect" => drop(links.insert(LinkId(number(2)), false)),
-            "write" => assert_eq!(links.get(&LinkId(number(2))), Some(&true), "{line}"),
-            "close" if words[2] == "link" => drop(links.remove(&LinkId(number(3)))),
+            "connect" => drop(upstreams.insert(UpstreamId(number(2)), false)),
+            "write" => assert_eq!(upstreams.get(&UpstreamId(number(2))), Some(&true), "{line}"),
+            "close" if words[2] == "upstream" => drop(upstreams.remove(&UpstreamId(number(3)))),
             "answer" => {
                 if let Some(owed) = owed.get_mut(&ClientId(number(2))) {
                     *owed -= 1;
--- a/crates/node/tests/sockets/calls.rs
+++ b/crates/node/tests/sockets/calls.rs
@@ -92,8 +92,8 @@
         let answer = node.client().ask(&["OBJ.SET", "k", "id", "c=book,d=30000", "v"]);
         let safe = if most > 1 { "-BUSY" } else { "-ERR" };
         assert!(answer.starts_with(safe), "{name}: {answer}");
-        let shots = seen.try_iter().count();
-        assert!((1..=most).contains(&shots), "{name}: {shots} shots");
+        let attempts = seen.try_iter().count();
+        assert!((1..=most).contains(&attempts), "{name}: {attempts} attempts");
     }
 }
 
@@ -110,7 +110,7 @@
     }
     assert!(other.ask(&["OBJ.GET", "k", "id", FACTS]) == value);
     for id in 0..150 {
-        // More shots at once than one cache may have are turned away; no value is cut or out of its place.
+        // More attempts at once than one cache may have are turned away; no value is cut or out of its place.
         let answer = lazy.answer();
         assert!(answer == value || answer.starts_with("-BUSY"), "{id}: {} bytes", answer.len());
     }
@@ -120,7 +120,7 @@
 #[test]
 fn a_server_that_closes_behind_each_answer_costs_no_call() {
     let (tell, seen) = channel();
-    // Three, as the end of one connection may still cross a shot on its way.
+    // Three, as the end of one connection may still cross an attempt on its way.
     let caches = ["a", "b", "c"].map(|name| (name, server(name, tell.clone(), |_| Deed::Last(found("v")))));
     let node = Node::start(&caches, "");
     let mut client = node.client();
--- a/crates/node/tests/sockets/config.rs
+++ b/crates/node/tests/sockets/config.rs
@@ -133,7 +133,7 @@
             .replace(r#""Kinds""#, r#""Projects":[],"Kinds""#)
     };
     let before = plain(old);
-    // Other kinds in another order, forty nodes, never two shots at once, a read that is late soon.
+    // Other kinds in another order, forty nodes, never two attempts at once, a read that is late soon.
     let after = plain(new)
         .replace(r#"["box","origin"]"#, r#"["origin","twin","box"]"#)
         .replace(r#""OriginKind":1"#, r#""OriginKind":0"#)
@@ -162,7 +162,7 @@
         assert_eq!(next(&seen), "a: OBJ.GET k2 id0");
     }
     assert_eq!(next(&seen), "b: OBJ.GET k2 id0");
-    // The first seconds: a miss is fetched from the origin under its new number, and a late read has one shot.
+    // The first seconds: a miss is fetched from the origin under its new number, and a late read has one attempt.
     assert_eq!(other.ask(&["OBJ.GET", "k3", "id3", FACTS]), "of the origin");
     assert_eq!([next(&seen), next(&seen)], ["b: OBJ.GET k3 id3", "origin: GET /k3 id3 "]);
     other.send(&command(&["OBJ.GET", "k4", "id4", FACTS]));
@@ -170,7 +170,7 @@
     let mut third = node.client();
     for round in 0..50 {
         assert_eq!(third.ask(&["OBJ.GET", "k5", "id5", FACTS]), "of b");
-        assert_eq!(next(&seen), "b: OBJ.GET k5 id5", "round {round}: a second shot at once");
+        assert_eq!(next(&seen), "b: OBJ.GET k5 id5", "round {round}: a second attempt at once");
         std::thread::sleep(Duration::from_millis(10));
     }
     free_new.send(()).expect("freed");
--- a/crates/node/tests/sockets/large.rs
+++ b/crates/node/tests/sockets/large.rs
@@ -28,7 +28,7 @@
         let last = bytes(&mut client.0, size - 210_000 + 2).expect("the rest");
         assert!(some + &more + &last == value.clone() + "\r\n", "round {round}");
         assert_eq!(client.answer(), "+PONG");
-        // The same link carries the next.
+        // The same upstream carries the next.
         client.send(&command(&["OBJ.GET", "k1", &format!("again{round}"), FACTS]));
         client.send(&command(&["PING"]));
     }
@@ -47,7 +47,7 @@
         let mut said = Vec::new();
         client.0.read_to_end(&mut said).expect("an end");
         assert!(said.len() < value.len() + 9, "{} bytes were passed on", said.len());
-        // It has begun, so there is no other shot.
+        // It has begun, so there is no other attempt.
         assert_eq!(next(&seen), "a: OBJ.GET k1 id1");
         assert_eq!(next(&seen), "a: closed");
         assert_eq!(node.client().ask(&["PING"]), "+PONG");
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn a_client_that_leaves_in_the_middle_of_a_value_ends_its_shot() {
+fn a_client_that_leaves_in_the_middle_of_a_value_ends_its_attempt() {
     let (tell, seen) = channel();
     let value = "v".repeat(4 * 1024 * 1024);
     let cache = server("a", tell, move |_| hit(&value));
--- a/crates/policy/src/decide/admission.rs
+++ b/crates/policy/src/decide/admission.rs
@@ -34,7 +34,7 @@
         chance.unit() >= crowded.max(0.0) + SHED_BEYOND * self.level * beyond
     }
 
-    pub fn settle_shot(&mut self, strained: bool) {
+    pub fn settle_attempt(&mut self, strained: bool) {
         self.strain += MEAN_STEP * (f64::from(u8::from(strained)) - self.strain);
     }
 
--- a/crates/policy/src/decide/shots.rs
+++ b/crates/policy/src/decide/attempts.rs
@@ -1,8 +1,8 @@
-//! Shots: what settings and rules allow, and how far further shots pay.
+//! Attempts: what settings and rules allow, and how far further attempts pay.
 use super::*;
 
 impl Call {
-    /// Rule 2: for how long a shot, first or further, may still be written: within the window of all others.
+    /// Rule 2: for how long an attempt may still be written: within the window of all others.
     pub fn harmless_for(&self, now: Time) -> Span {
         let window = Span(self.product.window.0 - WINDOW_MARGIN.0);
         match (self.ran(), self.product.effect) {
@@ -14,10 +14,10 @@
     }
 }
 
-impl Shots {
-    /// Rules 1 and 2: whether this call may have a shot at this server now.
+impl Attempts {
+    /// Rules 1 and 2: whether this call may have an attempt at this server now.
     pub fn allows(&self, call: &Call, servers: &[Server], to: ServerIx, now: Time) -> bool {
-        let room = call.shots.len() < call.most && (self.may_duplicate || call.out() == 0);
+        let room = call.attempts.len() < call.most && (self.may_duplicate || call.out() == 0);
         if call.ended || call.streaming || now >= call.until || !room || !self.affords(call, now) {
             return false;
         }
@@ -32,9 +32,9 @@
         call.harmless_for(now) > Span::ZERO && (grouped || call.product.effect != Effect::Deduplicated)
     }
 
-    /// The budget of further shots, where there is one; a miss earns its call one outside it.
+    /// The budget of further attempts, where there is one; a miss earns its call one outside it.
     pub fn affords(&self, call: &Call, now: Time) -> bool {
-        call.shots.is_empty() || call.excused > 0 || self.budget.allows(now)
+        call.attempts.is_empty() || call.excused > 0 || self.budget.allows(now)
     }
 
     /// Rule 2: a rate-limit reply says that trying again does no harm, for as long as it names.
@@ -43,7 +43,7 @@
         call.proven_unrun() || free && call.harmless_for(now) > Span::ZERO
     }
 
-    /// Whether a further shot may be made: they are earned by first shots, more when recent ones succeeded.
+    /// Whether a further attempt may be made: earned by first ones, more when recent further ones succeeded.
     pub fn further(&mut self) -> bool {
         let may = self.may_duplicate && self.saved >= 1.0;
         self.saved -= f64::from(u8::from(may));
@@ -57,23 +57,37 @@
 }
 
 impl Balancer {
-    /// Alone dispatches: rules 1 and 2 by `Shots::allows`, 3 by the list's state, 4 by the line's budget.
-    pub(super) fn shoot(&mut self, ix: CallIx, at: ServerIx, further: bool, to: &mut impl Answers) -> bool {
+    /// Alone dispatches: rules 1 and 2 by `Attempts::allows`, 3 by the list's state, 4 by the line's budget.
+    pub(super) fn send_attempt(
+        &mut self,
+        ix: CallIx,
+        at: ServerIx,
+        further: bool,
+        to: &mut impl Answers,
+    ) -> bool {
         let call = &mut self.calls[ix.0];
         let product = call.product;
         let ready = self.servers[at.0].state == State::Ready;
-        if !ready || !self.shots.allows(call, &self.servers, at, self.now) {
+        if !ready || !self.attempts.allows(call, &self.servers, at, self.now) {
             return false;
         }
         let server = &mut self.servers[at.0];
         (server.out, server.held) = (server.out + 1, server.held + 1);
-        (server.linked, server.used) = (true, self.now);
+        (server.connected, server.used) = (true, self.now);
         server.unheard = server.unheard.or(Some(self.now));
         let (counted, by) = (!server.origin, self.now + call.harmless_for(self.now));
         let own = server.origin && !self.origin.gate.room(self.now);
         self.line.out += u32::from(counted);
-        let charged = self.shots.budget.charges(call, self.now);
-        call.shots.push(Shot { server: at, sent: self.now, fate: Fate::Out, further, charged, counted, own });
+        let charged = self.attempts.budget.charges(call, self.now);
+        call.attempts.push(Attempt {
+            server: at,
+            sent: self.now,
+            fate: Fate::Out,
+            further,
+            charged,
+            counted,
+            own,
+        });
         call.place = Place::Flying;
         to.dispatch(ix, at, call.until, by);
         if server.origin {
@@ -81,8 +95,8 @@
         } else {
             server.warm -= 1.0;
         }
-        if call.shots.len() == 1 {
-            self.shots.earn();
+        if call.attempts.len() == 1 {
+            self.attempts.earn();
         }
         let slo = product.slo.0 as f64;
         let cache = self.health.tail.clamp(FURTHER_FROM * slo, FURTHER_TO * slo);
@@ -91,17 +105,18 @@
         true
     }
 
-    /// After a shot ended without the final answer: another, or wait for those out, or give up.
+    /// After an attempt ended without the final answer: another, or wait for those out, or give up.
     pub(super) fn again(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
         let out = call.out() > 0;
-        let may = call.shots.len() < call.most
-            && self.shots.affords(call, self.now)
-            && (self.shots.may_duplicate || !out)
+        let may = call.attempts.len() < call.most
+            && self.attempts.affords(call, self.now)
+            && (self.attempts.may_duplicate || !out)
             && call.harmless_for(self.now) > Span::ZERO;
-        // Guards against fetching twice: a further shot may be at the origin already when a cache misses.
-        let at_origin = |shot: &Shot| shot.fate == Fate::Out && self.servers[shot.server.0].origin;
-        let fetching = call.leads || call.shots.iter().any(at_origin);
+        // Guards against fetching twice: a further attempt may be at the origin already when a cache misses.
+        let at_origin =
+            |attempt: &Attempt| attempt.fate == Fate::Out && self.servers[attempt.server.0].origin;
+        let fetching = call.leads || call.attempts.iter().any(at_origin);
         if call.place != Place::Flying || out && (!may || !call.missed || fetching) {
             return;
         }
@@ -112,10 +127,10 @@
         }
     }
 
-    /// A shot is late: a further one is made, if earned or if the first cache is silent.
+    /// An attempt is late: a further one is made, if earned or if the first cache is silent.
     pub(super) fn review(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &mut self.calls[ix.0];
-        let Some(late) = call.shots.last_mut().filter(|shot| shot.fate == Fate::Out) else { return };
+        let Some(late) = call.attempts.last_mut().filter(|attempt| attempt.fate == Fate::Out) else { return };
         let server = &self.servers[late.server.0];
         if server.origin {
             self.origin.gate.late(self.now);
@@ -124,7 +139,7 @@
             }
         }
         let failing = self.health.doubtful(server, self.now);
-        // A failing cache's shots are no crowd, nor are those whose answers were lost.
+        // A failing cache's attempts are no crowd, nor are those whose answers were lost.
         let lost = (self.now - late.sent).0 as f64 > LOST_AFTER * self.health.tail;
         self.line.out -= u32::from((failing || lost) && std::mem::take(&mut late.counted));
         let at = late.server;
@@ -132,15 +147,15 @@
         if server.origin || call.streaming || call.write && self.aside || call.out() > 1 {
             return;
         }
-        let allowed = self.shots.allows(call, &self.servers, at, self.now) && !self.keys.gated(call.key);
-        if allowed && (failing || self.shots.further()) {
-            // Guards against further shots that miss at the next nearest and load it in a jam.
+        let allowed = self.attempts.allows(call, &self.servers, at, self.now) && !self.keys.gated(call.key);
+        if allowed && (failing || self.attempts.further()) {
+            // Guards against further attempts that miss at the next nearest and load it in a jam.
             let needed = f64::from(self.origin.gate.out) * 2.0 + 1.0;
             let spare = self.origin.free(self.now) && needed <= self.origin.gate.limit;
             let chance = &mut self.chance;
             let near = || self.line.pick(&mut self.servers, &self.health, call, self.now, chance);
             let pick = self.origin.servers.first().copied().filter(|_| spare).or_else(near);
-            if pick.is_some_and(|server| self.shoot(ix, server, true, to)) {
+            if pick.is_some_and(|server| self.send_attempt(ix, server, true, to)) {
                 return;
             }
         }
--- a/crates/policy/src/decide/budget.rs
+++ b/crates/policy/src/decide/budget.rs
@@ -1,4 +1,4 @@
-//! Budget: shots beyond each API call's first, where the settings limit them.
+//! Budget: attempts beyond each API call's first, where the settings limit them.
 use super::*;
 
 impl Budget {
@@ -13,20 +13,20 @@
         }
     }
 
-    /// A miss lets its call have a shot outside the budget; one sent since the news came was that shot.
+    /// A miss lets its call have an attempt outside the budget; one sent since the news came was it.
     pub fn missed(&mut self, call: &mut Call, now: Time) {
-        match call.shots.last_mut().filter(|shot| shot.charged && shot.sent == now) {
-            Some(shot) => {
-                shot.charged = false;
+        match call.attempts.last_mut().filter(|attempt| attempt.charged && attempt.sent == now) {
+            Some(attempt) => {
+                attempt.charged = false;
                 self.further.pop_back();
             }
             None => call.excused += 1,
         }
     }
 
-    /// Charges a shot made now, if there is a budget and nothing excuses it.
+    /// Charges an attempt made now, if there is a budget and nothing excuses it.
     pub fn charges(&mut self, call: &mut Call, now: Time) -> bool {
-        let charged = self.span > Span::ZERO && !call.shots.is_empty() && call.excused == 0;
+        let charged = self.span > Span::ZERO && !call.attempts.is_empty() && call.excused == 0;
         call.excused = call.excused.saturating_sub(1);
         self.further.extend(charged.then_some(now));
         charged
--- a/crates/policy/src/decide/call.rs
+++ b/crates/policy/src/decide/call.rs
@@ -21,9 +21,9 @@
         // Guards against clients whose clocks differ: what is left is at most the product's time.
         let left = ask.left.max(product.timeout.min(ask.left + self.drift));
         (call.until, call.due, call.excused) = (now + left, now, 0);
-        call.most = self.shots.most;
-        call.shots.clear();
-        self.shots.budget.took(now);
+        call.most = self.attempts.most;
+        call.attempts.clear();
+        self.attempts.budget.took(now);
         let slo = product.slo;
         let at_line = !(ask.write && self.aside);
         if let Some(gate) = self.keys.gate(key).filter(|_| at_line) {
--- a/crates/policy/src/decide/constants.rs
+++ b/crates/policy/src/decide/constants.rs
@@ -2,11 +2,11 @@
 use crate::types::Span;
 
 pub const ALPHA: f64 = 0.01; // part of the way to a sent key's place that a point moves: the design's start
-pub const SKIP_FLOOR: f64 = 2.0; // shots out: so many or fewer skip no cache; one in work, one waiting
+pub const SKIP_FLOOR: f64 = 2.0; // attempts out: so many or fewer skip no cache; one in work, one waiting
 pub const SKIP_FACTOR: f64 = 2.0; // times this node's mean in-flight a cache: beyond it a cache is skipped
 pub const NEAREST: usize = 8; // caches put in order before it is seen whether more are needed
 pub const GOLDEN: f64 = 0.618_034; // the golden section: steps of it stay evenly spread, however many
-pub const REACH_CUT: f64 = 0.85; // part of the caches that may stay connected idle: factor a refused shot,
+pub const REACH_CUT: f64 = 0.85; // part of the caches that may stay connected idle: factor a refused attempt,
 pub const REACH_GROWTH: f64 = 1.002; // factor an answered one,
 pub const REACH_LEAST: f64 = 0.01; // and its least
 pub const SOON: Span = Span::ms(100); // a connection used within it is soon used again at a busy node
@@ -20,28 +20,28 @@
 pub const TRUST: f64 = 0.5; // chance of success that a doubtful server must draw: better than even
 pub const PRIOR: f64 = 1.0; // outcomes that the fleet's own success weighs against a server's
 pub const DOUBT: f64 = 0.7; // under this part of the fleet's success one is: common trouble blames none
-pub const SILENT_FACTOR: f64 = 6.0; // median answer times without a word that make one with shots out silent
+pub const SILENT_FACTOR: f64 = 6.0; // median answer times without a word that make one in use silent
 pub const LOST_AFTER: f64 = 1.5; // times the 95th percentile after which an answer is taken for lost
 pub const FREED_AFTER: f64 = 2.0; // median answer times in which a full cache gets one more place
 pub const MEAN_STEP: f64 = 0.05; // weight of a sample in running means and quantiles: about the last twenty
 pub const ENOUGH: f64 = 16.0; // answers a second from which a node's own means over time say enough
 pub const GONE_KEPT: Span = Span::ms(30_000); // how long a gone one's record waits for a restart to end
-                                              // Further shots.
+                                              // Further attempts.
 pub const FURTHER_FROM: f64 = 0.125; // parts of the SLO between which one is waited for: earlier is waste,
 pub const FURTHER_TO: f64 = 0.5; // later is too late
-pub const FURTHER_LEAST: f64 = 0.01; // earned by a first shot when none of the recent ones succeeded,
+pub const FURTHER_LEAST: f64 = 0.01; // earned by a first attempt when none of the recent ones succeeded,
 pub const FURTHER_MOST: f64 = 0.2; // and when all did
 pub const FURTHER_SAVED: f64 = 10.0; // most saved up: enough for the calls caught on one failing server
 pub const WINDOW_MARGIN: Span = Span::ms(20); // kept in hand of a deduplication window: a round, a delay
-pub const COUNTED: usize = 1 << 16; // calls, and further shots, that a budget counts; forgetting only narrows
+pub const COUNTED: usize = 1 << 16; // calls and further attempts that a budget counts; forgetting narrows
                                     // Cold caches.
 pub const WARM_SHARE: f64 = 0.8; // part of its plain share of traffic that a fully warm one could get
-pub const WARM_SAVED: f64 = 2.0; // shots saved up at most, so that no burst spends the fall line at once
+pub const WARM_SAVED: f64 = 2.0; // attempts saved up at most, so that no burst spends the fall line at once
                                  // The origin.
-pub const ORIGIN_START: f64 = 4.0; // shots out at the start from one node at most,
+pub const ORIGIN_START: f64 = 4.0; // attempts out at the start from one node at most,
 pub const ORIGIN_START_ALL: f64 = 200.0; // and from all
-pub const ORIGIN_LEAST: f64 = 2.0; // shots out from all at the least
-pub const ORIGIN_WRITES: f64 = 1.0; // shots out beside the limit where only writes go
+pub const ORIGIN_LEAST: f64 = 2.0; // attempts out from all at the least
+pub const ORIGIN_WRITES: f64 = 1.0; // attempts out beside the limit where only writes go
 pub const ORIGIN_TARGET: f64 = 0.4; // part of the SLO for its answers: the rest is the cache's and the wait's
 pub const ORIGIN_STRAINED: f64 = 2.0; // times its calm time that an answer may always take: half is queue
 pub const CALM_DOUBLES: f64 = 120.0; // seconds in which a calm time doubles: what slowed for good is taken so
@@ -49,7 +49,7 @@
 pub const ORIGIN_PART: f64 = 0.5; // or as a part of few places
 pub const ORIGIN_DOUBLES: f64 = 4.0; // seconds in which less than a place doubles: answers are far between
 pub const ORIGIN_UNASKED: f64 = 800.0; // places to which all limits together grow while nothing waits
-pub const ORIGIN_SAVED: f64 = 2.0; // shots that a node with few places may save up: misses come in twos
+pub const ORIGIN_SAVED: f64 = 2.0; // attempts that a node with few places may save up: misses come in twos
 pub const PATIENCE: f64 = 0.5; // part of the SLO that a call may be kept with nothing sent
                                // Shares and shedding.
 pub const QUOTA_SAVED: f64 = 2.0; // seconds of quota that a tenant may save up, under a burst,
@@ -67,7 +67,7 @@
 pub const KEY_KEPT: Span = Span::ms(15_000); // for so long,
 pub const KEY_HALF_LIFE: f64 = 5.0; // fading by half in so many seconds,
 pub const KEY_PRIOR: f64 = 2.0; // with so many outcomes weighed against one
-pub const KEY_START: f64 = 1.0; // shots out at the start of a key's limit,
+pub const KEY_START: f64 = 1.0; // attempts out at the start of a key's limit,
 pub const KEY_LEAST: f64 = 0.02; // and the least
                                  // Asking for the list.
 pub const ASK_SPREAD: f64 = 0.5; // part of the time within which to ask over which nodes spread,
--- a/crates/policy/src/decide/ending.rs
+++ b/crates/policy/src/decide/ending.rs
@@ -8,7 +8,7 @@
         if call.ended {
             return;
         }
-        if self.shots.may_rate_limit(call, self.now) {
+        if self.attempts.may_rate_limit(call, self.now) {
             let longest = call.product.timeout.min(call.harmless_for(self.now));
             let most = self.max_retry.map(|most| most.min(longest));
             let jitter = 0.5 + 0.5 * self.chance.unit();
@@ -29,7 +29,7 @@
         let (leads, key) = (std::mem::take(&mut call.leads), call.key);
         self.origin.queue.retain(|other| *other != ix);
         // A read that missed goes to the cache that has just been given its object.
-        let home = call.shots.first().map(|shot| shot.server).filter(|_| fetched);
+        let home = call.attempts.first().map(|attempt| attempt.server).filter(|_| fetched);
         self.call_off(ix, None, to);
         self.forget_if_done(ix, to);
         let fetch = if leads { self.coalescing.fetches.remove(&key) } else { None };
@@ -37,15 +37,15 @@
             let Some(call) = self.calls.get(waiter.0) else { continue };
             let waits = call.serial == serial && !call.ended && call.place == Place::Waiting;
             let home = home.filter(|_| waits && call.missed);
-            if waits && !home.is_some_and(|home| self.shoot(waiter, home, false, to)) {
+            if waits && !home.is_some_and(|home| self.send_attempt(waiter, home, false, to)) {
                 self.coalesce(waiter, to);
             }
         }
     }
 
     pub(super) fn call_off(&mut self, ix: CallIx, but: Option<usize>, to: &mut impl Answers) {
-        for (i, shot) in self.calls[ix.0].shots.iter().enumerate() {
-            if self.shots.may_cancel && shot.fate == Fate::Out && Some(i) != but {
+        for (i, attempt) in self.calls[ix.0].attempts.iter().enumerate() {
+            if self.attempts.may_cancel && attempt.fate == Fate::Out && Some(i) != but {
                 to.cancel(ix, i);
             }
         }
@@ -55,7 +55,7 @@
         let call = &mut self.calls[ix.0];
         if call.live && call.out() == 0 {
             call.live = false;
-            call.shots.iter().for_each(|shot| self.servers[shot.server.0].held -= 1);
+            call.attempts.iter().for_each(|attempt| self.servers[attempt.server.0].held -= 1);
             to.forget(ix);
         }
     }
--- a/crates/policy/src/decide/gate.rs
+++ b/crates/policy/src/decide/gate.rs
@@ -2,7 +2,7 @@
 use super::*;
 
 impl Gate {
-    /// Under few places the limit is a rate of shots, too: hundreds of nodes have a place each.
+    /// Under few places the limit is a rate of attempts, too: hundreds of nodes have a place each.
     pub fn room(&self, now: Time) -> bool {
         f64::from(self.out) < self.limit.floor() || self.limit < ORIGIN_SAVED && self.saved(now) >= 1.0
     }
@@ -24,7 +24,7 @@
         }
     }
 
-    /// Guards against what slows at once: late shots count before their answers come.
+    /// Guards against what slows at once: late attempts count before their answers come.
     pub fn late(&mut self, now: Time) {
         self.ended(-1.0);
         (self.saved, self.saved_at) = (0.0, now);
--- a/crates/policy/src/decide/health.rs
+++ b/crates/policy/src/decide/health.rs
@@ -32,7 +32,7 @@
         (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
     }
 
-    /// Refills a cold cache's budget, and tells whether it covers one more shot: what a cache answers this
+    /// Refills a cold cache's budget, and tells whether it covers one more attempt: what a cache answers this
     /// node on average, cut by the stated warm-up; sends are many times that in a storm of full ones.
     pub fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
         let warmth = self.warmth(server.cold_at, now);
--- a/crates/policy/src/decide/line.rs
+++ b/crates/policy/src/decide/line.rs
@@ -27,15 +27,15 @@
         let over = held.len().saturating_sub((self.reach * self.caches.len() as f64) as usize);
         for ix in held.into_iter().take(over) {
             if now - servers[ix.0].used > SOON {
-                servers[ix.0].linked = false;
+                servers[ix.0].connected = false;
                 to.close(ix);
             }
         }
     }
 
-    /// The part of an SLO, beyond what an answer takes in calm, that a shot now sent must expect to wait: by
+    /// The part of an SLO, beyond what an answer takes in calm, that an attempt sent now must wait, by
     /// Little's law, out at sound caches over answers a second. Guards against nodes of few calls, where one
-    /// shot out looks like a crowd (there the mean of what was out counts), and work as long as the SLO.
+    /// attempt out looks like a crowd (there the mean of what was out counts), and work as long as the SLO.
     pub fn crowding(&self, slo: Span) -> f64 {
         let pace = self.pace();
         let out = pace * f64::from(self.out) * self.heard + (1.0 - pace) * self.mean_out;
@@ -79,7 +79,7 @@
             // Guards against storms at full caches: what one had is its room, and more each two answer times.
             let freed = (now - server.full_at).0 as f64 / (FREED_AFTER * health.median);
             let full = f64::from(server.out) + 1.0 > server.room + freed;
-            let had = call.shots.iter().any(|shot| shot.server == ix);
+            let had = call.attempts.iter().any(|attempt| attempt.server == ix);
             if f64::from(server.out) > skip || full || had || !health.warm_enough(server, self, now) {
                 continue;
             }
@@ -99,12 +99,12 @@
 impl Balancer {
     pub(super) fn enter_line(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
-        let last = call.shots.len() + 1 >= call.most;
-        if self.aside && (call.write || (last && !call.shots.is_empty())) {
+        let last = call.attempts.len() + 1 >= call.most;
+        if self.aside && (call.write || (last && !call.attempts.is_empty())) {
             return self.enter_origin(ix, to);
         }
         match self.line.pick(&mut self.servers, &self.health, call, self.now, &mut self.chance) {
-            Some(server) if self.shoot(ix, server, false, to) => {}
+            Some(server) if self.send_attempt(ix, server, false, to) => {}
             Some(_) => self.give_up(ix, to),
             // Guards against full caches turning all their reads into origin work.
             None if self.aside && self.origin.free(self.now) => self.enter_origin(ix, to),
--- a/crates/policy/src/decide/list.rs
+++ b/crates/policy/src/decide/list.rs
@@ -91,7 +91,7 @@
         let shortest = self.shortest.0 as f64;
         (self.line.calm, self.line.reach) = ((shortest * FURTHER_TO, shortest * FURTHER_TO), 1.0);
         (self.health.median, self.health.tail) = (shortest * FURTHER_FROM, shortest * FURTHER_TO);
-        (self.health.success, self.shots.saved, self.shots.success) = (1.0, 1.0, 0.5);
+        (self.health.success, self.attempts.saved, self.attempts.success) = (1.0, 1.0, 0.5);
     }
 }
 
--- a/crates/policy/src/decide/mod.rs
+++ b/crates/policy/src/decide/mod.rs
@@ -3,7 +3,7 @@
 //! How to call it: make a `Balancer` from settings and a seed, call `start` once, then hand over what happens
 //! (`list`, `call`, `outcome`, `tick` and their kin). What the node must do in return is called on `Answers`
 //! given along (types.rs). Read the files in the order below, which is that of an API call; a stage passes it
-//! on, keeps it or ends it, and outcomes run back. Only `shoot` dispatches and checks rules 1 to 3.
+//! on, keeps it or ends it, and outcomes run back. Only `send_attempt` dispatches and checks rules 1 to 3.
 mod call; // a new API call
 
 mod admission; // shares and overload
@@ -20,11 +20,11 @@
 
 mod gate;
 
-mod shots; // alone dispatches, within a budget
+mod attempts; // alone dispatches, within a budget
 
 mod budget;
 
-mod outcome; // back from a shot
+mod outcome; // back from an attempt
 
 mod ending; // the final answer
 
--- a/crates/policy/src/decide/origin.rs
+++ b/crates/policy/src/decide/origin.rs
@@ -89,7 +89,7 @@
             }
             let server = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out);
             let ix = self.origin.queue.remove(best);
-            if !server.is_some_and(|server| self.shoot(ix, server, false, to)) {
+            if !server.is_some_and(|server| self.send_attempt(ix, server, false, to)) {
                 self.give_up(ix, to);
             }
         }
--- a/crates/policy/src/decide/outcome.rs
+++ b/crates/policy/src/decide/outcome.rs
@@ -1,10 +1,10 @@
-//! How a shot ended: what is learnt of it, and what its API call does next.
+//! How an attempt ended: what is learnt of it, and what its API call does next.
 use super::*;
 
 impl Balancer {
     pub fn outcome(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut impl Answers) {
         self.now = now;
-        // Guards against another shot, or answer, for a call that this very report says has its answer.
+        // Guards against another attempt, or answer, for a call that this very report says has its answer.
         if ending.call_ended {
             self.settle(now, ix, ending, to);
             return self.run_due(to);
@@ -15,12 +15,12 @@
 
     pub(super) fn settle(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut impl Answers) {
         let Some(call) = self.calls.get_mut(ix.0).filter(|call| call.live) else { return };
-        let shot = call.shots.get_mut(ending.shot);
-        let Some(shot) = shot.filter(|shot| shot.fate == Fate::Out) else { return };
+        let attempt = call.attempts.get_mut(ending.attempt);
+        let Some(attempt) = attempt.filter(|attempt| attempt.fate == Fate::Out) else { return };
         let ran = !ending.outcome.proves_it_never_ran();
-        shot.fate = if ran { Fate::MayHaveRun } else { Fate::NeverRan };
-        self.line.out -= u32::from(std::mem::take(&mut shot.counted));
-        let (further, own, at) = (shot.further, shot.own, shot.server);
+        attempt.fate = if ran { Fate::MayHaveRun } else { Fate::NeverRan };
+        self.line.out -= u32::from(std::mem::take(&mut attempt.counted));
+        let (further, own, at) = (attempt.further, attempt.own, attempt.server);
         let server = &mut self.servers[at.0];
         server.out = server.out.saturating_sub(1);
         server.used = now;
@@ -38,7 +38,7 @@
             match ending.outcome {
                 Outcome::Unreachable => {
                     server.refused += 1;
-                    server.linked = server.out > 0;
+                    server.connected = server.out > 0;
                     self.line.reach = (self.line.reach * REACH_CUT).max(REACH_LEAST);
                 }
                 Outcome::Fulfilled | Outcome::Miss => {
@@ -60,12 +60,12 @@
             self.keys.suspect(call.key, self.health.success, slo.times(CROWDED).0 as f64, now);
             self.health.settle(server, &ending, slo, self.keys.gated(call.key), now);
             if trusted && ending.outcome != Outcome::TooLate {
-                self.admission.settle_shot(ending.outcome == Outcome::Full);
+                self.admission.settle_attempt(ending.outcome == Outcome::Full);
             }
         }
         if further && !matches!(ending.outcome, Outcome::TooLate) {
             let won = f64::from(u8::from(ending.outcome == Outcome::Fulfilled));
-            self.shots.success += MEAN_STEP * (won - self.shots.success);
+            self.attempts.success += MEAN_STEP * (won - self.attempts.success);
         }
         let (streaming, was_origin) = (call.streaming, server.origin);
         if call.ended {
@@ -79,7 +79,7 @@
         } else {
             call.missed |= ending.outcome == Outcome::Miss && !was_origin;
             if ending.outcome == Outcome::Miss {
-                self.shots.budget.missed(call, now);
+                self.attempts.budget.missed(call, now);
             }
             self.again(ix, to);
         }
@@ -87,10 +87,10 @@
     }
 
     /// A streamed answer has begun; the call is the client's now and has no due time left.
-    pub fn first_byte(&mut self, now: Time, ix: CallIx, shot: usize, to: &mut impl Answers) {
+    pub fn first_byte(&mut self, now: Time, ix: CallIx, attempt: usize, to: &mut impl Answers) {
         self.now = now;
         let Some(call) = self.calls.get_mut(ix.0).filter(|call| call.live) else { return };
         call.streaming = true;
-        self.call_off(ix, Some(shot), to);
+        self.call_off(ix, Some(attempt), to);
     }
 }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -23,12 +23,12 @@
     MayHaveRun,
 }
 
-pub struct Shot {
+pub struct Attempt {
     pub server: ServerIx,
     pub sent: Time,
     pub fate: Fate,
     pub further: bool,
-    /// Drawn from the budget of further shots.
+    /// Drawn from the budget of further attempts.
     pub charged: bool,
     /// Part of what is out at caches in good standing.
     pub counted: bool,
@@ -43,7 +43,7 @@
     pub ended: bool,
     pub streaming: bool,
     pub place: Place,
-    /// The rules it came under, also once the settings have others: its product's, and the most shots it
+    /// The rules it came under, also once the settings have others: its product's, and the most attempts it
     /// may have.
     pub product: Product,
     pub most: usize,
@@ -57,18 +57,18 @@
     pub spot: f64,
     pub until: Time,
     pub due: Time,
-    pub shots: Vec<Shot>,
-    /// Misses for which no shot outside the budget was made yet.
+    pub attempts: Vec<Attempt>,
+    /// Misses for which no attempt outside the budget was made yet.
     pub excused: u32,
 }
 
 impl Call {
     pub fn out(&self) -> usize {
-        self.shots.iter().filter(|shot| shot.fate == Fate::Out).count()
+        self.attempts.iter().filter(|attempt| attempt.fate == Fate::Out).count()
     }
-    /// The first shot that may have run, or may yet.
-    pub fn ran(&self) -> Option<&Shot> {
-        self.shots.iter().find(|shot| shot.fate != Fate::NeverRan)
+    /// The first attempt that may have run, or may yet.
+    pub fn ran(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|attempt| attempt.fate != Fate::NeverRan)
     }
     pub fn proven_unrun(&self) -> bool {
         self.ran().is_none()
@@ -89,17 +89,17 @@
     pub point: f64,
     pub seed: f64,
     pub out: u32,
-    /// Shots here of calls not yet forgotten; and when it was last in the list or had one.
+    /// Attempts here of calls not yet forgotten; and when it was last in the list or had one.
     pub held: u32,
     pub left: Time,
     /// It may have an idle connection from here, last used then.
-    pub linked: bool,
+    pub connected: bool,
     pub used: Time,
     /// Connections it refused since it last answered.
     pub refused: u32,
     /// Since when nothing was heard although something is out.
     pub unheard: Option<Time>,
-    /// What was out here when it last turned a shot away, and when that was.
+    /// What was out here when it last turned an attempt away, and when that was.
     pub room: f64,
     pub full_at: Time,
     pub good: f64,
@@ -111,7 +111,7 @@
 impl Server {
     /// Whether a connection to it may stand open and unused.
     pub fn idle(&self, now: Time, keepalive: Span) -> bool {
-        self.linked && self.out == 0 && now - self.used < keepalive
+        self.connected && self.out == 0 && now - self.used < keepalive
     }
 
     /// One that no answer has told anything of yet: nothing is known against its having room.
@@ -151,7 +151,7 @@
     /// How much of a full mean `rate` holds yet.
     pub heard: f64,
     pub at: Time,
-    /// Share of shots that were turned away.
+    /// Share of attempts that were turned away.
     pub strain: f64,
     /// Chance that over-share work is shed.
     pub level: f64,
@@ -183,7 +183,7 @@
     /// Mean of `out` over the same time; mean answer time of caches and its calm level, in microseconds.
     pub mean_out: f64,
     pub calm: (f64, f64),
-    /// Shots out from here at caches in good standing.
+    /// Attempts out from here at caches in good standing.
     pub out: u32,
 }
 
@@ -210,7 +210,7 @@
 }
 
 #[derive(Default)]
-pub struct Shots {
+pub struct Attempts {
     pub most: usize,
     pub may_duplicate: bool,
     pub may_cancel: bool,
@@ -219,13 +219,13 @@
     pub budget: Budget,
 }
 
-/// A limit on shots beyond each API call's first in any `span`: `free` and a `ratio` of the API calls taken.
+/// A limit on attempts beyond each API call's first in any `span`: `free` and a `ratio` of the API calls taken.
 #[derive(Default)]
 pub struct Budget {
     pub span: Span,
     pub free: f64,
     pub ratio: f64,
-    /// When API calls were taken, and when such shots were made, lately.
+    /// When API calls were taken, and when such attempts were made, lately.
     pub calls: VecDeque<Time>,
     pub further: VecDeque<Time>,
 }
@@ -255,7 +255,7 @@
 #[derive(Default)]
 pub struct Gate {
     pub out: u32,
-    /// Shots that may be out from here, under one too, and the least of it.
+    /// Attempts that may be out from here, under one too, and the least of it.
     pub limit: f64,
     pub least: f64,
     /// Up to where it grows while nothing waits.
@@ -264,7 +264,7 @@
     pub target: f64,
     /// A call had to wait for a place, or got none, since the last answer.
     pub pressed: bool,
-    /// Shots saved up, and when that was counted.
+    /// Attempts saved up, and when that was counted.
     pub saved: f64,
     pub saved_at: Time,
 }
@@ -313,7 +313,7 @@
     pub(crate) line: Line,
     pub(crate) health: Health,
     pub(crate) origin: Origin,
-    pub(crate) shots: Shots,
+    pub(crate) attempts: Attempts,
 }
 
 impl Balancer {
@@ -325,7 +325,7 @@
         [median, self.origin.gate.limit, self.health.success, self.line.done_rate, point]
     }
 
-    /// This node's own load, to be told to others: shots out at caches in good standing, a mean, and answers of caches a
+    /// This node's own load, to be told to others: attempts out at caches in good standing, a mean, and answers of caches a
     /// second.
     pub fn load(&self) -> [f64; 2] {
         [self.line.mean_out, self.line.done_rate]
@@ -343,9 +343,9 @@
     use super::*;
     use crate::decide::constants::COUNTED;
 
-    fn shots(budget: &mut Budget) -> usize {
+    fn attempts(budget: &mut Budget) -> usize {
         for i in 0..200_000 {
-            let shot = Shot {
+            let attempt = Attempt {
                 server: ServerIx(1),
                 sent: Time(i),
                 fate: Fate::Out,
@@ -354,7 +354,7 @@
                 counted: false,
                 own: false,
             };
-            let mut call = Call { shots: vec![shot], ..Call::default() };
+            let mut call = Call { attempts: vec![attempt], ..Call::default() };
             budget.took(Time(i));
             if budget.allows(Time(i)) {
                 budget.charges(&mut call, Time(i));
@@ -365,8 +365,8 @@
 
     #[test]
     fn what_a_budget_counts_is_bounded_and_without_one_nothing_is_kept() {
-        assert_eq!(shots(&mut Budget::default()), 0);
+        assert_eq!(attempts(&mut Budget::default()), 0);
         let mut long = Budget { span: Span::ms(86_400_000), free: 1e9, ratio: 1.0, ..Budget::default() };
-        assert_eq!(shots(&mut long), 2 * COUNTED);
+        assert_eq!(attempts(&mut long), 2 * COUNTED);
     }
 }
--- a/crates/policy/src/tune.rs
+++ b/crates/policy/src/tune.rs
@@ -8,7 +8,7 @@
 const ASK_WITHIN: Span = Span::ms(5_000);
 
 impl Balancer {
-    /// Missing settings get the safe reading: no duplicates, no cancelling, no retry time, one shot.
+    /// Missing settings get the safe reading: no duplicates, no cancelling, no retry time, one attempt.
     pub fn new(settings: &Settings, seed: u64) -> Balancer {
         let mut node = Balancer { chance: Pcg::new(seed), ..Balancer::default() };
         node.retune(settings);
@@ -20,12 +20,12 @@
     /// Goes by other rules from now on: products, shares, what is allowed and the figures of the rules.
     /// Open calls keep theirs, and servers their nature until the next list. What was learnt stays where it
     /// means the same, as points, times and rates do: places at the origin are a part of all nodes',
-    /// records and shedding are judged by the SLOs, further shots by whether two may be out.
+    /// records and shedding are judged by the SLOs, further attempts by whether two may be out.
     pub fn retune(&mut self, settings: &Settings) {
         self.aside = settings.text("extra.mode") == "aside";
         self.origin_kind = settings.number("extra.origin_kind", -1.0);
         self.products = settings.products();
-        let before = (self.shortest, self.health.longest, self.shots.may_duplicate, self.nodes);
+        let before = (self.shortest, self.health.longest, self.attempts.may_duplicate, self.nodes);
         let shortest = self.products.iter().map(|p| p.slo).min().unwrap_or(Span::ms(1000));
         let longest = self.products.iter().map(|p| p.slo).max().unwrap_or(Span::ms(1000));
         // An unknown product is taken as the last entry: never to run twice, in the shortest time.
@@ -48,19 +48,19 @@
         let writes = &mut self.origin.writes;
         writes.limit =
             (writes.limit * before.3 / self.nodes).clamp(writes.least.min(ORIGIN_WRITES), ORIGIN_WRITES);
-        self.shots.most = settings.number("caps.most_shots", 1.0).max(1.0) as usize;
-        self.shots.budget.span = settings.span("invariants.ratio_span", Span::ZERO);
-        self.shots.budget.free = settings.number("invariants.extra_free", 0.0);
-        self.shots.budget.ratio = settings.number("invariants.further_ratio", 0.0);
+        self.attempts.most = settings.number("caps.most_shots", 1.0).max(1.0) as usize;
+        self.attempts.budget.span = settings.span("invariants.ratio_span", Span::ZERO);
+        self.attempts.budget.free = settings.number("invariants.extra_free", 0.0);
+        self.attempts.budget.ratio = settings.number("invariants.further_ratio", 0.0);
         self.roster.asks = settings.text("membership_mode") == "on_request";
         self.roster.within = settings.span("invariants.ask_within", ASK_WITHIN);
         self.keys.by_lateness = settings.number("caps.reply_slots", 0.0) > 0.0;
         self.drift = settings.span("invariants.deadline_drift", Span::ZERO);
         self.stamp_off = settings.span("invariants.stamp_off", Span::ZERO);
-        self.shots.may_cancel = settings.flag("caps.cancelling");
-        self.shots.may_duplicate = settings.flag("caps.may_duplicate");
-        if before.2 != self.shots.may_duplicate {
-            (self.shots.saved, self.shots.success) = (1.0, 0.5);
+        self.attempts.may_cancel = settings.flag("caps.cancelling");
+        self.attempts.may_duplicate = settings.flag("caps.may_duplicate");
+        if before.2 != self.attempts.may_duplicate {
+            (self.attempts.saved, self.attempts.success) = (1.0, 0.5);
         }
         if (before.0, before.1) != (shortest, self.health.longest) {
             (self.health.success, self.admission.level, self.admission.strain) = (1.0, 0.0, 0.0);
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -238,7 +238,7 @@
     TimedOut,
     /// No connection was made.
     Unreachable,
-    /// The connection broke while the shot was out.
+    /// The connection broke while the attempt was out.
     Reset,
     Cancelled,
     /// Never sent.
@@ -256,10 +256,10 @@
     }
 }
 
-/// How one shot ended.
+/// How one attempt ended.
 #[derive(Debug, Clone, Copy)]
 pub struct Ending {
-    pub shot: usize,
+    pub attempt: usize,
     pub outcome: Outcome,
     pub took: Span,
     /// The API call has its final answer already.
@@ -270,7 +270,7 @@
 pub trait Answers {
     /// `by`: when its last byte must be out; later it could take effect twice, and is not to be made.
     fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time, by: Time);
-    fn cancel(&mut self, call: CallIx, shot: usize);
+    fn cancel(&mut self, call: CallIx, attempt: usize);
     fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>);
     fn error(&mut self, call: CallIx);
     /// The index may be given to another API call from here on.
--- a/crates/policy/tests/decisions/common.rs
+++ b/crates/policy/tests/decisions/common.rs
@@ -12,8 +12,8 @@
         let by = if by < until { format!(", written by {}", by.ms()) } else { String::new() };
         let _ = writeln!(self.0, "  call {} -> server {} until {}{by}", call.0, server.0, until.ms());
     }
-    fn cancel(&mut self, call: CallIx, shot: usize) {
-        let _ = writeln!(self.0, "  call {} cancels shot {shot}", call.0);
+    fn cancel(&mut self, call: CallIx, attempt: usize) {
+        let _ = writeln!(self.0, "  call {} cancels attempt {attempt}", call.0);
     }
     fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>) {
         let said = if retry_in.is_some() { ", told when to come back" } else { "" };
@@ -136,9 +136,9 @@
         let ask = Ask { product, tenant: self.tenant, key: Some(key), write, repeat, left: Span::ms(ms) };
         self.balancer.call(Time::from_ms(self.now), CallIx(call), ask, &mut self.trace);
     }
-    pub fn end(&mut self, call: usize, shot: usize, outcome: Outcome, took: f64) {
+    pub fn end(&mut self, call: usize, attempt: usize, outcome: Outcome, took: f64) {
         let call_ended = outcome == Outcome::Fulfilled;
-        let ending = Ending { shot, outcome, took: Span::from_ms(took), call_ended };
+        let ending = Ending { attempt, outcome, took: Span::from_ms(took), call_ended };
         self.balancer.outcome(Time::from_ms(self.now), CallIx(call), ending, &mut self.trace);
     }
     /// Lets time pass, tick by tick.
--- a/crates/policy/tests/decisions/crowds.rs
+++ b/crates/policy/tests/decisions/crowds.rs
@@ -36,7 +36,7 @@
     );
 }
 
-// In a crowd at the caches reads were refused while the origin stood calm; on a late read, a further shot missed too.
+// In a crowd at the caches reads were refused while the origin stood calm; on a late read, a further attempt missed too.
 #[test]
 fn a_crowd_at_the_caches_spills_to_a_calm_origin() {
     let mut node = Node::new(2, &[]);
@@ -59,7 +59,7 @@
 
 // Hundreds of nodes with places each drowned the origin in its first second; a slow one was noticed a timeout late.
 #[test]
-fn the_origin_limit_is_a_part_of_a_place_and_follows_late_shots() {
+fn the_origin_limit_is_a_part_of_a_place_and_follows_late_attempts() {
     let many = [("balancers", Value::Number(1000.0))];
     let mut node = Node::new(2, &many);
     node.say("a node of a thousand: two writes saved up, the others wait their turn or end at once");
@@ -123,7 +123,9 @@
         node.say(&format!("rate-limited: {refused:?} of {asked:?}"));
     };
     let mut node = Node::new(2, &quota);
-    node.say("one shot in eight is answered full; the node carries forty times its part, both tenants alike");
+    node.say(
+        "one attempt in eight is answered full; the node carries forty times its part, both tenants alike",
+    );
     count(&mut node, 0..200, 1, 100.0);
     node.say("the first sends twelve times as much as the second");
     count(&mut node, 200..400, 12, 40.0);
@@ -132,7 +134,7 @@
     check(
         node,
         expect![[r#"
-            0 ms: one shot in eight is answered full; the node carries forty times its part, both tenants alike
+            0 ms: one attempt in eight is answered full; the node carries forty times its part, both tenants alike
             20000 ms: rate-limited: [0, 0] of [100, 100]
             20000 ms: the first sends twelve times as much as the second
             28000 ms: rate-limited: [34, 0] of [185, 15]
@@ -175,7 +177,7 @@
     );
 }
 
-// Nodes of two calls a second took half a shot out over their few answers for a crowd, and work of a third of the
+// Nodes of two calls a second took half an attempt out over their few answers for a crowd, and work of a third of the
 // SLO for waiting: they shed repeats on the calmest day.
 #[test]
 fn slow_work_at_a_node_of_few_calls_is_no_crowd() {
@@ -200,7 +202,7 @@
         20000 ms: 0 of 40 repeats rate-limited
           call 100 -> server 4 until 22000
           call 100 -> server 0 until 22000
-          call 100 cancels shot 1
+          call 100 cancels attempt 1
         20340 ms: one slow answer makes 0 caches doubtful
     "#]],
     );
@@ -269,20 +271,20 @@
     let third = [("products.0.tardy_billed_value", Value::Number(0.33))];
     let mut node = Node::new(2, &third);
     node.calm(0);
-    node.say("caches answer full, one shot in four, for a second");
+    node.say("caches answer full, one attempt in four, for a second");
     let before = node.trace.0.len();
     for call in 100..200 {
         node.ask(call, 0, &format!("key-{call}"), false);
         node.pass(10.0);
         let outcome = if call % 4 == 0 { Full } else { Fulfilled };
-        (0..3).for_each(|shot| node.end(call, shot, outcome, 20.0));
+        (0..3).for_each(|attempt| node.end(call, attempt, outcome, 20.0));
     }
     node.trace.0.truncate(before);
     let count = |node: &mut Node, from: usize, repeat: bool| {
         let before = node.trace.0.len();
         for call in from..from + 100 {
             node.ask(call, 0, &format!("key-{call}"), repeat);
-            (0..3).for_each(|shot| node.end(call, shot, Fulfilled, 20.0));
+            (0..3).for_each(|attempt| node.end(call, attempt, Fulfilled, 20.0));
         }
         let away = node.trace.0[before..].matches("rate-limited").count();
         node.trace.0.truncate(before);
@@ -295,7 +297,7 @@
     check(
         node,
         expect![[r#"
-        1000 ms: caches answer full, one shot in four, for a second
+        1000 ms: caches answer full, one attempt in four, for a second
         2000 ms: first tries
         2000 ms: turned away: 0 of 100
         2000 ms: tries that come again, worth a third late
@@ -320,7 +322,7 @@
         node.pass(20.0);
         if step >= 17 {
             let sent = 1000 + (step - 17) * 6;
-            (0..6).for_each(|i| (0..3).for_each(|shot| node.end(sent + i, shot, Fulfilled, 350.0)));
+            (0..6).for_each(|i| (0..3).for_each(|attempt| node.end(sent + i, attempt, Fulfilled, 350.0)));
         }
     }
     node.trace.0.truncate(before);
