--- a/crates/policy/tests/decisions/fleet.rs
+++ b/crates/policy/tests/decisions/fleet.rs
@@ -19,7 +19,7 @@
 }
 
 /// Nodes that see `a_second` reads between them: either none of their keys is the cold cache's until all are, or all keys come and
-/// then thrice as often. The most shots at it within a second, and what it may have then: one and a half times what it can do, with twice the root and two for chance.
+/// then thrice as often. The most attempts at it within a second, and what it may have then: one and a half times what it can do, with twice the root and two for chance.
 fn most_sent(nodes: usize, a_second: f64, shifts: bool, seed: u64) -> (usize, f64) {
     most_sent_at(nodes, a_second, shifts, seed, Some(STARTS))
 }
@@ -60,7 +60,7 @@
             }
             if trace.0.contains("-> server") {
                 let ending =
-                    Ending { shot: 0, outcome: Outcome::Fulfilled, took: Span::ms(5), call_ended: true };
+                    Ending { attempt: 0, outcome: Outcome::Fulfilled, took: Span::ms(5), call_ended: true };
                 balancer.outcome(at, CallIx(*calls), ending, &mut trace);
             }
             *calls += 1;
--- a/crates/policy/tests/decisions/rules.rs
+++ b/crates/policy/tests/decisions/rules.rs
@@ -1,10 +1,10 @@
-//! What three further deployments brought: a budget of further shots, a list that has to be asked for, clocks that differ,
+//! What three further deployments brought: a budget of further attempts, a list that has to be asked for, clocks that differ,
 //! keys that go badly wherever they are asked.
 use crate::common::{check, line, Node};
 use expect_test::expect;
 use quartzhub_policy::{Outcome::*, State::*, Value};
 
-/// Two further shots in two seconds, whatever the traffic.
+/// Two further attempts in two seconds, whatever the traffic.
 fn budget() -> [(&'static str, Value); 3] {
     [
         ("invariants.extra_free", Value::Number(2.0)),
@@ -14,9 +14,9 @@
 }
 
 #[test]
-fn further_shots_stay_within_their_budget_and_a_miss_is_outside_it() {
+fn further_attempts_stay_within_their_budget_and_a_miss_is_outside_it() {
     let mut node = Node::new(4, &budget());
-    node.say("three reads whose first cache broke: two get another shot, the third is told to come back");
+    node.say("three reads whose first cache broke: two get another attempt, the third is told to come back");
     for call in 0..3 {
         node.ask(call, 0, &format!("key-{call}"), false);
         node.end(call, 0, Broken, 5.0);
@@ -31,7 +31,7 @@
     check(
         node,
         expect![[r#"
-        0 ms: three reads whose first cache broke: two get another shot, the third is told to come back
+        0 ms: three reads whose first cache broke: two get another attempt, the third is told to come back
           call 0 -> server 1 until 2000
           call 0 -> server 2 until 2000
           call 1 -> server 4 until 2000
@@ -49,12 +49,12 @@
 }
 
 #[test]
-fn a_miss_told_at_the_moment_of_a_further_shot_excuses_that_one() {
+fn a_miss_told_at_the_moment_of_a_further_attempt_excuses_that_one() {
     let mut node = Node::new(4, &budget());
     node.calm(10);
     node.ask(0, 0, "key-a", false);
     node.pass(200.0);
-    node.say("due for a further shot; in the same round the first cache says miss: no second fetch, nothing counted");
+    node.say("due for a further attempt; in the same round the first cache says miss: no second fetch, nothing counted");
     node.end(0, 0, Miss, 200.0);
     for call in 1..4 {
         node.ask(call, 0, &format!("key-{call}"), false);
@@ -65,7 +65,7 @@
         expect![[r#"
           call 0 -> server 4 until 3000
           call 0 -> server 0 until 3000
-        1200 ms: due for a further shot; in the same round the first cache says miss: no second fetch, nothing counted
+        1200 ms: due for a further attempt; in the same round the first cache says miss: no second fetch, nothing counted
           call 1 -> server 4 until 3200
           call 1 -> server 3 until 3200
           call 2 -> server 3 until 3200
@@ -145,7 +145,7 @@
         node.ask(call, 0, "key-a", false);
         node.end(call, 0, Broken, 5.0);
     }
-    node.say("no further shots for it, and one or none out; other keys stay where they were");
+    node.say("no further attempts for it, and one or none out; other keys stay where they were");
     for call in 4..7 {
         node.ask(call, 0, "key-a", false);
     }
@@ -168,7 +168,7 @@
           call 1 rate-limited, told when to come back
           call 2 rate-limited, told when to come back
           call 3 rate-limited, told when to come back
-        1000 ms: no further shots for it, and one or none out; other keys stay where they were
+        1000 ms: no further attempts for it, and one or none out; other keys stay where they were
           call 4 rate-limited, told when to come back
           call 5 rate-limited, told when to come back
           call 6 rate-limited, told when to come back
--- a/crates/policy/tests/decisions/traces.rs
+++ b/crates/policy/tests/decisions/traces.rs
@@ -6,7 +6,7 @@
 #[test]
 fn nearest_point_wins_and_a_busy_cache_is_skipped() {
     let mut node = Node::new(3, &[]);
-    node.say("one key, one cache, until three shots are out there");
+    node.say("one key, one cache, until three attempts are out there");
     for call in 0..5 {
         node.ask(call, 0, "key-a", false);
     }
@@ -19,7 +19,7 @@
     check(
         node,
         expect![[r#"
-            0 ms: one key, one cache, until three shots are out there
+            0 ms: one key, one cache, until three attempts are out there
               call 0 -> server 2 until 2000
               call 1 -> server 2 until 2000
               call 2 -> server 2 until 2000
@@ -39,7 +39,7 @@
     let mut node = Node::new(2, &[]);
     node.ask(0, 2, "key-a", false);
     node.pass(2000.0);
-    node.say("the shot's time-out is the client's");
+    node.say("the attempt's time-out is the client's");
     node.end(0, 0, TimedOut, 2000.0);
     node.say("late events for an ended call change nothing");
     node.end(0, 0, Broken, 2000.0);
@@ -48,7 +48,7 @@
         node,
         expect![[r#"
           call 0 -> server 0 until 2000
-        2000 ms: the shot's time-out is the client's
+        2000 ms: the attempt's time-out is the client's
           call 0 errored
         2000 ms: late events for an ended call change nothing
     "#]],
@@ -58,7 +58,7 @@
 #[test]
 fn rule_2_no_effect_twice() {
     let mut node = Node::new(2, &[]);
-    node.say("non-idempotent: turned away unseen, so another shot; then it may have run, so errored");
+    node.say("non-idempotent: turned away unseen, so another attempt; then it may have run, so errored");
     node.ask(0, 2, "key-a", false);
     node.end(0, 0, Full, 1.0);
     node.end(0, 1, Reset, 1.0);
@@ -73,7 +73,7 @@
     check(
         node,
         expect![[r#"
-            0 ms: non-idempotent: turned away unseen, so another shot; then it may have run, so errored
+            0 ms: non-idempotent: turned away unseen, so another attempt; then it may have run, so errored
               call 0 -> server 0 until 2000
               call 0 -> server 0 until 2000
               call 0 errored
@@ -114,7 +114,7 @@
     );
 }
 
-// A storm of shots answered full made the budget of cold boxes many times what they could do: five fell over.
+// A storm of attempts answered full made the budget of cold boxes many times what they could do: five fell over.
 #[test]
 fn rule_4_a_cold_cache_gets_its_cut_share_of_answers() {
     let mut node = Node::new(2, &[]);
@@ -207,15 +207,15 @@
               call 101 -> server 0 until 3000
               call 102 -> server 1 until 3000
             1400 ms: the rescuer answers; new calls pass the hung one over
-              call 100 cancels shot 0
-              call 101 cancels shot 0
-              call 102 cancels shot 0
+              call 100 cancels attempt 0
+              call 101 cancels attempt 0
+              call 102 cancels attempt 0
               call 103 -> server 1 until 3800
         "#]],
     );
 }
 
-// Boxes that answered full were tried again at once, up to four shots a call.
+// Boxes that answered full were tried again at once, up to four attempts a call.
 #[test]
 fn a_full_cache_is_left_alone_for_a_while() {
     let mut node = Node::new(2, &[]);
@@ -242,7 +242,7 @@
     );
 }
 
-// With more nodes than a cache takes connections, two shots in three got none, and each node went on wanting all.
+// With more nodes than a cache takes connections, two attempts in three got none, and each node went on wanting all.
 #[test]
 fn refused_connections_leave_few_idle_until_the_list_explains_them() {
     let mut node = Node::new(5, &[]);
@@ -301,7 +301,7 @@
 #[test]
 fn a_gone_server_is_dropped_once_no_call_names_it_and_its_index_is_as_new() {
     let mut node = Node::new(2, &[("caps.cancelling", Value::Flag(false))]);
-    node.say("a shot is out when its cache goes");
+    node.say("an attempt is out when its cache goes");
     node.ask(0, 0, "key-a", false);
     node.list(&[line(2, Gone, None)]);
     node.pass(31_000.0);
@@ -314,7 +314,7 @@
     check(
         node,
         expect![[r#"
-        0 ms: a shot is out when its cache goes
+        0 ms: an attempt is out when its cache goes
           call 0 -> server 2 until 2000
           call 0 -> server 0 until 2000
         31000 ms: it has ended
@@ -324,9 +324,9 @@
     );
 }
 
-// A report that a call was fulfilled came when its further shot was due: one was made, for nothing, or it was ended twice.
+// A report that a call was fulfilled came when its further attempt was due: one was made, for nothing, or it was ended twice.
 #[test]
-fn a_report_of_a_fulfilled_call_makes_no_shot_that_was_due_for_it() {
+fn a_report_of_a_fulfilled_call_makes_no_attempt_that_was_due_for_it() {
     let mut node = Node::new(2, &[]);
     node.calm(0);
     node.ask(100, 0, "key-a", false);
@@ -416,7 +416,7 @@
     "#]]
     .assert_eq(&told);
     node.trace.0.clear();
-    node.say("the first second after: one answer each, one shot at a time, a write that may have run is not refused");
+    node.say("the first second after: one answer each, one attempt at a time, a write that may have run is not refused");
     node.ask(200, 0, "key-a", false);
     node.ask(201, 2, "key-b", false);
     node.end(201, 0, Reset, 5.0);
@@ -426,7 +426,7 @@
     check(
         node,
         expect![[r#"
-            2140 ms: the first second after: one answer each, one shot at a time, a write that may have run is not refused
+            2140 ms: the first second after: one answer each, one attempt at a time, a write that may have run is not refused
               call 200 -> server 7 until 4140
               call 201 -> server 6 until 4140
               call 201 errored
--- a/crates/shared/src/words/mod.rs
+++ b/crates/shared/src/words/mod.rs
@@ -11,7 +11,7 @@
 /// A node's own load.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
-    /// Shots out at caches in good standing, a mean; and answers a second from caches.
+    /// Attempts out at caches in good standing, a mean; and answers a second from caches.
     pub out: f64,
     pub done: f64,
 }
@@ -19,7 +19,7 @@
 /// What the words of the fleet come to.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Fleet {
-    /// Nodes whose words count, and the time that a shot at a cache takes, in seconds, by Little's law.
+    /// Nodes whose words count, and the time that an attempt at a cache takes, in seconds, by Little's law.
     pub nodes: usize,
     pub takes: f64,
 }
--- a/crates/shared/src/words/robust.rs
+++ b/crates/shared/src/words/robust.rs
@@ -12,8 +12,8 @@
     *all.select_nth_unstable_by(middle, f64::total_cmp).1
 }
 
-/// Shots out over answers a second: the time that one takes. Of `n` nodes one can move either sum by at most `most` medians
-/// in `n`, however it lies; a node that says it has done nothing counts only as far as it has shots out.
+/// Attempts out over answers a second: the time that one takes. Of `n` nodes one can move either sum by at most `most` medians
+/// in `n`, however it lies; a node that says it has done nothing counts only as far as it has attempts out.
 pub fn takes(said: &[Said], most: f64) -> Option<f64> {
     let bound = |of: fn(&Said) -> f64| {
         let positive: Vec<f64> = said.iter().map(of).filter(|n| *n > 0.0).collect();
