Keep caches that the list drops undrained, where only draining binds

Cause: a whole list without the caches, or changes that call all of them gone, emptied the line (list.rs made all it left out `Gone`), although `DroppedStayOpen` says that such a list proves nothing.

Change: the adapter and the node pass the setting on; a dropped server stays on the line until it drains or has given no good answer for 30 s. It is believed to run by its own answers and by the record of all servers dropped before, so a real mass departure ends after some failed attempts; a failed attempt there voids what earlier answers vouched for. A process never gets older: an old list that comes again doesn't make a restarted cache warm. The node keeps the upstreams of such servers, and one whose address another server has taken counts as drained. It should also hold against shrunk and old lists; it costs a failed attempt a node where a lone death is listed in time.

Tests: lists.rs of the module (three of four fail without the change, the fourth compares right and wrong lists), two of the reducer.

--- a/crates/node/src/config/settings.rs
+++ b/crates/node/src/config/settings.rs
@@ -59,13 +59,14 @@
 
 /// Optional settings that the module reads: where each stands, what it may be, and what is said otherwise.
 type Fits = fn(&serde_json::Value) -> bool;
-const OPTIONAL: [(&str, &str, Fits, &str); 14] = [
+const OPTIONAL: [(&str, &str, Fits, &str); 15] = [
     ("Caps", "MayDuplicate", serde_json::Value::is_boolean, "true or false is needed"),
     ("Caps", "Cancelling", serde_json::Value::is_boolean, "true or false is needed"),
     ("Caps", "RetryAfter", serde_json::Value::is_boolean, "true or false is needed"),
     ("Caps", "ReplySlots", is_amount, "a number of answers is needed"),
     ("Caps", "Keepalive", is_span, "a number of milliseconds is needed"),
     ("Caps", "MaxRetryAfter", is_span, "a number of milliseconds is needed"),
+    ("Invariants", "DroppedStayOpen", serde_json::Value::is_boolean, "true or false is needed"),
     ("Invariants", "WarmWithin", is_span, "a number of milliseconds is needed"),
     ("Invariants", "ColdFrom", is_part, "a number from 0 to 1 is needed"),
     ("Invariants", "AskWithin", is_span, "a number of milliseconds is needed"),
--- a/crates/node/src/config/tests.rs
+++ b/crates/node/src/config/tests.rs
@@ -188,6 +188,7 @@
         with(r#""Products""#, r#""Caps":{"Cancelling":1},"Products""#),
         with(r#""Products""#, r#""Invariants":{"ColdFrom":12},"Products""#),
         with(r#""Products""#, r#""Invariants":{"WarmWithin":-1},"Products""#),
+        with(r#""Products""#, r#""Invariants":{"DroppedStayOpen":1},"Products""#),
         with(r#""Products""#, r#""Balancers":0,"Products""#),
         with(r#""Products""#, r#""Projects":[{"QuotaPerS":"many"}],"Products""#),
         faults(&good[..good.len() - 1]),
@@ -221,6 +222,7 @@
         settings.Caps.Cancelling: true or false is needed
         settings.Invariants.ColdFrom: a number from 0 to 1 is needed
         settings.Invariants.WarmWithin: a number of milliseconds is needed
+        settings.Invariants.DroppedStayOpen: true or false is needed
         settings.Balancers: a number of nodes from 1 on is needed
         settings.Projects[0].QuotaPerS: a number of API calls a second is needed
         EOF while parsing an object at line 1 column 105
--- a/crates/node/src/reducer/lists.rs
+++ b/crates/node/src/reducer/lists.rs
@@ -35,8 +35,9 @@
         self.news |= fresh;
         let complete = news.full || !fresh;
         if complete {
-            self.world.servers.iter_mut().for_each(|server| server.state = State::Gone);
-            self.listed.iter_mut().flatten().for_each(|listed| listed.state = State::Gone);
+            let dropped = |state: State| state.dropped(self.only_draining_binds);
+            self.world.servers.iter_mut().for_each(|server| server.state = dropped(server.state));
+            self.listed.iter_mut().flatten().for_each(|listed| listed.state = dropped(listed.state));
         }
         let mut lines = Vec::with_capacity(news.servers.len());
         for entry in &news.servers {
@@ -51,15 +52,16 @@
             }
             let ix = self.servers.index(&entry.id);
             let name = Name::named(&entry.id);
+            let len = self.world.servers.len().max(ix.0 + 1);
+            self.world.servers.resize_with(len, Server::default);
+            self.listed.resize_with(len.max(self.listed.len()), || None);
+            let before = self.listed[ix.0].as_ref().map_or(State::Gone, |listed| listed.state);
             let told = match entry.state.as_deref() {
                 Some("in_service") => State::Ready,
-                Some("terminated") => State::Gone,
+                Some("terminated") => before.dropped(self.only_draining_binds),
                 // One that this build does not know gets nothing new.
                 _ => State::Draining,
             };
-            let len = self.world.servers.len().max(ix.0 + 1);
-            self.world.servers.resize_with(len, Server::default);
-            self.listed.resize_with(len.max(self.listed.len()), || None);
             let server = &mut self.world.servers[ix.0];
             let started = started(entry.started_ms);
             let addr = entry.addr.or(server.addr);
@@ -81,7 +83,8 @@
                 zone: entry.zone.as_deref(),
                 kind: entry.kind.as_deref(),
                 cell: entry.cell,
-                state,
+                // The module is told of the loss as it stands in the list.
+                state: if entry.state.as_deref() == Some("terminated") { State::Gone } else { state },
                 scale: entry.weight,
                 started,
             };
@@ -109,8 +112,11 @@
                     if let Some(listed) = self.listed.get_mut(i).and_then(Option::as_mut) {
                         listed.state = State::Gone;
                     }
-                    let line = Line { name: self.servers.id(ServerIx(i)), ..Line::default() };
-                    lines.push(self.places.listing(ServerIx(i), line));
+                    // Draining binds wherever Gone alone does not.
+                    for state in [State::Draining, State::Gone] {
+                        let line = Line { name: self.servers.id(ServerIx(i)), state, ..Line::default() };
+                        lines.push(self.places.listing(ServerIx(i), line));
+                    }
                 }
             }
         }
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -160,6 +160,8 @@
     counted: Vec<Option<usize>>,
     servers: Servers,
     origin_kind: usize,
+    /// A server that the list drops without having drained may still be used.
+    only_draining_binds: bool,
     /// Discovery has told a list since the start.
     news: bool,
     /// What the list said of each server last, by its index; and those that operators have ordered drained.
@@ -170,6 +172,9 @@
     rejected: u64,
 }
 
+/// The setting by which a server that the list drops without having drained may still be used.
+const ONLY_DRAINING_BINDS: &str = "invariants.dropped_stay_open";
+
 /// The place of the origin's kind among the kinds: as told, or the one of that name.
 fn origin_kind(settings: &Settings, places: &Places) -> usize {
     let told = settings.number("extra.origin_kind", -1.0);
@@ -196,6 +201,7 @@
             rejected: 0,
             balancer: Balancer::new(&config.settings, config.seed),
             origin_kind: origin_kind(&config.settings, &places),
+            only_draining_binds: config.settings.flag(ONLY_DRAINING_BINDS),
             places,
             products: config.settings.products(),
             servers: Servers::default(),
@@ -230,6 +236,7 @@
         self.at(now);
         self.places.renew(settings);
         self.origin_kind = origin_kind(settings, &self.places);
+        self.only_draining_binds = settings.flag(ONLY_DRAINING_BINDS);
         let (names, most) = (&self.places.products, self.world.limits.products);
         self.counted = names.iter().map(|name| self.world.counted.place(name, most)).collect();
         self.products = settings.products();
--- a/crates/node/tests/reducer/lists.rs
+++ b/crates/node/tests/reducer/lists.rs
@@ -96,3 +96,89 @@
         rig.pass(100);
     }
 }
+
+#[test]
+fn a_cache_dropped_undrained_is_used_on_its_upstream_only_where_draining_alone_binds() {
+    for only_draining_binds in [false, true] {
+        let rules = format!(r#""Invariants":{{"DroppedStayOpen":{only_draining_binds}}},"Products""#);
+        let mut rig = Rig::with("{}", &SETTINGS.replacen(r#""Products""#, &rules, 1));
+        let client = rig.client();
+        rig.call(client, "view", "c1", 400);
+        rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
+        rig.tell("hit", |r, now| r.answered(now, UpstreamId(2), value("v")));
+        rig.note("a whole list leaves a out, then a change calls it terminated");
+        rig.list(true, &[("o", 9, "in_service")]);
+        rig.call(client, "view", "c2", 400);
+        rig.list(false, &[("a", 1, "terminated")]);
+        rig.call(client, "view", "c3", 400);
+        rig.note("it drains, and is left out again");
+        rig.list(false, &[("a", 1, "terminating")]);
+        rig.list(true, &[("o", 9, "in_service")]);
+        rig.call(client, "view", "c4", 400);
+        match only_draining_binds {
+            false => expect![[r#"
+                0 call c1
+                0   connect 2 to 1
+                0 up 2
+                0   write 2: c1, wait 397
+                0 hit
+                0   answer 1: v
+                0 a whole list leaves a out, then a change calls it terminated
+                0   close upstream 2
+                0 call c2
+                0   connect 3 to 9
+                0 call c3
+                0 it drains, and is left out again
+                0 call c4
+            "#]]
+            .assert_eq(&rig.trace),
+            true => expect![[r#"
+                0 call c1
+                0   connect 2 to 1
+                0 up 2
+                0   write 2: c1, wait 397
+                0 hit
+                0   answer 1: v
+                0 a whole list leaves a out, then a change calls it terminated
+                0 call c2
+                0   write 2: c2, wait 397
+                0 call c3
+                0   connect 3 to 1
+                0 it drains, and is left out again
+                0 call c4
+                0   connect 4 to 9
+            "#]]
+            .assert_eq(&rig.trace),
+        }
+    }
+}
+
+#[test]
+fn a_server_at_the_address_of_a_dropped_one_gets_its_calls_where_draining_alone_binds() {
+    let rules = r#""Invariants":{"DroppedStayOpen":true},"Products""#;
+    let mut rig = Rig::with("{}", &SETTINGS.replacen(r#""Products""#, rules, 1));
+    let client = rig.client();
+    rig.call(client, "view", "c1", 400);
+    rig.tell("up 2", |r, now| r.connected(now, UpstreamId(2)));
+    rig.tell("hit", |r, now| r.answered(now, UpstreamId(2), value("v")));
+    rig.note("b is at the address of a, which the list does not name");
+    rig.list(true, &[("o", 9, "in_service"), ("b", 1, "in_service")]);
+    for call in ["c2", "c3"] {
+        rig.call(client, "view", call, 400);
+    }
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 up 2
+        0   write 2: c1, wait 397
+        0 hit
+        0   answer 1: v
+        0 b is at the address of a, which the list does not name
+        0   close upstream 2
+        0 call c2
+        0   connect 3 to 1
+        0 call c3
+        0   connect 4 to 1
+    "#]]
+    .assert_eq(&rig.trace);
+}
--- a/crates/policy/src/decide/health.rs
+++ b/crates/policy/src/decide/health.rs
@@ -10,7 +10,8 @@
     }
 
     pub fn doubtful(&self, server: &Server, now: Time) -> bool {
-        let mean = (server.good + PRIOR * self.success) / (server.good + server.bad + PRIOR);
+        let usual = if server.unlisted.is_some() { self.unlisted } else { self.success };
+        let mean = (server.good + PRIOR * usual) / (server.good + server.bad + PRIOR);
         mean < DOUBT * self.success || self.silence(server, now) > 1.0
     }
 
@@ -54,6 +55,11 @@
         if answered || server.out == 0 {
             server.unheard = (server.out > 0).then_some(now);
         }
+        if server.unlisted.is_some() && !matches!(ending.outcome, TooLate | Cancelled) {
+            self.unlisted += UNLISTED_STEP * (f64::from(u8::from(answered)) - self.unlisted);
+            // The list and a failed attempt agree, so earlier answers vouch no longer.
+            server.good *= f64::from(u8::from(answered));
+        }
         if matches!(ending.outcome, Fulfilled | Miss) {
             self.median += MEAN_STEP * self.median * if took > self.median { 0.5 } else { -0.5 };
             self.tail += MEAN_STEP * self.tail * if took > self.tail { 0.95 } else { -0.05 };
--- a/crates/policy/src/decide/list.rs
+++ b/crates/policy/src/decide/list.rs
@@ -25,15 +25,17 @@
     ) {
         self.now = now;
         self.roster.heard();
+        let only_draining_binds = self.only_draining_binds;
         if complete {
-            self.servers.iter_mut().for_each(|server| server.state = State::Gone);
+            self.servers.iter_mut().for_each(|server| server.dropped(only_draining_binds, &self.health, now));
         }
         let (mut known, mut first) = ([None; 2], self.line.caches.is_empty());
         for line in lines {
             let at = line.server.0;
             self.servers.resize_with(self.servers.len().max(at + 1), Server::unknown);
             let server = &mut self.servers[at];
-            let restarted = server.started != line.started;
+            // Guards against an old list that comes again: a process is never older than it was.
+            let restarted = server.started < line.started;
             if restarted || line.state != State::Ready {
                 // Guards against taking a dead cache for a full one: what it cost in reach is given back.
                 let refused = std::mem::take(&mut server.refused);
@@ -56,8 +58,13 @@
                 let latest = |at: Time| at.max(now.min(at + self.stamp_off));
                 server.cold_at = line.started.map(latest);
             }
-            (server.state, server.origin) = (line.state, origin);
-            (server.zone, server.cell, server.started) = (line.zone, line.cell, line.started);
+            match line.state {
+                State::Gone => server.dropped(only_draining_binds, &self.health, now),
+                told => (server.state, server.unlisted) = (told, None),
+            }
+            server.origin = origin;
+            (server.zone, server.cell) = (line.zone, line.cell);
+            server.started = server.started.max(line.started);
             server.scale = if line.scale > 0.0 { line.scale } else { 1.0 };
         }
         let ready = |ix: &ServerIx| self.servers[ix.0].state == State::Ready;
@@ -91,10 +98,23 @@
         let shortest = self.shortest.0 as f64;
         (self.line.calm, self.line.reach) = ((shortest * FURTHER_TO, shortest * FURTHER_TO), 1.0);
         (self.health.median, self.health.tail) = (shortest * FURTHER_FROM, shortest * FURTHER_TO);
+        self.health.unlisted = UNLISTED_START;
         (self.health.success, self.attempts.saved, self.attempts.success) = (1.0, 1.0, 0.5);
     }
 }
 
+impl Server {
+    /// The list calls it gone. Guards against a list that is wrong, shrunk, empty or old: where only draining
+    /// binds, it keeps its place on the line, and answers say whether it runs: its own, and those of others
+    /// that the list had dropped.
+    fn dropped(&mut self, only_draining_binds: bool, health: &Health, now: Time) {
+        self.state = self.state.dropped(only_draining_binds);
+        if self.unlisted.is_none() {
+            (self.unlisted, self.good) = (Some(now), self.good * health.unlisted);
+        }
+    }
+}
+
 impl Roster {
     /// Guards against a list service that answers few at a time: nodes that start or lose their subscription
     /// at one moment ask spread out, and seldomer the more tries failed.
--- a/crates/policy/src/decide/outcome.rs
+++ b/crates/policy/src/decide/outcome.rs
@@ -24,6 +24,8 @@
         let server = &mut self.servers[at.0];
         server.out = server.out.saturating_sub(1);
         server.used = now;
+        let good = matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss);
+        server.unlisted = server.unlisted.map(|since| if good { now } else { since });
         let slo = call.product.slo;
         if let Some(gate) = self.keys.gate(call.key) {
             match ending.outcome {
@@ -53,7 +55,6 @@
             let trusted = !self.health.doubtful(server, now);
             let most = (CROWDED * slo.0 as f64).max(self.health.tail);
             let late = self.keys.by_lateness && ending.took.0 as f64 > most;
-            let good = matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss);
             if good || ending.outcome == Outcome::Broken || ending.outcome == Outcome::TimedOut && late {
                 self.keys.settle(call.key, at, good && !late, now);
             }
--- a/crates/policy/src/decide/tick.rs
+++ b/crates/policy/src/decide/tick.rs
@@ -12,6 +12,9 @@
         let kept = 0.5f64.powf(passed / half);
         for (i, server) in self.servers.iter_mut().enumerate() {
             (server.good, server.bad) = (server.good * kept, server.bad * kept);
+            if server.unlisted.is_some_and(|since| now - since > GONE_KEPT) {
+                server.state = State::Gone;
+            }
             if server.state != State::Gone || server.held > 0 {
                 server.left = now;
             } else if server.seed != 0.0 && now - server.left > GONE_KEPT {
@@ -19,6 +22,8 @@
                 to.drop_server(ServerIx(i));
             }
         }
+        self.line.caches.retain(|ix| self.servers[ix.0].state == State::Ready);
+        self.origin.servers.retain(|ix| self.servers[ix.0].state == State::Ready);
         // Guards against tables that keep the size of the worst minute: what is used last ends them.
         self.servers.truncate(self.servers.iter().rposition(|s| s.seed != 0.0).map_or(0, |i| i + 1));
         self.calls.truncate(self.calls.iter().rposition(|call| call.live).map_or(0, |i| i + 1));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -92,6 +92,8 @@
     /// Attempts here of calls not yet forgotten; and when it was last in the list or had one.
     pub held: u32,
     pub left: Time,
+    /// Since when the list calls it gone, or since its last good answer from then on.
+    pub unlisted: Option<Time>,
     /// It may have an idle connection from here, last used then.
     pub connected: bool,
     pub used: Time,
@@ -194,6 +196,8 @@
     /// Longest SLO of any product, in microseconds.
     pub longest: f64,
     pub success: f64,
+    /// The same of servers that the list had dropped: how little the list's word proves here.
+    pub unlisted: f64,
     pub cold_from: f64,
     pub warm_within: Span,
 }
@@ -305,6 +309,8 @@
     pub(crate) now: Time,
     pub(crate) ticked: Time,
     pub(crate) roster: Roster,
+    /// A server that the list drops without having drained may still be used.
+    pub(crate) only_draining_binds: bool,
     pub(crate) drift: Span,
     pub(crate) stamp_off: Span,
     pub(crate) admission: Admission,
--- a/crates/policy/src/tune.rs
+++ b/crates/policy/src/tune.rs
@@ -54,6 +54,7 @@
         self.attempts.budget.ratio = settings.number("invariants.further_ratio", 0.0);
         self.roster.asks = settings.text("membership_mode") == "on_request";
         self.roster.within = settings.span("invariants.ask_within", ASK_WITHIN);
+        self.only_draining_binds = settings.flag("invariants.dropped_stay_open");
         self.keys.by_lateness = settings.number("caps.reply_slots", 0.0) > 0.0;
         self.drift = settings.span("invariants.deadline_drift", Span::ZERO);
         self.stamp_off = settings.span("invariants.stamp_off", Span::ZERO);
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -200,6 +200,17 @@
     Gone,
 }
 
+impl State {
+    /// The state of a server that the list calls gone, or leaves out. Where only draining binds, that alone does
+    /// not end the use of one that was in service: such a list proves nothing of what runs.
+    pub fn dropped(self, only_draining_binds: bool) -> State {
+        match self {
+            State::Ready if only_draining_binds => State::Ready,
+            _ => State::Gone,
+        }
+    }
+}
+
 /// One line of the server list.
 #[derive(Debug, Clone, Copy)]
 pub struct Listing<'a> {
--- /dev/null
+++ b/crates/policy/tests/decisions/lists.rs
@@ -0,0 +1,118 @@
+//! Server lists that are wrong: what they may end, and what only answers may.
+use expect_test::expect;
+use quartzhub_policy::{Outcome::*, State::*, Value};
+
+use crate::common::{check, line, Node};
+
+const ONLY_DRAINING_BINDS: (&str, Value) = ("invariants.dropped_stay_open", Value::Flag(true));
+
+/// To how many of `calls` new calls, each answered with `outcome`, this server was the first asked.
+fn first_asked(
+    node: &mut Node,
+    server: usize,
+    calls: std::ops::Range<usize>,
+    outcome: quartzhub_policy::Outcome,
+) -> usize {
+    let mut asked = 0;
+    for call in calls {
+        let before = node.trace.0.len();
+        node.ask(call, 0, &format!("key-{call}"), false);
+        let to_it = node.trace.0[before..].contains(&format!("call {call} -> server {server} "));
+        asked += usize::from(to_it);
+        node.pass(20.0);
+        node.end(call, 0, if to_it { outcome } else { Fulfilled }, 20.0);
+        node.end(call, 1, Fulfilled, 20.0);
+        node.trace.0.truncate(before);
+    }
+    asked
+}
+
+#[test]
+fn a_list_without_caches_ends_their_use_only_where_gone_binds() {
+    for (name, extra) in [("gone binds", vec![]), ("only draining binds", vec![ONLY_DRAINING_BINDS])] {
+        let mut node = Node::new(3, &extra);
+        node.calm(0);
+        node.list(&[line(3, Draining, None)]);
+        node.say(name);
+        node.list_all(&[line(0, Ready, None)]);
+        for call in 100..104 {
+            node.ask(call, 0, &format!("key-{call}"), false);
+            node.end(call, 0, Fulfilled, 20.0);
+        }
+        node.say("each change calls one gone, the drained one too");
+        node.list(&[1, 2, 3].map(|server| line(server, Gone, None)));
+        node.ask(104, 0, "key-104", false);
+        match extra.is_empty() {
+            true => check(
+                node,
+                expect![[r#"
+                1000 ms: gone binds
+                  call 100 -> server 0 until 3000
+                  call 101 -> server 0 until 3000
+                  call 102 -> server 0 until 3000
+                  call 103 -> server 0 until 3000
+                1000 ms: each change calls one gone, the drained one too
+                  call 104 -> server 0 until 3000
+            "#]],
+            ),
+            false => check(
+                node,
+                expect![[r#"
+                1000 ms: only draining binds
+                  call 100 -> server 1 until 3000
+                  call 101 -> server 2 until 3000
+                  call 102 -> server 2 until 3000
+                  call 103 -> server 2 until 3000
+                1000 ms: each change calls one gone, the drained one too
+                  call 104 -> server 1 until 3000
+            "#]],
+            ),
+        }
+    }
+}
+
+#[test]
+fn a_dropped_cache_that_answers_keeps_its_calls_and_one_that_does_not_is_forgotten() {
+    let mut node = Node::new(4, &[ONLY_DRAINING_BINDS]);
+    node.calm(0);
+    node.list(&[line(1, Gone, None), line(2, Gone, None)]);
+    let (answers, silent) =
+        (first_asked(&mut node, 1, 100..200, Fulfilled), first_asked(&mut node, 2, 200..300, Unreachable));
+    assert!(answers > 15, "{answers} of 100 calls were sent to a dropped cache that answers");
+    assert!(silent * 3 < answers * 2, "{silent} of 100 calls were sent to a dropped cache that refuses");
+    for call in 300..1900 {
+        first_asked(&mut node, 2, call..call + 1, Unreachable);
+    }
+    node.pass(31_000.0);
+    assert!(node.trace.0.contains("server 2 dropped"), "{}", node.trace.0);
+    assert!(!node.trace.0.contains("server 1 dropped"), "{}", node.trace.0);
+}
+
+#[test]
+fn dropped_caches_that_fail_have_the_list_believed_of_the_next() {
+    let asked_after = |outcome| {
+        let mut node = Node::new(3, &[ONLY_DRAINING_BINDS]);
+        node.calm(0);
+        let mut asked = 0;
+        for round in 1..100 {
+            node.list(&[line(3, Gone, None)]);
+            asked += first_asked(&mut node, 3, round * 100..round * 100 + 1, outcome);
+            node.pass(20_000.0);
+            node.list(&[line(3, Ready, None)]);
+        }
+        asked
+    };
+    let (right, wrong) = (asked_after(Unreachable), asked_after(Fulfilled));
+    assert!(right * 4 < wrong * 3, "{right} calls where the list was right, {wrong} where it was wrong");
+}
+
+#[test]
+fn an_old_list_that_comes_again_makes_no_cache_colder_or_warmer() {
+    let mut node = Node::new(3, &[ONLY_DRAINING_BINDS]);
+    node.calm(0);
+    node.list(&[line(2, Ready, Some(1_000.0))]);
+    node.say("it has restarted, and an old list says that it has not");
+    node.list_all(&[0, 1, 2, 3].map(|server| line(server, Ready, None)));
+    let asked = first_asked(&mut node, 2, 100..150, Fulfilled);
+    assert!(asked < 8, "{asked} of 50 calls were sent to a cold cache");
+}
--- a/crates/policy/tests/decisions/main.rs
+++ b/crates/policy/tests/decisions/main.rs
@@ -2,5 +2,6 @@
 mod common;
 mod crowds;
 mod fleet;
+mod lists;
 mod rules;
 mod traces;
