Spread popular keys over several caches; shed in-share reads by few answers hardly

Every key was refused alike (4,276 light reads and 1,578 heavy ones of 12,523 with no attempt made), so it was neither the keys nor the caches that refused, but Admission: its wait is a mean over all caches, and a node with four answers a second has eleven heavy-tailed ones in it.

(1) A key that stands out of chance among a node's calls has several places on the line and each call draws one; the skip line does the same at a node that sees the crowd, and hundreds of nodes with one call out each never do. (2) In-share reads are shed for a crowd by the cube of how many of the answers needed the node has. It should hold against any mix of heavy and light products; it may hurt in true overload of hundreds of nodes, where queues then fill until answers are late.

--- a/crates/policy/src/decide/admission.rs
+++ b/crates/policy/src/decide/admission.rs
@@ -28,8 +28,10 @@
     }
 
     /// `crowding`: the wait at the caches as a part of the SLO; outcomes tell of queues when it is too late.
-    pub fn admit(&self, beyond: f64, crowding: f64, chance: &mut Pcg) -> bool {
-        let crowded = (crowding - CROWDED) / (1.0 - CROWDED);
+    /// `sure`: how far to go by it, of 1. Guards against in-share reads refused at nodes of few answers, where one
+    /// heavy call or one jammed cache looks like a crowd at all of them.
+    pub fn admit(&self, beyond: f64, crowding: f64, sure: f64, chance: &mut Pcg) -> bool {
+        let crowded = sure * (crowding - CROWDED) / (1.0 - CROWDED);
         // Guards against tries that come again in place of first ones: what is beyond is shed by both.
         chance.unit() >= crowded.max(0.0) + SHED_BEYOND * self.level * beyond
     }
--- a/crates/policy/src/decide/call.rs
+++ b/crates/policy/src/decide/call.rs
@@ -17,7 +17,9 @@
         (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
         (call.place, call.product, call.over, call.write) = (Place::Chain, product, beyond > 0.0, ask.write);
         (call.missed, call.leads, call.gated, call.key) = (false, false, false, key);
-        call.spot = place_on_line(key);
+        let spread = self.popularity.spread(key, self.line.caches.len(), now);
+        let place = if spread > 1.0 { (self.chance.unit() * spread).floor() } else { 0.0 };
+        call.spot = (place_on_line(key) + place * GOLDEN).fract();
         // Guards against clients whose clocks differ: what is left is at most the product's time.
         let left = ask.left.max(product.timeout.min(ask.left + self.drift));
         (call.until, call.due, call.excused) = (now + left, now, 0);
@@ -35,7 +37,7 @@
             }
         }
         let crowding = if at_line { self.line.crowding(slo) } else { 0.0 };
-        match self.admission.admit(beyond, crowding, &mut self.chance) {
+        match self.admission.admit(beyond, crowding, self.line.pace().powi(3), &mut self.chance) {
             true => self.coalesce(ix, to),
             // Guards against refusing reads in a crowd at the caches while the origin has places free.
             false if at_line && beyond <= 0.0 && self.origin.free(now) => self.enter_origin(ix, to),
--- a/crates/policy/src/decide/keys.rs
+++ b/crates/policy/src/decide/keys.rs
@@ -1,6 +1,25 @@
-//! Keys that go badly wherever they are asked, and the limit of each.
+//! Keys that are asked for more than a cache can serve, and keys that go badly wherever they are asked.
 use super::*;
 
+impl Popularity {
+    /// Counts a call, and tells over how many caches its key should be spread. Guards against popular keys whose
+    /// one cache jams while others stand idle: at hundreds of nodes no node's in-flight ever tells of it.
+    pub fn spread(&mut self, key: u64, caches: usize, now: Time) -> f64 {
+        self.counts.resize(POPULAR_COUNTS, Fading::default());
+        let count = self.counts[key as usize % POPULAR_COUNTS].add(now);
+        // Chance makes some keys look popular: only what stands out of it counts.
+        POPULAR_SHARE * caches as f64 * (count - count.sqrt()) / (self.all.add(now) + POPULAR_PRIOR)
+    }
+}
+
+impl Fading {
+    fn add(&mut self, now: Time) -> f64 {
+        let kept = 0.5f64.powf((now - self.at).seconds() / POPULAR_HALF_LIFE);
+        (self.count, self.at) = (self.count * kept + 1.0, now);
+        self.count
+    }
+}
+
 impl Keys {
     /// How an attempt went. Only what goes badly begins a record, so that few keys have one.
     pub fn settle(&mut self, key: u64, at: ServerIx, good: bool, now: Time) {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -230,6 +230,20 @@
     pub further: VecDeque<Time>,
 }
 
+/// How often keys are asked for at this node, in a table that keys share by their hashes.
+#[derive(Default)]
+pub struct Popularity {
+    pub counts: Vec<Fading>,
+    pub all: Fading,
+}
+
+/// A count that fades, and when it was last faded.
+#[derive(Clone, Copy, Default)]
+pub struct Fading {
+    pub count: f64,
+    pub at: Time,
+}
+
 /// What is believed of keys whose calls went badly of late.
 #[derive(Default)]
 pub struct Keys {
@@ -309,6 +323,7 @@
     pub(crate) stamp_off: Span,
     pub(crate) admission: Admission,
     pub(crate) coalescing: Coalescing,
+    pub(crate) popularity: Popularity,
     pub(crate) keys: Keys,
     pub(crate) line: Line,
     pub(crate) health: Health,
--- a/crates/policy/tests/decisions/crowds.rs
+++ b/crates/policy/tests/decisions/crowds.rs
@@ -377,3 +377,74 @@
         "#]],
     );
 }
+
+/// At eight calls a second, each answered before the next, how many went to each cache, for one key in four calls and
+/// for another in forty.
+fn sent_to_each_cache() -> [[usize; 6]; 2] {
+    let mut node = Node::new(5, &[]);
+    let mut sent = [[0; 6]; 2];
+    for call in 0..200 {
+        let key = match call % 40 {
+            i if i % 4 == 0 => "key-popular".to_string(),
+            1 => "key-usual".to_string(),
+            _ => format!("key-{call}"),
+        };
+        let seen = node.trace.0.len();
+        node.ask(call, 0, &key, false);
+        let server =
+            node.trace.0[seen..].split("server ").nth(1).map_or(0, |rest| rest[..1].parse().unwrap());
+        node.pass(60.0);
+        node.end(call, 0, Fulfilled, 60.0);
+        node.pass(65.0);
+        if call % 4 == 0 {
+            sent[0][server] += 1;
+        } else if call % 40 == 1 {
+            sent[1][server] += 1;
+        }
+    }
+    sent
+}
+
+// Ten keys, each asked for more than one cache can serve, jammed their caches, from a node's one call at a time that
+// never passed the skip line: 36 calls waited at one box of two cores, and half a call at the median one.
+#[test]
+fn a_popular_key_is_spread_before_its_cache_is_a_crowd_here() {
+    let [popular, usual] = sent_to_each_cache();
+    expect![[r#"
+        popular, by server: [0, 3, 13, 8, 13, 13]
+        usual, by server: [0, 0, 5, 0, 0, 0]
+    "#]]
+    .assert_eq(&format!("popular, by server: {popular:?}\nusual, by server: {usual:?}\n"));
+}
+
+// Heavy calls of one product, and a few jammed caches, looked like a crowd at every cache to a node of few answers: half of
+// another product's reads, with a shorter SLO, were refused while the caches stood idle.
+#[test]
+fn heavy_calls_at_a_node_of_few_answers_refuse_no_light_ones() {
+    let slos = [("products.0.latency_slo", 300.0), ("products.3.latency_slo", 1500.0)];
+    let mut node = Node::new(5, &slos.map(|(name, slo)| (name, Value::Number(slo))));
+    node.say("eight calls a second, by turns light, answered in 20 ms, and heavy, in 1020 ms");
+    let (before, mut away) = (node.trace.0.len(), 0);
+    for call in 0..200 {
+        let seen = node.trace.0.len();
+        node.ask(call, if call % 2 == 0 { 0 } else { 3 }, &format!("key-{call}"), false);
+        let first = &node.trace.0[seen..];
+        away += usize::from(first.contains("rate-limited") || first.contains("server 0"));
+        node.pass(20.0);
+        match call % 2 {
+            0 => node.end(call, 0, Fulfilled, 20.0),
+            _ if call > 9 => (0..3).for_each(|attempt| node.end(call - 8, attempt, Fulfilled, 1020.0)),
+            _ => {}
+        }
+        node.pass(105.0);
+    }
+    node.trace.0.truncate(before);
+    node.say(&format!("not sent to a cache: {away} of 200"));
+    check(
+        node,
+        expect![[r#"
+            0 ms: eight calls a second, by turns light, answered in 20 ms, and heavy, in 1020 ms
+            25000 ms: not sent to a cache: 57 of 200
+        "#]],
+    );
+}
