Doubt the path to a zone, and take its delay out of the origin's answers

Seen on the recorded wire, by zone of node and server: nodes in cardiff, where the origin is, answered 99% in time; those in wrexham sent 31 fetches in 5 s where cardiff sent 908, refused 3,839 reads within a tick of their miss, and their caches missed 95%. Their origin answers took 1.01 s at the least and 1.13 s at the median, of an SLO of 1.5 s, while cardiff's took 0.12 s: no queue was at the origin, the way was long. `review` counted each as late at 0.4 of the SLO and `Origin::settle` each lost one (28 to 40%), so the limit stood at its least, the keys never reached the caches, and clients' tries came again (2.23 attempts a request). Beside it each node learnt of every cache behind the way by itself, some 900 attempts in 5 s that nobody answered.

Health keeps a record by zone: an attempt not answered within the 95th percentile is bad, whatever it ended with. A zone under 0.7 of the best one's share is doubtful: its caches are drawn from that record, none is blamed for it, and neither median nor percentile learns from them. While the origin's zone is doubtful, the least answer since then is taken for the path: only what lies beyond steers the limit, beside it the path may hold as many attempts as fit (Little's law, so the origin gets no more than before), what the path lost counts a quarter, and reads that wait for a fetch bear the delay. Holds against any trouble of a whole zone (power, a switch, a zone restarting); where all zones go badly alike none is blamed, and one zone alone is never. May hurt where the one zone that goes well is too small for the load: it is then filled first, and what finds no room there still goes to the others.

--- a/crates/policy/src/decide/attempts.rs
+++ b/crates/policy/src/decide/attempts.rs
@@ -79,15 +79,7 @@
         let own = server.origin && !self.origin.gate.room(self.now);
         self.line.out += u32::from(counted);
         let charged = self.attempts.budget.charges(call, self.now);
-        call.attempts.push(Attempt {
-            server: at,
-            sent: self.now,
-            fate: Fate::Out,
-            further,
-            charged,
-            counted,
-            own,
-        });
+        call.attempts.push(Attempt { charged, counted, own, ..Attempt::new(at, self.now, further) });
         call.place = Place::Flying;
         to.dispatch(ix, at, call.until, by);
         if server.origin {
@@ -132,7 +124,7 @@
         let call = &mut self.calls[ix.0];
         let Some(late) = call.attempts.last_mut().filter(|attempt| attempt.fate == Fate::Out) else { return };
         let server = &self.servers[late.server.0];
-        if server.origin {
+        if server.origin && self.origin.delay == 0.0 {
             self.origin.gate.late(self.now);
             if late.own {
                 self.origin.writes.late(self.now);
@@ -152,9 +144,8 @@
             // Guards against further attempts that miss at the next nearest and load it in a jam.
             let needed = f64::from(self.origin.gate.out) * 2.0 + 1.0;
             let spare = self.origin.free(self.now) && needed <= self.origin.gate.limit;
-            let chance = &mut self.chance;
-            let near = || self.line.pick(&mut self.servers, &self.health, call, self.now, chance);
-            let pick = self.origin.servers.first().copied().filter(|_| spare).or_else(near);
+            let origin = self.origin.servers.first().copied().filter(|_| spare);
+            let pick = origin.or_else(|| self.pick(ix));
             if pick.is_some_and(|server| self.send_attempt(ix, server, true, to)) {
                 return;
             }
--- a/crates/policy/src/decide/constants.rs
+++ b/crates/policy/src/decide/constants.rs
@@ -25,6 +25,7 @@
 pub const FREED_AFTER: f64 = 2.0; // median answer times in which a full cache gets one more place
 pub const MEAN_STEP: f64 = 0.05; // weight of a sample in running means and quantiles: about the last twenty
 pub const ENOUGH: f64 = 16.0; // answers a second from which a node's own means over time say enough
+pub const PATH_PRIOR: f64 = 4.0; // good outcomes weighed against a path's: two bad ones in a row are not all
 pub const GONE_KEPT: Span = Span::ms(30_000); // how long a gone one's record waits for a restart to end
                                               // Further attempts.
 pub const FURTHER_FROM: f64 = 0.125; // parts of the SLO between which one is waited for: earlier is waste,
@@ -43,6 +44,7 @@
 pub const ORIGIN_LEAST: f64 = 2.0; // attempts out from all at the least
 pub const ORIGIN_WRITES: f64 = 1.0; // attempts out beside the limit where only writes go
 pub const ORIGIN_TARGET: f64 = 0.4; // part of the SLO for its answers: the rest is the cache's and the wait's
+pub const ORIGIN_LOST: f64 = 0.25; // part of a late answer that counts where the path to it loses many
 pub const ORIGIN_STRAINED: f64 = 2.0; // times its calm time that an answer may always take: half is queue
 pub const CALM_DOUBLES: f64 = 120.0; // seconds in which a calm time doubles: what slowed for good is taken so
 pub const ORIGIN_STEP: f64 = 0.25; // places by which an answer in no time, or in twice the target, moves it,
--- a/crates/policy/src/decide/gate.rs
+++ b/crates/policy/src/decide/gate.rs
@@ -4,7 +4,8 @@
 impl Gate {
     /// Under few places the limit is a rate of attempts, too: hundreds of nodes have a place each.
     pub fn room(&self, now: Time) -> bool {
-        f64::from(self.out) < self.limit.floor() || self.limit < ORIGIN_SAVED && self.saved(now) >= 1.0
+        f64::from(self.out) < (self.limit * (1.0 + self.path)).floor()
+            || self.limit < ORIGIN_SAVED && self.saved(now) >= 1.0
     }
 
     pub fn saved(&self, now: Time) -> f64 {
--- a/crates/policy/src/decide/health.rs
+++ b/crates/policy/src/decide/health.rs
@@ -11,7 +11,8 @@
 
     pub fn doubtful(&self, server: &Server, now: Time) -> bool {
         let mean = (server.good + PRIOR * self.success) / (server.good + server.bad + PRIOR);
-        mean < DOUBT * self.success || self.silence(server, now) > 1.0
+        let alone = mean < DOUBT * self.success || self.silence(server, now) > 1.0;
+        alone || self.paths.doubtful(server.zone).is_some()
     }
 
     /// A doubtful cache is drawn from the posterior of its chance of success: rarely used, never forgotten.
@@ -22,20 +23,18 @@
         // Guards against a long good record that vouches for a cache which has just hung.
         let silence = self.silence(server, now).max(1.0);
         let unheard = if silence > 1.0 { silence * f64::from(server.out) } else { 0.0 };
-        let posterior = Beta::new(server.good / silence + 1.0, server.bad + unheard + 1.0);
+        let own = (server.good / silence, server.bad + unheard);
+        let (good, bad) = self.paths.doubtful(server.zone).map_or(own, |path| (path.good, path.bad));
+        let posterior = Beta::new(good + 1.0, bad + 1.0);
         posterior.is_ok_and(|beta| beta.sample(chance) > TRUST)
     }
 
-    pub fn warmth(&self, started: Option<Time>, now: Time) -> f64 {
-        let Some(started) = started else { return 1.0 };
-        let age = (now - started).seconds().max(0.0) / self.warm_within.seconds().max(1e-6);
-        (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
-    }
-
     /// Refills a cold cache's budget, and tells whether it covers one more attempt: what a cache answers this
     /// node on average, cut by the stated warm-up; sends are many times that in a storm of full ones.
     pub fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
-        let warmth = self.warmth(server.cold_at, now);
+        let Some(started) = server.cold_at else { return true };
+        let age = (now - started).seconds().max(0.0) / self.warm_within.seconds().max(1e-6);
+        let warmth = self.cold_from + (1.0 - self.cold_from) * age;
         if warmth >= 1.0 {
             return true;
         }
@@ -54,7 +53,13 @@
         if answered || server.out == 0 {
             server.unheard = (server.out > 0).then_some(now);
         }
-        if matches!(ending.outcome, Fulfilled | Miss) {
+        // What the time of nearly all answers was not enough for is bad, whatever it ended with.
+        let late = took > self.tail;
+        if late || !matches!(ending.outcome, Cancelled | TooLate) {
+            self.paths.settle(server.zone, answered && !late);
+        }
+        let blamed = blamed || self.paths.doubtful(server.zone).is_some();
+        if matches!(ending.outcome, Fulfilled | Miss) && !blamed {
             self.median += MEAN_STEP * self.median * if took > self.median { 0.5 } else { -0.5 };
             self.tail += MEAN_STEP * self.tail * if took > self.tail { 0.95 } else { -0.05 };
         }
@@ -62,12 +67,10 @@
         if ending.outcome == Full {
             (server.room, server.full_at) = (f64::from(server.out), now);
         }
-        if matches!(ending.outcome, Full | TooLate) || (ending.outcome == Cancelled && !slow) {
-            return;
-        }
+        let nothing = matches!(ending.outcome, Full | TooLate) || ending.outcome == Cancelled && !slow;
         let good = matches!(ending.outcome, Fulfilled | Miss) && !slow;
-        // Guards against blaming a cache for a key that goes badly everywhere.
-        if blamed && !good {
+        // Guards against blaming a cache for a key that goes badly everywhere, or for the path to it.
+        if nothing || blamed && !good {
             return;
         }
         *(if good { &mut server.good } else { &mut server.bad }) += 1.0;
--- a/crates/policy/src/decide/line.rs
+++ b/crates/policy/src/decide/line.rs
@@ -33,9 +33,8 @@
         }
     }
 
-    /// The part of an SLO, beyond what an answer takes in calm, that an attempt sent now must wait, by
-    /// Little's law, out at sound caches over answers a second. Guards against nodes of few calls, where one
-    /// attempt out looks like a crowd (there the mean of what was out counts), and work as long as the SLO.
+    /// The part of an SLO that an attempt sent now waits beyond calm, by Little's law: out over answers a second.
+    /// Guards against nodes of few calls, where the mean of what was out counts, and work as long as the SLO.
     pub fn crowding(&self, slo: Span) -> f64 {
         let pace = self.pace();
         let out = pace * f64::from(self.out) * self.heard + (1.0 - pace) * self.mean_out;
@@ -47,40 +46,36 @@
     pub fn pace(&self) -> f64 {
         (self.done_rate / (self.heard * ENOUGH).max(0.1)).clamp(0.1, 1.0)
     }
+}
 
-    /// The nearest point wins unless its cache is over the skip line or Health refuses it; the winner's point
-    /// moves. Caches that had this call are passed over.
-    pub fn pick(
-        &mut self,
-        servers: &mut [Server],
-        health: &Health,
-        call: &Call,
-        now: Time,
-        chance: &mut Pcg,
-    ) -> Option<ServerIx> {
-        self.order.clear();
-        self.order.extend(self.caches.iter().map(|ix| ((servers[ix.0].point - call.spot).abs(), *ix)));
+impl Balancer {
+    /// The nearest point wins, unless over the skip line, refused by Health or asked before; then it moves.
+    pub(super) fn pick(&mut self, ix: CallIx) -> Option<ServerIx> {
+        let Balancer { line, servers, health, calls, chance, now, .. } = self;
+        let (call, now) = (&calls[ix.0], *now);
+        line.order.clear();
+        line.order.extend(line.caches.iter().map(|ix| ((servers[ix.0].point - call.spot).abs(), *ix)));
         // All but a few calls end within the nearest, and so they alone are put in order at first.
         let nearer = |a: &(f64, ServerIx), b: &(f64, ServerIx)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
-        let near = self.order.len().min(NEAREST);
-        if near < self.order.len() {
-            self.order.select_nth_unstable_by(near, nearer);
+        let near = line.order.len().min(NEAREST);
+        if near < line.order.len() {
+            line.order.select_nth_unstable_by(near, nearer);
         }
-        self.order[..near].sort_unstable_by(nearer);
-        let out: u32 = self.caches.iter().map(|ix| servers[ix.0].out).sum();
-        let skip = (SKIP_FACTOR * f64::from(out) / self.caches.len().max(1) as f64).max(SKIP_FLOOR);
+        line.order[..near].sort_unstable_by(nearer);
+        let out: u32 = line.caches.iter().map(|ix| servers[ix.0].out).sum();
+        let skip = (SKIP_FACTOR * f64::from(out) / line.caches.len().max(1) as f64).max(SKIP_FLOOR);
         let mut second = None;
-        for i in 0..self.order.len() {
+        for i in 0..line.order.len() {
             if i == near {
-                self.order[near..].sort_unstable_by(nearer);
+                line.order[near..].sort_unstable_by(nearer);
             }
-            let ix = self.order[i].1;
+            let ix = line.order[i].1;
             let server = &mut servers[ix.0];
             // Guards against storms at full caches: what one had is its room, and more each two answer times.
             let freed = (now - server.full_at).0 as f64 / (FREED_AFTER * health.median);
             let full = f64::from(server.out) + 1.0 > server.room + freed;
             let had = call.attempts.iter().any(|attempt| attempt.server == ix);
-            if f64::from(server.out) > skip || full || had || !health.warm_enough(server, self, now) {
+            if f64::from(server.out) > skip || full || had || !health.warm_enough(server, line, now) {
                 continue;
             }
             if health.trusts(server, now, chance) {
@@ -94,21 +89,18 @@
         server.point += ALPHA * (call.spot - server.point);
         second
     }
-}
 
-impl Balancer {
     pub(super) fn enter_line(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
         let last = call.attempts.len() + 1 >= call.most;
         if self.aside && (call.write || (last && !call.attempts.is_empty())) {
             return self.enter_origin(ix, to);
         }
-        match self.line.pick(&mut self.servers, &self.health, call, self.now, &mut self.chance) {
+        match self.pick(ix) {
             Some(server) if self.send_attempt(ix, server, false, to) => {}
-            Some(_) => self.give_up(ix, to),
             // Guards against full caches turning all their reads into origin work.
             None if self.aside && self.origin.free(self.now) => self.enter_origin(ix, to),
-            None => self.give_up(ix, to),
+            _ => self.give_up(ix, to),
         }
     }
 }
--- a/crates/policy/src/decide/mod.rs
+++ b/crates/policy/src/decide/mod.rs
@@ -16,6 +16,8 @@
 
 mod health;
 
+mod paths; // to each zone
+
 mod origin; // its queue, behind a gate
 
 mod gate;
--- a/crates/policy/src/decide/origin.rs
+++ b/crates/policy/src/decide/origin.rs
@@ -13,17 +13,20 @@
         self.gate.room(now) || write && self.writes.room(now)
     }
 
-    /// The wait that a newcomer behind `ahead` others has before it.
-    pub fn wait(&self, ahead: usize) -> Span {
-        Span((self.times[0].0 * (ahead + 1) as f64 / self.gate.limit) as i64)
-    }
-
     /// The answer time aimed at. Guards against a spiral: writes take longer by nature, and where few reads
     /// get through they would read as strain; so no kind is held to less than twice its own calm time.
     pub fn aim(&self, slo: Span, write: bool) -> f64 {
         (ORIGIN_TARGET * slo.0 as f64).max(ORIGIN_STRAINED * self.times[usize::from(write)].1)
     }
 
+    /// Guards against taking a slow path, or what it loses, for a queue: what answers take beyond the least
+    /// since it is doubtful steers the limit, beside which the path may hold as many as fit; one lost counts less.
+    pub fn follow_path(&mut self, doubtful: bool) {
+        let since = if self.delay > 0.0 { self.delay } else { f64::INFINITY };
+        self.delay = if doubtful { since } else { 0.0 };
+        self.gate.path = if self.delay.is_finite() { self.delay / self.times[0].1.max(1.0) } else { 0.0 };
+    }
+
     /// Steers the limit so that an origin that is slow, yet in time, is used to the full. `own`: in the place
     /// that writes have.
     pub fn settle(&mut self, ending: &Ending, slo: Span, write: bool, own: bool) {
@@ -31,15 +34,21 @@
         let gate = if own { &mut self.writes } else { &mut self.gate };
         gate.out = gate.out.saturating_sub(1);
         let answered = matches!(ending.outcome, Fulfilled | Miss | Broken);
+        let lossy = self.delay > 0.0;
         let spare = match ending.outcome {
+            TimedOut | Unreachable | Reset if lossy => -ORIGIN_LOST,
             Full | TimedOut | Unreachable | Reset => -1.0,
             _ if !answered => return,
             _ => {
-                let took = ending.took.0 as f64;
-                let mean = &mut self.times[usize::from(write)].0;
+                let (aim, mut took) = (self.aim(slo, write), ending.took.0 as f64);
+                let (mean, calm) = &mut self.times[usize::from(write)];
+                if lossy {
+                    self.delay = self.delay.min(took);
+                    took = (took - self.delay + *calm).min((1.0 + ORIGIN_LOST) * aim);
+                }
                 *mean += 2.0 * MEAN_STEP * (took - *mean);
-                // One that took longer was counted when it was late.
-                (1.0 - took / self.aim(slo, write)).max(0.0)
+                // One that took longer was counted when it was late, but for a path that loses many.
+                (1.0 - took / aim).max(if lossy { -1.0 } else { 0.0 })
             }
         };
         self.gate.ended(spare);
@@ -67,7 +76,8 @@
         // What would wait too long is ended now; writes go ahead of the queue.
         let ahead = if call.write { 0 } else { self.origin.queue.len() };
         let patience = call.product.slo.times(PATIENCE);
-        if !self.origin.place(call.write, self.now) && self.origin.wait(ahead) > patience {
+        let wait = self.origin.times[0].0 * (ahead + 1) as f64 / self.origin.gate.limit;
+        if !self.origin.place(call.write, self.now) && Span(wait as i64) > patience {
             return self.give_up(ix, to);
         }
         self.origin.queue.push(ix);
@@ -83,10 +93,8 @@
             let call = |i: &usize| &self.calls[self.origin.queue[*i].0];
             let rank = |call: &Call| (call.write, !call.over, call.product.value.to_bits());
             let best = (0..self.origin.queue.len()).rev().max_by_key(|i| rank(call(i)));
+            let best = best.filter(|best| self.origin.place(call(best).write, self.now));
             let Some(best) = best else { return };
-            if !self.origin.place(call(&best).write, self.now) {
-                return;
-            }
             let server = self.origin.servers.iter().copied().min_by_key(|s| self.servers[s.0].out);
             let ix = self.origin.queue.remove(best);
             if !server.is_some_and(|server| self.send_attempt(ix, server, false, to)) {
--- a/crates/policy/src/decide/tick.rs
+++ b/crates/policy/src/decide/tick.rs
@@ -34,6 +34,9 @@
         let times = self.origin.times.iter_mut().chain([&mut self.line.calm]);
         times.for_each(|(mean, calm)| *calm = (*calm * 2f64.powf(passed / CALM_DOUBLES)).min(*mean));
         self.keys.tick(passed, now);
+        self.health.paths.tick(kept);
+        let zone = self.origin.servers.first().map(|at| self.servers[at.0].zone);
+        self.origin.follow_path(zone.is_some_and(|zone| self.health.paths.doubtful(zone).is_some()));
         self.line.let_go(&mut self.servers, now, to);
         self.roster.tick(now, to);
         self.run_due(to);
--- a/crates/policy/src/decide/waiting.rs
+++ b/crates/policy/src/decide/waiting.rs
@@ -16,7 +16,8 @@
         }
         let call = &self.calls[ix.0];
         let most = call.product.slo.min(call.until - self.now);
-        self.set_due(ix, self.now + most.times(PATIENCE));
+        let path = if place == Place::Waiting { self.origin.delay } else { 0.0 };
+        self.set_due(ix, self.now + (most.times(PATIENCE) + Span(path as i64)).min(most));
     }
 
     // Guards against a due time that is already past coming round for ever within one event.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -36,6 +36,12 @@
     pub own: bool,
 }
 
+impl Attempt {
+    pub fn new(server: ServerIx, sent: Time, further: bool) -> Attempt {
+        Attempt { server, sent, fate: Fate::Out, further, charged: false, counted: false, own: false }
+    }
+}
+
 #[derive(Default)]
 pub struct Call {
     pub serial: u32,
@@ -187,8 +193,22 @@
     pub out: u32,
 }
 
+/// What is known of the path from this node to a zone: attempts answered in good time, and others, fading.
+#[derive(Default)]
+pub struct Path {
+    pub good: f64,
+    pub bad: f64,
+    pub doubtful: bool,
+}
+
+#[derive(Default)]
+pub struct Paths {
+    pub zones: FxHashMap<u32, Path>,
+}
+
 #[derive(Default)]
 pub struct Health {
+    pub paths: Paths,
     pub median: f64,
     pub tail: f64,
     /// Longest SLO of any product, in microseconds.
@@ -207,6 +227,9 @@
     /// For reads and for writes: mean answer time and its calm level, in microseconds.
     pub times: [(f64, f64); 2],
     pub queue: Vec<CallIx>,
+    /// While the path to it is doubtful: the least answer time since then, in microseconds, without end before the
+    /// first answer. Else 0.
+    pub delay: f64,
 }
 
 #[derive(Default)]
@@ -262,6 +285,8 @@
     pub unasked: f64,
     /// The time aimed at, in microseconds.
     pub target: f64,
+    /// Time on the path to its servers, as a multiple of the answer time: so much more may be out.
+    pub path: f64,
     /// A call had to wait for a place, or got none, since the last answer.
     pub pressed: bool,
     /// Attempts saved up, and when that was counted.
--- a/crates/policy/tests/decisions/main.rs
+++ b/crates/policy/tests/decisions/main.rs
@@ -2,5 +2,6 @@
 mod common;
 mod crowds;
 mod fleet;
+mod paths;
 mod rules;
 mod traces;
--- /dev/null
+++ b/crates/policy/tests/decisions/paths.rs
@@ -0,0 +1,120 @@
+//! Paths between zones that are slow or lossy: servers behind one are as good as ever, seen from elsewhere.
+use std::collections::HashMap;
+
+use crate::common::{line, settings, Node, Trace};
+use quartzhub_policy::*;
+
+/// How an attempt at a server ends, and after how many ms.
+type Ends = fn(usize) -> (Outcome, f64);
+
+/// An attempt whose end the node has yet to hear of.
+struct Pending {
+    at: f64,
+    call: usize,
+    attempt: usize,
+    outcome: Outcome,
+    took: f64,
+}
+
+/// A node with what its servers have yet to answer. Caches 1 and 2 are in its zone; the origin (server 0) and caches
+/// 3, 4, 5 and 7 are in another.
+struct World {
+    node: Node,
+    pending: Vec<Pending>,
+    /// Attempts made so far, by call.
+    attempts: HashMap<usize, usize>,
+    /// Attempts sent, by server.
+    sent: [usize; 8],
+    rate_limited: usize,
+    calls: usize,
+}
+
+impl World {
+    fn new() -> World {
+        let extra = [("balancers", Value::Number(10.0))];
+        let balancer = Balancer::new(&settings(&extra), 7);
+        let mut node = Node { balancer, trace: Trace::default(), now: 0.0, tenant: 0 };
+        node.balancer.start(Time(0), &mut node.trace);
+        let zone = |server| u32::from(server != 1 && server != 2);
+        let listed = |server| Listing { zone: zone(server), ..line(server, State::Ready, None) };
+        node.list_all(&[0, 1, 2, 3, 4, 5, 7].map(listed));
+        World { node, pending: Vec::new(), attempts: HashMap::new(), sent: [0; 8], rate_limited: 0, calls: 0 }
+    }
+
+    /// Takes note of what the node did since the last time.
+    fn take_note(&mut self, ends: Ends) {
+        for did in std::mem::take(&mut self.node.trace.0).lines() {
+            self.rate_limited += usize::from(did.contains("rate-limited"));
+            let Some((call, server)) = did.split_once(" -> server ") else { continue };
+            let call: usize = call.trim_start().trim_start_matches("call ").parse().unwrap();
+            let server: usize = server.split(' ').next().unwrap().parse().unwrap();
+            let attempt = self.attempts.entry(call).or_default();
+            let (outcome, took) = ends(server);
+            let at = self.node.now + took;
+            self.pending.push(Pending { at, call, attempt: *attempt, outcome, took });
+            *attempt += 1;
+            self.sent[server] += 1;
+        }
+    }
+
+    /// A read every 10 ms for so long.
+    fn run(&mut self, ms: f64, ends: Ends) {
+        let until = self.node.now + ms;
+        while self.node.now < until {
+            self.node.ask(self.calls, 0, &format!("key-{}", self.calls), false);
+            self.calls += 1;
+            self.take_note(ends);
+            self.node.now += 10.0;
+            if self.calls.is_multiple_of(2) {
+                self.node.balancer.tick(self.node.at(), &mut self.node.trace);
+                self.take_note(ends);
+            }
+            let now = self.node.now;
+            for over in self.pending.extract_if(.., |pending| pending.at <= now).collect::<Vec<_>>() {
+                self.node.end(over.call, over.attempt, over.outcome, over.took);
+                self.take_note(ends);
+            }
+        }
+    }
+}
+
+/// What was lost on the way to three caches of a zone tells of the path to the fourth.
+#[test]
+fn a_path_that_loses_answers_is_passed_over_for_all_caches_behind_it() {
+    let mut world = World::new();
+    world.run(2_000.0, |_| (Outcome::Fulfilled, 20.0));
+    let calm = world.sent[7];
+    world.run(1_000.0, |server| match server {
+        3..=5 => (Outcome::TimedOut, 200.0),
+        _ => (Outcome::Fulfilled, 20.0),
+    });
+    world.sent[7] = 0;
+    world.run(2_000.0, |server| match server {
+        3..=5 | 7 => (Outcome::TimedOut, 200.0),
+        _ => (Outcome::Fulfilled, 20.0),
+    });
+    assert!(
+        world.sent[7] * 4 < calm,
+        "{} attempts to the zone whose answers are lost, {calm} in calm",
+        world.sent[7]
+    );
+}
+
+/// Answers of an origin behind a slow path are late by the path, not by a queue, and still within the SLO.
+#[test]
+fn an_origin_behind_a_slow_path_goes_on_to_be_asked() {
+    let mut world = World::new();
+    world.run(2_000.0, |server| match server {
+        0 => (Outcome::Fulfilled, 40.0),
+        _ => (Outcome::Fulfilled, 20.0),
+    });
+    let slow: Ends = |server| match server {
+        0 => (Outcome::Fulfilled, 320.0),
+        1 | 2 => (Outcome::Miss, 5.0),
+        _ => (Outcome::Miss, 300.0),
+    };
+    world.run(6_000.0, slow);
+    (world.sent, world.rate_limited) = ([0; 8], 0);
+    world.run(2_000.0, slow);
+    assert!(world.rate_limited <= 20, "{} of 200 reads were refused", world.rate_limited);
+}
