--- a/crates/policy/tests/decisions/main.rs
+++ b/crates/policy/tests/decisions/main.rs
@@ -3,5 +3,6 @@
 mod crowds;
 mod fleet;
 mod lists;
+mod paths;
 mod rules;
 mod traces;
