Tell the origin the time that is left in X-Facts, as cache servers are told

Cause: origin::request passed the list of names and values on as the client sent it, with the client's whole d, while caches::command put the attempt's wait in its place.

Change: Words::facts_with_wait is the one place that makes the list, for caches and the origin alike.

Check: origin::tests::reads_and_writes_as_requests now expects the wait that it hands over in X-Facts, where it expected the client's own d; with the client's list passed on it fails.

--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -18,7 +18,7 @@
 /// The command for a cache server: as the client sent it, but with the time that the node will wait. A value and
 /// its end follow behind it.
 pub fn command(words: &Words, wait: Span) -> Vec<u8> {
-    let facts = facts(&words.facts, wait);
+    let facts = words.facts_with_wait(wait);
     let (name, count) = if words.value.is_some() { ("OBJ.SET", 5) } else { ("OBJ.GET", 4) };
     let mut out = format!("*{count}\r\n").into_bytes();
     [name, &words.key, &words.id, &facts].iter().for_each(|word| resp::put_bulk(&mut out, word.as_bytes()));
@@ -45,17 +45,6 @@
     matches!(resp::reply(&bytes[first..], limits), Parsed::Whole(Reply::Bulk(_), second) if first + second == bytes.len())
 }
 
-/// The client's list with the wait put in place of its own.
-fn facts(given: &str, wait: Span) -> String {
-    let wait = format!("d={}", (wait.as_ms() as i64).max(1));
-    let mut facts: Vec<_> = given.split(',').filter(|fact| !fact.is_empty()).collect();
-    match facts.iter_mut().find(|fact| fact.starts_with("d=")) {
-        Some(fact) => *fact = &wait,
-        None => facts.push(&wait),
-    }
-    facts.join(",")
-}
-
 /// A reply. Served and missed API calls get an array of the value, a word on how it went, and a load report.
 /// Guards against taking for the value what a spoilt reply has in its place: all but the report must be as a
 /// server makes it.
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -1,7 +1,7 @@
 //! What is said to the origin, over HTTP/1.1, and what its answers mean.
 use std::net::SocketAddr;
 
-use quartzhub_policy::Outcome;
+use quartzhub_policy::{Outcome, Span};
 
 use crate::caches::Answer;
 use crate::http::{self, Body, Head};
@@ -9,11 +9,11 @@
 use crate::resp::Parsed;
 use crate::words::Words;
 
-/// A value follows behind it as the body.
-pub fn request(words: &Words, to: SocketAddr) -> Vec<u8> {
+/// The request for the origin, with the time that the node will wait. A value follows behind it as the body.
+pub fn request(words: &Words, to: SocketAddr, wait: Span) -> Vec<u8> {
     let method = if words.value.is_some() { "PUT" } else { "GET" };
     let key = path(&words.key);
-    let Words { id, facts, .. } = words;
+    let (id, facts) = (&words.id, words.facts_with_wait(wait));
     let mut out =
         format!("{method} /{key} HTTP/1.1\r\nHost: {to}\r\nX-Correlation-Id: {id}\r\nX-Facts: {facts}\r\n")
             .into_bytes();
@@ -78,10 +78,12 @@
             value: value.map(bytes::Bytes::copy_from_slice),
         };
         let to = "127.0.0.1:80".parse().expect("an address");
-        let text = |value| String::from_utf8_lossy(&request(&words(value), to)).replace("\r\n", "|") + "\n";
+        let text = |value| {
+            String::from_utf8_lossy(&request(&words(value), to, Span::ms(123))).replace("\r\n", "|") + "\n"
+        };
         expect![[r#"
-            GET /7f%2F3a%209 HTTP/1.1|Host: 127.0.0.1:80|X-Correlation-Id: 9b1f|X-Facts: c=put,d=480,k=5c||
-            PUT /7f%2F3a%209 HTTP/1.1|Host: 127.0.0.1:80|X-Correlation-Id: 9b1f|X-Facts: c=put,d=480,k=5c|Content-Length: 5||
+            GET /7f%2F3a%209 HTTP/1.1|Host: 127.0.0.1:80|X-Correlation-Id: 9b1f|X-Facts: c=put,d=123,k=5c||
+            PUT /7f%2F3a%209 HTTP/1.1|Host: 127.0.0.1:80|X-Correlation-Id: 9b1f|X-Facts: c=put,d=123,k=5c|Content-Length: 5||
         "#]]
         .assert_eq(&(text(None) + &text(Some(b"VALUE"))));
     }
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -91,7 +91,7 @@
                 return None;
             }
             match self.origin {
-                true => buffer.put(&origin::request(words, self.to)),
+                true => buffer.put(&origin::request(words, self.to, wait)),
                 false => buffer.put(&caches::command(words, wait)),
             }
             *self.body.borrow_mut() = words.value.clone().map(|value| (value, 0));
--- a/crates/node/src/words.rs
+++ b/crates/node/src/words.rs
@@ -88,6 +88,20 @@
     pub value: Option<Bytes>,
 }
 
+impl Words {
+    /// The client's list of names and values as a server is told it: `d` is the time that is left at the write of
+    /// this attempt, in place of the client's own. Caches and the origin get the same list.
+    pub fn facts_with_wait(&self, wait: Span) -> String {
+        let wait = format!("d={}", (wait.as_ms() as i64).max(1));
+        let mut facts: Vec<_> = self.facts.split(',').filter(|fact| !fact.is_empty()).collect();
+        match facts.iter_mut().find(|fact| fact.starts_with("d=")) {
+            Some(fact) => *fact = &wait,
+            None => facts.push(&wait),
+        }
+        facts.join(",")
+    }
+}
+
 /// What a client's list of names and values tells the node.
 #[derive(Debug, Default, PartialEq)]
 pub struct Facts<'a> {
