Take the time a command waited behind others of its client off its wait

Cause: a command's wait was counted from when it was taken up. While 128 answers of its client are open it lies unread or in the connection's buffer, and was then given the client's whole d. Seen in the new socket test: 29997 ms told where 29400 were left.

Change: clients/arrivals.rs keeps when what lies in a client's buffer was read; Facts::queued tells the reducer how long the command has waited, and the longer of that and a standstill of the process is taken off. Behind 128 open answers up to 16 KiB are read ahead, so that their time is known. What lies in the system beyond that is not seen (docs/node.md).

Tests: sockets remaining::a_command_behind_others_of_its_client_tells_what_is_left failed before. That the time of a connect, in line, behind another fetch, and until a broken upstream is replaced is taken off was so already; reducer remaining (six) and sockets remaining (four) show it, and fail with the wait taken at the attempt's begin or without the call's end.

The harness sends a connection's end before it drops it: a process that another test is just starting holds a copy of the descriptor, so the close did nothing yet.

--- a/crates/node/src/clients/commands.rs
+++ b/crates/node/src/clients/commands.rs
@@ -14,6 +14,8 @@
 use crate::resp::{self, put_bulk, Parsed};
 use crate::words::{ClientId, Facts, Words};
 
+use super::arrivals::Arrivals;
+
 #[cfg(test)]
 mod tests;
 
@@ -31,21 +33,22 @@
 }
 
 /// Takes one command from the buffer and reports it.
-pub fn take_command(hub: &Rc<Hub>, id: ClientId, buffer: &mut Buffer) -> Taken {
+pub fn take_command(hub: &Rc<Hub>, id: ClientId, buffer: &mut Buffer, arrivals: &mut Arrivals) -> Taken {
     let limits = &hub.limits;
     let taken = match resp::command(buffer.filled(), limits) {
         _ if buffer.is_empty() => Taken::None,
         Parsed::Whole(words, used) => {
             let last = words.first().is_some_and(|name| name.eq_ignore_ascii_case(b"QUIT"));
+            let came = arrivals.take(used);
             if used <= limits.whole {
-                hub.tell(|reducer, now| obey(reducer, now, id, &words, Bytes::copy_from_slice, limits));
+                hub.tell(|reducer, now| obey(reducer, now, came, id, &words, Bytes::copy_from_slice, limits));
                 buffer.consume(used);
             } else {
                 drop(words);
                 let bytes = buffer.take(used);
                 if let Parsed::Whole(words, _) = resp::command(&bytes, limits) {
                     let value = |word: &[u8]| bytes.slice_ref(word);
-                    hub.tell(|reducer, now| obey(reducer, now, id, &words, value, limits));
+                    hub.tell(|reducer, now| obey(reducer, now, came, id, &words, value, limits));
                 }
             }
             // Guards against a client that goes on sending what can't be done.
@@ -71,26 +74,26 @@
     taken
 }
 
-/// `own`: makes a word one that can be kept.
+/// `came`: when the command's last byte was read. `own`: makes a word one that can be kept.
 fn obey(
     reducer: &mut Reducer,
     now: Time,
+    came: Option<Time>,
     id: ClientId,
     words: &[&[u8]],
     own: impl Fn(&[u8]) -> Bytes,
     limits: &Limits,
 ) {
     let name = words.first().map(|name| name.to_ascii_uppercase()).unwrap_or_default();
+    let queued = came.map_or(Span::ZERO, |came| now - came);
+    let mut take_up = |call: Result<(Words, Facts), &'static str>| match call {
+        Ok((words, facts)) => reducer.call(now, id, words, Facts { queued, ..facts }),
+        Err(what) => reducer.faulty(now, id, what),
+    };
     let answer = match (&name[..], words) {
-        (b"OBJ.GET", [_, key, call, facts]) => match api_call(key, call, facts, None, limits) {
-            Ok((words, facts)) => return reducer.call(now, id, words, facts),
-            Err(what) => return reducer.faulty(now, id, what),
-        },
+        (b"OBJ.GET", [_, key, call, facts]) => return take_up(api_call(key, call, facts, None, limits)),
         (b"OBJ.SET", [_, key, call, facts, value]) => {
-            match api_call(key, call, facts, Some(own(value)), limits) {
-                Ok((words, facts)) => return reducer.call(now, id, words, facts),
-                Err(what) => return reducer.faulty(now, id, what),
-            }
+            return take_up(api_call(key, call, facts, Some(own(value)), limits))
         }
         (b"OBJ.GET" | b"OBJ.SET" | b"PING", [_, _, _, ..]) | (b"OBJ.GET" | b"OBJ.SET", _) => {
             return reducer.faulty(now, id, "wrong number of arguments")
@@ -143,6 +146,7 @@
         product: fact("c"),
         tenant: fact("t"),
         wait: Span::from_ms(ms).min(limits.client_wait),
+        queued: Span::ZERO,
         mark: fact("k").is_some_and(|mark| !mark.is_empty()),
         repeat: fact("r") == Some("1"),
     })
--- a/crates/node/src/clients/commands/tests.rs
+++ b/crates/node/src/clients/commands/tests.rs
@@ -5,7 +5,7 @@
 fn facts_are_read_and_broken_ones_told() {
     let facts = read_facts("c=read,t=us,d=480.5,r=1,size=3,k=", &Limits::default()).expect("a list");
     let (product, tenant, wait) = (Some("read"), Some("us"), Span(480_500));
-    assert_eq!(facts, Facts { product, tenant, wait, mark: false, repeat: true });
+    assert_eq!(facts, Facts { product, tenant, wait, queued: Span::ZERO, mark: false, repeat: true });
     for broken in
         ["", "c", "c=x", "c=x,,d=3", "c=x,d=", "d=-1", "d=NaN", "d=inf", "=x", "d=1e2", "d=1,d=2", "d=soon"]
     {
--- a/crates/node/src/clients/converse.rs
+++ b/crates/node/src/clients/converse.rs
@@ -5,13 +5,13 @@
 use quartzhub_policy::Span;
 use tokio::net::TcpStream;
 
+use super::arrivals::Arrivals;
 use super::commands::{fault, take_command, Taken};
 use super::room::{room_for, Held};
 use super::Client;
 use crate::buffer::{quiet, Buffer};
 use crate::clock::duration;
 use crate::effects::Hub;
-use crate::limits::Limits;
 use crate::reducer::Reducer;
 use crate::resp;
 use crate::words::ClientId;
@@ -26,7 +26,7 @@
 
 async fn converse(hub: &Rc<Hub>, id: ClientId, client: &Client) {
     let limits = &hub.limits;
-    let mut buffer = Buffer::default();
+    let (mut buffer, mut arrivals) = (Buffer::default(), Arrivals::default());
     let mut held = Held { hub, bytes: 0 };
     // Nothing more is read once a command was broken.
     let mut reading = true;
@@ -49,7 +49,7 @@
             if hub.ask(|reducer| reducer.waiting(id)) + client.unwritten() >= limits.calls_per_client {
                 break;
             }
-            match take_command(hub, id, &mut buffer) {
+            match take_command(hub, id, &mut buffer, &mut arrivals) {
                 Taken::One => taken += 1,
                 Taken::None => break,
                 Taken::Last => reading = false,
@@ -86,7 +86,7 @@
             let wait = duration(if unread { limits.last_read } else { pause });
             let wait = tokio::time::timeout(wait, client.stream.readable());
             let goes_on = (looks || pause > Span::ZERO) && wait.await.is_ok_and(|ready| ready.is_ok());
-            if goes_on && !has_ended(&mut buffer, &client.stream, limits) {
+            if goes_on && !has_ended(hub, &mut buffer, &mut arrivals, &client.stream) {
                 continue;
             }
             // Guards against a command that crosses the close: the reset that it would bring takes along answers that the
@@ -119,16 +119,20 @@
             *begun.get_or_insert(hub.clock.now()) + limits.half_command
         };
         let behind = waiting + client.unwritten() >= limits.calls_per_client;
-        let room = reading && !behind && client.closing.get().is_none();
+        // Behind its open answers a client is read a little further, so that the wait of its next commands is known.
+        let ahead = behind && buffer.filled().len() < limits.read;
+        let room = reading && (!behind || ahead) && client.closing.get().is_none();
         tokio::select! {
             ready = client.stream.readable(), if room => {
                 // Guards against attempts for a client that has left: its end lies behind its command, and is read before that
                 // is taken up.
-                if ready.is_err() || has_ended(&mut buffer, &client.stream, limits) {
+                if ready.is_err() || has_ended(hub, &mut buffer, &mut arrivals, &client.stream) {
                     return;
                 }
                 held.set(buffer.room().max(promised));
-                if let Some(size) = resp::large_command(buffer.filled(), limits) {
+                // A large command that comes behind open answers is given its room once it is next.
+                let large = if behind { None } else { resp::large_command(buffer.filled(), limits) };
+                if let Some(size) = large {
                     let has_room = promised > 0 || tokio::select! {
                         has_room = room_for(hub, &mut held, size) => has_room,
                         () = client.gone() => return,
@@ -199,12 +203,12 @@
 }
 
 /// Reads what has come; whether the client's end lies behind it, as far as one command may reach.
-fn has_ended(buffer: &mut Buffer, stream: &TcpStream, limits: &Limits) -> bool {
-    let most = buffer.filled().len() + limits.read;
+fn has_ended(hub: &Hub, buffer: &mut Buffer, arrivals: &mut Arrivals, stream: &TcpStream) -> bool {
+    let most = buffer.filled().len() + hub.limits.read;
     while buffer.filled().len() < most {
-        match buffer.read(stream, limits.read) {
+        match buffer.read(stream, hub.limits.read) {
             Ok(0) => return true,
-            Ok(_) => {}
+            Ok(count) => arrivals.read(hub.clock.now(), count),
             Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
         }
     }
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -14,6 +14,7 @@
 use crate::words::Said;
 
 mod accept;
+mod arrivals;
 mod commands;
 mod converse;
 mod room;
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -405,7 +405,8 @@
             return self.world.answer(id, turn, Said::RateLimited(None));
         }
         self.world.held += size;
-        let given = Span((facts.wait.0 - self.world.limits.way.0 - self.world.waited().0).max(0));
+        let unread = self.world.waited().max(facts.queued);
+        let given = Span((facts.wait.0 - self.world.limits.way.0 - unread.0).max(0));
         let left = self.world.end.map_or(given, |end| given.min((end - now).max(Span::ZERO)));
         let until = now + left;
         let tenant = place(&self.places.tenants, facts.tenant);
--- a/crates/node/src/words.rs
+++ b/crates/node/src/words.rs
@@ -108,6 +108,8 @@
     pub product: Option<&'a str>,
     pub tenant: Option<&'a str>,
     pub wait: Span,
+    /// How long its command has waited in the node behind others of its client, as part of that wait.
+    pub queued: Span,
     /// It has the mark by which a repeated write is known.
     pub mark: bool,
     pub repeat: bool,
--- a/crates/node/tests/reducer/main.rs
+++ b/crates/node/tests/reducer/main.rs
@@ -4,4 +4,5 @@
 mod common;
 mod lists;
 mod random;
+mod remaining;
 mod upstreams;
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -5,7 +5,10 @@
 pub use std::process::{Child, Command, Stdio};
 pub use std::sync::mpsc::{channel, Receiver, Sender};
 pub use std::sync::{Arc, Mutex};
-pub use std::time::Duration;
+pub use std::time::{Duration, Instant};
+
+pub use quartzhub_node::{serve, Config, Environment};
+pub use quartzhub_policy::Span;
 
 pub use super::standins::*;
 
@@ -73,9 +76,7 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.addr).expect("a connection");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
-        Client(BufReader::new(stream))
+        Client::connect(self.addr)
     }
 
     /// Has the process stand still, and awaits that it does.
@@ -118,9 +119,56 @@
     (child, file)
 }
 
+/// A node within the test, whose limits are the test's.
+pub struct Embedded {
+    pub addr: SocketAddr,
+    stop: tokio::sync::oneshot::Sender<()>,
+    thread: std::thread::JoinHandle<std::io::Result<()>>,
+}
+
+impl Embedded {
+    pub fn start(config: Config) -> Embedded {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        listener.set_nonblocking(true).expect("a socket");
+        let addr = listener.local_addr().expect("an address");
+        let (stop, asked) = tokio::sync::oneshot::channel::<()>();
+        let thread = std::thread::spawn(move || {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            let served = serve(config, Some(listener), async { drop(asked.await) }, Default::default());
+            tokio::task::LocalSet::new().block_on(&runtime, served)
+        });
+        Embedded { addr, stop, thread }
+    }
+
+    /// Asks it to end, as SIGTERM would; gives what awaits the end.
+    pub fn stop(self) -> std::thread::JoinHandle<std::io::Result<()>> {
+        self.stop.send(()).expect("it runs");
+        self.thread
+    }
+}
+
 pub struct Client(pub BufReader<TcpStream>);
 
+/// Sends the end of a connection that is about to be dropped. Guards against a close that does nothing yet: a process that
+/// another test is just starting holds a copy of the descriptor for a moment.
+pub fn send_end(stream: &TcpStream) {
+    let _ = stream.shutdown(std::net::Shutdown::Write);
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        send_end(self.0.get_ref());
+    }
+}
+
 impl Client {
+    pub fn connect(to: SocketAddr) -> Client {
+        let stream = TcpStream::connect(to).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
+        Client(BufReader::new(stream))
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.0.get_mut().write_all(bytes).expect("sent");
     }
--- a/crates/node/tests/sockets/ending.rs
+++ b/crates/node/tests/sockets/ending.rs
@@ -1,8 +1,4 @@
 //! SIGTERM, and the address of a process that is about to end.
-use std::rc::Rc;
-
-use quartzhub_node::{serve, Config, Environment};
-use quartzhub_policy::Span;
 use socket2::{Domain, Socket, Type};
 
 use super::common::*;
@@ -115,15 +111,8 @@
     let mut config = Config::parse(&text, Environment::default()).expect("a configuration");
     config.limits.linger = Span::ms(PATIENCE.as_millis() as i64);
     config.limits.stop_longest = Span::ms(PATIENCE.as_millis() as i64);
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.set_nonblocking(true).expect("a socket");
-    let addr = listener.local_addr().expect("an address");
-    let (stop, asked) = tokio::sync::oneshot::channel::<()>();
-    let node = std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        let asked = async { drop(asked.await) };
-        tokio::task::LocalSet::new().block_on(&runtime, serve(config, Some(listener), asked, Rc::default()))
-    });
+    let node = Embedded::start(config);
+    let addr = node.addr;
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
     // So small that most of the answer stays with the node's system.
     socket.set_recv_buffer_size(2048).expect("a small buffer");
@@ -134,7 +123,7 @@
     let mut client = Client(BufReader::new(stream));
     client.send(&command(&["OBJ.GET", "k", "id", FACTS]));
     assert_eq!(next(&seen), "a: OBJ.GET k id");
-    stop.send(()).expect("it runs");
+    let ended = node.stop();
     while state_at(addr, own) == Some(1) {
         std::thread::yield_now();
     }
@@ -142,7 +131,7 @@
     assert!(client.answer() == value, "the answer comes whole");
     assert_eq!(client.answer(), "closed");
     drop(client);
-    node.join().expect("a node").expect("an end");
+    ended.join().expect("a node").expect("an end");
     // What crossed was not sent on.
     assert!(seen.try_recv().is_err());
 }
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -7,5 +7,6 @@
 mod ending;
 mod large;
 mod operating;
+mod remaining;
 mod stall;
 mod standins;
--- a/crates/node/tests/sockets/standins.rs
+++ b/crates/node/tests/sockets/standins.rs
@@ -16,6 +16,8 @@
 }
 
 pub type Script = Arc<Mutex<dyn FnMut(&str) -> Deed + Send>>;
+/// Reads one command or request and says what is reported of it.
+pub type Reading = fn(&mut BufReader<TcpStream>) -> Option<String>;
 
 /// Starts a server that reads RESP commands, or HTTP requests, and acts by a script. Reports each as
 /// "name: words", and "name: closed" when a held connection ends.
@@ -23,6 +25,16 @@
     name: &'static str,
     seen: Sender<String>,
     script: impl FnMut(&str) -> Deed + Send + 'static,
+) -> SocketAddr {
+    server_reading(name, seen, if name == "origin" { request } else { words }, script)
+}
+
+/// The same, where the test says what is reported of each command or request.
+pub fn server_reading(
+    name: &'static str,
+    seen: Sender<String>,
+    read: Reading,
+    script: impl FnMut(&str) -> Deed + Send + 'static,
 ) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let addr = listener.local_addr().expect("an address");
@@ -32,9 +44,7 @@
             let (seen, script) = (seen.clone(), script.clone());
             std::thread::spawn(move || {
                 let mut reader = BufReader::new(stream);
-                while let Some(words) =
-                    if name == "origin" { request(&mut reader) } else { words(&mut reader) }
-                {
+                while let Some(words) = read(&mut reader) {
                     let _ = seen.send(format!("{name}: {words}"));
                     let deed = script.lock().map(|mut script| script(&words));
                     let stream = reader.get_mut();
@@ -46,17 +56,21 @@
                         }
                         Ok(Deed::Last(bytes)) => {
                             let _ = stream.write_all(&bytes);
+                            send_end(stream);
                             drop(reader);
                             let _ = seen.send(format!("{name}: closed"));
                             return;
                         }
-                        Ok(Deed::Cut(bytes)) => return drop(stream.write_all(&bytes[..bytes.len() / 2])),
+                        Ok(Deed::Cut(bytes)) => {
+                            let _ = stream.write_all(&bytes[..bytes.len() / 2]);
+                            return send_end(stream);
+                        }
                         Ok(Deed::Hold) => {
                             let _ = stream.read(&mut [0; 64]);
                             let _ = seen.send(format!("{name}: closed"));
                             return;
                         }
-                        _ => return,
+                        _ => return send_end(stream),
                     }
                 }
             });
@@ -78,18 +92,24 @@
 }
 
 /// A command's words but for the list of names and values, whose wait differs.
-pub fn words(reader: &mut impl BufRead) -> Option<String> {
+pub fn words(reader: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut all = command_words(reader)?;
+    all.remove(3);
+    Some(all.join(" "))
+}
+
+/// A command's words.
+pub fn command_words(reader: &mut impl BufRead) -> Option<Vec<String>> {
     let count: usize = line(reader)?.strip_prefix('*')?.parse().ok()?;
     let mut all = Vec::new();
     for _ in 0..count {
         let size: usize = line(reader)?.strip_prefix('$')?.parse().ok()?;
         all.push(bytes(reader, size + 2)?.trim_end().to_owned());
     }
-    all.remove(3);
-    Some(all.join(" "))
+    Some(all)
 }
 
-pub fn request(reader: &mut impl BufRead) -> Option<String> {
+pub fn request(reader: &mut BufReader<TcpStream>) -> Option<String> {
     let mut said = line(reader)?.replace(" HTTP/1.1", "");
     let mut size = 0;
     loop {
