Split the fleet rig into modules of one job each

A reply to an operator is a type in place of a tuple, ports and waits are named constants, each kind of fault has a function. Behaviour is as before.

--- /dev/null
+++ b/crates/lab/src/fleet/outcome.rs
@@ -0,0 +1,145 @@
+//! The outcome of a run: its figures as a table, a row or a JSON record, and the files that keep them.
+use std::path::{Path, PathBuf};
+
+use serde::Serialize;
+
+use super::plan::Plan;
+use super::timeline::{self, Event, Stretch};
+use crate::rules::Broken;
+use crate::scenario::Bad;
+use crate::stats::{Counts, Report};
+
+/// Characters of an API call's history that are told.
+const MOST_HISTORY: usize = 1_500;
+
+/// What a play has shown.
+pub struct Outcome {
+    pub report: Report,
+    pub broken: Vec<Broken>,
+    pub broken_count: u64,
+    pub events: Vec<Event>,
+    pub stretches: Vec<Stretch>,
+    pub up: usize,
+    pub nodes: usize,
+    pub hits: u64,
+    pub misses: u64,
+    pub fetches: u64,
+    pub fell: u64,
+    /// Attempts to the origin by the second.
+    pub origin: Vec<u64>,
+    /// Datagrams between nodes: sent, and arrived.
+    pub datagrams: (u64, u64),
+    /// The rig's own greatest lateness, in seconds.
+    pub late: f64,
+    /// When each server was last sent an attempt, in seconds from the beginning.
+    pub last_attempts: Vec<f64>,
+    pub(super) failures: Vec<String>,
+}
+
+impl Outcome {
+    /// Why it is not as it must be, broken rules first.
+    pub fn failures(&self) -> Vec<String> {
+        let broken = self.broken.iter().map(|broken| {
+            let history: String = broken.history.chars().take(MOST_HISTORY).collect();
+            format!("{:?} broken at {:.1} ms: {}. {history}", broken.rule, broken.at.ms(), broken.what)
+        });
+        broken.chain(self.failures.iter().cloned()).collect()
+    }
+
+    pub fn service_by_second(&self) -> Vec<f64> {
+        self.report.windows.iter().map(Counts::service).collect()
+    }
+
+    pub fn table(&self) -> String {
+        let (report, all) = (&self.report, &self.report.all);
+        let quantile = |q| report.latency.value_at_quantile(q) as f64 / 1000.0;
+        let worst = self.service_by_second().into_iter().fold(1.0, f64::min);
+        let peak = self.origin.iter().copied().max().unwrap_or(0);
+        let rows = [
+            ("API calls of clients", format!("{} ({} tries)", all.asked, report.tries)),
+            ("fulfilled", format!("{} ({} in the SLO)", all.in_slo + all.late, all.in_slo)),
+            ("rate-limited, errored", format!("{}, {}", all.rate_limited, all.errored)),
+            (
+                "no answer, closed, never taken",
+                format!("{}, {}, {}", all.gave_up, all.closed, all.never_taken),
+            ),
+            (
+                "service, worst 10 s, worst second",
+                format!("{:.4}, {:.4}, {worst:.4}", all.service(), report.worst()),
+            ),
+            ("p50, p99 from the first try", format!("{:.1} ms, {:.1} ms", quantile(0.5), quantile(0.99))),
+            (
+                "hits, misses, attempts to the origin",
+                format!("{}, {}, {}", self.hits, self.misses, self.fetches),
+            ),
+            ("origin's greatest second", format!("{peak} attempts")),
+            ("servers that fell", self.fell.to_string()),
+            ("datagrams sent, arrived", format!("{}, {}", self.datagrams.0, self.datagrams.1)),
+            ("processes up at the end", format!("{} of {}", self.up, self.nodes)),
+            ("rules broken", self.broken_count.to_string()),
+            ("the rig's own greatest lateness", format!("{:.0} ms", self.late * 1000.0)),
+        ];
+        rows.iter().map(|(name, value)| format!("{name:<36}{value}\n")).collect()
+    }
+
+    pub fn heading() -> String {
+        let names =
+            ["service", "worst 10 s", "worst s", "p99 ms", "origin", "peak s", "fell", "lost", "broken"];
+        let names: Vec<_> = names.iter().map(|name| format!("{name:>10}")).collect();
+        format!("{:<16}{}", "play", names.concat())
+    }
+
+    /// The table's main figures in a row, for several plays beside one another.
+    pub fn row(&self, name: &str) -> String {
+        let all = &self.report.all;
+        let worst = self.service_by_second().into_iter().fold(1.0, f64::min);
+        let peak = self.origin.iter().copied().max().unwrap_or(0);
+        let figures = [all.service(), self.report.worst(), worst].map(|figure| format!("{figure:>10.4}"));
+        let p99 = self.report.latency.value_at_quantile(0.99) as f64 / 1000.0;
+        let lost = all.gave_up + all.closed + all.never_taken;
+        let counts =
+            [self.fetches, peak, self.fell, lost, self.broken_count].map(|count| format!("{count:>10}"));
+        format!("{name:<16}{}{p99:>10.1}{}", figures.concat(), counts.concat())
+    }
+
+    /// For programs: everything but the histories of single API calls.
+    pub fn record(&self, plan: &Plan) -> serde_json::Value {
+        #[derive(Serialize)]
+        struct Second {
+            asked: u64,
+            fulfilled_in_slo: u64,
+            service: f64,
+            origin: u64,
+        }
+        let origin = |second: usize| self.origin.get(second).copied().unwrap_or(0);
+        let seconds = self.report.windows.iter().enumerate().map(|(i, counts)| Second {
+            asked: counts.asked,
+            fulfilled_in_slo: counts.in_slo,
+            service: counts.service(),
+            origin: origin(i),
+        });
+        let seconds: Vec<_> = seconds.collect();
+        let all = &self.report.all;
+        serde_json::json!({
+            "plan": plan, "seconds": seconds, "events": self.events, "faults": self.stretches,
+            "service": all.service(), "worst_10s": self.report.worst(), "asked": all.asked, "in_slo": all.in_slo,
+            "late": all.late, "rate_limited": all.rate_limited, "errored": all.errored, "no_answer": all.gave_up,
+            "closed": all.closed, "never_taken": all.never_taken, "hits": self.hits, "misses": self.misses,
+            "origin_attempts": self.fetches, "fell": self.fell, "up": self.up, "datagrams": self.datagrams.0,
+            "rules_broken": self.broken_count, "failures": self.failures(), "rig_late_s": self.late,
+        })
+    }
+
+    /// Keeps the record, the timeline as text and drawn.
+    pub fn keep(&self, plan: &Plan, folder: &Path, name: &str) -> Result<Vec<PathBuf>, Bad> {
+        let files = ["json", "txt", "svg"].map(|kind| folder.join(format!("{name}.{kind}")));
+        let bad = |file: &Path| {
+            let file = file.display().to_string();
+            move |e: std::io::Error| Bad(format!("{file}: {e}"))
+        };
+        std::fs::write(&files[0], self.record(plan).to_string()).map_err(bad(&files[0]))?;
+        std::fs::write(&files[1], timeline::text(&self.events)).map_err(bad(&files[1]))?;
+        timeline::draw(&files[2], &plan.title, &self.service_by_second(), &self.stretches)?;
+        Ok(files.into())
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -0,0 +1,243 @@
+//! One run of a plan: relays, servers, processes and clients are set up, faults follow their schedule, and what came
+//! of it is gathered at the end.
+mod faults;
+mod network;
+mod orders;
+mod verdict;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::addresses::AddressBlock;
+use super::configuration::configuration;
+use super::gate::{self, Gate};
+use super::host::{Host, Programs, State};
+use super::in_io;
+use super::listing::Listing;
+use super::outcome::Outcome;
+use super::plan::{End, Plan};
+use super::post::Post;
+use super::timeline::Timeline;
+use super::way::Way;
+use crate::clients::{drive, Door as ClientsDoor};
+use crate::judge::Judge;
+use crate::scenario::Bad;
+use crate::standin::{Fleet, Line};
+
+/// Processes that take longer to serve are taken not to.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+/// Connections of all clients to one node.
+const CONNECTIONS: usize = 512;
+/// Between two looks at whether all gates listen.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
+/// By then the front has heard of all processes that have started.
+const FRONT_HEARS: Duration = Duration::from_millis(50);
+/// After the last call, until what is still on its way has been seen.
+const STILL_ON_ITS_WAY: Duration = Duration::from_millis(500);
+
+/// By node and server, discovery behind the servers.
+type Gates = BTreeMap<(usize, usize), Rc<Gate>>;
+
+pub struct Rig {
+    plan: Plan,
+    fleet: Rc<Fleet>,
+    judge: Rc<Judge>,
+    timeline: Rc<Timeline>,
+    hosts: Vec<Rc<Host>>,
+    ways: BTreeMap<(End, End), Rc<Way>>,
+    gates: Gates,
+    post: Rc<Post>,
+    ops: Vec<SocketAddr>,
+    /// Caches that operators have ordered drained, and since when every node that serves has to go by it.
+    ordered: RefCell<BTreeMap<usize, Instant>>,
+}
+
+/// Ways by their ends, each direction by itself.
+#[derive(Default)]
+struct Ways(BTreeMap<(End, End), Rc<Way>>);
+
+impl Ways {
+    /// The way between two ends, made when it is first asked for.
+    fn get(&mut self, from: End, to: End, seed: u64) -> Rc<Way> {
+        let seed = seed ^ (self.0.len() as u64) << 24;
+        self.0.entry((from, to)).or_insert_with(|| Way::new(seed)).clone()
+    }
+}
+
+impl Rig {
+    /// Plays the plan; logs and configurations are written to the folder.
+    pub async fn play(
+        plan: &Plan,
+        programs: &Programs,
+        block: &AddressBlock,
+        folder: &Path,
+    ) -> Result<Outcome, Bad> {
+        let rig = Rig::new(plan, programs, block, folder).await?;
+        rig.clone().open(block);
+        rig.post.run(&rig.judge);
+        rig.gates_listen().await?;
+        rig.start_all().await?;
+        rig.timeline.begin();
+        rig.fleet.clone().play_faults();
+        let begun = Instant::now();
+        spawn_local(rig.clone().hold_to_orders());
+        for fault in 0..rig.plan.faults.len() {
+            spawn_local(rig.clone().fault(fault, begun));
+        }
+        let doors: Vec<_> = rig.hosts.iter().map(|host| host.door.clone()).collect();
+        let report = drive(&rig.plan.scenario, &doors, &rig.judge).await;
+        sleep(STILL_ON_ITS_WAY).await;
+        let views = rig.views().await;
+        let outcome = rig.outcome(report, &views);
+        rig.kill_all().await;
+        Ok(outcome)
+    }
+
+    /// Everything but the processes, which start later.
+    async fn new(
+        plan: &Plan,
+        programs: &Programs,
+        block: &AddressBlock,
+        folder: &Path,
+    ) -> Result<Rc<Rig>, Bad> {
+        let judge = Judge::start(plan.scenario.grace());
+        let fleet = Fleet::new(&plan.scenario, judge.clone())?;
+        let timeline = Timeline::new(judge.clone());
+        let mut ways = Ways::default();
+        let gates = Rig::gates(plan, block, fleet.servers(), &mut ways)?;
+        let post = Rig::post(plan, block, &mut ways).await?;
+        let mut hosts = Vec::new();
+        for node in 0..plan.scenario.nodes {
+            let known = fleet.list(|server| block.server(node, server));
+            let config = folder.join(format!("node-{node}.json"));
+            let text = configuration(plan, block, node, known).to_string();
+            std::fs::write(&config, text).map_err(in_io(&config.display().to_string()))?;
+            let door = ClientsDoor::new(node, block.clients(node), CONNECTIONS);
+            door.open.set(false);
+            let host = Host {
+                node,
+                name: format!("node-{node}"),
+                config,
+                log: folder.join(format!("node-{node}.log")),
+                programs: programs.clone(),
+                judge: judge.clone(),
+                timeline: timeline.clone(),
+                door,
+                front_late: Duration::from_secs_f64(plan.front_late_ms / 1000.0),
+                state: Cell::new(State::Down),
+                pid: Default::default(),
+                ends: Default::default(),
+                changed: Default::default(),
+                lives: Default::default(),
+                said: Default::default(),
+            };
+            hosts.push(Rc::new(host));
+        }
+        let ops = (0..plan.scenario.nodes).map(|node| block.ops(node)).collect();
+        let (plan, ways, ordered) = (plan.clone(), ways.0, RefCell::default());
+        Ok(Rc::new(Rig { plan, fleet, judge, timeline, hosts, ways, gates, post, ops, ordered }))
+    }
+
+    /// A gate for each node and server, and one for each node's discovery.
+    fn gates(plan: &Plan, block: &AddressBlock, servers: usize, ways: &mut Ways) -> Result<Gates, Bad> {
+        let seed = plan.scenario.seed;
+        let mut gates = BTreeMap::new();
+        for node in 0..plan.scenario.nodes {
+            for server in 0..=servers {
+                let (end, addr) = match server < servers {
+                    true => (End::Server(server), block.server(node, server)),
+                    false => (End::Discovery, block.discovery(node)),
+                };
+                let there = ways.get(End::Node(node), end, seed);
+                let back = ways.get(end, End::Node(node), seed);
+                let gate = Gate::new(addr, there, back);
+                gate.probe().map_err(in_io(&addr.to_string()))?;
+                gates.insert((node, server), gate);
+            }
+        }
+        Ok(gates)
+    }
+
+    /// The sockets between nodes.
+    async fn post(plan: &Plan, block: &AddressBlock, ways: &mut Ways) -> Result<Rc<Post>, Bad> {
+        let (nodes, seed) = (plan.scenario.nodes, plan.scenario.seed);
+        let pairs = (0..nodes).flat_map(|from| (0..nodes).map(move |to| (from, to)));
+        let pairs = pairs.filter(|(from, to)| from != to);
+        let mut way = |from, to| ways.get(End::Node(from), End::Node(to), seed);
+        let between = pairs.map(|(from, to)| ((from, to), way(from, to))).collect();
+        let real = (0..nodes).map(|node| block.peer(node)).collect();
+        let post = Post::open(real, |from, to| block.named(from, to), between).await;
+        post.map_err(in_io("peers"))
+    }
+
+    /// Guards against a process that finds nobody listening yet.
+    async fn gates_listen(&self) -> Result<(), Bad> {
+        let listen = async {
+            while !self.gates.values().all(|gate| gate.listens.get()) {
+                sleep(LOOK_AGAIN).await;
+            }
+        };
+        timeout(READY_WITHIN, listen).await.map_err(|_| Bad("a gate does not listen".to_owned()))
+    }
+
+    /// The next rig may be given the same addresses.
+    async fn kill_all(&self) {
+        for host in &self.hosts {
+            host.kill();
+            let _ = timeout(READY_WITHIN, host.reaches(|state| state == State::Down)).await;
+        }
+    }
+
+    /// Opens every gate, and has each follow its server.
+    fn open(self: Rc<Rig>, block: &AddressBlock) {
+        let servers = self.fleet.servers();
+        for (&(node, server), gate) in &self.gates {
+            let fleet = self.fleet.clone();
+            if server == servers {
+                let addrs = (0..servers).map(|server| block.server(node, server)).collect();
+                let listing = Rc::new(Listing { fleet, node, addrs });
+                let serve = move |arrival| drop(spawn_local(listing.clone().serve(arrival)));
+                spawn_local(gate.clone().run(self.judge.clone(), serve));
+                continue;
+            }
+            let serve = move |arrival: gate::Arrival| {
+                let line = Line { stream: arrival.stream, node, stamps: Some(arrival.stamps) };
+                spawn_local(fleet.clone().serve(server, line));
+            };
+            spawn_local(gate.clone().run(self.judge.clone(), serve));
+            let (gate, mut up) = (gate.clone(), self.fleet.up(server));
+            spawn_local(async move {
+                loop {
+                    let is_up = *up.borrow_and_update();
+                    gate.settle(is_up);
+                    if up.changed().await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    }
+
+    async fn start_all(&self) -> Result<(), Bad> {
+        let present = || self.hosts.iter().filter(|host| !self.plan.absent.contains(&host.node));
+        for host in present() {
+            host.start().map_err(|e| Bad(format!("{}: {e}", host.name)))?;
+        }
+        for host in present() {
+            let serves = host.reaches(|state| state == State::Up || state == State::Down);
+            if timeout(READY_WITHIN, serves).await.is_err() || host.state.get() == State::Down {
+                let said = host.said.borrow().clone();
+                return Err(Bad(format!("{} does not serve; it said last: {said}", host.name)));
+            }
+        }
+        sleep(FRONT_HEARS).await;
+        Ok(())
+    }
+}
