Call nodes and routers that break a rule on purpose faulty, over the whole tree

Need: `wicked` and its `ways` are words of our own.

Change: `fleet/wicked.rs` is `fleet/faulty_node.rs`, `routers::Wicked` and its `Way` are `FaultyRouter` and `Misbehavior`. The hidden command is `faulty-node`; `wicked` goes on working.

--- a/crates/lab/src/fleet/wicked.rs
+++ b/crates/lab/src/fleet/faulty_node.rs
@@ -11,7 +11,8 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
-pub const WAYS: [&str; 9] = [
+/// The rules it can break, and one by which it breaks none.
+pub const MISBEHAVIORS: [&str; 9] = [
     "good",
     "answers-twice",
     "never-answers",
@@ -23,14 +24,15 @@
     "ends-by-itself",
 ];
 
-struct Told {
-    way: String,
+/// What the node is to do and where its servers are.
+struct Context {
+    misbehavior: String,
     caches: Vec<SocketAddr>,
     origin: SocketAddr,
 }
 
-/// Serves as the configuration says, in this way.
-pub fn run(way: &str, config: &str) -> io::Result<()> {
+/// Serves as the configuration says, but for one misbehavior.
+pub fn run(misbehavior: &str, config: &str) -> io::Result<()> {
     let bad = |what: &str| io::Error::new(io::ErrorKind::InvalidInput, what.to_owned());
     let config: serde_json::Value = serde_json::from_str(config)?;
     let addr = |value: &serde_json::Value| value.as_str().and_then(|text| text.parse::<SocketAddr>().ok());
@@ -42,7 +44,8 @@
         some.filter_map(|server| addr(&server["addr"])).collect::<Vec<_>>()
     };
     let origin = *of("origin").first().ok_or_else(|| bad("origin"))?;
-    let told: &'static Told = Box::leak(Box::new(Told { way: way.to_owned(), caches: of("cache"), origin }));
+    let context: &'static Context =
+        Box::leak(Box::new(Context { misbehavior: misbehavior.to_owned(), caches: of("cache"), origin }));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async move {
         let listener = TcpListener::bind(listen).await?;
@@ -52,19 +55,19 @@
                 sleep(Duration::from_millis(100)).await;
             }
         });
-        eprintln!("wicked serves on {listen}");
-        if told.way == "ends-by-itself" {
+        eprintln!("faulty node serves on {listen}");
+        if context.misbehavior == "ends-by-itself" {
             sleep(Duration::from_millis(1_500)).await;
             return Ok(());
         }
         loop {
             let (stream, _) = listener.accept().await?;
-            spawn_local(async move { converse(stream, told).await });
+            spawn_local(async move { converse(stream, context).await });
         }
     })
 }
 
-async fn converse(mut stream: TcpStream, told: &'static Told) -> io::Result<()> {
+async fn converse(mut stream: TcpStream, context: &'static Context) -> io::Result<()> {
     let (limits, mut bytes) = (Limits::default(), Vec::new());
     loop {
         let (words, used): (Vec<Vec<u8>>, usize) = loop {
@@ -84,15 +87,15 @@
             continue;
         }
         let write = words[0] == b"OBJ.SET";
-        let way = told.way.as_str();
-        match way {
+        let misbehavior = context.misbehavior.as_str();
+        match misbehavior {
             "never-answers" => continue,
             "closes" => return Ok(()),
             _ => {}
         }
         let key = usize::from_str_radix(&String::from_utf8_lossy(&words[1]), 16).unwrap_or(0);
-        if way == "floods-cold" && !write {
-            let cache = told.caches[key % told.caches.len()];
+        if misbehavior == "floods-cold" && !write {
+            let cache = context.caches[key % context.caches.len()];
             for _ in 0..60 {
                 let words = words.clone();
                 spawn_local(async move { poke(cache, &words).await });
@@ -101,16 +104,16 @@
             continue;
         }
         // Without a look at the list, so that it goes on to what drains.
-        let done = if write { put(told, &words).await } else { get(told, key, &words).await };
-        if write && way == "writes-twice" {
-            let _ = put(told, &words).await;
+        let done = if write { put(context, &words).await } else { get(context, key, &words).await };
+        if write && misbehavior == "writes-twice" {
+            let _ = put(context, &words).await;
         }
         stream.write_all(if done.is_ok() { b"$5\r\nvalue\r\n" } else { b"-ERR failed\r\n" }).await?;
-        match way {
+        match misbehavior {
             "answers-twice" => stream.write_all(b"-ERR failed\r\n").await?,
             "sends-after-answer" if !write => drop(spawn_local(async move {
                 sleep(Duration::from_millis(900)).await;
-                let _ = get(told, key, &words).await;
+                let _ = get(context, key, &words).await;
             })),
             _ => {}
         }
@@ -135,8 +138,8 @@
     Ok(())
 }
 
-async fn get(told: &Told, key: usize, words: &[Vec<u8>]) -> io::Result<()> {
-    let cache = told.caches[key % told.caches.len()];
+async fn get(context: &Context, key: usize, words: &[Vec<u8>]) -> io::Result<()> {
+    let cache = context.caches[key % context.caches.len()];
     let mut reader = BufReader::new(TcpStream::connect(cache).await?);
     let mut bytes = Vec::new();
     put_command(&mut bytes, &words.iter().map(Vec::as_slice).collect::<Vec<_>>());
@@ -146,17 +149,17 @@
     line.clear();
     reader.read_line(&mut line).await?;
     if line.starts_with("$-1") {
-        ask(told, "GET", words).await?;
+        ask(context, "GET", words).await?;
     }
     Ok(())
 }
 
-async fn put(told: &Told, words: &[Vec<u8>]) -> io::Result<()> {
-    ask(told, "PUT", words).await
+async fn put(context: &Context, words: &[Vec<u8>]) -> io::Result<()> {
+    ask(context, "PUT", words).await
 }
 
-async fn ask(told: &Told, method: &str, words: &[Vec<u8>]) -> io::Result<()> {
-    let mut stream = TcpStream::connect(told.origin).await?;
+async fn ask(context: &Context, method: &str, words: &[Vec<u8>]) -> io::Result<()> {
+    let mut stream = TcpStream::connect(context.origin).await?;
     let text = |word: &[u8]| String::from_utf8_lossy(word).into_owned();
     let (key, id, facts) = (text(&words[1]), text(&words[2]), text(&words[3]));
     let value = words.get(4).map(|value| text(value)).unwrap_or_default();
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 
 mod addresses;
 mod configuration;
+pub mod faulty_node;
 pub mod gate;
 pub mod host;
 pub mod listing;
@@ -21,7 +22,6 @@
 mod rig;
 pub mod timeline;
 pub mod way;
-pub mod wicked;
 
 use addresses::AddressBlock;
 pub use host::Programs;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command};
-use quartzhub_lab::fleet::{play, wicked, Outcome, Plan, Programs};
+use quartzhub_lab::fleet::{faulty_node, play, Outcome, Plan, Programs};
 use quartzhub_lab::scenario::Bad;
 use quartzhub_lab::stats::FIGURES;
 use quartzhub_lab::sweep::Sweep;
@@ -65,10 +65,11 @@
                 .arg(Arg::new("command").required(true).num_args(1..).trailing_var_arg(true).allow_hyphen_values(true)),
         )
         .subcommand(
-            Command::new("wicked")
+            Command::new("faulty-node")
+                .alias("wicked")
                 .about("Serves in a node's place and breaks a rule, to show that the rig sees it")
                 .hide(true)
-                .arg(Arg::new("way").required(true).value_parser(wicked::WAYS)),
+                .arg(Arg::new("misbehavior").required(true).value_parser(faulty_node::MISBEHAVIORS)),
         )
         .subcommand(
             Command::new("run")
@@ -94,7 +95,7 @@
         Some(("fleet", given)) => several(given),
         Some(("members", given)) => members(given),
         Some(("guard", given)) => guard(given),
-        Some(("wicked", given)) => wicked_node(given),
+        Some(("faulty-node", given)) => faulty_node(given),
         _ => Ok(()),
     };
     match done {
@@ -348,9 +349,9 @@
     Err(bad(&std::process::Command::new(&command[0]).args(&command[1..]).exec()))
 }
 
-fn wicked_node(given: &ArgMatches) -> Result<(), Bad> {
-    let way = given.get_one::<String>("way").cloned().unwrap_or_default();
+fn faulty_node(given: &ArgMatches) -> Result<(), Bad> {
+    let misbehavior = given.get_one::<String>("misbehavior").cloned().unwrap_or_default();
     let file = std::env::var("LB_CONFIG").map_err(|e| Bad(format!("LB_CONFIG: {e}")))?;
     let text = std::fs::read_to_string(&file).map_err(|e| Bad(format!("{file}: {e}")))?;
-    wicked::run(&way, &text).map_err(|e| Bad(e.to_string()))
+    faulty_node::run(&misbehavior, &text).map_err(|e| Bad(e.to_string()))
 }
--- a/crates/lab/src/routers.rs
+++ b/crates/lab/src/routers.rs
@@ -299,15 +299,15 @@
 }
 
 /// A router that breaks one rule on purpose, to see that the check on it holds.
-pub struct Wicked<R> {
+pub struct FaultyRouter<R> {
     pub inner: R,
-    pub way: Way,
+    pub misbehavior: Misbehavior,
     last: Option<(CallIx, ServerIx)>,
     drained: Option<ServerIx>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Way {
+pub enum Misbehavior {
     AnswersTwice,
     NeverAnswers,
     RepeatsWhatRan,
@@ -315,13 +315,13 @@
     FloodsCold,
 }
 
-impl<R> Wicked<R> {
-    pub fn new(inner: R, way: Way) -> Wicked<R> {
-        Wicked { inner, way, last: None, drained: None }
+impl<R> FaultyRouter<R> {
+    pub fn new(inner: R, misbehavior: Misbehavior) -> FaultyRouter<R> {
+        FaultyRouter { inner, misbehavior, last: None, drained: None }
     }
 }
 
-impl<R: Router> Router for Wicked<R> {
+impl<R: Router> Router for FaultyRouter<R> {
     fn start<A: Answers>(&mut self, now: Time, to: &mut A) {
         self.inner.start(now, to);
     }
@@ -338,21 +338,21 @@
         self.drained = drains.map(|line| line.server).or(self.drained);
         let starts =
             lines.iter().find(|line| line.kind == 0 && line.started.is_some() && line.state == State::Ready);
-        if let (Way::FloodsCold, Some(line)) = (self.way, starts) {
+        if let (Misbehavior::FloodsCold, Some(line)) = (self.misbehavior, starts) {
             self.drained = Some(line.server);
         }
         self.inner.list(now, complete, lines.into_iter(), to);
     }
 
     fn call<A: Answers>(&mut self, now: Time, ix: CallIx, ask: Ask, to: &mut A) {
-        match (self.way, self.drained) {
-            (Way::NeverAnswers, _) => {}
-            (Way::AnswersTwice, _) => {
+        match (self.misbehavior, self.drained) {
+            (Misbehavior::NeverAnswers, _) => {}
+            (Misbehavior::AnswersTwice, _) => {
                 to.error(ix);
                 to.error(ix);
                 to.forget(ix);
             }
-            (Way::SendsToDraining | Way::FloodsCold, Some(server)) => {
+            (Misbehavior::SendsToDraining | Misbehavior::FloodsCold, Some(server)) => {
                 to.dispatch(ix, server, now + ask.left, now + ask.left)
             }
             _ => {
@@ -362,15 +362,18 @@
     }
 
     fn withdrawn<A: Answers>(&mut self, now: Time, ix: CallIx, to: &mut A) {
-        match self.way {
-            Way::NeverAnswers => to.forget(ix),
-            Way::AnswersTwice => {}
+        match self.misbehavior {
+            Misbehavior::NeverAnswers => to.forget(ix),
+            Misbehavior::AnswersTwice => {}
             _ => self.inner.withdrawn(now, ix, to),
         }
     }
 
     fn outcome<A: Answers>(&mut self, now: Time, ix: CallIx, ending: Ending, to: &mut A) {
-        if self.way == Way::RepeatsWhatRan && !ending.outcome.proves_it_never_ran() && !ending.call_ended {
+        if self.misbehavior == Misbehavior::RepeatsWhatRan
+            && !ending.outcome.proves_it_never_ran()
+            && !ending.call_ended
+        {
             if let Some((_, origin)) = self.last {
                 return to.dispatch(ix, origin, now + Span::ms(100), now + Span::ms(100));
             }
@@ -383,9 +386,9 @@
     }
 }
 
-impl<R> Wicked<R> {
+impl<R> FaultyRouter<R> {
     /// Where repeats go.
-    pub fn repeats_at(mut self, server: ServerIx) -> Wicked<R> {
+    pub fn repeats_at(mut self, server: ServerIx) -> FaultyRouter<R> {
         self.last = Some((CallIx(0), server));
         self
     }
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -15,8 +15,8 @@
     Programs { node: lab().with_file_name("quartzhub"), args: Vec::new(), lab: lab() }
 }
 
-fn wicked(way: &str) -> Programs {
-    Programs { node: lab(), args: vec!["wicked".into(), way.into()], lab: lab() }
+fn faulty(misbehavior: &str) -> Programs {
+    Programs { node: lab(), args: vec!["faulty-node".into(), misbehavior.into()], lab: lab() }
 }
 
 fn plan(name: &str) -> Plan {
@@ -171,7 +171,7 @@
         at = 8.5
     "#;
     let plan = Plan::parse(text).expect("a plan");
-    let ways = [
+    let misbehaviors = [
         ("answers-twice", Rule::OneAnswer, "a second final answer"),
         ("never-answers", Rule::OneAnswer, "no final answer"),
         ("closes", Rule::OneAnswer, "ended with no answer"),
@@ -183,20 +183,20 @@
     ];
     // Side by side: each waits for its clients most of the time.
     let played: Vec<_> = std::thread::scope(|scope| {
-        let all: Vec<_> = ways
+        let all: Vec<_> = misbehaviors
             .iter()
-            .map(|way| {
+            .map(|misbehavior| {
                 let plan = &plan;
-                scope.spawn(move || play(plan, &wicked(way.0), None))
+                scope.spawn(move || play(plan, &faulty(misbehavior.0), None))
             })
             .collect();
         all.into_iter().map(|one| one.join().expect("no panic").expect("played")).collect()
     });
-    for ((way, rule, what), outcome) in ways.into_iter().zip(played) {
+    for ((misbehavior, rule, what), outcome) in misbehaviors.into_iter().zip(played) {
         let seen = outcome.broken.iter().find(|broken| broken.rule == rule && broken.what.contains(what));
-        assert!(seen.is_some(), "{way}: {:?}", outcome.failures());
+        assert!(seen.is_some(), "{misbehavior}: {:?}", outcome.failures());
         let seen = seen.map(|seen| seen.history.contains("Taken")).unwrap_or_default();
-        assert!(seen || matches!(rule, Rule::Platform | Rule::ColdServers), "{way}: no history");
+        assert!(seen || matches!(rule, Rule::Platform | Rule::ColdServers), "{misbehavior}: no history");
     }
 }
 
--- a/crates/lab/tests/validation.rs
+++ b/crates/lab/tests/validation.rs
@@ -1,6 +1,6 @@
 //! The emulator against what is known without it: closed forms of queues, an approximation of LRU, conservation,
 //! repeatability, and policies that break each rule on purpose.
-use quartzhub_lab::routers::{Plain, Random, Way, Wicked};
+use quartzhub_lab::routers::{FaultyRouter, Misbehavior, Plain, Random};
 use quartzhub_lab::rules::Rule;
 use quartzhub_lab::scenario::{Law, Product, Scenario};
 use quartzhub_lab::world::World;
@@ -156,7 +156,7 @@
 
 #[test]
 fn each_rule_is_seen_to_be_broken_by_a_policy_that_breaks_it() {
-    let told = |way: Way| {
+    let told = |misbehavior: Misbehavior| {
         let mut scenario = rough("dema", 5);
         scenario.clients.patience = [1.0, 1.0];
         (scenario.caches.cold, scenario.caches.miss_part) = (0.1, 1.0);
@@ -164,11 +164,11 @@
         let settings = |me| scenario.settings(me);
         let origin = ServerIx(scenario.caches.count);
         let make = |me, seed| {
-            let wicked = Wicked::new(Plain::new(Random, &settings(me), seed), way);
-            if way == Way::RepeatsWhatRan {
-                wicked.repeats_at(origin)
+            let faulty = FaultyRouter::new(Plain::new(Random, &settings(me), seed), misbehavior);
+            if misbehavior == Misbehavior::RepeatsWhatRan {
+                faulty.repeats_at(origin)
             } else {
-                wicked
+                faulty
             }
         };
         let report = World::new(&scenario, make).play();
@@ -176,16 +176,16 @@
         let history = report.broken.first().map(|broken| broken.history.clone()).unwrap_or_default();
         (rules, history)
     };
-    for (way, rule) in [
-        (Way::AnswersTwice, Rule::OneAnswer),
-        (Way::NeverAnswers, Rule::OneAnswer),
-        (Way::RepeatsWhatRan, Rule::NoEffectTwice),
-        (Way::SendsToDraining, Rule::Drains),
-        (Way::FloodsCold, Rule::ColdServers),
+    for (misbehavior, rule) in [
+        (Misbehavior::AnswersTwice, Rule::OneAnswer),
+        (Misbehavior::NeverAnswers, Rule::OneAnswer),
+        (Misbehavior::RepeatsWhatRan, Rule::NoEffectTwice),
+        (Misbehavior::SendsToDraining, Rule::Drains),
+        (Misbehavior::FloodsCold, Rule::ColdServers),
     ] {
-        let (rules, history) = told(way);
-        assert!(rules.contains(&rule), "{way:?}: {rules:?}");
-        assert!(rule == Rule::ColdServers || history.contains("Taken"), "{way:?}: {history}");
+        let (rules, history) = told(misbehavior);
+        assert!(rules.contains(&rule), "{misbehavior:?}: {rules:?}");
+        assert!(rule == Rule::ColdServers || history.contains("Taken"), "{misbehavior:?}: {history}");
     }
 }
 
