Call what lies between two ends of the fleet rig a link, with its impairments

Need: `way` and its `shape` are words of our own; the field says link, and impairment for the loss, delay, reordering and so on that befall one.

Change: `fleet/way.rs` is `fleet/link.rs` with `Link` and `Impairment`, an end of one is an `Endpoint`, `plan.ways` is `plan.links`; in the emulator `way()` is `delay()`. Docs, comments and titles of plans follow. Keys of plans are as they were; the message of a wrong one says "link", as does its test.

--- a/crates/lab/src/fleet/gate.rs
+++ b/crates/lab/src/fleet/gate.rs
@@ -1,4 +1,4 @@
-//! Where a node reaches one server: a listening socket of its own for each pair, so that the way between the two can be
+//! Where a node reaches one server: a listening socket of its own for each pair, so that the link between the two can be
 //! spoilt by itself, in each direction.
 use std::cell::Cell;
 use std::io;
@@ -13,7 +13,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use super::way::Way;
+use super::link::Link;
 use crate::standin::Stamps;
 
 /// How a machine treats new connections.
@@ -29,13 +29,13 @@
 /// Connections not yet taken that an open door holds.
 const BACKLOG: u32 = 1024;
 const BIND_AGAIN: Duration = Duration::from_millis(20);
-/// Bytes between the way and the stand-in.
+/// Bytes between the link and the stand-in.
 const BETWEEN: usize = 64 * 1024;
 
 pub struct Gate {
     pub addr: SocketAddr,
-    pub there: Rc<Way>,
-    pub back: Rc<Way>,
+    pub to_server: Rc<Link>,
+    pub to_node: Rc<Link>,
     pub door: watch::Sender<Door>,
     /// Number of resetting cuts on it now.
     pub resets: Cell<usize>,
@@ -78,9 +78,9 @@
 }
 
 impl Gate {
-    pub fn new(addr: SocketAddr, there: Rc<Way>, back: Rc<Way>) -> Rc<Gate> {
+    pub fn new(addr: SocketAddr, to_server: Rc<Link>, to_node: Rc<Link>) -> Rc<Gate> {
         let (door, resets, listens) = (watch::Sender::new(Door::Open), Cell::new(0), Cell::new(false));
-        Rc::new(Gate { addr, there, back, door, resets, listens })
+        Rc::new(Gate { addr, to_server, to_node, door, resets, listens })
     }
 
     /// The address can be had.
@@ -88,9 +88,9 @@
         listen(self.addr).map(drop)
     }
 
-    /// What the door is, by the server and by the ways.
+    /// What the door is, by the server and by the links.
     pub fn settle(&self, up: bool) {
-        let cut = self.there.shape().cut || self.back.shape().cut;
+        let cut = self.to_server.impairment().cut || self.to_node.impairment().cut;
         let door = match (self.resets.get() > 0, cut, up) {
             (true, ..) => Door::Refusing,
             // Who is cut off hears of no refusal either.
@@ -186,8 +186,8 @@
                 delivered.more.notify_waiters();
             };
             let both = both(
-                self.there.carry(from_node, to_server, stamp, |_| {}),
-                self.back.carry(from_server, to_node, |_| {}, count),
+                self.to_server.carry(from_node, to_server, stamp, |_| {}),
+                self.to_node.carry(from_server, to_node, |_| {}, count),
             );
             tokio::select! {
                 () = both => false,
--- a/crates/lab/src/fleet/way.rs
+++ b/crates/lab/src/fleet/link.rs
@@ -1,4 +1,4 @@
-//! One direction of what lies between two ends: what befalls it now, and what that does to bytes and datagrams.
+//! One direction of a network link between two endpoints: its present impairments, and what they do to bytes and datagrams.
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
@@ -13,8 +13,9 @@
 
 use super::plan::Fault;
 
+/// What is wrong with a link now.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Shape {
+pub struct Impairment {
     pub cut: bool,
     pub loss: f64,
     pub delay: Duration,
@@ -24,19 +25,19 @@
     pub bytes_per_s: Option<f64>,
 }
 
-impl Shape {
-    pub fn of(fault: &Fault, cut: bool) -> Shape {
+impl Impairment {
+    pub fn of(fault: &Fault, cut: bool) -> Impairment {
         let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
         let Fault { loss, duplicate, reorder, bytes_per_s, .. } = *fault;
         let (delay, jitter) = (span(fault.delay_ms), span(fault.jitter_ms));
-        Shape { cut, loss, delay, jitter, duplicate, reorder, bytes_per_s }
+        Impairment { cut, loss, delay, jitter, duplicate, reorder, bytes_per_s }
     }
 
     /// Both at once.
-    fn and(self, other: Shape) -> Shape {
+    fn and(self, other: Impairment) -> Impairment {
         let either = |a: f64, b: f64| 1.0 - (1.0 - a) * (1.0 - b);
         let least = [self.bytes_per_s, other.bytes_per_s].into_iter().flatten().reduce(f64::min);
-        Shape {
+        Impairment {
             cut: self.cut || other.cut,
             loss: either(self.loss, other.loss),
             delay: self.delay + other.delay,
@@ -49,17 +50,18 @@
 }
 
 /// A lost piece of a connection comes after a retransmission.
-const RETRANSMITS: Duration = Duration::from_millis(200);
+const RETRANSMISSION_DELAY: Duration = Duration::from_millis(200);
 /// A datagram that is overtaken comes so much later.
-const OVERTAKEN: Duration = Duration::from_millis(20);
+const REORDER_DELAY: Duration = Duration::from_millis(20);
 /// Bytes under way on a connection; more are not taken from who sends them.
-const UNDER_WAY: usize = 256 * 1024;
+const MAX_IN_FLIGHT: usize = 256 * 1024;
 /// And how long a datagram waits at most where the bandwidth is small: then the queue is full.
-const QUEUE: Duration = Duration::from_millis(500);
+const MAX_QUEUE_DELAY: Duration = Duration::from_millis(500);
 
-pub struct Way {
-    shapes: RefCell<Vec<(usize, Shape)>>,
-    now: Cell<Shape>,
+/// One direction of a link; several faults may befall it at once.
+pub struct Link {
+    impairments: RefCell<Vec<(usize, Impairment)>>,
+    now: Cell<Impairment>,
     chance: RefCell<Pcg>,
     free: Cell<Instant>,
     pub changed: Notify,
@@ -69,10 +71,10 @@
     pub arrived: Cell<u64>,
 }
 
-impl Way {
-    pub fn new(seed: u64) -> Rc<Way> {
-        Rc::new(Way {
-            shapes: RefCell::default(),
+impl Link {
+    pub fn new(seed: u64) -> Rc<Link> {
+        Rc::new(Link {
+            impairments: RefCell::default(),
             now: Cell::default(),
             chance: RefCell::new(Pcg::new(seed)),
             free: Cell::new(Instant::now()),
@@ -83,22 +85,26 @@
         })
     }
 
-    pub fn shape(&self) -> Shape {
+    pub fn impairment(&self) -> Impairment {
         self.now.get()
     }
 
-    pub fn begin(&self, fault: usize, shape: Shape) {
-        self.shapes.borrow_mut().push((fault, shape));
+    pub fn begin(&self, fault: usize, impairment: Impairment) {
+        self.impairments.borrow_mut().push((fault, impairment));
         self.settle();
     }
 
     pub fn end(&self, fault: usize) {
-        self.shapes.borrow_mut().retain(|shape| shape.0 != fault);
+        self.impairments.borrow_mut().retain(|impairment| impairment.0 != fault);
         self.settle();
     }
 
     fn settle(&self) {
-        let all = self.shapes.borrow().iter().fold(Shape::default(), |all, shape| all.and(shape.1));
+        let all = self
+            .impairments
+            .borrow()
+            .iter()
+            .fold(Impairment::default(), |all, impairment| all.and(impairment.1));
         self.now.set(all);
         self.changed.notify_waiters();
     }
@@ -109,36 +115,36 @@
 
     /// When something of this size arrives that sets out now, but for losses and cuts.
     fn arrives(&self, size: usize) -> Instant {
-        let shape = self.shape();
+        let impairment = self.impairment();
         let now = Instant::now();
         let more: f64 =
-            if shape.jitter.is_zero() { 0.0 } else { Exp1.sample(&mut *self.chance.borrow_mut()) };
+            if impairment.jitter.is_zero() { 0.0 } else { Exp1.sample(&mut *self.chance.borrow_mut()) };
         let mut leaves = now;
-        if let Some(rate) = shape.bytes_per_s {
+        if let Some(rate) = impairment.bytes_per_s {
             leaves = self.free.get().max(now) + Duration::from_secs_f64(size as f64 / rate);
             self.free.set(leaves);
         }
-        leaves + shape.delay + shape.jitter.mul_f64(more.min(20.0))
+        leaves + impairment.delay + impairment.jitter.mul_f64(more.min(20.0))
     }
 
     /// When a datagram arrives: never, once or twice.
     pub fn datagram(&self, size: usize) -> [Option<Instant>; 2] {
         self.datagrams.set(self.datagrams.get() + 1);
         self.bytes.set(self.bytes.get() + size as u64);
-        let shape = self.shape();
-        if shape.cut || self.chance(shape.loss) {
+        let impairment = self.impairment();
+        if impairment.cut || self.chance(impairment.loss) {
             return [None, None];
         }
         let arrives = self.arrives(size);
-        if self.free.get().saturating_duration_since(Instant::now()) > QUEUE {
+        if self.free.get().saturating_duration_since(Instant::now()) > MAX_QUEUE_DELAY {
             return [None, None];
         }
-        let later = if self.chance(shape.reorder) { OVERTAKEN } else { Duration::ZERO };
-        [Some(arrives + later), self.chance(shape.duplicate).then_some(arrives + OVERTAKEN / 2)]
+        let later = if self.chance(impairment.reorder) { REORDER_DELAY } else { Duration::ZERO };
+        [Some(arrives + later), self.chance(impairment.duplicate).then_some(arrives + REORDER_DELAY / 2)]
     }
 
     /// Carries a connection's bytes in their order until it ends. `read` is told of all bytes so far as they are
-    /// taken, `written` as they are handed on. While the way is cut nothing arrives, and nothing is told of it.
+    /// taken, `written` as they are handed on. While the link is cut nothing arrives, and nothing is told of it.
     pub async fn carry(
         &self,
         mut from: impl AsyncRead + Unpin,
@@ -151,13 +157,13 @@
         let mut buffer = vec![0; 16 * 1024];
         loop {
             let changed = self.changed.notified();
-            let shape = self.shape();
-            let due = queue.front().map(|first| first.0).filter(|_| !shape.cut);
-            if queue.is_empty() && ended && !shape.cut {
+            let impairment = self.impairment();
+            let due = queue.front().map(|first| first.0).filter(|_| !impairment.cut);
+            if queue.is_empty() && ended && !impairment.cut {
                 return to.shutdown().await;
             }
             tokio::select! {
-                count = from.read(&mut buffer), if !ended && held < UNDER_WAY => {
+                count = from.read(&mut buffer), if !ended && held < MAX_IN_FLIGHT => {
                     let count = count?;
                     ended = count == 0;
                     taken += count as u64;
@@ -166,14 +172,14 @@
                     }
                     read(taken);
                     self.bytes.set(self.bytes.get() + count as u64);
-                    if queue.is_empty() && shape == Shape::default() {
+                    if queue.is_empty() && impairment == Impairment::default() {
                         to.write_all(&buffer[..count]).await?;
                         told += count as u64;
                         written(told);
                         continue;
                     }
-                    let lost = self.chance(shape.loss);
-                    let arrives = self.arrives(count) + if lost { RETRANSMITS } else { Duration::ZERO };
+                    let lost = self.chance(impairment.loss);
+                    let arrives = self.arrives(count) + if lost { RETRANSMISSION_DELAY } else { Duration::ZERO };
                     let arrives = queue.back().map_or(arrives, |last| last.0.max(arrives));
                     held += count;
                     queue.push_back((arrives, buffer[..count].to_vec()));
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -1,5 +1,5 @@
 //! The fleet rig: several processes of the built program on loopback, with stand-ins for caches, origin and discovery,
-//! relays on every way between them, faults on a schedule, clients, and the rules judged by what servers really began and
+//! relays on every link between them, faults on a schedule, clients, and the rules judged by what servers really began and
 //! clients really got.
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
@@ -14,6 +14,7 @@
 pub mod faulty_node;
 pub mod gate;
 pub mod host;
+pub mod link;
 pub mod listing;
 mod operators;
 mod outcome;
@@ -21,7 +22,6 @@
 pub mod post;
 mod rig;
 pub mod timeline;
-pub mod way;
 
 use addresses::AddressBlock;
 pub use host::Programs;
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -1,5 +1,5 @@
 //! What is to be played with several processes, as a file says it: a scenario of the laboratory's, and what befalls processes
-//! and the ways between them. Read, checked and given its defaults here. Messages name the key.
+//! and the links between them. Read, checked and given its defaults here. Messages name the key.
 use quartzhub_policy::Pcg;
 use serde::{Deserialize, Serialize};
 
@@ -39,9 +39,9 @@
     Start,
     /// Processes end as planned, one after the other over `for`, and start again at once.
     Roll,
-    /// Nothing passes on the ways named.
+    /// Nothing passes on the links named.
     Cut,
-    /// The ways named lose, delay, double, reorder or squeeze.
+    /// The links named lose, delay, double, reorder or squeeze.
     Spoil,
     /// What these nodes last sent to others comes once more, every tenth of a second.
     Replay,
@@ -63,7 +63,7 @@
     pub nodes: Vec<usize>,
     #[serde(default)]
     pub share: Option<f64>,
-    /// Of ways: "nodes", "node-3", "caches", "cache-2", "origin", "discovery".
+    /// Of links: "nodes", "node-3", "caches", "cache-2", "origin", "discovery".
     #[serde(default)]
     pub from: Vec<String>,
     #[serde(default)]
@@ -110,9 +110,9 @@
     }
 }
 
-/// One end of a way.
+/// One end of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum End {
+pub enum Endpoint {
     Node(usize),
     /// A cache, or the origin behind the last one.
     Server(usize),
@@ -218,12 +218,12 @@
             if let Some(share) = fault.share {
                 within(&key("share"), share, 0.0, 1.0)?;
             }
-            let of_ways = matches!(fault.kind, Kind::Cut | Kind::Spoil);
-            let (ways, nodes) = (!fault.from.is_empty() && !fault.to.is_empty(), self.nodes(i));
-            if of_ways && !ways {
+            let of_links = matches!(fault.kind, Kind::Cut | Kind::Spoil);
+            let (links, nodes) = (!fault.from.is_empty() && !fault.to.is_empty(), self.nodes(i));
+            if of_links && !links {
                 return Err(Bad(format!("{}: from and to are needed", key("from"))));
             }
-            if !of_ways && nodes.is_empty() {
+            if !of_links && nodes.is_empty() {
                 return Err(Bad(format!("{}: nodes or a share of them are needed", key("nodes"))));
             }
             let caches =
@@ -239,7 +239,7 @@
             for (field, names) in [("from", &fault.from), ("to", &fault.to)] {
                 names.iter().try_for_each(|name| match self.ends(name) {
                     Some(_) => Ok(()),
-                    None => Err(Bad(format!("{}: {name:?} is no end of a way", key(field)))),
+                    None => Err(Bad(format!("{}: {name:?} is no end of a link", key(field)))),
                 })?;
             }
         }
@@ -260,48 +260,48 @@
         nodes
     }
 
-    fn is_cache(&self, end: &End) -> bool {
-        matches!(end, End::Server(server) if *server < self.scenario.caches.count)
+    fn is_cache(&self, end: &Endpoint) -> bool {
+        matches!(end, Endpoint::Server(server) if *server < self.scenario.caches.count)
     }
 
     /// The caches that operators order drained.
     pub fn ordered(&self, fault: usize) -> Vec<usize> {
         let ends = self.faults[fault].to.iter().filter_map(|name| self.ends(name)).flatten();
         let cache = |end| match end {
-            End::Server(server) => Some(server),
+            Endpoint::Server(server) => Some(server),
             _ => None,
         };
         ends.filter_map(cache).collect()
     }
 
-    fn ends(&self, name: &str) -> Option<Vec<End>> {
+    fn ends(&self, name: &str) -> Option<Vec<Endpoint>> {
         let (nodes, caches) = (self.scenario.nodes, self.scenario.caches.count);
         let numbered = |name: &str, most: usize| name.parse().ok().filter(|number| *number < most);
         Some(match name {
-            "nodes" => (0..nodes).map(End::Node).collect(),
-            "caches" => (0..caches).map(End::Server).collect(),
-            "origin" => vec![End::Server(caches)],
-            "discovery" => vec![End::Discovery],
+            "nodes" => (0..nodes).map(Endpoint::Node).collect(),
+            "caches" => (0..caches).map(Endpoint::Server).collect(),
+            "origin" => vec![Endpoint::Server(caches)],
+            "discovery" => vec![Endpoint::Discovery],
             _ => match name.split_once('-')? {
-                ("node", number) => vec![End::Node(numbered(number, nodes)?)],
-                ("cache", number) => vec![End::Server(numbered(number, caches)?)],
+                ("node", number) => vec![Endpoint::Node(numbered(number, nodes)?)],
+                ("cache", number) => vec![Endpoint::Server(numbered(number, caches)?)],
                 _ => return None,
             },
         })
     }
 
-    /// The ways that a fault befalls, each direction by itself.
-    pub fn ways(&self, fault: usize) -> Vec<(End, End)> {
+    /// The links that a fault befalls, each direction by itself.
+    pub fn links(&self, fault: usize) -> Vec<(Endpoint, Endpoint)> {
         let it = &self.faults[fault];
         let all =
             |names: &[String]| names.iter().filter_map(|name| self.ends(name)).flatten().collect::<Vec<_>>();
         let (from, to) = (all(&it.from), all(&it.to));
-        let one_way = from.iter().flat_map(|from| to.iter().map(move |to| (*from, *to)));
-        let ways = one_way.flat_map(|(from, to)| [Some((from, to)), it.both.then_some((to, from))]);
-        let mut ways: Vec<_> = ways.flatten().filter(|way| way.0 != way.1).collect();
-        ways.sort_unstable();
-        ways.dedup();
-        ways
+        let pairs = from.iter().flat_map(|from| to.iter().map(move |to| (*from, *to)));
+        let links = pairs.flat_map(|(from, to)| [Some((from, to)), it.both.then_some((to, from))]);
+        let mut links: Vec<_> = links.flatten().filter(|link| link.0 != link.1).collect();
+        links.sort_unstable();
+        links.dedup();
+        links
     }
 }
 
@@ -335,7 +335,7 @@
             fault[0].nodes: nodes or a share of them are needed
             fault[0].for: is needed
             fault[0].from: from and to are needed
-            fault[0].to: "cache-99" is no end of a way
+            fault[0].to: "cache-99" is no end of a link
             fault[0].loss: 1.5 is not within 0 to 0.99
             fault[0].kind: unknown variant `cutt`, expected one of `kill`, `end`, `pause`, `order`, `start`, `roll`, `cut`, `spoil`, `replay`, `flood`
             scenario.nodes: 500 is not within 1 to 96
@@ -352,7 +352,7 @@
                     from = [\"node-1\", \"node-2\"]\nto = [\"node-2\", \"origin\"]";
         let plan = Plan::parse(text).expect("a plan");
         assert_eq!((plan.nodes(0).len(), plan.nodes(0)), (2, Plan::parse(text).expect("a plan").nodes(0)));
-        let ways = [(1, End::Node(2)), (1, End::Server(12)), (2, End::Server(12))];
-        assert_eq!(plan.ways(1), ways.map(|(from, to)| (End::Node(from), to)));
+        let links = [(1, Endpoint::Node(2)), (1, Endpoint::Server(12)), (2, Endpoint::Server(12))];
+        assert_eq!(plan.links(1), links.map(|(from, to)| (Endpoint::Node(from), to)));
     }
 }
--- a/crates/lab/src/fleet/post.rs
+++ b/crates/lab/src/fleet/post.rs
@@ -1,4 +1,4 @@
-//! Datagrams between nodes: a socket for each ordered pair, so that each way can be spoilt by itself, and each node sees the
+//! Datagrams between nodes: a socket for each ordered pair, so that each link can be spoilt by itself, and each node sees the
 //! others under the addresses that its configuration names.
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -11,10 +11,10 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
-use super::way::Way;
+use super::link::Link;
 use crate::judge::Judge;
 
-/// Datagrams of one way that are kept.
+/// Datagrams of one link that are kept.
 const KEPT: usize = 8;
 /// The platform's bound on a datagram; a longer one voids a run.
 pub const LONGEST: usize = 256;
@@ -25,13 +25,13 @@
 pub struct Post {
     /// At the place (from, to): where `from` sends what is for `to`, and what reaches `from` of `to`.
     sockets: HashMap<(usize, usize), Rc<UdpSocket>>,
-    ways: HashMap<(usize, usize), Rc<Way>>,
+    links: HashMap<(usize, usize), Rc<Link>>,
     /// Where each node really listens.
     real: Vec<SocketAddr>,
     /// Datagrams that came to a pair's socket from nobody's address.
     pub strangers: Cell<u64>,
     pub too_long: Cell<u64>,
-    /// The last datagrams of each way, to be handed over again.
+    /// The last datagrams of each link, to be handed over again.
     kept: RefCell<HashMap<Pair, VecDeque<Vec<u8>>>>,
 }
 
@@ -39,7 +39,7 @@
     pub async fn open(
         real: Vec<SocketAddr>,
         named: impl Fn(usize, usize) -> SocketAddr,
-        ways: HashMap<(usize, usize), Rc<Way>>,
+        links: HashMap<(usize, usize), Rc<Link>>,
     ) -> io::Result<Rc<Post>> {
         let mut sockets = HashMap::new();
         for from in 0..real.len() {
@@ -50,7 +50,7 @@
         }
         Ok(Rc::new(Post {
             sockets,
-            ways,
+            links,
             real,
             strangers: Cell::new(0),
             too_long: Cell::new(0),
@@ -65,7 +65,7 @@
     }
 
     async fn take(self: Rc<Post>, from: usize, to: usize, judge: Rc<Judge>) {
-        let (socket, way) = (self.sockets[&(from, to)].clone(), self.ways[&(from, to)].clone());
+        let (socket, link) = (self.sockets[&(from, to)].clone(), self.links[&(from, to)].clone());
         let mut buffer = vec![0; 2 * LONGEST];
         loop {
             // An error here is of an earlier datagram that found nobody.
@@ -80,13 +80,13 @@
                 continue;
             }
             self.keep(from, to, &buffer[..size]);
-            for at in way.datagram(size).into_iter().flatten() {
-                let (post, bytes, way) = (self.clone(), buffer[..size].to_vec(), way.clone());
+            for at in link.datagram(size).into_iter().flatten() {
+                let (post, bytes, link) = (self.clone(), buffer[..size].to_vec(), link.clone());
                 spawn_local(async move {
                     sleep_until(at).await;
                     // What was under way when a cut began is lost with it.
-                    if !way.shape().cut {
-                        way.arrived.set(way.arrived.get() + 1);
+                    if !link.impairment().cut {
+                        link.arrived.set(link.arrived.get() + 1);
                         post.hand(from, to, &bytes).await;
                     }
                 });
@@ -106,8 +106,8 @@
     /// What a node has sent last, by whom it was for.
     pub fn sent(&self, from: usize) -> Vec<(usize, Vec<u8>)> {
         let kept = self.kept.borrow();
-        let of = kept.iter().filter(|(way, _)| way.0 == from);
-        of.flat_map(|(way, all)| all.iter().map(|bytes| (way.1, bytes.clone()))).collect()
+        let of = kept.iter().filter(|(link, _)| link.0 == from);
+        of.flat_map(|(link, all)| all.iter().map(|bytes| (link.1, bytes.clone()))).collect()
     }
 
     /// Something for a node that no peer of it has sent: noise, a true datagram with a bit turned, or one again.
--- a/crates/lab/src/fleet/rig/faults.rs
+++ b/crates/lab/src/fleet/rig/faults.rs
@@ -102,7 +102,7 @@
             .iter()
             .flat_map(|from| self.post.sent(*from).into_iter().map(|(to, bytes)| (*from, to, bytes)))
             .collect();
-        self.timeline.note("ways", format!("{} datagrams of nodes {nodes:?} come again", sent.len()));
+        self.timeline.note("links", format!("{} datagrams of nodes {nodes:?} come again", sent.len()));
         while Instant::now() < until {
             for (from, to, bytes) in &sent {
                 self.post.hand(*from, *to, bytes).await;
@@ -116,7 +116,7 @@
         let (until, nodes) = (Instant::now() + lasts, self.plan.nodes(i));
         let mut chance = Pcg::new(self.plan.scenario.seed);
         self.timeline.note(
-            "ways",
+            "links",
             format!("nodes {nodes:?} get {} spoilt datagrams a second each", self.plan.faults[i].rate),
         );
         let a_step = (self.plan.faults[i].rate * FLOOD_STEP.as_secs_f64()).ceil() as usize;
@@ -128,6 +128,6 @@
             }
             sleep(FLOOD_STEP).await;
         }
-        self.timeline.note("ways", "the flood ends");
+        self.timeline.note("links", "the flood ends");
     }
 }
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -20,12 +20,12 @@
 use super::gate::{self, Gate};
 use super::host::{Host, Programs, State};
 use super::in_io;
+use super::link::Link;
 use super::listing::Listing;
 use super::outcome::Outcome;
-use super::plan::{End, Plan};
+use super::plan::{Endpoint, Plan};
 use super::post::Post;
 use super::timeline::Timeline;
-use super::way::Way;
 use crate::clients::{drive, Door as ClientsDoor};
 use crate::judge::Judge;
 use crate::scenario::Bad;
@@ -51,7 +51,7 @@
     judge: Rc<Judge>,
     timeline: Rc<Timeline>,
     hosts: Vec<Rc<Host>>,
-    ways: BTreeMap<(End, End), Rc<Way>>,
+    links: BTreeMap<(Endpoint, Endpoint), Rc<Link>>,
     gates: Gates,
     post: Rc<Post>,
     ops: Vec<SocketAddr>,
@@ -59,15 +59,15 @@
     ordered: RefCell<BTreeMap<usize, Instant>>,
 }
 
-/// Ways by their ends, each direction by itself.
+/// Links by their ends, each direction by itself.
 #[derive(Default)]
-struct Ways(BTreeMap<(End, End), Rc<Way>>);
+struct Links(BTreeMap<(Endpoint, Endpoint), Rc<Link>>);
 
-impl Ways {
-    /// The way between two ends, made when it is first asked for.
-    fn get(&mut self, from: End, to: End, seed: u64) -> Rc<Way> {
+impl Links {
+    /// The link between two ends, made when it is first asked for.
+    fn get(&mut self, from: Endpoint, to: Endpoint, seed: u64) -> Rc<Link> {
         let seed = seed ^ (self.0.len() as u64) << 24;
-        self.0.entry((from, to)).or_insert_with(|| Way::new(seed)).clone()
+        self.0.entry((from, to)).or_insert_with(|| Link::new(seed)).clone()
     }
 }
 
@@ -110,9 +110,9 @@
         let judge = Judge::start(plan.scenario.grace());
         let fleet = Fleet::new(&plan.scenario, judge.clone())?;
         let timeline = Timeline::new(judge.clone());
-        let mut ways = Ways::default();
-        let gates = Rig::gates(plan, block, fleet.servers(), &mut ways)?;
-        let post = Rig::post(plan, block, &mut ways).await?;
+        let mut links = Links::default();
+        let gates = Rig::gates(plan, block, fleet.servers(), &mut links)?;
+        let post = Rig::post(plan, block, &mut links).await?;
         let mut hosts = Vec::new();
         for node in 0..plan.scenario.nodes {
             let known = fleet.list(|server| block.server(node, server));
@@ -141,23 +141,23 @@
             hosts.push(Rc::new(host));
         }
         let ops = (0..plan.scenario.nodes).map(|node| block.ops(node)).collect();
-        let (plan, ways, ordered) = (plan.clone(), ways.0, RefCell::default());
-        Ok(Rc::new(Rig { plan, fleet, judge, timeline, hosts, ways, gates, post, ops, ordered }))
+        let (plan, links, ordered) = (plan.clone(), links.0, RefCell::default());
+        Ok(Rc::new(Rig { plan, fleet, judge, timeline, hosts, links, gates, post, ops, ordered }))
     }
 
     /// A gate for each node and server, and one for each node's discovery.
-    fn gates(plan: &Plan, block: &AddressBlock, servers: usize, ways: &mut Ways) -> Result<Gates, Bad> {
+    fn gates(plan: &Plan, block: &AddressBlock, servers: usize, links: &mut Links) -> Result<Gates, Bad> {
         let seed = plan.scenario.seed;
         let mut gates = BTreeMap::new();
         for node in 0..plan.scenario.nodes {
             for server in 0..=servers {
                 let (end, addr) = match server < servers {
-                    true => (End::Server(server), block.server(node, server)),
-                    false => (End::Discovery, block.discovery(node)),
+                    true => (Endpoint::Server(server), block.server(node, server)),
+                    false => (Endpoint::Discovery, block.discovery(node)),
                 };
-                let there = ways.get(End::Node(node), end, seed);
-                let back = ways.get(end, End::Node(node), seed);
-                let gate = Gate::new(addr, there, back);
+                let to_server = links.get(Endpoint::Node(node), end, seed);
+                let to_node = links.get(end, Endpoint::Node(node), seed);
+                let gate = Gate::new(addr, to_server, to_node);
                 gate.probe().map_err(in_io(&addr.to_string()))?;
                 gates.insert((node, server), gate);
             }
@@ -166,12 +166,12 @@
     }
 
     /// The sockets between nodes.
-    async fn post(plan: &Plan, block: &AddressBlock, ways: &mut Ways) -> Result<Rc<Post>, Bad> {
+    async fn post(plan: &Plan, block: &AddressBlock, links: &mut Links) -> Result<Rc<Post>, Bad> {
         let (nodes, seed) = (plan.scenario.nodes, plan.scenario.seed);
         let pairs = (0..nodes).flat_map(|from| (0..nodes).map(move |to| (from, to)));
         let pairs = pairs.filter(|(from, to)| from != to);
-        let mut way = |from, to| ways.get(End::Node(from), End::Node(to), seed);
-        let between = pairs.map(|(from, to)| ((from, to), way(from, to))).collect();
+        let mut link = |from, to| links.get(Endpoint::Node(from), Endpoint::Node(to), seed);
+        let between = pairs.map(|(from, to)| ((from, to), link(from, to))).collect();
         let real = (0..nodes).map(|node| block.peer(node)).collect();
         let post = Post::open(real, |from, to| block.named(from, to), between).await;
         post.map_err(in_io("peers"))
--- a/crates/lab/src/fleet/rig/network.rs
+++ b/crates/lab/src/fleet/rig/network.rs
@@ -1,44 +1,44 @@
-//! Faults of the network: cuts and spoilt ways, with what they do to listening sockets.
+//! Faults of the network: cuts and spoilt links, with what they do to listening sockets.
 use std::time::Duration;
 
 use tokio::time::sleep;
 
-use super::super::plan::{End, Fault, Kind};
-use super::super::way::Shape;
+use super::super::link::Impairment;
+use super::super::plan::{Endpoint, Fault, Kind};
 use super::Rig;
 
-/// Ways that are told by name; of more only the first is.
+/// Links that are told by name; of more only the first is.
 const MOST_NAMED: usize = 6;
 
 impl Rig {
-    /// Has the ways of a fault cut or spoilt for as long as it lasts.
+    /// Has the links of a fault cut or spoilt for as long as it lasts.
     pub(super) async fn spoil(&self, i: usize, lasts: Option<Duration>) {
         let fault = &self.plan.faults[i];
-        let ways = self.plan.ways(i);
-        let told = self.describe(&ways);
-        self.timeline.note("ways", format!("{:?} begins: {told}", fault.kind));
-        self.begin_on(i, &ways);
+        let links = self.plan.links(i);
+        let told = self.describe(&links);
+        self.timeline.note("links", format!("{:?} begins: {told}", fault.kind));
+        self.begin_on(i, &links);
         let Some(lasts) = lasts else { return };
         sleep(lasts).await;
-        self.timeline.note("ways", format!("{:?} ends: {told}", fault.kind));
-        self.end_on(i, &ways);
+        self.timeline.note("links", format!("{:?} ends: {told}", fault.kind));
+        self.end_on(i, &links);
     }
 
-    fn begin_on(&self, i: usize, ways: &[(End, End)]) {
+    fn begin_on(&self, i: usize, links: &[(Endpoint, Endpoint)]) {
         let fault = &self.plan.faults[i];
-        let shape = Shape::of(fault, fault.kind == Kind::Cut);
-        ways.iter().filter_map(|way| self.ways.get(way)).for_each(|way| way.begin(i, shape));
-        self.settle_gates(fault, ways, |resets| resets + 1);
+        let impairment = Impairment::of(fault, fault.kind == Kind::Cut);
+        links.iter().filter_map(|link| self.links.get(link)).for_each(|link| link.begin(i, impairment));
+        self.settle_gates(fault, links, |resets| resets + 1);
     }
 
-    fn end_on(&self, i: usize, ways: &[(End, End)]) {
-        ways.iter().filter_map(|way| self.ways.get(way)).for_each(|way| way.end(i));
-        self.settle_gates(&self.plan.faults[i], ways, |resets| resets.saturating_sub(1));
+    fn end_on(&self, i: usize, links: &[(Endpoint, Endpoint)]) {
+        links.iter().filter_map(|link| self.links.get(link)).for_each(|link| link.end(i));
+        self.settle_gates(&self.plan.faults[i], links, |resets| resets.saturating_sub(1));
     }
 
-    /// Listening sockets on these ways take connections or not, as their ways now are.
-    fn settle_gates(&self, fault: &Fault, ways: &[(End, End)], resets: impl Fn(usize) -> usize) {
-        for (from, to) in ways {
+    /// Listening sockets on these links take connections or not, as their links now are.
+    fn settle_gates(&self, fault: &Fault, links: &[(Endpoint, Endpoint)], resets: impl Fn(usize) -> usize) {
+        for (from, to) in links {
             let Some((node, server)) = self.gate_of(*from, *to) else { continue };
             let Some(gate) = self.gates.get(&(node, server)) else { continue };
             if fault.reset {
@@ -48,28 +48,27 @@
         }
     }
 
-    /// The node and the server between which a way lies; discovery stands behind the servers.
-    fn gate_of(&self, from: End, to: End) -> Option<(usize, usize)> {
+    /// The node and the server between which a link lies; discovery stands behind the servers.
+    fn gate_of(&self, from: Endpoint, to: Endpoint) -> Option<(usize, usize)> {
         match (from, to) {
-            (End::Node(node), End::Server(server)) | (End::Server(server), End::Node(node)) => {
-                Some((node, server))
-            }
-            (End::Node(node), End::Discovery) | (End::Discovery, End::Node(node)) => {
+            (Endpoint::Node(node), Endpoint::Server(server))
+            | (Endpoint::Server(server), Endpoint::Node(node)) => Some((node, server)),
+            (Endpoint::Node(node), Endpoint::Discovery) | (Endpoint::Discovery, Endpoint::Node(node)) => {
                 Some((node, self.fleet.servers()))
             }
             _ => None,
         }
     }
 
-    fn describe(&self, ways: &[(End, End)]) -> String {
-        let name = |end: &End| match end {
-            End::Node(node) => format!("node-{node}"),
-            End::Server(server) => self.fleet.id(*server),
-            End::Discovery => "discovery".to_owned(),
+    fn describe(&self, links: &[(Endpoint, Endpoint)]) -> String {
+        let name = |end: &Endpoint| match end {
+            Endpoint::Node(node) => format!("node-{node}"),
+            Endpoint::Server(server) => self.fleet.id(*server),
+            Endpoint::Discovery => "discovery".to_owned(),
         };
-        let named: Vec<_> = ways.iter().map(|(from, to)| format!("{}>{}", name(from), name(to))).collect();
+        let named: Vec<_> = links.iter().map(|(from, to)| format!("{}>{}", name(from), name(to))).collect();
         match named.len() > MOST_NAMED {
-            true => format!("{} ways, {} first", named.len(), named[0]),
+            true => format!("{} links, {} first", named.len(), named[0]),
             false => named.join(" "),
         }
     }
--- a/crates/lab/src/fleet/rig/verdict.rs
+++ b/crates/lab/src/fleet/rig/verdict.rs
@@ -6,7 +6,7 @@
 use super::super::host::State;
 use super::super::operators;
 use super::super::outcome::Outcome;
-use super::super::plan::End;
+use super::super::plan::Endpoint;
 use super::super::timeline::{self, Stretch};
 use super::Rig;
 use crate::stats::Report;
@@ -75,7 +75,7 @@
         missed
     }
 
-    /// When each fault was at work: those of processes and ways, then those of servers.
+    /// When each fault was at work: those of processes and links, then those of servers.
     fn stretches(&self) -> Vec<Stretch> {
         let end = self.plan.scenario.seconds;
         let of_plan = self.plan.faults.iter().map(|fault| Stretch {
@@ -93,8 +93,9 @@
 
     /// Datagrams between nodes: sent, and arrived.
     fn datagrams(&self) -> (u64, u64) {
-        let between = self.ways.iter().filter(|(way, _)| matches!(way, (End::Node(_), End::Node(_))));
-        between.fold((0, 0), |sum, (_, way)| (sum.0 + way.datagrams.get(), sum.1 + way.arrived.get()))
+        let between =
+            self.links.iter().filter(|(link, _)| matches!(link, (Endpoint::Node(_), Endpoint::Node(_))));
+        between.fold((0, 0), |sum, (_, link)| (sum.0 + link.datagrams.get(), sum.1 + link.arrived.get()))
     }
 
     pub(super) fn outcome(&self, report: Report, views: &Views) -> Outcome {
--- a/crates/lab/src/world/asking.rs
+++ b/crates/lab/src/world/asking.rs
@@ -36,8 +36,8 @@
         let (try_number, timeout) = (client.try_number, field.products[client.product].timeout);
         field.report.tries += 1;
         field.report.went(field.now, if try_number == 1 { Went::First } else { Went::Again });
-        let way = field.way();
-        field.after(way, Event::AtNode { client: id, try_number });
+        let delay = field.delay();
+        field.after(delay, Event::AtNode { client: id, try_number });
         field.after(timeout.times(patience), Event::GivesUp { client: id, try_number });
     }
 
@@ -50,10 +50,10 @@
         let (node, product, key) = (client.node, client.product, client.key);
         if !self.nodes[node].side.up {
             // Refused at once: nothing was taken.
-            let way = self.field.way();
+            let delay = self.field.delay();
             return self
                 .field
-                .after(way, Event::Told { client: id, try_number, end: End::RateLimited, wait: None });
+                .after(delay, Event::Told { client: id, try_number, end: End::RateLimited, wait: None });
         }
         let rules = self.field.products[product];
         let write = self.field.scenario.products[product].write;
--- a/crates/lab/src/world/desk.rs
+++ b/crates/lab/src/world/desk.rs
@@ -36,8 +36,8 @@
                 *second += 1;
             }
         }
-        let way = field.way();
-        field.after(way, Event::AtServer { job, server, life, fresh });
+        let delay = field.delay();
+        field.after(delay, Event::AtServer { job, server, life, fresh });
     }
 
     pub(super) fn answer(&mut self, ix: CallIx, end: End, deed: Deed, wait: Option<Span>) {
@@ -47,8 +47,8 @@
         if std::mem::replace(&mut open.answered, true) {
             return;
         }
-        let (client, try_number, way) = (open.client, open.try_number, self.field.way());
-        self.field.after(way, Event::Told { client, try_number, end, wait });
+        let (client, try_number, delay) = (open.client, open.try_number, self.field.delay());
+        self.field.after(delay, Event::Told { client, try_number, end, wait });
     }
 }
 
@@ -93,8 +93,8 @@
         field.at(until, Event::AttemptDue { node, epoch, call: number, attempt });
         if fresh {
             field.report.handshakes += 1;
-            let way = field.way();
-            field.after(way, Event::Connect { node, epoch, server: at, job });
+            let delay = field.delay();
+            field.after(delay, Event::Connect { node, epoch, server: at, job });
         } else {
             self.carry(at, life, job, false);
         }
@@ -106,8 +106,8 @@
         let Some(record) = open.attempts.get_mut(attempt).filter(|attempt| attempt.out) else { return };
         let (server, life, job, written) = (record.server, record.life, record.job, record.written);
         if written {
-            let way = field.way();
-            field.after(way, Event::CalledOff { server, life, job });
+            let delay = field.delay();
+            field.after(delay, Event::CalledOff { server, life, job });
         }
         let outcome = if written { Outcome::Cancelled } else { Outcome::TooLate };
         let (node, epoch, call) = (side.me, side.epoch, open.call);
--- a/crates/lab/src/world/field.rs
+++ b/crates/lab/src/world/field.rs
@@ -16,8 +16,8 @@
         self.next
     }
 
-    /// One way through the network.
-    pub(super) fn way(&mut self) -> Span {
+    /// Time that a message takes through the network, drawn anew.
+    pub(super) fn delay(&mut self) -> Span {
         let net = &self.scenario.network;
         let jitter: f64 = Exp1.sample(&mut self.chance);
         let mut ms = (net.delay_ms + net.jitter_ms * jitter) * self.network;
@@ -69,7 +69,7 @@
 
     pub(super) fn reset_jobs(&mut self, server: usize, outcome: Outcome) {
         for job in self.servers[server].stop() {
-            let wait = self.way();
+            let wait = self.delay();
             let (node, call, attempt) = (job.node, job.call, job.attempt);
             self.after(wait, Event::Reply { node, epoch: u64::MAX, call, attempt, server, outcome });
         }
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -67,13 +67,13 @@
             let (client, try_number, answered) = (open.client, open.try_number, open.answered);
             let attempts: Vec<_> = open.attempts.iter().filter(|attempt| attempt.out).copied().collect();
             for attempt in attempts {
-                let way = self.field.way();
+                let delay = self.field.delay();
                 let Attempt { server, life, job, .. } = attempt;
-                self.field.after(way, Event::CalledOff { server, life, job });
+                self.field.after(delay, Event::CalledOff { server, life, job });
             }
             if !answered {
-                let way = self.field.way();
-                self.field.after(way, Event::Told { client, try_number, end: End::Errored, wait: None });
+                let delay = self.field.delay();
+                self.field.after(delay, Event::Told { client, try_number, end: End::Errored, wait: None });
             }
         }
         for server in 0..self.field.servers.len() {
--- a/crates/lab/src/world/serving.rs
+++ b/crates/lab/src/world/serving.rs
@@ -4,39 +4,39 @@
 impl<R: Router, F: Fn(usize, u64) -> R> World<R, F> {
     pub(super) fn connect(&mut self, node: usize, epoch: u64, server: usize, job: Job) {
         let field = &mut self.field;
-        let way = field.way();
+        let delay = field.delay();
         let most = field.scenario.caches.connections;
         let it = &mut field.servers[server];
         if it.health == Health::Down || !it.origin && it.connections >= most {
             field.report.refused += 1;
             let (call, attempt, outcome) = (job.call, job.attempt, Outcome::Unreachable);
-            return field.after(way, Event::Reply { node, epoch, call, attempt, server, outcome });
+            return field.after(delay, Event::Reply { node, epoch, call, attempt, server, outcome });
         }
         it.connections += 1;
         let life = it.life;
-        field.after(way, Event::Connected { node, epoch, server, life, job });
+        field.after(delay, Event::Connected { node, epoch, server, life, job });
     }
 
     pub(super) fn at_server(&mut self, job: Job, server: usize, life: u64, fresh: bool) {
         let field = &mut self.field;
-        let way = field.way();
+        let delay = field.delay();
         let (node, call, attempt) = (job.node, job.call, job.attempt);
         let reply = |outcome| Event::Reply { node, epoch: u64::MAX, call, attempt, server, outcome };
         let it = &mut field.servers[server];
         if it.health == Health::Down || it.life != life {
             // The connection was to an earlier life; what it had been sent may have run there.
-            return field.after(way, reply(Outcome::Reset));
+            return field.after(delay, reply(Outcome::Reset));
         }
         if it.health == Health::Hung {
             return it.queue.push_back(job);
         }
         if !field.demand(&job, server) {
-            return field.after(way, reply(Outcome::Reset));
+            return field.after(delay, reply(Outcome::Reset));
         }
         let it = &mut field.servers[server];
         if it.is_full() {
             field.report.went(field.now, Went::Full);
-            return field.after(way, reply(Outcome::Full));
+            return field.after(delay, reply(Outcome::Full));
         }
         let mut job = job;
         if fresh {
@@ -78,17 +78,17 @@
             } else if origin && !job.write {
                 // The value is stored where the API call missed.
                 for (server, life, _) in open.missed.clone() {
-                    let way = self.field.way();
-                    self.field.after(way, Event::Stored { server, life, key: job.key });
+                    let delay = self.field.delay();
+                    self.field.after(delay, Event::Stored { server, life, key: job.key });
                 }
             }
         }
         if origin && job.write {
             self.field.servers.iter_mut().for_each(|server| server.kept.remove(job.key));
         }
-        let way = self.field.way();
+        let delay = self.field.delay();
         let (node, call, attempt) = (job.node, job.call, job.attempt);
-        self.field.after(way, Event::Reply { node, epoch: u64::MAX, call, attempt, server, outcome });
+        self.field.after(delay, Event::Reply { node, epoch: u64::MAX, call, attempt, server, outcome });
         self.field.begin_work(server);
     }
 
@@ -133,8 +133,8 @@
         };
         let (server, life, job, written) = (record.server, record.life, record.job, record.written);
         if written {
-            let way = self.field.way();
-            self.field.after(way, Event::CalledOff { server, life, job });
+            let delay = self.field.delay();
+            self.field.after(delay, Event::CalledOff { server, life, job });
         }
         self.reply(
             node,
