Call the fleet rig's listening sockets proxies, as they are

Need: `gate` and its `door` are metaphors; what stands there is a TCP proxy for each pair of node and server, as fault injectors have it.

Change: `fleet/gate.rs` is `fleet/proxy.rs` with `Proxy`, `Accepting` and `Connection`.

--- a/crates/lab/src/fleet/listing.rs
+++ b/crates/lab/src/fleet/listing.rs
@@ -8,7 +8,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout, Instant};
 
-use super::gate::Arrival;
+use super::proxy::Connection;
 use crate::standin::{Fleet, Listed};
 
 /// Silence after which a watch tells that it stands.
@@ -45,8 +45,8 @@
     }
 
     /// What the node is told counts as told once its bytes have reached it.
-    fn tells(self: &Rc<Listing>, arrival: &Arrival, written: u64, states: Vec<(usize, bool)>) {
-        let (listing, delivered) = (self.clone(), arrival.delivered.clone());
+    fn tells(self: &Rc<Listing>, connection: &Connection, written: u64, states: Vec<(usize, bool)>) {
+        let (listing, delivered) = (self.clone(), connection.delivered.clone());
         spawn_local(async move {
             delivered.upto(written).await;
             for (server, out) in states {
@@ -55,10 +55,10 @@
         });
     }
 
-    pub async fn serve(self: Rc<Listing>, mut arrival: Arrival) {
+    pub async fn serve(self: Rc<Listing>, mut connection: Connection) {
         let mut head = Vec::new();
         while !head.windows(4).any(|four| four == b"\r\n\r\n") {
-            if head.len() > MOST_HEAD || !matches!(arrival.stream.read_buf(&mut head).await, Ok(1..)) {
+            if head.len() > MOST_HEAD || !matches!(connection.stream.read_buf(&mut head).await, Ok(1..)) {
                 return;
             }
         }
@@ -67,14 +67,14 @@
             .split("index=")
             .nth(1)
             .and_then(|text| text.split(|c: char| !c.is_ascii_digit()).next()?.parse::<usize>().ok());
-        let _ = self.watch(&mut arrival, index.unwrap_or(0)).await;
+        let _ = self.watch(&mut connection, index.unwrap_or(0)).await;
     }
 
-    async fn watch(self: &Rc<Listing>, arrival: &mut Arrival, index: usize) -> std::io::Result<()> {
+    async fn watch(self: &Rc<Listing>, connection: &mut Connection, index: usize) -> std::io::Result<()> {
         let opening =
             b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
         let mut written = opening.len() as u64;
-        arrival.stream.write_all(opening).await?;
+        connection.stream.write_all(opening).await?;
         let (mut upto, _) = self.due();
         let servers = self.fleet.servers();
         let (first, states) = if (1..=upto + 1).contains(&index) {
@@ -88,8 +88,8 @@
             };
             (list, (0..servers).map(state).collect())
         };
-        written += line(arrival, &first.to_string()).await?;
-        self.tells(arrival, written, states);
+        written += line(connection, &first.to_string()).await?;
+        self.tells(connection, written, states);
         // Guards against changes that are told late beginning the time to the next sign of life anew, each of them.
         let mut spoke = Instant::now();
         loop {
@@ -98,9 +98,9 @@
             if due > upto {
                 let (news, states) = self.since(upto, due);
                 upto = due;
-                written += line(arrival, &news.to_string()).await?;
+                written += line(connection, &news.to_string()).await?;
                 spoke = Instant::now();
-                self.tells(arrival, written, states);
+                self.tells(connection, written, states);
                 continue;
             }
             let next = next.map(|next| Instant::now() + Duration::from_micros(next.0.max(1_000) as u64));
@@ -110,10 +110,10 @@
                 () = sleep_until(next.map_or(silent, |next| next.min(silent))) => {}
             }
             if Instant::now() >= silent {
-                written += line(arrival, "").await?;
+                written += line(connection, "").await?;
                 spoke = Instant::now();
                 // A node that has gone says nothing; a write into its closed connection fails at last.
-                if timeout(Duration::ZERO, arrival.stream.read(&mut [0; 1]))
+                if timeout(Duration::ZERO, connection.stream.read(&mut [0; 1]))
                     .await
                     .is_ok_and(|read| matches!(read, Ok(0)))
                 {
@@ -137,8 +137,8 @@
 }
 
 /// A line as a chunk; gives the bytes that it took.
-async fn line(arrival: &mut Arrival, text: &str) -> std::io::Result<u64> {
+async fn line(connection: &mut Connection, text: &str) -> std::io::Result<u64> {
     let chunk = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
-    arrival.stream.write_all(chunk.as_bytes()).await?;
+    connection.stream.write_all(chunk.as_bytes()).await?;
     Ok(chunk.len() as u64)
 }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 mod addresses;
 mod configuration;
 pub mod faulty_node;
-pub mod gate;
+
 pub mod host;
 pub mod link;
 pub mod listing;
@@ -20,6 +20,7 @@
 mod outcome;
 pub mod plan;
 pub mod post;
+pub mod proxy;
 mod rig;
 pub mod timeline;
 
--- a/crates/lab/src/fleet/gate.rs
+++ b/crates/lab/src/fleet/proxy.rs
@@ -1,4 +1,4 @@
-//! Where a node reaches one server: a listening socket of its own for each pair, so that the link between the two can be
+//! A TCP proxy between a node and one server: a listening socket for each pair, so that the link between the two can be
 //! spoilt by itself, in each direction.
 use std::cell::Cell;
 use std::io;
@@ -14,29 +14,31 @@
 use tokio::time::{sleep, timeout};
 
 use super::link::Link;
+use crate::judge::Judge;
 use crate::standin::Stamps;
 
 /// How a machine treats new connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Door {
-    Open,
+pub enum Accepting {
+    Yes,
     /// A connect hears nothing.
     Silent,
     /// A connect is refused, and connections are reset.
     Refusing,
 }
 
-/// Connections not yet taken that an open door holds.
+/// Connections not yet taken that wait while the proxy accepts.
 const BACKLOG: u32 = 1024;
 const BIND_AGAIN: Duration = Duration::from_millis(20);
 /// Bytes between the link and the stand-in.
-const BETWEEN: usize = 64 * 1024;
+const BUFFER_SIZE: usize = 64 * 1024;
 
-pub struct Gate {
+/// One proxy, with the links to and from the server.
+pub struct Proxy {
     pub addr: SocketAddr,
     pub to_server: Rc<Link>,
     pub to_node: Rc<Link>,
-    pub door: watch::Sender<Door>,
+    pub accepting: watch::Sender<Accepting>,
     /// Number of resetting cuts on it now.
     pub resets: Cell<usize>,
     /// It has begun to listen.
@@ -44,7 +46,7 @@
 }
 
 /// A connection as the server has it.
-pub struct Arrival {
+pub struct Connection {
     pub stream: DuplexStream,
     pub stamps: Rc<Stamps>,
     pub delivered: Rc<Delivered>,
@@ -77,10 +79,11 @@
     socket.listen(BACKLOG)
 }
 
-impl Gate {
-    pub fn new(addr: SocketAddr, to_server: Rc<Link>, to_node: Rc<Link>) -> Rc<Gate> {
-        let (door, resets, listens) = (watch::Sender::new(Door::Open), Cell::new(0), Cell::new(false));
-        Rc::new(Gate { addr, to_server, to_node, door, resets, listens })
+impl Proxy {
+    pub fn new(addr: SocketAddr, to_server: Rc<Link>, to_node: Rc<Link>) -> Rc<Proxy> {
+        let (accepting, resets, listens) =
+            (watch::Sender::new(Accepting::Yes), Cell::new(0), Cell::new(false));
+        Rc::new(Proxy { addr, to_server, to_node, accepting, resets, listens })
     }
 
     /// The address can be had.
@@ -88,59 +91,55 @@
         listen(self.addr).map(drop)
     }
 
-    /// What the door is, by the server and by the links.
+    /// How the proxy takes connections, by the server and by the links.
     pub fn settle(&self, up: bool) {
         let cut = self.to_server.impairment().cut || self.to_node.impairment().cut;
-        let door = match (self.resets.get() > 0, cut, up) {
-            (true, ..) => Door::Refusing,
+        let accepting = match (self.resets.get() > 0, cut, up) {
+            (true, ..) => Accepting::Refusing,
             // Who is cut off hears of no refusal either.
-            (_, true, _) => Door::Silent,
-            (_, _, false) => Door::Refusing,
-            _ => Door::Open,
+            (_, true, _) => Accepting::Silent,
+            (_, _, false) => Accepting::Refusing,
+            _ => Accepting::Yes,
         };
-        self.door.send_if_modified(|now| std::mem::replace(now, door) != door);
+        self.accepting.send_if_modified(|now| std::mem::replace(now, accepting) != accepting);
     }
 
     /// Takes connections for ever, and hands each to `serve`.
-    pub async fn run(
-        self: Rc<Gate>,
-        clock: Rc<crate::judge::Judge>,
-        serve: impl Fn(Arrival) + Clone + 'static,
-    ) {
-        let mut door = self.door.subscribe();
+    pub async fn run(self: Rc<Proxy>, clock: Rc<Judge>, serve: impl Fn(Connection) + Clone + 'static) {
+        let mut accepting = self.accepting.subscribe();
         let mut listener: Option<TcpListener> = None;
         let mut plug: Option<TcpStream> = None;
         loop {
-            let now = *door.borrow_and_update();
-            if now == Door::Refusing {
+            let now = *accepting.borrow_and_update();
+            if now == Accepting::Refusing {
                 (listener, plug) = (None, None);
-                if door.changed().await.is_err() {
+                if accepting.changed().await.is_err() {
                     return;
                 }
                 continue;
             }
-            let Some(open) = &listener else {
+            let Some(listening) = &listener else {
                 match listen(self.addr) {
-                    Ok(open) => {
-                        listener = Some(open);
+                    Ok(socket) => {
+                        listener = Some(socket);
                         self.listens.set(true);
                     }
                     Err(_) => sleep(BIND_AGAIN).await,
                 }
                 continue;
             };
-            let socket = SockRef::from(open);
-            if now == Door::Silent {
+            let socket = SockRef::from(listening);
+            if now == Accepting::Silent {
                 if plug.is_none() {
                     // With no room behind the one connection that fills the queue, the system passes over a connect
                     // as if its first packet had been lost.
                     let _ = socket.listen(0);
-                    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, open.accept()).await {
-                        spawn_local(self.clone().conversation(stream, clock.clone(), serve.clone()));
+                    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listening.accept()).await {
+                        spawn_local(self.clone().relay(stream, clock.clone(), serve.clone()));
                     }
                     plug = TcpStream::connect(self.addr).await.ok();
                 }
-                if door.changed().await.is_err() {
+                if accepting.changed().await.is_err() {
                     return;
                 }
                 continue;
@@ -148,35 +147,32 @@
             if let Some(plug) = plug.take() {
                 let _ = socket.listen(BACKLOG as i32);
                 let ours = plug.local_addr().ok();
-                while let Ok(Ok((stream, from))) = timeout(Duration::from_millis(50), open.accept()).await {
+                while let Ok(Ok((stream, from))) =
+                    timeout(Duration::from_millis(50), listening.accept()).await
+                {
                     if Some(from) == ours {
                         break;
                     }
-                    spawn_local(self.clone().conversation(stream, clock.clone(), serve.clone()));
+                    spawn_local(self.clone().relay(stream, clock.clone(), serve.clone()));
                 }
             }
             tokio::select! {
-                taken = open.accept() => if let Ok((stream, _)) = taken {
-                    spawn_local(self.clone().conversation(stream, clock.clone(), serve.clone()));
+                taken = listening.accept() => if let Ok((stream, _)) = taken {
+                    spawn_local(self.clone().relay(stream, clock.clone(), serve.clone()));
                 },
-                changed = door.changed() => if changed.is_err() {
+                changed = accepting.changed() => if changed.is_err() {
                     return;
                 },
             }
         }
     }
 
-    async fn conversation(
-        self: Rc<Gate>,
-        mut stream: TcpStream,
-        clock: Rc<crate::judge::Judge>,
-        serve: impl Fn(Arrival),
-    ) {
+    async fn relay(self: Rc<Proxy>, mut stream: TcpStream, clock: Rc<Judge>, serve: impl Fn(Connection)) {
         let _ = stream.set_nodelay(true);
-        let (near, far) = tokio::io::duplex(BETWEEN);
+        let (near, far) = tokio::io::duplex(BUFFER_SIZE);
         let (stamps, delivered) = (Rc::new(Stamps::default()), Rc::new(Delivered::default()));
-        serve(Arrival { stream: far, stamps: stamps.clone(), delivered: delivered.clone() });
-        let mut door = self.door.subscribe();
+        serve(Connection { stream: far, stamps: stamps.clone(), delivered: delivered.clone() });
+        let mut accepting = self.accepting.subscribe();
         let reset = {
             let (from_node, to_node) = stream.split();
             let (from_server, to_server) = split(near);
@@ -185,13 +181,13 @@
                 delivered.bytes.set(upto);
                 delivered.more.notify_waiters();
             };
-            let both = both(
+            let both = both_directions(
                 self.to_server.carry(from_node, to_server, stamp, |_| {}),
                 self.to_node.carry(from_server, to_node, |_| {}, count),
             );
             tokio::select! {
                 () = both => false,
-                _ = door.wait_for(|door| *door == Door::Refusing) => true,
+                _ = accepting.wait_for(|accepting| *accepting == Accepting::Refusing) => true,
             }
         };
         if reset {
@@ -201,7 +197,7 @@
 }
 
 /// Ready once both have ended well, or one has not.
-async fn both(
+async fn both_directions(
     one: impl std::future::Future<Output = io::Result<()>>,
     other: impl std::future::Future<Output = io::Result<()>>,
 ) {
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -17,7 +17,6 @@
 
 use super::addresses::AddressBlock;
 use super::configuration::configuration;
-use super::gate::{self, Gate};
 use super::host::{Host, Programs, State};
 use super::in_io;
 use super::link::Link;
@@ -25,6 +24,7 @@
 use super::outcome::Outcome;
 use super::plan::{Endpoint, Plan};
 use super::post::Post;
+use super::proxy::{Connection, Proxy};
 use super::timeline::Timeline;
 use crate::clients::{drive, Door as ClientsDoor};
 use crate::judge::Judge;
@@ -35,7 +35,7 @@
 const READY_WITHIN: Duration = Duration::from_secs(30);
 /// Connections of all clients to one node.
 const CONNECTIONS: usize = 512;
-/// Between two looks at whether all gates listen.
+/// Between two looks at whether all proxies listen.
 const LOOK_AGAIN: Duration = Duration::from_millis(5);
 /// By then the front has heard of all processes that have started.
 const FRONT_HEARS: Duration = Duration::from_millis(50);
@@ -43,7 +43,7 @@
 const STILL_ON_ITS_WAY: Duration = Duration::from_millis(500);
 
 /// By node and server, discovery behind the servers.
-type Gates = BTreeMap<(usize, usize), Rc<Gate>>;
+type Proxies = BTreeMap<(usize, usize), Rc<Proxy>>;
 
 pub struct Rig {
     plan: Plan,
@@ -52,7 +52,7 @@
     timeline: Rc<Timeline>,
     hosts: Vec<Rc<Host>>,
     links: BTreeMap<(Endpoint, Endpoint), Rc<Link>>,
-    gates: Gates,
+    proxies: Proxies,
     post: Rc<Post>,
     ops: Vec<SocketAddr>,
     /// Caches that operators have ordered drained, and since when every node that serves has to go by it.
@@ -82,7 +82,7 @@
         let rig = Rig::new(plan, programs, block, folder).await?;
         rig.clone().open(block);
         rig.post.run(&rig.judge);
-        rig.gates_listen().await?;
+        rig.proxies_listen().await?;
         rig.start_all().await?;
         rig.timeline.begin();
         rig.fleet.clone().play_faults();
@@ -111,7 +111,7 @@
         let fleet = Fleet::new(&plan.scenario, judge.clone())?;
         let timeline = Timeline::new(judge.clone());
         let mut links = Links::default();
-        let gates = Rig::gates(plan, block, fleet.servers(), &mut links)?;
+        let proxies = Rig::proxies(plan, block, fleet.servers(), &mut links)?;
         let post = Rig::post(plan, block, &mut links).await?;
         let mut hosts = Vec::new();
         for node in 0..plan.scenario.nodes {
@@ -142,13 +142,13 @@
         }
         let ops = (0..plan.scenario.nodes).map(|node| block.ops(node)).collect();
         let (plan, links, ordered) = (plan.clone(), links.0, RefCell::default());
-        Ok(Rc::new(Rig { plan, fleet, judge, timeline, hosts, links, gates, post, ops, ordered }))
+        Ok(Rc::new(Rig { plan, fleet, judge, timeline, hosts, links, proxies, post, ops, ordered }))
     }
 
-    /// A gate for each node and server, and one for each node's discovery.
-    fn gates(plan: &Plan, block: &AddressBlock, servers: usize, links: &mut Links) -> Result<Gates, Bad> {
+    /// A proxy for each node and server, and one for each node's discovery.
+    fn proxies(plan: &Plan, block: &AddressBlock, servers: usize, links: &mut Links) -> Result<Proxies, Bad> {
         let seed = plan.scenario.seed;
-        let mut gates = BTreeMap::new();
+        let mut proxies = BTreeMap::new();
         for node in 0..plan.scenario.nodes {
             for server in 0..=servers {
                 let (end, addr) = match server < servers {
@@ -157,12 +157,12 @@
                 };
                 let to_server = links.get(Endpoint::Node(node), end, seed);
                 let to_node = links.get(end, Endpoint::Node(node), seed);
-                let gate = Gate::new(addr, to_server, to_node);
-                gate.probe().map_err(in_io(&addr.to_string()))?;
-                gates.insert((node, server), gate);
+                let proxy = Proxy::new(addr, to_server, to_node);
+                proxy.probe().map_err(in_io(&addr.to_string()))?;
+                proxies.insert((node, server), proxy);
             }
         }
-        Ok(gates)
+        Ok(proxies)
     }
 
     /// The sockets between nodes.
@@ -178,13 +178,13 @@
     }
 
     /// Guards against a process that finds nobody listening yet.
-    async fn gates_listen(&self) -> Result<(), Bad> {
+    async fn proxies_listen(&self) -> Result<(), Bad> {
         let listen = async {
-            while !self.gates.values().all(|gate| gate.listens.get()) {
+            while !self.proxies.values().all(|proxy| proxy.listens.get()) {
                 sleep(LOOK_AGAIN).await;
             }
         };
-        timeout(READY_WITHIN, listen).await.map_err(|_| Bad("a gate does not listen".to_owned()))
+        timeout(READY_WITHIN, listen).await.map_err(|_| Bad("a proxy does not listen".to_owned()))
     }
 
     /// The next rig may be given the same addresses.
@@ -195,28 +195,28 @@
         }
     }
 
-    /// Opens every gate, and has each follow its server.
+    /// Opens every proxy, and has each follow its server.
     fn open(self: Rc<Rig>, block: &AddressBlock) {
         let servers = self.fleet.servers();
-        for (&(node, server), gate) in &self.gates {
+        for (&(node, server), proxy) in &self.proxies {
             let fleet = self.fleet.clone();
             if server == servers {
                 let addrs = (0..servers).map(|server| block.server(node, server)).collect();
                 let listing = Rc::new(Listing { fleet, node, addrs });
-                let serve = move |arrival| drop(spawn_local(listing.clone().serve(arrival)));
-                spawn_local(gate.clone().run(self.judge.clone(), serve));
+                let serve = move |connection| drop(spawn_local(listing.clone().serve(connection)));
+                spawn_local(proxy.clone().run(self.judge.clone(), serve));
                 continue;
             }
-            let serve = move |arrival: gate::Arrival| {
-                let line = Line { stream: arrival.stream, node, stamps: Some(arrival.stamps) };
+            let serve = move |connection: Connection| {
+                let line = Line { stream: connection.stream, node, stamps: Some(connection.stamps) };
                 spawn_local(fleet.clone().serve(server, line));
             };
-            spawn_local(gate.clone().run(self.judge.clone(), serve));
-            let (gate, mut up) = (gate.clone(), self.fleet.up(server));
+            spawn_local(proxy.clone().run(self.judge.clone(), serve));
+            let (proxy, mut up) = (proxy.clone(), self.fleet.up(server));
             spawn_local(async move {
                 loop {
                     let is_up = *up.borrow_and_update();
-                    gate.settle(is_up);
+                    proxy.settle(is_up);
                     if up.changed().await.is_err() {
                         return;
                     }
--- a/crates/lab/src/fleet/rig/network.rs
+++ b/crates/lab/src/fleet/rig/network.rs
@@ -28,28 +28,28 @@
         let fault = &self.plan.faults[i];
         let impairment = Impairment::of(fault, fault.kind == Kind::Cut);
         links.iter().filter_map(|link| self.links.get(link)).for_each(|link| link.begin(i, impairment));
-        self.settle_gates(fault, links, |resets| resets + 1);
+        self.settle_proxies(fault, links, |resets| resets + 1);
     }
 
     fn end_on(&self, i: usize, links: &[(Endpoint, Endpoint)]) {
         links.iter().filter_map(|link| self.links.get(link)).for_each(|link| link.end(i));
-        self.settle_gates(&self.plan.faults[i], links, |resets| resets.saturating_sub(1));
+        self.settle_proxies(&self.plan.faults[i], links, |resets| resets.saturating_sub(1));
     }
 
     /// Listening sockets on these links take connections or not, as their links now are.
-    fn settle_gates(&self, fault: &Fault, links: &[(Endpoint, Endpoint)], resets: impl Fn(usize) -> usize) {
+    fn settle_proxies(&self, fault: &Fault, links: &[(Endpoint, Endpoint)], resets: impl Fn(usize) -> usize) {
         for (from, to) in links {
-            let Some((node, server)) = self.gate_of(*from, *to) else { continue };
-            let Some(gate) = self.gates.get(&(node, server)) else { continue };
+            let Some((node, server)) = self.proxy_of(*from, *to) else { continue };
+            let Some(proxy) = self.proxies.get(&(node, server)) else { continue };
             if fault.reset {
-                gate.resets.set(resets(gate.resets.get()));
+                proxy.resets.set(resets(proxy.resets.get()));
             }
-            gate.settle(server == self.fleet.servers() || *self.fleet.up(server).borrow());
+            proxy.settle(server == self.fleet.servers() || *self.fleet.up(server).borrow());
         }
     }
 
     /// The node and the server between which a link lies; discovery stands behind the servers.
-    fn gate_of(&self, from: Endpoint, to: Endpoint) -> Option<(usize, usize)> {
+    fn proxy_of(&self, from: Endpoint, to: Endpoint) -> Option<(usize, usize)> {
         match (from, to) {
             (Endpoint::Node(node), Endpoint::Server(server))
             | (Endpoint::Server(server), Endpoint::Node(node)) => Some((node, server)),
