Call the fleet rig's relay of datagrams by its name

Need: `post` is a metaphor; the field says datagram relay.

Change: `fleet/post.rs` is `fleet/datagrams.rs` with `DatagramRelay`, which delivers, remembers recent datagrams and sends corrupt ones.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 
 mod addresses;
 mod configuration;
+pub mod datagrams;
 pub mod faulty_node;
 
 pub mod host;
@@ -19,7 +20,6 @@
 mod operators;
 mod outcome;
 pub mod plan;
-pub mod post;
 pub mod proxy;
 mod rig;
 pub mod timeline;
--- a/crates/lab/src/fleet/rig/faults.rs
+++ b/crates/lab/src/fleet/rig/faults.rs
@@ -100,12 +100,12 @@
         let nodes = self.plan.nodes(i);
         let sent: Vec<_> = nodes
             .iter()
-            .flat_map(|from| self.post.sent(*from).into_iter().map(|(to, bytes)| (*from, to, bytes)))
+            .flat_map(|from| self.datagrams.sent(*from).into_iter().map(|(to, bytes)| (*from, to, bytes)))
             .collect();
         self.timeline.note("links", format!("{} datagrams of nodes {nodes:?} come again", sent.len()));
         while Instant::now() < until {
             for (from, to, bytes) in &sent {
-                self.post.hand(*from, *to, bytes).await;
+                self.datagrams.deliver(*from, *to, bytes).await;
             }
             sleep(REPLAY_STEP).await;
         }
@@ -123,7 +123,7 @@
         while Instant::now() < until {
             for to in &nodes {
                 for _ in 0..a_step {
-                    self.post.spoilt(*to, &mut chance).await;
+                    self.datagrams.send_corrupt(*to, &mut chance).await;
                 }
             }
             sleep(FLOOD_STEP).await;
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -17,13 +17,13 @@
 
 use super::addresses::AddressBlock;
 use super::configuration::configuration;
+use super::datagrams::DatagramRelay;
 use super::host::{Host, Programs, State};
 use super::in_io;
 use super::link::Link;
 use super::listing::Listing;
 use super::outcome::Outcome;
 use super::plan::{Endpoint, Plan};
-use super::post::Post;
 use super::proxy::{Connection, Proxy};
 use super::timeline::Timeline;
 use crate::clients::{drive, Door as ClientsDoor};
@@ -53,7 +53,7 @@
     hosts: Vec<Rc<Host>>,
     links: BTreeMap<(Endpoint, Endpoint), Rc<Link>>,
     proxies: Proxies,
-    post: Rc<Post>,
+    datagrams: Rc<DatagramRelay>,
     ops: Vec<SocketAddr>,
     /// Caches that operators have ordered drained, and since when every node that serves has to go by it.
     ordered: RefCell<BTreeMap<usize, Instant>>,
@@ -81,7 +81,7 @@
     ) -> Result<Outcome, Bad> {
         let rig = Rig::new(plan, programs, block, folder).await?;
         rig.clone().open(block);
-        rig.post.run(&rig.judge);
+        rig.datagrams.run(&rig.judge);
         rig.proxies_listen().await?;
         rig.start_all().await?;
         rig.timeline.begin();
@@ -112,7 +112,7 @@
         let timeline = Timeline::new(judge.clone());
         let mut links = Links::default();
         let proxies = Rig::proxies(plan, block, fleet.servers(), &mut links)?;
-        let post = Rig::post(plan, block, &mut links).await?;
+        let datagrams = Rig::datagram_relay(plan, block, &mut links).await?;
         let mut hosts = Vec::new();
         for node in 0..plan.scenario.nodes {
             let known = fleet.list(|server| block.server(node, server));
@@ -142,7 +142,7 @@
         }
         let ops = (0..plan.scenario.nodes).map(|node| block.ops(node)).collect();
         let (plan, links, ordered) = (plan.clone(), links.0, RefCell::default());
-        Ok(Rc::new(Rig { plan, fleet, judge, timeline, hosts, links, proxies, post, ops, ordered }))
+        Ok(Rc::new(Rig { plan, fleet, judge, timeline, hosts, links, proxies, datagrams, ops, ordered }))
     }
 
     /// A proxy for each node and server, and one for each node's discovery.
@@ -166,15 +166,19 @@
     }
 
     /// The sockets between nodes.
-    async fn post(plan: &Plan, block: &AddressBlock, links: &mut Links) -> Result<Rc<Post>, Bad> {
+    async fn datagram_relay(
+        plan: &Plan,
+        block: &AddressBlock,
+        links: &mut Links,
+    ) -> Result<Rc<DatagramRelay>, Bad> {
         let (nodes, seed) = (plan.scenario.nodes, plan.scenario.seed);
         let pairs = (0..nodes).flat_map(|from| (0..nodes).map(move |to| (from, to)));
         let pairs = pairs.filter(|(from, to)| from != to);
         let mut link = |from, to| links.get(Endpoint::Node(from), Endpoint::Node(to), seed);
         let between = pairs.map(|(from, to)| ((from, to), link(from, to))).collect();
         let real = (0..nodes).map(|node| block.peer(node)).collect();
-        let post = Post::open(real, |from, to| block.named(from, to), between).await;
-        post.map_err(in_io("peers"))
+        let relay = DatagramRelay::open(real, |from, to| block.named(from, to), between).await;
+        relay.map_err(in_io("peers"))
     }
 
     /// Guards against a process that finds nobody listening yet.
