Call the process of a node in the fleet rig a process

Need: `host` was the process, not a machine, and its methods `becomes`, `reaches`, `go_on`, `listens` need explaining.

Change: `fleet/host.rs` is `fleet/process.rs` with `NodeProcess`: `set_state`, `wait_for`, `terminate`, `resume`, `read_log`, `announce`.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -14,20 +14,20 @@
 pub mod datagrams;
 pub mod faulty_node;
 
-pub mod host;
 pub mod link;
 pub mod listing;
 mod operators;
 mod outcome;
 pub mod plan;
+pub mod process;
 pub mod proxy;
 mod rig;
 pub mod timeline;
 
 use addresses::AddressBlock;
-pub use host::Programs;
 pub use outcome::Outcome;
 pub use plan::Plan;
+pub use process::Programs;
 use rig::Rig;
 
 /// Plays a plan; logs and configurations stay in the folder if one is given.
--- a/crates/lab/src/fleet/host.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -1,4 +1,4 @@
-//! A node's machine: the process on it, what signals it is sent, and what it says. Only processes started here are ever
+//! The process of one node: starting it, the signals it is sent, and its log. Only processes started here are ever
 //! signalled, by the ids that starting them gave; if this process dies, they do.
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -26,6 +26,7 @@
     pub lab: PathBuf,
 }
 
+/// Where a process is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
     Down,
@@ -36,11 +37,12 @@
 }
 
 /// At a planned end clients go elsewhere so soon.
-const FRONT_HEARS_OF_END: Duration = Duration::from_millis(300);
+const TERMINATION_ANNOUNCED: Duration = Duration::from_millis(300);
 /// A log line that is kept.
-const MOST_LINE: usize = 2_000;
+const MAX_LINE: usize = 2_000;
 
-pub struct Host {
+/// One node, whose process may be ended and started again.
+pub struct NodeProcess {
     pub node: usize,
     pub name: String,
     pub config: PathBuf,
@@ -53,24 +55,25 @@
     pub state: Cell<State>,
     pub pid: Cell<Option<Pid>>,
     /// Its end is wanted.
-    pub ends: Cell<bool>,
+    pub ending: Cell<bool>,
     pub changed: Notify,
     pub lives: Cell<u64>,
     /// Its last line.
-    pub said: RefCell<String>,
+    pub last_line: RefCell<String>,
 }
 
-impl Host {
+impl NodeProcess {
     fn note(&self, what: impl Into<String>) {
         self.timeline.note(&self.name, what);
     }
 
-    fn becomes(&self, state: State) {
+    fn set_state(&self, state: State) {
         self.state.set(state);
         self.changed.notify_waiters();
     }
 
-    pub async fn reaches(&self, wanted: impl Fn(State) -> bool) {
+    /// Waits until the state is one that is wanted.
+    pub async fn wait_for(&self, wanted: impl Fn(State) -> bool) {
         loop {
             let changed = self.changed.notified();
             if wanted(self.state.get()) {
@@ -81,7 +84,7 @@
     }
 
     /// Starts the process, with nothing kept of the one before.
-    pub fn start(self: &Rc<Host>) -> io::Result<()> {
+    pub fn start(self: &Rc<NodeProcess>) -> io::Result<()> {
         if self.state.get() != State::Down {
             return Ok(());
         }
@@ -95,60 +98,61 @@
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
         let mut child = command.spawn()?;
         self.pid.set(child.id().and_then(|id| Pid::from_raw(id as i32)));
-        self.ends.set(false);
+        self.ending.set(false);
         self.lives.set(self.lives.get() + 1);
         self.judge.new_life(self.node);
-        self.becomes(State::Starting);
+        self.set_state(State::Starting);
         self.note(format!("process {} starts, its life {}", child.id().unwrap_or(0), self.lives.get()));
         if let Some(log) = child.stderr.take() {
-            spawn_local(self.clone().listens(log));
+            spawn_local(self.clone().read_log(log));
         }
-        let host = self.clone();
+        let process = self.clone();
         spawn_local(async move {
             let status = child.wait().await;
-            host.pid.set(None);
-            host.door.life.set(host.door.life.get() + 1);
+            process.pid.set(None);
+            process.door.life.set(process.door.life.get() + 1);
             let status = status.map_or_else(|e| e.to_string(), |status| status.to_string());
-            host.note(format!("process ended: {status}"));
-            if !host.ends.get() {
-                let last = host.said.borrow().clone();
-                host.judge
-                    .platform(&format!("{} ended by itself, {status}; it said last: {last}", host.name));
+            process.note(format!("process ended: {status}"));
+            if !process.ending.get() {
+                let last = process.last_line.borrow().clone();
+                process
+                    .judge
+                    .platform(&format!("{} ended by itself, {status}; it said last: {last}", process.name));
             }
-            host.becomes(State::Down);
-            host.front_hears(false, host.front_late);
+            process.set_state(State::Down);
+            process.announce(false, process.front_late);
         });
         Ok(())
     }
 
     /// The front hears a while later that a process is up or gone, if that is still so then.
-    fn front_hears(self: &Rc<Host>, up: bool, after: Duration) {
-        let host = self.clone();
+    fn announce(self: &Rc<NodeProcess>, up: bool, after: Duration) {
+        let process = self.clone();
         spawn_local(async move {
             sleep(after).await;
-            let state = host.state.get();
+            let state = process.state.get();
             if up == matches!(state, State::Up | State::Paused) {
-                host.door.open.set(up);
+                process.door.open.set(up);
             }
         });
     }
 
-    async fn listens(self: Rc<Host>, log: ChildStderr) {
+    async fn read_log(self: Rc<NodeProcess>, log: ChildStderr) {
         let mut lines = BufReader::new(log).lines();
         let mut kept = std::fs::OpenOptions::new().create(true).append(true).open(&self.log).ok();
         while let Ok(Some(mut line)) = lines.next_line().await {
-            line.truncate(line.floor_char_boundary(MOST_LINE));
+            line.truncate(line.floor_char_boundary(MAX_LINE));
             if let Some(kept) = &mut kept {
                 use std::io::Write;
                 let _ = writeln!(kept, "{line}");
             }
-            let what = said(&line);
+            let what = message(&line);
             if what.contains("serves on") && self.state.get() == State::Starting {
-                self.becomes(State::Up);
-                self.front_hears(true, if self.lives.get() == 1 { Duration::ZERO } else { self.front_late });
+                self.set_state(State::Up);
+                self.announce(true, if self.lives.get() == 1 { Duration::ZERO } else { self.front_late });
             }
             self.note(what.clone());
-            self.said.replace(what);
+            self.last_line.replace(what);
         }
     }
 
@@ -158,21 +162,21 @@
 
     /// At once, with all that it has.
     pub fn kill(&self) {
-        self.ends.set(true);
+        self.ending.set(true);
         self.judge.excuse(self.node);
         if self.signal(Signal::KILL) {
             self.note("killed");
-            self.becomes(State::Ending);
+            self.set_state(State::Ending);
         }
     }
 
     /// As planned; what it has taken it still answers.
-    pub fn end(self: &Rc<Host>) {
-        self.ends.set(true);
+    pub fn terminate(self: &Rc<NodeProcess>) {
+        self.ending.set(true);
         if self.signal(Signal::TERM) {
             self.note("asked to end");
-            self.becomes(State::Ending);
-            self.front_hears(false, FRONT_HEARS_OF_END);
+            self.set_state(State::Ending);
+            self.announce(false, TERMINATION_ANNOUNCED);
         }
     }
 
@@ -180,22 +184,22 @@
         if self.state.get() == State::Up && self.signal(Signal::STOP) {
             self.judge.excuse(self.node);
             self.note("stands still");
-            self.becomes(State::Paused);
+            self.set_state(State::Paused);
         }
     }
 
-    pub fn go_on(&self) {
+    pub fn resume(&self) {
         if self.state.get() == State::Paused && self.signal(Signal::CONT) {
             // What came meanwhile was never seen by it in time.
             self.judge.goes_on(self.node);
             self.note("goes on");
-            self.becomes(State::Up);
+            self.set_state(State::Up);
         }
     }
 }
 
 /// What a line of a log says, in the program's JSON or as plain text.
-fn said(line: &str) -> String {
+fn message(line: &str) -> String {
     let json: Option<serde_json::Value> = serde_json::from_str(line).ok();
     let Some(fields) = json.as_ref().and_then(|json| json.get("fields")?.as_object()) else {
         return line.strip_prefix("quartzhub: ").unwrap_or(line).to_owned();
--- a/crates/lab/src/fleet/rig/faults.rs
+++ b/crates/lab/src/fleet/rig/faults.rs
@@ -6,8 +6,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use super::super::host::{Host, State};
 use super::super::plan::Kind;
+use super::super::process::{NodeProcess, State};
 use super::Rig;
 
 /// Spoilt datagrams are handed over in steps of this.
@@ -32,50 +32,50 @@
             Kind::Kill => self.kill(i, lasts).await,
             Kind::End => self.end(i, lasts).await,
             Kind::Pause => self.pause(i, lasts).await,
-            Kind::Start => self.hosts_of(i).iter().for_each(|host| self.start(host)),
+            Kind::Start => self.processes_of(i).iter().for_each(|process| self.start(process)),
         }
     }
 
     /// The nodes that a fault befalls.
-    fn hosts_of(&self, i: usize) -> Vec<Rc<Host>> {
-        self.plan.nodes(i).into_iter().map(|node| self.hosts[node].clone()).collect()
+    fn processes_of(&self, i: usize) -> Vec<Rc<NodeProcess>> {
+        self.plan.nodes(i).into_iter().map(|node| self.processes[node].clone()).collect()
     }
 
     /// Starts a process; one that can't be started breaks the platform's rule.
-    fn start(&self, host: &Rc<Host>) {
-        if let Err(e) = host.start() {
-            self.judge.platform(&format!("{}: {e}", host.name));
+    fn start(&self, process: &Rc<NodeProcess>) {
+        if let Err(e) = process.start() {
+            self.judge.platform(&format!("{}: {e}", process.name));
         }
     }
 
     async fn kill(&self, i: usize, lasts: Option<Duration>) {
-        let hosts = self.hosts_of(i);
-        hosts.iter().for_each(|host| host.kill());
+        let processes = self.processes_of(i);
+        processes.iter().for_each(|process| process.kill());
         let Some(lasts) = lasts else { return };
         sleep(lasts).await;
-        for host in &hosts {
-            host.reaches(|state| state == State::Down).await;
-            self.start(host);
+        for process in &processes {
+            process.wait_for(|state| state == State::Down).await;
+            self.start(process);
         }
     }
 
     async fn end(&self, i: usize, lasts: Option<Duration>) {
-        let hosts = self.hosts_of(i);
-        hosts.iter().for_each(|host| host.end());
+        let processes = self.processes_of(i);
+        processes.iter().for_each(|process| process.terminate());
         let Some(lasts) = lasts else { return };
-        for host in &hosts {
-            host.reaches(|state| state == State::Down).await;
+        for process in &processes {
+            process.wait_for(|state| state == State::Down).await;
         }
         sleep(lasts).await;
-        hosts.iter().for_each(|host| self.start(host));
+        processes.iter().for_each(|process| self.start(process));
     }
 
     async fn pause(&self, i: usize, lasts: Option<Duration>) {
-        let hosts = self.hosts_of(i);
-        hosts.iter().for_each(|host| host.pause());
+        let processes = self.processes_of(i);
+        processes.iter().for_each(|process| process.pause());
         let Some(lasts) = lasts else { return };
         sleep(lasts).await;
-        hosts.iter().for_each(|host| host.go_on());
+        processes.iter().for_each(|process| process.resume());
     }
 
     /// Processes end as planned and start again, one after the other.
@@ -83,12 +83,12 @@
         let nodes = self.plan.nodes(i);
         let step = (over / nodes.len().max(1) as u32).max(LEAST_STEP);
         for node in nodes {
-            let host = self.hosts[node].clone();
-            host.end();
+            let process = self.processes[node].clone();
+            process.terminate();
             let rig = self.clone();
             spawn_local(async move {
-                host.reaches(|state| state == State::Down).await;
-                rig.start(&host);
+                process.wait_for(|state| state == State::Down).await;
+                rig.start(&process);
             });
             sleep(step).await;
         }
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -18,12 +18,12 @@
 use super::addresses::AddressBlock;
 use super::configuration::configuration;
 use super::datagrams::DatagramRelay;
-use super::host::{Host, Programs, State};
 use super::in_io;
 use super::link::Link;
 use super::listing::Listing;
 use super::outcome::Outcome;
 use super::plan::{Endpoint, Plan};
+use super::process::{NodeProcess, Programs, State};
 use super::proxy::{Connection, Proxy};
 use super::timeline::Timeline;
 use crate::clients::{drive, Door as ClientsDoor};
@@ -50,7 +50,7 @@
     fleet: Rc<Fleet>,
     judge: Rc<Judge>,
     timeline: Rc<Timeline>,
-    hosts: Vec<Rc<Host>>,
+    processes: Vec<Rc<NodeProcess>>,
     links: BTreeMap<(Endpoint, Endpoint), Rc<Link>>,
     proxies: Proxies,
     datagrams: Rc<DatagramRelay>,
@@ -91,7 +91,7 @@
         for fault in 0..rig.plan.faults.len() {
             spawn_local(rig.clone().fault(fault, begun));
         }
-        let doors: Vec<_> = rig.hosts.iter().map(|host| host.door.clone()).collect();
+        let doors: Vec<_> = rig.processes.iter().map(|process| process.door.clone()).collect();
         let report = drive(&rig.plan.scenario, &doors, &rig.judge).await;
         sleep(STILL_ON_ITS_WAY).await;
         let views = rig.views().await;
@@ -113,7 +113,7 @@
         let mut links = Links::default();
         let proxies = Rig::proxies(plan, block, fleet.servers(), &mut links)?;
         let datagrams = Rig::datagram_relay(plan, block, &mut links).await?;
-        let mut hosts = Vec::new();
+        let mut processes = Vec::new();
         for node in 0..plan.scenario.nodes {
             let known = fleet.list(|server| block.server(node, server));
             let config = folder.join(format!("node-{node}.json"));
@@ -121,7 +121,7 @@
             std::fs::write(&config, text).map_err(in_io(&config.display().to_string()))?;
             let door = ClientsDoor::new(node, block.clients(node), CONNECTIONS);
             door.open.set(false);
-            let host = Host {
+            let process = NodeProcess {
                 node,
                 name: format!("node-{node}"),
                 config,
@@ -133,16 +133,16 @@
                 front_late: Duration::from_secs_f64(plan.front_late_ms / 1000.0),
                 state: Cell::new(State::Down),
                 pid: Default::default(),
-                ends: Default::default(),
+                ending: Default::default(),
                 changed: Default::default(),
                 lives: Default::default(),
-                said: Default::default(),
+                last_line: Default::default(),
             };
-            hosts.push(Rc::new(host));
+            processes.push(Rc::new(process));
         }
         let ops = (0..plan.scenario.nodes).map(|node| block.ops(node)).collect();
         let (plan, links, ordered) = (plan.clone(), links.0, RefCell::default());
-        Ok(Rc::new(Rig { plan, fleet, judge, timeline, hosts, links, proxies, datagrams, ops, ordered }))
+        Ok(Rc::new(Rig { plan, fleet, judge, timeline, processes, links, proxies, datagrams, ops, ordered }))
     }
 
     /// A proxy for each node and server, and one for each node's discovery.
@@ -193,9 +193,9 @@
 
     /// The next rig may be given the same addresses.
     async fn kill_all(&self) {
-        for host in &self.hosts {
-            host.kill();
-            let _ = timeout(READY_WITHIN, host.reaches(|state| state == State::Down)).await;
+        for process in &self.processes {
+            process.kill();
+            let _ = timeout(READY_WITHIN, process.wait_for(|state| state == State::Down)).await;
         }
     }
 
@@ -230,15 +230,15 @@
     }
 
     async fn start_all(&self) -> Result<(), Bad> {
-        let present = || self.hosts.iter().filter(|host| !self.plan.absent.contains(&host.node));
-        for host in present() {
-            host.start().map_err(|e| Bad(format!("{}: {e}", host.name)))?;
+        let present = || self.processes.iter().filter(|process| !self.plan.absent.contains(&process.node));
+        for process in present() {
+            process.start().map_err(|e| Bad(format!("{}: {e}", process.name)))?;
         }
-        for host in present() {
-            let serves = host.reaches(|state| state == State::Up || state == State::Down);
-            if timeout(READY_WITHIN, serves).await.is_err() || host.state.get() == State::Down {
-                let said = host.said.borrow().clone();
-                return Err(Bad(format!("{} does not serve; it said last: {said}", host.name)));
+        for process in present() {
+            let serves = process.wait_for(|state| state == State::Up || state == State::Down);
+            if timeout(READY_WITHIN, serves).await.is_err() || process.state.get() == State::Down {
+                let last_line = process.last_line.borrow().clone();
+                return Err(Bad(format!("{} does not serve; it said last: {last_line}", process.name)));
             }
         }
         sleep(FRONT_HEARS).await;
--- a/crates/lab/src/fleet/rig/orders.rs
+++ b/crates/lab/src/fleet/rig/orders.rs
@@ -5,8 +5,8 @@
 
 use tokio::time::{sleep, Instant};
 
-use super::super::host::State;
 use super::super::operators;
+use super::super::process::State;
 use super::Rig;
 
 /// An order has to be known at every node that serves and is reached by then: well within the list's own lateness.
@@ -28,7 +28,7 @@
         sleep(lasts).await;
         for (node, cache) in pairs() {
             self.ordered.borrow_mut().remove(&cache);
-            (0..self.hosts.len()).for_each(|node| self.judge.told(node, cache, false));
+            (0..self.processes.len()).for_each(|node| self.judge.told(node, cache, false));
             self.give(node, cache, "restore").await;
         }
     }
@@ -52,18 +52,18 @@
         loop {
             sleep(CHECK_EVERY).await;
             let now = Instant::now();
-            for host in &self.hosts {
-                let life = host.lives.get();
-                if host.state.get() != State::Up {
-                    served.remove(&host.node);
+            for process in &self.processes {
+                let life = process.lives.get();
+                if process.state.get() != State::Up {
+                    served.remove(&process.node);
                     continue;
                 }
-                let (of, since) = *served.entry(host.node).or_insert((life, now));
+                let (of, since) = *served.entry(process.node).or_insert((life, now));
                 if of != life {
-                    served.insert(host.node, (life, now));
+                    served.insert(process.node, (life, now));
                 } else if now >= since + KNOWN_WITHIN {
                     for (cache, _) in self.ordered.borrow().iter().filter(|(_, due)| now >= **due) {
-                        self.judge.told(host.node, *cache, true);
+                        self.judge.told(process.node, *cache, true);
                     }
                 }
             }
--- a/crates/lab/src/fleet/rig/verdict.rs
+++ b/crates/lab/src/fleet/rig/verdict.rs
@@ -3,10 +3,10 @@
 
 use quartzhub_policy::Time;
 
-use super::super::host::State;
 use super::super::operators;
 use super::super::outcome::Outcome;
 use super::super::plan::Endpoint;
+use super::super::process::State;
 use super::super::timeline::{self, Stretch};
 use super::Rig;
 use crate::stats::Report;
@@ -18,20 +18,20 @@
     /// Whom each process that serves takes for members, as operators are told; none where it is off.
     pub(super) async fn views(&self) -> Views {
         let mut views = BTreeMap::new();
-        for host in self.hosts.iter().filter(|host| host.state.get() == State::Up) {
-            let reply = operators::get(self.ops[host.node], "/control/members").await;
+        for process in self.processes.iter().filter(|process| process.state.get() == State::Up) {
+            let reply = operators::get(self.ops[process.node], "/control/members").await;
             let reply = reply.filter(operators::Reply::is_ok);
             let Some(view) = reply.and_then(|reply| reply.json()) else { continue };
             let summary = quartzhub_node::peers::summary(&view);
-            self.timeline.note(&host.name, format!("holds at the end {summary}"));
-            views.insert(host.node, view);
+            self.timeline.note(&process.name, format!("holds at the end {summary}"));
+            views.insert(process.node, view);
         }
         views
     }
 
     fn nodes_up(&self) -> Vec<usize> {
-        let up = self.hosts.iter().filter(|host| host.state.get() == State::Up);
-        up.map(|host| host.node).collect()
+        let up = self.processes.iter().filter(|process| process.state.get() == State::Up);
+        up.map(|process| process.node).collect()
     }
 
     /// Where views differ from what runs, in words.
@@ -110,7 +110,7 @@
             events: self.timeline.events(),
             stretches: self.stretches(),
             up: self.nodes_up().len(),
-            nodes: self.hosts.len(),
+            nodes: self.processes.len(),
             hits: self.fleet.hits.get(),
             misses: self.fleet.misses.get(),
             fetches: self.fleet.fetches.get(),
