Call the fleet rig's record of events an event log

Need: a `timeline` of `stretches` needs explaining; an event log and the periods of faults don't.

Change: `fleet/timeline.rs` is `fleet/event_log.rs` with `EventLog::record` and `FaultPeriod`; docs follow. Kept files and their JSON keys are as they were.

--- a/crates/lab/src/fleet/timeline.rs
+++ b/crates/lab/src/fleet/event_log.rs
@@ -1,4 +1,4 @@
-//! What happened when, to which process: for people, for programs, and drawn.
+//! A log of what happened when, to which process: as text, as JSON, and drawn.
 use std::cell::RefCell;
 use std::path::Path;
 use std::rc::Rc;
@@ -18,18 +18,19 @@
 }
 
 /// Events kept; more are only counted.
-const MOST: usize = 20_000;
+const MAX_EVENTS: usize = 20_000;
 
-pub struct Timeline {
+/// Events in the order in which they were recorded.
+pub struct EventLog {
     judge: Rc<Judge>,
     begun: RefCell<Time>,
     events: RefCell<Vec<Event>>,
 }
 
-impl Timeline {
-    pub fn new(judge: Rc<Judge>) -> Rc<Timeline> {
+impl EventLog {
+    pub fn new(judge: Rc<Judge>) -> Rc<EventLog> {
         let begun = RefCell::new(judge.now());
-        Rc::new(Timeline { judge, begun, events: RefCell::default() })
+        Rc::new(EventLog { judge, begun, events: RefCell::default() })
     }
 
     /// Times count from now on; what has happened before is before 0.
@@ -44,10 +45,10 @@
         *self.begun.borrow()
     }
 
-    pub fn note(&self, who: &str, what: impl Into<String>) {
+    pub fn record(&self, who: &str, what: impl Into<String>) {
         let at_ms = (self.judge.now() - self.begun()).0 as f64 / 1000.0;
         let mut events = self.events.borrow_mut();
-        if events.len() < MOST {
+        if events.len() < MAX_EVENTS {
             events.push(Event { at_ms, who: who.to_owned(), what: what.into() });
         }
     }
@@ -84,16 +85,16 @@
     }
 }
 
-/// A stretch of a fault, with its name.
+/// When a fault was at work.
 #[derive(Debug, Clone, Serialize)]
-pub struct Stretch {
+pub struct FaultPeriod {
     pub name: String,
     pub from: f64,
     pub to: f64,
 }
 
-/// Service by the second above, the faults' stretches below.
-pub fn draw(file: &Path, title: &str, service: &[f64], faults: &[Stretch]) -> Result<(), Bad> {
+/// Service by the second above, the times of faults below.
+pub fn draw(file: &Path, title: &str, service: &[f64], faults: &[FaultPeriod]) -> Result<(), Bad> {
     let bad = |e: &dyn std::fmt::Display| Bad(format!("{}: {e}", file.display()));
     let (height, seconds) = (260 + 26 * faults.len() as u32, service.len().max(1) as f64);
     let area = SVGBackend::new(file, (900, height)).into_drawing_area();
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod addresses;
 mod configuration;
 pub mod datagrams;
+pub mod event_log;
 pub mod faulty_node;
 
 pub mod link;
@@ -22,7 +23,6 @@
 pub mod process;
 pub mod proxy;
 mod rig;
-pub mod timeline;
 
 use addresses::AddressBlock;
 pub use outcome::Outcome;
--- a/crates/lab/src/fleet/outcome.rs
+++ b/crates/lab/src/fleet/outcome.rs
@@ -3,8 +3,8 @@
 
 use serde::Serialize;
 
+use super::event_log::{self, Event, FaultPeriod};
 use super::plan::Plan;
-use super::timeline::{self, Event, Stretch};
 use crate::rules::Broken;
 use crate::scenario::Bad;
 use crate::stats::{Counts, Report};
@@ -18,7 +18,7 @@
     pub broken: Vec<Broken>,
     pub broken_count: u64,
     pub events: Vec<Event>,
-    pub stretches: Vec<Stretch>,
+    pub fault_periods: Vec<FaultPeriod>,
     pub up: usize,
     pub nodes: usize,
     pub hits: u64,
@@ -121,7 +121,7 @@
         let seconds: Vec<_> = seconds.collect();
         let all = &self.report.all;
         serde_json::json!({
-            "plan": plan, "seconds": seconds, "events": self.events, "faults": self.stretches,
+            "plan": plan, "seconds": seconds, "events": self.events, "faults": self.fault_periods,
             "service": all.service(), "worst_10s": self.report.worst(), "asked": all.asked, "in_slo": all.in_slo,
             "late": all.late, "rate_limited": all.rate_limited, "errored": all.errored, "no_answer": all.gave_up,
             "closed": all.closed, "never_taken": all.never_taken, "hits": self.hits, "misses": self.misses,
@@ -130,7 +130,7 @@
         })
     }
 
-    /// Keeps the record, the timeline as text and drawn.
+    /// Keeps the record, the event log as text and drawn.
     pub fn keep(&self, plan: &Plan, folder: &Path, name: &str) -> Result<Vec<PathBuf>, Bad> {
         let files = ["json", "txt", "svg"].map(|kind| folder.join(format!("{name}.{kind}")));
         let bad = |file: &Path| {
@@ -138,8 +138,8 @@
             move |e: std::io::Error| Bad(format!("{file}: {e}"))
         };
         std::fs::write(&files[0], self.record(plan).to_string()).map_err(bad(&files[0]))?;
-        std::fs::write(&files[1], timeline::text(&self.events)).map_err(bad(&files[1]))?;
-        timeline::draw(&files[2], &plan.title, &self.service_by_second(), &self.stretches)?;
+        std::fs::write(&files[1], event_log::text(&self.events)).map_err(bad(&files[1]))?;
+        event_log::draw(&files[2], &plan.title, &self.service_by_second(), &self.fault_periods)?;
         Ok(files.into())
     }
 }
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -14,7 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::timeline::Timeline;
+use super::event_log::EventLog;
 use crate::clients::Door;
 use crate::judge::Judge;
 
@@ -49,7 +49,7 @@
     pub log: PathBuf,
     pub programs: Programs,
     pub judge: Rc<Judge>,
-    pub timeline: Rc<Timeline>,
+    pub event_log: Rc<EventLog>,
     pub door: Rc<Door>,
     pub front_late: Duration,
     pub state: Cell<State>,
@@ -63,8 +63,8 @@
 }
 
 impl NodeProcess {
-    fn note(&self, what: impl Into<String>) {
-        self.timeline.note(&self.name, what);
+    fn record(&self, what: impl Into<String>) {
+        self.event_log.record(&self.name, what);
     }
 
     fn set_state(&self, state: State) {
@@ -102,7 +102,7 @@
         self.lives.set(self.lives.get() + 1);
         self.judge.new_life(self.node);
         self.set_state(State::Starting);
-        self.note(format!("process {} starts, its life {}", child.id().unwrap_or(0), self.lives.get()));
+        self.record(format!("process {} starts, its life {}", child.id().unwrap_or(0), self.lives.get()));
         if let Some(log) = child.stderr.take() {
             spawn_local(self.clone().read_log(log));
         }
@@ -112,7 +112,7 @@
             process.pid.set(None);
             process.door.life.set(process.door.life.get() + 1);
             let status = status.map_or_else(|e| e.to_string(), |status| status.to_string());
-            process.note(format!("process ended: {status}"));
+            process.record(format!("process ended: {status}"));
             if !process.ending.get() {
                 let last = process.last_line.borrow().clone();
                 process
@@ -151,7 +151,7 @@
                 self.set_state(State::Up);
                 self.announce(true, if self.lives.get() == 1 { Duration::ZERO } else { self.front_late });
             }
-            self.note(what.clone());
+            self.record(what.clone());
             self.last_line.replace(what);
         }
     }
@@ -165,7 +165,7 @@
         self.ending.set(true);
         self.judge.excuse(self.node);
         if self.signal(Signal::KILL) {
-            self.note("killed");
+            self.record("killed");
             self.set_state(State::Ending);
         }
     }
@@ -174,7 +174,7 @@
     pub fn terminate(self: &Rc<NodeProcess>) {
         self.ending.set(true);
         if self.signal(Signal::TERM) {
-            self.note("asked to end");
+            self.record("asked to end");
             self.set_state(State::Ending);
             self.announce(false, TERMINATION_ANNOUNCED);
         }
@@ -183,7 +183,7 @@
     pub fn pause(&self) {
         if self.state.get() == State::Up && self.signal(Signal::STOP) {
             self.judge.excuse(self.node);
-            self.note("stands still");
+            self.record("stands still");
             self.set_state(State::Paused);
         }
     }
@@ -192,7 +192,7 @@
         if self.state.get() == State::Paused && self.signal(Signal::CONT) {
             // What came meanwhile was never seen by it in time.
             self.judge.goes_on(self.node);
-            self.note("goes on");
+            self.record("goes on");
             self.set_state(State::Up);
         }
     }
--- a/crates/lab/src/fleet/rig/faults.rs
+++ b/crates/lab/src/fleet/rig/faults.rs
@@ -102,7 +102,7 @@
             .iter()
             .flat_map(|from| self.datagrams.sent(*from).into_iter().map(|(to, bytes)| (*from, to, bytes)))
             .collect();
-        self.timeline.note("links", format!("{} datagrams of nodes {nodes:?} come again", sent.len()));
+        self.event_log.record("links", format!("{} datagrams of nodes {nodes:?} come again", sent.len()));
         while Instant::now() < until {
             for (from, to, bytes) in &sent {
                 self.datagrams.deliver(*from, *to, bytes).await;
@@ -115,7 +115,7 @@
     async fn flood(&self, i: usize, lasts: Duration) {
         let (until, nodes) = (Instant::now() + lasts, self.plan.nodes(i));
         let mut chance = Pcg::new(self.plan.scenario.seed);
-        self.timeline.note(
+        self.event_log.record(
             "links",
             format!("nodes {nodes:?} get {} spoilt datagrams a second each", self.plan.faults[i].rate),
         );
@@ -128,6 +128,6 @@
             }
             sleep(FLOOD_STEP).await;
         }
-        self.timeline.note("links", "the flood ends");
+        self.event_log.record("links", "the flood ends");
     }
 }
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -18,6 +18,7 @@
 use super::addresses::AddressBlock;
 use super::configuration::configuration;
 use super::datagrams::DatagramRelay;
+use super::event_log::EventLog;
 use super::in_io;
 use super::link::Link;
 use super::listing::Listing;
@@ -25,7 +26,6 @@
 use super::plan::{Endpoint, Plan};
 use super::process::{NodeProcess, Programs, State};
 use super::proxy::{Connection, Proxy};
-use super::timeline::Timeline;
 use crate::clients::{drive, Door as ClientsDoor};
 use crate::judge::Judge;
 use crate::scenario::Bad;
@@ -49,7 +49,7 @@
     plan: Plan,
     fleet: Rc<Fleet>,
     judge: Rc<Judge>,
-    timeline: Rc<Timeline>,
+    event_log: Rc<EventLog>,
     processes: Vec<Rc<NodeProcess>>,
     links: BTreeMap<(Endpoint, Endpoint), Rc<Link>>,
     proxies: Proxies,
@@ -84,7 +84,7 @@
         rig.datagrams.run(&rig.judge);
         rig.proxies_listen().await?;
         rig.start_all().await?;
-        rig.timeline.begin();
+        rig.event_log.begin();
         rig.fleet.clone().play_faults();
         let begun = Instant::now();
         spawn_local(rig.clone().hold_to_orders());
@@ -109,7 +109,7 @@
     ) -> Result<Rc<Rig>, Bad> {
         let judge = Judge::start(plan.scenario.grace());
         let fleet = Fleet::new(&plan.scenario, judge.clone())?;
-        let timeline = Timeline::new(judge.clone());
+        let event_log = EventLog::new(judge.clone());
         let mut links = Links::default();
         let proxies = Rig::proxies(plan, block, fleet.servers(), &mut links)?;
         let datagrams = Rig::datagram_relay(plan, block, &mut links).await?;
@@ -128,7 +128,7 @@
                 log: folder.join(format!("node-{node}.log")),
                 programs: programs.clone(),
                 judge: judge.clone(),
-                timeline: timeline.clone(),
+                event_log: event_log.clone(),
                 door,
                 front_late: Duration::from_secs_f64(plan.front_late_ms / 1000.0),
                 state: Cell::new(State::Down),
@@ -142,7 +142,7 @@
         }
         let ops = (0..plan.scenario.nodes).map(|node| block.ops(node)).collect();
         let (plan, links, ordered) = (plan.clone(), links.0, RefCell::default());
-        Ok(Rc::new(Rig { plan, fleet, judge, timeline, processes, links, proxies, datagrams, ops, ordered }))
+        Ok(Rc::new(Rig { plan, fleet, judge, event_log, processes, links, proxies, datagrams, ops, ordered }))
     }
 
     /// A proxy for each node and server, and one for each node's discovery.
--- a/crates/lab/src/fleet/rig/network.rs
+++ b/crates/lab/src/fleet/rig/network.rs
@@ -16,11 +16,11 @@
         let fault = &self.plan.faults[i];
         let links = self.plan.links(i);
         let told = self.describe(&links);
-        self.timeline.note("links", format!("{:?} begins: {told}", fault.kind));
+        self.event_log.record("links", format!("{:?} begins: {told}", fault.kind));
         self.begin_on(i, &links);
         let Some(lasts) = lasts else { return };
         sleep(lasts).await;
-        self.timeline.note("links", format!("{:?} ends: {told}", fault.kind));
+        self.event_log.record("links", format!("{:?} ends: {told}", fault.kind));
         self.end_on(i, &links);
     }
 
--- a/crates/lab/src/fleet/rig/orders.rs
+++ b/crates/lab/src/fleet/rig/orders.rs
@@ -38,7 +38,7 @@
         let id = self.fleet.id(cache);
         let reply = operators::post(self.ops[node], &format!("/control/{order}"), &id).await;
         let told = operators::describe(&reply);
-        self.timeline.note("operators", format!("{order} {id} at node-{node}: {told}"));
+        self.event_log.record("operators", format!("{order} {id} at node-{node}: {told}"));
         let taken = reply.is_some_and(|reply| reply.is_ok());
         if !taken {
             self.judge.platform(&format!("node-{node}, order to {order} {id}: {told}"));
--- a/crates/lab/src/fleet/rig/verdict.rs
+++ b/crates/lab/src/fleet/rig/verdict.rs
@@ -3,11 +3,11 @@
 
 use quartzhub_policy::Time;
 
+use super::super::event_log::{self, FaultPeriod};
 use super::super::operators;
 use super::super::outcome::Outcome;
 use super::super::plan::Endpoint;
 use super::super::process::State;
-use super::super::timeline::{self, Stretch};
 use super::Rig;
 use crate::stats::Report;
 
@@ -23,7 +23,7 @@
             let reply = reply.filter(operators::Reply::is_ok);
             let Some(view) = reply.and_then(|reply| reply.json()) else { continue };
             let summary = quartzhub_node::peers::summary(&view);
-            self.timeline.note(&process.name, format!("holds at the end {summary}"));
+            self.event_log.record(&process.name, format!("holds at the end {summary}"));
             views.insert(process.node, view);
         }
         views
@@ -68,7 +68,7 @@
             let wrong = self.disagreements(views).into_iter();
             missed.extend(wrong.map(|wrong| format!("expect.members_agree: {wrong}")));
         }
-        let (flips, most) = timeline::flips(&self.timeline.events());
+        let (flips, most) = event_log::flips(&self.event_log.events());
         if expect.flips.is_some_and(|bound| most > bound) {
             missed.push(format!("expect.flips: {flips}"));
         }
@@ -76,14 +76,14 @@
     }
 
     /// When each fault was at work: those of processes and links, then those of servers.
-    fn stretches(&self) -> Vec<Stretch> {
+    fn fault_periods(&self) -> Vec<FaultPeriod> {
         let end = self.plan.scenario.seconds;
-        let of_plan = self.plan.faults.iter().map(|fault| Stretch {
+        let of_plan = self.plan.faults.iter().map(|fault| FaultPeriod {
             name: format!("{:?}", fault.kind).to_lowercase(),
             from: fault.at,
             to: fault.lasts.map_or(end, |lasts| fault.at + lasts),
         });
-        let of_servers = self.plan.scenario.faults.iter().map(|fault| Stretch {
+        let of_servers = self.plan.scenario.faults.iter().map(|fault| FaultPeriod {
             name: format!("{:?} of servers", fault.kind).to_lowercase(),
             from: fault.at,
             to: fault.at + fault.lasts,
@@ -100,15 +100,15 @@
 
     pub(super) fn outcome(&self, report: Report, views: &Views) -> Outcome {
         let (broken, broken_count) = self.judge.verdict();
-        let begun = self.timeline.begun();
+        let begun = self.event_log.begun();
         let first_second = (begun.0 / 1_000_000) as usize;
         let since = |at: &Time| (*at - begun).seconds();
         Outcome {
             failures: self.missed_expectations(&report, views),
             broken,
             broken_count,
-            events: self.timeline.events(),
-            stretches: self.stretches(),
+            events: self.event_log.events(),
+            fault_periods: self.fault_periods(),
             up: self.nodes_up().len(),
             nodes: self.processes.len(),
             hits: self.fleet.hits.get(),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -296,7 +296,7 @@
             match many {
                 true => println!("{}", outcome.row(&name)),
                 false => {
-                    print!("{}\n{}", quartzhub_lab::fleet::timeline::text(&outcome.events), outcome.table())
+                    print!("{}\n{}", quartzhub_lab::fleet::event_log::text(&outcome.events), outcome.table())
                 }
             }
             if let Some(folder) = folder {
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -2,7 +2,7 @@
 //! Expectations are on events and counts and on generous bounds, never on a sharp time.
 use std::path::{Path, PathBuf};
 
-use quartzhub_lab::fleet::timeline::Event;
+use quartzhub_lab::fleet::event_log::Event;
 use quartzhub_lab::fleet::{play, Outcome, Plan, Programs};
 use quartzhub_lab::rules::Rule;
 
