Call the laboratory's stand-ins stub servers, and a model's state its model

Need: the field's word for a server that answers in another's place in a test is stub; `Fleet`, `Line`, `Stamps`, `is` need explaining.

Change: `standin.rs` is `stub.rs` with `StubServers`, `StubServer`, `NodeConnection`, `SendTimes`, `ListedState`; docs and two messages follow, one of them in its test too.

--- a/crates/lab/src/fleet/listing.rs
+++ b/crates/lab/src/fleet/listing.rs
@@ -1,4 +1,4 @@
-//! A stand-in for discovery, as each node's own agent: a watch that tells changes of the list, late to each node by itself.
+//! A stub for discovery, as each node's own agent: a watch that tells changes of the list, late to each node by itself.
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use tokio::time::{sleep_until, timeout, Instant};
 
 use super::proxy::Connection;
-use crate::standin::{Fleet, Listed};
+use crate::stub::{ListedState, StubServers};
 
 /// Silence after which a watch tells that it stands.
 const SIGN_OF_LIFE: Duration = Duration::from_secs(2);
@@ -17,7 +17,7 @@
 
 /// One node's discovery.
 pub struct Listing {
-    pub fleet: Rc<Fleet>,
+    pub stubs: Rc<StubServers>,
     pub node: usize,
     pub addrs: Vec<SocketAddr>,
 }
@@ -25,8 +25,8 @@
 impl Listing {
     /// Changes that this node has been told of by now or soon, and how long until the next.
     fn due(&self) -> (usize, Option<Span>) {
-        let now = self.fleet.judge.now();
-        let changes = self.fleet.changes.borrow();
+        let now = self.stubs.judge.now();
+        let changes = self.stubs.changes.borrow();
         let mut at = Time(0);
         for (number, change) in changes.iter().enumerate() {
             at = at.max(change.at + self.late(number));
@@ -38,9 +38,9 @@
     }
 
     fn late(&self, change: usize) -> Span {
-        let [from, to] = self.fleet.scenario.network.list_late_ms;
+        let [from, to] = self.stubs.scenario.network.list_late_ms;
         let mut chance =
-            Pcg::new(self.fleet.scenario.seed ^ (self.node as u64) << 20 ^ (change as u64) << 40);
+            Pcg::new(self.stubs.scenario.seed ^ (self.node as u64) << 20 ^ (change as u64) << 40);
         Span::from_ms(from + (to - from) * chance.unit())
     }
 
@@ -50,7 +50,7 @@
         spawn_local(async move {
             delivered.upto(written).await;
             for (server, out) in states {
-                listing.fleet.judge.told(listing.node, server, out);
+                listing.stubs.judge.told(listing.node, server, out);
             }
         });
     }
@@ -76,15 +76,15 @@
         let mut written = opening.len() as u64;
         connection.stream.write_all(opening).await?;
         let (mut upto, _) = self.due();
-        let servers = self.fleet.servers();
+        let servers = self.stubs.servers();
         let (first, states) = if (1..=upto + 1).contains(&index) {
             self.since(index - 1, upto)
         } else {
-            let list = self.fleet.list_at(upto, |server| self.addrs[server]);
+            let list = self.stubs.list_at(upto, |server| self.addrs[server]);
             let state = |server| {
-                let changes = self.fleet.changes.borrow();
+                let changes = self.stubs.changes.borrow();
                 let last = changes[..upto].iter().rev().find(|change| change.server == server);
-                (server, last.is_some_and(|last| last.state != Listed::InService))
+                (server, last.is_some_and(|last| last.state != ListedState::InService))
             };
             (list, (0..servers).map(state).collect())
         };
@@ -93,7 +93,7 @@
         // Guards against changes that are told late beginning the time to the next sign of life anew, each of them.
         let mut spoke = Instant::now();
         loop {
-            let changed = self.fleet.changed.notified();
+            let changed = self.stubs.changed.notified();
             let (due, next) = self.due();
             if due > upto {
                 let (news, states) = self.since(upto, due);
@@ -125,13 +125,13 @@
 
     /// The changes from one place to another.
     fn since(&self, from: usize, to: usize) -> (serde_json::Value, Vec<(usize, bool)>) {
-        let changes = &self.fleet.changes.borrow()[from..to];
-        let entry = |change: &crate::standin::Change| {
-            self.fleet.entry(change.server, self.addrs[change.server], change.state, change.started_ms)
+        let changes = &self.stubs.changes.borrow()[from..to];
+        let entry = |change: &crate::stub::Change| {
+            self.stubs.entry(change.server, self.addrs[change.server], change.state, change.started_ms)
         };
         let servers: Vec<_> = changes.iter().map(entry).collect();
         let states =
-            changes.iter().map(|change| (change.server, change.state != Listed::InService)).collect();
+            changes.iter().map(|change| (change.server, change.state != ListedState::InService)).collect();
         (serde_json::json!({"version": to + 1, "full": false, "servers": servers}), states)
     }
 }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -1,4 +1,4 @@
-//! The fleet rig: several processes of the built program on loopback, with stand-ins for caches, origin and discovery,
+//! The fleet rig: several processes of the built program on loopback, with stub servers for caches, origin and discovery,
 //! relays on every link between them, faults on a schedule, clients, and the rules judged by what servers really began and
 //! clients really got.
 use std::net::TcpListener;
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::scenario::{one_line, Bad, Scenario};
-use crate::standin::Fleet;
+use crate::stub::StubServers;
 
 #[derive(Debug, Clone, Serialize)]
 pub struct Plan {
@@ -193,7 +193,7 @@
         if scenario.policy != "dema" {
             return Err(Bad("scenario.policy: real nodes are played, which go by dema".to_owned()));
         }
-        Fleet::playable(scenario, true)?;
+        StubServers::playable(scenario, true)?;
         let node = |key: &str, node: usize| match node < scenario.nodes {
             true => Ok(()),
             false => Err(Bad(format!("{key}: there is no node {node}"))),
@@ -340,7 +340,7 @@
             fault[0].kind: unknown variant `cutt`, expected one of `kill`, `end`, `pause`, `order`, `start`, `roll`, `cut`, `spoil`, `replay`, `flood`
             scenario.nodes: 500 is not within 1 to 96
             scenario.node: unknown field `node`, expected one of `seed`, `seconds`, `settle`, `policy`, `nodes`, `nodes_told`, `network`, `clients`, `traffic`, `keys`, `caches`, `origin`, `rules`, `attempts`, `product`, `fault`
-            scenario.fault[0].kind: stand-ins can't play it; [[fault]] may
+            scenario.fault[0].kind: stub servers can't play it; [[fault]] may
             absent: there is no node 9
             fault: invalid type: integer `3`, expected a sequence
         "#]].assert_eq(&said.concat());
--- a/crates/lab/src/fleet/proxy.rs
+++ b/crates/lab/src/fleet/proxy.rs
@@ -15,7 +15,7 @@
 
 use super::link::Link;
 use crate::judge::Judge;
-use crate::standin::Stamps;
+use crate::stub::SendTimes;
 
 /// How a machine treats new connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,7 +30,7 @@
 /// Connections not yet taken that wait while the proxy accepts.
 const BACKLOG: u32 = 1024;
 const BIND_AGAIN: Duration = Duration::from_millis(20);
-/// Bytes between the link and the stand-in.
+/// Bytes between the link and the stub server.
 const BUFFER_SIZE: usize = 64 * 1024;
 
 /// One proxy, with the links to and from the server.
@@ -48,7 +48,7 @@
 /// A connection as the server has it.
 pub struct Connection {
     pub stream: DuplexStream,
-    pub stamps: Rc<Stamps>,
+    pub send_times: Rc<SendTimes>,
     pub delivered: Rc<Delivered>,
 }
 
@@ -170,13 +170,13 @@
     async fn relay(self: Rc<Proxy>, mut stream: TcpStream, clock: Rc<Judge>, serve: impl Fn(Connection)) {
         let _ = stream.set_nodelay(true);
         let (near, far) = tokio::io::duplex(BUFFER_SIZE);
-        let (stamps, delivered) = (Rc::new(Stamps::default()), Rc::new(Delivered::default()));
-        serve(Connection { stream: far, stamps: stamps.clone(), delivered: delivered.clone() });
+        let (send_times, delivered) = (Rc::new(SendTimes::default()), Rc::new(Delivered::default()));
+        serve(Connection { stream: far, send_times: send_times.clone(), delivered: delivered.clone() });
         let mut accepting = self.accepting.subscribe();
         let reset = {
             let (from_node, to_node) = stream.split();
             let (from_server, to_server) = split(near);
-            let stamp = |upto: u64| stamps.put(upto, clock.now());
+            let stamp = |upto: u64| send_times.put(upto, clock.now());
             let count = |upto: u64| {
                 delivered.bytes.set(upto);
                 delivered.more.notify_waiters();
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -29,7 +29,7 @@
 use crate::clients::{drive, Door as ClientsDoor};
 use crate::judge::Judge;
 use crate::scenario::Bad;
-use crate::standin::{Fleet, Line};
+use crate::stub::{NodeConnection, StubServers};
 
 /// Processes that take longer to serve are taken not to.
 const READY_WITHIN: Duration = Duration::from_secs(30);
@@ -47,7 +47,7 @@
 
 pub struct Rig {
     plan: Plan,
-    fleet: Rc<Fleet>,
+    stubs: Rc<StubServers>,
     judge: Rc<Judge>,
     event_log: Rc<EventLog>,
     processes: Vec<Rc<NodeProcess>>,
@@ -85,7 +85,7 @@
         rig.proxies_listen().await?;
         rig.start_all().await?;
         rig.event_log.begin();
-        rig.fleet.clone().play_faults();
+        rig.stubs.clone().play_faults();
         let begun = Instant::now();
         spawn_local(rig.clone().hold_to_orders());
         for fault in 0..rig.plan.faults.len() {
@@ -108,14 +108,14 @@
         folder: &Path,
     ) -> Result<Rc<Rig>, Bad> {
         let judge = Judge::start(plan.scenario.grace());
-        let fleet = Fleet::new(&plan.scenario, judge.clone())?;
+        let stubs = StubServers::new(&plan.scenario, judge.clone())?;
         let event_log = EventLog::new(judge.clone());
         let mut links = Links::default();
-        let proxies = Rig::proxies(plan, block, fleet.servers(), &mut links)?;
+        let proxies = Rig::proxies(plan, block, stubs.servers(), &mut links)?;
         let datagrams = Rig::datagram_relay(plan, block, &mut links).await?;
         let mut processes = Vec::new();
         for node in 0..plan.scenario.nodes {
-            let known = fleet.list(|server| block.server(node, server));
+            let known = stubs.list(|server| block.server(node, server));
             let config = folder.join(format!("node-{node}.json"));
             let text = configuration(plan, block, node, known).to_string();
             std::fs::write(&config, text).map_err(in_io(&config.display().to_string()))?;
@@ -142,7 +142,7 @@
         }
         let ops = (0..plan.scenario.nodes).map(|node| block.ops(node)).collect();
         let (plan, links, ordered) = (plan.clone(), links.0, RefCell::default());
-        Ok(Rc::new(Rig { plan, fleet, judge, event_log, processes, links, proxies, datagrams, ops, ordered }))
+        Ok(Rc::new(Rig { plan, stubs, judge, event_log, processes, links, proxies, datagrams, ops, ordered }))
     }
 
     /// A proxy for each node and server, and one for each node's discovery.
@@ -201,22 +201,26 @@
 
     /// Opens every proxy, and has each follow its server.
     fn open(self: Rc<Rig>, block: &AddressBlock) {
-        let servers = self.fleet.servers();
+        let servers = self.stubs.servers();
         for (&(node, server), proxy) in &self.proxies {
-            let fleet = self.fleet.clone();
+            let stubs = self.stubs.clone();
             if server == servers {
                 let addrs = (0..servers).map(|server| block.server(node, server)).collect();
-                let listing = Rc::new(Listing { fleet, node, addrs });
+                let listing = Rc::new(Listing { stubs, node, addrs });
                 let serve = move |connection| drop(spawn_local(listing.clone().serve(connection)));
                 spawn_local(proxy.clone().run(self.judge.clone(), serve));
                 continue;
             }
             let serve = move |connection: Connection| {
-                let line = Line { stream: connection.stream, node, stamps: Some(connection.stamps) };
-                spawn_local(fleet.clone().serve(server, line));
+                let line = NodeConnection {
+                    stream: connection.stream,
+                    node,
+                    send_times: Some(connection.send_times),
+                };
+                spawn_local(stubs.clone().serve(server, line));
             };
             spawn_local(proxy.clone().run(self.judge.clone(), serve));
-            let (proxy, mut up) = (proxy.clone(), self.fleet.up(server));
+            let (proxy, mut up) = (proxy.clone(), self.stubs.up(server));
             spawn_local(async move {
                 loop {
                     let is_up = *up.borrow_and_update();
--- a/crates/lab/src/fleet/rig/network.rs
+++ b/crates/lab/src/fleet/rig/network.rs
@@ -44,7 +44,7 @@
             if fault.reset {
                 proxy.resets.set(resets(proxy.resets.get()));
             }
-            proxy.settle(server == self.fleet.servers() || *self.fleet.up(server).borrow());
+            proxy.settle(server == self.stubs.servers() || *self.stubs.up(server).borrow());
         }
     }
 
@@ -54,7 +54,7 @@
             (Endpoint::Node(node), Endpoint::Server(server))
             | (Endpoint::Server(server), Endpoint::Node(node)) => Some((node, server)),
             (Endpoint::Node(node), Endpoint::Discovery) | (Endpoint::Discovery, Endpoint::Node(node)) => {
-                Some((node, self.fleet.servers()))
+                Some((node, self.stubs.servers()))
             }
             _ => None,
         }
@@ -63,7 +63,7 @@
     fn describe(&self, links: &[(Endpoint, Endpoint)]) -> String {
         let name = |end: &Endpoint| match end {
             Endpoint::Node(node) => format!("node-{node}"),
-            Endpoint::Server(server) => self.fleet.id(*server),
+            Endpoint::Server(server) => self.stubs.id(*server),
             Endpoint::Discovery => "discovery".to_owned(),
         };
         let named: Vec<_> = links.iter().map(|(from, to)| format!("{}>{}", name(from), name(to))).collect();
--- a/crates/lab/src/fleet/rig/orders.rs
+++ b/crates/lab/src/fleet/rig/orders.rs
@@ -35,7 +35,7 @@
 
     /// Whether the node took the order; one that doesn't breaks the platform's rule.
     async fn give(&self, node: usize, cache: usize, order: &str) -> bool {
-        let id = self.fleet.id(cache);
+        let id = self.stubs.id(cache);
         let reply = operators::post(self.ops[node], &format!("/control/{order}"), &id).await;
         let told = operators::describe(&reply);
         self.event_log.record("operators", format!("{order} {id} at node-{node}: {told}"));
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -1,4 +1,4 @@
-//! The rules' checks round real processes: what stand-ins were really sent and began, and what clients really got.
+//! The rules' checks round real processes: what stub servers were really sent and began, and what clients really got.
 //! Everything here is seen by one thread, which may itself be late; how late is measured, and allowed for.
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -65,7 +65,7 @@
     pub real_fetches: u64,
 }
 
-/// Plays a scenario of one node in the emulator and by the real node, with stand-ins on loopback, in this process.
+/// Plays a scenario of one node in the emulator and by the real node, with stub servers on loopback, in this process.
 pub fn compare(scenario: &Scenario) -> Result<Compared, Bad> {
     if scenario.nodes != 1 || scenario.clients.retries != 0 || scenario.policy != "dema" {
         return Err(Bad(
@@ -77,8 +77,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| bad(&e))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let judge = Judge::start(Span::from_ms(scenario.rules.grace_ms));
-        let fleet = crate::standin::Fleet::new(scenario, judge.clone())?;
-        let known = fleet.clone().listen().await?;
+        let stubs = crate::stub::StubServers::new(scenario, judge.clone())?;
+        let known = stubs.clone().listen().await?;
         let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(|e| bad(&e))?;
         listener.set_nonblocking(true).map_err(|e| bad(&e))?;
         let addr = listener.local_addr().map_err(|e| bad(&e))?;
@@ -93,8 +93,8 @@
         let real = drive(scenario, &[Door::new(0, addr, 256)], &judge).await;
         node.abort();
         kept(&judge.verdict())?;
-        let (hits, misses) = (fleet.hits.get() as f64, fleet.misses.get() as f64);
+        let (hits, misses) = (stubs.hits.get() as f64, stubs.misses.get() as f64);
         let real_hits = hits / (hits + misses).max(1.0);
-        Ok(Compared { emulated, real, real_hits, real_fetches: fleet.fetches.get() })
+        Ok(Compared { emulated, real, real_hits, real_fetches: stubs.fetches.get() })
     })
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -36,13 +36,13 @@
         .subcommand(
             Command::new("compare")
                 .about(
-                    "Plays a scenario of one node emulated and by the real node, with stand-ins on loopback",
+                    "Plays a scenario of one node emulated and by the real node, with stub servers on loopback",
                 )
                 .arg(file("a scenario")),
         )
         .subcommand(
             Command::new("fleet")
-                .about("Plays a plan with several processes of the built program, stand-ins and faults on loopback")
+                .about("Plays a plan with several processes of the built program, stub servers and faults on loopback")
                 .arg(file("plans").num_args(1..))
                 .arg(Arg::new("plays").long("plays").value_name("N").default_value("1").help("of each plan; from two on, or of several plans, only a table is told"))
                 .arg(Arg::new("program").long("program").value_name("FILE").help("instead of quartzhub beside this one"))
--- a/crates/lab/src/standin.rs
+++ b/crates/lab/src/stub.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for caches and the origin on loopback, as a scenario describes them: cores, work, memory, and its faults.
+//! Stub servers for caches and the origin on loopback, as a scenario describes them: cores, work, memory, and its faults.
 //! They end with the task set that they run in. What they are sent and what they begin is told to the judge.
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -22,26 +22,26 @@
 use crate::scenario::{Bad, Kind, Law, Scenario};
 use crate::server::{Falls, Health, Server, Work, FALLEN};
 
-struct StandIn {
+struct StubServer {
     cores: Semaphore,
-    is: RefCell<Server>,
+    model: RefCell<Server>,
     up: watch::Sender<bool>,
 }
 
 /// An entry of the server list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Listed {
+pub enum ListedState {
     InService,
     Terminating,
     Terminated,
 }
 
-impl Listed {
+impl ListedState {
     pub fn word(self) -> &'static str {
         match self {
-            Listed::InService => "in_service",
-            Listed::Terminating => "terminating",
-            Listed::Terminated => "terminated",
+            ListedState::InService => "in_service",
+            ListedState::Terminating => "terminating",
+            ListedState::Terminated => "terminated",
         }
     }
 }
@@ -50,16 +50,16 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Change {
     pub server: usize,
-    pub state: Listed,
+    pub state: ListedState,
     pub started_ms: u64,
     pub at: Time,
 }
 
-pub struct Fleet {
+pub struct StubServers {
     pub scenario: Scenario,
     products: Vec<Product>,
     /// The caches, and the origin behind them.
-    servers: Vec<StandIn>,
+    servers: Vec<StubServer>,
     pub judge: Rc<Judge>,
     /// Which caches missed for an API call, by its id, and whether they were cold: they are given the value.
     missed: RefCell<HashMap<String, Vec<(usize, bool)>>>,
@@ -78,7 +78,7 @@
     pub last_attempt: RefCell<Vec<Time>>,
 }
 
-/// Faults that stand-ins can play where nobody tells nodes of a change of the list.
+/// Faults that stub servers can play where nobody tells nodes of a change of the list.
 const PLAYED: [Kind; 4] = [Kind::Hang, Kind::Slow, Kind::OriginSlow, Kind::HotKey];
 /// And those that need one who does, or clients of the rig's.
 const PLAYED_LISTED: [Kind; 5] = [Kind::Crash, Kind::ColdRestart, Kind::Drain, Kind::OriginStop, Kind::Burst];
@@ -91,43 +91,47 @@
 const COMES_BACK: Duration = Duration::from_millis(5_000);
 
 /// Who a connection belongs to, and when the bytes that have come on it were sent.
-pub struct Line<S> {
+pub struct NodeConnection<S> {
     pub stream: S,
     pub node: usize,
-    pub stamps: Option<Rc<Stamps>>,
+    pub send_times: Option<Rc<SendTimes>>,
 }
 
 /// Times at which bytes were sent, by how many there were in all.
 #[derive(Default)]
-pub struct Stamps(RefCell<VecDeque<(u64, Time)>>);
+pub struct SendTimes(RefCell<VecDeque<(u64, Time)>>);
 
-impl Stamps {
+impl SendTimes {
     pub fn put(&self, upto: u64, at: Time) {
         self.0.borrow_mut().push_back((upto, at));
     }
 
     /// When the byte at this place was sent; what stands before it is forgotten.
     fn at(&self, place: u64) -> Option<Time> {
-        let mut stamps = self.0.borrow_mut();
-        while stamps.front().is_some_and(|first| first.0 <= place) {
-            stamps.pop_front();
+        let mut send_times = self.0.borrow_mut();
+        while send_times.front().is_some_and(|first| first.0 <= place) {
+            send_times.pop_front();
         }
-        stamps.front().map(|first| first.1)
+        send_times.front().map(|first| first.1)
     }
 }
 
-impl Fleet {
-    pub fn new(scenario: &Scenario, judge: Rc<Judge>) -> Result<Rc<Fleet>, Bad> {
+impl StubServers {
+    pub fn new(scenario: &Scenario, judge: Rc<Judge>) -> Result<Rc<StubServers>, Bad> {
         let mut chance = Pcg::new(scenario.seed);
         let [from, to] = scenario.caches.speed;
         let servers = (0..=scenario.caches.count).map(|i| {
             let origin = i == scenario.caches.count;
             let speed = if origin { 1.0 } else { from + (to - from) * chance.unit() };
-            let is = Server::of(scenario, origin, speed);
-            StandIn { cores: Semaphore::new(is.cores), is: RefCell::new(is), up: watch::Sender::new(true) }
+            let model = Server::of(scenario, origin, speed);
+            StubServer {
+                cores: Semaphore::new(model.cores),
+                model: RefCell::new(model),
+                up: watch::Sender::new(true),
+            }
         });
         let servers = servers.collect();
-        Ok(Rc::new(Fleet {
+        Ok(Rc::new(StubServers {
             scenario: scenario.clone(),
             products: scenario.settings(0).products(),
             servers,
@@ -151,29 +155,29 @@
         let can = |kind: &Kind| PLAYED.contains(kind) || listed && PLAYED_LISTED.contains(kind);
         match scenario.faults.iter().position(|fault| !can(&fault.kind)) {
             Some(i) if listed => {
-                Err(Bad(format!("scenario.fault[{i}].kind: stand-ins can't play it; [[fault]] may")))
-            }
-            Some(i) => {
-                Err(Bad(format!("fault[{i}].kind: stand-ins play hang, slow, origin_slow and hot_key only")))
+                Err(Bad(format!("scenario.fault[{i}].kind: stub servers can't play it; [[fault]] may")))
             }
+            Some(i) => Err(Bad(format!(
+                "fault[{i}].kind: stub servers play hang, slow, origin_slow and hot_key only"
+            ))),
             None => Ok(()),
         }
     }
 
     /// Serves one node straight on loopback, without relays; gives the list of servers.
-    pub async fn listen(self: Rc<Fleet>) -> Result<serde_json::Value, Bad> {
-        Fleet::playable(&self.scenario, false)?;
-        let bad = |e: io::Error| Bad(format!("a stand-in: {e}"));
+    pub async fn listen(self: Rc<StubServers>) -> Result<serde_json::Value, Bad> {
+        StubServers::playable(&self.scenario, false)?;
+        let bad = |e: io::Error| Bad(format!("a stub server: {e}"));
         let mut addrs = Vec::new();
         for server in 0..self.servers.len() {
             let listener = TcpListener::bind("127.0.0.1:0").await.map_err(bad)?;
             addrs.push(listener.local_addr().map_err(bad)?);
-            let fleet = self.clone();
+            let stubs = self.clone();
             spawn_local(async move {
                 while let Ok((stream, _)) = listener.accept().await {
                     let _ = stream.set_nodelay(true);
-                    let line = Line { stream, node: 0, stamps: None };
-                    spawn_local(fleet.clone().serve(server, line));
+                    let line = NodeConnection { stream, node: 0, send_times: None };
+                    spawn_local(stubs.clone().serve(server, line));
                 }
             });
         }
@@ -181,7 +185,7 @@
         Ok(self.list(|server| addrs[server]))
     }
 
-    pub fn play_faults(self: Rc<Fleet>) {
+    pub fn play_faults(self: Rc<StubServers>) {
         for i in 0..self.scenario.faults.len() {
             spawn_local(fault(self.clone(), i));
         }
@@ -198,14 +202,21 @@
         let changes = self.changes.borrow();
         let entries = (0..self.servers.len()).filter_map(|server| {
             let last = changes[..upto].iter().rev().find(|change| change.server == server);
-            let (state, started) = last.map_or((Listed::InService, 0), |last| (last.state, last.started_ms));
-            (state != Listed::Terminated).then(|| self.entry(server, addr(server), state, started))
+            let (state, started) =
+                last.map_or((ListedState::InService, 0), |last| (last.state, last.started_ms));
+            (state != ListedState::Terminated).then(|| self.entry(server, addr(server), state, started))
         });
         let entries: Vec<_> = entries.collect();
         serde_json::json!({"version": upto + 1, "full": true, "servers": entries})
     }
 
-    pub fn entry(&self, server: usize, addr: SocketAddr, state: Listed, started: u64) -> serde_json::Value {
+    pub fn entry(
+        &self,
+        server: usize,
+        addr: SocketAddr,
+        state: ListedState,
+        started: u64,
+    ) -> serde_json::Value {
         let kind = if server == self.origin() { "origin" } else { "cache" };
         serde_json::json!({"id": self.id(server), "addr": addr.to_string(), "kind": kind, "zone": "lab", "cell": 0,
                            "state": state.word(), "started_ms": started})
@@ -233,10 +244,10 @@
         self.servers[server].up.subscribe()
     }
 
-    fn change(&self, server: usize, state: Listed) {
+    fn change(&self, server: usize, state: ListedState) {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let started_ms = match state {
-            Listed::InService => unix.as_millis() as u64,
+            ListedState::InService => unix.as_millis() as u64,
             _ => 0,
         };
         let at = self.judge.now();
@@ -246,14 +257,14 @@
 
     fn down(&self, server: usize) {
         let it = &self.servers[server];
-        it.is.borrow_mut().health = Health::Down;
-        it.is.borrow_mut().demand = Default::default();
+        it.model.borrow_mut().health = Health::Down;
+        it.model.borrow_mut().demand = Default::default();
         it.up.send_replace(false);
     }
 
     fn back(&self, server: usize) {
         let it = &self.servers[server];
-        it.is.borrow_mut().restart(self.judge.now());
+        it.model.borrow_mut().restart(self.judge.now());
         it.up.send_replace(true);
     }
 
@@ -261,7 +272,7 @@
     async fn work(&self, server: usize, takes: Span) {
         let it = &self.servers[server];
         let Ok(_core) = it.cores.acquire().await else { return };
-        let takes = it.is.borrow().takes(takes, self.judge.now());
+        let takes = it.model.borrow().takes(takes, self.judge.now());
         sleep(Duration::from_micros(takes.0.clamp(0, 60_000_000) as u64)).await;
     }
 
@@ -280,18 +291,18 @@
     }
 
     /// Work comes in; one that is sent too much falls, and is away for a while.
-    fn takes_in(self: &Rc<Fleet>, server: usize, work: Work) -> bool {
-        let falls = self.servers[server].is.borrow_mut().takes_in(self.judge.now(), work, &self.scenario);
+    fn takes_in(self: &Rc<StubServers>, server: usize, work: Work) -> bool {
+        let falls = self.servers[server].model.borrow_mut().takes_in(self.judge.now(), work, &self.scenario);
         if falls == Falls::No {
             return true;
         }
         self.judge.fell(server, falls);
         self.fell.set(self.fell.get() + 1);
         self.down(server);
-        let fleet = self.clone();
+        let stubs = self.clone();
         spawn_local(async move {
             sleep(Duration::from_micros(FALLEN.0 as u64)).await;
-            fleet.back(server);
+            stubs.back(server);
         });
         false
     }
@@ -328,7 +339,11 @@
     }
 
     /// Serves one connection until it ends, or the server does.
-    pub async fn serve<S: AsyncRead + AsyncWrite + Unpin>(self: Rc<Fleet>, server: usize, line: Line<S>) {
+    pub async fn serve<S: AsyncRead + AsyncWrite + Unpin>(
+        self: Rc<StubServers>,
+        server: usize,
+        line: NodeConnection<S>,
+    ) {
         let mut up = self.up(server);
         let serves = async {
             // A connection that ends in the middle is the node's way to call an attempt off.
@@ -344,9 +359,9 @@
     }
 
     /// The API call's number and when the attempt for it was sent, as the judge wants them.
-    fn sent<S>(&self, server: usize, line: &Line<S>, id: &str, place: u64) -> Option<u64> {
+    fn sent<S>(&self, server: usize, line: &NodeConnection<S>, id: &str, place: u64) -> Option<u64> {
         let number = number(id)?;
-        let at = line.stamps.as_ref().and_then(|stamps| stamps.at(place));
+        let at = line.send_times.as_ref().and_then(|send_times| send_times.at(place));
         let at = at.unwrap_or(self.judge.now());
         self.judge.sent(at, number, line.node, server);
         self.last_attempt.borrow_mut()[server] = at;
@@ -354,9 +369,9 @@
     }
 
     async fn as_cache<S: AsyncRead + AsyncWrite + Unpin>(
-        self: &Rc<Fleet>,
+        self: &Rc<StubServers>,
         server: usize,
-        mut line: Line<S>,
+        mut line: NodeConnection<S>,
     ) -> io::Result<()> {
         let (limits, mut bytes, mut place) = (Limits::default(), Vec::new(), 0);
         loop {
@@ -379,7 +394,7 @@
             place += used as u64;
             let key = u64::from_str_radix(&key, 16).unwrap_or(0);
             let it = &self.servers[server];
-            if it.is.borrow().health == Health::Hung {
+            if it.model.borrow().health == Health::Hung {
                 return std::future::pending().await;
             }
             let takes = self.draw(self.scenario.products[self.product(&facts)].work_ms);
@@ -387,8 +402,8 @@
                 return Ok(());
             }
             let (found, cold) = {
-                let mut is = it.is.borrow_mut();
-                (is.kept.get(key), is.is_cold(self.judge.now()))
+                let mut model = it.model.borrow_mut();
+                (model.kept.get(key), model.is_cold(self.judge.now()))
             };
             let part = if found { 1.0 } else { self.scenario.caches.miss_part };
             if let Some(call) = call {
@@ -407,8 +422,8 @@
     }
 
     async fn as_origin<S: AsyncRead + AsyncWrite + Unpin>(
-        self: &Rc<Fleet>,
-        mut line: Line<S>,
+        self: &Rc<StubServers>,
+        mut line: NodeConnection<S>,
     ) -> io::Result<()> {
         let (server, mut bytes, mut place) = (self.origin(), Vec::new(), 0);
         loop {
@@ -427,7 +442,7 @@
             bytes.drain(..asked.used);
             place += asked.used as u64;
             let Request { key, write, id, facts, .. } = asked;
-            if self.servers[server].is.borrow().health == Health::Hung {
+            if self.servers[server].model.borrow().health == Health::Hung {
                 return std::future::pending().await;
             }
             self.fetches.set(self.fetches.get() + 1);
@@ -449,8 +464,8 @@
             }
             self.work(server, takes).await;
             match write {
-                true => self.servers.iter().for_each(|it| it.is.borrow_mut().kept.remove(key)),
-                false => missed.iter().for_each(|at| self.servers[at.0].is.borrow_mut().kept.put(key)),
+                true => self.servers.iter().for_each(|it| it.model.borrow_mut().kept.remove(key)),
+                false => missed.iter().for_each(|at| self.servers[at.0].model.borrow_mut().kept.put(key)),
             }
             line.stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue").await?;
         }
@@ -495,19 +510,19 @@
     }
 }
 
-async fn fault(fleet: Rc<Fleet>, i: usize) {
-    let fault = &fleet.scenario.faults[i];
-    let (count, origin) = (fleet.origin(), fleet.origin());
+async fn fault(stubs: Rc<StubServers>, i: usize) {
+    let fault = &stubs.scenario.faults[i];
+    let (count, origin) = (stubs.origin(), stubs.origin());
     let all = ((count as f64 * fault.share).round() as usize).clamp(1, count);
     let lasts = Duration::from_secs_f64(fault.lasts);
     let some: Vec<usize> = (0..all).map(|j| (i * 7 + j * count / all) % count).collect();
-    let slow = |server: usize, factor| fleet.servers[server].is.borrow_mut().slow = factor;
+    let slow = |server: usize, factor| stubs.servers[server].model.borrow_mut().slow = factor;
     sleep(Duration::from_secs_f64(fault.at)).await;
     match fault.kind {
         Kind::Hang => {
-            some.iter().for_each(|at| fleet.servers[*at].is.borrow_mut().health = Health::Hung);
+            some.iter().for_each(|at| stubs.servers[*at].model.borrow_mut().health = Health::Hung);
             sleep(lasts).await;
-            some.iter().for_each(|at| fleet.servers[*at].is.borrow_mut().health = Health::Up);
+            some.iter().for_each(|at| stubs.servers[*at].model.borrow_mut().health = Health::Up);
         }
         Kind::Slow => {
             some.iter().for_each(|at| slow(*at, fault.factor));
@@ -520,40 +535,40 @@
             slow(origin, 1.0);
         }
         Kind::OriginStop => {
-            fleet.down(origin);
+            stubs.down(origin);
             sleep(lasts).await;
-            fleet.back(origin);
+            stubs.back(origin);
         }
         Kind::Crash => {
             for at in &some {
-                fleet.down(*at);
-                fleet.change(*at, Listed::Terminated);
+                stubs.down(*at);
+                stubs.change(*at, ListedState::Terminated);
             }
             sleep(lasts).await;
             for at in &some {
-                fleet.back(*at);
-                fleet.change(*at, Listed::InService);
+                stubs.back(*at);
+                stubs.change(*at, ListedState::InService);
             }
         }
         Kind::ColdRestart => {
-            some.iter().for_each(|at| fleet.down(*at));
+            some.iter().for_each(|at| stubs.down(*at));
             sleep(RESTARTS).await;
             for at in &some {
-                fleet.back(*at);
-                fleet.change(*at, Listed::InService);
+                stubs.back(*at);
+                stubs.change(*at, ListedState::InService);
             }
         }
         Kind::Drain => {
-            some.iter().for_each(|at| fleet.change(*at, Listed::Terminating));
+            some.iter().for_each(|at| stubs.change(*at, ListedState::Terminating));
             sleep(lasts).await;
             for at in &some {
-                fleet.down(*at);
-                fleet.change(*at, Listed::Terminated);
+                stubs.down(*at);
+                stubs.change(*at, ListedState::Terminated);
             }
             sleep(COMES_BACK).await;
             for at in &some {
-                fleet.back(*at);
-                fleet.change(*at, Listed::InService);
+                stubs.back(*at);
+                stubs.change(*at, ListedState::InService);
             }
         }
         _ => {}
