Call what carries out a router's decisions in the emulator its effects

Need: `desk` is a metaphor; the node calls the same `effects`.

Change: `world/desk.rs` is `world/effects.rs` with `Effects`, `World::desk` is `with_router`.

--- a/crates/lab/src/world/asking.rs
+++ b/crates/lab/src/world/asking.rs
@@ -82,7 +82,7 @@
         side.indices.insert(call, ix);
         let text = format!("{key:x}");
         let ask = Ask { product, tenant: usize::MAX, key: Some(&text), write, repeat: try_number > 1, left };
-        self.desk(node, |router, desk, now| router.call(now, ix, ask, desk));
+        self.with_router(node, |router, effects, now| router.call(now, ix, ask, effects));
     }
 
     /// A try has had its time: the client closes, and may ask again.
@@ -106,7 +106,7 @@
                 let owed =
                     side.calls.get_mut(ix).is_some_and(|open| !std::mem::replace(&mut open.answered, true));
                 if owed {
-                    self.desk(node, |router, desk, now| router.withdrawn(now, ix, desk));
+                    self.with_router(node, |router, effects, now| router.withdrawn(now, ix, effects));
                 }
             }
         }
--- a/crates/lab/src/world/desk.rs
+++ b/crates/lab/src/world/effects.rs
@@ -1,13 +1,13 @@
-//! What a node's router asks for goes straight to the world.
+//! Effects of a node's router: the messages, timers and answers that it asks for become events.
 use super::*;
 
-/// What the module asks for goes straight to the world.
-pub(super) struct Desk<'a> {
+/// Carries out what the router of one node asks for.
+pub(super) struct Effects<'a> {
     pub(super) field: &'a mut Field,
     pub(super) side: &'a mut Side,
 }
 
-impl Desk<'_> {
+impl Effects<'_> {
     /// Writes an attempt, if it is still wanted: as the real node, which looks when its bytes are due.
     pub(super) fn carry(&mut self, server: usize, life: u64, job: Job, fresh: bool) {
         let (field, side) = (&mut *self.field, &mut *self.side);
@@ -52,7 +52,7 @@
     }
 }
 
-impl Answers for Desk<'_> {
+impl Answers for Effects<'_> {
     fn dispatch(&mut self, call: CallIx, server: ServerIx, until: Time, _by: Time) {
         let (field, side) = (&mut *self.field, &mut *self.side);
         let Some(&at) = side.at.get(server.0) else { return };
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -1,6 +1,6 @@
 //! The emulated world: clients, nodes, servers and what lies between, by discrete events in the order of time.
 mod asking;
-mod desk;
+mod effects;
 mod event;
 mod faults;
 mod field;
@@ -24,7 +24,7 @@
 use crate::server::{Falls, Health, Job, Server, Work, FALLEN};
 use crate::stats::{End, Ended, Report};
 use crate::went::Went;
-use desk::Desk;
+use effects::Effects;
 use event::{Due, Event};
 use records::*;
 
@@ -127,7 +127,7 @@
             self.fill();
         }
         for node in 0..self.nodes.len() {
-            self.desk(node, |router, desk, now| router.start(now, desk));
+            self.with_router(node, |router, effects, now| router.start(now, effects));
             self.tell_all(node);
         }
         for (i, fault) in self.field.scenario.faults.clone().iter().enumerate() {
@@ -211,7 +211,7 @@
                     && self.nodes[node].side.epoch == epoch
                     && now <= self.field.end + REMEMBERED
                 {
-                    self.desk(node, |router, desk, now| router.tick(now, desk));
+                    self.with_router(node, |router, effects, now| router.tick(now, effects));
                 }
             }
             Event::News { node, server, state, started } => {
@@ -236,7 +236,7 @@
             Event::Connect { node, epoch, server, job } => self.connect(node, epoch, server, job),
             Event::Connected { node, epoch, server, life, job } => {
                 if self.nodes[node].side.epoch == epoch && self.nodes[node].side.up {
-                    self.desk(node, |_, desk, _| desk.carry(server, life, job, true));
+                    self.with_router(node, |_, effects, _| effects.carry(server, life, job, true));
                 } else if self.field.servers[server].life == life {
                     let it = &mut self.field.servers[server];
                     it.connections = it.connections.saturating_sub(1);
@@ -245,7 +245,7 @@
             Event::NodeBack { node } => {
                 let epoch = self.nodes[node].side.epoch;
                 self.nodes[node] = self.node(node, epoch);
-                self.desk(node, |router, desk, now| router.start(now, desk));
+                self.with_router(node, |router, effects, now| router.start(now, effects));
                 self.tell_all(node);
             }
         }
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -21,10 +21,14 @@
         Node { side, router: (self.make)(me, seed) }
     }
 
-    pub(super) fn desk<T>(&mut self, node: usize, act: impl FnOnce(&mut R, &mut Desk, Time) -> T) -> T {
+    pub(super) fn with_router<T>(
+        &mut self,
+        node: usize,
+        act: impl FnOnce(&mut R, &mut Effects, Time) -> T,
+    ) -> T {
         let now = self.field.now;
         let Node { side, router } = &mut self.nodes[node];
-        act(router, &mut Desk { field: &mut self.field, side }, now)
+        act(router, &mut Effects { field: &mut self.field, side }, now)
     }
 
     /// Tells a node of servers; `complete`: of all that there are.
@@ -45,7 +49,7 @@
             lines.push(self.places.listing(ix, line));
         }
         let Node { side, router } = &mut self.nodes[node];
-        router.list(now, complete, lines.into_iter(), &mut Desk { field: &mut self.field, side });
+        router.list(now, complete, lines.into_iter(), &mut Effects { field: &mut self.field, side });
     }
 
     pub(super) fn tell_all(&mut self, node: usize) {
--- a/crates/lab/src/world/serving.rs
+++ b/crates/lab/src/world/serving.rs
@@ -114,11 +114,11 @@
         }
         let late = now >= open.until;
         if outcome == Outcome::Fulfilled && !open.answered && !late {
-            self.desk(node, |_, desk, _| desk.answer(ix, End::Fulfilled, Deed::Fulfilled, None));
+            self.with_router(node, |_, effects, _| effects.answer(ix, End::Fulfilled, Deed::Fulfilled, None));
         }
         let call_ended = self.nodes[node].side.calls.get(ix).is_none_or(|open| open.answered);
         let ending = Ending { attempt, outcome, took: now - sent, call_ended };
-        self.desk(node, |router, desk, now| router.outcome(now, ix, ending, desk));
+        self.with_router(node, |router, effects, now| router.outcome(now, ix, ending, effects));
     }
 
     pub(super) fn attempt_due(&mut self, node: usize, epoch: u64, call: u64, attempt: usize) {
