Call the emulator's shared state a simulation, and a node's its node state

Need: `field` and `side` are words of our own.

Change: `world/field.rs` is `world/simulation.rs`; `Field` is `Simulation`, `Side` is `NodeState`.

--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -3,8 +3,8 @@
 
 impl<R: Router, F: Fn(usize, u64) -> R> World<R, F> {
     pub(super) fn fault(&mut self, i: usize, begins: bool) {
-        let fault = self.field.scenario.faults[i].clone();
-        let (nodes, caches) = (self.nodes.len(), self.field.servers.len() - 1);
+        let fault = self.sim.scenario.faults[i].clone();
+        let (nodes, caches) = (self.nodes.len(), self.sim.servers.len() - 1);
         let lasts = Span::from_ms(fault.lasts * 1000.0);
         let part = |count: usize| ((count as f64 * fault.share).round() as usize).clamp(1, count);
         // The same ones at its beginning and its end: every so many, from a place that the fault's number gives.
@@ -13,72 +13,72 @@
             (0..all).map(move |j| (from + j * count / all) % count)
         };
         if begins {
-            self.field.after(lasts, Event::Ends(i));
+            self.sim.after(lasts, Event::Ends(i));
         }
         match fault.kind {
             Kind::Crash | Kind::ColdRestart if begins => {
                 for server in some(caches) {
-                    self.field.down(server);
+                    self.sim.down(server);
                     match fault.kind {
                         Kind::Crash => {
-                            self.field.list(server, State::Gone, nodes);
-                            self.field.after(lasts, Event::Back { server });
+                            self.sim.list(server, State::Gone, nodes);
+                            self.sim.after(lasts, Event::Back { server });
                         }
-                        _ => self.field.after(Span::ms(500), Event::Back { server }),
+                        _ => self.sim.after(Span::ms(500), Event::Back { server }),
                     }
                 }
             }
             Kind::Hang => {
                 for server in some(caches) {
                     if begins {
-                        self.field.servers[server].health = Health::Hung;
-                    } else if self.field.servers[server].health == Health::Hung {
+                        self.sim.servers[server].health = Health::Hung;
+                    } else if self.sim.servers[server].health == Health::Hung {
                         // What it had is forgotten: its clients have left long ago.
-                        self.field.reset_jobs(server, Outcome::Reset);
-                        self.field.servers[server].health = Health::Up;
+                        self.sim.reset_jobs(server, Outcome::Reset);
+                        self.sim.servers[server].health = Health::Up;
                     }
                 }
             }
             Kind::Slow => {
                 some(caches).for_each(|server| {
-                    self.field.servers[server].slow = if begins { fault.factor } else { 1.0 }
+                    self.sim.servers[server].slow = if begins { fault.factor } else { 1.0 }
                 });
             }
             Kind::Drain if begins => {
                 for server in some(caches) {
-                    self.field.list(server, State::Draining, nodes);
-                    let life = self.field.servers[server].life;
-                    self.field.after(lasts, Event::Gone { server, life });
-                    self.field.after(lasts + Span::ms(5_000), Event::Back { server });
+                    self.sim.list(server, State::Draining, nodes);
+                    let life = self.sim.servers[server].life;
+                    self.sim.after(lasts, Event::Gone { server, life });
+                    self.sim.after(lasts + Span::ms(5_000), Event::Back { server });
                 }
             }
             Kind::Partition => {
                 for node in some(nodes) {
-                    self.nodes[node].side.deaf = begins;
-                    if !begins && self.nodes[node].side.up {
+                    self.nodes[node].node_state.deaf = begins;
+                    if !begins && self.nodes[node].node_state.up {
                         self.tell_all(node);
                     }
                 }
             }
             Kind::OriginSlow => {
-                let origin = self.field.origin();
-                self.field.servers[origin].slow = if begins { fault.factor } else { 1.0 };
+                let origin = self.sim.origin();
+                self.sim.servers[origin].slow = if begins { fault.factor } else { 1.0 };
             }
             Kind::OriginStop if begins => {
-                let server = self.field.origin();
-                self.field.down(server);
-                self.field.after(lasts, Event::Back { server });
+                let server = self.sim.origin();
+                self.sim.down(server);
+                self.sim.after(lasts, Event::Back { server });
             }
-            Kind::Burst => self.field.burst = if begins { fault.factor } else { 1.0 },
-            Kind::HotKey => self.field.hot = if begins { fault.share } else { 0.0 },
-            Kind::Scan => self.field.scan = if begins { fault.share } else { 0.0 },
-            Kind::Network => self.field.network = if begins { fault.factor } else { 1.0 },
+            Kind::Burst => self.sim.burst = if begins { fault.factor } else { 1.0 },
+            Kind::HotKey => self.sim.hot = if begins { fault.share } else { 0.0 },
+            Kind::Scan => self.sim.scan = if begins { fault.share } else { 0.0 },
+            Kind::Network => self.sim.network = if begins { fault.factor } else { 1.0 },
             Kind::NodeRoll if begins => {
                 let all: Vec<_> = some(nodes).collect();
                 // One after the other over its time; each is away for half a second.
                 for (j, node) in all.iter().enumerate() {
                     let at = Span((lasts.0 as f64 * j as f64 / all.len() as f64) as i64);
-                    self.field.after(at, Event::Rolls { node: *node });
+                    self.sim.after(at, Event::Rolls { node: *node });
                 }
             }
             _ => {}
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -3,10 +3,10 @@
 mod effects;
 mod event;
 mod faults;
-mod field;
 mod nodes;
 mod records;
 mod serving;
+mod simulation;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -57,7 +57,7 @@
 /// Idle connections to a server are closed after this.
 const KEPT_ALIVE: Span = Span::ms(15_000);
 pub struct World<R, F> {
-    field: Field,
+    sim: Simulation,
     nodes: Vec<Node<R>>,
     make: F,
     places: Places,
@@ -91,7 +91,7 @@
         let names = (0..caches.count).map(|i| format!("cache-{i}")).chain(["origin".to_owned()]).collect();
         let zipf = Some(scenario.keys.skew).filter(|skew| *skew > 0.0);
         let zipf = zipf.and_then(|skew| Zipf::new(scenario.keys.count as f64, skew).ok());
-        let field = Field {
+        let sim = Simulation {
             scenario: scenario.clone(),
             now: Time(0),
             end: Time::from_ms(scenario.seconds * 1000.0),
@@ -114,7 +114,7 @@
             watch: Watch::new(SLACK),
             report: Report::new(scenario),
         };
-        let mut world = World { field, nodes: Vec::new(), make, places: Places::new(&settings), names };
+        let mut world = World { sim, nodes: Vec::new(), make, places: Places::new(&settings), names };
         for me in 0..scenario.nodes {
             let node = world.node(me, 0);
             world.nodes.push(node);
@@ -123,29 +123,27 @@
     }
 
     pub fn play(mut self) -> Report {
-        if self.field.scenario.caches.filled {
+        if self.sim.scenario.caches.filled {
             self.fill();
         }
         for node in 0..self.nodes.len() {
             self.with_router(node, |router, effects, now| router.start(now, effects));
             self.tell_all(node);
         }
-        for (i, fault) in self.field.scenario.faults.clone().iter().enumerate() {
-            self.field.at(Time::from_ms(fault.at * 1000.0), Event::Begins(i));
+        for (i, fault) in self.sim.scenario.faults.clone().iter().enumerate() {
+            self.sim.at(Time::from_ms(fault.at * 1000.0), Event::Begins(i));
         }
-        self.field.after(Span::ZERO, Event::Arrive);
+        self.sim.after(Span::ZERO, Event::Arrive);
         // After the end nothing new comes, and what is open has its time.
-        let last = self.field.end + Span::ms(120_000);
-        while let Some(Reverse(Due(at, _, event))) = self.field.due.pop() {
-            if at > last
-                || at > self.field.end && self.field.clients.is_empty() && self.field.watch.open() == 0
-            {
+        let last = self.sim.end + Span::ms(120_000);
+        while let Some(Reverse(Due(at, _, event))) = self.sim.due.pop() {
+            if at > last || at > self.sim.end && self.sim.clients.is_empty() && self.sim.watch.open() == 0 {
                 break;
             }
-            self.field.now = at;
+            self.sim.now = at;
             self.event(event);
         }
-        let Field { mut report, watch, clients, .. } = self.field;
+        let Simulation { mut report, watch, clients, .. } = self.sim;
         (report.broken, report.broken_count) = (watch.broken, watch.count);
         report.open = clients.len() as u64;
         report
@@ -153,18 +151,18 @@
 
     /// Each cache keeps an even part of what is most popular: what a fleet that has run for long would hold.
     fn fill(&mut self) {
-        let caches = self.field.servers.len() - 1;
-        let room = self.field.scenario.caches.memory * caches;
-        let most = (room as u64).min(self.field.scenario.keys.count);
+        let caches = self.sim.servers.len() - 1;
+        let room = self.sim.scenario.caches.memory * caches;
+        let most = (room as u64).min(self.sim.scenario.keys.count);
         // Nearest points and hashes both spread keys by their hash; which cache has which is for the run to find.
         for key in (0..most).rev() {
             let at = (key.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) as usize % caches;
-            self.field.servers[at].kept.put(key);
+            self.sim.servers[at].kept.put(key);
         }
     }
 
     fn event(&mut self, event: Event) {
-        let now = self.field.now;
+        let now = self.sim.now;
         match event {
             Event::Arrive => self.arrive(),
             Event::AtNode { client, try_number } => self.at_node(client, try_number),
@@ -174,76 +172,76 @@
             Event::AtServer { job, server, life, fresh } => self.at_server(job, server, life, fresh),
             Event::Done { job, server, life, miss } => self.done(job, server, life, miss),
             Event::Reply { node, epoch, call, attempt, server, outcome } => {
-                if epoch == u64::MAX || self.nodes[node].side.epoch == epoch {
+                if epoch == u64::MAX || self.nodes[node].node_state.epoch == epoch {
                     self.reply(node, call, attempt, server, outcome);
                 }
             }
             Event::AttemptDue { node, epoch, call, attempt } => self.attempt_due(node, epoch, call, attempt),
             Event::CalledOff { server, life, job } => {
-                let it = &mut self.field.servers[server];
+                let it = &mut self.sim.servers[server];
                 if it.life == life && it.health != Health::Down {
                     let (queued, running) = (it.queue.len(), it.running.len());
                     it.queue.retain(|other| other.id != job);
                     it.running.retain(|other| other.id != job);
                     if it.queue.len() < queued {
-                        self.field.report.went(now, Went::CalledOff);
+                        self.sim.report.went(now, Went::CalledOff);
                     } else if it.running.len() < running {
-                        self.field.report.went(now, Went::CalledOffAtWork);
+                        self.sim.report.went(now, Went::CalledOffAtWork);
                     }
-                    let it = &mut self.field.servers[server];
+                    let it = &mut self.sim.servers[server];
                     // The connection goes with it.
                     it.connections = it.connections.saturating_sub(1);
-                    self.field.begin_work(server);
+                    self.sim.begin_work(server);
                 }
             }
             Event::Stored { server, life, key } => {
-                if self.field.servers[server].life == life {
-                    self.field.servers[server].kept.put(key);
+                if self.sim.servers[server].life == life {
+                    self.sim.servers[server].kept.put(key);
                 }
             }
             Event::CallDue { call } => {
-                self.field.watch.due(now, call);
-                self.field.after(REMEMBERED, Event::Forgotten { call });
+                self.sim.watch.due(now, call);
+                self.sim.after(REMEMBERED, Event::Forgotten { call });
             }
-            Event::Forgotten { call } => self.field.watch.forget(call),
+            Event::Forgotten { call } => self.sim.watch.forget(call),
             Event::Tick { node, epoch } => {
-                if self.nodes[node].side.up
-                    && self.nodes[node].side.epoch == epoch
-                    && now <= self.field.end + REMEMBERED
+                if self.nodes[node].node_state.up
+                    && self.nodes[node].node_state.epoch == epoch
+                    && now <= self.sim.end + REMEMBERED
                 {
                     self.with_router(node, |router, effects, now| router.tick(now, effects));
                 }
             }
             Event::News { node, server, state, started } => {
-                let side = &self.nodes[node].side;
-                if side.up && !side.deaf {
+                let node_state = &self.nodes[node].node_state;
+                if node_state.up && !node_state.deaf {
                     self.tell(node, false, &[(server, state, started)]);
                 }
             }
             Event::Begins(i) => self.fault(i, true),
             Event::Ends(i) => self.fault(i, false),
             Event::Back { server } => {
-                self.field.up(server);
-                self.field.list(server, State::Ready, self.nodes.len());
+                self.sim.up(server);
+                self.sim.list(server, State::Ready, self.nodes.len());
             }
             Event::Gone { server, life } => {
-                if self.field.servers[server].life == life {
-                    self.field.down(server);
-                    self.field.list(server, State::Gone, self.nodes.len());
+                if self.sim.servers[server].life == life {
+                    self.sim.down(server);
+                    self.sim.list(server, State::Gone, self.nodes.len());
                 }
             }
             Event::Rolls { node } => self.end_node(node),
             Event::Connect { node, epoch, server, job } => self.connect(node, epoch, server, job),
             Event::Connected { node, epoch, server, life, job } => {
-                if self.nodes[node].side.epoch == epoch && self.nodes[node].side.up {
+                if self.nodes[node].node_state.epoch == epoch && self.nodes[node].node_state.up {
                     self.with_router(node, |_, effects, _| effects.carry(server, life, job, true));
-                } else if self.field.servers[server].life == life {
-                    let it = &mut self.field.servers[server];
+                } else if self.sim.servers[server].life == life {
+                    let it = &mut self.sim.servers[server];
                     it.connections = it.connections.saturating_sub(1);
                 }
             }
             Event::NodeBack { node } => {
-                let epoch = self.nodes[node].side.epoch;
+                let epoch = self.nodes[node].node_state.epoch;
                 self.nodes[node] = self.node(node, epoch);
                 self.with_router(node, |router, effects, now| router.start(now, effects));
                 self.tell_all(node);
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -3,10 +3,9 @@
 
 impl<R: Router, F: Fn(usize, u64) -> R> World<R, F> {
     pub(super) fn node(&self, me: usize, epoch: u64) -> Node<R> {
-        let count = self.field.servers.len();
-        let seed =
-            self.field.scenario.seed ^ (me as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ epoch << 48;
-        let side = Side {
+        let count = self.sim.servers.len();
+        let seed = self.sim.scenario.seed ^ (me as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ epoch << 48;
+        let node_state = NodeState {
             me,
             epoch,
             up: true,
@@ -18,7 +17,7 @@
             told: vec![(State::Gone, None); count],
             deaf: false,
         };
-        Node { side, router: (self.make)(me, seed) }
+        Node { node_state, router: (self.make)(me, seed) }
     }
 
     pub(super) fn with_router<T>(
@@ -26,66 +25,66 @@
         node: usize,
         act: impl FnOnce(&mut R, &mut Effects, Time) -> T,
     ) -> T {
-        let now = self.field.now;
-        let Node { side, router } = &mut self.nodes[node];
-        act(router, &mut Effects { field: &mut self.field, side }, now)
+        let now = self.sim.now;
+        let Node { node_state, router } = &mut self.nodes[node];
+        act(router, &mut Effects { sim: &mut self.sim, node_state }, now)
     }
 
     /// Tells a node of servers; `complete`: of all that there are.
     pub(super) fn tell(&mut self, node: usize, complete: bool, news: &[(usize, State, Option<Time>)]) {
-        let now = self.field.now;
-        let side = &mut self.nodes[node].side;
+        let now = self.sim.now;
+        let node_state = &mut self.nodes[node].node_state;
         let mut lines = Vec::with_capacity(news.len());
         for &(server, state, started) in news {
-            let ix = side.servers.index(&self.names[server]);
-            side.at.resize(side.at.len().max(ix.0 + 1), 0);
-            side.at[ix.0] = server;
-            let since = side.told[server].1.or(Some(now)).filter(|_| state != State::Ready);
-            side.told[server] = (state, since);
+            let ix = node_state.servers.index(&self.names[server]);
+            node_state.at.resize(node_state.at.len().max(ix.0 + 1), 0);
+            node_state.at[ix.0] = server;
+            let since = node_state.told[server].1.or(Some(now)).filter(|_| state != State::Ready);
+            node_state.told[server] = (state, since);
             let origin = server + 1 == self.names.len();
             let kind = Some(if origin { "origin" } else { "cache" });
             let name = &self.names[server];
             let line = Line { name, zone: Some("lab"), kind, cell: Some(0), state, scale: None, started };
             lines.push(self.places.listing(ix, line));
         }
-        let Node { side, router } = &mut self.nodes[node];
-        router.list(now, complete, lines.into_iter(), &mut Effects { field: &mut self.field, side });
+        let Node { node_state, router } = &mut self.nodes[node];
+        router.list(now, complete, lines.into_iter(), &mut Effects { sim: &mut self.sim, node_state });
     }
 
     pub(super) fn tell_all(&mut self, node: usize) {
-        let all: Vec<_> = self.field.listed.iter().enumerate().map(|(i, told)| (i, told.0, told.1)).collect();
+        let all: Vec<_> = self.sim.listed.iter().enumerate().map(|(i, told)| (i, told.0, told.1)).collect();
         self.tell(node, true, &all);
     }
 
     /// A node ends, with all that it has, and comes back with nothing but the list.
     pub(super) fn end_node(&mut self, node: usize) {
-        let side = &mut self.nodes[node].side;
-        if !side.up {
+        let node_state = &mut self.nodes[node].node_state;
+        if !node_state.up {
             return;
         }
-        (side.up, side.epoch) = (false, side.epoch + 1);
-        let open: Vec<_> = side.indices.iter().map(|(call, ix)| (*call, *ix)).collect();
+        (node_state.up, node_state.epoch) = (false, node_state.epoch + 1);
+        let open: Vec<_> = node_state.indices.iter().map(|(call, ix)| (*call, *ix)).collect();
         for (call, ix) in open {
-            self.field.watch.lost_with_node(call);
-            let Some(open) = self.nodes[node].side.calls.get(ix) else { continue };
+            self.sim.watch.lost_with_node(call);
+            let Some(open) = self.nodes[node].node_state.calls.get(ix) else { continue };
             let (client, try_number, answered) = (open.client, open.try_number, open.answered);
             let attempts: Vec<_> = open.attempts.iter().filter(|attempt| attempt.out).copied().collect();
             for attempt in attempts {
-                let delay = self.field.delay();
+                let delay = self.sim.delay();
                 let Attempt { server, life, job, .. } = attempt;
-                self.field.after(delay, Event::CalledOff { server, life, job });
+                self.sim.after(delay, Event::CalledOff { server, life, job });
             }
             if !answered {
-                let delay = self.field.delay();
-                self.field.after(delay, Event::Told { client, try_number, end: End::Errored, wait: None });
+                let delay = self.sim.delay();
+                self.sim.after(delay, Event::Told { client, try_number, end: End::Errored, wait: None });
             }
         }
-        for server in 0..self.field.servers.len() {
-            let life = self.field.servers[server].life;
-            let idle = self.nodes[node].side.idle[server].iter().filter(|idle| idle.0 == life).count();
-            let it = &mut self.field.servers[server];
+        for server in 0..self.sim.servers.len() {
+            let life = self.sim.servers[server].life;
+            let idle = self.nodes[node].node_state.idle[server].iter().filter(|idle| idle.0 == life).count();
+            let it = &mut self.sim.servers[server];
             it.connections = it.connections.saturating_sub(idle);
         }
-        self.field.after(Span::ms(500), Event::NodeBack { node });
+        self.sim.after(Span::ms(500), Event::NodeBack { node });
     }
 }
--- a/crates/lab/src/world/records.rs
+++ b/crates/lab/src/world/records.rs
@@ -41,7 +41,7 @@
 }
 
 /// A node but for its router: what sockets and tables are to the real one.
-pub(super) struct Side {
+pub(super) struct NodeState {
     pub(super) me: usize,
     pub(super) epoch: u64,
     pub(super) up: bool,
@@ -58,12 +58,12 @@
 }
 
 pub(super) struct Node<R> {
-    pub(super) side: Side,
+    pub(super) node_state: NodeState,
     pub(super) router: R,
 }
 
-/// All that nodes share.
-pub(super) struct Field {
+/// The state that all nodes share: clock, pending events, random numbers, servers and clients.
+pub(super) struct Simulation {
     pub(super) scenario: Scenario,
     pub(super) now: Time,
     pub(super) end: Time,
--- a/crates/lab/src/world/field.rs
+++ b/crates/lab/src/world/simulation.rs
@@ -1,7 +1,7 @@
-//! What all nodes share, at work: the clock, chance, the network, and the servers' work.
+//! What all nodes share: the clock and its events, random draws, the network, and the servers' work.
 use super::*;
 
-impl Field {
+impl Simulation {
     pub(super) fn at(&mut self, at: Time, event: Event) {
         self.seq += 1;
         self.due.push(Reverse(Due(at.max(self.now), self.seq, event)));
