Call the emulator's counters by the second metrics

Need: `went` with its `heads` needs explaining.

Change: `went.rs` is `metric.rs` with `Metric`, `METRICS` and `HEADINGS`, and `Report::went` is `count`. The table's headings are as they were.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod judge;
 pub mod load;
 pub mod lru;
+pub mod metric;
 pub mod plot;
 pub mod routers;
 pub mod rules;
@@ -15,7 +16,6 @@
 pub mod stats;
 pub mod stub;
 pub mod sweep;
-pub mod went;
 pub mod world;
 
 pub use scenario::Scenario;
--- a/crates/lab/src/went.rs
+++ b/crates/lab/src/metric.rs
@@ -1,7 +1,8 @@
-//! Where attempts and tries went, counted by the second: what the causes of lost service are read from.
+//! Counters of what became of attempts and tries, by the second: what the causes of lost service are read from.
 
+/// What is counted.
 #[derive(Debug, Clone, Copy)]
-pub enum Went {
+pub enum Metric {
     /// At caches: found for an API call that still waited; found for nobody; missed.
     Hit,
     HitUnwanted,
@@ -22,10 +23,11 @@
     AgainAway,
 }
 
-pub const WENT: usize = Went::AgainAway as usize + 1;
+/// How many there are.
+pub const METRICS: usize = Metric::AgainAway as usize + 1;
 
 /// What each is called in a table.
-pub const HEADS: [&str; WENT] = [
+pub const HEADINGS: [&str; METRICS] = [
     "hit",
     "unwanted",
     "miss",
--- a/crates/lab/src/stats.rs
+++ b/crates/lab/src/stats.rs
@@ -2,9 +2,9 @@
 use hdrhistogram::Histogram;
 use quartzhub_policy::{Span, Time};
 
+use crate::metric::{Metric, HEADINGS, METRICS};
 use crate::rules::Broken;
 use crate::scenario::Scenario;
-use crate::went::{Went, HEADS, WENT};
 
 /// Longest latency told: an hour.
 const LONGEST_US: u64 = 3_600_000_000;
@@ -90,8 +90,8 @@
     pub crossed: u64,
     /// In each second, at the origin: attempts sent, and whether it stood.
     pub origin: Vec<u64>,
-    /// In each second, by what it was: see `Went`.
-    pub went: Vec<[u64; WENT]>,
+    /// In each second, by what it was: see `Metric`.
+    pub metrics: Vec<[u64; METRICS]>,
     pub origin_fell: u64,
     pub caches_fell: u64,
     pub broken: Vec<Broken>,
@@ -130,7 +130,7 @@
             ended_idle: 0,
             crossed: 0,
             origin: vec![0; scenario.seconds.ceil() as usize],
-            went: vec![[0; WENT]; scenario.seconds.ceil() as usize],
+            metrics: vec![[0; METRICS]; scenario.seconds.ceil() as usize],
             origin_fell: 0,
             caches_fell: 0,
             broken: Vec::new(),
@@ -147,9 +147,9 @@
         self.trace = (self.trace ^ now.0 as u64 ^ what.rotate_left(32)).wrapping_mul(0x0100_0000_01b3);
     }
 
-    pub fn went(&mut self, now: Time, what: Went) {
-        if let Some(second) = self.went.get_mut((now.0 / 1_000_000) as usize) {
-            second[what as usize] += 1;
+    pub fn count(&mut self, now: Time, metric: Metric) {
+        if let Some(second) = self.metrics.get_mut((now.0 / 1_000_000) as usize) {
+            second[metric as usize] += 1;
         }
     }
 
@@ -216,12 +216,14 @@
 
     /// A line a second: where attempts and tries went, and what was served of the API calls begun then.
     pub fn by_second(&self) -> String {
-        let mut table =
-            format!("second  service in-time   late  {}\n", HEADS.map(|head| format!("{head:>10}")).concat());
-        for (second, (went, counts)) in self.went.iter().zip(&self.windows).enumerate() {
-            let went: String = went.iter().map(|count| format!("{count:>10}")).collect();
+        let mut table = format!(
+            "second  service in-time   late  {}\n",
+            HEADINGS.map(|head| format!("{head:>10}")).concat()
+        );
+        for (second, (metrics, counts)) in self.metrics.iter().zip(&self.windows).enumerate() {
+            let metrics: String = metrics.iter().map(|count| format!("{count:>10}")).collect();
             let (service, in_time, late) = (counts.service(), counts.in_slo, counts.late);
-            table += &format!("{second:>6}  {service:>7.3} {in_time:>7} {late:>6}  {went}\n");
+            table += &format!("{second:>6}  {service:>7.3} {in_time:>7} {late:>6}  {metrics}\n");
         }
         table
     }
--- a/crates/lab/src/world/asking.rs
+++ b/crates/lab/src/world/asking.rs
@@ -35,7 +35,7 @@
             (client.try_number + 1, node, None, false);
         let (try_number, timeout) = (client.try_number, sim.products[client.product].timeout);
         sim.report.tries += 1;
-        sim.report.went(sim.now, if try_number == 1 { Went::First } else { Went::Again });
+        sim.report.count(sim.now, if try_number == 1 { Metric::First } else { Metric::Again });
         let delay = sim.delay();
         sim.after(delay, Event::AtNode { client: id, try_number });
         sim.after(timeout.times(patience), Event::GivesUp { client: id, try_number });
@@ -122,8 +122,8 @@
             return;
         }
         if end != End::Fulfilled {
-            let away = if try_number == 1 { Went::FirstAway } else { Went::AgainAway };
-            self.sim.report.went(self.sim.now, away);
+            let away = if try_number == 1 { Metric::FirstAway } else { Metric::AgainAway };
+            self.sim.report.count(self.sim.now, away);
             return self.next_try(id, end, wait);
         }
         let Some(client) = self.sim.clients.remove(&id) else { return };
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -18,12 +18,12 @@
 use rand_distr::{Distribution, Exp1, StandardNormal, Zipf};
 use rustc_hash::FxHashMap;
 
+use crate::metric::Metric;
 use crate::routers::{BoundedHash, LeastInFlight, Plain, Random, Router, TwoChoices};
 use crate::rules::{Deed, Watch};
 use crate::scenario::{Bad, Kind, Law, Scenario};
 use crate::server::{Falls, Health, Job, Server, Work, FALLEN};
 use crate::stats::{End, Ended, Report};
-use crate::went::Went;
 use effects::Effects;
 use event::{Due, Event};
 use records::*;
@@ -184,9 +184,9 @@
                     it.queue.retain(|other| other.id != job);
                     it.running.retain(|other| other.id != job);
                     if it.queue.len() < queued {
-                        self.sim.report.went(now, Went::CalledOff);
+                        self.sim.report.count(now, Metric::CalledOff);
                     } else if it.running.len() < running {
-                        self.sim.report.went(now, Went::CalledOffAtWork);
+                        self.sim.report.count(now, Metric::CalledOffAtWork);
                     }
                     let it = &mut self.sim.servers[server];
                     // The connection goes with it.
--- a/crates/lab/src/world/serving.rs
+++ b/crates/lab/src/world/serving.rs
@@ -35,7 +35,7 @@
         }
         let it = &mut sim.servers[server];
         if it.is_full() {
-            sim.report.went(sim.now, Went::Full);
+            sim.report.count(sim.now, Metric::Full);
             return sim.after(delay, reply(Outcome::Full));
         }
         let mut job = job;
@@ -63,15 +63,15 @@
         let node_state = &mut self.nodes[job.node].node_state;
         let open = node_state.indices.get(&job.call).copied().and_then(|ix| node_state.calls.get_mut(ix));
         let wanted = open.as_ref().is_some_and(|open| !open.answered);
-        let went = match (origin, job.write, miss, wanted) {
-            (false, _, true, _) => Went::Miss,
-            (false, _, false, true) => Went::Hit,
-            (false, _, false, false) => Went::HitUnwanted,
-            (true, true, _, true) => Went::Wrote,
-            (true, false, _, true) => Went::Fetched,
-            (true, _, _, false) => Went::OriginUnwanted,
+        let metric = match (origin, job.write, miss, wanted) {
+            (false, _, true, _) => Metric::Miss,
+            (false, _, false, true) => Metric::Hit,
+            (false, _, false, false) => Metric::HitUnwanted,
+            (true, true, _, true) => Metric::Wrote,
+            (true, false, _, true) => Metric::Fetched,
+            (true, _, _, false) => Metric::OriginUnwanted,
         };
-        self.sim.report.went(self.sim.now, went);
+        self.sim.report.count(self.sim.now, metric);
         if let Some(open) = open {
             if miss {
                 open.missed.push((server, life, cold));
