--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -14,8 +14,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-use crate::judge::Judge;
-use crate::rules::Deed;
+use crate::rule_monitor::RuleMonitor;
+use crate::rules::CallEvent;
 use crate::scenario::{Kind, Product, Scenario};
 use crate::stats::{End, Ended, Report};
 
@@ -58,7 +58,7 @@
 
     /// A connection that stands and still belongs to this process. What has come on one meanwhile is an answer that
     /// nobody asked for.
-    fn kept(&self, judge: &Judge) -> Option<Stream> {
+    fn kept(&self, monitor: &RuleMonitor) -> Option<Stream> {
         while let Some(Kept { stream, life, last }) = self.idle.borrow_mut().pop() {
             if life != self.life.get() {
                 continue;
@@ -66,7 +66,7 @@
             let came = stream.get_ref().try_read(&mut [0; 1]);
             match came {
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return Some(stream),
-                Ok(1..) => judge.answered(last, self.node, Deed::Errored),
+                Ok(1..) => monitor.answered(last, self.node, CallEvent::Errored),
                 _ => self.ended_idle.set(self.ended_idle.get() + 1),
             }
         }
@@ -75,11 +75,11 @@
 
     /// One try. The protocol has a client ask once more where its connection had stood idle and ended under its
     /// call; where another process serves by now, it does not.
-    async fn ask(&self, judge: &Judge, call: &Asked<'_>) -> (End, Option<Duration>) {
+    async fn ask(&self, monitor: &RuleMonitor, call: &Asked<'_>) -> (End, Option<Duration>) {
         let Ok(_place) = self.places.acquire().await else { return (End::NeverTaken, None) };
         let life = self.life.get();
         for again in [false, true] {
-            let kept = if again { None } else { self.kept(judge) };
+            let kept = if again { None } else { self.kept(monitor) };
             let fresh = kept.is_none();
             let mut stream = match kept {
                 Some(stream) => stream,
@@ -98,7 +98,7 @@
                 }
                 continue;
             }
-            judge.taken(call.number, self.node, call.rules, call.until);
+            monitor.taken(call.number, self.node, call.rules, call.until);
             let Some((end, wait)) = read(&mut stream).await else {
                 if fresh || life != self.life.get() {
                     return (End::Closed, None);
@@ -106,15 +106,15 @@
                 self.crossed.set(self.crossed.get() + 1);
                 continue;
             };
-            let deed = match end {
-                End::Fulfilled => Deed::Fulfilled,
-                End::RateLimited => Deed::RateLimited,
-                _ => Deed::Errored,
+            let event = match end {
+                End::Fulfilled => CallEvent::Fulfilled,
+                End::RateLimited => CallEvent::RateLimited,
+                _ => CallEvent::Errored,
             };
-            judge.answered(call.number, self.node, deed);
+            monitor.answered(call.number, self.node, event);
             // What stands behind the answer is a second one.
             if !stream.buffer().is_empty() {
-                judge.answered(call.number, self.node, Deed::Errored);
+                monitor.answered(call.number, self.node, CallEvent::Errored);
             } else {
                 self.idle.borrow_mut().push(Kept { stream, life, last: call.number });
             }
@@ -183,19 +183,19 @@
     scenario: Scenario,
     rules: Vec<Rules>,
     doors: Vec<Rc<Door>>,
-    judge: Rc<Judge>,
+    monitor: Rc<RuleMonitor>,
     report: RefCell<Report>,
     chance: RefCell<Pcg>,
     tries: Cell<u64>,
 }
 
 /// Asks the nodes behind the doors as the scenario's clients would. Needs a `LocalSet`.
-pub async fn drive(scenario: &Scenario, doors: &[Rc<Door>], judge: &Rc<Judge>) -> Report {
+pub async fn drive(scenario: &Scenario, doors: &[Rc<Door>], monitor: &Rc<RuleMonitor>) -> Report {
     let crowd = Rc::new(Crowd {
         scenario: scenario.clone(),
         rules: scenario.settings(0).products(),
         doors: doors.to_vec(),
-        judge: judge.clone(),
+        monitor: monitor.clone(),
         report: RefCell::new(Report::new(scenario)),
         chance: RefCell::new(Pcg::new(scenario.seed)),
         tries: Cell::new(0),
@@ -265,18 +265,18 @@
             };
             let begins = if try_number == 0 { meant } else { Instant::now() };
             let gives_up = begins + Duration::from_secs_f64(product.timeout_ms / 1000.0 * part);
-            let until = self.judge.at(gives_up);
+            let until = self.monitor.at(gives_up);
             let rules = &self.rules[ix];
             let asked = Asked { number, key, product, rules, repeat: try_number > 0, until, gives_up };
             let wait;
             (end, wait) = match self.door() {
                 Some(door) => {
                     let listens = if part >= 1.0 { gives_up + LISTENS_ON } else { gives_up };
-                    let told = timeout_at(listens, door.ask(&self.judge, &asked)).await;
+                    let told = timeout_at(listens, door.ask(&self.monitor, &asked)).await;
                     let (end, wait) = told.unwrap_or((End::GaveUp, None));
                     match end {
-                        End::GaveUp => self.judge.left(number, door.node),
-                        End::Closed => self.judge.cut(number, door.node),
+                        End::GaveUp => self.monitor.left(number, door.node),
+                        End::Closed => self.monitor.cut(number, door.node),
                         _ => {}
                     }
                     // What comes later than its client waits is worth as much as nothing.
--- a/crates/lab/src/fleet/datagrams.rs
+++ b/crates/lab/src/fleet/datagrams.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep_until;
 
 use super::link::Link;
-use crate::judge::Judge;
+use crate::rule_monitor::RuleMonitor;
 
 /// Datagrams of one link that are remembered.
 const RECENT: usize = 8;
@@ -59,13 +59,13 @@
         }))
     }
 
-    pub fn run(self: &Rc<DatagramRelay>, judge: &Rc<Judge>) {
+    pub fn run(self: &Rc<DatagramRelay>, monitor: &Rc<RuleMonitor>) {
         for (from, to) in self.sockets.keys() {
-            spawn_local(self.clone().relay(*from, *to, judge.clone()));
+            spawn_local(self.clone().relay(*from, *to, monitor.clone()));
         }
     }
 
-    async fn relay(self: Rc<DatagramRelay>, from: usize, to: usize, judge: Rc<Judge>) {
+    async fn relay(self: Rc<DatagramRelay>, from: usize, to: usize, monitor: Rc<RuleMonitor>) {
         let (socket, link) = (self.sockets[&(from, to)].clone(), self.links[&(from, to)].clone());
         let mut buffer = vec![0; 2 * MAX_SIZE];
         loop {
@@ -77,7 +77,7 @@
             }
             if size > MAX_SIZE {
                 self.too_long.set(self.too_long.get() + 1);
-                judge.platform(&format!("node {from} sent node {to} a datagram of {size} bytes or more"));
+                monitor.platform(&format!("node {from} sent node {to} a datagram of {size} bytes or more"));
                 continue;
             }
             self.remember(from, to, &buffer[..size]);
--- a/crates/lab/src/fleet/event_log.rs
+++ b/crates/lab/src/fleet/event_log.rs
@@ -7,7 +7,7 @@
 use quartzhub_policy::Time;
 use serde::Serialize;
 
-use crate::judge::Judge;
+use crate::rule_monitor::RuleMonitor;
 use crate::scenario::Bad;
 
 #[derive(Debug, Clone, Serialize)]
@@ -22,20 +22,20 @@
 
 /// Events in the order in which they were recorded.
 pub struct EventLog {
-    judge: Rc<Judge>,
+    monitor: Rc<RuleMonitor>,
     begun: RefCell<Time>,
     events: RefCell<Vec<Event>>,
 }
 
 impl EventLog {
-    pub fn new(judge: Rc<Judge>) -> Rc<EventLog> {
-        let begun = RefCell::new(judge.now());
-        Rc::new(EventLog { judge, begun, events: RefCell::default() })
+    pub fn new(monitor: Rc<RuleMonitor>) -> Rc<EventLog> {
+        let begun = RefCell::new(monitor.now());
+        Rc::new(EventLog { monitor, begun, events: RefCell::default() })
     }
 
     /// Times count from now on; what has happened before is before 0.
     pub fn begin(&self) {
-        let (before, now) = (*self.begun.borrow(), self.judge.now());
+        let (before, now) = (*self.begun.borrow(), self.monitor.now());
         let moved = (now - before).0 as f64 / 1000.0;
         self.events.borrow_mut().iter_mut().for_each(|event| event.at_ms -= moved);
         *self.begun.borrow_mut() = now;
@@ -46,7 +46,7 @@
     }
 
     pub fn record(&self, who: &str, what: impl Into<String>) {
-        let at_ms = (self.judge.now() - self.begun()).0 as f64 / 1000.0;
+        let at_ms = (self.monitor.now() - self.begun()).0 as f64 / 1000.0;
         let mut events = self.events.borrow_mut();
         if events.len() < MAX_EVENTS {
             events.push(Event { at_ms, who: who.to_owned(), what: what.into() });
--- a/crates/lab/src/fleet/listing.rs
+++ b/crates/lab/src/fleet/listing.rs
@@ -25,7 +25,7 @@
 impl Listing {
     /// Changes that this node has been told of by now or soon, and how long until the next.
     fn due(&self) -> (usize, Option<Span>) {
-        let now = self.stubs.judge.now();
+        let now = self.stubs.monitor.now();
         let changes = self.stubs.changes.borrow();
         let mut at = Time(0);
         for (number, change) in changes.iter().enumerate() {
@@ -50,7 +50,7 @@
         spawn_local(async move {
             delivered.upto(written).await;
             for (server, out) in states {
-                listing.stubs.judge.told(listing.node, server, out);
+                listing.stubs.monitor.told(listing.node, server, out);
             }
         });
     }
--- a/crates/lab/src/fleet/outcome.rs
+++ b/crates/lab/src/fleet/outcome.rs
@@ -5,7 +5,7 @@
 
 use super::event_log::{self, Event, FaultPeriod};
 use super::plan::Plan;
-use crate::rules::Broken;
+use crate::rules::Violation;
 use crate::scenario::Bad;
 use crate::stats::{Counts, Report};
 
@@ -15,7 +15,7 @@
 /// What a play has shown.
 pub struct Outcome {
     pub report: Report,
-    pub broken: Vec<Broken>,
+    pub broken: Vec<Violation>,
     pub broken_count: u64,
     pub events: Vec<Event>,
     pub fault_periods: Vec<FaultPeriod>,
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -16,7 +16,7 @@
 
 use super::event_log::EventLog;
 use crate::clients::Door;
-use crate::judge::Judge;
+use crate::rule_monitor::RuleMonitor;
 
 /// What is started for a node, and what is put before it so that it ends with this process.
 #[derive(Debug, Clone)]
@@ -48,7 +48,7 @@
     pub config: PathBuf,
     pub log: PathBuf,
     pub programs: Programs,
-    pub judge: Rc<Judge>,
+    pub monitor: Rc<RuleMonitor>,
     pub event_log: Rc<EventLog>,
     pub door: Rc<Door>,
     pub front_late: Duration,
@@ -100,7 +100,7 @@
         self.pid.set(child.id().and_then(|id| Pid::from_raw(id as i32)));
         self.ending.set(false);
         self.lives.set(self.lives.get() + 1);
-        self.judge.new_life(self.node);
+        self.monitor.new_life(self.node);
         self.set_state(State::Starting);
         self.record(format!("process {} starts, its life {}", child.id().unwrap_or(0), self.lives.get()));
         if let Some(log) = child.stderr.take() {
@@ -116,7 +116,7 @@
             if !process.ending.get() {
                 let last = process.last_line.borrow().clone();
                 process
-                    .judge
+                    .monitor
                     .platform(&format!("{} ended by itself, {status}; it said last: {last}", process.name));
             }
             process.set_state(State::Down);
@@ -163,7 +163,7 @@
     /// At once, with all that it has.
     pub fn kill(&self) {
         self.ending.set(true);
-        self.judge.excuse(self.node);
+        self.monitor.excuse(self.node);
         if self.signal(Signal::KILL) {
             self.record("killed");
             self.set_state(State::Ending);
@@ -182,7 +182,7 @@
 
     pub fn pause(&self) {
         if self.state.get() == State::Up && self.signal(Signal::STOP) {
-            self.judge.excuse(self.node);
+            self.monitor.excuse(self.node);
             self.record("stands still");
             self.set_state(State::Paused);
         }
@@ -191,7 +191,7 @@
     pub fn resume(&self) {
         if self.state.get() == State::Paused && self.signal(Signal::CONT) {
             // What came meanwhile was never seen by it in time.
-            self.judge.goes_on(self.node);
+            self.monitor.goes_on(self.node);
             self.record("goes on");
             self.set_state(State::Up);
         }
--- a/crates/lab/src/fleet/proxy.rs
+++ b/crates/lab/src/fleet/proxy.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::link::Link;
-use crate::judge::Judge;
+use crate::rule_monitor::RuleMonitor;
 use crate::stub::SendTimes;
 
 /// How a machine treats new connections.
@@ -105,7 +105,7 @@
     }
 
     /// Takes connections for ever, and hands each to `serve`.
-    pub async fn run(self: Rc<Proxy>, clock: Rc<Judge>, serve: impl Fn(Connection) + Clone + 'static) {
+    pub async fn run(self: Rc<Proxy>, clock: Rc<RuleMonitor>, serve: impl Fn(Connection) + Clone + 'static) {
         let mut accepting = self.accepting.subscribe();
         let mut listener: Option<TcpListener> = None;
         let mut plug: Option<TcpStream> = None;
@@ -167,7 +167,12 @@
         }
     }
 
-    async fn relay(self: Rc<Proxy>, mut stream: TcpStream, clock: Rc<Judge>, serve: impl Fn(Connection)) {
+    async fn relay(
+        self: Rc<Proxy>,
+        mut stream: TcpStream,
+        clock: Rc<RuleMonitor>,
+        serve: impl Fn(Connection),
+    ) {
         let _ = stream.set_nodelay(true);
         let (near, far) = tokio::io::duplex(BUFFER_SIZE);
         let (send_times, delivered) = (Rc::new(SendTimes::default()), Rc::new(Delivered::default()));
--- a/crates/lab/src/fleet/rig/faults.rs
+++ b/crates/lab/src/fleet/rig/faults.rs
@@ -44,7 +44,7 @@
     /// Starts a process; one that can't be started breaks the platform's rule.
     fn start(&self, process: &Rc<NodeProcess>) {
         if let Err(e) = process.start() {
-            self.judge.platform(&format!("{}: {e}", process.name));
+            self.monitor.platform(&format!("{}: {e}", process.name));
         }
     }
 
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -27,7 +27,7 @@
 use super::process::{NodeProcess, Programs, State};
 use super::proxy::{Connection, Proxy};
 use crate::clients::{drive, Door as ClientsDoor};
-use crate::judge::Judge;
+use crate::rule_monitor::RuleMonitor;
 use crate::scenario::Bad;
 use crate::stub::{NodeConnection, StubServers};
 
@@ -48,7 +48,7 @@
 pub struct Rig {
     plan: Plan,
     stubs: Rc<StubServers>,
-    judge: Rc<Judge>,
+    monitor: Rc<RuleMonitor>,
     event_log: Rc<EventLog>,
     processes: Vec<Rc<NodeProcess>>,
     links: BTreeMap<(Endpoint, Endpoint), Rc<Link>>,
@@ -81,7 +81,7 @@
     ) -> Result<Outcome, Bad> {
         let rig = Rig::new(plan, programs, block, folder).await?;
         rig.clone().open(block);
-        rig.datagrams.run(&rig.judge);
+        rig.datagrams.run(&rig.monitor);
         rig.proxies_listen().await?;
         rig.start_all().await?;
         rig.event_log.begin();
@@ -92,7 +92,7 @@
             spawn_local(rig.clone().fault(fault, begun));
         }
         let doors: Vec<_> = rig.processes.iter().map(|process| process.door.clone()).collect();
-        let report = drive(&rig.plan.scenario, &doors, &rig.judge).await;
+        let report = drive(&rig.plan.scenario, &doors, &rig.monitor).await;
         sleep(STILL_ON_ITS_WAY).await;
         let views = rig.views().await;
         let outcome = rig.outcome(report, &views);
@@ -107,9 +107,9 @@
         block: &AddressBlock,
         folder: &Path,
     ) -> Result<Rc<Rig>, Bad> {
-        let judge = Judge::start(plan.scenario.grace());
-        let stubs = StubServers::new(&plan.scenario, judge.clone())?;
-        let event_log = EventLog::new(judge.clone());
+        let monitor = RuleMonitor::start(plan.scenario.grace());
+        let stubs = StubServers::new(&plan.scenario, monitor.clone())?;
+        let event_log = EventLog::new(monitor.clone());
         let mut links = Links::default();
         let proxies = Rig::proxies(plan, block, stubs.servers(), &mut links)?;
         let datagrams = Rig::datagram_relay(plan, block, &mut links).await?;
@@ -127,7 +127,7 @@
                 config,
                 log: folder.join(format!("node-{node}.log")),
                 programs: programs.clone(),
-                judge: judge.clone(),
+                monitor: monitor.clone(),
                 event_log: event_log.clone(),
                 door,
                 front_late: Duration::from_secs_f64(plan.front_late_ms / 1000.0),
@@ -142,7 +142,18 @@
         }
         let ops = (0..plan.scenario.nodes).map(|node| block.ops(node)).collect();
         let (plan, links, ordered) = (plan.clone(), links.0, RefCell::default());
-        Ok(Rc::new(Rig { plan, stubs, judge, event_log, processes, links, proxies, datagrams, ops, ordered }))
+        Ok(Rc::new(Rig {
+            plan,
+            stubs,
+            monitor,
+            event_log,
+            processes,
+            links,
+            proxies,
+            datagrams,
+            ops,
+            ordered,
+        }))
     }
 
     /// A proxy for each node and server, and one for each node's discovery.
@@ -208,7 +219,7 @@
                 let addrs = (0..servers).map(|server| block.server(node, server)).collect();
                 let listing = Rc::new(Listing { stubs, node, addrs });
                 let serve = move |connection| drop(spawn_local(listing.clone().serve(connection)));
-                spawn_local(proxy.clone().run(self.judge.clone(), serve));
+                spawn_local(proxy.clone().run(self.monitor.clone(), serve));
                 continue;
             }
             let serve = move |connection: Connection| {
@@ -219,7 +230,7 @@
                 };
                 spawn_local(stubs.clone().serve(server, line));
             };
-            spawn_local(proxy.clone().run(self.judge.clone(), serve));
+            spawn_local(proxy.clone().run(self.monitor.clone(), serve));
             let (proxy, mut up) = (proxy.clone(), self.stubs.up(server));
             spawn_local(async move {
                 loop {
--- a/crates/lab/src/fleet/rig/orders.rs
+++ b/crates/lab/src/fleet/rig/orders.rs
@@ -28,7 +28,7 @@
         sleep(lasts).await;
         for (node, cache) in pairs() {
             self.ordered.borrow_mut().remove(&cache);
-            (0..self.processes.len()).for_each(|node| self.judge.told(node, cache, false));
+            (0..self.processes.len()).for_each(|node| self.monitor.told(node, cache, false));
             self.give(node, cache, "restore").await;
         }
     }
@@ -41,7 +41,7 @@
         self.event_log.record("operators", format!("{order} {id} at node-{node}: {told}"));
         let taken = reply.is_some_and(|reply| reply.is_ok());
         if !taken {
-            self.judge.platform(&format!("node-{node}, order to {order} {id}: {told}"));
+            self.monitor.platform(&format!("node-{node}, order to {order} {id}: {told}"));
         }
         taken
     }
@@ -63,7 +63,7 @@
                     served.insert(process.node, (life, now));
                 } else if now >= since + KNOWN_WITHIN {
                     for (cache, _) in self.ordered.borrow().iter().filter(|(_, due)| now >= **due) {
-                        self.judge.told(process.node, *cache, true);
+                        self.monitor.told(process.node, *cache, true);
                     }
                 }
             }
--- a/crates/lab/src/fleet/rig/verdict.rs
+++ b/crates/lab/src/fleet/rig/verdict.rs
@@ -99,7 +99,7 @@
     }
 
     pub(super) fn outcome(&self, report: Report, views: &Views) -> Outcome {
-        let (broken, broken_count) = self.judge.verdict();
+        let (broken, broken_count) = self.monitor.verdict();
         let begun = self.event_log.begun();
         let first_second = (begun.0 / 1_000_000) as usize;
         let since = |at: &Time| (*at - begun).seconds();
@@ -117,7 +117,7 @@
             fell: self.stubs.fell.get(),
             origin: self.stubs.origin_by_second.borrow().iter().skip(first_second).copied().collect(),
             datagrams: self.datagrams(),
-            late: self.judge.latest.get(),
+            late: self.monitor.latest.get(),
             last_attempts: self.stubs.last_attempt.borrow().iter().map(since).collect(),
             report,
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,12 +4,12 @@
 pub mod clients;
 pub mod fleet;
 pub mod gossip;
-pub mod judge;
 pub mod load;
 pub mod lru;
 pub mod metric;
 pub mod plot;
 pub mod routers;
+pub mod rule_monitor;
 pub mod rules;
 pub mod scenario;
 pub mod server;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -6,8 +6,8 @@
 use tokio::task::spawn_local;
 
 use crate::clients::{drive, Door};
-use crate::judge::Judge;
-use crate::rules::Broken;
+use crate::rule_monitor::RuleMonitor;
+use crate::rules::Violation;
 use crate::scenario::{Bad, Scenario};
 use crate::stats::Report;
 
@@ -43,16 +43,16 @@
 /// Asks a node as the scenario's clients would. Needs a `LocalSet`. Rules are checked as far as clients see them.
 pub async fn load(scenario: &Scenario, node: SocketAddr, connections: usize) -> Result<Report, Bad> {
     check(scenario, node, connections)?;
-    let judge = Judge::start(scenario.grace());
+    let monitor = RuleMonitor::start(scenario.grace());
     let door = Door::new(0, node, connections);
-    let report = drive(scenario, std::slice::from_ref(&door), &judge).await;
-    kept(&judge.verdict())?;
+    let report = drive(scenario, std::slice::from_ref(&door), &monitor).await;
+    kept(&monitor.verdict())?;
     Ok(report)
 }
 
 /// A broken rule fails what was played, with the offending API call's history.
-pub fn kept((broken, count): &(Vec<Broken>, u64)) -> Result<(), Bad> {
-    let Some(Broken { rule, at, what, history }) = broken.first() else { return Ok(()) };
+pub fn kept((broken, count): &(Vec<Violation>, u64)) -> Result<(), Bad> {
+    let Some(Violation { rule, at, what, history }) = broken.first() else { return Ok(()) };
     let at = at.ms();
     Err(Bad(format!("rules broken {count} times, first at {at:.1} ms, {rule:?}: {what}. {history}")))
 }
@@ -76,8 +76,8 @@
     let bad = |what: &dyn std::fmt::Display| Bad(format!("the real node: {what}"));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| bad(&e))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let judge = Judge::start(Span::from_ms(scenario.rules.grace_ms));
-        let stubs = crate::stub::StubServers::new(scenario, judge.clone())?;
+        let monitor = RuleMonitor::start(Span::from_ms(scenario.rules.grace_ms));
+        let stubs = crate::stub::StubServers::new(scenario, monitor.clone())?;
         let known = stubs.clone().listen().await?;
         let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(|e| bad(&e))?;
         listener.set_nonblocking(true).map_err(|e| bad(&e))?;
@@ -90,9 +90,9 @@
         let config = config.map_err(|e| bad(&e))?;
         let again = Rc::new(tokio::sync::Notify::new());
         let node = spawn_local(quartzhub_node::serve(config, Some(listener), std::future::pending(), again));
-        let real = drive(scenario, &[Door::new(0, addr, 256)], &judge).await;
+        let real = drive(scenario, &[Door::new(0, addr, 256)], &monitor).await;
         node.abort();
-        kept(&judge.verdict())?;
+        kept(&monitor.verdict())?;
         let (hits, misses) = (stubs.hits.get() as f64, stubs.misses.get() as f64);
         let real_hits = hits / (hits + misses).max(1.0);
         Ok(Compared { emulated, real, real_hits, real_fetches: stubs.fetches.get() })
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/rule_monitor.rs
@@ -8,10 +8,10 @@
 use quartzhub_policy::{Product, Span, Time};
 use tokio::time::{sleep, Instant};
 
-use crate::rules::{Broken, Deed, Rule, Watch};
+use crate::rules::{CallEvent, Rule, RuleChecker, Violation};
 use crate::server::Falls;
 
-/// How much later than it was done a deed may be seen on a machine that is not late: a pass over all sockets, and
+/// How much later than it was done an event may be seen on a machine that is not late: a pass over all sockets, and
 /// the time for which a node may stand in a queue for a core.
 const SEEN_WITHIN: Span = Span::ms(250);
 /// After its client timeout, when an API call without an answer is taken to have none: as the platform's slack, and
@@ -24,9 +24,9 @@
 /// Between a call's end and the end of interest in it: longer than any attempt for it can be under way.
 const REMEMBERED: Span = Span::ms(20_000);
 
-pub struct Judge {
+pub struct RuleMonitor {
     zero: Instant,
-    watch: RefCell<Watch>,
+    checker: RefCell<RuleChecker>,
     late: Cell<f64>,
     pub latest: Cell<f64>,
     /// Since when a node has known that a server drains or is gone.
@@ -39,12 +39,12 @@
     grace: Span,
 }
 
-impl Judge {
+impl RuleMonitor {
     /// Needs a `LocalSet`.
-    pub fn start(grace: Span) -> Rc<Judge> {
-        let judge = Rc::new(Judge {
+    pub fn start(grace: Span) -> Rc<RuleMonitor> {
+        let monitor = Rc::new(RuleMonitor {
             zero: Instant::now(),
-            watch: RefCell::new(Watch::new(OWED_WITHIN)),
+            checker: RefCell::new(RuleChecker::new(OWED_WITHIN)),
             late: Cell::new(0.0),
             latest: Cell::new(0.0),
             told: RefCell::default(),
@@ -53,7 +53,7 @@
             out: RefCell::default(),
             grace,
         });
-        let looks = judge.clone();
+        let looks = monitor.clone();
         tokio::task::spawn_local(async move {
             loop {
                 let meant = Instant::now() + LOOK;
@@ -61,24 +61,24 @@
                 looks.look(meant.elapsed().as_secs_f64());
             }
         });
-        judge
+        monitor
     }
 
     fn look(&self, late: f64) {
         self.late.set((self.late.get() * FADES).max(late));
         self.latest.set(self.latest.get().max(late));
         let lag = SEEN_WITHIN + Span::from_ms(self.late.get() * 2_000.0);
-        let mut watch = self.watch.borrow_mut();
-        watch.lag = lag;
+        let mut checker = self.checker.borrow_mut();
+        checker.lag = lag;
         let now = self.now();
         let mut due = self.due.borrow_mut();
         while let Some(&(at, call)) = due.first().filter(|due| due.0 <= now - lag) {
             due.pop_first();
             // Once for its answer, once to be forgotten.
-            watch.due(now, call);
-            if watch.ends(call, REMEMBERED).is_some_and(|until| at >= until) {
-                watch.forget(call);
-            } else if let Some(until) = watch.ends(call, REMEMBERED) {
+            checker.due(now, call);
+            if checker.ends(call, REMEMBERED).is_some_and(|until| at >= until) {
+                checker.forget(call);
+            } else if let Some(until) = checker.ends(call, REMEMBERED) {
                 due.insert((until, call));
             }
         }
@@ -94,14 +94,14 @@
 
     /// A node has taken it: its last byte is written to a connection that the node's machine accepted.
     pub fn taken(&self, call: u64, node: usize, product: &Product, until: Time) {
-        let mut watch = self.watch.borrow_mut();
-        if watch.knows(call) {
+        let mut checker = self.checker.borrow_mut();
+        if checker.knows(call) {
             return;
         }
-        watch.taken(self.now(), call, node, *product, until);
+        checker.taken(self.now(), call, node, *product, until);
         // Between a signal and its effect the system still takes calls for the process.
         if self.out.borrow().contains(&node) {
-            watch.lost_with_node(call);
+            checker.lost_with_node(call);
         }
         self.held.borrow_mut().entry(node).or_default().push(call);
         self.due.borrow_mut().insert((until + OWED_WITHIN, call));
@@ -110,36 +110,36 @@
     /// An attempt for it was sent at this time.
     pub fn sent(&self, at: Time, call: u64, node: usize, server: usize) {
         let told = self.told.borrow().get(&(node, server)).copied();
-        self.watch.borrow_mut().sent(at, call, server, told, self.grace);
+        self.checker.borrow_mut().sent(at, call, server, told, self.grace);
     }
 
     pub fn began(&self, call: u64, server: usize, miss: bool) {
-        self.watch.borrow_mut().began(self.now(), call, server, miss);
+        self.checker.borrow_mut().began(self.now(), call, server, miss);
     }
 
-    pub fn answered(&self, call: u64, node: usize, deed: Deed) {
-        self.watch.borrow_mut().answered(self.now(), call, deed);
+    pub fn answered(&self, call: u64, node: usize, event: CallEvent) {
+        self.checker.borrow_mut().answered(self.now(), call, event);
         self.over(call, node);
     }
 
     /// Its client has gone.
     pub fn left(&self, call: u64, node: usize) {
         let now = self.now();
-        self.watch.borrow_mut().due(now, call);
-        self.watch.borrow_mut().left(now, call);
+        self.checker.borrow_mut().due(now, call);
+        self.checker.borrow_mut().left(now, call);
         self.over(call, node);
     }
 
     /// The connection ended with no answer to it.
     pub fn cut(&self, call: u64, node: usize) {
         let now = self.now();
-        let mut watch = self.watch.borrow_mut();
-        if watch.owes(call) {
+        let mut checker = self.checker.borrow_mut();
+        if checker.owes(call) {
             let what = "its connection ended with no answer to it";
-            watch.broke(Rule::OneAnswer, now, what, Some(call));
+            checker.broke(Rule::OneAnswer, now, what, Some(call));
         }
-        watch.lost_with_node(call);
-        drop(watch);
+        checker.lost_with_node(call);
+        drop(checker);
         self.over(call, node);
     }
 
@@ -153,8 +153,8 @@
     pub fn excuse(&self, node: usize) {
         self.out.borrow_mut().insert(node);
         let held = std::mem::take(self.held.borrow_mut().entry(node).or_default());
-        let mut watch = self.watch.borrow_mut();
-        held.into_iter().for_each(|call| watch.lost_with_node(call));
+        let mut checker = self.checker.borrow_mut();
+        held.into_iter().for_each(|call| checker.lost_with_node(call));
     }
 
     /// The process runs again.
@@ -181,17 +181,17 @@
     /// A server was sent more than it stands.
     pub fn fell(&self, server: usize, falls: Falls) {
         if let Some(what) = falls.broken(server) {
-            self.watch.borrow_mut().pushed_over(self.now(), what);
+            self.checker.borrow_mut().pushed_over(self.now(), what);
         }
     }
 
     pub fn platform(&self, what: &str) {
-        self.watch.borrow_mut().broke(Rule::Platform, self.now(), what, None);
+        self.checker.borrow_mut().broke(Rule::Platform, self.now(), what, None);
     }
 
     /// Broken rules, and how many there are in all.
-    pub fn verdict(&self) -> (Vec<Broken>, u64) {
-        let watch = self.watch.borrow();
-        (watch.broken.clone(), watch.count)
+    pub fn verdict(&self) -> (Vec<Violation>, u64) {
+        let checker = self.checker.borrow();
+        (checker.broken.clone(), checker.count)
     }
 }
--- a/crates/lab/src/rules.rs
+++ b/crates/lab/src/rules.rs
@@ -20,7 +20,7 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-pub enum Deed {
+pub enum CallEvent {
     Taken { node: usize },
     Sent { server: usize },
     Began { server: usize },
@@ -32,14 +32,14 @@
 }
 
 #[derive(Debug, Clone)]
-pub struct Broken {
+pub struct Violation {
     pub rule: Rule,
     pub at: Time,
     pub what: String,
     pub history: String,
 }
 
-struct Track {
+struct CallHistory {
     product: Product,
     until: Time,
     answered: Option<Time>,
@@ -48,53 +48,60 @@
     excused: bool,
     /// Where and when its effect was begun.
     ran: Vec<(Time, usize)>,
-    deeds: Vec<(Time, Deed)>,
+    events: Vec<(Time, CallEvent)>,
 }
 
 /// Deeds of one API call that are remembered: far more than any honest one has.
-const MOST_DEEDS: usize = 64;
+const MAX_EVENTS: usize = 64;
 
-pub struct Watch {
-    tracks: FxHashMap<u64, Track>,
-    pub broken: Vec<Broken>,
+pub struct RuleChecker {
+    histories: FxHashMap<u64, CallHistory>,
+    pub broken: Vec<Violation>,
     /// Of each rule, broken ones that are kept whole; more are only counted.
     pub most: usize,
     pub count: u64,
     slack: Span,
-    /// How much later than it was done a deed may be seen here. None in the emulator; on sockets the checks' own
+    /// How much later than it was done a event may be seen here. None in the emulator; on sockets the checks' own
     /// process may have stood still, and what it finds then comes in any order.
     pub lag: Span,
 }
 
-impl Watch {
-    pub fn new(slack: Span) -> Watch {
-        Watch { tracks: FxHashMap::default(), broken: Vec::new(), most: 5, count: 0, slack, lag: Span::ZERO }
+impl RuleChecker {
+    pub fn new(slack: Span) -> RuleChecker {
+        RuleChecker {
+            histories: FxHashMap::default(),
+            broken: Vec::new(),
+            most: 5,
+            count: 0,
+            slack,
+            lag: Span::ZERO,
+        }
     }
 
     pub fn taken(&mut self, now: Time, call: u64, node: usize, product: Product, until: Time) {
-        let deeds = vec![(now, Deed::Taken { node })];
+        let events = vec![(now, CallEvent::Taken { node })];
         let (answered, left, excused) = (None, None, false);
-        let track = Track { product, until, answered, left, excused, ran: Vec::new(), deeds };
-        self.tracks.insert(call, track);
+        let history = CallHistory { product, until, answered, left, excused, ran: Vec::new(), events };
+        self.histories.insert(call, history);
     }
 
     pub fn knows(&self, call: u64) -> bool {
-        self.tracks.contains_key(&call)
+        self.histories.contains_key(&call)
     }
 
-    fn note(&mut self, now: Time, call: u64, deed: Deed) -> Option<&mut Track> {
-        let track = self.tracks.get_mut(&call)?;
-        if track.deeds.len() < MOST_DEEDS {
-            track.deeds.push((now, deed));
+    fn note(&mut self, now: Time, call: u64, event: CallEvent) -> Option<&mut CallHistory> {
+        let history = self.histories.get_mut(&call)?;
+        if history.events.len() < MAX_EVENTS {
+            history.events.push((now, event));
         }
-        Some(track)
+        Some(history)
     }
 
     /// `told`: since when the node has known that the server drains or is gone.
     pub fn sent(&mut self, now: Time, call: u64, server: usize, told: Option<Time>, grace: Span) {
         let lag = self.lag;
-        let Some(track) = self.note(now, call, Deed::Sent { server }) else { return };
-        let over = [track.answered, track.left].into_iter().flatten().min();
+        let Some(history) = self.note(now, call, CallEvent::Sent { server }) else { return };
+        let over = [history.answered, history.left].into_iter().flatten().min();
         if over.is_some_and(|over| now - over > lag || lag == Span::ZERO) {
             self.broke(
                 Rule::OneAnswer,
@@ -116,16 +123,16 @@
     /// A server has begun the effect, or found out that it can't.
     pub fn began(&mut self, now: Time, call: u64, server: usize, miss: bool) {
         let lag = self.lag;
-        let deed = if miss { Deed::Missed { server } } else { Deed::Began { server } };
-        let Some(track) = self.note(now, call, deed) else { return };
+        let event = if miss { CallEvent::Missed { server } } else { CallEvent::Began { server } };
+        let Some(history) = self.note(now, call, event) else { return };
         if miss {
             return;
         }
-        let first = track.ran.first().copied();
-        track.ran.push((now, server));
-        let twice = first.is_some_and(|(at, _)| match track.product.effect {
+        let first = history.ran.first().copied();
+        history.ran.push((now, server));
+        let twice = first.is_some_and(|(at, _)| match history.product.effect {
             Effect::Idempotent => false,
-            Effect::Deduplicated => now - at > track.product.window + lag,
+            Effect::Deduplicated => now - at > history.product.window + lag,
             Effect::NonIdempotent => true,
         });
         if twice {
@@ -133,16 +140,16 @@
         }
     }
 
-    pub fn answered(&mut self, now: Time, call: u64, deed: Deed) {
+    pub fn answered(&mut self, now: Time, call: u64, event: CallEvent) {
         let bears = if self.lag == Span::ZERO { Span::ZERO } else { self.lag.max(self.slack) };
-        let Some(track) = self.note(now, call, deed) else { return };
-        let again = track.answered.is_some();
-        let late = now > track.until + bears && !track.excused;
-        track.answered = track.answered.or(Some(now));
+        let Some(history) = self.note(now, call, event) else { return };
+        let again = history.answered.is_some();
+        let late = now > history.until + bears && !history.excused;
+        history.answered = history.answered.or(Some(now));
         // A rate-limit reply says that trying again does no harm.
-        let harm = matches!(deed, Deed::RateLimited)
-            && !track.ran.is_empty()
-            && track.product.effect == Effect::NonIdempotent;
+        let harm = matches!(event, CallEvent::RateLimited)
+            && !history.ran.is_empty()
+            && history.product.effect == Effect::NonIdempotent;
         if again {
             self.broke(Rule::OneAnswer, now, "a second final answer", Some(call));
         } else if late {
@@ -154,44 +161,45 @@
     }
 
     pub fn left(&mut self, now: Time, call: u64) {
-        if let Some(track) = self.note(now, call, Deed::Left) {
-            track.left = Some(now);
+        if let Some(history) = self.note(now, call, CallEvent::Left) {
+            history.left = Some(now);
         }
     }
 
     /// The node that had it is no more: nothing is owed.
     pub fn lost_with_node(&mut self, call: u64) {
-        if let Some(track) = self.tracks.get_mut(&call) {
-            track.excused = true;
+        if let Some(history) = self.histories.get_mut(&call) {
+            history.excused = true;
         }
     }
 
     /// Its client timeout is over.
     pub fn due(&mut self, now: Time, call: u64) {
-        let over = |track: &Track| now >= track.until + self.slack;
-        if self.owes(call) && self.tracks.get(&call).is_some_and(over) {
+        let over = |history: &CallHistory| now >= history.until + self.slack;
+        if self.owes(call) && self.histories.get(&call).is_some_and(over) {
             self.broke(Rule::OneAnswer, now, "no final answer before the client timeout", Some(call));
         }
     }
 
     /// An answer is still owed.
     pub fn owes(&self, call: u64) -> bool {
-        let open = |track: &Track| track.answered.is_none() && track.left.is_none() && !track.excused;
-        self.tracks.get(&call).is_some_and(open)
+        let open =
+            |history: &CallHistory| history.answered.is_none() && history.left.is_none() && !history.excused;
+        self.histories.get(&call).is_some_and(open)
     }
 
     /// When it may be forgotten, so long after its client timeout.
     pub fn ends(&self, call: u64, after: Span) -> Option<Time> {
-        self.tracks.get(&call).map(|track| track.until + after)
+        self.histories.get(&call).map(|history| history.until + after)
     }
 
     /// Nothing more can happen to it.
     pub fn forget(&mut self, call: u64) {
-        self.tracks.remove(&call);
+        self.histories.remove(&call);
     }
 
     pub fn open(&self) -> usize {
-        self.tracks.len()
+        self.histories.len()
     }
 
     pub fn pushed_over(&mut self, now: Time, what: String) {
@@ -204,14 +212,14 @@
             return;
         }
         let history = call.map(|call| self.history(call)).unwrap_or_default();
-        self.broken.push(Broken { rule, at, what: what.to_owned(), history });
+        self.broken.push(Violation { rule, at, what: what.to_owned(), history });
     }
 
     fn history(&self, call: u64) -> String {
-        let Some(track) = self.tracks.get(&call) else { return String::new() };
-        let mut out = format!("API call {call}, {:?}:", track.product.effect);
-        for (at, deed) in &track.deeds {
-            let _ = write!(out, " {:.3} {deed:?};", at.ms());
+        let Some(history) = self.histories.get(&call) else { return String::new() };
+        let mut out = format!("API call {call}, {:?}:", history.product.effect);
+        for (at, event) in &history.events {
+            let _ = write!(out, " {:.3} {event:?};", at.ms());
         }
         out
     }
--- a/crates/lab/src/stats.rs
+++ b/crates/lab/src/stats.rs
@@ -3,7 +3,7 @@
 use quartzhub_policy::{Span, Time};
 
 use crate::metric::{Metric, HEADINGS, METRICS};
-use crate::rules::Broken;
+use crate::rules::Violation;
 use crate::scenario::Scenario;
 
 /// Longest latency told: an hour.
@@ -94,7 +94,7 @@
     pub metrics: Vec<[u64; METRICS]>,
     pub origin_fell: u64,
     pub caches_fell: u64,
-    pub broken: Vec<Broken>,
+    pub broken: Vec<Violation>,
     pub broken_count: u64,
     /// API calls of clients without an end when the run ended, and those begun in all: nothing may be missing.
     pub open: u64,
--- a/crates/lab/src/stub.rs
+++ b/crates/lab/src/stub.rs
@@ -1,5 +1,5 @@
 //! Stub servers for caches and the origin on loopback, as a scenario describes them: cores, work, memory, and its faults.
-//! They end with the task set that they run in. What they are sent and what they begin is told to the judge.
+//! They end with the task set that they run in. What they are sent and what they begin is told to the monitor.
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io;
@@ -18,7 +18,7 @@
 use tokio::time::sleep;
 
 use crate::clients::number;
-use crate::judge::Judge;
+use crate::rule_monitor::RuleMonitor;
 use crate::scenario::{Bad, Kind, Law, Scenario};
 use crate::server::{Falls, Health, Server, Work, FALLEN};
 
@@ -60,7 +60,7 @@
     products: Vec<Product>,
     /// The caches, and the origin behind them.
     servers: Vec<StubServer>,
-    pub judge: Rc<Judge>,
+    pub monitor: Rc<RuleMonitor>,
     /// Which caches missed for an API call, by its id, and whether they were cold: they are given the value.
     missed: RefCell<HashMap<String, Vec<(usize, bool)>>>,
     /// Deduplicated calls that have run, by their marks.
@@ -117,7 +117,7 @@
 }
 
 impl StubServers {
-    pub fn new(scenario: &Scenario, judge: Rc<Judge>) -> Result<Rc<StubServers>, Bad> {
+    pub fn new(scenario: &Scenario, monitor: Rc<RuleMonitor>) -> Result<Rc<StubServers>, Bad> {
         let mut chance = Pcg::new(scenario.seed);
         let [from, to] = scenario.caches.speed;
         let servers = (0..=scenario.caches.count).map(|i| {
@@ -135,7 +135,7 @@
             scenario: scenario.clone(),
             products: scenario.settings(0).products(),
             servers,
-            judge,
+            monitor,
             missed: RefCell::default(),
             marks: RefCell::default(),
             chance: RefCell::new(chance),
@@ -250,7 +250,7 @@
             ListedState::InService => unix.as_millis() as u64,
             _ => 0,
         };
-        let at = self.judge.now();
+        let at = self.monitor.now();
         self.changes.borrow_mut().push(Change { server, state, started_ms, at });
         self.changed.notify_waiters();
     }
@@ -264,7 +264,7 @@
 
     fn back(&self, server: usize) {
         let it = &self.servers[server];
-        it.model.borrow_mut().restart(self.judge.now());
+        it.model.borrow_mut().restart(self.monitor.now());
         it.up.send_replace(true);
     }
 
@@ -272,7 +272,7 @@
     async fn work(&self, server: usize, takes: Span) {
         let it = &self.servers[server];
         let Ok(_core) = it.cores.acquire().await else { return };
-        let takes = it.model.borrow().takes(takes, self.judge.now());
+        let takes = it.model.borrow().takes(takes, self.monitor.now());
         sleep(Duration::from_micros(takes.0.clamp(0, 60_000_000) as u64)).await;
     }
 
@@ -292,11 +292,12 @@
 
     /// Work comes in; one that is sent too much falls, and is away for a while.
     fn takes_in(self: &Rc<StubServers>, server: usize, work: Work) -> bool {
-        let falls = self.servers[server].model.borrow_mut().takes_in(self.judge.now(), work, &self.scenario);
+        let falls =
+            self.servers[server].model.borrow_mut().takes_in(self.monitor.now(), work, &self.scenario);
         if falls == Falls::No {
             return true;
         }
-        self.judge.fell(server, falls);
+        self.monitor.fell(server, falls);
         self.fell.set(self.fell.get() + 1);
         self.down(server);
         let stubs = self.clone();
@@ -326,7 +327,7 @@
             return false;
         }
         let Some(mark) = facts.split(',').find_map(|fact| fact.strip_prefix("k=")) else { return false };
-        let (now, window) = (self.judge.now(), self.products[product].window);
+        let (now, window) = (self.monitor.now(), self.products[product].window);
         let mut marks = self.marks.borrow_mut();
         while marks.front().is_some_and(|first| now - first.0 > window) || marks.len() > REMEMBERED {
             marks.pop_front();
@@ -358,12 +359,12 @@
         }
     }
 
-    /// The API call's number and when the attempt for it was sent, as the judge wants them.
+    /// The API call's number and when the attempt for it was sent, as the monitor wants them.
     fn sent<S>(&self, server: usize, line: &NodeConnection<S>, id: &str, place: u64) -> Option<u64> {
         let number = number(id)?;
         let at = line.send_times.as_ref().and_then(|send_times| send_times.at(place));
-        let at = at.unwrap_or(self.judge.now());
-        self.judge.sent(at, number, line.node, server);
+        let at = at.unwrap_or(self.monitor.now());
+        self.monitor.sent(at, number, line.node, server);
         self.last_attempt.borrow_mut()[server] = at;
         Some(number)
     }
@@ -403,11 +404,11 @@
             }
             let (found, cold) = {
                 let mut model = it.model.borrow_mut();
-                (model.kept.get(key), model.is_cold(self.judge.now()))
+                (model.kept.get(key), model.is_cold(self.monitor.now()))
             };
             let part = if found { 1.0 } else { self.scenario.caches.miss_part };
             if let Some(call) = call {
-                self.judge.began(call, server, !found);
+                self.monitor.began(call, server, !found);
             }
             self.work(server, takes.times(part)).await;
             let count = if found { &self.hits } else { &self.misses };
@@ -448,7 +449,7 @@
             self.fetches.set(self.fetches.get() + 1);
             {
                 let (second, mut by) =
-                    (self.judge.now().0 as usize / 1_000_000, self.origin_by_second.borrow_mut());
+                    (self.monitor.now().0 as usize / 1_000_000, self.origin_by_second.borrow_mut());
                 let len = by.len().max(second + 1);
                 by.resize(len, 0);
                 by[second] += 1;
@@ -460,7 +461,7 @@
                 return Ok(());
             }
             if let Some(call) = call.filter(|_| !self.is_repeat(self.product(&facts), &facts)) {
-                self.judge.began(call, server, false);
+                self.monitor.began(call, server, false);
             }
             self.work(server, takes).await;
             match write {
--- a/crates/lab/src/world/asking.rs
+++ b/crates/lab/src/world/asking.rs
@@ -62,7 +62,7 @@
         if let Some(client) = self.sim.clients.get_mut(&id) {
             client.call = Some(call);
         }
-        self.sim.watch.taken(now, call, node, rules, until + Span::ms(3));
+        self.sim.checker.taken(now, call, node, rules, until + Span::ms(3));
         self.sim.at(until + Span::ms(3) + SLACK, Event::CallDue { call });
         let open = Open {
             call,
@@ -97,7 +97,7 @@
         if let Some(call) = call {
             // One that stayed to its client timeout was owed an answer.
             if early {
-                self.sim.watch.left(self.sim.now, call);
+                self.sim.checker.left(self.sim.now, call);
             }
             let node_state = &mut self.nodes[node].node_state;
             if let Some(&ix) = node_state.indices.get(&call).filter(|_| node_state.up) {
--- a/crates/lab/src/world/effects.rs
+++ b/crates/lab/src/world/effects.rs
@@ -28,7 +28,7 @@
             return sim.after(Span::ZERO, Event::Reply { node, epoch, call, attempt, server, outcome });
         };
         (attempt.written, attempt.life) = (true, life);
-        sim.watch.sent(now, job.call, server, node_state.told[server].1, sim.scenario.grace());
+        sim.checker.sent(now, job.call, server, node_state.told[server].1, sim.scenario.grace());
         sim.report.attempts += 1;
         if server == sim.origin() {
             sim.report.fetches += 1;
@@ -40,9 +40,9 @@
         sim.after(delay, Event::AtServer { job, server, life, fresh });
     }
 
-    pub(super) fn answer(&mut self, ix: CallIx, end: End, deed: Deed, wait: Option<Span>) {
+    pub(super) fn answer(&mut self, ix: CallIx, end: End, event: CallEvent, wait: Option<Span>) {
         let Some(open) = self.node_state.calls.get_mut(ix) else { return };
-        self.sim.watch.answered(self.sim.now, open.call, deed);
+        self.sim.checker.answered(self.sim.now, open.call, event);
         self.sim.report.mark(self.sim.now, open.call ^ end as u64);
         if std::mem::replace(&mut open.answered, true) {
             return;
@@ -112,11 +112,11 @@
     }
 
     fn rate_limit(&mut self, call: CallIx, retry_in: Option<Span>) {
-        self.answer(call, End::RateLimited, Deed::RateLimited, retry_in);
+        self.answer(call, End::RateLimited, CallEvent::RateLimited, retry_in);
     }
 
     fn error(&mut self, call: CallIx) {
-        self.answer(call, End::Errored, Deed::Errored, None);
+        self.answer(call, End::Errored, CallEvent::Errored, None);
     }
 
     fn forget(&mut self, call: CallIx) {
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::metric::Metric;
 use crate::routers::{BoundedHash, LeastInFlight, Plain, Random, Router, TwoChoices};
-use crate::rules::{Deed, Watch};
+use crate::rules::{CallEvent, RuleChecker};
 use crate::scenario::{Bad, Kind, Law, Scenario};
 use crate::server::{Falls, Health, Job, Server, Work, FALLEN};
 use crate::stats::{End, Ended, Report};
@@ -111,7 +111,7 @@
             network: 1.0,
             next: 0,
             fresh_keys: 0,
-            watch: Watch::new(SLACK),
+            checker: RuleChecker::new(SLACK),
             report: Report::new(scenario),
         };
         let mut world = World { sim, nodes: Vec::new(), make, places: Places::new(&settings), names };
@@ -137,14 +137,14 @@
         // After the end nothing new comes, and what is open has its time.
         let last = self.sim.end + Span::ms(120_000);
         while let Some(Reverse(Due(at, _, event))) = self.sim.due.pop() {
-            if at > last || at > self.sim.end && self.sim.clients.is_empty() && self.sim.watch.open() == 0 {
+            if at > last || at > self.sim.end && self.sim.clients.is_empty() && self.sim.checker.open() == 0 {
                 break;
             }
             self.sim.now = at;
             self.event(event);
         }
-        let Simulation { mut report, watch, clients, .. } = self.sim;
-        (report.broken, report.broken_count) = (watch.broken, watch.count);
+        let Simulation { mut report, checker, clients, .. } = self.sim;
+        (report.broken, report.broken_count) = (checker.broken, checker.count);
         report.open = clients.len() as u64;
         report
     }
@@ -200,10 +200,10 @@
                 }
             }
             Event::CallDue { call } => {
-                self.sim.watch.due(now, call);
+                self.sim.checker.due(now, call);
                 self.sim.after(REMEMBERED, Event::Forgotten { call });
             }
-            Event::Forgotten { call } => self.sim.watch.forget(call),
+            Event::Forgotten { call } => self.sim.checker.forget(call),
             Event::Tick { node, epoch } => {
                 if self.nodes[node].node_state.up
                     && self.nodes[node].node_state.epoch == epoch
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -65,7 +65,7 @@
         (node_state.up, node_state.epoch) = (false, node_state.epoch + 1);
         let open: Vec<_> = node_state.indices.iter().map(|(call, ix)| (*call, *ix)).collect();
         for (call, ix) in open {
-            self.sim.watch.lost_with_node(call);
+            self.sim.checker.lost_with_node(call);
             let Some(open) = self.nodes[node].node_state.calls.get(ix) else { continue };
             let (client, try_number, answered) = (open.client, open.try_number, open.answered);
             let attempts: Vec<_> = open.attempts.iter().filter(|attempt| attempt.out).copied().collect();
--- a/crates/lab/src/world/records.rs
+++ b/crates/lab/src/world/records.rs
@@ -85,6 +85,6 @@
     pub(super) network: f64,
     pub(super) next: u64,
     pub(super) fresh_keys: u64,
-    pub(super) watch: Watch,
+    pub(super) checker: RuleChecker,
     pub(super) report: Report,
 }
--- a/crates/lab/src/world/serving.rs
+++ b/crates/lab/src/world/serving.rs
@@ -114,7 +114,9 @@
         }
         let late = now >= open.until;
         if outcome == Outcome::Fulfilled && !open.answered && !late {
-            self.with_router(node, |_, effects, _| effects.answer(ix, End::Fulfilled, Deed::Fulfilled, None));
+            self.with_router(node, |_, effects, _| {
+                effects.answer(ix, End::Fulfilled, CallEvent::Fulfilled, None)
+            });
         }
         let call_ended = self.nodes[node].node_state.calls.get(ix).is_none_or(|open| open.answered);
         let ending = Ending { attempt, outcome, took: now - sent, call_ended };
--- a/crates/lab/src/world/simulation.rs
+++ b/crates/lab/src/world/simulation.rs
@@ -106,7 +106,7 @@
             it.busy = it.busy + takes;
             it.running.push(job);
             let life = it.life;
-            self.watch.began(now, job.call, server, miss);
+            self.checker.began(now, job.call, server, miss);
             self.after(takes, Event::Done { job, server, life, miss });
         }
     }
@@ -123,7 +123,7 @@
             Falls::Cold => self.report.caches_fell += 1,
         }
         if let Some(what) = falls.broken(server) {
-            self.watch.pushed_over(now, what);
+            self.checker.pushed_over(now, what);
         }
         self.down(server);
         self.after(FALLEN, Event::Back { server });
