Call what the laboratory's clients use endpoints, requests and a pool

Need: `Door`, `Crowd`, `Asked` and `Kept` are metaphors or need explaining.

Change: In `clients.rs` they are `NodeEndpoint`, `ClientPool`, `Request` and `IdleConnection`.

--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -27,13 +27,13 @@
 type Stream = BufReader<TcpStream>;
 
 /// A node as clients see it: an address, connections kept to it, and whether the front sends anybody there.
-pub struct Door {
+pub struct NodeEndpoint {
     pub node: usize,
     pub addr: Cell<SocketAddr>,
     pub open: Cell<bool>,
     /// Grows whenever another process, or none, serves there.
     pub life: Cell<u64>,
-    idle: RefCell<Vec<Kept>>,
+    idle: RefCell<Vec<IdleConnection>>,
     places: Semaphore,
     /// Connections that had ended when a client wrote on them: it asked once more on a new one.
     pub crossed: Cell<u64>,
@@ -41,25 +41,25 @@
     pub ended_idle: Cell<u64>,
 }
 
-struct Kept {
+struct IdleConnection {
     stream: Stream,
     life: u64,
     /// The API call that was answered on it last.
     last: u64,
 }
 
-impl Door {
-    pub fn new(node: usize, addr: SocketAddr, connections: usize) -> Rc<Door> {
+impl NodeEndpoint {
+    pub fn new(node: usize, addr: SocketAddr, connections: usize) -> Rc<NodeEndpoint> {
         let (open, life) = (Cell::new(true), Cell::new(0));
         let (crossed, ended_idle) = (Cell::new(0), Cell::new(0));
         let (addr, idle, places) = (Cell::new(addr), RefCell::default(), Semaphore::new(connections));
-        Rc::new(Door { node, addr, open, life, idle, places, crossed, ended_idle })
+        Rc::new(NodeEndpoint { node, addr, open, life, idle, places, crossed, ended_idle })
     }
 
     /// A connection that stands and still belongs to this process. What has come on one meanwhile is an answer that
     /// nobody asked for.
     fn kept(&self, monitor: &RuleMonitor) -> Option<Stream> {
-        while let Some(Kept { stream, life, last }) = self.idle.borrow_mut().pop() {
+        while let Some(IdleConnection { stream, life, last }) = self.idle.borrow_mut().pop() {
             if life != self.life.get() {
                 continue;
             }
@@ -75,7 +75,7 @@
 
     /// One try. The protocol has a client ask once more where its connection had stood idle and ended under its
     /// call; where another process serves by now, it does not.
-    async fn ask(&self, monitor: &RuleMonitor, call: &Asked<'_>) -> (End, Option<Duration>) {
+    async fn ask(&self, monitor: &RuleMonitor, call: &Request<'_>) -> (End, Option<Duration>) {
         let Ok(_place) = self.places.acquire().await else { return (End::NeverTaken, None) };
         let life = self.life.get();
         for again in [false, true] {
@@ -116,7 +116,7 @@
             if !stream.buffer().is_empty() {
                 monitor.answered(call.number, self.node, CallEvent::Errored);
             } else {
-                self.idle.borrow_mut().push(Kept { stream, life, last: call.number });
+                self.idle.borrow_mut().push(IdleConnection { stream, life, last: call.number });
             }
             return (end, wait);
         }
@@ -124,7 +124,7 @@
     }
 }
 
-struct Asked<'a> {
+struct Request<'a> {
     number: u64,
     key: u64,
     product: &'a Product,
@@ -134,7 +134,7 @@
     gives_up: Instant,
 }
 
-impl Asked<'_> {
+impl Request<'_> {
     fn bytes(&self) -> Vec<u8> {
         let left = self.gives_up.saturating_duration_since(Instant::now()).as_millis().max(1);
         let (key, id) = (format!("{:x}", self.key), id(self.number));
@@ -179,22 +179,22 @@
 }
 
 /// What all clients of one run share.
-struct Crowd {
+struct ClientPool {
     scenario: Scenario,
     rules: Vec<Rules>,
-    doors: Vec<Rc<Door>>,
+    endpoints: Vec<Rc<NodeEndpoint>>,
     monitor: Rc<RuleMonitor>,
     report: RefCell<Report>,
     chance: RefCell<Pcg>,
     tries: Cell<u64>,
 }
 
-/// Asks the nodes behind the doors as the scenario's clients would. Needs a `LocalSet`.
-pub async fn drive(scenario: &Scenario, doors: &[Rc<Door>], monitor: &Rc<RuleMonitor>) -> Report {
-    let crowd = Rc::new(Crowd {
+/// Asks the nodes behind the endpoints as the scenario's clients would. Needs a `LocalSet`.
+pub async fn drive(scenario: &Scenario, endpoints: &[Rc<NodeEndpoint>], monitor: &Rc<RuleMonitor>) -> Report {
+    let pool = Rc::new(ClientPool {
         scenario: scenario.clone(),
         rules: scenario.settings(0).products(),
-        doors: doors.to_vec(),
+        endpoints: endpoints.to_vec(),
         monitor: monitor.clone(),
         report: RefCell::new(Report::new(scenario)),
         chance: RefCell::new(Pcg::new(scenario.seed)),
@@ -231,22 +231,22 @@
         let meant = begun + Duration::from_secs_f64(at);
         sleep_until(meant).await;
         while tasks.try_join_next().is_some() {}
-        let crowd = crowd.clone();
-        tasks.spawn_local(async move { crowd.call(at, meant, product.unwrap_or(0), key).await });
+        let pool = pool.clone();
+        tasks.spawn_local(async move { pool.call(at, meant, product.unwrap_or(0), key).await });
     }
     while tasks.join_next().await.is_some() {}
-    let tries = crowd.tries.get();
-    let mut report = crowd.report.replace(Report::new(scenario));
+    let tries = pool.tries.get();
+    let mut report = pool.report.replace(Report::new(scenario));
     report.tries = tries;
-    report.ended_idle = doors.iter().map(|door| door.ended_idle.get()).sum();
-    report.crossed = doors.iter().map(|door| door.crossed.get()).sum();
+    report.ended_idle = endpoints.iter().map(|endpoint| endpoint.ended_idle.get()).sum();
+    report.crossed = endpoints.iter().map(|endpoint| endpoint.crossed.get()).sum();
     report
 }
 
-impl Crowd {
-    /// The door to which the front sends this try.
-    fn door(&self) -> Option<&Rc<Door>> {
-        let open: Vec<_> = self.doors.iter().filter(|door| door.open.get()).collect();
+impl ClientPool {
+    /// The endpoint to which the front sends this try.
+    fn endpoint(&self) -> Option<&Rc<NodeEndpoint>> {
+        let open: Vec<_> = self.endpoints.iter().filter(|endpoint| endpoint.open.get()).collect();
         let draw = self.chance.borrow_mut().unit();
         open.get((draw * open.len() as f64) as usize).copied()
     }
@@ -267,16 +267,16 @@
             let gives_up = begins + Duration::from_secs_f64(product.timeout_ms / 1000.0 * part);
             let until = self.monitor.at(gives_up);
             let rules = &self.rules[ix];
-            let asked = Asked { number, key, product, rules, repeat: try_number > 0, until, gives_up };
+            let asked = Request { number, key, product, rules, repeat: try_number > 0, until, gives_up };
             let wait;
-            (end, wait) = match self.door() {
-                Some(door) => {
+            (end, wait) = match self.endpoint() {
+                Some(endpoint) => {
                     let listens = if part >= 1.0 { gives_up + LISTENS_ON } else { gives_up };
-                    let told = timeout_at(listens, door.ask(&self.monitor, &asked)).await;
+                    let told = timeout_at(listens, endpoint.ask(&self.monitor, &asked)).await;
                     let (end, wait) = told.unwrap_or((End::GaveUp, None));
                     match end {
-                        End::GaveUp => self.monitor.left(number, door.node),
-                        End::Closed => self.monitor.cut(number, door.node),
+                        End::GaveUp => self.monitor.left(number, endpoint.node),
+                        End::Closed => self.monitor.cut(number, endpoint.node),
                         _ => {}
                     }
                     // What comes later than its client waits is worth as much as nothing.
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 
 use super::event_log::EventLog;
-use crate::clients::Door;
+use crate::clients::NodeEndpoint;
 use crate::rule_monitor::RuleMonitor;
 
 /// What is started for a node, and what is put before it so that it ends with this process.
@@ -50,7 +50,7 @@
     pub programs: Programs,
     pub monitor: Rc<RuleMonitor>,
     pub event_log: Rc<EventLog>,
-    pub door: Rc<Door>,
+    pub endpoint: Rc<NodeEndpoint>,
     pub front_late: Duration,
     pub state: Cell<State>,
     pub pid: Cell<Option<Pid>>,
@@ -110,7 +110,7 @@
         spawn_local(async move {
             let status = child.wait().await;
             process.pid.set(None);
-            process.door.life.set(process.door.life.get() + 1);
+            process.endpoint.life.set(process.endpoint.life.get() + 1);
             let status = status.map_or_else(|e| e.to_string(), |status| status.to_string());
             process.record(format!("process ended: {status}"));
             if !process.ending.get() {
@@ -132,7 +132,7 @@
             sleep(after).await;
             let state = process.state.get();
             if up == matches!(state, State::Up | State::Paused) {
-                process.door.open.set(up);
+                process.endpoint.open.set(up);
             }
         });
     }
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -26,7 +26,7 @@
 use super::plan::{Endpoint, Plan};
 use super::process::{NodeProcess, Programs, State};
 use super::proxy::{Connection, Proxy};
-use crate::clients::{drive, Door as ClientsDoor};
+use crate::clients::{drive, NodeEndpoint};
 use crate::rule_monitor::RuleMonitor;
 use crate::scenario::Bad;
 use crate::stub::{NodeConnection, StubServers};
@@ -91,8 +91,8 @@
         for fault in 0..rig.plan.faults.len() {
             spawn_local(rig.clone().fault(fault, begun));
         }
-        let doors: Vec<_> = rig.processes.iter().map(|process| process.door.clone()).collect();
-        let report = drive(&rig.plan.scenario, &doors, &rig.monitor).await;
+        let endpoints: Vec<_> = rig.processes.iter().map(|process| process.endpoint.clone()).collect();
+        let report = drive(&rig.plan.scenario, &endpoints, &rig.monitor).await;
         sleep(STILL_ON_ITS_WAY).await;
         let views = rig.views().await;
         let outcome = rig.outcome(report, &views);
@@ -119,8 +119,8 @@
             let config = folder.join(format!("node-{node}.json"));
             let text = configuration(plan, block, node, known).to_string();
             std::fs::write(&config, text).map_err(in_io(&config.display().to_string()))?;
-            let door = ClientsDoor::new(node, block.clients(node), CONNECTIONS);
-            door.open.set(false);
+            let endpoint = NodeEndpoint::new(node, block.clients(node), CONNECTIONS);
+            endpoint.open.set(false);
             let process = NodeProcess {
                 node,
                 name: format!("node-{node}"),
@@ -129,7 +129,7 @@
                 programs: programs.clone(),
                 monitor: monitor.clone(),
                 event_log: event_log.clone(),
-                door,
+                endpoint,
                 front_late: Duration::from_secs_f64(plan.front_late_ms / 1000.0),
                 state: Cell::new(State::Down),
                 pid: Default::default(),
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -5,7 +5,7 @@
 use quartzhub_policy::Span;
 use tokio::task::spawn_local;
 
-use crate::clients::{drive, Door};
+use crate::clients::{drive, NodeEndpoint};
 use crate::rule_monitor::RuleMonitor;
 use crate::rules::Violation;
 use crate::scenario::{Bad, Scenario};
@@ -44,8 +44,8 @@
 pub async fn load(scenario: &Scenario, node: SocketAddr, connections: usize) -> Result<Report, Bad> {
     check(scenario, node, connections)?;
     let monitor = RuleMonitor::start(scenario.grace());
-    let door = Door::new(0, node, connections);
-    let report = drive(scenario, std::slice::from_ref(&door), &monitor).await;
+    let endpoint = NodeEndpoint::new(0, node, connections);
+    let report = drive(scenario, std::slice::from_ref(&endpoint), &monitor).await;
     kept(&monitor.verdict())?;
     Ok(report)
 }
@@ -90,7 +90,7 @@
         let config = config.map_err(|e| bad(&e))?;
         let again = Rc::new(tokio::sync::Notify::new());
         let node = spawn_local(quartzhub_node::serve(config, Some(listener), std::future::pending(), again));
-        let real = drive(scenario, &[Door::new(0, addr, 256)], &monitor).await;
+        let real = drive(scenario, &[NodeEndpoint::new(0, addr, 256)], &monitor).await;
         node.abort();
         kept(&monitor.verdict())?;
         let (hits, misses) = (stubs.hits.get() as f64, stubs.misses.get() as f64);
