--- a/crates/lab/src/fleet/addresses.rs
+++ b/crates/lab/src/fleet/addresses.rs
@@ -1,7 +1,7 @@
 //! Loopback addresses of one run: a block for each run, and in it one address for each socket of the fleet.
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 
-use crate::scenario::Bad;
+use crate::scenario::LabError;
 
 /// Ports of a node's own address.
 const CLIENTS: u16 = 7000;
@@ -32,25 +32,25 @@
 
 impl AddressBlock {
     /// The block named, such as "127.90.0", or any free one.
-    pub fn claim(named: Option<&str>) -> Result<AddressBlock, Bad> {
+    pub fn claim(named: Option<&str>) -> Result<AddressBlock, LabError> {
         match named {
             Some(named) => AddressBlock::claim_named(named),
             None => AddressBlock::claim_free(),
         }
     }
 
-    fn claim_named(named: &str) -> Result<AddressBlock, Bad> {
+    fn claim_named(named: &str) -> Result<AddressBlock, LabError> {
         let parts: Vec<Option<u8>> = named.split('.').map(|part| part.parse().ok()).collect();
         let [Some(127), Some(second), Some(third @ ..=LAST_START)] = parts[..] else {
-            return Err(Bad(format!("block: {named:?} is no block such as \"127.90.0\"")));
+            return Err(LabError(format!("block: {named:?} is no block such as \"127.90.0\"")));
         };
         let (last, port) = CLAIM;
-        let taken = |e| Bad(format!("block: {named}.{last}:{port}: {e}"));
+        let taken = |e| LabError(format!("block: {named}.{last}:{port}: {e}"));
         AddressBlock::bind(second, third).map_err(taken)
     }
 
     /// Guards against two processes that search at the same time: each begins at a place of its own.
-    fn claim_free() -> Result<AddressBlock, Bad> {
+    fn claim_free() -> Result<AddressBlock, LabError> {
         let first = std::process::id() as usize;
         let mut numbers = (0..SECONDS * STARTS).map(|i| (first * 7 + i) % (SECONDS * STARTS));
         let found = numbers.find_map(|number| {
@@ -58,7 +58,7 @@
             let third = (number % STARTS) as u8 * BLOCK_SIZE;
             AddressBlock::bind(second, third).ok()
         });
-        found.ok_or_else(|| Bad("no free block of loopback addresses".to_owned()))
+        found.ok_or_else(|| LabError("no free block of loopback addresses".to_owned()))
     }
 
     fn bind(second: u8, third: u8) -> std::io::Result<AddressBlock> {
--- a/crates/lab/src/fleet/event_log.rs
+++ b/crates/lab/src/fleet/event_log.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 use crate::rule_monitor::RuleMonitor;
-use crate::scenario::Bad;
+use crate::scenario::LabError;
 
 #[derive(Debug, Clone, Serialize)]
 pub struct Event {
@@ -94,8 +94,8 @@
 }
 
 /// Service by the second above, the times of faults below.
-pub fn draw(file: &Path, title: &str, service: &[f64], faults: &[FaultPeriod]) -> Result<(), Bad> {
-    let bad = |e: &dyn std::fmt::Display| Bad(format!("{}: {e}", file.display()));
+pub fn draw(file: &Path, title: &str, service: &[f64], faults: &[FaultPeriod]) -> Result<(), LabError> {
+    let bad = |e: &dyn std::fmt::Display| LabError(format!("{}: {e}", file.display()));
     let (height, seconds) = (260 + 26 * faults.len() as u32, service.len().max(1) as f64);
     let area = SVGBackend::new(file, (900, height)).into_drawing_area();
     let drawn = || -> Result<(), Box<dyn std::error::Error + '_>> {
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
-use crate::scenario::Bad;
+use crate::scenario::LabError;
 
 mod addresses;
 mod configuration;
@@ -31,7 +31,7 @@
 use rig::Rig;
 
 /// Plays a plan; logs and configurations stay in the folder if one is given.
-pub fn play(plan: &Plan, programs: &Programs, out: Option<&Path>) -> Result<Outcome, Bad> {
+pub fn play(plan: &Plan, programs: &Programs, out: Option<&Path>) -> Result<Outcome, LabError> {
     check_built(programs)?;
     let block = AddressBlock::claim(plan.block.as_deref())?;
     check_free(plan, &block)?;
@@ -48,15 +48,15 @@
     played
 }
 
-fn check_built(programs: &Programs) -> Result<(), Bad> {
+fn check_built(programs: &Programs) -> Result<(), LabError> {
     match [&programs.node, &programs.lab].into_iter().find(|program| !program.is_file()) {
-        Some(missing) => Err(Bad(format!("{}: not built", missing.display()))),
+        Some(missing) => Err(LabError(format!("{}: not built", missing.display()))),
         None => Ok(()),
     }
 }
 
 /// Each address that a process is to listen on can be had.
-fn check_free(plan: &Plan, block: &AddressBlock) -> Result<(), Bad> {
+fn check_free(plan: &Plan, block: &AddressBlock) -> Result<(), LabError> {
     for node in 0..plan.scenario.nodes {
         for addr in [block.clients(node), block.ops(node)] {
             TcpListener::bind(addr).map_err(in_io(&addr.to_string()))?;
@@ -70,7 +70,7 @@
 }
 
 /// Says what an input or output error befell.
-fn in_io(what: &str) -> impl FnOnce(std::io::Error) -> Bad {
+fn in_io(what: &str) -> impl FnOnce(std::io::Error) -> LabError {
     let what = what.to_owned();
-    move |e| Bad(format!("{what}: {e}"))
+    move |e| LabError(format!("{what}: {e}"))
 }
--- a/crates/lab/src/fleet/outcome.rs
+++ b/crates/lab/src/fleet/outcome.rs
@@ -6,7 +6,7 @@
 use super::event_log::{self, Event, FaultPeriod};
 use super::plan::Plan;
 use crate::rules::Violation;
-use crate::scenario::Bad;
+use crate::scenario::LabError;
 use crate::stats::{Counts, Report};
 
 /// Characters of an API call's history that are told.
@@ -131,11 +131,11 @@
     }
 
     /// Keeps the record, the event log as text and drawn.
-    pub fn keep(&self, plan: &Plan, folder: &Path, name: &str) -> Result<Vec<PathBuf>, Bad> {
+    pub fn keep(&self, plan: &Plan, folder: &Path, name: &str) -> Result<Vec<PathBuf>, LabError> {
         let files = ["json", "txt", "svg"].map(|kind| folder.join(format!("{name}.{kind}")));
         let bad = |file: &Path| {
             let file = file.display().to_string();
-            move |e: std::io::Error| Bad(format!("{file}: {e}"))
+            move |e: std::io::Error| LabError(format!("{file}: {e}"))
         };
         std::fs::write(&files[0], self.record(plan).to_string()).map_err(bad(&files[0]))?;
         std::fs::write(&files[1], event_log::text(&self.events)).map_err(bad(&files[1]))?;
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -3,7 +3,7 @@
 use quartzhub_policy::Pcg;
 use serde::{Deserialize, Serialize};
 
-use crate::scenario::{one_line, Bad, Scenario};
+use crate::scenario::{one_line, LabError, Scenario};
 use crate::stub::StubServers;
 
 #[derive(Debug, Clone, Serialize)]
@@ -154,15 +154,15 @@
 const LEAST_BYTES_PER_S: f64 = 1_000.0;
 
 impl Plan {
-    pub fn parse(text: &str) -> Result<Plan, Bad> {
-        let table: toml::Table = text.parse().map_err(|e: toml::de::Error| Bad(one_line(&e)))?;
+    pub fn parse(text: &str) -> Result<Plan, LabError> {
+        let table: toml::Table = text.parse().map_err(|e: toml::de::Error| LabError(one_line(&e)))?;
         let file: File = serde_path_to_error::deserialize(toml::Value::Table(table)).map_err(|e| {
             let (key, what) = (e.path().to_string(), e.inner().message().to_owned());
-            Bad(if key == "." { what } else { format!("{key}: {what}") })
+            LabError(if key == "." { what } else { format!("{key}: {what}") })
         })?;
         let scenario = Scenario::of(toml::Value::Table(file.scenario))
-            .map_err(|Bad(bad)| Bad(format!("scenario.{bad}")))?;
-        let json = |table: toml::Table| serde_json::to_value(table).map_err(|e| Bad(e.to_string()));
+            .map_err(|LabError(bad)| LabError(format!("scenario.{bad}")))?;
+        let json = |table: toml::Table| serde_json::to_value(table).map_err(|e| LabError(e.to_string()));
         let plan = Plan {
             title: file.title,
             scenario,
@@ -178,10 +178,10 @@
         Ok(plan)
     }
 
-    fn check(&self) -> Result<(), Bad> {
+    fn check(&self) -> Result<(), LabError> {
         let within = |key: &str, value: f64, from: f64, to: f64| match (from..=to).contains(&value) {
             true => Ok(()),
-            false => Err(Bad(format!("{key}: {value} is not within {from} to {to}"))),
+            false => Err(LabError(format!("{key}: {value} is not within {from} to {to}"))),
         };
         let scenario = &self.scenario;
         within("scenario.nodes", scenario.nodes as f64, 1.0, MOST_NODES as f64)?;
@@ -191,12 +191,12 @@
         within("front_late_ms", self.front_late_ms, 0.0, 60_000.0)?;
         within("expect.service", self.expect.service, 0.0, 1.0)?;
         if scenario.policy != "dema" {
-            return Err(Bad("scenario.policy: real nodes are played, which go by dema".to_owned()));
+            return Err(LabError("scenario.policy: real nodes are played, which go by dema".to_owned()));
         }
         StubServers::playable(scenario, true)?;
         let node = |key: &str, node: usize| match node < scenario.nodes {
             true => Ok(()),
-            false => Err(Bad(format!("{key}: there is no node {node}"))),
+            false => Err(LabError(format!("{key}: there is no node {node}"))),
         };
         self.absent.iter().try_for_each(|absent| node("absent", *absent))?;
         for (i, fault) in self.faults.iter().enumerate() {
@@ -221,25 +221,25 @@
             let of_links = matches!(fault.kind, Kind::Cut | Kind::Spoil);
             let (links, nodes) = (!fault.from.is_empty() && !fault.to.is_empty(), self.nodes(i));
             if of_links && !links {
-                return Err(Bad(format!("{}: from and to are needed", key("from"))));
+                return Err(LabError(format!("{}: from and to are needed", key("from"))));
             }
             if !of_links && nodes.is_empty() {
-                return Err(Bad(format!("{}: nodes or a share of them are needed", key("nodes"))));
+                return Err(LabError(format!("{}: nodes or a share of them are needed", key("nodes"))));
             }
             let caches =
                 |name: &String| self.ends(name).is_some_and(|ends| ends.iter().all(|end| self.is_cache(end)));
             if fault.kind == Kind::Order && (fault.to.is_empty() || !fault.to.iter().all(caches)) {
-                return Err(Bad(format!("{}: the caches that are drained are needed", key("to"))));
+                return Err(LabError(format!("{}: the caches that are drained are needed", key("to"))));
             }
             if matches!(fault.kind, Kind::Pause | Kind::Roll | Kind::Replay | Kind::Flood)
                 && fault.lasts.is_none()
             {
-                return Err(Bad(format!("{}: is needed", key("for"))));
+                return Err(LabError(format!("{}: is needed", key("for"))));
             }
             for (field, names) in [("from", &fault.from), ("to", &fault.to)] {
                 names.iter().try_for_each(|name| match self.ends(name) {
                     Some(_) => Ok(()),
-                    None => Err(Bad(format!("{}: {name:?} is no end of a link", key(field)))),
+                    None => Err(LabError(format!("{}: {name:?} is no end of a link", key(field)))),
                 })?;
             }
         }
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -28,7 +28,7 @@
 use super::proxy::{Connection, Proxy};
 use crate::clients::{drive, NodeEndpoint};
 use crate::rule_monitor::RuleMonitor;
-use crate::scenario::Bad;
+use crate::scenario::LabError;
 use crate::stub::{NodeConnection, StubServers};
 
 /// Processes that take longer to serve are taken not to.
@@ -78,7 +78,7 @@
         programs: &Programs,
         block: &AddressBlock,
         folder: &Path,
-    ) -> Result<Outcome, Bad> {
+    ) -> Result<Outcome, LabError> {
         let rig = Rig::new(plan, programs, block, folder).await?;
         rig.clone().open(block);
         rig.datagrams.run(&rig.monitor);
@@ -106,7 +106,7 @@
         programs: &Programs,
         block: &AddressBlock,
         folder: &Path,
-    ) -> Result<Rc<Rig>, Bad> {
+    ) -> Result<Rc<Rig>, LabError> {
         let monitor = RuleMonitor::start(plan.scenario.grace());
         let stubs = StubServers::new(&plan.scenario, monitor.clone())?;
         let event_log = EventLog::new(monitor.clone());
@@ -157,7 +157,12 @@
     }
 
     /// A proxy for each node and server, and one for each node's discovery.
-    fn proxies(plan: &Plan, block: &AddressBlock, servers: usize, links: &mut Links) -> Result<Proxies, Bad> {
+    fn proxies(
+        plan: &Plan,
+        block: &AddressBlock,
+        servers: usize,
+        links: &mut Links,
+    ) -> Result<Proxies, LabError> {
         let seed = plan.scenario.seed;
         let mut proxies = BTreeMap::new();
         for node in 0..plan.scenario.nodes {
@@ -181,7 +186,7 @@
         plan: &Plan,
         block: &AddressBlock,
         links: &mut Links,
-    ) -> Result<Rc<DatagramRelay>, Bad> {
+    ) -> Result<Rc<DatagramRelay>, LabError> {
         let (nodes, seed) = (plan.scenario.nodes, plan.scenario.seed);
         let pairs = (0..nodes).flat_map(|from| (0..nodes).map(move |to| (from, to)));
         let pairs = pairs.filter(|(from, to)| from != to);
@@ -193,13 +198,13 @@
     }
 
     /// Guards against a process that finds nobody listening yet.
-    async fn proxies_listen(&self) -> Result<(), Bad> {
+    async fn proxies_listen(&self) -> Result<(), LabError> {
         let listen = async {
             while !self.proxies.values().all(|proxy| proxy.listens.get()) {
                 sleep(LOOK_AGAIN).await;
             }
         };
-        timeout(READY_WITHIN, listen).await.map_err(|_| Bad("a proxy does not listen".to_owned()))
+        timeout(READY_WITHIN, listen).await.map_err(|_| LabError("a proxy does not listen".to_owned()))
     }
 
     /// The next rig may be given the same addresses.
@@ -244,16 +249,16 @@
         }
     }
 
-    async fn start_all(&self) -> Result<(), Bad> {
+    async fn start_all(&self) -> Result<(), LabError> {
         let present = || self.processes.iter().filter(|process| !self.plan.absent.contains(&process.node));
         for process in present() {
-            process.start().map_err(|e| Bad(format!("{}: {e}", process.name)))?;
+            process.start().map_err(|e| LabError(format!("{}: {e}", process.name)))?;
         }
         for process in present() {
             let serves = process.wait_for(|state| state == State::Up || state == State::Down);
             if timeout(READY_WITHIN, serves).await.is_err() || process.state.get() == State::Down {
                 let last_line = process.last_line.borrow().clone();
-                return Err(Bad(format!("{} does not serve; it said last: {last_line}", process.name)));
+                return Err(LabError(format!("{} does not serve; it said last: {last_line}", process.name)));
             }
         }
         sleep(FRONT_HEARS).await;
--- a/crates/lab/src/gossip.rs
+++ b/crates/lab/src/gossip.rs
@@ -9,7 +9,7 @@
 use rayon::prelude::*;
 
 use crate::plot::{draw, Curve};
-use crate::scenario::Bad;
+use crate::scenario::LabError;
 
 /// What is compared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -201,7 +201,7 @@
     out
 }
 
-pub fn plot(folder: &Path, rows: &[Row]) -> Result<Vec<std::path::PathBuf>, Bad> {
+pub fn plot(folder: &Path, rows: &[Row]) -> Result<Vec<std::path::PathBuf>, LabError> {
     type Figure = fn(&Row) -> f64;
     let figures: [(&str, &str, Figure); 3] = [
         ("members-detection", "seconds until all have removed a crashed node, p99", |row| row.all),
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -8,7 +8,7 @@
 use crate::clients::{drive, NodeEndpoint};
 use crate::rule_monitor::RuleMonitor;
 use crate::rules::Violation;
-use crate::scenario::{Bad, Scenario};
+use crate::scenario::{LabError, Scenario};
 use crate::stats::Report;
 
 const MOST_RATE: f64 = 50_000.0;
@@ -27,13 +27,13 @@
     )
 }
 
-pub fn check(scenario: &Scenario, node: SocketAddr, connections: usize) -> Result<(), Bad> {
+pub fn check(scenario: &Scenario, node: SocketAddr, connections: usize) -> Result<(), LabError> {
     if !node.ip().is_loopback() {
-        return Err(Bad(format!("{node} is not on loopback")));
+        return Err(LabError(format!("{node} is not on loopback")));
     }
     let within = |what: &str, value: f64, most: f64| match value > 0.0 && value <= most {
         true => Ok(()),
-        false => Err(Bad(format!("{what}: {value} is not above 0 and up to {most}"))),
+        false => Err(LabError(format!("{what}: {value} is not above 0 and up to {most}"))),
     };
     within("traffic.rate", scenario.traffic.rate, MOST_RATE)?;
     within("seconds", scenario.seconds, MOST_SECONDS)?;
@@ -41,7 +41,7 @@
 }
 
 /// Asks a node as the scenario's clients would. Needs a `LocalSet`. Rules are checked as far as clients see them.
-pub async fn load(scenario: &Scenario, node: SocketAddr, connections: usize) -> Result<Report, Bad> {
+pub async fn load(scenario: &Scenario, node: SocketAddr, connections: usize) -> Result<Report, LabError> {
     check(scenario, node, connections)?;
     let monitor = RuleMonitor::start(scenario.grace());
     let endpoint = NodeEndpoint::new(0, node, connections);
@@ -51,10 +51,10 @@
 }
 
 /// A broken rule fails what was played, with the offending API call's history.
-pub fn kept((broken, count): &(Vec<Violation>, u64)) -> Result<(), Bad> {
+pub fn kept((broken, count): &(Vec<Violation>, u64)) -> Result<(), LabError> {
     let Some(Violation { rule, at, what, history }) = broken.first() else { return Ok(()) };
     let at = at.ms();
-    Err(Bad(format!("rules broken {count} times, first at {at:.1} ms, {rule:?}: {what}. {history}")))
+    Err(LabError(format!("rules broken {count} times, first at {at:.1} ms, {rule:?}: {what}. {history}")))
 }
 
 /// What both ways of playing one scenario have shown.
@@ -66,14 +66,14 @@
 }
 
 /// Plays a scenario of one node in the emulator and by the real node, with stub servers on loopback, in this process.
-pub fn compare(scenario: &Scenario) -> Result<Compared, Bad> {
+pub fn compare(scenario: &Scenario) -> Result<Compared, LabError> {
     if scenario.nodes != 1 || scenario.clients.retries != 0 || scenario.policy != "dema" {
-        return Err(Bad(
-            "nodes, clients.retries, policy: one node, no retries and dema are compared".to_owned()
+        return Err(LabError(
+            "nodes, clients.retries, policy: one node, no retries and dema are compared".to_owned(),
         ));
     }
     let emulated = crate::run(scenario)?;
-    let bad = |what: &dyn std::fmt::Display| Bad(format!("the real node: {what}"));
+    let bad = |what: &dyn std::fmt::Display| LabError(format!("the real node: {what}"));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| bad(&e))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let monitor = RuleMonitor::start(Span::from_ms(scenario.rules.grace_ms));
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgMatches, Command};
 use quartzhub_lab::fleet::{faulty_node, play, Outcome, Plan, Programs};
-use quartzhub_lab::scenario::Bad;
+use quartzhub_lab::scenario::LabError;
 use quartzhub_lab::stats::FIGURES;
 use quartzhub_lab::sweep::Sweep;
 use quartzhub_lab::{gossip, load, plot, run, Report, Scenario};
@@ -111,20 +111,20 @@
     given.get_one::<String>(name).map(PathBuf::from)
 }
 
-fn read(given: &ArgMatches) -> Result<(PathBuf, String), Bad> {
+fn read(given: &ArgMatches) -> Result<(PathBuf, String), LabError> {
     let file = path(given, "file").unwrap_or_default();
-    let text = std::fs::read_to_string(&file).map_err(|e| Bad(format!("{}: {e}", file.display())))?;
+    let text = std::fs::read_to_string(&file).map_err(|e| LabError(format!("{}: {e}", file.display())))?;
     Ok((file, text))
 }
 
-fn in_file(file: &Path) -> impl Fn(Bad) -> Bad + '_ {
-    move |bad| Bad(format!("{}: {bad}", file.display()))
+fn in_file(file: &Path) -> impl Fn(LabError) -> LabError + '_ {
+    move |bad| LabError(format!("{}: {bad}", file.display()))
 }
 
 /// The folder is there and can be written to: said before any run.
-fn folder(given: &ArgMatches) -> Result<Option<PathBuf>, Bad> {
+fn folder(given: &ArgMatches) -> Result<Option<PathBuf>, LabError> {
     let Some(folder) = path(given, "out") else { return Ok(None) };
-    let bad = |e: std::io::Error| Bad(format!("{}: {e}", folder.display()));
+    let bad = |e: std::io::Error| LabError(format!("{}: {e}", folder.display()));
     std::fs::create_dir_all(&folder).map_err(bad)?;
     let probe = folder.join(".quartzhub-lab");
     std::fs::write(&probe, "").map_err(bad)?;
@@ -147,7 +147,7 @@
     }
 }
 
-fn check(given: &ArgMatches) -> Result<(), Bad> {
+fn check(given: &ArgMatches) -> Result<(), LabError> {
     let (file, text) = read(given)?;
     match kind(&text) {
         File::Sweep => Sweep::parse(&text).map(drop),
@@ -159,7 +159,7 @@
     Ok(())
 }
 
-fn one(given: &ArgMatches) -> Result<(), Bad> {
+fn one(given: &ArgMatches) -> Result<(), LabError> {
     let (file, text) = read(given)?;
     let scenario = Scenario::parse(&text).map_err(in_file(&file))?;
     let folder = folder(given)?;
@@ -192,7 +192,7 @@
         .flat_map(|(policy, report)| report.broken.first().map(|broken| (policy, report, broken)))
         .next()
     {
-        Some((policy, report, broken)) => Err(Bad(format!(
+        Some((policy, report, broken)) => Err(LabError(format!(
             "{policy}: rules broken {} times, first at {:.1} ms, {:?}: {}. {}",
             report.broken_count,
             broken.at.ms(),
@@ -211,7 +211,7 @@
     format!("{policy}: {}\n  by product: {}", figures.join(", "), products.join(", "))
 }
 
-fn many(given: &ArgMatches) -> Result<(), Bad> {
+fn many(given: &ArgMatches) -> Result<(), LabError> {
     let (file, text) = read(given)?;
     let sweep = Sweep::parse(&text).map_err(in_file(&file))?;
     let folder = folder(given)?;
@@ -220,34 +220,35 @@
     print!("{table}");
     if let Some(folder) = folder {
         let name = folder.join("table.md");
-        std::fs::write(&name, &table).map_err(|e| Bad(format!("{}: {e}", name.display())))?;
+        std::fs::write(&name, &table).map_err(|e| LabError(format!("{}: {e}", name.display())))?;
         for file in plot::sweep(&folder, &sweep, &rows)? {
             println!("drawn: {}", file.display());
         }
     }
     match rows.iter().find_map(|row| row.example.as_ref().map(|example| (row, example))) {
-        Some((row, example)) => Err(Bad(format!("{} {}: {example}", row.policy, row.at.join(" ")))),
+        Some((row, example)) => Err(LabError(format!("{} {}: {example}", row.policy, row.at.join(" ")))),
         None => Ok(()),
     }
 }
 
-fn ask(given: &ArgMatches) -> Result<(), Bad> {
+fn ask(given: &ArgMatches) -> Result<(), LabError> {
     let (file, text) = read(given)?;
     let scenario = Scenario::parse(&text).map_err(in_file(&file))?;
     let text = |name: &str| given.get_one::<String>(name).cloned().unwrap_or_default();
-    let node = text("node").parse().map_err(|_| Bad(format!("--node: {:?} is no address", text("node"))))?;
+    let node =
+        text("node").parse().map_err(|_| LabError(format!("--node: {:?} is no address", text("node"))))?;
     let connections = text("connections");
     let connections =
-        connections.parse().map_err(|_| Bad(format!("--connections: {connections:?} is no number")))?;
+        connections.parse().map_err(|_| LabError(format!("--connections: {connections:?} is no number")))?;
     load::check(&scenario, node, connections)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| Bad(e.to_string()))?;
+    let runtime = runtime.map_err(|e| LabError(e.to_string()))?;
     let told = tokio::task::LocalSet::new().block_on(&runtime, load::load(&scenario, node, connections))?;
     println!("{}", load::line(&told));
     Ok(())
 }
 
-fn compare(given: &ArgMatches) -> Result<(), Bad> {
+fn compare(given: &ArgMatches) -> Result<(), LabError> {
     let (file, text) = read(given)?;
     let scenario = Scenario::parse(&text).map_err(in_file(&file))?;
     let both = load::compare(&scenario).map_err(in_file(&file))?;
@@ -269,18 +270,19 @@
     Ok(())
 }
 
-fn several(given: &ArgMatches) -> Result<(), Bad> {
+fn several(given: &ArgMatches) -> Result<(), LabError> {
     let files = given.get_many::<String>("file").into_iter().flatten().map(PathBuf::from);
     let plans = files.map(|file| {
-        let text = std::fs::read_to_string(&file).map_err(|e| Bad(format!("{}: {e}", file.display())))?;
+        let text =
+            std::fs::read_to_string(&file).map_err(|e| LabError(format!("{}: {e}", file.display())))?;
         Ok((Plan::parse(&text).map_err(in_file(&file))?, file))
     });
-    let plans = plans.collect::<Result<Vec<_>, Bad>>()?;
+    let plans = plans.collect::<Result<Vec<_>, LabError>>()?;
     let plays =
         given.get_one::<String>("plays").and_then(|plays| plays.parse().ok()).filter(|plays| *plays > 0);
-    let plays: usize = plays.ok_or_else(|| Bad("--plays: a number of plays is needed".to_owned()))?;
+    let plays: usize = plays.ok_or_else(|| LabError("--plays: a number of plays is needed".to_owned()))?;
     let folder = folder(given)?;
-    let lab = std::env::current_exe().map_err(|e| Bad(e.to_string()))?;
+    let lab = std::env::current_exe().map_err(|e| LabError(e.to_string()))?;
     let node = path(given, "program").unwrap_or_else(|| lab.with_file_name("quartzhub"));
     let programs = Programs { node, args: Vec::new(), lab };
     let (mut failures, many) = (Vec::new(), plays > 1 || plans.len() > 1);
@@ -308,19 +310,19 @@
     }
     match &failures[..] {
         [] => Ok(()),
-        failures => Err(Bad(failures.join("\n"))),
+        failures => Err(LabError(failures.join("\n"))),
     }
 }
 
-fn members(given: &ArgMatches) -> Result<(), Bad> {
+fn members(given: &ArgMatches) -> Result<(), LabError> {
     let text = |name: &str| given.get_one::<String>(name).cloned().unwrap_or_default();
-    let bad = |name: &str| Bad(format!("--{name}: {:?} is no number", text(name)));
+    let bad = |name: &str| LabError(format!("--{name}: {:?} is no number", text(name)));
     let sizes = text("sizes")
         .split(',')
         .map(|size| size.parse::<usize>().ok().filter(|size| (3..=8_000).contains(size)))
         .collect::<Option<Vec<_>>>();
     let sizes =
-        sizes.ok_or_else(|| Bad(format!("--sizes: {:?} are no sizes from 3 to 8000", text("sizes"))))?;
+        sizes.ok_or_else(|| LabError(format!("--sizes: {:?} are no sizes from 3 to 8000", text("sizes"))))?;
     let crashes = text("crashes").parse().map_err(|_| bad("crashes"))?;
     let hours = text("hours").parse().map_err(|_| bad("hours"))?;
     let folder = folder(given)?;
@@ -335,10 +337,10 @@
 }
 
 /// Guards against processes that outlive a rig which was killed: the system ends this one with its parent.
-fn guard(given: &ArgMatches) -> Result<(), Bad> {
+fn guard(given: &ArgMatches) -> Result<(), LabError> {
     use std::os::unix::process::CommandExt;
     let text = |name: &str| given.get_many::<String>(name).into_iter().flatten().cloned().collect::<Vec<_>>();
-    let bad = |e: &dyn std::fmt::Display| Bad(e.to_string());
+    let bad = |e: &dyn std::fmt::Display| LabError(e.to_string());
     rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL))
         .map_err(|e| bad(&e))?;
     let parent = rustix::process::getppid().map(|id| id.as_raw_nonzero().to_string());
@@ -349,9 +351,9 @@
     Err(bad(&std::process::Command::new(&command[0]).args(&command[1..]).exec()))
 }
 
-fn faulty_node(given: &ArgMatches) -> Result<(), Bad> {
+fn faulty_node(given: &ArgMatches) -> Result<(), LabError> {
     let misbehavior = given.get_one::<String>("misbehavior").cloned().unwrap_or_default();
-    let file = std::env::var("LB_CONFIG").map_err(|e| Bad(format!("LB_CONFIG: {e}")))?;
-    let text = std::fs::read_to_string(&file).map_err(|e| Bad(format!("{file}: {e}")))?;
-    faulty_node::run(&misbehavior, &text).map_err(|e| Bad(e.to_string()))
+    let file = std::env::var("LB_CONFIG").map_err(|e| LabError(format!("LB_CONFIG: {e}")))?;
+    let text = std::fs::read_to_string(&file).map_err(|e| LabError(format!("{file}: {e}")))?;
+    faulty_node::run(&misbehavior, &text).map_err(|e| LabError(e.to_string()))
 }
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -3,7 +3,7 @@
 
 use plotters::prelude::*;
 
-use crate::scenario::Bad;
+use crate::scenario::LabError;
 use crate::stats::{Counts, Report};
 use crate::sweep::{Row, Sweep};
 
@@ -26,8 +26,8 @@
     pub points: Vec<Point>,
 }
 
-pub fn draw(file: &Path, title: &str, x: &str, y: &str, curves: &[Curve]) -> Result<(), Bad> {
-    let bad = |e: &dyn std::fmt::Display| Bad(format!("{}: {e}", file.display()));
+pub fn draw(file: &Path, title: &str, x: &str, y: &str, curves: &[Curve]) -> Result<(), LabError> {
+    let bad = |e: &dyn std::fmt::Display| LabError(format!("{}: {e}", file.display()));
     let all = || curves.iter().flat_map(|curve| &curve.points);
     let bounds = |of: &dyn Fn(&Point) -> [f64; 2]| {
         let (low, high) =
@@ -70,7 +70,7 @@
 }
 
 /// One plot a figure: the first key that is varied goes across, a curve for each policy and other value.
-pub fn sweep(folder: &Path, sweep: &Sweep, rows: &[Row]) -> Result<Vec<std::path::PathBuf>, Bad> {
+pub fn sweep(folder: &Path, sweep: &Sweep, rows: &[Row]) -> Result<Vec<std::path::PathBuf>, LabError> {
     let mut files = Vec::new();
     let places: Vec<Option<f64>> =
         rows.iter().map(|row| row.at.first().and_then(|at| at.trim_matches('"').parse().ok())).collect();
@@ -101,7 +101,11 @@
 }
 
 /// Service and attempts to the origin, second by second.
-pub fn run(folder: &Path, name: &str, reports: &[(String, Report)]) -> Result<Vec<std::path::PathBuf>, Bad> {
+pub fn run(
+    folder: &Path,
+    name: &str,
+    reports: &[(String, Report)],
+) -> Result<Vec<std::path::PathBuf>, LabError> {
     let curves = |of: &dyn Fn(&Report) -> Vec<f64>| -> Vec<Curve> {
         let curve = |(name, report): &(String, Report)| {
             let points = of(report).into_iter().enumerate().map(|(second, v)| (second as f64, v, 0.0));
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -309,49 +309,49 @@
     }
 }
 
-/// What is wrong, in one line.
+/// An error of the laboratory, told in one line: bad input, or what the system refused.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Bad(pub String);
+pub struct LabError(pub String);
 
-impl fmt::Display for Bad {
+impl fmt::Display for LabError {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(&self.0)
     }
 }
 
-impl std::error::Error for Bad {}
+impl std::error::Error for LabError {}
 
 /// Most of anything that one run may have: a run is to end, on one machine.
 const MOST_SERVERS: usize = 5_000;
 const MOST_CALLS: f64 = 50e6;
 
 impl Scenario {
-    pub fn parse(text: &str) -> Result<Scenario, Bad> {
-        let table: toml::Table = text.parse().map_err(|e: toml::de::Error| Bad(one_line(&e)))?;
+    pub fn parse(text: &str) -> Result<Scenario, LabError> {
+        let table: toml::Table = text.parse().map_err(|e: toml::de::Error| LabError(one_line(&e)))?;
         Scenario::of(toml::Value::Table(table))
     }
 
-    pub fn of(value: toml::Value) -> Result<Scenario, Bad> {
+    pub fn of(value: toml::Value) -> Result<Scenario, LabError> {
         let scenario: Scenario = serde_path_to_error::deserialize(value).map_err(|e| {
             let (key, what) = (e.path().to_string(), e.inner().message().to_owned());
-            Bad(if key == "." { what } else { format!("{key}: {what}") })
+            LabError(if key == "." { what } else { format!("{key}: {what}") })
         })?;
         scenario.check()?;
         Ok(scenario)
     }
 
-    pub fn check(&self) -> Result<(), Bad> {
+    pub fn check(&self) -> Result<(), LabError> {
         let above = |key: &str, value: f64| match value > 0.0 && value.is_finite() {
             true => Ok(()),
-            false => Err(Bad(format!("{key}: {value} is not above 0"))),
+            false => Err(LabError(format!("{key}: {value} is not above 0"))),
         };
         let within = |key: &str, value: f64, from: f64, to: f64| match (from..=to).contains(&value) {
             true => Ok(()),
-            false => Err(Bad(format!("{key}: {value} is not within {from} to {to}"))),
+            false => Err(LabError(format!("{key}: {value} is not within {from} to {to}"))),
         };
         let range = |key: &str, [from, to]: [f64; 2]| match from >= 0.0 && from <= to && to.is_finite() {
             true => Ok(()),
-            false => Err(Bad(format!("{key}: {from} to {to} is no range"))),
+            false => Err(LabError(format!("{key}: {from} to {to} is no range"))),
         };
         above("seconds", self.seconds)?;
         within("settle", self.settle, 0.0, self.seconds * 0.99)?;
@@ -380,7 +380,7 @@
         above("origin.work_ms", self.origin.work_ms)?;
         above("origin.falls_at", self.origin.falls_at)?;
         if self.products.is_empty() {
-            return Err(Bad("product: at least one is needed".to_owned()));
+            return Err(LabError("product: at least one is needed".to_owned()));
         }
         for (i, product) in self.products.iter().enumerate() {
             let key = |field: &str| format!("product[{i}].{field}");
--- a/crates/lab/src/stub.rs
+++ b/crates/lab/src/stub.rs
@@ -19,7 +19,7 @@
 
 use crate::clients::number;
 use crate::rule_monitor::RuleMonitor;
-use crate::scenario::{Bad, Kind, Law, Scenario};
+use crate::scenario::{Kind, LabError, Law, Scenario};
 use crate::server::{Falls, Health, Server, Work, FALLEN};
 
 struct StubServer {
@@ -117,7 +117,7 @@
 }
 
 impl StubServers {
-    pub fn new(scenario: &Scenario, monitor: Rc<RuleMonitor>) -> Result<Rc<StubServers>, Bad> {
+    pub fn new(scenario: &Scenario, monitor: Rc<RuleMonitor>) -> Result<Rc<StubServers>, LabError> {
         let mut chance = Pcg::new(scenario.seed);
         let [from, to] = scenario.caches.speed;
         let servers = (0..=scenario.caches.count).map(|i| {
@@ -151,13 +151,13 @@
     }
 
     /// Which of a scenario's faults can't be played here; `listed`: somebody tells nodes of changes of the list.
-    pub fn playable(scenario: &Scenario, listed: bool) -> Result<(), Bad> {
+    pub fn playable(scenario: &Scenario, listed: bool) -> Result<(), LabError> {
         let can = |kind: &Kind| PLAYED.contains(kind) || listed && PLAYED_LISTED.contains(kind);
         match scenario.faults.iter().position(|fault| !can(&fault.kind)) {
             Some(i) if listed => {
-                Err(Bad(format!("scenario.fault[{i}].kind: stub servers can't play it; [[fault]] may")))
+                Err(LabError(format!("scenario.fault[{i}].kind: stub servers can't play it; [[fault]] may")))
             }
-            Some(i) => Err(Bad(format!(
+            Some(i) => Err(LabError(format!(
                 "fault[{i}].kind: stub servers play hang, slow, origin_slow and hot_key only"
             ))),
             None => Ok(()),
@@ -165,9 +165,9 @@
     }
 
     /// Serves one node straight on loopback, without relays; gives the list of servers.
-    pub async fn listen(self: Rc<StubServers>) -> Result<serde_json::Value, Bad> {
+    pub async fn listen(self: Rc<StubServers>) -> Result<serde_json::Value, LabError> {
         StubServers::playable(&self.scenario, false)?;
-        let bad = |e: io::Error| Bad(format!("a stub server: {e}"));
+        let bad = |e: io::Error| LabError(format!("a stub server: {e}"));
         let mut addrs = Vec::new();
         for server in 0..self.servers.len() {
             let listener = TcpListener::bind("127.0.0.1:0").await.map_err(bad)?;
--- a/crates/lab/src/sweep.rs
+++ b/crates/lab/src/sweep.rs
@@ -5,7 +5,7 @@
 use rayon::prelude::*;
 use serde::Deserialize;
 
-use crate::scenario::{one_line, Bad, Scenario};
+use crate::scenario::{one_line, LabError, Scenario};
 use crate::stats::FIGURES;
 use crate::world::{run, POLICIES};
 
@@ -57,42 +57,42 @@
 }
 
 impl Sweep {
-    pub fn parse(text: &str) -> Result<Sweep, Bad> {
-        let table: toml::Table = text.parse().map_err(|e: toml::de::Error| Bad(one_line(&e)))?;
+    pub fn parse(text: &str) -> Result<Sweep, LabError> {
+        let table: toml::Table = text.parse().map_err(|e: toml::de::Error| LabError(one_line(&e)))?;
         let value = toml::Value::Table(table);
         let sweep: Sweep = serde_path_to_error::deserialize(value).map_err(|e| {
             let (key, what) = (e.path().to_string(), e.inner().message().to_owned());
-            Bad(if key == "." { what } else { format!("{key}: {what}") })
+            LabError(if key == "." { what } else { format!("{key}: {what}") })
         })?;
         sweep.check()?;
         Ok(sweep)
     }
 
-    fn check(&self) -> Result<(), Bad> {
+    fn check(&self) -> Result<(), LabError> {
         let empty = [
             ("seeds", self.seeds.is_empty()),
             ("policies", self.policies.is_empty()),
             ("figures", self.figures.is_empty()),
         ];
         if let Some((key, _)) = empty.iter().find(|key| key.1) {
-            return Err(Bad(format!("{key}: at least one is needed")));
+            return Err(LabError(format!("{key}: at least one is needed")));
         }
         if let Some(policy) = self.policies.iter().find(|policy| !POLICIES.contains(&policy.as_str())) {
-            return Err(Bad(format!("policies: {policy:?} is none of {}", POLICIES.join(", "))));
+            return Err(LabError(format!("policies: {policy:?} is none of {}", POLICIES.join(", "))));
         }
         if let Some(figure) = self.figures.iter().find(|figure| !FIGURES.contains(&figure.as_str())) {
-            return Err(Bad(format!("figures: {figure:?} is none of {}", FIGURES.join(", "))));
+            return Err(LabError(format!("figures: {figure:?} is none of {}", FIGURES.join(", "))));
         }
         for (i, vary) in self.varied.iter().enumerate() {
             if vary.values.is_empty() {
-                return Err(Bad(format!("vary[{i}].values: an empty sweep")));
+                return Err(LabError(format!("vary[{i}].values: an empty sweep")));
             }
         }
         let points =
             self.varied.iter().map(|vary| vary.values.len()).try_fold(1usize, |all, n| all.checked_mul(n));
         let runs = points.and_then(|points| points.checked_mul(self.seeds.len() * self.policies.len()));
         if runs.is_none_or(|runs| runs > MOST_RUNS) {
-            return Err(Bad(format!("vary: over {MOST_RUNS} runs")));
+            return Err(LabError(format!("vary: over {MOST_RUNS} runs")));
         }
         // Each point is a scenario that can be played: said before any run.
         self.points()
@@ -111,18 +111,18 @@
         })
     }
 
-    fn scenario_at(&self, at: &[toml::Value], seed: u64, policy: &str) -> Result<Scenario, Bad> {
+    fn scenario_at(&self, at: &[toml::Value], seed: u64, policy: &str) -> Result<Scenario, LabError> {
         let mut table = toml::Value::Table(self.scenario.clone());
         for (vary, value) in self.varied.iter().zip(at) {
             put(&mut table, &vary.key, value.clone())
-                .map_err(|what| Bad(format!("vary: {}: {what}", vary.key)))?;
+                .map_err(|what| LabError(format!("vary: {}: {what}", vary.key)))?;
         }
         let mut scenario = Scenario::of(table)?;
         (scenario.seed, scenario.policy) = (seed, policy.to_owned());
         Ok(scenario)
     }
 
-    pub fn play(&self) -> Result<Vec<Row>, Bad> {
+    pub fn play(&self) -> Result<Vec<Row>, LabError> {
         let cells = self.points().into_iter().flat_map(|at| {
             let policies = self.policies.clone();
             policies.into_iter().map(move |policy| (at.clone(), policy))
@@ -130,7 +130,7 @@
         let cells: Vec<_> = cells.collect();
         let row = |(at, policy): &(Vec<toml::Value>, String)| {
             let one = |seed: &u64| run(&self.scenario_at(at, *seed, policy)?);
-            let reports = self.seeds.par_iter().map(one).collect::<Result<Vec<_>, Bad>>()?;
+            let reports = self.seeds.par_iter().map(one).collect::<Result<Vec<_>, LabError>>()?;
             let figure = |name: &String| {
                 let values: Vec<f64> = reports.iter().filter_map(|report| report.figure(name)).collect();
                 mean(&values)
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -21,7 +21,7 @@
 use crate::metric::Metric;
 use crate::routers::{BoundedHash, LeastInFlight, Plain, Random, Router, TwoChoices};
 use crate::rules::{CallEvent, RuleChecker};
-use crate::scenario::{Bad, Kind, Law, Scenario};
+use crate::scenario::{Kind, LabError, Law, Scenario};
 use crate::server::{Falls, Health, Job, Server, Work, FALLEN};
 use crate::stats::{End, Ended, Report};
 use effects::Effects;
@@ -31,7 +31,7 @@
 pub const POLICIES: [&str; 5] = ["dema", "random", "least_in_flight", "two_choices", "bounded_hash"];
 
 /// Plays a scenario under the policy that it names.
-pub fn run(scenario: &Scenario) -> Result<Report, Bad> {
+pub fn run(scenario: &Scenario) -> Result<Report, LabError> {
     scenario.check()?;
     let settings = |me| scenario.settings(me);
     Ok(match scenario.policy.as_str() {
@@ -44,7 +44,7 @@
         "bounded_hash" => {
             World::new(scenario, |me, seed| Plain::new(BoundedHash, &settings(me), seed)).play()
         }
-        other => return Err(Bad(format!("policy: {other:?} is none of {}", POLICIES.join(", ")))),
+        other => return Err(LabError(format!("policy: {other:?} is none of {}", POLICIES.join(", ")))),
     })
 }
 
