Call the routers beside the module baselines

Need: `Plain` and `Known` need explaining.

Change: In `routers.rs` they are `Baseline` and `CacheState`.

--- a/crates/lab/src/routers.rs
+++ b/crates/lab/src/routers.rs
@@ -51,7 +51,7 @@
 
 /// What a baseline knows of a cache.
 #[derive(Debug, Clone, Copy)]
-pub struct Known {
+pub struct CacheState {
     pub server: ServerIx,
     /// A hash of its id.
     pub hash: u64,
@@ -61,7 +61,7 @@
 
 /// How a baseline picks one of the ready caches; never called with none.
 pub trait Pick {
-    fn pick(&self, caches: &[Known], key: u64, chance: &mut Pcg) -> usize;
+    fn pick(&self, caches: &[CacheState], key: u64, chance: &mut Pcg) -> usize;
 }
 
 fn any(count: usize, chance: &mut Pcg) -> usize {
@@ -71,7 +71,7 @@
 pub struct Random;
 
 impl Pick for Random {
-    fn pick(&self, caches: &[Known], _key: u64, chance: &mut Pcg) -> usize {
+    fn pick(&self, caches: &[CacheState], _key: u64, chance: &mut Pcg) -> usize {
         any(caches.len(), chance)
     }
 }
@@ -79,7 +79,7 @@
 pub struct LeastInFlight;
 
 impl Pick for LeastInFlight {
-    fn pick(&self, caches: &[Known], _key: u64, chance: &mut Pcg) -> usize {
+    fn pick(&self, caches: &[CacheState], _key: u64, chance: &mut Pcg) -> usize {
         // Ties are broken by chance, as all nodes would else choose alike.
         let from = any(caches.len(), chance);
         let at = |i: usize| (from + i) % caches.len();
@@ -91,7 +91,7 @@
 pub struct TwoChoices;
 
 impl Pick for TwoChoices {
-    fn pick(&self, caches: &[Known], _key: u64, chance: &mut Pcg) -> usize {
+    fn pick(&self, caches: &[CacheState], _key: u64, chance: &mut Pcg) -> usize {
         let (a, b) = (any(caches.len(), chance), any(caches.len(), chance));
         if caches[a].out <= caches[b].out {
             a
@@ -115,10 +115,10 @@
 }
 
 impl Pick for BoundedHash {
-    fn pick(&self, caches: &[Known], key: u64, _chance: &mut Pcg) -> usize {
+    fn pick(&self, caches: &[CacheState], key: u64, _chance: &mut Pcg) -> usize {
         let out: u32 = caches.iter().map(|cache| cache.out).sum();
         let most = (BOUND * f64::from(out + 1) / caches.len() as f64).ceil() as u32;
-        let away = |cache: &Known| {
+        let away = |cache: &CacheState| {
             (0..POINTS).map(|i| mixed(cache.hash ^ mixed(i)).wrapping_sub(mixed(key))).min().unwrap_or(0)
         };
         let free = (0..caches.len()).filter(|i| caches[*i].out < most);
@@ -144,19 +144,19 @@
 }
 
 /// A baseline.
-pub struct Plain<P> {
+pub struct Baseline<P> {
     pick: P,
     products: Vec<Product>,
     most: usize,
     chance: Pcg,
-    caches: Vec<Known>,
+    caches: Vec<CacheState>,
     origin: Option<ServerIx>,
     calls: BTreeMap<CallIx, Call>,
 }
 
-impl<P: Pick> Plain<P> {
-    pub fn new(pick: P, settings: &Settings, seed: u64) -> Plain<P> {
-        Plain {
+impl<P: Pick> Baseline<P> {
+    pub fn new(pick: P, settings: &Settings, seed: u64) -> Baseline<P> {
+        Baseline {
             pick,
             products: settings.products(),
             most: settings.number("caps.most_shots", 1.0).max(1.0) as usize,
@@ -216,7 +216,7 @@
     }
 }
 
-impl<P: Pick> Router for Plain<P> {
+impl<P: Pick> Router for Baseline<P> {
     fn start<A: Answers>(&mut self, _now: Time, _to: &mut A) {}
 
     fn list<'a, A: Answers>(
@@ -241,7 +241,7 @@
             } else if line.state == State::Ready {
                 let out =
                     before.iter().find(|cache| cache.server == line.server).map_or(0, |cache| cache.out);
-                self.caches.push(Known { server: line.server, hash: mixed(hash), out });
+                self.caches.push(CacheState { server: line.server, hash: mixed(hash), out });
             }
         }
         self.caches.sort_by_key(|cache| cache.server);
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -19,7 +19,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::metric::Metric;
-use crate::routers::{BoundedHash, LeastInFlight, Plain, Random, Router, TwoChoices};
+use crate::routers::{Baseline, BoundedHash, LeastInFlight, Random, Router, TwoChoices};
 use crate::rules::{CallEvent, RuleChecker};
 use crate::scenario::{Kind, LabError, Law, Scenario};
 use crate::server::{Falls, Health, Job, Server, Work, FALLEN};
@@ -36,13 +36,15 @@
     let settings = |me| scenario.settings(me);
     Ok(match scenario.policy.as_str() {
         "dema" => World::new(scenario, |me, seed| Balancer::new(&settings(me), seed)).play(),
-        "random" => World::new(scenario, |me, seed| Plain::new(Random, &settings(me), seed)).play(),
+        "random" => World::new(scenario, |me, seed| Baseline::new(Random, &settings(me), seed)).play(),
         "least_in_flight" => {
-            World::new(scenario, |me, seed| Plain::new(LeastInFlight, &settings(me), seed)).play()
+            World::new(scenario, |me, seed| Baseline::new(LeastInFlight, &settings(me), seed)).play()
+        }
+        "two_choices" => {
+            World::new(scenario, |me, seed| Baseline::new(TwoChoices, &settings(me), seed)).play()
         }
-        "two_choices" => World::new(scenario, |me, seed| Plain::new(TwoChoices, &settings(me), seed)).play(),
         "bounded_hash" => {
-            World::new(scenario, |me, seed| Plain::new(BoundedHash, &settings(me), seed)).play()
+            World::new(scenario, |me, seed| Baseline::new(BoundedHash, &settings(me), seed)).play()
         }
         other => return Err(LabError(format!("policy: {other:?} is none of {}", POLICIES.join(", ")))),
     })
--- a/crates/lab/tests/validation.rs
+++ b/crates/lab/tests/validation.rs
@@ -1,6 +1,6 @@
 //! The emulator against what is known without it: closed forms of queues, an approximation of LRU, conservation,
 //! repeatability, and policies that break each rule on purpose.
-use quartzhub_lab::routers::{FaultyRouter, Misbehavior, Plain, Random};
+use quartzhub_lab::routers::{Baseline, FaultyRouter, Misbehavior, Random};
 use quartzhub_lab::rules::Rule;
 use quartzhub_lab::scenario::{Law, Product, Scenario};
 use quartzhub_lab::world::World;
@@ -164,7 +164,7 @@
         let settings = |me| scenario.settings(me);
         let origin = ServerIx(scenario.caches.count);
         let make = |me, seed| {
-            let faulty = FaultyRouter::new(Plain::new(Random, &settings(me), seed), misbehavior);
+            let faulty = FaultyRouter::new(Baseline::new(Random, &settings(me), seed), misbehavior);
             if misbehavior == Misbehavior::RepeatsWhatRan {
                 faulty.repeats_at(origin)
             } else {
