Call what the membership's core asks to be sent a datagram

Need: `Post` is a metaphor.

Change: `quartzhub_members::Post` is `Datagram`; its users in the shared core and in the node's `peers` follow.

--- a/crates/members/src/hearing.rs
+++ b/crates/members/src/hearing.rs
@@ -3,7 +3,7 @@
 
 impl Members {
     /// A datagram from the address of this node.
-    pub fn receive(&mut self, now: Time, from: Id, bytes: &[u8], out: &mut Vec<Post>) {
+    pub fn receive(&mut self, now: Time, from: Id, bytes: &[u8], out: &mut Vec<Datagram>) {
         if from == self.me || from.0 as usize >= self.table.len() {
             self.counts.forged += 1;
             return;
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -40,7 +40,7 @@
 
 /// A datagram to be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Post {
+pub struct Datagram {
     pub to: Id,
     pub bytes: Vec<u8>,
 }
@@ -175,7 +175,7 @@
 
     /// Does what is due. Guards first against the own sleep: a node that stood still finds every answer overdue, and would
     /// suspect all others.
-    pub fn tick(&mut self, now: Time, out: &mut Vec<Post>) {
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Datagram>) {
         self.wakes(now);
         self.relays(now, out);
         self.push_orders(now, out);
--- a/crates/members/src/ordering.rs
+++ b/crates/members/src/ordering.rs
@@ -8,7 +8,7 @@
         now: Time,
         server: Server,
         drain: bool,
-        out: &mut Vec<Post>,
+        out: &mut Vec<Datagram>,
     ) -> Result<Order, Refused> {
         let alone = self.table.len() == 1;
         if self.joins > 0 && !alone {
@@ -36,7 +36,7 @@
     }
 
     /// Guards against rumours that take a second or more round a large fleet: who hears of an order first hands it on at once.
-    pub(super) fn push_orders(&mut self, now: Time, out: &mut Vec<Post>) {
+    pub(super) fn push_orders(&mut self, now: Time, out: &mut Vec<Datagram>) {
         while let Some(order) = self.orders.take_due(now, self.limits.push_apart) {
             let most = if order.by == self.me { self.limits.first_pushes } else { self.limits.pushes };
             let mut to: Vec<Id> = self.table.members().filter(|id| *id != self.me).collect();
--- a/crates/members/src/probing.rs
+++ b/crates/members/src/probing.rs
@@ -83,7 +83,7 @@
         self.limits.observers.min(self.table.living().saturating_sub(2)).max(1)
     }
 
-    pub(super) fn probe_next(&mut self, now: Time, out: &mut Vec<Post>) {
+    pub(super) fn probe_next(&mut self, now: Time, out: &mut Vec<Datagram>) {
         if self.periods.is_multiple_of(self.limits.strangers) {
             if let Some(stranger) = self.stranger() {
                 self.ping(now, stranger, stranger, None, out);
@@ -139,7 +139,7 @@
     }
 
     /// A new node asks several at once for what they know, for some rounds.
-    pub(super) fn join(&mut self, now: Time, out: &mut Vec<Post>) {
+    pub(super) fn join(&mut self, now: Time, out: &mut Vec<Datagram>) {
         if self.joins == 0 || self.leaving {
             return;
         }
@@ -152,7 +152,7 @@
         }
     }
 
-    pub(super) fn ask_others(&mut self, now: Time, out: &mut Vec<Post>) {
+    pub(super) fn ask_others(&mut self, now: Time, out: &mut Vec<Datagram>) {
         let Some(mut probe) = self.probe else { return };
         let target = probe.target;
         let mut asked = Vec::new();
@@ -180,7 +180,7 @@
         self.probe = Some(probe);
     }
 
-    pub(super) fn relays(&mut self, now: Time, out: &mut Vec<Post>) {
+    pub(super) fn relays(&mut self, now: Time, out: &mut Vec<Datagram>) {
         while self.relays.front().is_some_and(|first| now >= first.ends) {
             self.relays.pop_front();
         }
@@ -195,7 +195,7 @@
         }
     }
 
-    pub(super) fn tries(&mut self, now: Time, head: &Head, out: &mut Vec<Post>) {
+    pub(super) fn tries(&mut self, now: Time, head: &Head, out: &mut Vec<Datagram>) {
         if head.about == self.me || head.about == head.from || self.relays.len() >= self.limits.relays {
             return;
         }
@@ -206,7 +206,7 @@
         self.relays.push_back(Relay { for_, probe, target, number, nack_at, ends, nacked: false });
     }
 
-    pub(super) fn acknowledged(&mut self, now: Time, head: &Head, out: &mut Vec<Post>) {
+    pub(super) fn acknowledged(&mut self, now: Time, head: &Head, out: &mut Vec<Datagram>) {
         if let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == head.probe) {
             if probe.target == head.about {
                 probe.answered = true;
--- a/crates/members/src/sending.rs
+++ b/crates/members/src/sending.rs
@@ -14,7 +14,7 @@
         to: Id,
         about: Id,
         first: Option<Entry>,
-        out: &mut Vec<Post>,
+        out: &mut Vec<Datagram>,
     ) -> u32 {
         let mut head = self.head(Kind::Ping { hello: false }, about, 0);
         head.probe = head.count;
@@ -24,7 +24,14 @@
 
     /// Sends, with the rumours that are most urgent, and some entries of the own table behind them, so that what a
     /// rumour has not reached is heard later.
-    pub(super) fn send(&mut self, _now: Time, to: Id, head: Head, first: Option<Entry>, out: &mut Vec<Post>) {
+    pub(super) fn send(
+        &mut self,
+        _now: Time,
+        to: Id,
+        head: Head,
+        first: Option<Entry>,
+        out: &mut Vec<Datagram>,
+    ) {
         let mut packet = Packet::new(wire::VERSION, self.fleet, &head);
         // What is said of whom this goes to comes first: it can answer to it.
         let told = first.or_else(|| self.table.news_of(to));
@@ -57,11 +64,11 @@
         let bytes = packet.done();
         self.counts.sent += 1;
         self.counts.sent_bytes += bytes.len() as u64;
-        out.push(Post { to, bytes });
+        out.push(Datagram { to, bytes });
     }
 
     /// Tells others that this node leaves as planned, which is no failure.
-    pub fn leave(&mut self, now: Time, out: &mut Vec<Post>) {
+    pub fn leave(&mut self, now: Time, out: &mut Vec<Datagram>) {
         self.leaving = true;
         let (of, number) = (self.me, self.number);
         self.table.left(now, of, number);
--- a/crates/members/src/sim.rs
+++ b/crates/members/src/sim.rs
@@ -5,7 +5,7 @@
 
 use quartzhub_policy::{Pcg, Span, Time};
 
-use crate::{Id, Limits, Members, Post, State};
+use crate::{Datagram, Id, Limits, Members, State};
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -153,8 +153,8 @@
         self.events.push(Reverse((at, self.number, event)));
     }
 
-    fn post(&mut self, from: usize, out: Vec<Post>) {
-        for Post { to, bytes } in out {
+    fn post(&mut self, from: usize, out: Vec<Datagram>) {
+        for Datagram { to, bytes } in out {
             self.sent += 1;
             self.sent_bytes += bytes.len() as u64;
             self.longest = self.longest.max(bytes.len());
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 use quartzhub_members::wire::{fleet, LONGEST};
-use quartzhub_members::{Id, Limits, Members, Order, Post, Refused, Server, State};
+use quartzhub_members::{Datagram, Id, Limits, Members, Order, Refused, Server, State};
 use quartzhub_policy::Time;
 use quartzhub_shared::{wire, Load, Shared};
 use tokio::net::UdpSocket;
@@ -118,7 +118,7 @@
     }
 
     /// Says what this node has to say of itself, and has its part of budgets asked for.
-    fn share(&self, now: Time, hub: &Rc<Hub>, out: &mut Vec<Post>) {
+    fn share(&self, now: Time, hub: &Rc<Hub>, out: &mut Vec<Datagram>) {
         let Some(shared) = self.shared.as_ref().filter(|shared| now >= shared.borrow().due()) else { return };
         let [attempts, done] = hub.ask(Reducer::load);
         let members = self.members.borrow();
@@ -134,7 +134,7 @@
         }
     }
 
-    fn take(&self, from: SocketAddr, bytes: &[u8], out: &mut Vec<Post>) {
+    fn take(&self, from: SocketAddr, bytes: &[u8], out: &mut Vec<Datagram>) {
         match (self.ids.get(&from), &self.shared) {
             (Some(id), Some(shared)) if wire::is_mine(bytes) => {
                 shared.borrow_mut().receive(self.clock.now(), *id, bytes, out);
@@ -157,8 +157,8 @@
     }
 
     /// What does not go out at once is lost, as any datagram may be.
-    fn post(&self, out: Vec<Post>) {
-        for Post { to, bytes } in out {
+    fn post(&self, out: Vec<Datagram>) {
+        for Datagram { to, bytes } in out {
             if let Some(addr) = self.named.peers.get(to.0 as usize) {
                 let _ = self.socket.try_send_to(&bytes, *addr);
             }
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod wire;
 pub mod words;
 
-use quartzhub_members::{Allowances, Id, Post};
+use quartzhub_members::{Allowances, Datagram, Id};
 use quartzhub_policy::{Pcg, Time};
 use serde::Serialize;
 
@@ -96,7 +96,7 @@
     }
 
     /// Does what is due. `life`: by the membership, which life of this node it is; `living`: the other members.
-    pub fn tick(&mut self, now: Time, life: u32, living: &[Id], out: &mut Vec<Post>) {
+    pub fn tick(&mut self, now: Time, life: u32, living: &[Id], out: &mut Vec<Datagram>) {
         let asked = self.leases.tick(now, living, &mut self.chance);
         self.post(asked, out);
         if now < self.next {
@@ -111,13 +111,13 @@
     }
 
     /// Words, as many as fit.
-    fn tell(&mut self, now: Time, to: Id, asks: bool, out: &mut Vec<Post>) {
+    fn tell(&mut self, now: Time, to: Id, asks: bool, out: &mut Vec<Datagram>) {
         let mut packet = Packet::new(wire::VERSION, self.fleet, &Head { from: self.me, asks });
         self.words.ride(now, |word| packet.add(&Entry::Word(word)));
         self.send(to, packet, out);
     }
 
-    fn post(&mut self, entries: Vec<(Id, Entry)>, out: &mut Vec<Post>) {
+    fn post(&mut self, entries: Vec<(Id, Entry)>, out: &mut Vec<Datagram>) {
         for (to, entry) in entries {
             let mut packet = Packet::new(wire::VERSION, self.fleet, &Head { from: self.me, asks: false });
             packet.add(&entry);
@@ -125,15 +125,15 @@
         }
     }
 
-    fn send(&mut self, to: Id, packet: Packet, out: &mut Vec<Post>) {
+    fn send(&mut self, to: Id, packet: Packet, out: &mut Vec<Datagram>) {
         let bytes = packet.done();
         self.counts.sent += 1;
         self.counts.sent_bytes += bytes.len() as u64;
-        out.push(Post { to, bytes });
+        out.push(Datagram { to, bytes });
     }
 
     /// A datagram from the address of this node.
-    pub fn receive(&mut self, now: Time, from: Id, bytes: &[u8], out: &mut Vec<Post>) {
+    pub fn receive(&mut self, now: Time, from: Id, bytes: &[u8], out: &mut Vec<Datagram>) {
         if from == self.me || from.0 as usize >= self.nodes {
             self.counts.forged += 1;
             return;
--- a/crates/shared/src/sim.rs
+++ b/crates/shared/src/sim.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
 
-use quartzhub_members::{Id, Post};
+use quartzhub_members::{Datagram, Id};
 use quartzhub_policy::{Pcg, Span, Time};
 
 use crate::{Limits, Load, Shared};
@@ -176,8 +176,8 @@
         self.events.push(Reverse((at, self.number, event)));
     }
 
-    fn post(&mut self, from: usize, out: Vec<Post>) {
-        for Post { to, bytes } in out {
+    fn post(&mut self, from: usize, out: Vec<Datagram>) {
+        for Datagram { to, bytes } in out {
             self.sent_bytes += bytes.len() as u64;
             self.longest = self.longest.max(bytes.len());
             let to = to.0 as usize;
