--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod orders;
 mod probing;
 mod refuting;
+mod rumours;
 mod sending;
 pub mod sim;
 mod table;
@@ -24,8 +25,9 @@
 use orders::Orders;
 pub use orders::{Held, Order, Refused, Server};
 use probing::{Probe, Relay};
+use rumours::Rumours;
+use table::Table;
 pub use table::{Change, Member, State};
-use table::{Rumours, Table};
 use wire::{Entry, Fault, Head, Kind, Packet};
 
 /// A node's number, by its place in the configuration.
