Serve three simulations from one event queue, and two from the same links

Need: the queue of events in the order of time stood three times (the emulated networks of membership and shared core, the laboratory's world), and the check on cuts, loss and traffic twice.

Change: `quartzhub_members::sim` has `EventQueue` and `Links`, which the three use; `Net` is `Network`, `happens` is `handle`, the shared core's `part` is `partition`. Tests follow the names (`network.links.loss` for `net.loss`); what they check is as it was.

--- a/crates/lab/src/gossip.rs
+++ b/crates/lab/src/gossip.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write as _;
 use std::path::Path;
 
-use quartzhub_members::sim::Net;
+use quartzhub_members::sim::Network;
 use quartzhub_members::{Limits, State};
 use quartzhub_policy::{Pcg, Span, Time};
 use rayon::prelude::*;
@@ -66,25 +66,25 @@
 }
 
 fn row(nodes: usize, detector: Detector, crashes: usize, hours: f64, seed: u64) -> Row {
-    let mut net = Net::new(nodes, detector.limits(), seed);
-    net.start_all();
-    net.play(SETTLES);
-    let (sent, bytes, before) = (net.sent, net.sent_bytes, net.now);
-    net.play(Span::ms(5_000));
-    let per = |of: u64| of as f64 / nodes as f64 / (net.now - before).seconds();
-    let (datagrams, bytes) = (per(net.sent - sent), per(net.sent_bytes - bytes));
+    let mut network = Network::new(nodes, detector.limits(), seed);
+    network.start_all();
+    network.play(SETTLES);
+    let (sent, bytes, before) = (network.links.sent, network.links.sent_bytes, network.now);
+    network.play(Span::ms(5_000));
+    let per = |of: u64| of as f64 / nodes as f64 / (network.now - before).seconds();
+    let (datagrams, bytes) = (per(network.links.sent - sent), per(network.links.sent_bytes - bytes));
     let (mut first, mut all, mut unseen) = (Vec::new(), Vec::new(), 0);
     let mut chance = Pcg::new(seed);
     for _ in 0..crashes.min(nodes / 4) {
         let node = (chance.unit() * nodes as f64) as usize;
-        if net.get(node).is_none() {
+        if network.get(node).is_none() {
             continue;
         }
         // At no set moment of anybody's period.
-        net.play(Span::ms(400).times(chance.unit()));
-        net.kill(node);
-        let at = net.now;
-        match watch(&mut net, node, at) {
+        network.play(Span::ms(400).times(chance.unit()));
+        network.kill(node);
+        let at = network.now;
+        match watch(&mut network, node, at) {
             (Some(seen), Some(known)) => {
                 first.push(seen);
                 all.push(known);
@@ -110,24 +110,24 @@
 }
 
 /// Seconds until the first suspects it, and until all that run have removed it.
-fn watch(net: &mut Net, node: usize, at: Time) -> (Option<f64>, Option<f64>) {
+fn watch(network: &mut Network, node: usize, at: Time) -> (Option<f64>, Option<f64>) {
     let mut first = None;
-    while net.now - at < PATIENCE {
-        net.play(STEP);
+    while network.now - at < PATIENCE {
+        network.play(STEP);
         let mut members = 0;
-        for other in (0..net.len()).filter(|other| *other != node) {
-            match net.state(node, other) {
+        for other in (0..network.len()).filter(|other| *other != node) {
+            match network.state(node, other) {
                 Some(State::Alive) => members += 1,
                 Some(State::Suspect) => {
                     members += 1;
-                    first = first.or(Some((net.now - at).seconds()));
+                    first = first.or(Some((network.now - at).seconds()));
                 }
-                Some(_) => first = first.or(Some((net.now - at).seconds())),
+                Some(_) => first = first.or(Some((network.now - at).seconds())),
                 None => {}
             }
         }
         if members == 0 {
-            return (first, Some((net.now - at).seconds()));
+            return (first, Some((network.now - at).seconds()));
         }
     }
     (first, None)
@@ -136,10 +136,10 @@
 /// Nobody dies: a tenth of all datagrams is lost, and a tenth of the nodes stands still for up to 2 s, others every time.
 /// How many have been removed, each counted once for each time that anybody removed it.
 fn quiet(nodes: usize, detector: Detector, hours: f64, seed: u64) -> (usize, usize, f64) {
-    let mut net = Net::new(nodes, detector.limits(), seed ^ 1);
-    net.start_all();
-    net.play(SETTLES);
-    net.loss = 0.1;
+    let mut network = Network::new(nodes, detector.limits(), seed ^ 1);
+    network.start_all();
+    network.play(SETTLES);
+    network.links.loss = 0.1;
     let mut chance = Pcg::new(seed ^ 2);
     let (mut removals, mut asleep, mut seconds) = (0, 0, 0.0);
     let mut slept = vec![Time(-60_000_000); nodes];
@@ -149,16 +149,17 @@
         for _ in 0..(nodes / 10).max(1) {
             let node = (chance.unit() * nodes as f64) as usize;
             let lasts = Span::ms(200) + Span::ms(1_800).times(chance.unit());
-            net.pause(node, lasts);
-            slept[node] = net.now + lasts;
+            network.pause(node, lasts);
+            slept[node] = network.now + lasts;
         }
         for _ in 0..10 {
-            net.play(Span::ms(500));
+            network.play(Span::ms(500));
             for (of, gone) in gone.iter_mut().enumerate() {
-                let now =
-                    (0..nodes).step_by((nodes / 16).max(1)).any(|at| net.state(of, at) == Some(State::Gone));
+                let now = (0..nodes)
+                    .step_by((nodes / 16).max(1))
+                    .any(|at| network.state(of, at) == Some(State::Gone));
                 let new = usize::from(now && !*gone);
-                match net.now - slept[of] < Span::ms(1_500) {
+                match network.now - slept[of] < Span::ms(1_500) {
                     true => asleep += new,
                     false => removals += new,
                 }
--- a/crates/lab/src/world/event.rs
+++ b/crates/lab/src/world/event.rs
@@ -1,6 +1,4 @@
-//! What happens in the emulated world, and in which order.
-use std::cmp::Ordering;
-
+//! What happens in the emulated world.
 use super::*;
 
 #[derive(Debug, Clone, Copy)]
@@ -109,22 +107,3 @@
         node: usize,
     },
 }
-
-pub(super) struct Due(pub Time, pub u64, pub Event);
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Due) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Due) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Due) -> Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -8,9 +8,9 @@
 mod serving;
 mod simulation;
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::VecDeque;
 
+use quartzhub_members::sim::EventQueue;
 use quartzhub_names::{Calls, Line, Places, Servers};
 use quartzhub_policy::{
     Answers, Ask, Balancer, CallIx, Ending, Outcome, Pcg, Product, ServerIx, Span, State, Time,
@@ -25,7 +25,7 @@
 use crate::server::{Falls, Health, Job, Server, Work, FALLEN};
 use crate::stats::{End, Ended, Report};
 use effects::Effects;
-use event::{Due, Event};
+use event::Event;
 use records::*;
 
 pub const POLICIES: [&str; 5] = ["dema", "random", "least_in_flight", "two_choices", "bounded_hash"];
@@ -97,8 +97,7 @@
             scenario: scenario.clone(),
             now: Time(0),
             end: Time::from_ms(scenario.seconds * 1000.0),
-            seq: 0,
-            due: BinaryHeap::new(),
+            events: EventQueue::default(),
             chance,
             products,
             shares,
@@ -138,7 +137,7 @@
         self.sim.after(Span::ZERO, Event::Arrive);
         // After the end nothing new comes, and what is open has its time.
         let last = self.sim.end + Span::ms(120_000);
-        while let Some(Reverse(Due(at, _, event))) = self.sim.due.pop() {
+        while let Some((at, event)) = self.sim.events.pop() {
             if at > last || at > self.sim.end && self.sim.clients.is_empty() && self.sim.checker.open() == 0 {
                 break;
             }
--- a/crates/lab/src/world/simulation.rs
+++ b/crates/lab/src/world/simulation.rs
@@ -3,8 +3,7 @@
 
 impl Simulation {
     pub(super) fn at(&mut self, at: Time, event: Event) {
-        self.seq += 1;
-        self.due.push(Reverse(Due(at.max(self.now), self.seq, event)));
+        self.events.schedule(at.max(self.now), event);
     }
 
     pub(super) fn after(&mut self, wait: Span, event: Event) {
--- a/crates/members/src/sim.rs
+++ b/crates/members/src/sim/mod.rs
@@ -1,17 +1,20 @@
-//! An emulated network round many of these state machines, for experiments and tests: loss, delay, one-sided cuts, pauses,
+//! An emulated network between many of these state machines, for experiments and tests: loss, delay, one-sided cuts, pauses,
 //! kills and restarts; the same run from the same seed.
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashSet};
+mod links;
+mod queue;
 
 use quartzhub_policy::{Pcg, Span, Time};
 
 use crate::{Datagram, Id, Limits, Members, State};
 
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub use links::Links;
+pub use queue::EventQueue;
+
+#[derive(Debug)]
 enum Event {
-    Tick { node: u16, life: u32 },
-    Arrives { from: u16, to: u16, bytes: Vec<u8> },
-    Wakes { node: u16 },
+    Tick { node: usize, life: u32 },
+    Arrives { from: usize, to: usize, bytes: Vec<u8> },
+    Wakes { node: usize },
 }
 
 struct Node {
@@ -19,53 +22,43 @@
     life: u32,
     paused: bool,
     /// What came while it stood still: the system keeps it, up to a bound.
-    waiting: Vec<(u16, Vec<u8>)>,
+    waiting: Vec<(usize, Vec<u8>)>,
 }
 
 /// Datagrams that a machine keeps for a process that stands still.
 const KEPT: usize = 800;
 
-pub struct Net {
+/// Nodes and the links between them, by discrete events.
+pub struct Network {
     pub now: Time,
     nodes: Vec<Node>,
     limits: Limits,
     seed: u64,
     chance: Pcg,
-    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
-    number: u64,
-    pub loss: f64,
+    events: EventQueue<Event>,
+    pub links: Links,
     /// One way: the least, and what may come on top.
     pub delay: Span,
     pub jitter: Span,
     pub duplicates: f64,
-    /// Ways that are cut, by sender and receiver.
-    pub cuts: HashSet<(u16, u16)>,
-    pub sent: u64,
-    pub sent_bytes: u64,
-    pub longest: usize,
 }
 
 pub const FLEET: &str = "emulated";
 
-impl Net {
-    pub fn new(nodes: usize, limits: Limits, seed: u64) -> Net {
+impl Network {
+    pub fn new(nodes: usize, limits: Limits, seed: u64) -> Network {
         let empty = || Node { members: None, life: 0, paused: false, waiting: Vec::new() };
-        Net {
+        Network {
             now: Time(0),
             nodes: (0..nodes).map(|_| empty()).collect(),
             limits,
             seed,
             chance: Pcg::new(seed),
-            events: BinaryHeap::new(),
-            number: 0,
-            loss: 0.0,
+            events: EventQueue::default(),
+            links: Links::default(),
             delay: Span::ms(1),
             jitter: Span::ms(1),
             duplicates: 0.0,
-            cuts: HashSet::new(),
-            sent: 0,
-            sent_bytes: 0,
-            longest: 0,
         }
     }
 
@@ -89,7 +82,7 @@
         members.start(self.now);
         let (due, life) = (members.due(), self.nodes[node].life);
         self.nodes[node].members = Some(members);
-        self.at(due, Event::Tick { node: node as u16, life });
+        self.at(due, Event::Tick { node, life });
     }
 
     pub fn start_all(&mut self) {
@@ -106,7 +99,7 @@
         if let Some(members) = &mut self.nodes[node].members {
             members.leave(now, &mut out);
         }
-        self.post(node, out);
+        self.send(node, out);
         self.kill(node);
     }
 
@@ -120,19 +113,13 @@
         let (now, mut out) = (self.now, Vec::new());
         let Some(members) = &mut self.nodes[node].members else { return Err(crate::Refused::Started) };
         let order = members.order(now, server, drain, &mut out);
-        self.post(node, out);
+        self.send(node, out);
         order
     }
 
     pub fn pause(&mut self, node: usize, lasts: Span) {
         self.nodes[node].paused = true;
-        self.at(self.now + lasts, Event::Wakes { node: node as u16 });
-    }
-
-    /// Cuts what goes from any of these to any of those.
-    pub fn cut(&mut self, from: &[usize], to: &[usize]) {
-        let pairs = from.iter().flat_map(|from| to.iter().map(move |to| (*from as u16, *to as u16)));
-        self.cuts.extend(pairs.filter(|pair| pair.0 != pair.1));
+        self.at(self.now + lasts, Event::Wakes { node });
     }
 
     pub fn get(&self, node: usize) -> Option<&Members> {
@@ -145,27 +132,24 @@
 
     /// Hands a datagram over now, whatever the network does.
     pub fn inject(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
-        self.at(self.now, Event::Arrives { from: from as u16, to: to as u16, bytes });
+        self.at(self.now, Event::Arrives { from, to, bytes });
     }
 
     fn at(&mut self, at: Time, event: Event) {
-        self.number += 1;
-        self.events.push(Reverse((at, self.number, event)));
+        self.events.schedule(at, event);
     }
 
-    fn post(&mut self, from: usize, out: Vec<Datagram>) {
-        for Datagram { to, bytes } in out {
-            self.sent += 1;
-            self.sent_bytes += bytes.len() as u64;
-            self.longest = self.longest.max(bytes.len());
-            if self.cuts.contains(&(from as u16, to.0)) || self.chance.unit() < self.loss {
+    /// Sends what a node has asked for.
+    fn send(&mut self, from: usize, datagrams: Vec<Datagram>) {
+        for Datagram { to, bytes } in datagrams {
+            let to = to.0 as usize;
+            if !self.links.carries(from, to, bytes.len(), &mut self.chance) {
                 continue;
             }
             let copies = if self.chance.unit() < self.duplicates { 2 } else { 1 };
             for _ in 0..copies {
-                let way = self.delay + self.jitter.times(self.chance.unit());
-                let (from, to, bytes) = (from as u16, to.0, bytes.clone());
-                self.at(self.now + way, Event::Arrives { from, to, bytes });
+                let delay = self.delay + self.jitter.times(self.chance.unit());
+                self.at(self.now + delay, Event::Arrives { from, to, bytes: bytes.clone() });
             }
         }
     }
@@ -173,19 +157,18 @@
     /// Plays on for so long.
     pub fn play(&mut self, span: Span) {
         let until = self.now + span;
-        while self.events.peek().is_some_and(|next| next.0 .0 <= until) {
-            let Some(Reverse((at, _, event))) = self.events.pop() else { break };
+        while let Some((at, event)) = self.events.pop_until(until) {
             self.now = at.max(self.now);
-            self.happens(event);
+            self.handle(event);
         }
         self.now = until;
     }
 
-    fn happens(&mut self, event: Event) {
+    fn handle(&mut self, event: Event) {
         let (now, mut out) = (self.now, Vec::new());
         match event {
             Event::Tick { node, life } => {
-                let it = &mut self.nodes[node as usize];
+                let it = &mut self.nodes[node];
                 if it.life != life || it.paused {
                     return;
                 }
@@ -193,10 +176,10 @@
                 members.tick(now, &mut out);
                 let due = members.due().max(now + Span::ms(1));
                 self.at(due, Event::Tick { node, life });
-                self.post(node as usize, out);
+                self.send(node, out);
             }
             Event::Arrives { from, to, bytes } => {
-                let it = &mut self.nodes[to as usize];
+                let it = &mut self.nodes[to];
                 if it.paused {
                     if it.waiting.len() < KEPT {
                         it.waiting.push((from, bytes));
@@ -204,11 +187,11 @@
                     return;
                 }
                 let Some(members) = &mut it.members else { return };
-                members.receive(now, Id(from), &bytes, &mut out);
-                self.post(to as usize, out);
+                members.receive(now, Id(from as u16), &bytes, &mut out);
+                self.send(to, out);
             }
             Event::Wakes { node } => {
-                let it = &mut self.nodes[node as usize];
+                let it = &mut self.nodes[node];
                 if !it.paused {
                     return;
                 }
--- /dev/null
+++ b/crates/members/src/sim/queue.rs
@@ -0,0 +1,66 @@
+//! A queue of events in the order of their time.
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+
+use quartzhub_policy::Time;
+
+struct Scheduled<E> {
+    at: Time,
+    /// How many were scheduled before it: events of one time come in that order.
+    number: u64,
+    event: E,
+}
+
+impl<E> PartialEq for Scheduled<E> {
+    fn eq(&self, other: &Scheduled<E>) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<E> Eq for Scheduled<E> {}
+
+impl<E> PartialOrd for Scheduled<E> {
+    fn partial_cmp(&self, other: &Scheduled<E>) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Scheduled<E> {
+    fn cmp(&self, other: &Scheduled<E>) -> Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// Events of a simulation, the earliest first; of one time, the first scheduled first.
+pub struct EventQueue<E> {
+    events: BinaryHeap<Reverse<Scheduled<E>>>,
+    scheduled: u64,
+}
+
+impl<E> Default for EventQueue<E> {
+    fn default() -> EventQueue<E> {
+        EventQueue { events: BinaryHeap::new(), scheduled: 0 }
+    }
+}
+
+impl<E> EventQueue<E> {
+    /// Adds an event for this time.
+    pub fn schedule(&mut self, at: Time, event: E) {
+        self.scheduled += 1;
+        self.events.push(Reverse(Scheduled { at, number: self.scheduled, event }));
+    }
+
+    /// Takes the next event.
+    pub fn pop(&mut self) -> Option<(Time, E)> {
+        self.events.pop().map(|Reverse(next)| (next.at, next.event))
+    }
+
+    /// Takes the next event if it is not later than this time.
+    pub fn pop_until(&mut self, until: Time) -> Option<(Time, E)> {
+        if self.events.peek().is_some_and(|Reverse(next)| next.at <= until) {
+            self.pop()
+        } else {
+            None
+        }
+    }
+}
--- a/crates/members/tests/properties.rs
+++ b/crates/members/tests/properties.rs
@@ -1,7 +1,7 @@
 //! What holds whatever happens: views agree again once the network is whole, datagrams keep to their bound, and no bytes
 //! harm.
 use proptest::prelude::*;
-use quartzhub_members::sim::{Net, FLEET};
+use quartzhub_members::sim::{Network, FLEET};
 use quartzhub_members::wire::{fleet, read, Entry, Fault, Head, Kind, Packet, LONGEST};
 use quartzhub_members::{Id, Limits, Members, State};
 use quartzhub_policy::{Span, Time};
@@ -44,38 +44,38 @@
     fn views_agree_with_what_runs_once_the_network_is_whole_again(
         nodes in 3usize..10, seed in 0u64..1_000_000, all in troubles(9),
     ) {
-        let mut net = Net::new(nodes, Limits::default(), seed);
-        net.start_all();
-        net.play(Span::ms(5_000));
+        let mut network = Network::new(nodes, Limits::default(), seed);
+        network.start_all();
+        network.play(Span::ms(5_000));
         for (after, trouble) in all {
-            net.play(Span::ms(after));
+            network.play(Span::ms(after));
             let known = |node: usize| node % nodes;
             match trouble {
                 Trouble::Cut(from, to) => {
                     let (from, to): (Vec<_>, Vec<_>) =
                         (from.into_iter().map(known).collect(), to.into_iter().map(known).collect());
-                    net.cut(&from, &to);
+                    network.links.cut(&from, &to);
                 }
-                Trouble::Heal => net.cuts.clear(),
-                Trouble::Loss(part) => net.loss = part,
-                Trouble::Pause(node, ms) => net.pause(known(node), Span::ms(ms)),
-                Trouble::Kill(node) => net.kill(known(node)),
-                Trouble::Start(node) => net.start(known(node)),
-                Trouble::Leave(node) => net.leave(known(node)),
+                Trouble::Heal => network.links.cuts.clear(),
+                Trouble::Loss(part) => network.links.loss = part,
+                Trouble::Pause(node, ms) => network.pause(known(node), Span::ms(ms)),
+                Trouble::Kill(node) => network.kill(known(node)),
+                Trouble::Start(node) => network.start(known(node)),
+                Trouble::Leave(node) => network.leave(known(node)),
             }
         }
         // Two have to be up at least for a view of each other; whoever is down comes back.
-        net.cuts.clear();
-        net.loss = 0.0;
-        net.play(Span::ms(8_000));
+        network.links.cuts.clear();
+        network.links.loss = 0.0;
+        network.play(Span::ms(8_000));
         for node in 0..nodes {
-            if net.get(node).is_none() {
-                net.start(node);
+            if network.get(node).is_none() {
+                network.start(node);
             }
         }
-        net.play(Span::ms(20_000));
-        prop_assert_eq!(net.wrong(), 0);
-        prop_assert!(net.longest <= LONGEST);
+        network.play(Span::ms(20_000));
+        prop_assert_eq!(network.wrong(), 0);
+        prop_assert!(network.links.longest <= LONGEST);
     }
 
     #[test]
@@ -182,13 +182,13 @@
 #[test]
 fn the_load_of_a_node_does_not_grow_with_the_fleet() {
     let load = |nodes: usize| {
-        let mut net = Net::new(nodes, Limits::default(), 1);
-        net.start_all();
-        net.play(Span::ms(15_000));
-        let before = (net.sent, net.sent_bytes);
-        net.play(Span::ms(10_000));
+        let mut network = Network::new(nodes, Limits::default(), 1);
+        network.start_all();
+        network.play(Span::ms(15_000));
+        let before = (network.links.sent, network.links.sent_bytes);
+        network.play(Span::ms(10_000));
         let part = |of: u64| of as f64 / 10.0 / nodes as f64;
-        (part(net.sent - before.0), part(net.sent_bytes - before.1))
+        (part(network.links.sent - before.0), part(network.links.sent_bytes - before.1))
     };
     let (few, many) = (load(8), load(256));
     assert!((many.0 / few.0 - 1.0).abs() < 0.1, "datagrams a second and node: {few:?}, {many:?}");
--- a/crates/shared/src/sim.rs
+++ b/crates/shared/src/sim.rs
@@ -1,14 +1,14 @@
-//! An emulated network round many of these state machines, for tests and experiments: loss, delay, cuts, pauses, kills,
+//! An emulated network between many of these state machines, for tests and experiments: loss, delay, cuts, pauses, kills,
 //! restarts and clocks that run apart; the same run from the same seed.
-use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap};
+use std::collections::BTreeSet;
 
+use quartzhub_members::sim::{EventQueue, Links};
 use quartzhub_members::{Datagram, Id};
 use quartzhub_policy::{Pcg, Span, Time};
 
 use crate::{Limits, Load, Shared};
 
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug)]
 enum Event {
     Tick { node: usize, life: u32 },
     Arrives { from: usize, to: usize, bytes: Vec<u8> },
@@ -31,28 +31,25 @@
     }
 }
 
-pub struct Net {
+/// Nodes and the links between them, by discrete events.
+pub struct Network {
     pub now: Time,
     nodes: Vec<Node>,
     limits: Limits,
     seed: u64,
     chance: Pcg,
-    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
-    number: u64,
-    pub loss: f64,
+    events: EventQueue<Event>,
+    pub links: Links,
+    /// Mean delay of a datagram.
     pub delay: Span,
-    /// Ways that are cut, by sender and receiver.
-    pub cuts: BTreeSet<(usize, usize)>,
-    pub sent_bytes: u64,
-    pub longest: usize,
 }
 
 const FLEET: u32 = 7;
 /// A node's timer is never asked for more often.
 const LEAST: Span = Span::ms(5);
 
-impl Net {
-    pub fn new(nodes: usize, limits: Limits, seed: u64) -> Net {
+impl Network {
+    pub fn new(nodes: usize, limits: Limits, seed: u64) -> Network {
         let mut chance = Pcg::new(seed);
         let node = |at: usize| Node {
             shared: None,
@@ -62,19 +59,15 @@
             paused: None,
             living: (0..nodes as u16).filter(|id| *id as usize != at).map(Id).collect(),
         };
-        Net {
+        Network {
             now: Time(0),
             nodes: (0..nodes).map(node).collect(),
             limits,
             seed,
             chance,
-            events: BinaryHeap::new(),
-            number: 0,
-            loss: 0.0,
+            events: EventQueue::default(),
+            links: Links::default(),
             delay: Span::ms(2),
-            cuts: BTreeSet::new(),
-            sent_bytes: 0,
-            longest: 0,
         }
     }
 
@@ -132,10 +125,10 @@
     }
 
     /// Cuts what goes between these and all others, both ways.
-    pub fn part(&mut self, these: &BTreeSet<usize>) {
-        let all = 0..self.nodes.len();
-        let pairs = all.clone().flat_map(|a| all.clone().map(move |b| (a, b)));
-        self.cuts.extend(pairs.filter(|(a, b)| these.contains(a) != these.contains(b)));
+    pub fn partition(&mut self, these: &BTreeSet<usize>) {
+        let (inside, outside): (Vec<_>, Vec<_>) = (0..self.nodes.len()).partition(|at| these.contains(at));
+        self.links.cut(&inside, &outside);
+        self.links.cut(&outside, &inside);
     }
 
     pub fn say(&mut self, at: usize, load: Load) {
@@ -172,37 +165,33 @@
     }
 
     fn at(&mut self, at: Time, event: Event) {
-        self.number += 1;
-        self.events.push(Reverse((at, self.number, event)));
+        self.events.schedule(at, event);
     }
 
-    fn post(&mut self, from: usize, out: Vec<Datagram>) {
-        for Datagram { to, bytes } in out {
-            self.sent_bytes += bytes.len() as u64;
-            self.longest = self.longest.max(bytes.len());
+    /// Sends what a node has asked for.
+    fn send(&mut self, from: usize, datagrams: Vec<Datagram>) {
+        for Datagram { to, bytes } in datagrams {
             let to = to.0 as usize;
-            if self.cuts.contains(&(from, to)) || self.chance.unit() < self.loss {
-                continue;
+            if self.links.carries(from, to, bytes.len(), &mut self.chance) {
+                let delay = self.delay.times(0.5 + self.chance.unit());
+                self.at(self.now + delay, Event::Arrives { from, to, bytes });
             }
-            let way = self.delay.times(0.5 + self.chance.unit());
-            self.at(self.now + way, Event::Arrives { from, to, bytes });
         }
     }
 
     /// Plays on for so long; `look` is called between events.
-    pub fn play(&mut self, span: Span, mut look: impl FnMut(&Net)) {
+    pub fn play(&mut self, span: Span, mut look: impl FnMut(&Network)) {
         let until = self.now + span;
-        while self.events.peek().is_some_and(|next| next.0 .0 <= until) {
-            let Some(Reverse((at, _, event))) = self.events.pop() else { break };
+        while let Some((at, event)) = self.events.pop_until(until) {
             self.now = at.max(self.now);
-            self.happens(event);
+            self.handle(event);
             look(self);
         }
         self.now = until;
         look(self);
     }
 
-    fn happens(&mut self, event: Event) {
+    fn handle(&mut self, event: Event) {
         let (now, mut out) = (self.now, Vec::new());
         match event {
             Event::Tick { node: at, life } => {
@@ -215,7 +204,7 @@
                 shared.tick(clock, life, &node.living, &mut out);
                 let wait = (shared.due() - clock).max(LEAST).times(1.0 / node.rate);
                 self.at(now + wait, Event::Tick { node: at, life });
-                self.post(at, out);
+                self.send(at, out);
             }
             Event::Arrives { from, to, bytes } => {
                 let node = &mut self.nodes[to];
@@ -223,7 +212,7 @@
                 // What comes to a process that stands still is dropped here: the worst for it.
                 let Some(shared) = node.shared.as_mut().filter(|_| node.paused.is_none()) else { return };
                 shared.receive(clock, Id(from as u16), &bytes, &mut out);
-                self.post(to, out);
+                self.send(to, out);
             }
         }
     }
--- a/crates/shared/tests/properties.rs
+++ b/crates/shared/tests/properties.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 use quartzhub_members::Id;
 use quartzhub_policy::{Span, Time};
-use quartzhub_shared::sim::Net;
+use quartzhub_shared::sim::Network;
 use quartzhub_shared::{wire, Limits, Load, Shared};
 
 #[derive(Debug, Clone)]
@@ -38,18 +38,18 @@
     ]
 }
 
-fn does(net: &mut Net, fault: Fault) {
+fn does(network: &mut Network, fault: Fault) {
     match fault {
-        Fault::Cut(these) => net.part(&these),
-        Fault::OneWay(from, to) => drop(net.cuts.insert((from, to))),
-        Fault::Whole => net.cuts.clear(),
-        Fault::Pause(at) => net.pause(at),
-        Fault::Wake(at) => net.wake(at),
-        Fault::Kill(at) => net.kill(at),
-        Fault::Start(at) => net.start(at),
-        Fault::Believes(at, living) => net.believe(at, |other| living >> (other % 32) & 1 == 1),
-        Fault::Wants(at, parts) => net.want(at, parts),
-        Fault::Loss(loss) => net.loss = loss,
+        Fault::Cut(these) => network.partition(&these),
+        Fault::OneWay(from, to) => drop(network.links.cuts.insert((from, to))),
+        Fault::Whole => network.links.cuts.clear(),
+        Fault::Pause(at) => network.pause(at),
+        Fault::Wake(at) => network.wake(at),
+        Fault::Kill(at) => network.kill(at),
+        Fault::Start(at) => network.start(at),
+        Fault::Believes(at, living) => network.believe(at, |other| living >> (other % 32) & 1 == 1),
+        Fault::Wants(at, parts) => network.want(at, parts),
+        Fault::Loss(loss) => network.links.loss = loss,
     }
 }
 
@@ -67,27 +67,27 @@
     /// once all is whole, each has its own again within a bounded time.
     #[test]
     fn parts_never_add_up_to_more_than_one((nodes, seed, events) in history()) {
-        let mut net = Net::new(nodes, Limits::default(), seed);
-        net.start_all();
+        let mut network = Network::new(nodes, Limits::default(), seed);
+        network.start_all();
         let mut most = 0.0f64;
         for (wait, fault) in events {
-            net.play(Span::ms(wait), |net| most = most.max(net.sum()));
-            does(&mut net, fault);
+            network.play(Span::ms(wait), |network| most = most.max(network.sum()));
+            does(&mut network, fault);
         }
         for at in 0..nodes {
-            net.wake(at);
-            if net.get(at).is_none() {
-                net.start(at);
+            network.wake(at);
+            if network.get(at).is_none() {
+                network.start(at);
             }
-            net.believe(at, |_| true);
-            net.want(at, 0);
+            network.believe(at, |_| true);
+            network.want(at, 0);
         }
-        net.cuts.clear();
-        net.loss = 0.0;
-        net.play(Span::ms(12_000), |net| most = most.max(net.sum()));
+        network.links.cuts.clear();
+        network.links.loss = 0.0;
+        network.play(Span::ms(12_000), |network| most = most.max(network.sum()));
         prop_assert!(most <= 1.0 + 1e-9, "{most}");
         for at in 0..nodes {
-            let (shared, clock) = net.get(at).expect("it runs");
+            let (shared, clock) = network.get(at).expect("it runs");
             prop_assert!((shared.part(clock) - 1.0 / nodes as f64).abs() < 1e-9);
         }
     }
@@ -118,77 +118,78 @@
 
 #[test]
 fn a_side_without_a_majority_narrows_to_what_is_set_aside_and_the_other_takes_up_what_it_left() {
-    let mut net = Net::new(12, Limits::default(), 3);
-    net.start_all();
-    net.play(Span::ms(8_000), |_| ());
-    assert!((net.sum() - 1.0).abs() < 1e-9);
+    let mut network = Network::new(12, Limits::default(), 3);
+    network.start_all();
+    network.play(Span::ms(8_000), |_| ());
+    assert!((network.sum() - 1.0).abs() < 1e-9);
     let five: BTreeSet<usize> = (7..12).collect();
-    net.part(&five);
+    network.partition(&five);
     let mut most = 0.0f64;
     for at in 0..7 {
-        net.believe(at, |other| other < 7);
-        net.want(at, 2);
+        network.believe(at, |other| other < 7);
+        network.want(at, 2);
     }
-    net.play(Span::ms(20_000), |net| most = most.max(net.sum()));
+    network.play(Span::ms(20_000), |network| most = most.max(network.sum()));
     assert!(most <= 1.0 + 1e-9, "{most}");
-    let parts = |net: &Net, side: std::ops::Range<usize>| -> f64 {
-        side.map(|at| net.get(at).map_or(0.0, |(shared, clock)| shared.part(clock))).sum()
+    let parts = |network: &Network, side: std::ops::Range<usize>| -> f64 {
+        side.map(|at| network.get(at).map_or(0.0, |(shared, clock)| shared.part(clock))).sum()
     };
-    let (seven, five) = (parts(&net, 0..7), parts(&net, 7..12));
+    let (seven, five) = (parts(&network, 0..7), parts(&network, 7..12));
     // Every part has a committee of five, whose majority is on one side: there it is used, and beyond what the larger side had.
     assert!(seven > 7.0 / 12.0 && five < 5.0 / 12.0 && seven + five <= 1.0 + 1e-9, "{seven} {five}");
-    assert!(net.longest <= 256);
+    assert!(network.links.longest <= 256);
 }
 
 #[test]
 fn a_nodes_part_is_its_own_again_soon_after_it_is_back() {
-    let mut net = Net::new(6, Limits::default(), 5);
-    net.start_all();
-    net.play(Span::ms(6_000), |_| ());
-    net.kill(2);
+    let mut network = Network::new(6, Limits::default(), 5);
+    network.start_all();
+    network.play(Span::ms(6_000), |_| ());
+    network.kill(2);
     for at in [0, 1, 3, 4, 5] {
-        net.believe(at, |other| other != 2);
-        net.want(at, 1);
+        network.believe(at, |other| other != 2);
+        network.want(at, 1);
     }
-    net.play(Span::ms(30_000), |_| ());
-    let part = |net: &Net, at: usize| net.get(at).map_or(0.0, |(shared, clock)| shared.part(clock));
-    let most = (0..6).map(|at| part(&net, at)).fold(0.0, f64::max);
+    network.play(Span::ms(30_000), |_| ());
+    let part =
+        |network: &Network, at: usize| network.get(at).map_or(0.0, |(shared, clock)| shared.part(clock));
+    let most = (0..6).map(|at| part(&network, at)).fold(0.0, f64::max);
     assert!(most > 1.7 / 6.0, "nobody took up what was left: {most}");
-    net.start(2);
-    (0..6).for_each(|at| net.believe(at, |_| true));
-    net.play(Span::ms(12_000), |net| assert!(net.sum() <= 1.0 + 1e-9));
-    assert!((part(&net, 2) - 1.0 / 6.0).abs() < 1e-9);
+    network.start(2);
+    (0..6).for_each(|at| network.believe(at, |_| true));
+    network.play(Span::ms(12_000), |network| assert!(network.sum() <= 1.0 + 1e-9));
+    assert!((part(&network, 2) - 1.0 / 6.0).abs() < 1e-9);
 }
 
 /// A node that has taken up a gone one's part is cut off; its clock is the slowest, the others' the fastest that are allowed
 /// for. What is asked for meanwhile is granted only once it has run out there.
 fn cut_off_with_a_borrowed_part(seed: u64, restart: bool) -> f64 {
-    let mut net = Net::new(6, Limits::default(), seed);
-    net.clock(0, 0.95);
-    (1..6).for_each(|at| net.clock(at, 1.05));
-    net.start_all();
-    net.play(Span::ms(6_000), |_| ());
-    net.kill(5);
-    (0..5).for_each(|at| net.believe(at, |other| other != 5));
-    net.want(0, 1);
-    net.play(Span::ms(24_000), |_| ());
-    let (shared, clock) = net.get(0).expect("it runs");
+    let mut network = Network::new(6, Limits::default(), seed);
+    network.clock(0, 0.95);
+    (1..6).for_each(|at| network.clock(at, 1.05));
+    network.start_all();
+    network.play(Span::ms(6_000), |_| ());
+    network.kill(5);
+    (0..5).for_each(|at| network.believe(at, |other| other != 5));
+    network.want(0, 1);
+    network.play(Span::ms(24_000), |_| ());
+    let (shared, clock) = network.get(0).expect("it runs");
     assert!(shared.part(clock) > 1.7 / 6.0, "nothing was taken up");
-    net.part(&BTreeSet::from([0]));
+    network.partition(&BTreeSet::from([0]));
     for at in 1..5 {
         if restart {
-            net.start(at);
+            network.start(at);
         }
-        net.believe(at, |other| other != 0 && other != 5);
-        net.want(at, 2);
+        network.believe(at, |other| other != 0 && other != 5);
+        network.want(at, 2);
     }
     if restart {
-        net.start(5);
-        (1..5).for_each(|at| net.believe(at, |other| other != 0));
+        network.start(5);
+        (1..5).for_each(|at| network.believe(at, |other| other != 0));
     }
     let mut most = 0.0f64;
-    net.play(Span::ms(30_000), |net| most = most.max(net.sum()));
-    assert!(net.sum() > 0.99 - 0.75 / 6.0, "what it left was not taken up: {}", net.sum());
+    network.play(Span::ms(30_000), |network| most = most.max(network.sum()));
+    assert!(network.sum() > 0.99 - 0.75 / 6.0, "what it left was not taken up: {}", network.sum());
     most
 }
 
@@ -210,18 +211,18 @@
 #[test]
 fn words_reach_all_and_no_single_node_moves_them_far() {
     for nodes in [8, 64, 256] {
-        let mut net = Net::new(nodes, Limits::default(), 11);
-        net.start_all();
-        net.loss = 0.2;
-        (0..nodes).for_each(|at| net.say(at, Load { out: 2.0, done: 20.0 }));
-        net.say(0, Load { out: 1e6, done: 0.0 });
-        net.play(Span::ms(3_000), |_| ());
-        let before = net.sent_bytes;
-        net.play(Span::ms(2_000), |_| ());
-        let each = (net.sent_bytes - before) as f64 / 2.0 / nodes as f64;
+        let mut network = Network::new(nodes, Limits::default(), 11);
+        network.start_all();
+        network.links.loss = 0.2;
+        (0..nodes).for_each(|at| network.say(at, Load { out: 2.0, done: 20.0 }));
+        network.say(0, Load { out: 1e6, done: 0.0 });
+        network.play(Span::ms(3_000), |_| ());
+        let before = network.links.sent_bytes;
+        network.play(Span::ms(2_000), |_| ());
+        let each = (network.links.sent_bytes - before) as f64 / 2.0 / nodes as f64;
         assert!(each < 1_600.0, "{each} bytes a second and node");
         for at in 1..nodes {
-            let (shared, clock) = net.get(at).expect("it runs");
+            let (shared, clock) = network.get(at).expect("it runs");
             let fleet = shared.fleet(clock).expect("words were heard");
             assert!(fleet.nodes >= (nodes / 2).min(12), "{} words at {at} of {nodes}", fleet.nodes);
             // Three medians of one in seven, and newer than the others' words: twice at the most. Of many, next to nothing.
@@ -229,9 +230,9 @@
             assert!((0.095..most).contains(&fleet.takes), "{fleet:?} at {at} of {nodes}");
         }
         // Nobody speaks any more: what was said fades, and the node is on its own.
-        (1..nodes).for_each(|at| net.kill(at));
-        net.play(Span::ms(4_000), |_| ());
-        assert!(net.get(0).is_some_and(|(shared, clock)| shared.fleet(clock).is_none()));
+        (1..nodes).for_each(|at| network.kill(at));
+        network.play(Span::ms(4_000), |_| ());
+        assert!(network.get(0).is_some_and(|(shared, clock)| shared.fleet(clock).is_none()));
     }
 }
 
