--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -1,35 +1,16 @@
 //! Several processes of the program, with faults between them; and programs that break a rule, to show that it is seen.
 //! Expectations are on events and counts and on generous bounds, never on a sharp time.
-use std::path::{Path, PathBuf};
+mod common;
 
+use common::{holds, lab, plan, programs};
 use quartzhub_lab::fleet::event_log::Event;
 use quartzhub_lab::fleet::{play, Outcome, Plan, Programs};
 use quartzhub_lab::rules::Rule;
 
-fn lab() -> PathBuf {
-    PathBuf::from(env!("CARGO_BIN_EXE_quartzhub-lab"))
-}
-
-/// The program as the workspace's build leaves it beside the laboratory's.
-fn programs() -> Programs {
-    Programs { node: lab().with_file_name("quartzhub"), args: Vec::new(), lab: lab() }
-}
-
 fn faulty(misbehavior: &str) -> Programs {
     Programs { node: lab(), args: vec!["faulty-node".into(), misbehavior.into()], lab: lab() }
 }
 
-fn plan(name: &str) -> Plan {
-    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/fleet").join(name);
-    Plan::parse(&std::fs::read_to_string(file).expect("a file")).expect("a plan")
-}
-
-fn holds(plan: &Plan) -> Outcome {
-    let outcome = play(plan, &programs(), None).expect("played");
-    assert_eq!(outcome.failures(), Vec::<String>::new(), "\n{}", outcome.table());
-    outcome
-}
-
 #[test]
 fn one_node_of_three_is_killed_and_comes_back() {
     let outcome = holds(&plan("kill.toml"));
--- a/crates/lab/tests/shared.rs
+++ b/crates/lab/tests/shared.rs
@@ -1,22 +1,11 @@
 //! What several processes of the program share, and how they bear overload together, with faults between them. Expectations
 //! are on events and counts and on generous bounds, never on a sharp time.
-use std::collections::BTreeMap;
-use std::path::{Path, PathBuf};
-
-use quartzhub_lab::fleet::{play, Outcome, Plan, Programs};
+mod common;
 
-fn lab() -> PathBuf {
-    PathBuf::from(env!("CARGO_BIN_EXE_quartzhub-lab"))
-}
+use std::collections::BTreeMap;
 
-fn holds(name: &str) -> Outcome {
-    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/fleet").join(name);
-    let plan = Plan::parse(&std::fs::read_to_string(file).expect("a file")).expect("a plan");
-    let programs = Programs { node: lab().with_file_name("quartzhub"), args: Vec::new(), lab: lab() };
-    let outcome = play(&plan, &programs, None).expect("played");
-    assert_eq!(outcome.failures(), Vec::<String>::new(), "\n{}", outcome.table());
-    outcome
-}
+use common::{holds, plan};
+use quartzhub_lab::fleet::Outcome;
 
 /// What each process says that it may use, in the order of time: who, when, how much; a killed one may use nothing.
 fn parts(outcome: &Outcome) -> Vec<(f64, String, f64)> {
@@ -36,7 +25,7 @@
 
 #[test]
 fn parts_of_budgets_add_up_to_one_at_most_on_both_sides_of_a_cut() {
-    let outcome = holds("shared-cut.toml");
+    let outcome = holds(&plan("shared-cut.toml"));
     let told = parts(&outcome);
     let mut narrowed = 0;
     for (at, ..) in &told {
@@ -57,5 +46,5 @@
 
 #[test]
 fn overload_amid_crashes_pauses_and_a_kill_is_borne() {
-    holds("overload.toml");
+    holds(&plan("overload.toml"));
 }
