--- a/crates/node/src/words.rs
+++ b/crates/node/src/words.rs
@@ -88,12 +88,28 @@
     pub value: Option<Bytes>,
 }
 
+impl Words {
+    /// The client's list of names and values as a server is told it: `d` is the time that is left at the write of
+    /// this attempt, in place of the client's own. Caches and the origin get the same list.
+    pub fn facts_with_wait(&self, wait: Span) -> String {
+        let wait = format!("d={}", (wait.as_ms() as i64).max(1));
+        let mut facts: Vec<_> = self.facts.split(',').filter(|fact| !fact.is_empty()).collect();
+        match facts.iter_mut().find(|fact| fact.starts_with("d=")) {
+            Some(fact) => *fact = &wait,
+            None => facts.push(&wait),
+        }
+        facts.join(",")
+    }
+}
+
 /// What a client's list of names and values tells the node.
 #[derive(Debug, Default, PartialEq)]
 pub struct Facts<'a> {
     pub product: Option<&'a str>,
     pub tenant: Option<&'a str>,
     pub wait: Span,
+    /// How long its command has waited in the node behind others of its client, as part of that wait.
+    pub queued: Span,
     /// It has the mark by which a repeated write is known.
     pub mark: bool,
     pub repeat: bool,
