Call what nodes say of their own load load reports

Need: `words` is a word of our own, and the node's `words` are another thing.

The key `words` that operators read is as it was.

--- a/crates/shared/src/leases/keeper.rs
+++ b/crates/shared/src/leases/keeper.rs
@@ -71,7 +71,7 @@
         true
     }
 
-    /// Its holder uses it no more. Guards against an older word that comes late: only the round last granted counts.
+    /// Its holder uses it no more. Guards against an older message that comes late: only the round last granted counts.
     pub fn freed(&mut self, now: Time, from: Id, ask: Ask) {
         let its = |promise: &&mut Promise| promise.to == from && promise.round == ask.round;
         if let Some(promise) = self.promises.get_mut(&ask.part).filter(its) {
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -1,11 +1,11 @@
-//! What a fleet's nodes share beside who is alive: words that each says of its own load, and parts of budgets lent for a
+//! What a fleet's nodes share beside who is alive: reports that each makes of its own load, and parts of budgets lent for a
 //! time. A state machine without sockets and clock, on top of the membership; the same code runs in the node, in the
 //! emulator and under tests. `docs/shared.md` says what it promises, and what was weighed.
 pub mod leases;
 pub mod limits;
+pub mod load_reports;
 pub mod sim;
 pub mod wire;
-pub mod words;
 
 use quartzhub_members::{Allowances, Datagram, Id};
 use quartzhub_policy::{Pcg, Time};
@@ -13,9 +13,9 @@
 
 use leases::Leases;
 pub use limits::Limits;
+use load_reports::LoadReports;
+pub use load_reports::{Fleet, Load};
 use wire::{Entry, Fault, Head, Packet};
-use words::Words;
-pub use words::{Fleet, Load};
 
 /// What came, what went, and what was dropped and why.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
@@ -25,7 +25,7 @@
     pub received: u64,
     /// Too long or short, of a wrong checksum, version or fleet, or not to be read.
     pub spoilt: u64,
-    /// Said to be from another than its address is, or about nobody.
+    /// WeightedLoad to be from another than its address is, or about nobody.
     pub forged: u64,
     /// Over the rate of its sender.
     pub flood: u64,
@@ -37,7 +37,7 @@
     fleet: u32,
     limits: Limits,
     chance: Pcg,
-    words: Words,
+    reports: LoadReports,
     leases: Leases,
     allowances: Allowances,
     /// When this node next speaks.
@@ -56,7 +56,7 @@
             nodes,
             fleet,
             chance,
-            words: Words::new(me, nodes, &limits),
+            reports: LoadReports::new(me, nodes, &limits),
             leases: Leases::new(me, nodes, round, &limits),
             allowances: Allowances::new(nodes, limits.rate, limits.burst),
             next: Time(0),
@@ -73,7 +73,7 @@
 
     /// This node's own load as of now.
     pub fn say(&mut self, load: Load) {
-        self.words.say(load);
+        self.reports.say(load);
     }
 
     /// Parts beside its own that this node would use.
@@ -81,9 +81,9 @@
         self.leases.want(parts);
     }
 
-    /// What the fleet's words come to, where enough were heard of late.
+    /// What the fleet's reports come to, where enough were heard of late.
     pub fn fleet(&self, now: Time) -> Option<Fleet> {
-        self.words.fleet(now)
+        self.reports.fleet(now)
     }
 
     /// The part of a budget that this node may use now. To be asked as it is used: it narrows by itself.
@@ -103,17 +103,17 @@
             return;
         }
         self.next = now + self.limits.period;
-        self.words.own(now, life);
+        self.reports.own(now, life);
         let Some(to) = living.get((self.chance.unit() * living.len() as f64) as usize).copied() else {
             return;
         };
         self.tell(now, to, true, out);
     }
 
-    /// Words, as many as fit.
+    /// Reports, as many as fit.
     fn tell(&mut self, now: Time, to: Id, asks: bool, out: &mut Vec<Datagram>) {
         let mut packet = Packet::new(wire::VERSION, self.fleet, &Head { from: self.me, asks });
-        self.words.ride(now, |word| packet.add(&Entry::Word(word)));
+        self.reports.piggyback(now, |report| packet.add(&Entry::Report(report)));
         self.send(to, packet, out);
     }
 
@@ -158,7 +158,7 @@
         let mut answers = Vec::new();
         for entry in entries {
             match entry {
-                Entry::Word(word) => self.words.hear(now, word),
+                Entry::Report(report) => self.reports.hear(now, report),
                 Entry::Ask(ask) => answers.extend(self.leases.asked(now, from, ask)),
                 Entry::Grant(ask) => self.leases.granted(from, ask),
                 Entry::Free(ask) => self.leases.freed(now, from, ask),
--- a/crates/shared/src/limits.rs
+++ b/crates/shared/src/limits.rs
@@ -3,17 +3,17 @@
 
 #[derive(Debug, Clone)]
 pub struct Limits {
-    /// From one datagram of words to the next; each is answered with words, so that no node is left out by chance. Four or five
+    /// From one datagram of reports to the next; each is answered with reports, so that no node is left out by chance. Four or five
     /// a second and node with the answers it gives, whatever the fleet's size.
     pub period: Span,
-    /// A word's weight halves in this time, and it is dropped at the other: load changes within seconds.
+    /// A report's weight halves in this time, and it is dropped at the other: load changes within seconds.
     pub word_half: Span,
     pub word_kept: Span,
-    /// Words from so many nodes are needed before they count: fewer could be one liar and a friend.
+    /// Reports from so many nodes are needed before they count: fewer could be one liar and a friend.
     pub word_least: usize,
-    /// Most times the median that one node's word counts for.
+    /// Most times the median that one node's report counts for.
     pub word_most: f64,
-    /// How often each word is passed on by each that hears it.
+    /// How often each report is passed on by each that hears it.
     pub word_times: u32,
     /// Part of every budget that is set aside, a like part for each configured node, held without a lease.
     pub aside: f64,
--- a/crates/shared/src/words/mod.rs
+++ b/crates/shared/src/load_reports/mod.rs
@@ -1,4 +1,4 @@
-//! Words: what each node says of its own load. The newest counts, it fades with its age, and no node's moves the sum by more
+//! Load reports: what each node says of its own load. The newest counts, it fades with its age, and no node's moves the sum by more
 //! than a stated bound.
 mod robust;
 
@@ -16,17 +16,17 @@
     pub done: f64,
 }
 
-/// What the words of the fleet come to.
+/// What the reports of the fleet come to.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Fleet {
-    /// Nodes whose words count, and the time that an attempt at a cache takes, in seconds, by Little's law.
+    /// Nodes whose reports count, and the time that an attempt at a cache takes, in seconds, by Little's law.
     pub nodes: usize,
     pub takes: f64,
 }
 
 /// As it goes between nodes: load in hundredths, age in milliseconds. No clock is compared.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Word {
+pub struct LoadReport {
     pub of: Id,
     /// Newer ones of a node have a higher life, or count in it.
     pub life: u32,
@@ -36,21 +36,21 @@
     pub done: u32,
 }
 
-/// What a word can say at most: a node of a million answers a second does not need this.
+/// What a report can say at most: a node of a million answers a second does not need this.
 const MOST: u32 = 100_000_000;
 
 #[derive(Debug, Clone, Copy)]
-struct Known {
-    word: Word,
+struct KnownReport {
+    report: LoadReport,
     /// When it was said, by this node's clock.
     said: Time,
     passed: u32,
 }
 
 #[derive(Debug)]
-pub struct Words {
+pub struct LoadReports {
     me: Id,
-    known: Vec<Option<Known>>,
+    known: Vec<Option<KnownReport>>,
     load: Load,
     count: u32,
     half: Span,
@@ -60,9 +60,9 @@
     times: u32,
 }
 
-impl Words {
-    pub fn new(me: Id, nodes: usize, limits: &Limits) -> Words {
-        Words {
+impl LoadReports {
+    pub fn new(me: Id, nodes: usize, limits: &Limits) -> LoadReports {
+        LoadReports {
             me,
             known: vec![None; nodes],
             load: Load::default(),
@@ -79,58 +79,58 @@
         self.load = load;
     }
 
-    /// A new word of this node's own.
+    /// A new report of this node's own.
     pub fn own(&mut self, now: Time, life: u32) {
         self.count = self.count.wrapping_add(1);
         let hundredths = |n: f64| ((n.max(0.0) * 100.0) as u32).min(MOST);
         let (out, done) = (hundredths(self.load.out), hundredths(self.load.done));
-        let word = Word { of: self.me, life, count: self.count, age: 0, out, done };
-        self.known[self.me.0 as usize] = Some(Known { word, said: now, passed: 0 });
+        let report = LoadReport { of: self.me, life, count: self.count, age: 0, out, done };
+        self.known[self.me.0 as usize] = Some(KnownReport { report, said: now, passed: 0 });
     }
 
-    pub fn hear(&mut self, now: Time, word: Word) {
+    pub fn hear(&mut self, now: Time, report: LoadReport) {
         // Nobody else knows this node's own load.
-        if word.of == self.me || word.out > MOST || word.done > MOST {
+        if report.of == self.me || report.out > MOST || report.done > MOST {
             return;
         }
-        let said = now - Span::ms(i64::from(word.age));
-        let Some(known) = self.known.get_mut(word.of.0 as usize) else { return };
+        let said = now - Span::ms(i64::from(report.age));
+        let Some(known) = self.known.get_mut(report.of.0 as usize) else { return };
         // Guards against a life or count raised beyond belief that would silence its node for ever: what has faded gives way
         // to whatever comes.
-        let newer = |old: &Known| {
-            (word.life, word.count) > (old.word.life, old.word.count) || now - old.said > self.kept
+        let newer = |old: &KnownReport| {
+            (report.life, report.count) > (old.report.life, old.report.count) || now - old.said > self.kept
         };
         if now - said <= self.kept && known.as_ref().is_none_or(newer) {
-            *known = Some(Known { word, said, passed: 0 });
+            *known = Some(KnownReport { report, said, passed: 0 });
         }
     }
 
-    /// Hands over what is to ride along: the own word first, then what was passed on least, the youngest first.
-    pub fn ride(&mut self, now: Time, mut add: impl FnMut(Word) -> bool) {
+    /// Hands over what is to ride along: the own report first, then what was passed on least, the youngest first.
+    pub fn piggyback(&mut self, now: Time, mut add: impl FnMut(LoadReport) -> bool) {
         let (me, kept, times) = (self.me, self.kept, self.times);
-        let fresh = |known: &&mut Known| now - known.said <= kept && known.passed < times;
-        let mut all: Vec<&mut Known> = self.known.iter_mut().flatten().filter(fresh).collect();
-        all.sort_by_key(|known| (known.word.of != me, known.passed, now - known.said));
+        let fresh = |known: &&mut KnownReport| now - known.said <= kept && known.passed < times;
+        let mut all: Vec<&mut KnownReport> = self.known.iter_mut().flatten().filter(fresh).collect();
+        all.sort_by_key(|known| (known.report.of != me, known.passed, now - known.said));
         for known in all {
             let age = ((now - known.said).as_ms()).clamp(0.0, f64::from(u16::MAX)) as u16;
-            if !add(Word { age, ..known.word }) {
+            if !add(LoadReport { age, ..known.report }) {
                 return;
             }
             known.passed += 1;
         }
     }
 
-    /// What others' words come to, where there are enough. Guards against one liar, one that slept and one wrong clock: what
+    /// What others' reports come to, where there are enough. Guards against one liar, one that slept and one wrong clock: what
     /// each says is cut at a multiple of what the middle one does.
     pub fn fleet(&self, now: Time) -> Option<Fleet> {
-        let said = |known: &Known| {
+        let said = |known: &KnownReport| {
             let age = now - known.said;
             let weight = 0.5f64.powf(age.seconds().max(0.0) / self.half.seconds());
             let load = |n: u32| f64::from(n) / 100.0;
-            (age <= self.kept && known.word.of != self.me).then(|| robust::Said {
+            (age <= self.kept && known.report.of != self.me).then(|| robust::WeightedLoad {
                 weight,
-                out: load(known.word.out),
-                done: load(known.word.done),
+                out: load(known.report.out),
+                done: load(known.report.done),
             })
         };
         let said: Vec<_> = self.known.iter().flatten().filter_map(said).collect();
--- a/crates/shared/src/wire.rs
+++ b/crates/shared/src/wire.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::leases::Ask;
-use crate::words::Word;
+use crate::load_reports::LoadReport;
 
 /// The first byte. The membership's are 1 and 2.
 pub const VERSION: u8 = 3;
@@ -14,7 +14,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Entry {
     /// What a node says of its own load, passed on.
-    Word(Word),
+    Report(LoadReport),
     /// The sender asks for a part.
     Ask(Ask),
     /// The sender, of its committee, holds to it.
@@ -27,7 +27,7 @@
     /// Whom it names.
     pub fn of(&self) -> Id {
         match *self {
-            Entry::Word(word) => word.of,
+            Entry::Report(report) => report.of,
             Entry::Ask(ask) | Entry::Grant(ask) | Entry::Free(ask) => ask.part,
         }
     }
@@ -36,7 +36,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
     pub from: Id,
-    /// Words are wanted in return.
+    /// Reports are wanted in return.
     pub asks: bool,
 }
 
