Split the node's configuration by job, its check into short functions

Change: the file's keys are `file.rs`, the environment `environment.rs`, names of keys `keys.rs`. Checks are functions of their own in the order in which they were made, and the least memory and sockets are named constants. Messages are as they were.

--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -1,4 +1,7 @@
 //! The configuration: read, checked and given its defaults here and nowhere else. Messages name the faulty key.
+mod environment;
+mod file;
+mod keys;
 mod settings;
 #[cfg(test)]
 mod tests;
@@ -9,11 +12,14 @@
 use std::path::{Path, PathBuf};
 
 use quartzhub_policy::Settings;
-use serde::de::{Deserialize, Deserializer, Error as _};
 
 use crate::fault::Fault;
 use crate::limits::{Limits, Machine};
 use crate::peers::named::Peering;
+pub use environment::Environment;
+use file::{not_an_address, File};
+pub use file::{Entry, News};
+use keys::put_keys;
 use settings::checked;
 
 /// Everything a node is told at its start.
@@ -59,121 +65,15 @@
     environment: Environment,
 }
 
-/// What the file may hold. Unknown keys are passed over.
-#[derive(serde::Deserialize)]
-struct File {
-    #[serde(default = "unnamed")]
-    name: String,
-    #[serde(default, deserialize_with = "address")]
-    listen: Option<SocketAddr>,
-    #[serde(default, deserialize_with = "address")]
-    ops: Option<SocketAddr>,
-    #[serde(default, deserialize_with = "address")]
-    discovery: Option<SocketAddr>,
-    #[serde(default, deserialize_with = "seed")]
-    seed: Option<u64>,
-    /// Whether nodes watch one another; their addresses, and the fleet's name.
-    #[serde(default)]
-    membership: bool,
-    #[serde(default, deserialize_with = "address")]
-    peer_listen: Option<SocketAddr>,
-    #[serde(default)]
-    peers: serde_json::Value,
-    #[serde(default)]
-    fleet: Option<String>,
-    /// Parts of the detector that tests leave out on purpose, to see that they are missed.
-    #[serde(default)]
-    membership_without: Vec<String>,
-    /// Whether nodes also tell one another of their load, and lend one another parts of budgets.
-    #[serde(default)]
-    shared: bool,
-    #[serde(default)]
-    limits: Machine,
-    #[serde(default)]
-    known: serde_json::Value,
-    settings: serde_json::Value,
-}
-
+/// Least memory and sockets that a node may be given.
+const LEAST_MEMORY_MB: f64 = 16.0;
+const LEAST_SOCKETS: usize = 32;
 /// Longest deadline and most attempts that settings may name: a day, and far more than any API call is worth.
 const LONGEST_MS: f64 = 86_400_000.0;
 const MOST_SHOTS: f64 = 1000.0;
 /// Most nodes that settings may name, far more than any fleet has.
 const MOST_NODES: f64 = 1e6;
 
-/// A server list, whole or as changes, in the form that discovery gives it.
-#[derive(Debug, Default, serde::Deserialize)]
-pub struct News {
-    pub version: u64,
-    #[serde(default)]
-    pub full: bool,
-    pub servers: Vec<Entry>,
-}
-
-#[derive(Debug, serde::Deserialize)]
-pub struct Entry {
-    pub id: String,
-    #[serde(default, deserialize_with = "address")]
-    pub addr: Option<SocketAddr>,
-    pub zone: Option<String>,
-    pub kind: Option<String>,
-    pub cell: Option<u32>,
-    pub state: Option<String>,
-    pub weight: Option<f64>,
-    /// Unix time in milliseconds; 0 for long ago.
-    pub started_ms: Option<f64>,
-}
-
-fn unnamed() -> String {
-    "quartzhub".to_owned()
-}
-
-fn address<'de, D: Deserializer<'de>>(from: D) -> Result<Option<SocketAddr>, D::Error> {
-    let text = Option::<String>::deserialize(from)?;
-    let parse = |text: String| text.parse().map_err(|_| D::Error::custom(not_an_address(&text)));
-    text.filter(|text| !text.is_empty()).map(parse).transpose()
-}
-
-fn not_an_address(text: &str) -> String {
-    format!("{text:?} is not an address such as 127.0.0.1:6379")
-}
-
-fn seed<'de, D: Deserializer<'de>>(from: D) -> Result<Option<u64>, D::Error> {
-    let text = Option::<String>::deserialize(from)?;
-    let parse = |text: String| {
-        u64::from_str_radix(&text, 16)
-            .map_err(|_| D::Error::custom(format!("{text:?} is not a number of up to 16 hexadecimal digits")))
-    };
-    text.map(parse).transpose()
-}
-
-/// Variables of the environment that go before the file.
-#[derive(Debug, Clone, Default)]
-pub struct Environment {
-    pub name: Option<String>,
-    pub listen: Option<String>,
-    pub discovery: Option<String>,
-    pub ops: Option<String>,
-    pub inherited: Option<String>,
-    /// Descriptors that the process may hold.
-    pub descriptors: Option<usize>,
-}
-
-impl Environment {
-    pub fn of_process() -> Environment {
-        let get = |name| std::env::var(name).ok().filter(|value| !value.is_empty());
-        let (name, listen, discovery) = (get("LB_NAME"), get("LB_LISTEN"), get("LB_DISCOVERY"));
-        let (ops, inherited) = (get("LB_OPS"), get("LB_INHERITED_FD"));
-        Environment { name, listen, discovery, ops, inherited, descriptors: descriptors() }
-    }
-}
-
-/// The soft limit on open files, where the system tells it.
-fn descriptors() -> Option<usize> {
-    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
-    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
-    line.split_whitespace().next()?.parse().ok()
-}
-
 impl Config {
     pub fn read(file: &Path, environment: Environment) -> Result<Config, Fault> {
         let text =
@@ -243,63 +143,14 @@
         whole: BTreeMap<String, serde_json::Value>,
         environment: Environment,
     ) -> Result<Config, Fault> {
-        let variable = |name: &str, value: Option<String>| {
-            let parse = |text: String| {
-                text.parse::<SocketAddr>()
-                    .map_err(|_| Fault::new(format!("{name}: {}", not_an_address(&text))))
-            };
-            value.map(parse).transpose()
-        };
         let listen = variable("LB_LISTEN", environment.listen)?.or(file.listen);
         let mut passed_over = Vec::new();
         let settings = checked(&file.settings, &mut passed_over)?;
-        // Guards against a node that does not come back because of a list that it had kept: discovery has a
-        // better one.
-        let known = match std::mem::take(&mut file.known) {
-            serde_json::Value::Null => News::default(),
-            list => serde_path_to_error::deserialize(list).unwrap_or_else(|e| {
-                passed_over.push(located("known.", &e));
-                News::default()
-            }),
-        };
-        if file.limits.memory_mb.is_nan() || file.limits.memory_mb < 16.0 {
-            return Err(Fault::new(format!("limits.memory_mb: {} is under 16", file.limits.memory_mb)));
-        }
-        if file.limits.sockets < 32 {
-            return Err(Fault::new(format!("limits.sockets: {} is under 32", file.limits.sockets)));
-        }
-        if let Some(most) = environment.descriptors.filter(|most| *most < file.limits.sockets) {
-            let told = file.limits.sockets;
-            passed_over.push(Fault::new(format!("limits.sockets: {told}, but the process may open {most}")));
-            file.limits.sockets = most;
-        }
-        let number = |text: String| {
-            let fault = || Fault::new(format!("LB_INHERITED_FD: {text:?} is not the number of a descriptor"));
-            text.parse().ok().filter(|number| *number > 2).ok_or_else(fault)
-        };
-        let inherited = environment.inherited.map(number).transpose()?;
-        let mut keys = BTreeSet::new();
-        for (key, value) in &whole {
-            keys.insert(key.clone());
-            if key != "known" {
-                put_keys(key, value, &mut keys);
-            }
-        }
+        let known = known_list(std::mem::take(&mut file.known), &mut passed_over);
+        check_machine(&mut file.limits, environment.descriptors, &mut passed_over)?;
+        let inherited = environment.inherited.map(descriptor).transpose()?;
         let ops = variable("LB_OPS", environment.ops)?.or(file.ops);
-        let File { peer_listen, peers, fleet, .. } = &file;
-        let membership = Peering::checked(
-            file.membership,
-            *peer_listen,
-            peers,
-            fleet.clone(),
-            &file.membership_without,
-            &settings,
-            &mut passed_over,
-        )?;
-        let membership = membership.map(|peering| Peering { shared: file.shared, ..peering });
-        if file.shared && membership.is_none() {
-            passed_over.push(Fault::new("shared: needs membership: off"));
-        }
+        let membership = membership(&file, &settings, &mut passed_over)?;
         let limits = Limits::new(file.limits, &settings);
         let limits = if inherited.is_some() { limits.shared() } else { limits };
         Ok(Config {
@@ -315,34 +166,91 @@
             known,
             passed_over,
             machine: file.limits,
-            keys,
+            keys: all_keys(&whole),
             source: None,
             named: file.discovery,
         })
     }
 }
 
-/// The dotted names of all keys under one; of a list's items, those that each of them has.
-fn put_keys(under: &str, value: &serde_json::Value, into: &mut BTreeSet<String>) {
-    match value {
-        serde_json::Value::Object(fields) => {
-            for (key, value) in fields {
-                let key = format!("{under}.{key}");
-                put_keys(&key, value, into);
-                into.insert(key);
-            }
-        }
-        serde_json::Value::Array(items) => {
-            let of = |item| {
-                let mut keys = BTreeSet::new();
-                put_keys(&format!("{under}[]"), item, &mut keys);
-                keys
-            };
-            let all = items.iter().map(of).reduce(|all, keys| &all & &keys);
-            into.extend(all.unwrap_or_else(|| BTreeSet::from([format!("{under}[]")])));
+/// The address that a variable of the environment gives.
+fn variable(name: &str, value: Option<String>) -> Result<Option<SocketAddr>, Fault> {
+    let parse = |text: String| {
+        let fault = |_| Fault::new(format!("{name}: {}", not_an_address(&text)));
+        text.parse::<SocketAddr>().map_err(fault)
+    };
+    value.map(parse).transpose()
+}
+
+/// Guards against a node that does not come back because of a list that it had kept: discovery has a better one.
+fn known_list(list: serde_json::Value, passed_over: &mut Vec<Fault>) -> News {
+    if list.is_null() {
+        return News::default();
+    }
+    serde_path_to_error::deserialize(list).unwrap_or_else(|e| {
+        passed_over.push(located("known.", &e));
+        News::default()
+    })
+}
+
+/// Limits too small are a fault; more sockets than the process may open are not, and become as many.
+fn check_machine(
+    machine: &mut Machine,
+    descriptors: Option<usize>,
+    passed_over: &mut Vec<Fault>,
+) -> Result<(), Fault> {
+    if machine.memory_mb.is_nan() || machine.memory_mb < LEAST_MEMORY_MB {
+        let (told, least) = (machine.memory_mb, LEAST_MEMORY_MB);
+        return Err(Fault::new(format!("limits.memory_mb: {told} is under {least}")));
+    }
+    if machine.sockets < LEAST_SOCKETS {
+        let told = machine.sockets;
+        return Err(Fault::new(format!("limits.sockets: {told} is under {LEAST_SOCKETS}")));
+    }
+    if let Some(most) = descriptors.filter(|most| *most < machine.sockets) {
+        let told = machine.sockets;
+        passed_over.push(Fault::new(format!("limits.sockets: {told}, but the process may open {most}")));
+        machine.sockets = most;
+    }
+    Ok(())
+}
+
+/// The number of a listening socket, behind those of the standard streams.
+fn descriptor(text: String) -> Result<i32, Fault> {
+    let fault = || Fault::new(format!("LB_INHERITED_FD: {text:?} is not the number of a descriptor"));
+    text.parse().ok().filter(|number| *number > 2).ok_or_else(fault)
+}
+
+fn membership(
+    file: &File,
+    settings: &Settings,
+    passed_over: &mut Vec<Fault>,
+) -> Result<Option<Peering>, Fault> {
+    let membership = Peering::checked(
+        file.membership,
+        file.peer_listen,
+        &file.peers,
+        file.fleet.clone(),
+        &file.membership_without,
+        settings,
+        passed_over,
+    )?;
+    if file.shared && membership.is_none() {
+        passed_over.push(Fault::new("shared: needs membership: off"));
+    }
+    Ok(membership.map(|peering| Peering { shared: file.shared, ..peering }))
+}
+
+/// Names of all keys that the file has, but for those of the list of known servers.
+fn all_keys(whole: &BTreeMap<String, serde_json::Value>) -> BTreeSet<String> {
+    let mut keys = BTreeSet::new();
+    for (key, value) in whole {
+        keys.insert(key.clone());
+        if key != "known" {
+            put_keys(key, value, &mut keys);
         }
-        _ => {}
     }
+    keys
 }
 
 /// A seed where the configuration gives none.
