--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,18 +4,18 @@
 pub mod clients;
 pub mod fleet;
 pub mod gossip;
-pub mod judge;
 pub mod load;
 pub mod lru;
+pub mod metric;
 pub mod plot;
 pub mod routers;
+pub mod rule_monitor;
 pub mod rules;
 pub mod scenario;
 pub mod server;
-pub mod standin;
 pub mod stats;
+pub mod stub;
 pub mod sweep;
-pub mod went;
 pub mod world;
 
 pub use scenario::Scenario;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -5,10 +5,10 @@
 use quartzhub_policy::Span;
 use tokio::task::spawn_local;
 
-use crate::clients::{drive, Door};
-use crate::judge::Judge;
-use crate::rules::Broken;
-use crate::scenario::{Bad, Scenario};
+use crate::clients::{drive, NodeEndpoint};
+use crate::rule_monitor::RuleMonitor;
+use crate::rules::Violation;
+use crate::scenario::{LabError, Scenario};
 use crate::stats::Report;
 
 const MOST_RATE: f64 = 50_000.0;
@@ -27,13 +27,13 @@
     )
 }
 
-pub fn check(scenario: &Scenario, node: SocketAddr, connections: usize) -> Result<(), Bad> {
+pub fn check(scenario: &Scenario, node: SocketAddr, connections: usize) -> Result<(), LabError> {
     if !node.ip().is_loopback() {
-        return Err(Bad(format!("{node} is not on loopback")));
+        return Err(LabError(format!("{node} is not on loopback")));
     }
     let within = |what: &str, value: f64, most: f64| match value > 0.0 && value <= most {
         true => Ok(()),
-        false => Err(Bad(format!("{what}: {value} is not above 0 and up to {most}"))),
+        false => Err(LabError(format!("{what}: {value} is not above 0 and up to {most}"))),
     };
     within("traffic.rate", scenario.traffic.rate, MOST_RATE)?;
     within("seconds", scenario.seconds, MOST_SECONDS)?;
@@ -41,20 +41,20 @@
 }
 
 /// Asks a node as the scenario's clients would. Needs a `LocalSet`. Rules are checked as far as clients see them.
-pub async fn load(scenario: &Scenario, node: SocketAddr, connections: usize) -> Result<Report, Bad> {
+pub async fn load(scenario: &Scenario, node: SocketAddr, connections: usize) -> Result<Report, LabError> {
     check(scenario, node, connections)?;
-    let judge = Judge::start(scenario.grace());
-    let door = Door::new(0, node, connections);
-    let report = drive(scenario, std::slice::from_ref(&door), &judge).await;
-    kept(&judge.verdict())?;
+    let monitor = RuleMonitor::start(scenario.grace());
+    let endpoint = NodeEndpoint::new(0, node, connections);
+    let report = drive(scenario, std::slice::from_ref(&endpoint), &monitor).await;
+    kept(&monitor.verdict())?;
     Ok(report)
 }
 
 /// A broken rule fails what was played, with the offending API call's history.
-pub fn kept((broken, count): &(Vec<Broken>, u64)) -> Result<(), Bad> {
-    let Some(Broken { rule, at, what, history }) = broken.first() else { return Ok(()) };
+pub fn kept((broken, count): &(Vec<Violation>, u64)) -> Result<(), LabError> {
+    let Some(Violation { rule, at, what, history }) = broken.first() else { return Ok(()) };
     let at = at.ms();
-    Err(Bad(format!("rules broken {count} times, first at {at:.1} ms, {rule:?}: {what}. {history}")))
+    Err(LabError(format!("rules broken {count} times, first at {at:.1} ms, {rule:?}: {what}. {history}")))
 }
 
 /// What both ways of playing one scenario have shown.
@@ -65,20 +65,20 @@
     pub real_fetches: u64,
 }
 
-/// Plays a scenario of one node in the emulator and by the real node, with stand-ins on loopback, in this process.
-pub fn compare(scenario: &Scenario) -> Result<Compared, Bad> {
+/// Plays a scenario of one node in the emulator and by the real node, with stub servers on loopback, in this process.
+pub fn compare(scenario: &Scenario) -> Result<Compared, LabError> {
     if scenario.nodes != 1 || scenario.clients.retries != 0 || scenario.policy != "dema" {
-        return Err(Bad(
-            "nodes, clients.retries, policy: one node, no retries and dema are compared".to_owned()
+        return Err(LabError(
+            "nodes, clients.retries, policy: one node, no retries and dema are compared".to_owned(),
         ));
     }
     let emulated = crate::run(scenario)?;
-    let bad = |what: &dyn std::fmt::Display| Bad(format!("the real node: {what}"));
+    let bad = |what: &dyn std::fmt::Display| LabError(format!("the real node: {what}"));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| bad(&e))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let judge = Judge::start(Span::from_ms(scenario.rules.grace_ms));
-        let fleet = crate::standin::Fleet::new(scenario, judge.clone())?;
-        let known = fleet.clone().listen().await?;
+        let monitor = RuleMonitor::start(Span::from_ms(scenario.rules.grace_ms));
+        let stubs = crate::stub::StubServers::new(scenario, monitor.clone())?;
+        let known = stubs.clone().listen().await?;
         let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(|e| bad(&e))?;
         listener.set_nonblocking(true).map_err(|e| bad(&e))?;
         let addr = listener.local_addr().map_err(|e| bad(&e))?;
@@ -90,11 +90,11 @@
         let config = config.map_err(|e| bad(&e))?;
         let again = Rc::new(tokio::sync::Notify::new());
         let node = spawn_local(quartzhub_node::serve(config, Some(listener), std::future::pending(), again));
-        let real = drive(scenario, &[Door::new(0, addr, 256)], &judge).await;
+        let real = drive(scenario, &[NodeEndpoint::new(0, addr, 256)], &monitor).await;
         node.abort();
-        kept(&judge.verdict())?;
-        let (hits, misses) = (fleet.hits.get() as f64, fleet.misses.get() as f64);
+        kept(&monitor.verdict())?;
+        let (hits, misses) = (stubs.hits.get() as f64, stubs.misses.get() as f64);
         let real_hits = hits / (hits + misses).max(1.0);
-        Ok(Compared { emulated, real, real_hits, real_fetches: fleet.fetches.get() })
+        Ok(Compared { emulated, real, real_hits, real_fetches: stubs.fetches.get() })
     })
 }
--- a/crates/lab/src/sweep.rs
+++ b/crates/lab/src/sweep.rs
@@ -1,11 +1,14 @@
 //! Experiments: a scenario, what is varied in it, seeds; played on all cores, told as a table with means and
 //! confidence intervals over the seeds.
+#[cfg(test)]
+mod tests;
+
 use std::fmt::Write as _;
 
 use rayon::prelude::*;
 use serde::Deserialize;
 
-use crate::scenario::{one_line, Bad, Scenario};
+use crate::scenario::{one_line, LabError, Scenario};
 use crate::stats::FIGURES;
 use crate::world::{run, POLICIES};
 
@@ -57,42 +60,42 @@
 }
 
 impl Sweep {
-    pub fn parse(text: &str) -> Result<Sweep, Bad> {
-        let table: toml::Table = text.parse().map_err(|e: toml::de::Error| Bad(one_line(&e)))?;
+    pub fn parse(text: &str) -> Result<Sweep, LabError> {
+        let table: toml::Table = text.parse().map_err(|e: toml::de::Error| LabError(one_line(&e)))?;
         let value = toml::Value::Table(table);
         let sweep: Sweep = serde_path_to_error::deserialize(value).map_err(|e| {
             let (key, what) = (e.path().to_string(), e.inner().message().to_owned());
-            Bad(if key == "." { what } else { format!("{key}: {what}") })
+            LabError(if key == "." { what } else { format!("{key}: {what}") })
         })?;
         sweep.check()?;
         Ok(sweep)
     }
 
-    fn check(&self) -> Result<(), Bad> {
+    fn check(&self) -> Result<(), LabError> {
         let empty = [
             ("seeds", self.seeds.is_empty()),
             ("policies", self.policies.is_empty()),
             ("figures", self.figures.is_empty()),
         ];
         if let Some((key, _)) = empty.iter().find(|key| key.1) {
-            return Err(Bad(format!("{key}: at least one is needed")));
+            return Err(LabError(format!("{key}: at least one is needed")));
         }
         if let Some(policy) = self.policies.iter().find(|policy| !POLICIES.contains(&policy.as_str())) {
-            return Err(Bad(format!("policies: {policy:?} is none of {}", POLICIES.join(", "))));
+            return Err(LabError(format!("policies: {policy:?} is none of {}", POLICIES.join(", "))));
         }
         if let Some(figure) = self.figures.iter().find(|figure| !FIGURES.contains(&figure.as_str())) {
-            return Err(Bad(format!("figures: {figure:?} is none of {}", FIGURES.join(", "))));
+            return Err(LabError(format!("figures: {figure:?} is none of {}", FIGURES.join(", "))));
         }
         for (i, vary) in self.varied.iter().enumerate() {
             if vary.values.is_empty() {
-                return Err(Bad(format!("vary[{i}].values: an empty sweep")));
+                return Err(LabError(format!("vary[{i}].values: an empty sweep")));
             }
         }
         let points =
             self.varied.iter().map(|vary| vary.values.len()).try_fold(1usize, |all, n| all.checked_mul(n));
         let runs = points.and_then(|points| points.checked_mul(self.seeds.len() * self.policies.len()));
         if runs.is_none_or(|runs| runs > MOST_RUNS) {
-            return Err(Bad(format!("vary: over {MOST_RUNS} runs")));
+            return Err(LabError(format!("vary: over {MOST_RUNS} runs")));
         }
         // Each point is a scenario that can be played: said before any run.
         self.points()
@@ -111,18 +114,18 @@
         })
     }
 
-    fn scenario_at(&self, at: &[toml::Value], seed: u64, policy: &str) -> Result<Scenario, Bad> {
+    fn scenario_at(&self, at: &[toml::Value], seed: u64, policy: &str) -> Result<Scenario, LabError> {
         let mut table = toml::Value::Table(self.scenario.clone());
         for (vary, value) in self.varied.iter().zip(at) {
             put(&mut table, &vary.key, value.clone())
-                .map_err(|what| Bad(format!("vary: {}: {what}", vary.key)))?;
+                .map_err(|what| LabError(format!("vary: {}: {what}", vary.key)))?;
         }
         let mut scenario = Scenario::of(table)?;
         (scenario.seed, scenario.policy) = (seed, policy.to_owned());
         Ok(scenario)
     }
 
-    pub fn play(&self) -> Result<Vec<Row>, Bad> {
+    pub fn play(&self) -> Result<Vec<Row>, LabError> {
         let cells = self.points().into_iter().flat_map(|at| {
             let policies = self.policies.clone();
             policies.into_iter().map(move |policy| (at.clone(), policy))
@@ -130,7 +133,7 @@
         let cells: Vec<_> = cells.collect();
         let row = |(at, policy): &(Vec<toml::Value>, String)| {
             let one = |seed: &u64| run(&self.scenario_at(at, *seed, policy)?);
-            let reports = self.seeds.par_iter().map(one).collect::<Result<Vec<_>, Bad>>()?;
+            let reports = self.seeds.par_iter().map(one).collect::<Result<Vec<_>, LabError>>()?;
             let figure = |name: &String| {
                 let values: Vec<f64> = reports.iter().filter_map(|report| report.figure(name)).collect();
                 mean(&values)
@@ -208,45 +211,3 @@
         values.iter().fold((f64::INFINITY, f64::NEG_INFINITY), |(a, b), v| (a.min(*v), b.max(*v)));
     Mean { value, half: student * (variance / count).sqrt(), least, most }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use expect_test::expect;
-
-    #[test]
-    fn means_and_intervals() {
-        let of = mean(&[1.0, 2.0, 3.0, 4.0]);
-        // s = 1.29099, t(3) = 3.182: 3.182 * 1.29099 / 2.
-        assert!((of.value - 2.5).abs() < 1e-12 && (of.half - 2.0540).abs() < 1e-3, "{of:?}");
-        assert_eq!(mean(&[7.0]), Mean { value: 7.0, half: 0.0, least: 7.0, most: 7.0 });
-    }
-
-    #[test]
-    fn bad_experiments_are_named_before_any_run() {
-        let base = "seeds = [1]\npolicies = [\"dema\"]\nfigures = [\"service\"]\n";
-        let texts = [
-            "seeds = []\npolicies = [\"dema\"]\nfigures = [\"service\"]".to_owned(),
-            base.replace("dema", "best"),
-            base.replace("service", "beauty"),
-            format!("{base}[[vary]]\nkey = \"nodes\"\nvalues = []"),
-            format!("{base}[[vary]]\nkey = \"nodes\"\nvalues = [1, 0]"),
-            format!("{base}[[vary]]\nkey = \"nodes.deep\"\nvalues = [1]\n[scenario]\nnodes = 3"),
-            format!("{base}[[vary]]\nkey = \"seconds\"\nvalues = [\"long\"]"),
-            format!("{base}colour = 3"),
-        ];
-        let said =
-            texts.map(|text| Sweep::parse(&text).map_or_else(|bad| format!("{bad}\n"), |_| "taken\n".into()));
-        expect![[r#"
-            seeds: at least one is needed
-            policies: "best" is none of dema, random, least_in_flight, two_choices, bounded_hash
-            figures: "beauty" is none of service, worst_10s, after, tries_per_call, p50_ms, p99_ms, mean_ms, hit_ratio, attempts_per_call, fetches_per_s, rate_limited, origin_fell, caches_fell, broken
-            vary[0].values: an empty sweep
-            nodes: 0 is not within 1 to 5000
-            vary: nodes.deep: no such key
-            seconds: invalid type: string "long", expected f64
-            colour: unknown field `colour`, expected one of `title`, `scenario`, `seeds`, `policies`, `figures`, `vary`
-        "#]]
-        .assert_eq(&said.concat());
-    }
-}
--- a/crates/lab/src/world/records.rs
+++ b/crates/lab/src/world/records.rs
@@ -41,7 +41,7 @@
 }
 
 /// A node but for its router: what sockets and tables are to the real one.
-pub(super) struct Side {
+pub(super) struct NodeState {
     pub(super) me: usize,
     pub(super) epoch: u64,
     pub(super) up: bool,
@@ -58,17 +58,16 @@
 }
 
 pub(super) struct Node<R> {
-    pub(super) side: Side,
+    pub(super) node_state: NodeState,
     pub(super) router: R,
 }
 
-/// All that nodes share.
-pub(super) struct Field {
+/// The state that all nodes share: clock, pending events, random numbers, servers and clients.
+pub(super) struct Simulation {
     pub(super) scenario: Scenario,
     pub(super) now: Time,
     pub(super) end: Time,
-    pub(super) seq: u64,
-    pub(super) due: BinaryHeap<Reverse<Due>>,
+    pub(super) events: EventQueue<Event>,
     pub(super) chance: Pcg,
     pub(super) products: Vec<Product>,
     pub(super) shares: Vec<f64>,
@@ -85,6 +84,6 @@
     pub(super) network: f64,
     pub(super) next: u64,
     pub(super) fresh_keys: u64,
-    pub(super) watch: Watch,
+    pub(super) checker: RuleChecker,
     pub(super) report: Report,
 }
--- a/crates/lab/src/world/field.rs
+++ b/crates/lab/src/world/simulation.rs
@@ -1,10 +1,9 @@
-//! What all nodes share, at work: the clock, chance, the network, and the servers' work.
+//! What all nodes share: the clock and its events, random draws, the network, and the servers' work.
 use super::*;
 
-impl Field {
+impl Simulation {
     pub(super) fn at(&mut self, at: Time, event: Event) {
-        self.seq += 1;
-        self.due.push(Reverse(Due(at.max(self.now), self.seq, event)));
+        self.events.schedule(at.max(self.now), event);
     }
 
     pub(super) fn after(&mut self, wait: Span, event: Event) {
@@ -16,8 +15,8 @@
         self.next
     }
 
-    /// One way through the network.
-    pub(super) fn way(&mut self) -> Span {
+    /// Time that a message takes through the network, drawn anew.
+    pub(super) fn delay(&mut self) -> Span {
         let net = &self.scenario.network;
         let jitter: f64 = Exp1.sample(&mut self.chance);
         let mut ms = (net.delay_ms + net.jitter_ms * jitter) * self.network;
@@ -69,7 +68,7 @@
 
     pub(super) fn reset_jobs(&mut self, server: usize, outcome: Outcome) {
         for job in self.servers[server].stop() {
-            let wait = self.way();
+            let wait = self.delay();
             let (node, call, attempt) = (job.node, job.call, job.attempt);
             self.after(wait, Event::Reply { node, epoch: u64::MAX, call, attempt, server, outcome });
         }
@@ -106,7 +105,7 @@
             it.busy = it.busy + takes;
             it.running.push(job);
             let life = it.life;
-            self.watch.began(now, job.call, server, miss);
+            self.checker.began(now, job.call, server, miss);
             self.after(takes, Event::Done { job, server, life, miss });
         }
     }
@@ -123,7 +122,7 @@
             Falls::Cold => self.report.caches_fell += 1,
         }
         if let Some(what) = falls.broken(server) {
-            self.watch.pushed_over(now, what);
+            self.checker.pushed_over(now, what);
         }
         self.down(server);
         self.after(FALLEN, Event::Back { server });
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -1,33 +1,14 @@
 //! Several processes of the program, with faults between them; and programs that break a rule, to show that it is seen.
 //! Expectations are on events and counts and on generous bounds, never on a sharp time.
-use std::path::{Path, PathBuf};
+mod common;
 
-use quartzhub_lab::fleet::timeline::Event;
+use common::{holds, lab, plan, programs};
+use quartzhub_lab::fleet::event_log::Event;
 use quartzhub_lab::fleet::{play, Outcome, Plan, Programs};
 use quartzhub_lab::rules::Rule;
 
-fn lab() -> PathBuf {
-    PathBuf::from(env!("CARGO_BIN_EXE_quartzhub-lab"))
-}
-
-/// The program as the workspace's build leaves it beside the laboratory's.
-fn programs() -> Programs {
-    Programs { node: lab().with_file_name("quartzhub"), args: Vec::new(), lab: lab() }
-}
-
-fn wicked(way: &str) -> Programs {
-    Programs { node: lab(), args: vec!["wicked".into(), way.into()], lab: lab() }
-}
-
-fn plan(name: &str) -> Plan {
-    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/fleet").join(name);
-    Plan::parse(&std::fs::read_to_string(file).expect("a file")).expect("a plan")
-}
-
-fn holds(plan: &Plan) -> Outcome {
-    let outcome = play(plan, &programs(), None).expect("played");
-    assert_eq!(outcome.failures(), Vec::<String>::new(), "\n{}", outcome.table());
-    outcome
+fn faulty(misbehavior: &str) -> Programs {
+    Programs { node: lab(), args: vec!["faulty-node".into(), misbehavior.into()], lab: lab() }
 }
 
 #[test]
@@ -171,7 +152,7 @@
         at = 8.5
     "#;
     let plan = Plan::parse(text).expect("a plan");
-    let ways = [
+    let misbehaviors = [
         ("answers-twice", Rule::OneAnswer, "a second final answer"),
         ("never-answers", Rule::OneAnswer, "no final answer"),
         ("closes", Rule::OneAnswer, "ended with no answer"),
@@ -183,20 +164,20 @@
     ];
     // Side by side: each waits for its clients most of the time.
     let played: Vec<_> = std::thread::scope(|scope| {
-        let all: Vec<_> = ways
+        let all: Vec<_> = misbehaviors
             .iter()
-            .map(|way| {
+            .map(|misbehavior| {
                 let plan = &plan;
-                scope.spawn(move || play(plan, &wicked(way.0), None))
+                scope.spawn(move || play(plan, &faulty(misbehavior.0), None))
             })
             .collect();
         all.into_iter().map(|one| one.join().expect("no panic").expect("played")).collect()
     });
-    for ((way, rule, what), outcome) in ways.into_iter().zip(played) {
+    for ((misbehavior, rule, what), outcome) in misbehaviors.into_iter().zip(played) {
         let seen = outcome.broken.iter().find(|broken| broken.rule == rule && broken.what.contains(what));
-        assert!(seen.is_some(), "{way}: {:?}", outcome.failures());
+        assert!(seen.is_some(), "{misbehavior}: {:?}", outcome.failures());
         let seen = seen.map(|seen| seen.history.contains("Taken")).unwrap_or_default();
-        assert!(seen || matches!(rule, Rule::Platform | Rule::ColdServers), "{way}: no history");
+        assert!(seen || matches!(rule, Rule::Platform | Rule::ColdServers), "{misbehavior}: no history");
     }
 }
 
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod orders;
 mod probing;
 mod refuting;
+mod rumours;
 mod sending;
 pub mod sim;
 mod table;
@@ -24,8 +25,9 @@
 use orders::Orders;
 pub use orders::{Held, Order, Refused, Server};
 use probing::{Probe, Relay};
+use rumours::Rumours;
+use table::Table;
 pub use table::{Change, Member, State};
-use table::{Rumours, Table};
 use wire::{Entry, Fault, Head, Kind, Packet};
 
 /// A node's number, by its place in the configuration.
@@ -40,7 +42,7 @@
 
 /// A datagram to be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Post {
+pub struct Datagram {
     pub to: Id,
     pub bytes: Vec<u8>,
 }
@@ -175,7 +177,7 @@
 
     /// Does what is due. Guards first against the own sleep: a node that stood still finds every answer overdue, and would
     /// suspect all others.
-    pub fn tick(&mut self, now: Time, out: &mut Vec<Post>) {
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Datagram>) {
         self.wakes(now);
         self.relays(now, out);
         self.push_orders(now, out);
