Take from the wait at caches what calm times of the answered products explain

Cause: Admission judged the wait by one mean answer time over all products and the lowest level it ever had.

Change: calm times are kept by product, misses by themselves. Of what is out, the part that answers in calm time explain is taken off before the rest is a wait. It should also hold for any change of the mix; where a whole fleet is slow from the start, the lowest time seen passes for calm, as before. With it the weight of few answers can be the square of the pace and no longer its cube.

--- a/crates/policy/src/decide/call.rs
+++ b/crates/policy/src/decide/call.rs
@@ -9,7 +9,8 @@
         let key = ask.key.map_or_else(|| (self.chance.unit() * 2f64.powi(53)) as u64, hash);
         // Guards against tries that come back late already: a marked repeat does not draw on the share, and
         // yields by the part of its value that is lost when late.
-        let product = self.products[ask.product.min(self.products.len() - 1)];
+        let product_index = ask.product.min(self.products.len() - 1);
+        let product = self.products[product_index];
         let lost = if ask.repeat { 1.0 - product.late_value } else { 0.0 };
         let beyond = self.admission.beyond_share(ask.tenant, lost, now);
         self.serial = self.serial.wrapping_add(1);
@@ -25,6 +26,7 @@
         (call.until, call.due, call.excused) = (now + left, now, 0);
         call.most = self.attempts.most;
         call.attempts.clear();
+        call.product_index = product_index;
         self.attempts.budget.took(now);
         let slo = product.slo;
         let at_line = !(ask.write && self.aside);
@@ -36,8 +38,8 @@
                 false => return self.give_up(ix, to),
             }
         }
-        let crowding = if at_line { self.line.crowding(slo) } else { 0.0 };
-        match self.admission.admit(beyond, crowding, self.line.pace().powi(3), &mut self.chance) {
+        let crowding = if at_line { self.line.crowding(product_index, slo) } else { 0.0 };
+        match self.admission.admit(beyond, crowding, self.line.pace().powi(2), &mut self.chance) {
             true => self.coalesce(ix, to),
             // Guards against refusing reads in a crowd at the caches while the origin has places free.
             false if at_line && beyond <= 0.0 && self.origin.free(now) => self.enter_origin(ix, to),
--- a/crates/policy/src/decide/line.rs
+++ b/crates/policy/src/decide/line.rs
@@ -33,13 +33,13 @@
         }
     }
 
-    /// The part of an SLO that an attempt sent now waits beyond calm, by Little's law: out over answers a second.
-    /// Guards against nodes of few calls, where the mean of what was out counts, and work as long as the SLO.
-    pub fn crowding(&self, slo: Span) -> f64 {
+    /// The part of an SLO that an attempt sent now waits: what is out and calm times don't explain, over answers a
+    /// second (Little's law). Guards against nodes of few calls, where means count, and a mix of light and heavy.
+    pub fn crowding(&self, product: usize, slo: Span) -> f64 {
         let pace = self.pace();
         let out = pace * f64::from(self.out) * self.heard + (1.0 - pace) * self.mean_out;
-        let (calm, slo) = (self.calm.1 / 1e6, slo.seconds());
-        (out / self.done_rate.max(0.2) - calm) / (slo - calm).max(0.25 * slo)
+        let (calm, slo) = (self.calm[product].1 / 1e6, slo.seconds());
+        (out - self.explained) / self.done_rate.max(0.2) / (slo - calm).max(0.25 * slo)
     }
 
     /// How fast means over time may go here, so that each still holds enough answers.
--- a/crates/policy/src/decide/list.rs
+++ b/crates/policy/src/decide/list.rs
@@ -96,7 +96,8 @@
     /// The same for the caches', as one fleet.
     pub(crate) fn caches_afresh(&mut self) {
         let shortest = self.shortest.0 as f64;
-        (self.line.calm, self.line.reach) = ((shortest * FURTHER_TO, shortest * FURTHER_TO), 1.0);
+        let start = |product: &Product| [product.slo.0 as f64 * FURTHER_TO; 2].into();
+        (self.line.calm, self.line.reach) = (self.products.iter().map(start).collect(), 1.0);
         (self.health.median, self.health.tail) = (shortest * FURTHER_FROM, shortest * FURTHER_TO);
         self.health.unlisted = UNLISTED_START;
         (self.health.success, self.attempts.saved, self.attempts.success) = (1.0, 1.0, 0.5);
--- a/crates/policy/src/decide/outcome.rs
+++ b/crates/policy/src/decide/outcome.rs
@@ -46,8 +46,12 @@
                 Outcome::Fulfilled | Outcome::Miss => {
                     server.refused = 0;
                     self.line.done += 1.0;
-                    let took = ending.took.0 as f64;
-                    self.line.calm.0 += MEAN_STEP * (took - self.line.calm.0);
+                    let missed = ending.outcome == Outcome::Miss;
+                    let last = self.line.calm.len() - 1;
+                    let (mean, calm) =
+                        &mut self.line.calm[if missed { last } else { call.product_index.min(last) }];
+                    *mean += MEAN_STEP * (ending.took.0 as f64 - *mean);
+                    self.line.calm_done += *calm / 1e6;
                     self.line.reach = (self.line.reach * REACH_GROWTH).min(1.0);
                 }
                 _ => {}
--- a/crates/policy/src/decide/tick.rs
+++ b/crates/policy/src/decide/tick.rs
@@ -30,13 +30,16 @@
         let done = std::mem::take(&mut self.line.done) / passed;
         let step = 1.0 - 0.25f64.powf(passed * self.line.pace());
         self.line.mean_out += step * (f64::from(self.line.out) - self.line.mean_out);
+        let calm_done = std::mem::take(&mut self.line.calm_done) / passed;
+        self.line.explained += step * (calm_done - self.line.explained);
         self.line.done_rate += step * (done - self.line.done_rate);
         self.line.heard += step * (1.0 - self.line.heard);
-        self.admission.tick(self.line.crowding(self.shortest));
+        let crowding = |(index, product): (usize, &Product)| self.line.crowding(index, product.slo);
+        self.admission.tick(self.products.iter().enumerate().map(crowding).fold(0.0, f64::max));
         self.origin.gate.regrow(passed);
         self.origin.writes.regrow(passed);
         // Guards against a calm time that follows a crowd within seconds at a node of many answers.
-        let times = self.origin.times.iter_mut().chain([&mut self.line.calm]);
+        let times = self.origin.times.iter_mut().chain(&mut self.line.calm);
         times.for_each(|(mean, calm)| *calm = (*calm * 2f64.powf(passed / CALM_DOUBLES)).min(*mean));
         self.keys.tick(passed, now);
         self.health.paths.tick(kept);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -55,6 +55,7 @@
     /// The rules it came under, also once the settings have others: its product's, and the most attempts it
     /// may have.
     pub product: Product,
+    pub product_index: usize,
     pub most: usize,
     pub over: bool,
     pub write: bool,
@@ -191,9 +192,13 @@
     pub done: f64,
     /// How much of a full mean `done_rate` holds yet.
     pub heard: f64,
-    /// Mean of `out` over the same time; mean answer time of caches and its calm level, in microseconds.
+    /// Mean of `out` over the same time, and the part of it that answers in calm time explain; and the sum
+    /// of such times, in seconds, since the last tick.
     pub mean_out: f64,
-    pub calm: (f64, f64),
+    pub explained: f64,
+    pub calm_done: f64,
+    /// Mean answer time of caches and its calm level, in microseconds, for each product; the last for misses.
+    pub calm: Vec<(f64, f64)>,
     /// Attempts out from here at caches in good standing.
     pub out: u32,
 }
--- a/crates/policy/src/tune.rs
+++ b/crates/policy/src/tune.rs
@@ -30,6 +30,9 @@
         let longest = self.products.iter().map(|p| p.slo).max().unwrap_or(Span::ms(1000));
         // An unknown product is taken as the last entry: never to run twice, in the shortest time.
         self.products.push(Product::unknown(shortest));
+        if self.line.calm.len() != self.products.len() {
+            self.caches_afresh();
+        }
         (self.shortest, self.health.longest, self.nodes) = (shortest, longest.0 as f64, settings.nodes());
         let retry = || settings.span("caps.max_retry_after", Span::ZERO);
         self.max_retry = settings.flag("caps.retry_after").then(retry);
