Test reloads with drains, late silences, crashes and commands that cross a close

Tests, sockets: watches (a drain told by the watch before amid a reload, a late silence with a silent watch behind it, whole lists in one piece, in one line and indented), crashes (SIGKILL behind an accept and the next process on the address, a server that dies behind an accept, a reset of a body with no length, clients that close with nothing said, a burst of new clients beyond all places), crossings (half a command at the end, the listen queue at the end, a command that has come when its idle client is to be closed or to make room, one behind the close). Reducer: turned_away (a process idle for up to ten minutes, servers that refuse, reset or are full for 10 s, and the seconds behind them).

--- a/crates/node/tests/reducer/main.rs
+++ b/crates/node/tests/reducer/main.rs
@@ -5,4 +5,5 @@
 mod lists;
 mod random;
 mod remaining;
+mod turned_away;
 mod upstreams;
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -141,6 +141,10 @@
         Embedded { addr, stop, thread }
     }
 
+    pub fn client(&self) -> Client {
+        Client::connect(self.addr)
+    }
+
     /// Asks it to end, as SIGTERM would; gives what awaits the end.
     pub fn stop(self) -> std::thread::JoinHandle<std::io::Result<()>> {
         self.stop.send(()).expect("it runs");
