Call a lost attempt off where no two may be out, and judge paths by half the SLO

Other nodes' answers came from the same caches meanwhile, and no list or full answer spoke of trouble: single answers were lost or late, not caches.

An attempt out for 1.5 times the 95th percentile is called off, if a further one is earned or its cache is doubtful; its report brings on the next, at a calm origin or the next nearest cache. It counts as further, so that where such attempts fail few are made. What is called off is no crowd. Writes that may have run stay. Holds against any answer lost or much late with the process up (hung, paused, resets, lossy ways). May hurt where work takes as long at the next cache: hence the 1.5, and the earning.

Also: a path is bad by half the SLO (or the percentile, if longer), as caches are. By the percentile alone a zone's own answers, once others were doubted, set a measure that no other zone could meet.

--- a/crates/policy/src/decide/attempts.rs
+++ b/crates/policy/src/decide/attempts.rs
@@ -37,6 +37,11 @@
         call.attempts.is_empty() || call.excused > 0 || self.budget.allows(now)
     }
 
+    /// Whether there may be another attempt, once those out are over where no two may be.
+    pub fn may_follow(&self, call: &Call, now: Time) -> bool {
+        call.attempts.len() < call.most && self.affords(call, now) && call.harmless_for(now) > Span::ZERO
+    }
+
     /// Rule 2: a rate-limit reply says that trying again does no harm, for as long as it names.
     pub fn may_rate_limit(&self, call: &Call, now: Time) -> bool {
         let free = call.product.effect == Effect::Idempotent || call.product.scope == Scope::All;
@@ -45,7 +50,7 @@
 
     /// Whether a further attempt may be made: earned by first ones, more when recent further ones succeeded.
     pub fn further(&mut self) -> bool {
-        let may = self.may_duplicate && self.saved >= 1.0;
+        let may = (self.may_duplicate || self.may_cancel) && self.saved >= 1.0;
         self.saved -= f64::from(u8::from(may));
         may
     }
@@ -101,10 +106,7 @@
     pub(super) fn again(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
         let out = call.out() > 0;
-        let may = call.attempts.len() < call.most
-            && self.attempts.affords(call, self.now)
-            && (self.attempts.may_duplicate || !out)
-            && call.harmless_for(self.now) > Span::ZERO;
+        let may = self.attempts.may_follow(call, self.now) && (self.attempts.may_duplicate || !out);
         // Guards against fetching twice: a further attempt may be at the origin already when a cache misses.
         let at_origin =
             |attempt: &Attempt| attempt.fate == Fate::Out && self.servers[attempt.server.0].origin;
@@ -119,7 +121,7 @@
         }
     }
 
-    /// An attempt is late: a further one is made, if earned or if the first cache is silent.
+    /// A late attempt is followed by another, or called off for it, if that is earned or its cache silent.
     pub(super) fn review(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &mut self.calls[ix.0];
         let Some(late) = call.attempts.last_mut().filter(|attempt| attempt.fate == Fate::Out) else { return };
@@ -134,19 +136,19 @@
         // A failing cache's attempts are no crowd, nor are those whose answers were lost.
         let lost = (self.now - late.sent).0 as f64 > LOST_AFTER * self.health.tail;
         self.line.out -= u32::from((failing || lost) && std::mem::take(&mut late.counted));
-        let at = late.server;
         let call = &self.calls[ix.0];
         if server.origin || call.streaming || call.write && self.aside || call.out() > 1 {
             return;
         }
-        let allowed = self.attempts.allows(call, &self.servers, at, self.now) && !self.keys.gated(call.key);
-        if allowed && (failing || self.attempts.further()) {
-            // Guards against further attempts that miss at the next nearest and load it in a jam.
-            let needed = f64::from(self.origin.gate.out) * 2.0 + 1.0;
-            let spare = self.origin.free(self.now) && needed <= self.origin.gate.limit;
-            let origin = self.origin.servers.first().copied().filter(|_| spare);
-            let pick = origin.or_else(|| self.pick(ix));
-            if pick.is_some_and(|server| self.send_attempt(ix, server, true, to)) {
+        let may = self.attempts.may_follow(call, self.now) && !self.keys.gated(call.key);
+        // Guards against calling off what a loaded cache would have answered: then it must be lost.
+        let may = may && (self.attempts.may_duplicate || lost && self.attempts.may_cancel);
+        if may && (failing || self.attempts.further()) {
+            if !self.attempts.may_duplicate {
+                self.calls[ix.0].replaced = true;
+                return self.call_off(ix, None, to);
+            }
+            if self.pick(ix, true).is_some_and(|server| self.send_attempt(ix, server, true, to)) {
                 return;
             }
         }
--- a/crates/policy/src/decide/call.rs
+++ b/crates/policy/src/decide/call.rs
@@ -16,7 +16,7 @@
         let call = &mut self.calls[ix.0];
         (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
         (call.place, call.product, call.over, call.write) = (Place::Chain, product, beyond > 0.0, ask.write);
-        (call.missed, call.leads, call.gated, call.key) = (false, false, false, key);
+        (call.missed, call.leads, call.gated, call.replaced, call.key) = (false, false, false, false, key);
         call.spot = place_on_line(key);
         // Guards against clients whose clocks differ: what is left is at most the product's time.
         let left = ask.left.max(product.timeout.min(ask.left + self.drift));
--- a/crates/policy/src/decide/ending.rs
+++ b/crates/policy/src/decide/ending.rs
@@ -44,9 +44,10 @@
     }
 
     pub(super) fn call_off(&mut self, ix: CallIx, but: Option<usize>, to: &mut impl Answers) {
-        for (i, attempt) in self.calls[ix.0].attempts.iter().enumerate() {
+        for (i, attempt) in self.calls[ix.0].attempts.iter_mut().enumerate() {
             if self.attempts.may_cancel && attempt.fate == Fate::Out && Some(i) != but {
                 to.cancel(ix, i);
+                self.line.out -= u32::from(std::mem::take(&mut attempt.counted));
             }
         }
     }
--- a/crates/policy/src/decide/health.rs
+++ b/crates/policy/src/decide/health.rs
@@ -25,8 +25,7 @@
         let unheard = if silence > 1.0 { silence * f64::from(server.out) } else { 0.0 };
         let own = (server.good / silence, server.bad + unheard);
         let (good, bad) = self.paths.doubtful(server.zone).map_or(own, |path| (path.good, path.bad));
-        let posterior = Beta::new(good + 1.0, bad + 1.0);
-        posterior.is_ok_and(|beta| beta.sample(chance) > TRUST)
+        Beta::new(good + 1.0, bad + 1.0).is_ok_and(|beta| beta.sample(chance) > TRUST)
     }
 
     /// Refills a cold cache's budget, and tells whether it covers one more attempt: what a cache answers this
@@ -53,24 +52,23 @@
         if answered || server.out == 0 {
             server.unheard = (server.out > 0).then_some(now);
         }
-        // What the time of nearly all answers was not enough for is bad, whatever it ended with.
-        let late = took > self.tail;
-        if late || !matches!(ending.outcome, Cancelled | TooLate) {
-            self.paths.settle(server.zone, answered && !late);
+        let slow = took > (CROWDED * slo.0 as f64).max(self.tail);
+        if slow || !matches!(ending.outcome, Cancelled | TooLate) {
+            let path = self.paths.zones.entry(server.zone).or_default();
+            *(if answered && !slow { &mut path.good } else { &mut path.bad }) += 1.0;
         }
-        let blamed = blamed || self.paths.doubtful(server.zone).is_some();
-        if matches!(ending.outcome, Fulfilled | Miss) && !blamed {
+        let path_blamed = self.paths.doubtful(server.zone).is_some();
+        if matches!(ending.outcome, Fulfilled | Miss) && !path_blamed {
             self.median += MEAN_STEP * self.median * if took > self.median { 0.5 } else { -0.5 };
             self.tail += MEAN_STEP * self.tail * if took > self.tail { 0.95 } else { -0.05 };
         }
-        let slow = took > (CROWDED * slo.0 as f64).max(self.tail);
         if ending.outcome == Full {
             (server.room, server.full_at) = (f64::from(server.out), now);
         }
         let nothing = matches!(ending.outcome, Full | TooLate) || ending.outcome == Cancelled && !slow;
         let good = matches!(ending.outcome, Fulfilled | Miss) && !slow;
         // Guards against blaming a cache for a key that goes badly everywhere, or for the path to it.
-        if nothing || blamed && !good {
+        if nothing || (blamed || path_blamed) && !good {
             return;
         }
         *(if good { &mut server.good } else { &mut server.bad }) += 1.0;
--- a/crates/policy/src/decide/line.rs
+++ b/crates/policy/src/decide/line.rs
@@ -50,7 +50,12 @@
 
 impl Balancer {
     /// The nearest point wins, unless over the skip line, refused by Health or asked before; then it moves.
-    pub(super) fn pick(&mut self, ix: CallIx) -> Option<ServerIx> {
+    /// A further attempt goes to a calm origin: the next nearest mostly lacks the key and has a jam of its own.
+    pub(super) fn pick(&mut self, ix: CallIx, further: bool) -> Option<ServerIx> {
+        let needed = f64::from(self.origin.gate.out) * 2.0 + 1.0;
+        if further && self.origin.free(self.now) && needed <= self.origin.gate.limit {
+            return self.origin.servers.first().copied();
+        }
         let Balancer { line, servers, health, calls, chance, now, .. } = self;
         let (call, now) = (&calls[ix.0], *now);
         line.order.clear();
@@ -92,12 +97,12 @@
 
     pub(super) fn enter_line(&mut self, ix: CallIx, to: &mut impl Answers) {
         let call = &self.calls[ix.0];
-        let last = call.attempts.len() + 1 >= call.most;
+        let (last, further) = (call.attempts.len() + 1 >= call.most, call.replaced);
         if self.aside && (call.write || (last && !call.attempts.is_empty())) {
             return self.enter_origin(ix, to);
         }
-        match self.pick(ix) {
-            Some(server) if self.send_attempt(ix, server, false, to) => {}
+        match self.pick(ix, further) {
+            Some(server) if self.send_attempt(ix, server, further, to) => {}
             // Guards against full caches turning all their reads into origin work.
             None if self.aside && self.origin.free(self.now) => self.enter_origin(ix, to),
             _ => self.give_up(ix, to),
--- a/crates/policy/src/decide/origin.rs
+++ b/crates/policy/src/decide/origin.rs
@@ -27,8 +27,7 @@
         self.gate.path = if self.delay.is_finite() { self.delay / self.times[0].1.max(1.0) } else { 0.0 };
     }
 
-    /// Steers the limit so that an origin that is slow, yet in time, is used to the full. `own`: in the place
-    /// that writes have.
+    /// Steers the limit so that an origin that is slow, yet in time, is used to the full. `own`: writes' place.
     pub fn settle(&mut self, ending: &Ending, slo: Span, write: bool, own: bool) {
         use Outcome::*;
         let gate = if own { &mut self.writes } else { &mut self.gate };
--- a/crates/policy/src/decide/paths.rs
+++ b/crates/policy/src/decide/paths.rs
@@ -2,11 +2,6 @@
 use super::*;
 
 impl Paths {
-    pub fn settle(&mut self, zone: u32, good: bool) {
-        let path = self.zones.entry(zone).or_default();
-        *(if good { &mut path.good } else { &mut path.bad }) += 1.0;
-    }
-
     /// The path to a zone that is reached badly while another is reached well: common trouble blames none.
     pub fn doubtful(&self, zone: u32) -> Option<&Path> {
         self.zones.get(&zone).filter(|path| path.doubtful)
--- a/crates/policy/src/decide/waiting.rs
+++ b/crates/policy/src/decide/waiting.rs
@@ -16,8 +16,7 @@
         }
         let call = &self.calls[ix.0];
         let most = call.product.slo.min(call.until - self.now);
-        let path = if place == Place::Waiting { self.origin.delay } else { 0.0 };
-        self.set_due(ix, self.now + (most.times(PATIENCE) + Span(path as i64)).min(most));
+        self.set_due(ix, self.now + (most.times(PATIENCE) + Span(self.origin.delay as i64)).min(most));
     }
 
     // Guards against a due time that is already past coming round for ever within one event.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -59,6 +59,8 @@
     pub leads: bool,
     /// Holds a place of its key's.
     pub gated: bool,
+    /// A late attempt of it was called off: the next is a further one.
+    pub replaced: bool,
     pub key: u64,
     pub spot: f64,
     pub until: Time,
--- a/crates/policy/tests/decisions/traces.rs
+++ b/crates/policy/tests/decisions/traces.rs
@@ -215,6 +215,37 @@
     );
 }
 
+// A read whose answer was lost waited for it until its client left, though another cache would have answered in time.
+#[test]
+fn where_no_two_attempts_may_be_out_a_lost_one_is_called_off_before_the_next() {
+    let one_at_a_time = ("caps.may_duplicate", Value::Flag(false));
+    let mut node = Node::new(4, std::slice::from_ref(&one_at_a_time));
+    node.calm(0);
+    node.ask(100, 0, "key-a", false);
+    node.pass(300.0);
+    node.say("it is called off");
+    node.end(100, 0, Cancelled, 300.0);
+    node.pass(20.0);
+    node.end(100, 1, Fulfilled, 20.0);
+    let mut through = Node::new(4, &[one_at_a_time, ("extra.mode", Value::Text("through".into()))]);
+    through.calm(0);
+    through.ask(100, 2, "key-a", false);
+    through.pass(600.0);
+    through.say("a write that may have run is never called off for another attempt");
+    node.trace.0 += &through.trace.0;
+    check(
+        node,
+        expect![[r#"
+          call 100 -> server 4 until 3000
+          call 100 cancels attempt 0
+        1300 ms: it is called off
+          call 100 -> server 0 until 3000
+          call 100 -> server 4 until 3000
+        1600 ms: a write that may have run is never called off for another attempt
+    "#]],
+    );
+}
+
 // Boxes that answered full were tried again at once, up to four attempts a call.
 #[test]
 fn a_full_cache_is_left_alone_for_a_while() {
@@ -381,8 +412,9 @@
 // At a move to another deployment every figure was kept, also what is measured by other SLOs, other nodes or other servers.
 #[test]
 fn a_move_keeps_what_still_means_the_same() {
-    let once = ("caps.may_duplicate", Value::Flag(false));
-    let mut node = Node::new(4, std::slice::from_ref(&once));
+    // Nothing is called off either, so that each call stays with its cache.
+    let [once, stays] = ["caps.may_duplicate", "caps.cancelling"].map(|name| (name, Value::Flag(false)));
+    let mut node = Node::new(4, &[once.clone(), stays.clone()]);
     node.calm(0);
     for call in 100..103 {
         node.ask(call, 0, "key-a", false);
@@ -398,9 +430,10 @@
         )
     };
     let mut told = known(&node, "before") + "\n";
-    node.balancer.retune(&settings(std::slice::from_ref(&once)));
+    node.balancer.retune(&settings(&[once.clone(), stays.clone()]));
     told += &(known(&node, "the same settings again") + "\n");
-    let moved = [("balancers", Value::Number(40.0)), once, ("products.0.latency_slo", Value::Number(300.0))];
+    let moved =
+        [("balancers", Value::Number(40.0)), once, stays, ("products.0.latency_slo", Value::Number(300.0))];
     node.balancer.retune(&settings(&moved));
     told += &(known(&node, "another SLO, forty nodes") + "\n");
     node.list_all(&[line(0, Ready, None), line(1, Ready, None), line(5, Ready, None)]);
