--- a/crates/policy/src/decide/call.rs
+++ b/crates/policy/src/decide/call.rs
@@ -17,7 +17,7 @@
         let call = &mut self.calls[ix.0];
         (call.serial, call.live, call.ended, call.streaming) = (self.serial, true, false, false);
         (call.place, call.product, call.over, call.write) = (Place::Chain, product, beyond > 0.0, ask.write);
-        (call.missed, call.leads, call.gated, call.key) = (false, false, false, key);
+        (call.missed, call.leads, call.gated, call.replaced, call.key) = (false, false, false, false, key);
         let spread = self.popularity.spread(key, self.line.caches.len(), now);
         let place = if spread > 1.0 { (self.chance.unit() * spread).floor() } else { 0.0 };
         call.spot = (place_on_line(key) + place * GOLDEN).fract();
