--- a/crates/policy/src/decide/admission.rs
+++ b/crates/policy/src/decide/admission.rs
@@ -6,11 +6,9 @@
     /// under a call a second, and a front that sends one node a quarter of all, others' parts too.
     pub fn beyond_share(&mut self, tenant: usize, lost: f64, now: Time) -> f64 {
         let Some(tenant) = self.tenants.get_mut(tenant).filter(|t| t.per_s > 0.0) else { return lost };
-        let since = (now - self.at).seconds();
-        let kept = (-since / QUOTA_MEMORY).exp();
+        let kept = (-(now - self.at).seconds() / QUOTA_MEMORY).exp();
         self.rate = self.rate * kept + 1.0 / QUOTA_MEMORY;
-        self.heard = self.heard * kept + 1.0 - kept;
-        self.at = now;
+        (self.heard, self.at) = (self.heard * kept + 1.0 - kept, now);
         let usual = QUOTA_USUAL * self.rate / self.heard.max(0.1);
         let per_s = tenant.per_s * (usual / self.quota).max(1.0);
         let (passed, memory) = ((now - tenant.at).seconds(), (QUOTA_LEAST / per_s).max(QUOTA_SAVED));
@@ -27,9 +25,8 @@
         (tenant.rate / per_s - 1.0).clamp(0.05, 1.0)
     }
 
-    /// `crowding`: the wait at the caches as a part of the SLO; outcomes tell of queues when it is too late.
-    /// `sure`: how far to go by it, of 1. Guards against in-share reads refused at nodes of few answers, where one
-    /// heavy call or one jammed cache looks like a crowd at all of them.
+    /// `crowding`: the wait at caches as a part of the SLO; `sure`: how far to go by it. Guards against
+    /// reads refused at nodes of few answers, where one heavy call or one jammed cache looks like a crowd.
     pub fn admit(&self, beyond: f64, crowding: f64, sure: f64, chance: &mut Pcg) -> bool {
         let crowded = sure * (crowding - CROWDED) / (1.0 - CROWDED);
         // Guards against tries that come again in place of first ones: what is beyond is shed by both.
--- a/crates/policy/src/decide/call.rs
+++ b/crates/policy/src/decide/call.rs
@@ -24,9 +24,8 @@
         // Guards against clients whose clocks differ: what is left is at most the product's time.
         let left = ask.left.max(product.timeout.min(ask.left + self.drift));
         (call.until, call.due, call.excused) = (now + left, now, 0);
-        call.most = self.attempts.most;
+        (call.most, call.product_index) = (self.attempts.most, product_index);
         call.attempts.clear();
-        call.product_index = product_index;
         self.attempts.budget.took(now);
         let slo = product.slo;
         let at_line = !(ask.write && self.aside);
--- a/crates/policy/src/decide/constants.rs
+++ b/crates/policy/src/decide/constants.rs
@@ -4,7 +4,6 @@
 pub const ALPHA: f64 = 0.01; // part of the way to a sent key's place that a point moves: the design's start
 pub const SKIP_FLOOR: f64 = 2.0; // attempts out: so many or fewer skip no cache; one in work, one waiting
 pub const SKIP_FACTOR: f64 = 2.0; // times this node's mean in-flight a cache: beyond it a cache is skipped
-pub const NEAREST: usize = 8; // caches put in order before it is seen whether more are needed
 pub const GOLDEN: f64 = 0.618_034; // the golden section: steps of it stay evenly spread, however many
 pub const REACH_CUT: f64 = 0.85; // part of the caches that may stay connected idle: factor a refused attempt,
 pub const REACH_GROWTH: f64 = 1.002; // factor an answered one,
@@ -68,9 +67,9 @@
 pub const SHED_DOWN: f64 = 0.01; // gone in two
                                  // Single keys.
 pub const POPULAR_COUNTS: usize = 1024; // counts kept, each of the keys that share it by hash,
-pub const POPULAR_HALF_LIFE: f64 = 15.0; // halved in so many seconds: at few calls a second less says nothing,
+pub const POPULAR_HALF_LIFE: f64 = 15.0; // halved in so many seconds: at few calls less says nothing,
 pub const POPULAR_PRIOR: f64 = 16.0; // with so many calls of other keys weighed against one's
-pub const POPULAR_SHARE: f64 = 5.0; // caches for a key asked as often as a mean cache: its part of each is small
+pub const POPULAR_SHARE: f64 = 5.0; // caches for a key asked as often as a mean cache
 pub const KEYS_MOST: usize = 256; // records kept,
 pub const KEY_KEPT: Span = Span::ms(15_000); // for so long,
 pub const KEY_HALF_LIFE: f64 = 5.0; // fading by half in so many seconds,
--- a/crates/policy/src/decide/line.rs
+++ b/crates/policy/src/decide/line.rs
@@ -1,5 +1,6 @@
 //! Line: DEMA. The cache whose point is nearest.
 use super::*;
+use std::{cmp::Reverse, collections::BinaryHeap};
 
 impl Line {
     /// Guards against the uneven ranges of hashed seeds, which a small alpha evens out in minutes: at a first
@@ -33,8 +34,8 @@
         }
     }
 
-    /// The part of an SLO that an attempt sent now waits: what is out and calm times don't explain, over answers a
-    /// second (Little's law). Guards against nodes of few calls, where means count, and a mix of light and heavy.
+    /// The part of an SLO that an attempt sent now waits: what is out and calm times don't explain, over the
+    /// rate of answers (Little's law). Guards against nodes of few calls, where means count, and mixed products.
     pub fn crowding(&self, product: usize, slo: Span) -> f64 {
         let pace = self.pace();
         let out = pace * f64::from(self.out) * self.heard + (1.0 - pace) * self.mean_out;
@@ -50,7 +51,7 @@
 
 impl Balancer {
     /// The nearest point wins, unless over the skip line, refused by Health or asked before; then it moves.
-    /// A further attempt goes to a calm origin: the next nearest mostly lacks the key and has a jam of its own.
+    /// A further attempt goes to a calm origin: the next nearest mostly lacks the key, and may be jammed too.
     pub(super) fn pick(&mut self, ix: CallIx, further: bool) -> Option<ServerIx> {
         let needed = f64::from(self.origin.gate.out) * 2.0 + 1.0;
         if further && self.origin.free(self.now) && needed <= self.origin.gate.limit {
@@ -58,23 +59,13 @@
         }
         let Balancer { line, servers, health, calls, chance, now, .. } = self;
         let (call, now) = (&calls[ix.0], *now);
-        line.order.clear();
-        line.order.extend(line.caches.iter().map(|ix| ((servers[ix.0].point - call.spot).abs(), *ix)));
-        // All but a few calls end within the nearest, and so they alone are put in order at first.
-        let nearer = |a: &(f64, ServerIx), b: &(f64, ServerIx)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
-        let near = line.order.len().min(NEAREST);
-        if near < line.order.len() {
-            line.order.select_nth_unstable_by(near, nearer);
-        }
-        line.order[..near].sort_unstable_by(nearer);
+        // A heap, as all but a few calls end within the nearest. Distances compare as their bits do.
+        let distance = |ix: &ServerIx| Reverse(((servers[ix.0].point - call.spot).abs().to_bits(), *ix));
+        let mut nearest: BinaryHeap<_> = line.caches.iter().map(distance).collect();
         let out: u32 = line.caches.iter().map(|ix| servers[ix.0].out).sum();
         let skip = (SKIP_FACTOR * f64::from(out) / line.caches.len().max(1) as f64).max(SKIP_FLOOR);
         let mut second = None;
-        for i in 0..line.order.len() {
-            if i == near {
-                line.order[near..].sort_unstable_by(nearer);
-            }
-            let ix = line.order[i].1;
+        while let Some(Reverse((_, ix))) = nearest.pop() {
             let server = &mut servers[ix.0];
             // Guards against storms at full caches: what one had is its room, and more each two answer times.
             let freed = (now - server.full_at).0 as f64 / (FREED_AFTER * health.median);
--- a/crates/policy/src/decide/list.rs
+++ b/crates/policy/src/decide/list.rs
@@ -25,9 +25,9 @@
     ) {
         self.now = now;
         self.roster.heard();
-        let only_draining_binds = self.only_draining_binds;
+        let (only_draining_binds, credit) = (self.only_draining_binds, self.health.unlisted);
         if complete {
-            self.servers.iter_mut().for_each(|server| server.dropped(only_draining_binds, &self.health, now));
+            self.servers.iter_mut().for_each(|server| server.dropped(only_draining_binds, credit, now));
         }
         let (mut known, mut first) = ([None; 2], self.line.caches.is_empty());
         for line in lines {
@@ -59,11 +59,10 @@
                 server.cold_at = line.started.map(latest);
             }
             match line.state {
-                State::Gone => server.dropped(only_draining_binds, &self.health, now),
+                State::Gone => server.dropped(only_draining_binds, credit, now),
                 told => (server.state, server.unlisted) = (told, None),
             }
-            server.origin = origin;
-            (server.zone, server.cell) = (line.zone, line.cell);
+            (server.origin, server.zone, server.cell) = (origin, line.zone, line.cell);
             server.started = server.started.max(line.started);
             server.scale = if line.scale > 0.0 { line.scale } else { 1.0 };
         }
@@ -96,8 +95,7 @@
     /// The same for the caches', as one fleet.
     pub(crate) fn caches_afresh(&mut self) {
         let shortest = self.shortest.0 as f64;
-        let start = |product: &Product| [product.slo.0 as f64 * FURTHER_TO; 2].into();
-        (self.line.calm, self.line.reach) = (self.products.iter().map(start).collect(), 1.0);
+        (self.line.calm, self.line.reach) = (self.calm_afresh(), 1.0);
         (self.health.median, self.health.tail) = (shortest * FURTHER_FROM, shortest * FURTHER_TO);
         self.health.unlisted = UNLISTED_START;
         (self.health.success, self.attempts.saved, self.attempts.success) = (1.0, 1.0, 0.5);
@@ -105,13 +103,12 @@
 }
 
 impl Server {
-    /// The list calls it gone. Guards against a list that is wrong, shrunk, empty or old: where only draining
-    /// binds, it keeps its place on the line, and answers say whether it runs: its own, and those of others
-    /// that the list had dropped.
-    fn dropped(&mut self, only_draining_binds: bool, health: &Health, now: Time) {
+    /// The list calls it gone. Guards against wrong lists, shrunk, empty or old: where only draining binds,
+    /// it stays on the line, and answers tell if it runs: its own, and as `credit` of others dropped before.
+    fn dropped(&mut self, only_draining_binds: bool, credit: f64, now: Time) {
         self.state = self.state.dropped(only_draining_binds);
         if self.unlisted.is_none() {
-            (self.unlisted, self.good) = (Some(now), self.good * health.unlisted);
+            (self.unlisted, self.good) = (Some(now), self.good * credit);
         }
     }
 }
--- a/crates/policy/src/decide/origin.rs
+++ b/crates/policy/src/decide/origin.rs
@@ -20,14 +20,14 @@
     }
 
     /// Guards against taking a slow path, or what it loses, for a queue: what answers take beyond the least
-    /// since it is doubtful steers the limit, beside which the path may hold as many as fit; one lost counts less.
+    /// of late steers the limit, beside which the path may hold as many as fit; one lost counts less.
     pub fn follow_path(&mut self, doubtful: bool) {
         let since = if self.delay > 0.0 { self.delay } else { f64::INFINITY };
         self.delay = if doubtful { since } else { 0.0 };
         self.gate.path = if self.delay.is_finite() { self.delay / self.times[0].1.max(1.0) } else { 0.0 };
     }
 
-    /// Steers the limit so that an origin that is slow, yet in time, is used to the full. `own`: writes' place.
+    /// Steers the limit so that an origin that is slow, yet in time, is used fully. `own`: in the writes'.
     pub fn settle(&mut self, ending: &Ending, slo: Span, write: bool, own: bool) {
         use Outcome::*;
         let gate = if own { &mut self.writes } else { &mut self.gate };
@@ -84,8 +84,7 @@
         self.pump(to);
     }
 
-    /// Sends waiting calls to the origin while its limit has room: writes, then in-share work, then what is
-    /// billed higher.
+    /// Sends what waits to the origin while it has room: writes, in-share work, then what is billed higher.
     pub(super) fn pump(&mut self, to: &mut impl Answers) {
         self.origin.gate.pressed |= !self.origin.queue.is_empty() && !self.origin.gate.room(self.now);
         loop {
--- a/crates/policy/src/decide/tick.rs
+++ b/crates/policy/src/decide/tick.rs
@@ -36,8 +36,7 @@
         self.line.heard += step * (1.0 - self.line.heard);
         let crowding = |(index, product): (usize, &Product)| self.line.crowding(index, product.slo);
         self.admission.tick(self.products.iter().enumerate().map(crowding).fold(0.0, f64::max));
-        self.origin.gate.regrow(passed);
-        self.origin.writes.regrow(passed);
+        [&mut self.origin.gate, &mut self.origin.writes].into_iter().for_each(|gate| gate.regrow(passed));
         // Guards against a calm time that follows a crowd within seconds at a node of many answers.
         let times = self.origin.times.iter_mut().chain(&mut self.line.calm);
         times.for_each(|(mean, calm)| *calm = (*calm * 2f64.powf(passed / CALM_DOUBLES)).min(*mean));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -188,7 +188,6 @@
     /// Part of the ready caches to which connections may stand idle, and how long one does at the most.
     pub reach: f64,
     pub keepalive: Span,
-    pub order: Vec<(f64, ServerIx)>,
     /// Answers a second from caches, and those since the last tick.
     pub done_rate: f64,
     pub done: f64,
@@ -281,6 +280,15 @@
     pub at: Time,
 }
 
+impl Fading {
+    /// Counts one more, and tells the count by now; `half_life` in seconds.
+    pub fn add(&mut self, now: Time, half_life: f64) -> f64 {
+        let kept = 0.5f64.powf((now - self.at).seconds() / half_life);
+        (self.count, self.at) = (self.count * kept + 1.0, now);
+        self.count
+    }
+}
+
 /// What is believed of keys whose calls went badly of late.
 #[derive(Default)]
 pub struct Keys {
--- a/crates/policy/src/tune.rs
+++ b/crates/policy/src/tune.rs
@@ -31,7 +31,7 @@
         // An unknown product is taken as the last entry: never to run twice, in the shortest time.
         self.products.push(Product::unknown(shortest));
         if self.line.calm.len() != self.products.len() {
-            self.caches_afresh();
+            self.line.calm = self.calm_afresh();
         }
         (self.shortest, self.health.longest, self.nodes) = (shortest, longest.0 as f64, settings.nodes());
         let retry = || settings.span("caps.max_retry_after", Span::ZERO);
@@ -73,6 +73,14 @@
     }
 }
 
+impl Balancer {
+    /// For each product, what is taken for the mean and the calm time of its answers before there are any.
+    pub(crate) fn calm_afresh(&self) -> Vec<(f64, f64)> {
+        let start = |product: &Product| [product.slo.0 as f64 * FURTHER_TO; 2].into();
+        self.products.iter().map(start).collect()
+    }
+}
+
 impl Admission {
     /// Each tenant's share at this node; what one has used of it is kept while its share stays.
     fn share(&mut self, settings: &Settings) {
