--- a/crates/policy/src/decide/line.rs
+++ b/crates/policy/src/decide/line.rs
@@ -35,7 +35,7 @@
     }
 
     /// The part of an SLO that an attempt sent now waits: what is out and calm times don't explain, over the
-    /// rate of answers (Little's law). Guards against nodes of few calls, where means count, and mixed products.
+    /// rate of answers (Little's law). Guards against nodes of few calls, where means count, and mixed work.
     pub fn crowding(&self, product: usize, slo: Span) -> f64 {
         let pace = self.pace();
         let out = pace * f64::from(self.out) * self.heard + (1.0 - pace) * self.mean_out;
