Send a read whose connection broke to the origin, not to a second cache

`again` takes a reset for the cache's fault, so the fleet lost two caches for each such call.

After a reset a read goes the way of a missed one where the origin has a free place; the next cache mostly lacks its key anyway. Reads that waited for its fetch go where the spilled ones' do, not to the dead cache. It should hold as well when a machine or rack dies under its reads, and against calls that hang and then kill. It may hurt where many caches die at once: their reads spend the origin's free places; beyond those they go to the next cache as before.

--- a/crates/policy/src/decide/admission.rs
+++ b/crates/policy/src/decide/admission.rs
@@ -28,8 +28,7 @@
     }
 
     /// `crowding`: the wait at the caches as a part of the SLO; outcomes tell of queues when it is too late.
-    /// `sure`: how far to go by it, of 1. Guards against in-share reads refused at nodes of few answers, where one
-    /// heavy call or one jammed cache looks like a crowd at all of them.
+    /// `sure`: how far to go by it. At few answers one heavy call or jammed cache looks like a crowd at all.
     pub fn admit(&self, beyond: f64, crowding: f64, sure: f64, chance: &mut Pcg) -> bool {
         let crowded = sure * (crowding - CROWDED) / (1.0 - CROWDED);
         // Guards against tries that come again in place of first ones: what is beyond is shed by both.
--- a/crates/policy/src/decide/constants.rs
+++ b/crates/policy/src/decide/constants.rs
@@ -64,9 +64,9 @@
 pub const SHED_DOWN: f64 = 0.01; // gone in two
                                  // Single keys.
 pub const POPULAR_COUNTS: usize = 1024; // counts kept, each of the keys that share it by hash,
-pub const POPULAR_HALF_LIFE: f64 = 15.0; // halved in so many seconds: at few calls a second less says nothing,
+pub const POPULAR_HALF_LIFE: f64 = 15.0; // halved in so many seconds: few calls a second say little,
 pub const POPULAR_PRIOR: f64 = 16.0; // with so many calls of other keys weighed against one's
-pub const POPULAR_SHARE: f64 = 5.0; // caches for a key asked as often as a mean cache: its part of each is small
+pub const POPULAR_SHARE: f64 = 5.0; // caches for a key asked for as often as a mean cache is
 pub const KEYS_MOST: usize = 256; // records kept,
 pub const KEY_KEPT: Span = Span::ms(15_000); // for so long,
 pub const KEY_HALF_LIFE: f64 = 5.0; // fading by half in so many seconds,
--- a/crates/policy/src/decide/ending.rs
+++ b/crates/policy/src/decide/ending.rs
@@ -28,8 +28,9 @@
         }
         let (leads, key) = (std::mem::take(&mut call.leads), call.key);
         self.origin.queue.retain(|other| *other != ix);
-        // A read that missed goes to the cache that has just been given its object.
-        let home = call.attempts.first().map(|attempt| attempt.server).filter(|_| fetched);
+        // A read that missed goes to the cache that has just been given its object: not to one that broke.
+        let gave = |a: &&Attempt| a.fate == Fate::NeverRan || self.servers[a.server.0].origin;
+        let home = call.attempts.iter().find(gave).map(|attempt| attempt.server).filter(|_| fetched);
         self.call_off(ix, None, to);
         self.forget_if_done(ix, to);
         let fetch = if leads { self.coalescing.fetches.remove(&key) } else { None };
--- a/crates/policy/src/decide/keys.rs
+++ b/crates/policy/src/decide/keys.rs
@@ -2,21 +2,18 @@
 use super::*;
 
 impl Popularity {
-    /// Counts a call, and tells over how many caches its key should be spread. Guards against popular keys whose
-    /// one cache jams while others stand idle: at hundreds of nodes no node's in-flight ever tells of it.
+    /// Counts a call, and tells over how many caches its key should be spread. Guards against popular keys
+    /// whose one cache jams while others stand idle: at hundreds of nodes no node's in-flight tells of it.
     pub fn spread(&mut self, key: u64, caches: usize, now: Time) -> f64 {
         self.counts.resize(POPULAR_COUNTS, Fading::default());
-        let count = self.counts[key as usize % POPULAR_COUNTS].add(now);
+        let add = |to: &mut Fading| {
+            let kept = 0.5f64.powf((now - to.at).seconds() / POPULAR_HALF_LIFE);
+            (to.count, to.at) = (to.count * kept + 1.0, now);
+            to.count
+        };
+        let count = add(&mut self.counts[key as usize % POPULAR_COUNTS]);
         // Chance makes some keys look popular: only what stands out of it counts.
-        POPULAR_SHARE * caches as f64 * (count - count.sqrt()) / (self.all.add(now) + POPULAR_PRIOR)
-    }
-}
-
-impl Fading {
-    fn add(&mut self, now: Time) -> f64 {
-        let kept = 0.5f64.powf((now - self.at).seconds() / POPULAR_HALF_LIFE);
-        (self.count, self.at) = (self.count * kept + 1.0, now);
-        self.count
+        POPULAR_SHARE * caches as f64 * (count - count.sqrt()) / (add(&mut self.all) + POPULAR_PRIOR)
     }
 }
 
--- a/crates/policy/src/decide/outcome.rs
+++ b/crates/policy/src/decide/outcome.rs
@@ -77,7 +77,9 @@
             }
             self.end(ix, was_origin && ending.outcome == Outcome::Fulfilled, to);
         } else {
-            call.missed |= ending.outcome == Outcome::Miss && !was_origin;
+            // Guards against a call that brings down the caches it is sent to: the origin takes it instead.
+            let broke = ending.outcome == Outcome::Reset && !call.write && self.origin.free(now);
+            call.missed |= (ending.outcome == Outcome::Miss || broke) && !was_origin;
             if ending.outcome == Outcome::Miss {
                 self.attempts.budget.missed(call, now);
             }
--- a/crates/policy/tests/decisions/rules.rs
+++ b/crates/policy/tests/decisions/rules.rs
@@ -183,3 +183,40 @@
         "#]],
     );
 }
+
+// Calls that brought down whichever cache began them were sent on to a second one, which they brought down too.
+#[test]
+fn a_read_whose_connection_broke_asks_the_origin_and_no_second_cache() {
+    let mut node = Node::new(5, &[]);
+    node.calm(0);
+    node.say("the cache dies under a read");
+    node.ask(100, 0, "key-a", false);
+    node.end(100, 0, Reset, 5.0);
+    node.end(100, 1, Fulfilled, 50.0);
+    node.say("and under more reads than the origin has places for");
+    for call in 101..107 {
+        node.ask(call, 0, &format!("key-{call}"), false);
+        node.end(call, 0, Reset, 5.0);
+    }
+    check(
+        node,
+        expect![[r#"
+            1000 ms: the cache dies under a read
+              call 100 -> server 4 until 3000
+              call 100 -> server 0 until 3000
+            1000 ms: and under more reads than the origin has places for
+              call 101 -> server 2 until 3000
+              call 101 -> server 0 until 3000
+              call 102 -> server 4 until 3000
+              call 102 -> server 0 until 3000
+              call 103 -> server 4 until 3000
+              call 103 -> server 0 until 3000
+              call 104 -> server 1 until 3000
+              call 104 -> server 0 until 3000
+              call 105 -> server 4 until 3000
+              call 105 -> server 3 until 3000
+              call 106 -> server 2 until 3000
+              call 106 -> server 4 until 3000
+        "#]],
+    );
+}
