--- a/crates/policy/src/decide/outcome.rs
+++ b/crates/policy/src/decide/outcome.rs
@@ -22,8 +22,7 @@
         self.line.out -= u32::from(std::mem::take(&mut attempt.counted));
         let (further, own, at) = (attempt.further, attempt.own, attempt.server);
         let server = &mut self.servers[at.0];
-        server.out = server.out.saturating_sub(1);
-        server.used = now;
+        (server.out, server.used) = (server.out.saturating_sub(1), now);
         let good = matches!(ending.outcome, Outcome::Fulfilled | Outcome::Miss);
         server.unlisted = server.unlisted.map(|since| if good { now } else { since });
         let slo = call.product.slo;
@@ -47,9 +46,8 @@
                     server.refused = 0;
                     self.line.done += 1.0;
                     let missed = ending.outcome == Outcome::Miss;
-                    let last = self.line.calm.len() - 1;
                     let (mean, calm) =
-                        &mut self.line.calm[if missed { last } else { call.product_index.min(last) }];
+                        self.line.calm_of(if missed { usize::MAX } else { call.product_index });
                     *mean += MEAN_STEP * (ending.took.0 as f64 - *mean);
                     self.line.calm_done += *calm / 1e6;
                     self.line.reach = (self.line.reach * REACH_GROWTH).min(1.0);
@@ -82,7 +80,9 @@
             }
             self.end(ix, was_origin && ending.outcome == Outcome::Fulfilled, to);
         } else {
-            call.missed |= ending.outcome == Outcome::Miss && !was_origin;
+            // Guards against a call that brings down the caches it is sent to: the origin takes it instead.
+            let broke = ending.outcome == Outcome::Reset && !call.write && self.origin.free(now);
+            call.missed |= (ending.outcome == Outcome::Miss || broke) && !was_origin;
             if ending.outcome == Outcome::Miss {
                 self.attempts.budget.missed(call, now);
             }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -349,6 +349,14 @@
     pub failed: u32,
 }
 
+impl Line {
+    /// The mean and the calm time of a product's answers; of misses for what is no product.
+    pub fn calm_of(&mut self, product: usize) -> &mut (f64, f64) {
+        let last = self.calm.len() - 1;
+        &mut self.calm[product.min(last)]
+    }
+}
+
 /// One node.
 #[derive(Default)]
 pub struct Balancer {
