--- a/crates/node/tests/sockets/remaining.rs
+++ b/crates/node/tests/sockets/remaining.rs
@@ -135,6 +135,7 @@
     let mut client = node.client();
     client.send(&command(&["OBJ.SET", "k", "id1", "c=book,d=500", &value]));
     let (stream, _) = listener.accept().expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
     let mut reader = BufReader::new(stream);
     let facts = std::iter::from_fn(|| line(&mut reader)).find_map(|field| {
         let facts = field.strip_prefix("X-Facts: ")?;
@@ -144,6 +145,6 @@
     // The origin reads no further until the client has been told how it ended.
     assert!(client.answer().starts_with('-'));
     let mut rest = Vec::new();
-    let _ = reader.read_to_end(&mut rest);
+    let _ = reader.take(value.len() as u64).read_to_end(&mut rest);
     assert!(rest.len() < value.len(), "the origin has the whole value after its time");
 }
