Name the kinds of faults and the distributions of work by what they are

Need: `Kind` and `Law` need explaining, and there are two of the first.

Change: they are `FaultKind` and `WorkDistribution`; keys of files are as they were.

--- a/crates/lab/src/clients/mod.rs
+++ b/crates/lab/src/clients/mod.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::rule_monitor::RuleMonitor;
-use crate::scenario::{Kind, Scenario};
+use crate::scenario::{FaultKind, Scenario};
 use crate::stats::{End, Ended, Report};
 use endpoint::Request;
 pub use endpoint::{number, NodeEndpoint};
@@ -47,13 +47,13 @@
     let zipf = zipf.and_then(|skew| Zipf::new(scenario.keys.count as f64, skew).ok());
     let (begun, mut at, mut tasks) = (Instant::now(), 0.0, JoinSet::new());
     let sum: f64 = scenario.products.iter().map(|product| product.share).sum();
-    let during = |kind: Kind, at: f64| {
+    let during = |kind: FaultKind, at: f64| {
         let faults = scenario.faults.iter().filter(move |fault| fault.kind == kind);
         faults.filter(move |fault| at >= fault.at && at < fault.at + fault.lasts)
     };
     loop {
         let gap: f64 = Exp1.sample(&mut draws);
-        let burst: f64 = during(Kind::Burst, at).map(|fault| fault.factor).product();
+        let burst: f64 = during(FaultKind::Burst, at).map(|fault| fault.factor).product();
         at += gap / (scenario.traffic.rate * burst);
         if at > scenario.seconds {
             break;
@@ -68,7 +68,7 @@
             Some(zipf) => (zipf.sample(&mut draws) as u64).clamp(1, count) - 1,
             None => ((draws.unit() * count as f64) as u64).min(count - 1),
         };
-        let hot: f64 = during(Kind::HotKey, at).map(|fault| fault.share).sum();
+        let hot: f64 = during(FaultKind::HotKey, at).map(|fault| fault.share).sum();
         let key = if draws.unit() < hot { 0 } else { key };
         let meant = begun + Duration::from_secs_f64(at);
         sleep_until(meant).await;
--- a/crates/lab/src/fleet/plan/mod.rs
+++ b/crates/lab/src/fleet/plan/mod.rs
@@ -31,7 +31,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Kind {
+pub enum FaultKind {
     /// Processes are killed, and start again after `for`, if that is given.
     Kill,
     /// Processes are asked to end as planned, and start again `for` after their end.
@@ -58,7 +58,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
-    pub kind: Kind,
+    pub kind: FaultKind,
     /// Seconds from the beginning, and how long it lasts.
     pub at: f64,
     #[serde(rename = "for", default)]
--- a/crates/lab/src/fleet/plan/parse.rs
+++ b/crates/lab/src/fleet/plan/parse.rs
@@ -1,7 +1,7 @@
 //! Reading a plan, giving it its defaults and checking its figures. Messages name the key.
 use serde::Deserialize;
 
-use super::{Expect, Fault, Kind, Plan};
+use super::{Expect, Fault, FaultKind, Plan};
 use crate::scenario::{one_line, LabError, Scenario};
 use crate::stub::StubServers;
 
@@ -120,7 +120,7 @@
     /// What the fault befalls is named, and there.
     fn check_fault_targets(&self, i: usize, fault: &Fault) -> Result<(), LabError> {
         let bad = |field: &str, what: &str| Err(LabError(format!("fault[{i}].{field}: {what}")));
-        let of_links = matches!(fault.kind, Kind::Cut | Kind::Spoil);
+        let of_links = matches!(fault.kind, FaultKind::Cut | FaultKind::Spoil);
         let both_ends = !fault.from.is_empty() && !fault.to.is_empty();
         if of_links && !both_ends {
             return bad("from", "from and to are needed");
@@ -130,10 +130,11 @@
         }
         let is_caches =
             |name: &String| self.ends(name).is_some_and(|ends| ends.iter().all(|end| self.is_cache(end)));
-        if fault.kind == Kind::Order && (fault.to.is_empty() || !fault.to.iter().all(is_caches)) {
+        if fault.kind == FaultKind::Order && (fault.to.is_empty() || !fault.to.iter().all(is_caches)) {
             return bad("to", "the caches that are drained are needed");
         }
-        let lasts = matches!(fault.kind, Kind::Pause | Kind::Roll | Kind::Replay | Kind::Flood);
+        let lasts =
+            matches!(fault.kind, FaultKind::Pause | FaultKind::Roll | FaultKind::Replay | FaultKind::Flood);
         if lasts && fault.lasts.is_none() {
             return bad("for", "is needed");
         }
--- a/crates/lab/src/fleet/rig/faults.rs
+++ b/crates/lab/src/fleet/rig/faults.rs
@@ -6,7 +6,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use super::super::plan::Kind;
+use super::super::plan::FaultKind;
 use super::super::process::{NodeProcess, State};
 use super::Rig;
 
@@ -24,15 +24,15 @@
         let lasts = fault.lasts.map(Duration::from_secs_f64);
         sleep_until(begun + Duration::from_secs_f64(fault.at)).await;
         match fault.kind {
-            Kind::Cut | Kind::Spoil => self.spoil(i, lasts).await,
-            Kind::Replay => self.replay(i, lasts.unwrap_or_default()).await,
-            Kind::Flood => self.flood(i, lasts.unwrap_or_default()).await,
-            Kind::Roll => self.roll(i, lasts.unwrap_or_default()).await,
-            Kind::Order => self.order(i, lasts).await,
-            Kind::Kill => self.kill(i, lasts).await,
-            Kind::End => self.end(i, lasts).await,
-            Kind::Pause => self.pause(i, lasts).await,
-            Kind::Start => self.processes_of(i).iter().for_each(|process| self.start(process)),
+            FaultKind::Cut | FaultKind::Spoil => self.spoil(i, lasts).await,
+            FaultKind::Replay => self.replay(i, lasts.unwrap_or_default()).await,
+            FaultKind::Flood => self.flood(i, lasts.unwrap_or_default()).await,
+            FaultKind::Roll => self.roll(i, lasts.unwrap_or_default()).await,
+            FaultKind::Order => self.order(i, lasts).await,
+            FaultKind::Kill => self.kill(i, lasts).await,
+            FaultKind::End => self.end(i, lasts).await,
+            FaultKind::Pause => self.pause(i, lasts).await,
+            FaultKind::Start => self.processes_of(i).iter().for_each(|process| self.start(process)),
         }
     }
 
--- a/crates/lab/src/fleet/rig/network.rs
+++ b/crates/lab/src/fleet/rig/network.rs
@@ -4,7 +4,7 @@
 use tokio::time::sleep;
 
 use super::super::link::Impairment;
-use super::super::plan::{Endpoint, Fault, Kind};
+use super::super::plan::{Endpoint, Fault, FaultKind};
 use super::Rig;
 
 /// Links that are told by name; of more only the first is.
@@ -26,7 +26,7 @@
 
     fn begin_on(&self, i: usize, links: &[(Endpoint, Endpoint)]) {
         let fault = &self.plan.faults[i];
-        let impairment = Impairment::of(fault, fault.kind == Kind::Cut);
+        let impairment = Impairment::of(fault, fault.kind == FaultKind::Cut);
         links.iter().filter_map(|link| self.links.get(link)).for_each(|link| link.begin(i, impairment));
         self.settle_proxies(fault, links, |resets| resets + 1);
     }
--- a/crates/lab/src/scenario/defaults.rs
+++ b/crates/lab/src/scenario/defaults.rs
@@ -78,7 +78,7 @@
             speed: [0.8, 1.2],
             queue: 40,
             memory: 1000,
-            work: Law::Lognormal,
+            work: WorkDistribution::Lognormal,
             miss_part: 0.1,
             cold: 0.5,
             warm_ms: 5000.0,
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -79,7 +79,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Law {
+pub enum WorkDistribution {
     Fixed,
     Exponential,
     /// With a standard deviation as large as the mean.
@@ -96,7 +96,7 @@
     pub queue: usize,
     /// Objects kept.
     pub memory: usize,
-    pub work: Law,
+    pub work: WorkDistribution,
     /// Part of the work that finding a miss takes.
     pub miss_part: f64,
     /// Speed right after a start, as a part of the full one, and the time until that is reached.
@@ -166,7 +166,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Kind {
+pub enum FaultKind {
     /// Caches die and come back cold.
     Crash,
     /// Caches take and answer nothing.
@@ -196,7 +196,7 @@
 #[derive(Debug, Clone, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
-    pub kind: Kind,
+    pub kind: FaultKind,
     /// Seconds from the beginning, and how long it lasts.
     pub at: f64,
     #[serde(rename = "for", default = "ten")]
--- a/crates/lab/src/stub/faults.rs
+++ b/crates/lab/src/stub/faults.rs
@@ -6,13 +6,14 @@
 use tokio::time::sleep;
 
 use super::{ListedState, StubServers};
-use crate::scenario::{Kind, LabError, Scenario};
+use crate::scenario::{FaultKind, LabError, Scenario};
 use crate::server::Health;
 
 /// Faults that stub servers can play where nobody tells nodes of a change of the list.
-const PLAYED: [Kind; 4] = [Kind::Hang, Kind::Slow, Kind::OriginSlow, Kind::HotKey];
+const PLAYED: [FaultKind; 4] = [FaultKind::Hang, FaultKind::Slow, FaultKind::OriginSlow, FaultKind::HotKey];
 /// And those that need one who does, or clients of the rig's.
-const PLAYED_LISTED: [Kind; 5] = [Kind::Crash, Kind::ColdRestart, Kind::Drain, Kind::OriginStop, Kind::Burst];
+const PLAYED_LISTED: [FaultKind; 5] =
+    [FaultKind::Crash, FaultKind::ColdRestart, FaultKind::Drain, FaultKind::OriginStop, FaultKind::Burst];
 /// A cold restart on the spot takes so long.
 const RESTARTS: Duration = Duration::from_millis(500);
 /// After the end of its drain a cache is back, cold, so much later.
@@ -21,7 +22,7 @@
 impl StubServers {
     /// Which of a scenario's faults can't be played here; `listed`: somebody tells nodes of changes of the list.
     pub fn playable(scenario: &Scenario, listed: bool) -> Result<(), LabError> {
-        let can = |kind: &Kind| PLAYED.contains(kind) || listed && PLAYED_LISTED.contains(kind);
+        let can = |kind: &FaultKind| PLAYED.contains(kind) || listed && PLAYED_LISTED.contains(kind);
         match scenario.faults.iter().position(|fault| !can(&fault.kind)) {
             Some(i) if listed => {
                 Err(LabError(format!("scenario.fault[{i}].kind: stub servers can't play it; [[fault]] may")))
@@ -50,27 +51,27 @@
     let slow = |server: usize, factor| stubs.servers[server].model.borrow_mut().slow = factor;
     sleep(Duration::from_secs_f64(fault.at)).await;
     match fault.kind {
-        Kind::Hang => {
+        FaultKind::Hang => {
             some.iter().for_each(|at| stubs.servers[*at].model.borrow_mut().health = Health::Hung);
             sleep(lasts).await;
             some.iter().for_each(|at| stubs.servers[*at].model.borrow_mut().health = Health::Up);
         }
-        Kind::Slow => {
+        FaultKind::Slow => {
             some.iter().for_each(|at| slow(*at, fault.factor));
             sleep(lasts).await;
             some.iter().for_each(|at| slow(*at, 1.0));
         }
-        Kind::OriginSlow => {
+        FaultKind::OriginSlow => {
             slow(origin, fault.factor);
             sleep(lasts).await;
             slow(origin, 1.0);
         }
-        Kind::OriginStop => {
+        FaultKind::OriginStop => {
             stubs.down(origin);
             sleep(lasts).await;
             stubs.back(origin);
         }
-        Kind::Crash => {
+        FaultKind::Crash => {
             for at in &some {
                 stubs.down(*at);
                 stubs.change(*at, ListedState::Terminated);
@@ -81,7 +82,7 @@
                 stubs.change(*at, ListedState::InService);
             }
         }
-        Kind::ColdRestart => {
+        FaultKind::ColdRestart => {
             some.iter().for_each(|at| stubs.down(*at));
             sleep(RESTARTS).await;
             for at in &some {
@@ -89,7 +90,7 @@
                 stubs.change(*at, ListedState::InService);
             }
         }
-        Kind::Drain => {
+        FaultKind::Drain => {
             some.iter().for_each(|at| stubs.change(*at, ListedState::Terminating));
             sleep(lasts).await;
             for at in &some {
--- a/crates/lab/src/stub/mod.rs
+++ b/crates/lab/src/stub/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::clients::number;
 use crate::rule_monitor::RuleMonitor;
-use crate::scenario::{LabError, Law, Scenario};
+use crate::scenario::{LabError, Scenario, WorkDistribution};
 use crate::server::{Falls, Health, Server, Work, FALLEN};
 
 pub use connection::{NodeConnection, SendTimes};
@@ -154,9 +154,9 @@
     fn draw(&self, ms: f64) -> Span {
         let chance = &mut *self.chance.borrow_mut();
         let factor = match self.scenario.caches.work {
-            Law::Fixed => 1.0,
-            Law::Exponential => Exp1.sample(chance),
-            Law::Lognormal => {
+            WorkDistribution::Fixed => 1.0,
+            WorkDistribution::Exponential => Exp1.sample(chance),
+            WorkDistribution::Lognormal => {
                 let normal: f64 = StandardNormal.sample(chance);
                 let sigma2 = std::f64::consts::LN_2;
                 (normal * sigma2.sqrt() - sigma2 / 2.0).exp()
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -16,11 +16,11 @@
             self.sim.after(lasts, Event::Ends(i));
         }
         match fault.kind {
-            Kind::Crash | Kind::ColdRestart if begins => {
+            FaultKind::Crash | FaultKind::ColdRestart if begins => {
                 for server in some(caches) {
                     self.sim.down(server);
                     match fault.kind {
-                        Kind::Crash => {
+                        FaultKind::Crash => {
                             self.sim.list(server, State::Gone, nodes);
                             self.sim.after(lasts, Event::Back { server });
                         }
@@ -28,7 +28,7 @@
                     }
                 }
             }
-            Kind::Hang => {
+            FaultKind::Hang => {
                 for server in some(caches) {
                     if begins {
                         self.sim.servers[server].health = Health::Hung;
@@ -39,12 +39,12 @@
                     }
                 }
             }
-            Kind::Slow => {
+            FaultKind::Slow => {
                 some(caches).for_each(|server| {
                     self.sim.servers[server].slow = if begins { fault.factor } else { 1.0 }
                 });
             }
-            Kind::Drain if begins => {
+            FaultKind::Drain if begins => {
                 for server in some(caches) {
                     self.sim.list(server, State::Draining, nodes);
                     let life = self.sim.servers[server].life;
@@ -52,7 +52,7 @@
                     self.sim.after(lasts + Span::ms(5_000), Event::Back { server });
                 }
             }
-            Kind::Partition => {
+            FaultKind::Partition => {
                 for node in some(nodes) {
                     self.nodes[node].node_state.deaf = begins;
                     if !begins && self.nodes[node].node_state.up {
@@ -60,20 +60,20 @@
                     }
                 }
             }
-            Kind::OriginSlow => {
+            FaultKind::OriginSlow => {
                 let origin = self.sim.origin();
                 self.sim.servers[origin].slow = if begins { fault.factor } else { 1.0 };
             }
-            Kind::OriginStop if begins => {
+            FaultKind::OriginStop if begins => {
                 let server = self.sim.origin();
                 self.sim.down(server);
                 self.sim.after(lasts, Event::Back { server });
             }
-            Kind::Burst => self.sim.burst = if begins { fault.factor } else { 1.0 },
-            Kind::HotKey => self.sim.hot = if begins { fault.share } else { 0.0 },
-            Kind::Scan => self.sim.scan = if begins { fault.share } else { 0.0 },
-            Kind::Network => self.sim.network = if begins { fault.factor } else { 1.0 },
-            Kind::NodeRoll if begins => {
+            FaultKind::Burst => self.sim.burst = if begins { fault.factor } else { 1.0 },
+            FaultKind::HotKey => self.sim.hot = if begins { fault.share } else { 0.0 },
+            FaultKind::Scan => self.sim.scan = if begins { fault.share } else { 0.0 },
+            FaultKind::Network => self.sim.network = if begins { fault.factor } else { 1.0 },
+            FaultKind::NodeRoll if begins => {
                 let all: Vec<_> = some(nodes).collect();
                 // One after the other over its time; each is away for half a second.
                 for (j, node) in all.iter().enumerate() {
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -21,7 +21,7 @@
 use crate::metric::Metric;
 use crate::routers::{Baseline, BoundedHash, LeastInFlight, Random, Router, TwoChoices};
 use crate::rules::{CallEvent, RuleChecker};
-use crate::scenario::{Kind, LabError, Law, Scenario};
+use crate::scenario::{FaultKind, LabError, Scenario, WorkDistribution};
 use crate::server::{Falls, Health, Job, Server, Work, FALLEN};
 use crate::stats::{End, Ended, Report};
 use effects::Effects;
--- a/crates/lab/src/world/simulation.rs
+++ b/crates/lab/src/world/simulation.rs
@@ -33,9 +33,9 @@
     /// Work of this mean, in one of the laws.
     pub(super) fn work(&mut self, ms: f64) -> Span {
         let factor: f64 = match self.scenario.caches.work {
-            Law::Fixed => 1.0,
-            Law::Exponential => Exp1.sample(&mut self.chance),
-            Law::Lognormal => {
+            WorkDistribution::Fixed => 1.0,
+            WorkDistribution::Exponential => Exp1.sample(&mut self.chance),
+            WorkDistribution::Lognormal => {
                 let normal: f64 = StandardNormal.sample(&mut self.chance);
                 // Mean 1 and variance 1: sigma² = ln 2.
                 let sigma2 = std::f64::consts::LN_2;
--- a/crates/lab/tests/validation.rs
+++ b/crates/lab/tests/validation.rs
@@ -2,7 +2,7 @@
 //! repeatability, and policies that break each rule on purpose.
 use quartzhub_lab::routers::{Baseline, FaultyRouter, Misbehavior, Random};
 use quartzhub_lab::rules::Rule;
-use quartzhub_lab::scenario::{Law, Product, Scenario};
+use quartzhub_lab::scenario::{Product, Scenario, WorkDistribution};
 use quartzhub_lab::world::World;
 use quartzhub_lab::{run, Report};
 use quartzhub_policy::ServerIx;
@@ -17,7 +17,7 @@
     scenario.clients.patience = [1.0, 1.0];
     (scenario.keys.count, scenario.keys.skew) = (10, 0.0);
     (scenario.caches.count, scenario.caches.cores, scenario.caches.queue) = (1, cores, 100_000);
-    (scenario.caches.speed, scenario.caches.work) = ([1.0, 1.0], Law::Exponential);
+    (scenario.caches.speed, scenario.caches.work) = ([1.0, 1.0], WorkDistribution::Exponential);
     (scenario.caches.memory, scenario.caches.handshake_ms) = (100, 0.0);
     scenario.products = vec![Product {
         name: "view".into(),
