Call the fleet rig's discovery a stub of discovery

Need: `Listing` is also a type of the module's, and needs explaining here.

Change: `fleet/listing.rs` is `fleet/discovery.rs` with `DiscoveryStub`.

--- a/crates/lab/src/fleet/listing.rs
+++ b/crates/lab/src/fleet/discovery.rs
@@ -12,17 +12,17 @@
 use crate::stub::{ListedState, StubServers};
 
 /// Silence after which a watch tells that it stands.
-const SIGN_OF_LIFE: Duration = Duration::from_secs(2);
-const MOST_HEAD: usize = 8 * 1024;
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
+const MAX_HEAD: usize = 8 * 1024;
 
 /// One node's discovery.
-pub struct Listing {
+pub struct DiscoveryStub {
     pub stubs: Rc<StubServers>,
     pub node: usize,
     pub addrs: Vec<SocketAddr>,
 }
 
-impl Listing {
+impl DiscoveryStub {
     /// Changes that this node has been told of by now or soon, and how long until the next.
     fn due(&self) -> (usize, Option<Span>) {
         let now = self.stubs.monitor.now();
@@ -45,20 +45,20 @@
     }
 
     /// What the node is told counts as told once its bytes have reached it.
-    fn tells(self: &Rc<Listing>, connection: &Connection, written: u64, states: Vec<(usize, bool)>) {
-        let (listing, delivered) = (self.clone(), connection.delivered.clone());
+    fn tells(self: &Rc<DiscoveryStub>, connection: &Connection, written: u64, states: Vec<(usize, bool)>) {
+        let (discovery, delivered) = (self.clone(), connection.delivered.clone());
         spawn_local(async move {
             delivered.upto(written).await;
             for (server, out) in states {
-                listing.stubs.monitor.told(listing.node, server, out);
+                discovery.stubs.monitor.told(discovery.node, server, out);
             }
         });
     }
 
-    pub async fn serve(self: Rc<Listing>, mut connection: Connection) {
+    pub async fn serve(self: Rc<DiscoveryStub>, mut connection: Connection) {
         let mut head = Vec::new();
         while !head.windows(4).any(|four| four == b"\r\n\r\n") {
-            if head.len() > MOST_HEAD || !matches!(connection.stream.read_buf(&mut head).await, Ok(1..)) {
+            if head.len() > MAX_HEAD || !matches!(connection.stream.read_buf(&mut head).await, Ok(1..)) {
                 return;
             }
         }
@@ -70,7 +70,11 @@
         let _ = self.watch(&mut connection, index.unwrap_or(0)).await;
     }
 
-    async fn watch(self: &Rc<Listing>, connection: &mut Connection, index: usize) -> std::io::Result<()> {
+    async fn watch(
+        self: &Rc<DiscoveryStub>,
+        connection: &mut Connection,
+        index: usize,
+    ) -> std::io::Result<()> {
         let opening =
             b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
         let mut written = opening.len() as u64;
@@ -104,7 +108,7 @@
                 continue;
             }
             let next = next.map(|next| Instant::now() + Duration::from_micros(next.0.max(1_000) as u64));
-            let silent = spoke + SIGN_OF_LIFE;
+            let silent = spoke + HEARTBEAT_INTERVAL;
             tokio::select! {
                 () = changed => {}
                 () = sleep_until(next.map_or(silent, |next| next.min(silent))) => {}
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -12,11 +12,11 @@
 mod addresses;
 mod configuration;
 pub mod datagrams;
+pub mod discovery;
 pub mod event_log;
 pub mod faulty_node;
 
 pub mod link;
-pub mod listing;
 mod operators;
 mod outcome;
 pub mod plan;
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -18,10 +18,10 @@
 use super::addresses::AddressBlock;
 use super::configuration::configuration;
 use super::datagrams::DatagramRelay;
+use super::discovery::DiscoveryStub;
 use super::event_log::EventLog;
 use super::in_io;
 use super::link::Link;
-use super::listing::Listing;
 use super::outcome::Outcome;
 use super::plan::{Endpoint, Plan};
 use super::process::{NodeProcess, Programs, State};
@@ -222,8 +222,8 @@
             let stubs = self.stubs.clone();
             if server == servers {
                 let addrs = (0..servers).map(|server| block.server(node, server)).collect();
-                let listing = Rc::new(Listing { stubs, node, addrs });
-                let serve = move |connection| drop(spawn_local(listing.clone().serve(connection)));
+                let discovery = Rc::new(DiscoveryStub { stubs, node, addrs });
+                let serve = move |connection| drop(spawn_local(discovery.clone().serve(connection)));
                 spawn_local(proxy.clone().run(self.monitor.clone(), serve));
                 continue;
             }
