Take dropped caches for cold where the list proves right; draw restarted caches' budgets

Change: where attempts at dropped caches fail, what the list drops is held to the budget of one that started then, until it is listed again; the record fades to its start in seconds, so a wrong list is tried again. A restarted cache's budget begins at a drawn part of an attempt: the mean over all nodes stays the same, and some use it at once. Should also hold for any restart that is listed late; it may hurt where calls that kill caches meet a wrong list.

--- a/crates/policy/src/decide/health.rs
+++ b/crates/policy/src/decide/health.rs
@@ -29,10 +29,11 @@
         Beta::new(good + 1.0, bad + 1.0).is_ok_and(|beta| beta.sample(chance) > TRUST)
     }
 
-    /// Refills a cold cache's budget, and tells whether it covers one more attempt: what a cache answers this
-    /// node on average, cut by the stated warm-up; sends are many times that in a storm of full ones.
+    /// Refills a cold cache's budget, a mean cache's answers cut by the stated warm-up; tells if it covers an
+    /// attempt. What the list dropped is cold where it proved right: it may have restarted, unlisted yet.
     pub fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
-        let Some(started) = server.cold_at else { return true };
+        let dropped = server.unlisted.filter(|_| self.unlisted < DOUBT);
+        let Some(started) = dropped.or(server.cold_at) else { return true };
         let age = (now - started).seconds().max(0.0) / self.warm_within.seconds().max(1e-6);
         let warmth = self.cold_from + (1.0 - self.cold_from) * age;
         if warmth >= 1.0 {
--- a/crates/policy/src/decide/list.rs
+++ b/crates/policy/src/decide/list.rs
@@ -53,7 +53,8 @@
             }
             if restarted {
                 (server.good, server.bad, server.unheard, server.room) = (0.0, 0.0, None, f64::INFINITY);
-                (server.warm, server.warm_at) = (0.0, now);
+                // Drawn, lest hundreds of nodes all save for a first attempt while it stands unused.
+                (server.warm, server.warm_at) = (self.chance.unit(), now);
                 // Guards against stamps of clocks that differ: it started before it was first named here.
                 let latest = |at: Time| at.max(now.min(at + self.stamp_off));
                 server.cold_at = line.started.map(latest);
@@ -108,7 +109,7 @@
     fn dropped(&mut self, only_draining_binds: bool, credit: f64, now: Time) {
         self.state = self.state.dropped(only_draining_binds);
         if self.unlisted.is_none() {
-            (self.unlisted, self.good) = (Some(now), self.good * credit);
+            (self.unlisted, self.good, self.warm, self.warm_at) = (Some(now), self.good * credit, 0.0, now);
         }
     }
 }
--- a/crates/policy/src/decide/mod.rs
+++ b/crates/policy/src/decide/mod.rs
@@ -1,9 +1,7 @@
-//! All decisions of one quartzhub node, and nothing else.
-//!
-//! How to call it: make a `Balancer` from settings and a seed, call `start` once, then hand over what happens
-//! (`list`, `call`, `outcome`, `tick` and their kin). What the node must do in return is called on `Answers`
-//! given along (types.rs). Read the files in the order below, which is that of an API call; a stage passes it
-//! on, keeps it or ends it, and outcomes run back. Only `send_attempt` dispatches and checks rules 1 to 3.
+//! All decisions of one quartzhub node, and nothing else. Make a `Balancer` from settings and a seed, call
+//! `start` once, then hand over what happens (`list`, `call`, `outcome`, `tick` and their kin). What to do is
+//! called on `Answers` given along (types.rs). The files stand in the order of an API call; a stage passes
+//! it on, keeps it or ends it, and outcomes run back. Only `send_attempt` dispatches and checks rules 1 to 3.
 mod call; // a new API call
 
 mod admission; // shares and overload
--- a/crates/policy/src/decide/tick.rs
+++ b/crates/policy/src/decide/tick.rs
@@ -27,12 +27,11 @@
         // Guards against tables that keep the size of the worst minute: what is used last ends them.
         self.servers.truncate(self.servers.iter().rposition(|s| s.seed != 0.0).map_or(0, |i| i + 1));
         self.calls.truncate(self.calls.iter().rposition(|call| call.live).map_or(0, |i| i + 1));
-        let done = std::mem::take(&mut self.line.done) / passed;
         let step = 1.0 - 0.25f64.powf(passed * self.line.pace());
         self.line.mean_out += step * (f64::from(self.line.out) - self.line.mean_out);
-        let calm_done = std::mem::take(&mut self.line.calm_done) / passed;
-        self.line.explained += step * (calm_done - self.line.explained);
-        self.line.done_rate += step * (done - self.line.done_rate);
+        let Line { done, calm_done, explained, done_rate, .. } = &mut self.line;
+        *explained += step * (std::mem::take(calm_done) / passed - *explained);
+        *done_rate += step * (std::mem::take(done) / passed - *done_rate);
         self.line.heard += step * (1.0 - self.line.heard);
         let crowding = |(index, product): (usize, &Product)| self.line.crowding(index, product.slo);
         self.admission.tick(self.products.iter().enumerate().map(crowding).fold(0.0, f64::max));
@@ -42,6 +41,7 @@
         times.for_each(|(mean, calm)| *calm = (*calm * 2f64.powf(passed / CALM_DOUBLES)).min(*mean));
         self.keys.tick(passed, now);
         self.health.paths.tick(kept);
+        self.health.unlisted = UNLISTED_START + kept * (self.health.unlisted - UNLISTED_START);
         let zone = self.origin.servers.first().map(|at| self.servers[at.0].zone);
         self.origin.follow_path(zone.is_some_and(|zone| self.health.paths.doubtful(zone).is_some()));
         self.line.let_go(&mut self.servers, now, to);
--- a/crates/policy/src/decide/waiting.rs
+++ b/crates/policy/src/decide/waiting.rs
@@ -22,9 +22,8 @@
     // Guards against a due time that is already past coming round for ever within one event.
     pub(super) fn set_due(&mut self, ix: CallIx, due: Time) {
         let due = due.max(self.now + TICK.times(0.25));
-        let call = &mut self.calls[ix.0];
-        call.due = due;
-        self.due.insert((due, ix, call.serial));
+        self.calls[ix.0].due = due;
+        self.due.insert((due, ix, self.calls[ix.0].serial));
     }
 
     pub(super) fn run_due(&mut self, to: &mut impl Answers) {
--- a/crates/policy/tests/decisions/fleet.rs
+++ b/crates/policy/tests/decisions/fleet.rs
@@ -95,3 +95,29 @@
     let (most, allowed) = most_sent_at(30, 300.0, false, 3, None);
     assert!(most as f64 > allowed, "{most} of {allowed:.0}");
 }
+
+/// Of 200 nodes with two calls a second each, those that send a restarted cache anything in its first three seconds.
+#[test]
+fn a_restarted_cache_is_used_at_once_by_some_of_many_nodes_of_few_calls() {
+    let (there, elsewhere) = keys();
+    let uses = |seed: u64| {
+        let mut node = Node::new(CACHES, &[]);
+        node.balancer = Balancer::new(&settings(&[]), seed);
+        node.list_all(&[0, 1, 2, 3, 4].map(|server| line(server, State::Ready, None)));
+        for (call, key) in elsewhere.iter().take(20).enumerate() {
+            node.ask(call, 0, key, false);
+            node.pass(500.0);
+            node.end(call, 0, Outcome::Fulfilled, 20.0);
+        }
+        node.list(&[line(2, State::Ready, Some(node.now))]);
+        let before = node.trace.0.len();
+        for (call, key) in there.iter().take(6).enumerate() {
+            node.ask(100 + call, 0, key, false);
+            node.pass(500.0);
+            node.end(100 + call, 0, Outcome::Fulfilled, 20.0);
+        }
+        node.trace.0[before..].contains("-> server 2 ")
+    };
+    let users = (0..200).filter(|seed| uses(*seed)).count();
+    assert!((20..150).contains(&users), "{users} of 200 nodes use it");
+}
