Tell a call with little time left at once when another takes its place; trust full answers

Followed on the wire: 65 ms of time, its cache's miss after 64 ms, and then nothing until the client had left 20 ms later. Cause: `park` kept a hurried call if the origin had a place at that moment, which then went to a call that had waited in the queue; the next timer came after the client's time. Now the call is looked at after the queue was served, and told at once if it is still there, so no call with under two ticks waits for a timer. Waits that a slow path lengthens end a tick before the client's time for the same reason.

--- a/crates/policy/src/decide/admission.rs
+++ b/crates/policy/src/decide/admission.rs
@@ -28,6 +28,7 @@
     /// `crowding`: the wait at caches as a part of the SLO; `sure`: how far to go by it. Guards against
     /// reads refused at nodes of few answers, where one heavy call or one jammed cache looks like a crowd.
     pub fn admit(&self, beyond: f64, crowding: f64, sure: f64, chance: &mut Pcg) -> bool {
+        let sure = if self.strain > STRAIN_OVER { 1.0 } else { sure };
         let crowded = sure * (crowding - CROWDED) / (1.0 - CROWDED);
         // Guards against tries that come again in place of first ones: what is beyond is shed by both.
         chance.unit() >= crowded.max(0.0) + SHED_BEYOND * self.level * beyond
--- a/crates/policy/src/decide/attempts.rs
+++ b/crates/policy/src/decide/attempts.rs
@@ -71,7 +71,6 @@
         to: &mut impl Answers,
     ) -> bool {
         let call = &mut self.calls[ix.0];
-        let product = call.product;
         let ready = self.servers[at.0].state == State::Ready;
         if !ready || !self.attempts.allows(call, &self.servers, at, self.now) {
             return false;
@@ -95,9 +94,9 @@
         if call.attempts.len() == 1 {
             self.attempts.earn();
         }
-        let slo = product.slo.0 as f64;
+        let slo = call.product.slo.0 as f64;
         let cache = self.health.tail.clamp(FURTHER_FROM * slo, FURTHER_TO * slo);
-        let wait = if server.origin { self.origin.aim(product.slo, call.write) } else { cache };
+        let wait = if server.origin { self.origin.aim(call.product.slo, call.write) } else { cache };
         self.set_due(ix, self.now + Span(wait as i64));
         true
     }
--- a/crates/policy/src/decide/budget.rs
+++ b/crates/policy/src/decide/budget.rs
@@ -6,8 +6,7 @@
         if self.span > Span::ZERO {
             self.calls.push_back(now);
             self.calls.drain(..self.calls.len().saturating_sub(COUNTED));
-            let span = self.span;
-            let old = |at: &Time| now - *at > span;
+            let old = |at: &Time| now - *at > self.span;
             self.calls.drain(..self.calls.partition_point(old));
             self.further.drain(..self.further.partition_point(old));
         }
--- a/crates/policy/src/decide/gate.rs
+++ b/crates/policy/src/decide/gate.rs
@@ -31,8 +31,7 @@
         (self.saved, self.saved_at) = (0.0, now);
     }
 
-    /// Guards against answers that are far between at hundreds of nodes; and, bounded, against limits that
-    /// a thousand of them let grow in calm and spend together in a crowd.
+    /// Guards against answers far between at hundreds of nodes; bounded, lest all grow in calm, spent at once.
     pub fn regrow(&mut self, passed: f64) {
         if self.limit < self.unasked.min(1.0) {
             self.limit *= 1.0 + passed / ORIGIN_DOUBLES;
--- a/crates/policy/src/decide/origin.rs
+++ b/crates/policy/src/decide/origin.rs
@@ -82,6 +82,10 @@
         self.origin.queue.push(ix);
         self.park(ix, Place::Queued, to);
         self.pump(to);
+        // Guards against a call with little time left that another one took the place from.
+        if hurried && self.calls[ix.0].place == Place::Queued {
+            self.give_up(ix, to);
+        }
     }
 
     /// Sends what waits to the origin while it has room: writes, in-share work, then what is billed higher.
--- a/crates/policy/src/decide/waiting.rs
+++ b/crates/policy/src/decide/waiting.rs
@@ -10,13 +10,13 @@
     /// Keeps a call with nothing sent until a part of its SLO is gone.
     pub(super) fn park(&mut self, ix: CallIx, place: Place, to: &mut impl Answers) {
         self.calls[ix.0].place = place;
-        let sent = place == Place::Queued && self.origin.place(self.calls[ix.0].write, self.now);
-        if self.hurried(ix) && !sent {
+        if place == Place::Waiting && self.hurried(ix) {
             return self.give_up(ix, to);
         }
         let call = &self.calls[ix.0];
         let most = call.product.slo.min(call.until - self.now);
-        self.set_due(ix, self.now + (most.times(PATIENCE) + Span(self.origin.delay as i64)).min(most));
+        let patience = most.times(PATIENCE) + Span(self.origin.delay as i64);
+        self.set_due(ix, self.now + patience.min(Span(most.0 - TICK.0)));
     }
 
     // Guards against a due time that is already past coming round for ever within one event.
