--- a/crates/policy/src/decide/call.rs
+++ b/crates/policy/src/decide/call.rs
@@ -7,7 +7,7 @@
         self.run_due(to);
         self.calls.resize_with(self.calls.len().max(ix.0 + 1), Call::default);
         let key = ask.key.map_or_else(|| (self.chance.unit() * 2f64.powi(53)) as u64, hash);
-        // Guards against tries that come back late: a marked repeat draws on no share, yields by what it lost.
+        // Guards against tries that come back late: a marked repeat uses no share, yields by what it lost.
         let product_index = ask.product.min(self.products.len() - 1);
         let product = self.products[product_index];
         let lost = if ask.repeat { 1.0 - product.late_value } else { 0.0 };
--- a/crates/policy/src/decide/gate.rs
+++ b/crates/policy/src/decide/gate.rs
@@ -31,7 +31,7 @@
         (self.saved, self.saved_at) = (0.0, now);
     }
 
-    /// Guards against answers far between at hundreds of nodes; bounded, lest all grow in calm, spent at once.
+    /// Guards against answers far between at hundreds of nodes; bounded, lest all grow in calm, to be spent.
     pub fn regrow(&mut self, passed: f64) {
         if self.limit < self.unasked.min(1.0) {
             self.limit *= 1.0 + passed / ORIGIN_DOUBLES;
