--- /dev/null
+++ b/crates/node/src/caches/tests.rs
@@ -0,0 +1,88 @@
+//! Commands and replies of cache servers.
+use super::*;
+use expect_test::expect;
+
+#[test]
+fn commands_go_on_unchanged_but_for_the_wait() {
+    let words = |value: Option<&[u8]>, facts: &str| Words {
+        key: "7f3a".into(),
+        id: "9b1f".into(),
+        facts: facts.into(),
+        value: value.map(bytes::Bytes::copy_from_slice),
+    };
+    let text =
+        |words: Words| String::from_utf8_lossy(&command(&words, Span::ms(123))).replace("\r\n", " ") + "\n";
+    let all = [
+        text(words(None, "c=read,d=480")),
+        text(words(Some(b"VALUE"), "c=put,d=480,k=5c0f")),
+        text(words(None, "r=1,c=read,d=480")),
+        text(words(None, "size=3")),
+    ];
+    expect![[r#"
+        *4 $7 OBJ.GET $4 7f3a $4 9b1f $12 c=read,d=123 
+        *5 $7 OBJ.SET $4 7f3a $4 9b1f $18 c=put,d=123,k=5c0f $5 
+        *4 $7 OBJ.GET $4 7f3a $4 9b1f $16 r=1,c=read,d=123 
+        *4 $7 OBJ.GET $4 7f3a $4 9b1f $12 size=3,d=123 
+    "#]]
+    .assert_eq(&all.concat());
+}
+
+#[test]
+fn only_the_named_replies_prove_that_nothing_ran() {
+    let limits = Limits::default();
+    let replies: [&[u8]; 20] = [
+        b"*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n",
+        b"*3\r\n$2\r\nab\r\n$-1\r\n$-1\r\n*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n",
+        b"*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n\xff\xfe",
+        b"*3\r\n$2\r\nab\r\n$3\r\nhit\r\n\xff\xfe",
+        b"*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$900\r\ncpu=",
+        b"*3\r\n$2\r\nab\r\n$3\r\nhit\r\n*99999\r\n",
+        b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n",
+        b"-BUSY\r\n",
+        b"-BUSYBODY\r\n",
+        b"-BUSY \xff\r\n",
+        b"-ERR failed\r\n",
+        b"+OK\r\n",
+        b"$2\r\nab\r\n",
+        b"*0\r\n",
+        b"*-1\r\n",
+        b"*2\r\n$2\r\nab\r\n$3\r\nhit\r\n",
+        b"*3\r\n$2\r\nabc\r\n$3\r\nhit\r\n$-1\r\n",
+        b"*3\r\n$2\r\nab\r\n$3\r\nh\xfft\r\n$-1\r\n",
+        b"*3\r\n$3000000000\r\nab",
+        b"*3\r\n$9\r\nab\r\n$3\r\nhit\r\n$-1\r\n",
+    ];
+    let told = replies.map(|reply| {
+        let text = reply.escape_ascii();
+        match answer(reply, &limits) {
+            Parsed::Whole(answer, _) => {
+                let ran = if answer.outcome.proves_it_never_ran() { "never ran" } else { "may have run" };
+                let upstream = if answer.reusable { "kept" } else { "closed" };
+                format!("{text}: {:?}, {ran}, {upstream}\n", answer.outcome)
+            }
+            other => format!("{text}: {other:?}\n"),
+        }
+    });
+    expect![[r#"
+        *3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n: Fulfilled, may have run, kept
+        *3\r\n$2\r\nab\r\n$-1\r\n$-1\r\n*3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n: Fulfilled, may have run, closed
+        *3\r\n$2\r\nab\r\n$3\r\nhit\r\n$-1\r\n\xff\xfe: Fulfilled, may have run, closed
+        *3\r\n$2\r\nab\r\n$3\r\nhit\r\n\xff\xfe: Fulfilled, may have run, closed
+        *3\r\n$2\r\nab\r\n$3\r\nhit\r\n$900\r\ncpu=: Fulfilled, may have run, closed
+        *3\r\n$2\r\nab\r\n$3\r\nhit\r\n*99999\r\n: Fulfilled, may have run, closed
+        *3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n: Miss, never ran, kept
+        -BUSY\r\n: Full, never ran, kept
+        -BUSYBODY\r\n: Broken, may have run, kept
+        -BUSY \xff\r\n: Broken
+        -ERR failed\r\n: Broken, may have run, kept
+        +OK\r\n: Broken
+        $2\r\nab\r\n: Broken
+        *0\r\n: Broken
+        *-1\r\n: Broken
+        *2\r\n$2\r\nab\r\n$3\r\nhit\r\n: Broken
+        *3\r\n$2\r\nabc\r\n$3\r\nhit\r\n$-1\r\n: Broken
+        *3\r\n$2\r\nab\r\n$3\r\nh\xfft\r\n$-1\r\n: Broken
+        *3\r\n$3000000000\r\nab: Broken
+        *3\r\n$9\r\nab\r\n$3\r\nhit\r\n$-1\r\n: Broken
+    "#]].assert_eq(&told.concat());
+}
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -65,43 +65,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use expect_test::expect;
-
-    #[test]
-    fn reads_and_writes_as_requests() {
-        let words = |value: Option<&[u8]>| Words {
-            key: "7f/3a 9".into(),
-            id: "9b1f".into(),
-            facts: "c=put,d=480,k=5c".into(),
-            value: value.map(bytes::Bytes::copy_from_slice),
-        };
-        let to = "127.0.0.1:80".parse().expect("an address");
-        let text = |value| {
-            String::from_utf8_lossy(&request(&words(value), to, Span::ms(123))).replace("\r\n", "|") + "\n"
-        };
-        expect![[r#"
-            GET /7f%2F3a%209 HTTP/1.1|Host: 127.0.0.1:80|X-Correlation-Id: 9b1f|X-Facts: c=put,d=123,k=5c||
-            PUT /7f%2F3a%209 HTTP/1.1|Host: 127.0.0.1:80|X-Correlation-Id: 9b1f|X-Facts: c=put,d=123,k=5c|Content-Length: 5||
-        "#]]
-        .assert_eq(&(text(None) + &text(Some(b"VALUE"))));
-    }
-
-    #[test]
-    fn an_error_may_have_run_unless_marked() {
-        let limits = Limits::default();
-        let told = ["200 OK", "500 x", "503 x", "503 x\r\nX-Unprocessed: 1", "404 x"].map(|status| {
-            let text = format!("HTTP/1.1 {status}\r\nContent-Length: 1\r\n\r\nv");
-            format!("{status:?}: {:?}\n", answer(text.as_bytes(), false, &limits))
-        });
-        expect![[r#"
-            "200 OK": Whole(Answer { outcome: Fulfilled, value: Some([118]), reusable: true }, 39)
-            "500 x": Whole(Answer { outcome: Broken, value: None, reusable: true }, 38)
-            "503 x": Whole(Answer { outcome: Broken, value: None, reusable: true }, 38)
-            "503 x\r\nX-Unprocessed: 1": Whole(Answer { outcome: Full, value: None, reusable: true }, 56)
-            "404 x": Whole(Answer { outcome: Broken, value: None, reusable: true }, 38)
-        "#]]
-        .assert_eq(&told.concat());
-    }
-}
+mod tests;
