--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -61,7 +61,16 @@
     }
 
     pub fn with(config: &str, descriptors: usize) -> Node {
-        let (mut child, file) = spawn(config, descriptors);
+        Node::with_environment(config, descriptors, &[])
+    }
+
+    /// With further variables of the environment.
+    pub fn with_environment(
+        config: &str,
+        descriptors: usize,
+        environment: &[(&str, std::path::PathBuf)],
+    ) -> Node {
+        let (mut child, file) = spawn_to(config, descriptors, Stdio::piped(), environment);
         let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
         let told = std::iter::from_fn(|| line(&mut log)).find(|line| line.contains("serves on"));
         let addr = told.as_ref().and_then(|told| told.rsplit(' ').next()?.parse().ok());
@@ -95,10 +104,15 @@
 }
 
 pub fn spawn(config: &str, descriptors: usize) -> (Child, std::path::PathBuf) {
-    spawn_to(config, descriptors, Stdio::piped())
+    spawn_to(config, descriptors, Stdio::piped(), &[])
 }
 
-pub fn spawn_to(config: &str, descriptors: usize, log: Stdio) -> (Child, std::path::PathBuf) {
+pub fn spawn_to(
+    config: &str,
+    descriptors: usize,
+    log: Stdio,
+    environment: &[(&str, std::path::PathBuf)],
+) -> (Child, std::path::PathBuf) {
     use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
     static COUNT: AtomicUsize = AtomicUsize::new(0);
     let name = format!("quartzhub-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Relaxed));
@@ -113,6 +127,7 @@
         .env_remove("LB_OPS")
         .env_remove("LB_INHERITED_FD")
         .env("LB_CONFIG", &file)
+        .envs(environment.iter().cloned())
         .stderr(log)
         .spawn()
         .expect("the program starts");
--- a/crates/node/tests/sockets/config.rs
+++ b/crates/node/tests/sockets/config.rs
@@ -28,7 +28,7 @@
     let from = discovery(vec![said], asked);
     let config = format!(r#"{{"listen":"{addr}","discovery":"{from}","settings":{SETTINGS}}}"#);
     drop(before);
-    let (child, file) = spawn_to(&config, 4096, log.into());
+    let (child, file) = spawn_to(&config, 4096, log.into(), &[]);
     let mut node = Node { child, addr, log: None, file };
     // By then it listens.
     assert_eq!(next(&asks), "GET /api/targets?stream=1&index=0 ");
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -12,4 +12,5 @@
 mod remaining;
 mod stall;
 mod standins;
+mod syscalls;
 mod watches;
