Take interrupted calls, aborted accepts and sockets that lack for a moment as Linux means them

Cause: buffer.rs, clients/mod.rs and upstreams.rs took EINTR for the end of a connection; clients/accept.rs paused 20 ms for every accept that failed, also for ECONNABORTED and its kin, which concern one connection only; listening was tried again on EADDRINUSE alone.

--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -4,6 +4,8 @@
 use bytes::Bytes;
 use tokio::net::TcpStream;
 
+use crate::system::uninterrupted;
+
 #[derive(Default)]
 pub struct Buffer {
     bytes: Vec<u8>,
@@ -77,13 +79,13 @@
             self.compact();
             self.bytes.reserve_exact(count);
         }
-        stream.try_read_buf(&mut self.bytes)
+        uninterrupted(|| stream.try_read_buf(&mut self.bytes))
     }
 
     /// Writes what the socket takes and uses it up.
     pub fn write(&mut self, stream: &TcpStream) -> io::Result<()> {
         while !self.is_empty() {
-            match stream.try_write(self.filled()) {
+            match uninterrupted(|| stream.try_write(self.filled())) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(count) => self.consume(count),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
@@ -96,7 +98,8 @@
 
 /// Whether a connection is open with nothing to read on it, as the socket itself has it: tokio tells later.
 pub fn quiet(stream: &TcpStream) -> bool {
-    let peeked = socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
+    let socket = socket2::SockRef::from(stream);
+    let peeked = uninterrupted(|| socket.peek(&mut [std::mem::MaybeUninit::uninit()]));
     peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
 }
 
--- a/crates/node/src/clients/accept.rs
+++ b/crates/node/src/clients/accept.rs
@@ -13,30 +13,20 @@
 use crate::clock::{duration, Clock};
 use crate::effects::Hub;
 use crate::limits::Limits;
+use crate::system::{bound, is_the_connections};
 use crate::words::Room;
 
-/// Guards against a node that does not come back because the one before it, under the same address, is still
-/// about to end.
+/// Accepts that may fail in a row, each for its one connection, before a pause is made all the same.
+const ABORTED_IN_A_ROW: usize = 1024;
+
+/// Listens on an address, once it is free.
 pub async fn listen(on: SocketAddr, clock: Clock, limits: &Limits) -> io::Result<TcpListener> {
-    let mut told = false;
-    loop {
-        match TcpListener::bind(on).await {
-            Err(e)
-                if e.kind() == io::ErrorKind::AddrInUse && clock.now() - Time(0) < limits.listen_longest =>
-            {
-                if !std::mem::replace(&mut told, true) {
-                    tracing::info!("{on} is in use: waiting for it");
-                }
-                tokio::time::sleep(duration(limits.listen_pause)).await;
-            }
-            result => return result,
-        }
-    }
+    bound(on, clock, limits, || TcpListener::bind(on)).await
 }
 
 /// Takes connections while there is room for them.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener, last: Rc<Cell<Time>>) {
-    let mut taken = 0;
+    let (mut taken, mut aborted) = (0, 0);
     loop {
         // Guards against spinning on an accept that can't succeed: with all descriptors taken, an idle
         // connection is closed, and the next client is taken when there is one.
@@ -58,6 +48,7 @@
         }
         match listener.accept().await {
             Ok((stream, _)) => {
+                aborted = 0;
                 last.set(hub.clock.now());
                 let _ = stream.set_nodelay(true);
                 let id = hub.tell(|reducer, now| reducer.client_came(now));
@@ -73,7 +64,14 @@
                 hub.clients.borrow_mut().insert(id, client.clone());
                 tokio::task::spawn_local(serve(hub.clone(), id, client));
             }
+            // Guards against a pause for each of many clients that went before they were taken: others wait behind them.
+            // So many in a row are no clients' doing any more.
+            Err(e) if is_the_connections(&e) && aborted < ABORTED_IN_A_ROW => {
+                aborted += 1;
+                tracing::info!("accept: {e}");
+            }
             Err(e) => {
+                aborted = 0;
                 tracing::warn!("accept: {e}");
                 tokio::time::sleep(duration(hub.limits.accept_pause)).await;
             }
--- a/crates/node/src/clients/converse.rs
+++ b/crates/node/src/clients/converse.rs
@@ -14,6 +14,7 @@
 use crate::effects::Hub;
 use crate::reducer::Reducer;
 use crate::resp;
+use crate::system::uninterrupted;
 use crate::words::ClientId;
 
 pub async fn serve(hub: Rc<Hub>, id: ClientId, client: Rc<Client>) {
@@ -191,7 +192,7 @@
     let until = hub.clock.instant(hub.clock.now() + longest);
     let mut left = hub.limits.drain_bytes;
     while let Ok(Ok(())) = tokio::time::timeout_at(until, stream.readable()).await {
-        let read = stream.try_read(&mut hub.scratch.borrow_mut());
+        let read = uninterrupted(|| stream.try_read(&mut hub.scratch.borrow_mut()));
         match read {
             Ok(count) if count > 0 && count < left => left -= count,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::resp::put_bulk;
+use crate::system::uninterrupted;
 use crate::upstreams::Upstream;
 use crate::words::Said;
 
@@ -118,12 +119,16 @@
         self.out.borrow().len()
     }
 
+    fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+        uninterrupted(|| self.stream.try_write(bytes))
+    }
+
     fn flush(&self) -> usize {
         let mut out = self.out.borrow_mut();
         let mut taken = 0;
         while let Some(first) = out.front() {
             let written = match first {
-                Out::Bytes(bytes, size) => self.stream.try_write(&bytes[self.sent.get()..]).map(|count| {
+                Out::Bytes(bytes, size) => self.write(&bytes[self.sent.get()..]).map(|count| {
                     self.sent.set(self.sent.get() + count);
                     (count > 0, self.sent.get() == bytes.len(), *size)
                 }),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod resp;
 pub mod service;
 pub mod shutdown;
+pub mod system;
 pub mod upstreams;
 pub mod words;
 
@@ -79,7 +80,7 @@
     hub.tell(|reducer, now| reducer.list(now, &known, false, |unix| clock.started(unix)));
     spawn_local(effects::timer(hub.clone()));
     let peers = match config.membership.clone() {
-        Some(named) => Some(peers::Peers::open(named, config.seed, clock).await?),
+        Some(named) => Some(peers::Peers::open(named, config.seed, clock, &hub.limits).await?),
         None => None,
     };
     if let Some(peers) = &peers {
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -20,6 +20,7 @@
 use crate::effects::Hub;
 use crate::peers::Peers;
 use crate::reducer::Reducer;
+use crate::system::is_the_connections;
 
 /// Takes operators' connections. Guards against callers that hold them with half a call: only so many are kept,
 /// and the oldest, which has had the most time, gives way to the next.
@@ -43,6 +44,10 @@
                 });
                 open.borrow_mut().push_back((id, task.abort_handle()));
             }
+            Err(e) if is_the_connections(&e) => {
+                tracing::info!("operators: accept: {e}");
+                tokio::task::yield_now().await;
+            }
             Err(e) => {
                 tracing::warn!("operators: accept: {e}");
                 tokio::time::sleep(duration(hub.limits.accept_pause)).await;
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::effects::Hub;
 use crate::reducer::Reducer;
+use crate::system::bound;
 use named::Peering;
 pub use view::{summary, Ordered, Told, View};
 
@@ -48,8 +49,13 @@
 }
 
 impl Peers {
-    pub async fn open(named: Peering, seed: u64, clock: Clock) -> io::Result<Rc<Peers>> {
-        let socket = UdpSocket::bind(named.listen).await?;
+    pub async fn open(
+        named: Peering,
+        seed: u64,
+        clock: Clock,
+        limits: &crate::limits::Limits,
+    ) -> io::Result<Rc<Peers>> {
+        let socket = bound(named.listen, clock, limits, || UdpSocket::bind(named.listen)).await?;
         let of = fleet(&named.fleet);
         let limits = Limits { without: named.without, ..Limits::default() };
         let mut members = Members::new(Id(named.me), named.peers.len(), of, seed, limits);
--- /dev/null
+++ b/crates/node/src/system.rs
@@ -0,0 +1,78 @@
+//! System calls and their errors as Linux documents them, where the standard library and tokio leave them to the caller.
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+
+use quartzhub_policy::Time;
+
+use crate::clock::{duration, Clock};
+use crate::limits::Limits;
+
+/// Times that a call is made again that a signal interrupts.
+const INTERRUPTIONS: usize = 1000;
+
+/// Makes a call again that a signal interrupted before it had done anything.
+pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    for _ in 0..INTERRUPTIONS {
+        match call() {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+    call()
+}
+
+/// Whether a call failed for want of descriptors or memory, so that the same call is likely to fail again at once.
+pub fn lacks_room(e: &io::Error) -> bool {
+    matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM))
+}
+
+/// Whether an accept failed for the one connection that it would have brought, which has gone: accept(2) names these.
+pub fn is_the_connections(e: &io::Error) -> bool {
+    use libc::*;
+    let gone = [
+        ECONNABORTED,
+        ECONNRESET,
+        EHOSTDOWN,
+        EHOSTUNREACH,
+        EINTR,
+        ENETDOWN,
+        ENETUNREACH,
+        ENONET,
+        ENOPROTOOPT,
+        EOPNOTSUPP,
+        EPERM,
+        EPROTO,
+        ETIMEDOUT,
+    ];
+    e.raw_os_error().is_some_and(|error| gone.contains(&error))
+}
+
+/// Binds a socket to an address, again and again while what fails may pass. Guards against a node that does not come back
+/// because the one before it is still about to end, or because descriptors or buffers run out for a moment.
+pub async fn bound<T, F: Future<Output = io::Result<T>>>(
+    on: SocketAddr,
+    clock: Clock,
+    limits: &Limits,
+    bind: impl Fn() -> F,
+) -> io::Result<T> {
+    let mut told = false;
+    loop {
+        let e = match bind().await {
+            Err(e) if may_pass(&e) && clock.now() - Time(0) < limits.listen_longest => e,
+            result => return result,
+        };
+        if !std::mem::replace(&mut told, true) {
+            match e.kind() {
+                io::ErrorKind::AddrInUse => tracing::info!("{on} is in use: waiting for it"),
+                _ => tracing::warn!("{on}: {e}: trying again"),
+            }
+        }
+        tokio::time::sleep(duration(limits.listen_pause)).await;
+    }
+}
+
+fn may_pass(e: &io::Error) -> bool {
+    use io::ErrorKind::*;
+    matches!(e.kind(), AddrInUse | AddrNotAvailable | Interrupted) || lacks_room(e)
+}
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -20,6 +20,7 @@
 use crate::origin;
 use crate::reducer::Reducer;
 use crate::resp::Parsed;
+use crate::system::uninterrupted;
 use crate::words::{UpstreamId, Words};
 
 /// Bytes of a value that is copied behind its command, to go out in one write.
@@ -117,7 +118,8 @@
         }
         buffer.write(stream)?;
         while let Some((value, sent)) = body.as_mut().filter(|_| buffer.is_empty()) {
-            match stream.try_write(&value[*sent..]) {
+            match uninterrupted(|| stream.try_write(&value[*sent..])) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(count) => *sent += count,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) => return Err(e),
@@ -252,7 +254,7 @@
                 break;
             }
             let mut buffer = self.buffer.borrow_mut();
-            match to.try_write(&buffer.filled()[..ready]) {
+            match uninterrupted(|| to.try_write(&buffer.filled()[..ready])) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(count) => {
                     buffer.consume(count);
