Tests of attempts that nobody waits for any more, three of them red

Played on the program: a client that leaves while the node is held up 0.3 s before the write; one that leaves while a 4 MiB value is half written and Caps.Cancelling is false; a late attempt called off where Caps.MayDuplicate is false.

Measured on the code as it stood: in each the server gets what it must not: the whole attempt 0.2 s after its client's close, the whole value, the second attempt while the first is still out on an open connection.

--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -1,4 +1,5 @@
 //! Starts the program and speaks to it over sockets.
+mod abandoned;
 mod calls;
 mod clients;
 mod common;
--- a/crates/node/tests/sockets/syscalls.rs
+++ b/crates/node/tests/sockets/syscalls.rs
@@ -19,7 +19,7 @@
 }
 
 /// A node whose system calls fail as `faults` says; the form is told in `syscalls.c`.
-fn node_with(faults: &str, known: &[(&str, SocketAddr)], more: &str) -> Node {
+pub fn node_with(faults: &str, known: &[(&str, SocketAddr)], more: &str) -> Node {
     let environment = [("LD_PRELOAD", library()), ("FAULTS", PathBuf::from(faults))];
     Node::with_environment(&config(known, more), 4096, &environment)
 }
