Look for a client's end at the write itself; end attempts called off before the next

Change: the system is asked for the client's end (poll, POLLRDHUP) behind the look at the upstream and before each piece; the reducer ends what is not whole at its server with the call, whatever may be called off, as it has not begun; an upstream with an attempt out ends its sending at once.

--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::resp::put_bulk;
-use crate::system::uninterrupted;
+use crate::system::{has_ended, uninterrupted};
 use crate::upstreams::Upstream;
 use crate::words::Said;
 
@@ -86,6 +86,11 @@
         let _ = self.stream.ready(Interest::PRIORITY).await;
     }
 
+    /// The same, as the system has it now.
+    pub fn has_ended(&self) -> bool {
+        has_ended(&self.stream)
+    }
+
     async fn has_gone(&self) -> bool {
         tokio::select! {
             biased;
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -2,7 +2,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use quartzhub_policy::Time;
+use quartzhub_policy::{Span, Time};
 use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
 
@@ -10,8 +10,8 @@
 use crate::clock::Clock;
 use crate::limits::Limits;
 use crate::reducer::{shrink, Reducer};
-use crate::upstreams::Upstream;
-use crate::words::{ClientId, Effect, Said, UpstreamId};
+use crate::upstreams::{Upstream, Written};
+use crate::words::{ClientId, Effect, Said, UpstreamId, Words};
 
 /// What the tasks of a node share; all of them run on one thread.
 pub struct Hub {
@@ -83,20 +83,7 @@
                 self.upstreams.borrow_mut().insert(upstream, socket.clone());
                 tokio::task::spawn_local(crate::upstreams::run(self.clone(), socket));
             }
-            Effect::Write { upstream, words, wait } => {
-                let socket = self.upstreams.borrow().get(&upstream).cloned();
-                let done = socket.map_or(Some(false), |socket| socket.write(&words, wait));
-                let mut reducer = self.reducer.borrow_mut();
-                match done {
-                    Some(true) => reducer.written(upstream),
-                    Some(false) => {}
-                    None => {
-                        reducer.broke(self.clock.now(), upstream);
-                        drop(reducer);
-                        self.close_upstream(upstream);
-                    }
-                }
-            }
+            Effect::Write { upstream, client, words, wait } => self.write(upstream, client, &words, wait),
             Effect::CloseUpstream { upstream } => self.close_upstream(upstream),
             Effect::Answer { client, said } => {
                 let socket = self.clients.borrow().get(&client).cloned();
@@ -125,6 +112,24 @@
         }
     }
 
+    /// Writes an attempt, unless its client has left by now. Guards against a process that was held up since the decision.
+    fn write(&self, id: UpstreamId, client: ClientId, words: &Words, wait: Span) {
+        let Some(upstream) = self.upstreams.borrow().get(&id).cloned() else { return };
+        let asker = self.clients.borrow().get(&client).cloned();
+        let written = asker.map_or(Written::Unwanted, |asker| upstream.write(words, wait, asker));
+        let mut reducer = self.reducer.borrow_mut();
+        match written {
+            Written::Whole => reducer.written(id),
+            Written::Part => {}
+            Written::Unwanted => reducer.unwanted(self.clock.now(), id),
+            Written::Broken => {
+                reducer.broke(self.clock.now(), id);
+                drop(reducer);
+                self.close_upstream(id);
+            }
+        }
+    }
+
     pub fn drop_client(&self, client: ClientId) {
         let mut clients = self.clients.borrow_mut();
         clients.remove(&client);
--- a/crates/node/src/reducer/clients.rs
+++ b/crates/node/src/reducer/clients.rs
@@ -36,6 +36,7 @@
             if let Some(call) = self.world.calls.get_mut(ix) {
                 call.answered = true;
                 self.world.ids.remove(&call.words.id);
+                self.world.abandon_unwritten(ix);
                 self.balancer.withdrawn(now, ix, &mut self.world);
             }
         }
--- a/crates/node/src/reducer/upstream_table.rs
+++ b/crates/node/src/reducer/upstream_table.rs
@@ -60,7 +60,7 @@
             self.rest(id);
             return self.end_attempt(ix, attempt, Outcome::TooLate);
         };
-        let (until, by, words) = (record.until, record.by, call.words.clone());
+        let (until, by, words, client) = (record.until, record.by, call.words.clone(), call.client);
         if let Some(upstream) = self.upstreams.get_mut(&id) {
             upstream.used = Use::Carrying { call: ix, attempt, written: false, fresh, begun: false };
         }
@@ -69,7 +69,7 @@
         }
         // Guards against a repeat whose last byte is out only when its window has closed.
         self.set_due(id, until.min(by));
-        self.effects.push_back(Effect::Write { upstream: id, words, wait: until - self.now });
+        self.effects.push_back(Effect::Write { upstream: id, client, words, wait: until - self.now });
     }
 
     pub(super) fn set_due(&mut self, id: UpstreamId, at: Time) {
@@ -117,6 +117,21 @@
         }
     }
 
+    /// Ends the attempts of an API call that are not whole at their servers. None of them has begun, so nothing is called
+    /// off by it, and where attempts may not be called off this is done, too.
+    pub(super) fn abandon_unwritten(&mut self, ix: CallIx) {
+        let Some(call) = self.calls.get(ix) else { return };
+        let carried = |(i, attempt): (usize, &Attempt)| Some((i, attempt.upstream?));
+        let carried: Vec<_> = call.attempts.iter().enumerate().filter_map(carried).collect();
+        for (attempt, id) in carried {
+            let used = self.upstreams.get(&id).map(|upstream| upstream.used);
+            if let Some(Use::Carrying { written: false, .. }) = used {
+                self.close_upstream(id);
+                self.end_attempt(ix, attempt, Outcome::TooLate);
+            }
+        }
+    }
+
     /// An upstream has no more to carry.
     pub(super) fn rest(&mut self, id: UpstreamId) {
         let upstreams = self.upstreams.len();
--- a/crates/node/src/reducer/upstreams.rs
+++ b/crates/node/src/reducer/upstreams.rs
@@ -27,6 +27,16 @@
         }
     }
 
+    /// The client whose attempt an upstream carries has left before that was written whole.
+    pub fn unwanted(&mut self, now: Time, id: UpstreamId) {
+        let Some(Upstream { used: Use::Carrying { call, .. }, .. }) = self.world.upstreams.get(&id) else {
+            return;
+        };
+        if let Some(client) = self.world.calls.get(*call).map(|call| call.client) {
+            self.client_left(now, client);
+        }
+    }
+
     /// An upstream never came up, or broke, or ended.
     pub fn broke(&mut self, now: Time, id: UpstreamId) {
         self.at(now);
--- a/crates/node/src/reducer/world.rs
+++ b/crates/node/src/reducer/world.rs
@@ -66,6 +66,7 @@
             client.open.retain(|open| *open != ix);
         }
         self.answer(client, turn, said);
+        self.abandon_unwritten(ix);
     }
 
     pub(super) fn end_attempt(&mut self, call: CallIx, attempt: usize, outcome: Outcome) {
--- a/crates/node/src/system.rs
+++ b/crates/node/src/system.rs
@@ -2,6 +2,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
 
 use quartzhub_policy::Time;
 
@@ -22,6 +23,24 @@
     call()
 }
 
+/// Whether the other side of a connection has ended its sending, or the connection has broken, as the system has it now:
+/// also behind bytes that lie unread.
+#[allow(unsafe_code)]
+pub fn has_ended(socket: &impl AsRawFd) -> bool {
+    let ended = libc::POLLRDHUP | libc::POLLHUP | libc::POLLERR;
+    let mut polled = libc::pollfd { fd: socket.as_raw_fd(), events: libc::POLLRDHUP, revents: 0 };
+    let poll = || {
+        // SAFETY: the one structure outlives the call, and its descriptor is open, as the socket is borrowed.
+        let ready = unsafe { libc::poll(&mut polled, 1, 0) };
+        if ready < 0 {
+            Err(io::Error::last_os_error())
+        } else {
+            Ok(ready)
+        }
+    };
+    uninterrupted(poll).is_ok() && polled.revents & ended != 0
+}
+
 /// Whether a call failed for want of descriptors or memory, so that the same call is likely to fail again at once.
 pub fn lacks_room(e: &io::Error) -> bool {
     matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM))
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -39,6 +39,8 @@
     left: Cell<usize>,
     taker: RefCell<Option<Rc<Client>>>,
     passing: Cell<bool>,
+    /// Whose attempt it carries, until that is written whole.
+    asker: RefCell<Option<Rc<Client>>>,
     /// The server keeps the connection behind what is passed on.
     kept: Cell<bool>,
     /// What has come of a body whose length nobody tells; and what that takes of what all may hold.
@@ -52,6 +54,18 @@
     wake: Notify,
 }
 
+/// What became of an attempt that was to be written.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Written {
+    Whole,
+    /// The rest goes once the socket takes it.
+    Part,
+    /// Nobody waits for it any more; no more of it is written.
+    Unwanted,
+    /// The connection is of no use.
+    Broken,
+}
+
 impl Upstream {
     pub fn new(id: UpstreamId, to: SocketAddr, origin: bool) -> Rc<Upstream> {
         Rc::new(Upstream {
@@ -64,6 +78,7 @@
             left: Cell::new(0),
             taker: RefCell::default(),
             passing: Cell::new(false),
+            asker: RefCell::default(),
             kept: Cell::new(false),
             gathered: RefCell::default(),
             taken: Cell::new(0),
@@ -75,21 +90,27 @@
         })
     }
 
+    /// Ends an attempt that is out at once, and has the task close the connection. Guards against a next attempt that is
+    /// written before the task has had its turn: the two would be out together.
     pub fn close(&self) {
         self.closed.set(true);
+        if let Some(stream) = self.stream.get().filter(|_| self.asked.get()) {
+            let _ = socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write);
+        }
         // The client holds this upstream in turn.
         self.taker.take();
+        self.asker.take();
         self.wake.notify_one();
     }
 
-    /// Writes as much of an attempt as the socket takes: true if all, none if the connection is broken.
-    pub fn write(&self, words: &Words, wait: Span) -> Option<bool> {
+    /// Writes as much of an attempt of this client's as the socket takes.
+    pub fn write(&self, words: &Words, wait: Span, asker: Rc<Client>) -> Written {
         {
             let mut buffer = self.buffer.borrow_mut();
             // Guards against taking what came unasked for the answer, and against a write that a server
             // which has closed an idle upstream never reads: the end may be there before tokio tells of it.
             if !buffer.is_empty() || !self.stream.get().is_some_and(quiet) {
-                return None;
+                return Written::Broken;
             }
             match self.origin {
                 true => buffer.put(&origin::request(words, self.to, wait)),
@@ -99,11 +120,27 @@
             self.asked.set(true);
             *self.gathered.borrow_mut() = None;
         }
-        let done = self.flush().ok()?;
-        if !done {
+        *self.asker.borrow_mut() = Some(asker);
+        let written = self.write_more();
+        if written == Written::Part {
             self.wake.notify_one();
         }
-        Some(done)
+        written
+    }
+
+    /// Writes on, unless the client has left by now.
+    fn write_more(&self) -> Written {
+        if self.asker.borrow().as_ref().is_some_and(|asker| asker.has_ended()) {
+            return Written::Unwanted;
+        }
+        match self.flush() {
+            Ok(true) => {
+                self.asker.take();
+                Written::Whole
+            }
+            Ok(false) => Written::Part,
+            Err(_) => Written::Broken,
+        }
     }
 
     /// Writes on; true once all is written. What is small goes in one piece.
@@ -427,10 +464,11 @@
 }
 
 fn write_on(hub: &Rc<Hub>, upstream: &Upstream) -> bool {
-    match upstream.flush() {
-        Ok(true) => hub.tell(|reducer, _| reducer.written(upstream.id)),
-        Ok(false) => {}
-        Err(_) => return false,
+    match upstream.write_more() {
+        Written::Whole => hub.tell(|reducer, _| reducer.written(upstream.id)),
+        Written::Part => {}
+        Written::Unwanted => hub.tell(|reducer, now| reducer.unwanted(now, upstream.id)),
+        Written::Broken => return false,
     }
     true
 }
--- a/crates/node/src/words.rs
+++ b/crates/node/src/words.rs
@@ -19,9 +19,10 @@
         to: SocketAddr,
         origin: bool,
     },
-    /// The server is told that the node will wait so long.
+    /// An attempt for this client; the server is told that the node will wait so long.
     Write {
         upstream: UpstreamId,
+        client: ClientId,
         words: Rc<Words>,
         wait: Span,
     },
--- a/crates/node/tests/reducer/common.rs
+++ b/crates/node/tests/reducer/common.rs
@@ -109,7 +109,7 @@
         while let Some(effect) = self.reducer.next_effect() {
             let line = match effect {
                 Effect::Connect { upstream, to, .. } => format!("connect {} to {}", upstream.0, to.port()),
-                Effect::Write { upstream, words, wait } => {
+                Effect::Write { upstream, words, wait, .. } => {
                     if written {
                         self.reducer.written(upstream);
                     }
