Tests of the time told for commands that lay unread, three of them red

Measured on the code as it stood: held back for 0.6 s, all three commands tell their server the client's whole time (29,995 ms where 29,400 are left; 150 ms are allowed).

--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -8,6 +8,7 @@
 mod crossings;
 mod discovery;
 mod ending;
+mod held_back;
 mod large;
 mod operating;
 mod remaining;
--- a/crates/node/tests/sockets/remaining.rs
+++ b/crates/node/tests/sockets/remaining.rs
@@ -5,7 +5,7 @@
 use super::common::*;
 
 /// What clients of these tests give, in milliseconds: more than any wait in them.
-const GIVEN: u64 = 30_000;
+pub const GIVEN: u64 = 30_000;
 /// How long a test holds an attempt back, or leaves a command unfinished.
 const HELD: Duration = Duration::from_millis(300);
 
@@ -15,13 +15,13 @@
 }
 
 /// "id wait" of a cache's command.
-fn told_to_cache(reader: &mut BufReader<TcpStream>) -> Option<String> {
+pub fn told_to_cache(reader: &mut BufReader<TcpStream>) -> Option<String> {
     let words = command_words(reader)?;
     Some(format!("{} {}", words[2], wait(&words[3])?))
 }
 
 /// "id wait" of a request to the origin, read with its body.
-fn told_to_origin(reader: &mut BufReader<TcpStream>) -> Option<String> {
+pub fn told_to_origin(reader: &mut BufReader<TcpStream>) -> Option<String> {
     let (mut id, mut told, mut size) = (String::new(), None, 0);
     loop {
         let field = line(reader)?;
@@ -38,14 +38,14 @@
 }
 
 /// The wait that the next report tells, which must be of this attempt.
-fn told(seen: &Receiver<String>, of: &str) -> u64 {
+pub fn told(seen: &Receiver<String>, of: &str) -> u64 {
     let report = next(seen);
     assert!(report.starts_with(of), "{report:?} where {of:?} was expected");
     told_in(&report)
 }
 
 /// The wait that a report tells.
-fn told_in(report: &str) -> u64 {
+pub fn told_in(report: &str) -> u64 {
     let wait = report.rsplit(' ').next().and_then(|wait| wait.parse().ok());
     wait.unwrap_or_else(|| panic!("{report:?} tells no wait"))
 }
