Count the time for which a command lay unread in what its server is told

Cause: clients/arrivals.rs took what was read for what had come just now. It is not so for a client that waited in the listen queue while the node took nobody (accept.rs pauses for want of descriptors), for what lay behind 128 open answers and 16 KiB, nor for a large command that waited for room (room.rs, up to 1.5 s).

Change: who stops reading or accepting says so (look_away); what is read next counts from then, but for its last command, whose time the system tells. A large command is held back by so much as it waited, also where a full window kept its end at the client.

--- a/crates/node/src/clients/accept.rs
+++ b/crates/node/src/clients/accept.rs
@@ -27,6 +27,8 @@
 /// Takes connections while there is room for them.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener, last: Rc<Cell<Time>>) {
     let (mut taken, mut aborted) = (0, 0);
+    // Since when clients may wait in the listen queue, as nobody is taken.
+    let mut unwatched = None;
     loop {
         // Guards against spinning on an accept that can't succeed: with all descriptors taken, an idle
         // connection is closed, and the next client is taken when there is one.
@@ -38,6 +40,7 @@
             }
             Room::None => {
                 tracing::info!("no descriptor is idle: the next client waits");
+                unwatched.get_or_insert(hub.clock.now());
                 let _ = tokio::time::timeout(duration(hub.limits.accept_pause), hub.left.notified()).await;
                 continue;
             }
@@ -46,7 +49,16 @@
         if taken % hub.limits.commands_a_turn == 0 {
             tokio::task::yield_now().await;
         }
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            // Nobody waits.
+            () = std::future::ready(()) => {
+                unwatched = None;
+                listener.accept().await
+            }
+        };
+        match accepted {
             Ok((stream, _)) => {
                 aborted = 0;
                 last.set(hub.clock.now());
@@ -59,6 +71,7 @@
                     closing: Cell::new(None),
                     parting: Cell::new(false),
                     broken: Cell::new(false),
+                    unwatched,
                     wake: Notify::new(),
                 });
                 hub.clients.borrow_mut().insert(id, client.clone());
@@ -72,6 +85,7 @@
             }
             Err(e) => {
                 aborted = 0;
+                unwatched.get_or_insert(hub.clock.now());
                 tracing::warn!("accept: {e}");
                 tokio::time::sleep(duration(hub.limits.accept_pause)).await;
             }
--- a/crates/node/src/clients/arrivals.rs
+++ b/crates/node/src/clients/arrivals.rs
@@ -20,21 +20,54 @@
 pub struct Arrivals {
     reads: VecDeque<Read>,
     taken: u64,
+    /// Since when bytes may lie unread that nobody has looked for.
+    unwatched: Option<Time>,
+    /// For how long the command at hand was not read on, so that its sender had to wait.
+    held_back: Span,
 }
 
 impl Arrivals {
-    /// So many more bytes have been read.
-    pub fn read(&mut self, now: Time, count: usize) {
-        let end = self.reads.back().map_or(self.taken, |last| last.end) + count as u64;
-        match self.reads.back_mut().filter(|last| now - last.at < TOGETHER) {
+    /// From now on nothing is read for a while.
+    pub fn look_away(&mut self, now: Time) {
+        self.unwatched.get_or_insert(now);
+    }
+
+    /// All that had come is read.
+    pub fn caught_up(&mut self) {
+        self.unwatched = None;
+    }
+
+    /// The command at hand was not read on for so long. Guards against taking its last byte for sent when it came: a window
+    /// that was full has kept it at the client.
+    pub fn hold_back(&mut self, wait: Span) {
+        self.held_back = self.held_back + wait;
+    }
+
+    /// So many more bytes have been read. `last_came`: how long ago the last of them came, asked where they may have lain
+    /// unread. Guards against a command that is taken to have come just now: the last byte's time is the last command's, and
+    /// all before it may have come as early as nobody looked.
+    pub fn read(&mut self, now: Time, count: usize, last_came: impl FnOnce() -> Option<Span>) {
+        let before = self.reads.back().map_or(self.taken, |last| last.end);
+        let end = before + count as u64;
+        if let Some(since) = self.unwatched {
+            let last = last_came().map_or(since, |ago| (now - ago).max(since));
+            if end - 1 > before {
+                self.reads.push_back(Read { at: since, end: end - 1 });
+            }
+            self.reads.push_back(Read { at: last, end });
+            return;
+        }
+        let at = now - self.held_back;
+        match self.reads.back_mut().filter(|last| at - last.at < TOGETHER) {
             Some(last) => last.end = end,
-            None => self.reads.push_back(Read { at: now, end }),
+            None => self.reads.push_back(Read { at, end }),
         }
     }
 
     /// A command of so many bytes is taken from the buffer: tells when its last byte was read, if it is known.
     pub fn take(&mut self, count: usize) -> Option<Time> {
         self.taken += count as u64;
+        self.held_back = Span::ZERO;
         while self.reads.front().is_some_and(|first| first.end < self.taken) {
             self.reads.pop_front();
         }
--- a/crates/node/src/clients/arrivals/tests.rs
+++ b/crates/node/src/clients/arrivals/tests.rs
@@ -8,20 +8,20 @@
 #[test]
 fn a_command_counts_from_the_read_of_its_last_byte() {
     let mut arrivals = Arrivals::default();
-    arrivals.read(at(10), 25);
-    arrivals.read(at(40), 10);
-    arrivals.read(at(90), 5);
+    arrivals.read(at(10), 25, || None);
+    arrivals.read(at(40), 10, || None);
+    arrivals.read(at(90), 5, || None);
     // Two within the first read, one over its edge, and one that ends with the last byte of all.
     assert_eq!([10, 10, 8, 12].map(|count| arrivals.take(count)), [at(10), at(10), at(40), at(90)].map(Some));
     assert!(arrivals.reads.is_empty());
-    arrivals.read(at(200), 3);
+    arrivals.read(at(200), 3, || None);
     assert_eq!(arrivals.take(3), Some(at(200)));
 }
 
 #[test]
 fn a_slow_peers_pieces_are_kept_as_few_reads_that_are_never_too_late() {
     let mut arrivals = Arrivals::default();
-    (0..10_000).for_each(|i| arrivals.read(Time(i * 10), 1));
+    (0..10_000).for_each(|i| arrivals.read(Time(i * 10), 1, || None));
     assert!(arrivals.reads.len() <= 21, "{} reads kept", arrivals.reads.len());
     for i in 0..10_000 {
         let told = arrivals.take(1).expect("a time");
@@ -29,3 +29,34 @@
         assert!(told <= read && read - told < TOGETHER, "byte {i}: {told:?}");
     }
 }
+
+#[test]
+fn what_lay_unread_counts_from_when_nobody_looked_but_for_the_last_command() {
+    let mut arrivals = Arrivals::default();
+    arrivals.look_away(at(100));
+    arrivals.look_away(at(300));
+    // Two commands; the last byte came 50 ms before it was read.
+    arrivals.read(at(400), 20, || Some(Span::ms(50)));
+    assert_eq!([arrivals.take(10), arrivals.take(10)], [Some(at(100)), Some(at(350))]);
+    // More of it is read, and the system tells nothing, or more than can be.
+    arrivals.read(at(400), 1, || None);
+    arrivals.read(at(400), 7, || Some(Span::ms(9_000)));
+    assert_eq!([arrivals.take(1), arrivals.take(7)], [Some(at(100)), Some(at(100))]);
+    arrivals.caught_up();
+    arrivals.read(at(500), 10, || Some(Span::ms(90)));
+    assert_eq!(arrivals.take(10), Some(at(500)));
+    assert!(arrivals.reads.is_empty());
+}
+
+#[test]
+fn a_command_that_was_not_read_on_for_a_time_has_come_so_much_earlier() {
+    let mut arrivals = Arrivals::default();
+    arrivals.read(at(100), 10, || None);
+    arrivals.hold_back(Span::ms(300));
+    arrivals.read(at(410), 10, || None);
+    arrivals.read(at(450), 5, || None);
+    arrivals.read(at(450), 5, || None);
+    assert_eq!(arrivals.take(25), Some(at(150)));
+    arrivals.read(at(500), 5, || None);
+    assert_eq!(arrivals.take(10), Some(at(500)));
+}
--- a/crates/node/src/clients/converse.rs
+++ b/crates/node/src/clients/converse.rs
@@ -14,7 +14,7 @@
 use crate::effects::Hub;
 use crate::reducer::Reducer;
 use crate::resp;
-use crate::system::uninterrupted;
+use crate::system::{last_bytes_ago, uninterrupted};
 use crate::words::ClientId;
 
 pub async fn serve(hub: Rc<Hub>, id: ClientId, client: Rc<Client>) {
@@ -28,6 +28,9 @@
 async fn converse(hub: &Rc<Hub>, id: ClientId, client: &Client) {
     let limits = &hub.limits;
     let (mut buffer, mut arrivals) = (Buffer::default(), Arrivals::default());
+    if let Some(since) = client.unwatched {
+        arrivals.look_away(since);
+    }
     let mut held = Held { hub, bytes: 0 };
     // Nothing more is read once a command was broken.
     let mut reading = true;
@@ -123,6 +126,9 @@
         // Behind its open answers a client is read a little further, so that the wait of its next commands is known.
         let ahead = behind && buffer.filled().len() < limits.read;
         let room = reading && (!behind || ahead) && client.closing.get().is_none();
+        if !room {
+            arrivals.look_away(hub.clock.now());
+        }
         tokio::select! {
             ready = client.stream.readable(), if room => {
                 // Guards against attempts for a client that has left: its end lies behind its command, and is read before that
@@ -134,6 +140,7 @@
                 // A large command that comes behind open answers is given its room once it is next.
                 let large = if behind { None } else { resp::large_command(buffer.filled(), limits) };
                 if let Some(size) = large {
+                    let asked = hub.clock.now();
                     let has_room = promised > 0 || tokio::select! {
                         has_room = room_for(hub, &mut held, size) => has_room,
                         () = client.gone() => return,
@@ -144,6 +151,7 @@
                         hub.tell(|reducer, now| reducer.last_answer(now, id, b"-BUSY\r\n".to_vec()));
                         continue;
                     }
+                    arrivals.hold_back(hub.clock.now() - asked);
                     buffer.make_room(size);
                     promised = size;
                     // One that goes on coming is no half command, if it ends some day.
@@ -209,8 +217,12 @@
     while buffer.filled().len() < most {
         match buffer.read(stream, hub.limits.read) {
             Ok(0) => return true,
-            Ok(count) => arrivals.read(hub.clock.now(), count),
-            Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
+            Ok(count) => arrivals.read(hub.clock.now(), count, || last_bytes_ago(stream)),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                arrivals.caught_up();
+                return false;
+            }
+            Err(_) => return true,
         }
     }
     false
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::rc::Rc;
 
-use quartzhub_policy::Span;
+use quartzhub_policy::{Span, Time};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -41,6 +41,8 @@
     /// The process is about to end: what has come by now is taken up, and nothing more.
     parting: Cell<bool>,
     broken: Cell<bool>,
+    /// Since when it may have waited to be taken, where the node took nobody for a time.
+    unwatched: Option<Time>,
     wake: Notify,
 }
 
--- a/crates/node/src/system.rs
+++ b/crates/node/src/system.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
 
-use quartzhub_policy::Time;
+use quartzhub_policy::{Span, Time};
 
 use crate::clock::{duration, Clock};
 use crate::limits::Limits;
@@ -41,6 +41,18 @@
     uninterrupted(poll).is_ok() && polled.revents & ended != 0
 }
 
+/// How long ago the last bytes of a connection came, whether they have been read or not; none where the system does not tell.
+#[allow(unsafe_code)]
+pub fn last_bytes_ago(socket: &impl AsRawFd) -> Option<Span> {
+    // SAFETY: the structure is plain numbers, for all of which zero is a value.
+    let mut info: libc::tcp_info = unsafe { std::mem::zeroed() };
+    let mut size = std::mem::size_of_val(&info) as libc::socklen_t;
+    let (fd, to) = (socket.as_raw_fd(), std::ptr::from_mut(&mut info).cast());
+    // SAFETY: the system writes at most `size` bytes, which the structure has, and both outlive the call.
+    let failed = unsafe { libc::getsockopt(fd, libc::IPPROTO_TCP, libc::TCP_INFO, to, &mut size) } != 0;
+    (!failed).then(|| Span::ms(info.tcpi_last_data_recv.into()))
+}
+
 /// Whether a call failed for want of descriptors or memory, so that the same call is likely to fail again at once.
 pub fn lacks_room(e: &io::Error) -> bool {
     matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM))
--- a/crates/node/tests/sockets/held_back.rs
+++ b/crates/node/tests/sockets/held_back.rs
@@ -81,3 +81,30 @@
     }
     assert!(most <= most_left(), "{most} ms told, {} left", most_left() - SLACK);
 }
+
+/// A server begins a command with its last byte: what was told with the first must still be left then.
+#[test]
+fn a_large_value_that_goes_out_in_pieces_tells_what_is_left_at_its_last_byte() {
+    let value = "w".repeat(1024 * 1024);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    socket2::SockRef::from(&listener).set_recv_buffer_size(4096).expect("a small buffer");
+    let node = Node::start(&[("origin", listener.local_addr().expect("an address"))], "");
+    let mut client = node.client();
+    client.send(&command(&["OBJ.SET", "k", "id", "c=book,d=30000", &value]));
+    let whole = Instant::now();
+    let (stream, _) = listener.accept().expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
+    let mut reader = BufReader::with_capacity(1024, stream);
+    let mut wait = None;
+    while let Some(field) = line(&mut reader).filter(|field| !field.is_empty()) {
+        wait = wait.or(field.strip_prefix("X-Facts: ").and_then(super::remaining::wait));
+    }
+    for piece in value.as_bytes().chunks(value.len() / 6 + 1) {
+        std::thread::sleep(HELD / 6);
+        bytes(&mut reader, piece.len()).expect("a piece");
+    }
+    let left = GIVEN - whole.elapsed().as_millis() as u64;
+    assert!(wait.is_some_and(|wait| wait <= left + SLACK), "{wait:?} told, {left} left");
+    reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv").expect("answered");
+    assert_eq!(client.answer(), "v");
+}
--- a/crates/node/tests/sockets/remaining.rs
+++ b/crates/node/tests/sockets/remaining.rs
@@ -10,7 +10,7 @@
 const HELD: Duration = Duration::from_millis(300);
 
 /// The wait in a list of names and values.
-fn wait(facts: &str) -> Option<u64> {
+pub fn wait(facts: &str) -> Option<u64> {
     facts.split(',').find_map(|fact| fact.strip_prefix("d=")).and_then(|wait| wait.parse().ok())
 }
 
