Tell a large value's server what is left at its last byte; give up what goes out later

Cause: reducer/upstream_table.rs told what was left at the first byte and let the value go out until the call's end. A server begins a command with its last byte, and then less was left than told.

What is not out by then is given up with its last byte unsent, so it never ran.

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -64,6 +64,10 @@
     /// been idle before it is used again: a server's stray bytes have come by then.
     pub upstream_idle: Span,
     pub upstream_rest: Span,
+    /// How much longer than what an attempt tells its server may be left at its first byte than at its last; and the part of
+    /// what is left that a large value may take to go out beyond that.
+    pub told_slack: Span,
+    pub large_way: f64,
     /// From some of an answer to the next, while it is not whole.
     pub answer_whole: Span,
     /// After which a client's connection is closed: with no API call open, with none ever made, with half a command
--- a/crates/node/src/limits/values.rs
+++ b/crates/node/src/limits/values.rs
@@ -60,6 +60,9 @@
             connect: settings.span("caps.connect_timeout", Span::ms(250)).max(Span::ms(1)),
             upstream_idle: keepalive.times(0.8),
             upstream_rest: Span::ms(2),
+            // Two thirds of what the operators allow, as the process may be held up as well.
+            told_slack: Span::ms(100),
+            large_way: 0.5,
             answer_whole: settings.span("caps.connect_timeout", Span::ms(250)).max(Span::ms(50)),
             client_idle: Span::ms(5_000),
             client_silent: Span::ms(2_500),
--- a/crates/node/src/reducer/upstream_table.rs
+++ b/crates/node/src/reducer/upstream_table.rs
@@ -67,9 +67,22 @@
         if let Some(record) = self.calls.get_mut(ix).and_then(|call| call.attempts.get_mut(attempt)) {
             record.upstream = Some(id);
         }
-        // Guards against a repeat whose last byte is out only when its window has closed.
-        self.set_due(id, until.min(by));
-        self.effects.push_back(Effect::Write { upstream: id, client, words, wait: until - self.now });
+        // Guards against a repeat whose last byte is out only when its window has closed, and against one whose server begins it
+        // with less left than it was told.
+        let way = self.way_out(&words, until - self.now);
+        let wait = until - (self.now + way);
+        self.set_due(id, until.min(by).min(self.now + way + self.limits.told_slack));
+        self.effects.push_back(Effect::Write { upstream: id, client, words, wait });
+    }
+
+    /// The part of what is left that a value may take to go out; a short one goes at once.
+    fn way_out(&self, words: &Words, left: Span) -> Span {
+        let large = words.value.as_ref().is_some_and(|value| value.len() > self.limits.whole);
+        if large {
+            left.times(self.limits.large_way)
+        } else {
+            Span::ZERO
+        }
     }
 
     pub(super) fn set_due(&mut self, id: UpstreamId, at: Time) {
--- a/crates/node/src/reducer/upstreams.rs
+++ b/crates/node/src/reducer/upstreams.rs
@@ -19,10 +19,10 @@
         let Use::Carrying { call, attempt, written, begun, .. } = &mut upstream.used else { return };
         world.attempts += u64::from(!std::mem::replace(written, true));
         let record = world.calls.get(*call).and_then(|call| call.attempts.get(*attempt));
-        // Only what had to be out sooner has more time for its answer now, and not where that has begun.
-        if let Some(until) =
-            record.filter(|attempt| attempt.by < attempt.until && !*begun).map(|attempt| attempt.until)
-        {
+        // It had to be out sooner than its answer must be there, but where that has begun another time holds.
+        let until =
+            record.filter(|attempt| !*begun && upstream.due < attempt.until).map(|attempt| attempt.until);
+        if let Some(until) = until {
             world.set_due(id, until);
         }
     }
