Tests of clients never idle, an old list at the start and a stepped wall clock, all red

Measured on the code as it stood: a client that pipelines is still served 4 s after operators send clients away; a new process asks a server that its agent had long told to drain, as the agent answers after 0.5 s; a cache that starts after the wall clock is stepped back by an hour gets 183 of 400 reads while cold.

--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -15,4 +15,5 @@
 mod stall;
 mod standins;
 mod syscalls;
+mod wall_clock;
 mod watches;
--- a/crates/node/tests/sockets/operating.rs
+++ b/crates/node/tests/sockets/operating.rs
@@ -170,6 +170,33 @@
     assert_eq!(client.ask(&["OBJ.GET", "k1", "id3", FACTS]), "-ERR no such product");
 }
 
+/// A client that sends its next command before it has the last answer is never idle. Operators leave 4 s from when they send
+/// clients away, and no connection may then have a command of the last 2 s.
+#[test]
+fn a_client_that_is_never_idle_is_sent_away_in_time() {
+    let (tell, _seen) = channel();
+    let cache = server("a", tell, |_| Deed::SayLater(Duration::from_millis(30), found("v")));
+    let addr = free();
+    let node = Node::start(&[("a", cache)], &format!(r#""ops":"{addr}","#));
+    let mut client = node.client();
+    let ask = |i: usize| command(&["OBJ.GET", &format!("k{i}"), &format!("id{i}"), FACTS]);
+    (0..3).for_each(|i| client.send(&ask(i)));
+    assert_eq!(operate(addr, "POST /control/out-of-service"), "200 OK: out of service");
+    let (begun, mut sent) = (Instant::now(), 3);
+    let last = loop {
+        let answer = client.answer();
+        if answer != "v" {
+            break answer;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(4), "still served after 4 s");
+        // One that crosses the close goes elsewhere.
+        let _ = client.0.get_mut().write_all(&ask(sent));
+        sent += 1;
+    };
+    assert_eq!(last, "closed");
+    assert!(begun.elapsed() < Duration::from_secs(4), "closed after {:?}", begun.elapsed());
+}
+
 #[test]
 fn figures_are_told_and_true_in_a_flood() {
     let (tell, _seen) = channel();
--- a/crates/node/tests/sockets/standins.rs
+++ b/crates/node/tests/sockets/standins.rs
@@ -6,6 +6,8 @@
     Say(Vec<u8>),
     /// Once the test lets it.
     SayAfter(Receiver<()>, Vec<u8>),
+    /// After a time.
+    SayLater(Duration, Vec<u8>),
     /// And the end behind it, which is reported.
     Last(Vec<u8>),
     /// Half of it, then the end.
@@ -54,6 +56,10 @@
                             let _ = free.recv_timeout(PATIENCE);
                             let _ = stream.write_all(&bytes);
                         }
+                        Ok(Deed::SayLater(wait, bytes)) => {
+                            std::thread::sleep(wait);
+                            let _ = stream.write_all(&bytes);
+                        }
                         Ok(Deed::Last(bytes)) => {
                             let _ = stream.write_all(&bytes);
                             send_end(stream);
--- a/crates/node/tests/sockets/watches.rs
+++ b/crates/node/tests/sockets/watches.rs
@@ -103,3 +103,26 @@
         assert!(asks.try_recv().is_err(), "it was asked for again");
     }
 }
+
+/// What the agent has counts as told from the first moment of a process, and this one is slow to say it.
+#[test]
+fn a_new_process_with_an_old_list_sends_nothing_to_a_server_that_drains_by_now() {
+    let (tell, seen) = channel();
+    let (old, new) = (server("old", tell.clone(), |_| hit("v")), server("new", tell, |_| hit("v")));
+    let (say, says) = channel();
+    let (asked, asks) = channel();
+    let discovery = discovery(vec![says], asked);
+    let news = list(true, 2, &[("old", old, "terminating"), ("new", new, "in_service")]);
+    std::thread::spawn(move || {
+        asks.recv_timeout(PATIENCE).expect("a watch");
+        std::thread::sleep(Duration::from_millis(500));
+        say.send(news + "\n").expect("told");
+        std::thread::park();
+    });
+    let node = Node::start(&[("old", old)], &format!(r#""discovery":"{discovery}","#));
+    for i in 0..20 {
+        assert_eq!(node.client().ask(&["OBJ.GET", &format!("k{i}"), &format!("id{i}"), FACTS]), "v");
+        let at = next(&seen);
+        assert!(at.starts_with("new:"), "{at}");
+    }
+}
