Hear discovery before clients are taken; part those never idle; follow steps of the wall clock

Cause: lib.rs listened and served before discovery had said a word, unless it inherited its socket; the reducer sends clients away between answers only, and one that pipelines has no between; clock.rs read Unix time at the start alone, so after a step a server's start lay an hour off, and module and reducer took a lower stamp for an old list.

Tests changed: four whose discovery spoke only after the node had served now give a sign of life first, and one waits until the node listens; their assertions are as they were.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -155,6 +155,7 @@
             }
             None => {}
         }
+        hub.look_at_the_wall_clock();
         while let Some((piece, used)) = piece::next(text.filled()) {
             match piece {
                 Piece::Empty => {}
@@ -170,6 +171,7 @@
                 }
             }
             (lived, *said) = (hub.clock.now(), true);
+            hub.discovery_was_heard();
             text.consume(used);
         }
         if text.filled().len() > hub.limits.list_line {
@@ -182,7 +184,5 @@
 }
 
 fn tell(hub: &Rc<Hub>, news: &News) {
-    let clock = hub.clock;
-    hub.tell(|reducer, now| reducer.list(now, news, true, |unix| clock.started(unix)));
-    hub.news.notify_one();
+    hub.tell(|reducer, now| reducer.list(now, news, true, |unix| hub.started(now, unix)));
 }
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -7,7 +7,7 @@
 use tokio::sync::Notify;
 
 use crate::clients::Client;
-use crate::clock::Clock;
+use crate::clock::{unix_ms, Clock, WallClock};
 use crate::limits::Limits;
 use crate::reducer::{shrink, Reducer};
 use crate::upstreams::{Upstream, Written};
@@ -19,13 +19,15 @@
     pub clients: RefCell<FxHashMap<ClientId, Rc<Client>>>,
     upstreams: RefCell<FxHashMap<UpstreamId, Rc<Upstream>>>,
     pub clock: Clock,
+    wall: RefCell<WallClock>,
     pub limits: Limits,
     /// The first due time has changed.
     pub due: Notify,
     /// A client's connection has ended.
     pub left: Notify,
-    /// Discovery has told a list.
-    pub news: Notify,
+    /// Discovery has said something whole: a list, or that nothing has changed.
+    heard: Cell<bool>,
+    news: Notify,
     /// Bytes that clients' buffers take together, or have been promised; some of what is held has been let go; and
     /// where bytes go that nobody wants.
     pub buffered: Cell<usize>,
@@ -41,9 +43,11 @@
             clients: RefCell::default(),
             upstreams: RefCell::default(),
             clock,
+            wall: RefCell::default(),
             limits,
             due: Notify::new(),
             left: Notify::new(),
+            heard: Cell::new(false),
             news: Notify::new(),
             buffered: Cell::new(0),
             room: Notify::new(),
@@ -51,6 +55,28 @@
         })
     }
 
+    /// Notes what the wall clock shows; to be called often enough that few servers start between two of its steps.
+    pub fn look_at_the_wall_clock(&self) {
+        self.wall.borrow_mut().look(self.clock.now(), unix_ms());
+    }
+
+    /// When a server started that says so in Unix time; none for long ago.
+    pub fn started(&self, now: Time, unix_ms: Option<f64>) -> Option<Time> {
+        self.wall.borrow().started(now, unix_ms)
+    }
+
+    pub fn discovery_was_heard(&self) {
+        self.heard.set(true);
+        self.news.notify_one();
+    }
+
+    /// Until discovery has said something whole since the start.
+    pub async fn first_word_of_discovery(&self) {
+        while !self.heard.get() {
+            self.news.notified().await;
+        }
+    }
+
     pub fn ask<T>(&self, question: impl FnOnce(&Reducer) -> T) -> T {
         question(&self.reducer.borrow())
     }
@@ -104,11 +130,16 @@
                     socket.close(quiet);
                 }
             }
+            Effect::PartClient { client } => {
+                if let Some(socket) = self.clients.borrow().get(&client) {
+                    socket.part();
+                }
+            }
             Effect::CutClient { client } => {
                 if let Some(socket) = self.clients.borrow().get(&client) {
                     socket.cut();
                 }
-            } // The watch stands always, and is asked for again by itself.
+            }
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -64,20 +64,11 @@
     let mut asked = std::pin::pin!(asked);
     let clock = clock::Clock::start();
     let shared = inherited.is_some();
-    let listener = match inherited {
-        Some(listener) => tokio::net::TcpListener::from_std(listener)?,
-        // Guards against a process that is told to end before it serves, and outlasts what it is given with its waits: it has
-        // taken nothing, so it ends.
-        None => tokio::select! {
-            listener = clients::listen(config.listen, clock, &config.limits) => listener?,
-            () = &mut asked => return Ok(()),
-        },
-    };
-    let listen = listener.local_addr()?;
     let hub = effects::Hub::new(reducer::Reducer::new(&config), config.limits.clone(), clock);
+    hub.look_at_the_wall_clock();
     hub.tell(|reducer, now| reducer.start(now));
     let known = std::mem::take(&mut config.known);
-    hub.tell(|reducer, now| reducer.list(now, &known, false, |unix| clock.started(unix)));
+    hub.tell(|reducer, now| reducer.list(now, &known, false, |unix| hub.started(now, unix)));
     spawn_local(effects::timer(hub.clone()));
     let peers = match config.membership.clone() {
         Some(named) => Some(peers::Peers::open(named, config.seed, clock, &hub.limits).await?),
@@ -93,15 +84,11 @@
     }
     let (named, discovery) = watch::channel(config.discovery);
     spawn_local(discovery::follow(hub.clone(), discovery, known.version, config.seed));
-    // Guards against clients that the process before would have served, while this one knows only an old list.
-    if shared && config.discovery.is_some() {
-        let heard = async {
-            while !hub.ask(reducer::Reducer::has_news) {
-                hub.news.notified().await;
-            }
-        };
+    // Guards against sending to a server that has drained since the list known from before: all that discovery has counts as
+    // told from the first moment of the process. What is silent for longer tells nothing.
+    if config.discovery.is_some() {
         tokio::select! {
-            _ = tokio::time::timeout(clock::duration(hub.limits.first_news), heard) => {}
+            _ = tokio::time::timeout(clock::duration(hub.limits.first_news), hub.first_word_of_discovery()) => {}
             () = &mut asked => return Ok(()),
         }
     }
@@ -116,6 +103,16 @@
             }
         }
     }
+    let listener = match inherited {
+        Some(listener) => tokio::net::TcpListener::from_std(listener)?,
+        // Last of all, as who connects is owed an answer. Guards against a process that is told to end before it serves, and
+        // outlasts what it is given with its waits: it has taken nothing, so it ends.
+        None => tokio::select! {
+            listener = clients::listen(config.listen, clock, &config.limits) => listener?,
+            () = &mut asked => return Ok(()),
+        },
+    };
+    let listen = listener.local_addr()?;
     let last = Rc::new(Cell::new(clock.now()));
     let accepting = spawn_local(clients::accept(hub.clone(), listener, last.clone()));
     hub.tell(|reducer, _| reducer.takes_clients());
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -127,10 +127,12 @@
     pub stop_part: Span,
     pub stop_longest: Span,
     pub stop_look: Span,
-    /// After operators send clients away, or SIGTERM hands them over: until the front knows, and from when on they
-    /// are closed in the shortest pause; and until the rest of half a command must have come.
+    /// After operators send clients away, or SIGTERM hands them over: until the front knows, from when on they are closed
+    /// in the shortest pause, and from when on nothing more is read from them; and until the rest of half a command must have
+    /// come.
     pub leave_front: Span,
     pub leave_firm: Span,
+    pub leave_part: Span,
     pub last_half: Span,
     /// For the first news of discovery, before clients that another process serves too are taken.
     pub first_news: Span,
--- a/crates/node/src/limits/values.rs
+++ b/crates/node/src/limits/values.rs
@@ -102,6 +102,8 @@
             stop_look: Span::ms(5),
             leave_front: Span::ms(350),
             leave_firm: Span::ms(1_500),
+            // At 4 s no client may have a command of the last 2 s.
+            leave_part: Span::ms(1_700),
             last_half: Span::ms(500),
             first_news: Span::ms(1_500),
             first_orders: Span::ms(400),
--- a/crates/node/src/reducer/client_table.rs
+++ b/crates/node/src/reducer/client_table.rs
@@ -15,7 +15,7 @@
 
     /// Clients are to leave: those that are idle do so now, or when they are due to.
     pub(super) fn move_clients(&mut self) {
-        for after in [self.limits.leave_front, self.limits.leave_firm] {
+        for after in [self.limits.leave_front, self.limits.leave_firm, self.limits.leave_part] {
             self.due.insert((self.now + after, Due::Service));
         }
         self.close_idle_clients();
@@ -25,6 +25,10 @@
         if self.service.idle(self.now, &self.limits) == Idle::Kept {
             return;
         }
+        if self.service.parts(self.now, &self.limits) {
+            let part = |client: &ClientId| Effect::PartClient { client: *client };
+            self.effects.extend(self.clients.keys().map(part));
+        }
         let idle = self.clients.iter().filter(|(_, client)| client.turns.is_empty());
         let idle: Vec<_> = idle.map(|(id, _)| *id).collect();
         idle.into_iter().for_each(|id| self.close_client(id));
--- a/crates/node/src/reducer/lists.rs
+++ b/crates/node/src/reducer/lists.rs
@@ -10,7 +10,9 @@
     kind: u32,
     cell: u32,
     scale: f64,
+    /// When it started, and the Unix time in which that was told.
     started: Option<Time>,
+    stamp: Option<f64>,
 }
 
 /// The state to go by. The origin has no stand-in, so it is never drained by order.
@@ -32,7 +34,6 @@
         started: impl Fn(Option<f64>) -> Option<Time>,
     ) {
         self.at(now);
-        self.news |= fresh;
         let complete = news.full || !fresh;
         if complete {
             let dropped = |state: State| state.dropped(self.only_draining_binds);
@@ -63,7 +64,9 @@
                 _ => State::Draining,
             };
             let server = &mut self.world.servers[ix.0];
-            let started = started(entry.started_ms);
+            // Guards against a server that seems to start again when the wall clock is stepped.
+            let known = self.listed[ix.0].as_ref().filter(|listed| listed.stamp == entry.started_ms);
+            let started = known.map_or_else(|| started(entry.started_ms), |listed| listed.started);
             let addr = entry.addr.or(server.addr);
             let moved = server.addr != addr || server.started != started;
             (server.addr, server.started) = (addr, started);
@@ -93,7 +96,8 @@
                 line.kind = self.origin_kind as u32;
             }
             let Listing { zone, kind, cell, scale, started, .. } = line;
-            self.listed[ix.0] = Some(Listed { name, state: told, zone, kind, cell, scale, started });
+            let stamp = entry.started_ms;
+            self.listed[ix.0] = Some(Listed { name, state: told, zone, kind, cell, scale, started, stamp });
             lines.push(line);
         }
         // Guards against writing to a new server what was meant for the one that had its address before, and
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -44,8 +44,6 @@
     origin_kind: usize,
     /// A server that the list drops without having drained may still be used.
     only_draining_binds: bool,
-    /// Discovery has told a list since the start.
-    news: bool,
     /// What the list said of each server last, by its index; and those that operators have ordered drained.
     listed: Vec<Option<lists::Listed>>,
     drained: HashSet<Name>,
@@ -76,7 +74,6 @@
         let counted = places.products.iter().map(|name| counts.place(name, most)).collect();
         Reducer {
             counted,
-            news: false,
             listed: Vec::new(),
             drained: HashSet::new(),
             applied: 0,
--- a/crates/node/src/reducer/service.rs
+++ b/crates/node/src/reducer/service.rs
@@ -48,11 +48,6 @@
         self.world.service.is_in()
     }
 
-    /// Whether discovery has told a list.
-    pub fn has_news(&self) -> bool {
-        self.news
-    }
-
     /// A configuration was read again, and taken or turned down.
     pub fn configured(&mut self, taken: bool) {
         *(if taken { &mut self.applied } else { &mut self.rejected }) += 1;
--- a/crates/node/src/reducer/world.rs
+++ b/crates/node/src/reducer/world.rs
@@ -26,6 +26,9 @@
         let client = self.clients.get_mut(&id)?;
         client.last = now;
         client.turns.push_back(None);
+        if self.service.parts(now, &self.limits) {
+            self.effects.push_back(Effect::PartClient { client: id });
+        }
         Some(client.first + client.turns.len() as u64 - 1)
     }
 
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -66,6 +66,12 @@
         !matches!(self.0, State::Leaving(_))
     }
 
+    /// Whether clients are read no further. Guards against one that always has a command open, and so is never closed between
+    /// answers.
+    pub fn parts(&self, now: Time, limits: &Limits) -> bool {
+        matches!(self.0, State::Leaving(at) if now - at >= limits.leave_part)
+    }
+
     /// Guards against closing clients before the front sends them elsewhere, as they would come back at once; and
     /// then against those that ask so often that no pause is ever found.
     pub fn idle(&self, now: Time, limits: &Limits) -> Idle {
--- a/crates/node/src/words.rs
+++ b/crates/node/src/words.rs
@@ -33,6 +33,10 @@
         client: ClientId,
         said: Said,
     },
+    /// Nothing more is read from it, and it is closed once it has its answers.
+    PartClient {
+        client: ClientId,
+    },
     /// At once, as what it was being answered can't be had whole.
     CutClient {
         client: ClientId,
--- a/crates/node/tests/reducer/common.rs
+++ b/crates/node/tests/reducer/common.rs
@@ -126,6 +126,7 @@
                     format!("close client {} after {} ms of silence", client.0, quiet.as_ms())
                 }
                 Effect::CutClient { client } => format!("cut client {}", client.0),
+                Effect::PartClient { client } => format!("read no more of client {}", client.0),
             };
             self.trace += &format!("{}   {line}\n", self.now);
         }
--- a/crates/node/tests/sockets/config.rs
+++ b/crates/node/tests/sockets/config.rs
@@ -30,8 +30,13 @@
     drop(before);
     let (child, file) = spawn_to(&config, 4096, log.into(), &[]);
     let mut node = Node { child, addr, log: None, file };
-    // By then it listens.
     assert_eq!(next(&asks), "GET /api/targets?stream=1&index=0 ");
+    // It listens once discovery has been silent for long enough.
+    let begun = Instant::now();
+    while TcpStream::connect(addr).is_err() {
+        assert!(begun.elapsed() < PATIENCE, "it does not listen");
+        std::thread::yield_now();
+    }
     assert_eq!(node.client().ask(&["PING"]), "+PONG");
     node.signal("-TERM");
     assert!(node.child.wait().expect("an end").success());
@@ -143,6 +148,8 @@
         .replace(r#""Projects":[]"#, r#""Projects":[{"Name":"t","QuotaPerS":50}]"#)
         .replace(r#""Kinds""#, r#""Balancers":40,"Localities":["east"],"Kinds""#)
         .replacen("20000", "100", 1);
+    // A sign of life: the node takes clients once it has heard of discovery.
+    old_says.send("\n".into()).expect("said");
     let mut node = Node::with(&before, 4096);
     let (mut client, mut other) = (node.client(), node.client());
     old_says.send(list(true, 1, &[("a", a, "in_service")]) + "\n").expect("said");
@@ -160,7 +167,9 @@
     new_says
         .send(list(true, 7, &[("b", b, "in_service"), ("origin", origin, "in_service")]) + "\n")
         .expect("said");
+    let begun = Instant::now();
     while other.ask(&["OBJ.GET", "k2", "id0", FACTS]) != "of b" {
+        assert!(begun.elapsed() < PATIENCE, "the new list is not gone by");
         assert_eq!(next(&seen), "a: OBJ.GET k2 id0");
     }
     assert_eq!(next(&seen), "b: OBJ.GET k2 id0");
--- a/crates/node/tests/sockets/discovery.rs
+++ b/crates/node/tests/sockets/discovery.rs
@@ -10,6 +10,8 @@
     let (second, second_says) = channel();
     let (asked, asks) = channel();
     let from = discovery(vec![first_says, second_says], asked);
+    // A sign of life: the node takes clients once it has heard of discovery.
+    first.send("\n".into()).expect("said");
     let node = Node::start(&[("a", a)], &format!(r#""discovery":"{from}","#));
     let mut client = node.client();
     assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
@@ -23,7 +25,10 @@
     let news = list(true, 3, &[("a", a, "terminating"), ("b", b, "in_service")]);
     let (head, tail) = news.split_at(40);
     [format!("\n\n{head}"), format!("{tail}\n\n")].into_iter().for_each(|t| second.send(t).expect("said"));
-    while client.ask(&["OBJ.GET", "k", "id3", FACTS]) != "of b" {}
+    let begun = Instant::now();
+    while client.ask(&["OBJ.GET", "k", "id3", FACTS]) != "of b" {
+        assert!(begun.elapsed() < PATIENCE, "the list in two pieces is not gone by");
+    }
     seen.try_iter().for_each(drop);
     for _ in 0..50 {
         assert_eq!(client.ask(&["OBJ.GET", "k", "id4", FACTS]), "of b");
--- a/crates/node/tests/sockets/watches.rs
+++ b/crates/node/tests/sockets/watches.rs
@@ -23,6 +23,8 @@
     let (new_says, new_news) = channel();
     let (asked, asks) = channel();
     let [old, new] = [old_news, new_news].map(|news| discovery(vec![news], asked.clone()));
+    // A sign of life: the node takes clients once it has heard of discovery.
+    old_says.send("\n".into()).expect("said");
     let mut node = Node::start(&[("a", a)], &format!(r#""discovery":"{old}","#));
     let mut client = node.client();
     assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
@@ -53,6 +55,8 @@
     let (third_says, third) = channel();
     let (asked, asks) = channel();
     let from = discovery(vec![first, second, third], asked);
+    // A sign of life: the node takes clients once it has heard of discovery.
+    first_says.send("\n".into()).expect("said");
     let node = Node::start(&[("a", a)], &format!(r#""discovery":"{from}","#));
     assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
     let both = [("a", a, "in_service"), ("b", b, "in_service")];
