End by the shortest timeouts told round SIGTERM, and leave room for a process held up

Cause: shutdown.rs took the times of a stop once, at SIGTERM, so shorter timeouts that SIGHUP brought meanwhile did not count; and its last answers went 160 to 80 ms before the kill, where the process may be held up for 150 ms as the signal comes and again before its last write.

Change: the times are looked at anew, the sooner of each counts, also by the settings that held until 2 s before; what the process was held up as the signal came is taken off; answers are due 420 ms past the longest timeout (540 before), the end 520 ms past it (620 before).

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -127,6 +127,8 @@
     pub stop_part: Span,
     pub stop_longest: Span,
     pub stop_look: Span,
+    /// From new settings until all clients go by them.
+    pub settings_settle: Span,
     /// After operators send clients away, or SIGTERM hands them over: until the front knows, from when on they are closed
     /// in the shortest pause, and from when on nothing more is read from them; and until the rest of half a command must have
     /// come.
--- a/crates/node/src/limits/values.rs
+++ b/crates/node/src/limits/values.rs
@@ -7,8 +7,12 @@
 const DESCRIPTORS_KEPT: usize = 24;
 /// Operators' calls at once: a few tools, and callers that hold a connection with half a call.
 const OPS_CALLS: usize = 16;
-/// Part of the longest client timeout that planned restarts leave after SIGTERM at the most; 700 ms more, and SIGKILL comes.
+/// Part of the longest client timeout that planned restarts leave after SIGTERM at the most; so much more, and SIGKILL comes.
 const STOP_GIVEN: Span = Span::ms(3_000);
+const STOP_BEYOND: i64 = 700;
+/// How long the process may be held up before its last write, and what its own timers may be late.
+const HELD_UP: i64 = 150;
+const TIMERS_LATE: i64 = 30;
 /// Bytes that an open API call takes at the most, its value apart.
 const CALL_BYTES: f64 = 4096.0;
 
@@ -93,13 +97,13 @@
             watch_longest: Span::ms(700),
             stop_accept: Span::ms(500),
             stop_quiet: Span::ms(150),
-            // Planned restarts give the longest client timeout and 700 ms; 3 s at the most, however long the timeout is.
-            stop_serve: given + Span::ms(430),
-            stop_answered: given + Span::ms(540),
+            stop_serve: given + Span::ms(300),
+            stop_answered: given + Span::ms(420),
             // What is overdue has been answered, and there is time for the last answers to be taken.
-            stop_part: given + Span::ms(560),
-            stop_longest: given + Span::ms(620),
+            stop_part: given + Span::ms(440),
+            stop_longest: given + Span::ms(STOP_BEYOND - HELD_UP - TIMERS_LATE),
             stop_look: Span::ms(5),
+            settings_settle: Span::ms(2_000),
             leave_front: Span::ms(350),
             leave_firm: Span::ms(1_500),
             // At 4 s no client may have a command of the last 2 s.
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -47,6 +47,8 @@
     /// What the list said of each server last, by its index; and those that operators have ordered drained.
     listed: Vec<Option<lists::Listed>>,
     drained: HashSet<Name>,
+    /// When the settings last changed, and the limits with the shortest stop that held until shortly before.
+    replaced: Option<(Time, Limits)>,
     /// Configurations read at SIGHUP: taken, and turned down.
     applied: u64,
     rejected: u64,
@@ -76,6 +78,7 @@
             counted,
             listed: Vec::new(),
             drained: HashSet::new(),
+            replaced: None,
             applied: 0,
             rejected: 0,
             balancer: Balancer::new(&config.settings, config.seed),
@@ -119,7 +122,13 @@
         let (names, most) = (&self.places.products, self.world.limits.products);
         self.counted = names.iter().map(|name| self.world.counted.place(name, most)).collect();
         self.products = settings.products();
-        self.world.limits = self.world.limits.retuned(settings);
+        let new = self.world.limits.retuned(settings);
+        let before = std::mem::replace(&mut self.world.limits, new);
+        let shortest = match self.limits_before(now) {
+            Some(other) if other.stop_longest < before.stop_longest => other.clone(),
+            _ => before,
+        };
+        self.replaced = Some((now, shortest));
         self.balancer.retune(settings);
     }
 
@@ -127,6 +136,12 @@
         &self.world.limits
     }
 
+    /// The limits that held until the settings changed, where that was so shortly before that clients may not know of it.
+    pub fn limits_before(&self, now: Time) -> Option<&Limits> {
+        let shortly = |(at, _): &&(Time, Limits)| now - *at < self.world.limits.settings_settle;
+        self.replaced.as_ref().filter(shortly).map(|(_, before)| before)
+    }
+
     pub fn start(&mut self, now: Time) {
         self.at(now);
         self.balancer.start(now, &mut self.world);
--- a/crates/node/src/reducer/service.rs
+++ b/crates/node/src/reducer/service.rs
@@ -5,7 +5,8 @@
     /// No API call is given longer than until `end`, those that are open included. Guards against a client timeout
     /// beyond the time that a planned restart leaves: the end of the process would take the call's answer with it.
     pub fn answer_all_by(&mut self, end: Time) {
-        let end = *self.world.end.get_or_insert(end);
+        let end = self.world.end.map_or(end, |before| before.min(end));
+        self.world.end = Some(end);
         let overdue = self.world.limits.overdue;
         for ix in self.world.ids.values().copied() {
             let Some(call) = self.world.calls.get_mut(ix).filter(|call| call.until > end) else { continue };
@@ -15,6 +16,12 @@
         }
     }
 
+    /// For how long the process has just stood still, if it has.
+    pub fn held_up(&mut self, now: Time) -> Span {
+        self.at(now);
+        self.world.waited()
+    }
+
     /// From now on clients are closed between answers, for good.
     pub fn stop(&mut self, now: Time) {
         self.at(now);
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -4,12 +4,13 @@
 use std::io;
 use std::rc::Rc;
 
-use quartzhub_policy::Time;
+use quartzhub_policy::{Span, Time};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::JoinHandle;
 
 use crate::clock::duration;
 use crate::effects::Hub;
+use crate::limits::Limits;
 use crate::reducer::Reducer;
 
 /// Ready once the process is asked to stop; from the call on, SIGTERM and SIGINT no longer end it at once.
@@ -23,6 +24,43 @@
     })
 }
 
+/// The times of a stop, counted from SIGTERM.
+#[derive(Clone, Copy)]
+struct Times {
+    /// Until when clients are served on, all is answered, and clients are parted from; and the end.
+    serve: Span,
+    answered: Span,
+    part: Span,
+    longest: Span,
+}
+
+impl Times {
+    fn of(limits: &Limits) -> Times {
+        let (serve, answered) = (limits.stop_serve, limits.stop_answered);
+        Times { serve, answered, part: limits.stop_part, longest: limits.stop_longest }
+    }
+
+    /// By the settings that hold now, and by those that held until shortly before.
+    fn now(hub: &Hub) -> Times {
+        hub.ask(|reducer| {
+            let times = Times::of(reducer.limits());
+            let before = reducer.limits_before(hub.clock.now()).map(Times::of);
+            before.map_or(times, |before| times.or_sooner(before))
+        })
+    }
+
+    /// The sooner of each. Guards against settings with shorter client timeouts that come amid the stop: the kill follows
+    /// the longest timeout that they tell.
+    fn or_sooner(self, other: Times) -> Times {
+        Times {
+            serve: self.serve.min(other.serve),
+            answered: self.answered.min(other.answered),
+            part: self.part.min(other.part),
+            longest: self.longest.min(other.longest),
+        }
+    }
+}
+
 /// Waits until the node is asked to stop, and then for the end. `last`: when the last connection was taken.
 /// Guards against a node that is of no use from SIGTERM on, although its clients have no other yet: it serves
 /// those that it has for nearly as long as it is given. `handed_over`: what takes clients from a socket that the
@@ -37,9 +75,9 @@
     asked.await;
     let open = hub.ask(Reducer::open_calls);
     tracing::info!(open, "asked to stop with {open} API calls open");
-    let asked = hub.clock.now();
-    let limits = &hub.ask(|reducer| reducer.limits().clone());
-    hub.tell(|reducer, _| reducer.answer_all_by(asked + limits.stop_answered));
+    // Guards against a signal that is seen late, as the process stood still: the kill counts from its coming.
+    let asked = hub.tell(|reducer, now| now - reducer.held_up(now));
+    let mut times = Times::now(&hub);
     let shared = handed_over.is_some();
     if let Some(accepting) = handed_over {
         accepting.abort();
@@ -47,18 +85,20 @@
         let _ = accepting.await;
     }
     loop {
-        tokio::time::sleep(duration(limits.stop_look)).await;
+        times = times.or_sooner(Times::now(&hub));
+        hub.tell(|reducer, _| reducer.answer_all_by(asked + times.answered));
+        tokio::time::sleep(duration(hub.limits.stop_look)).await;
         let now = hub.clock.now();
-        if shared || now - asked >= limits.stop_serve {
+        if shared || now - asked >= times.serve {
             hub.tell(|reducer, now| reducer.stop(now));
         }
         // Guards against clients whose next command always comes in time: at the end of the process it would be cut off.
-        if now - asked >= limits.stop_part {
+        if now - asked >= times.part {
             hub.clients.borrow().values().for_each(|client| client.part());
         }
-        let quiet = shared || now - last.get() >= limits.stop_quiet && now - asked >= limits.stop_accept;
+        let quiet = now - last.get() >= hub.limits.stop_quiet && now - asked >= hub.limits.stop_accept;
         let done = hub.ask(Reducer::open_calls) == 0 && hub.clients.borrow().is_empty();
-        if quiet && done || now - asked >= limits.stop_longest {
+        if (shared || quiet) && done || now - asked >= times.longest {
             let open = hub.ask(Reducer::open_calls);
             tracing::info!(open, "stopped with {open} API calls open");
             return;
