Tests of answers that come twice and values that break off beside others, both red

Measured on the code as it stood: where a second copy of an answer comes 6 ms late, the next command is answered with it; a write that shares a connection with a 1 MiB value that breaks off has run and gets no answer.

--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -14,6 +14,7 @@
 mod remaining;
 mod stall;
 mod standins;
+mod strays;
 mod syscalls;
 mod wall_clock;
 mod watches;
