Let upstreams rest 10 ms, hold large values beside others, look once more after a hold-up

Cause: upstream_table.rs used an upstream again after 2 ms, or at once where none had rested, so a second copy of an answer that comes some milliseconds late was taken for the next one's; upstreams.rs passed a large value on beside other open commands of its client, whose answers its break then cost; shutdown.rs ended with its first look after a hold-up.

Change: an attempt for which no upstream has rested for 10 ms opens one, but where descriptors are short; a large value is held whole, within what all may hold, while API calls are open behind it, and nothing is read behind one that is passed on; a look that comes late has four more behind it, up to 30 ms before the kill.

--- a/crates/node/src/clients/converse.rs
+++ b/crates/node/src/clients/converse.rs
@@ -48,7 +48,7 @@
         }
         // What has come is taken up as far as the limits allow, also when an answer has made room.
         let mut taken = 0;
-        while reading && taken < limits.commands_a_turn {
+        while reading && taken < limits.commands_a_turn && !hub.ask(|reducer| reducer.is_passed_to(id)) {
             // Guards also against a client that asks on and on and takes no answer.
             if hub.ask(|reducer| reducer.waiting(id)) + client.unwritten() >= limits.calls_per_client {
                 break;
@@ -125,7 +125,9 @@
         let behind = waiting + client.unwritten() >= limits.calls_per_client;
         // Behind its open answers a client is read a little further, so that the wait of its next commands is known.
         let ahead = behind && buffer.filled().len() < limits.read;
-        let room = reading && (!behind || ahead) && client.closing.get().is_none();
+        // Nothing is read behind a value that is passed on: should it break off, what was read would go unanswered.
+        let passing = hub.ask(|reducer| reducer.is_passed_to(id));
+        let room = reading && !passing && (!behind || ahead) && client.closing.get().is_none();
         if !room {
             arrivals.look_away(hub.clock.now());
         }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -118,14 +118,16 @@
     pub watch_first: Span,
     pub watch_longest: Span,
     /// After SIGTERM: how long to accept at least, and how long without a new connection; until when clients are
-    /// served on, until when all is answered, when those still there are closed, and the end; and how often it is looked
-    /// whether all is.
+    /// served on, until when all is answered, when those still there are closed, and the end; the end where the process was held
+    /// up before it, and the looks that it then has for what came meanwhile; and how often it is looked whether all is.
     pub stop_accept: Span,
     pub stop_quiet: Span,
     pub stop_serve: Span,
     pub stop_answered: Span,
     pub stop_part: Span,
     pub stop_longest: Span,
+    pub stop_last: Span,
+    pub stop_looks: u32,
     pub stop_look: Span,
     /// From new settings until all clients go by them.
     pub settings_settle: Span,
--- a/crates/node/src/limits/values.rs
+++ b/crates/node/src/limits/values.rs
@@ -63,7 +63,8 @@
             read: 16 * 1024,
             connect: settings.span("caps.connect_timeout", Span::ms(250)).max(Span::ms(1)),
             upstream_idle: keepalive.times(0.8),
-            upstream_rest: Span::ms(2),
+            // A second copy of an answer comes some milliseconds behind the first.
+            upstream_rest: Span::ms(10),
             // Two thirds of what the operators allow, as the process may be held up as well.
             told_slack: Span::ms(100),
             large_way: 0.5,
@@ -102,6 +103,8 @@
             // What is overdue has been answered, and there is time for the last answers to be taken.
             stop_part: given + Span::ms(440),
             stop_longest: given + Span::ms(STOP_BEYOND - HELD_UP - TIMERS_LATE),
+            stop_last: given + Span::ms(STOP_BEYOND - TIMERS_LATE),
+            stop_looks: 4,
             stop_look: Span::ms(5),
             settings_settle: Span::ms(2_000),
             leave_front: Span::ms(350),
@@ -133,6 +136,7 @@
             stop_answered: new.stop_answered,
             stop_part: new.stop_part,
             stop_longest: new.stop_longest,
+            stop_last: new.stop_last,
             ..self.clone()
         }
     }
--- a/crates/node/src/reducer/clients.rs
+++ b/crates/node/src/reducer/clients.rs
@@ -7,6 +7,11 @@
         self.world.clients.get(&client).map_or(0, |client| client.turns.len())
     }
 
+    /// Whether a value is being passed on to this client.
+    pub fn is_passed_to(&self, client: ClientId) -> bool {
+        self.world.clients.get(&client).is_some_and(|client| !client.passing.is_empty())
+    }
+
     /// Whether this client has made an API call.
     pub fn has_asked(&self, client: ClientId) -> bool {
         self.world.clients.get(&client).is_some_and(|client| client.asked)
--- a/crates/node/src/reducer/upstream_table.rs
+++ b/crates/node/src/reducer/upstream_table.rs
@@ -9,16 +9,20 @@
         idlest.and_then(|id| self.close_upstream(id)).is_some()
     }
 
-    /// Gives an attempt the newest idle upstream to its server that has rested, else the oldest, else a new one. Guards
-    /// against stray bytes behind an answer that are still on their way when the next attempt is written.
+    /// Whether a new connection to a server needs that another one is closed.
+    fn is_crowded(&self) -> bool {
+        self.sockets() + self.limits.for_clients >= self.limits.sockets
+    }
+
+    /// Gives an attempt the newest idle upstream to its server that has rested, else a new one, or where there is no room for
+    /// that the oldest. Guards against a second copy of an answer that is still on its way when the next attempt is written, and
+    /// would be taken for its answer.
     pub(super) fn launch(&mut self, call: CallIx, attempt: usize, server: ServerIx) {
         let rested = self.now + self.limits.upstream_idle - self.limits.upstream_rest;
         let idle = &self.servers[server.0].idle;
         let fits = |id: &UpstreamId| self.upstreams.get(id).is_some_and(|upstream| upstream.due <= rested);
-        if idle.is_empty() {
-            return self.open(call, attempt);
-        }
-        let place = idle.iter().rposition(fits).unwrap_or(0);
+        let oldest = (self.is_crowded() && !idle.is_empty()).then_some(0);
+        let Some(place) = idle.iter().rposition(fits).or(oldest) else { return self.open(call, attempt) };
         let id = self.servers[server.0].idle.remove(place);
         self.carry(id, call, attempt, false);
     }
@@ -31,11 +35,10 @@
         };
         // Guards against running out of descriptors: the connection idle longest makes room; if there is
         // none, the attempt is not made, and no server is blamed.
-        let crowded = self.sockets() + self.limits.for_clients >= self.limits.sockets;
         let room = |world: &mut World| {
             world.close_spare_client() || world.close_idlest_upstream() || world.close_idlest_client()
         };
-        if crowded && !room(self) {
+        if self.is_crowded() && !room(self) {
             return self.end_attempt(ix, attempt, Outcome::TooLate);
         }
         let upstream = UpstreamId(self.id());
--- a/crates/node/src/reducer/upstreams.rs
+++ b/crates/node/src/reducer/upstreams.rs
@@ -89,6 +89,20 @@
         self.settle();
     }
 
+    /// Whether no API call is open behind the one whose answer comes by this upstream, on its client's connection.
+    pub fn is_alone(&self, id: UpstreamId) -> bool {
+        let Some(Upstream { used: Use::Carrying { call, .. }, .. }) = self.world.upstreams.get(&id) else {
+            return true;
+        };
+        let call = self.world.calls.get(*call);
+        let Some((call, client)) = call.and_then(|call| Some((call, self.world.clients.get(&call.client)?)))
+        else {
+            return true;
+        };
+        let behind = (call.turn + 1).saturating_sub(client.first) as usize;
+        client.turns.iter().skip(behind).all(|said| matches!(said, Some(Said::Plain(_))))
+    }
+
     /// A value too large to be kept has begun to come. From here on the answer is settled: there is no other attempt
     /// and no other answer. The module is told of the success now, as its time is that of the first bytes, and a
     /// client that takes the rest slowly says nothing of the server.
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -32,12 +32,15 @@
     answered: Span,
     part: Span,
     longest: Span,
+    /// The end where the process was held up shortly before.
+    last: Span,
 }
 
 impl Times {
     fn of(limits: &Limits) -> Times {
         let (serve, answered) = (limits.stop_serve, limits.stop_answered);
-        Times { serve, answered, part: limits.stop_part, longest: limits.stop_longest }
+        let (part, longest, last) = (limits.stop_part, limits.stop_longest, limits.stop_last);
+        Times { serve, answered, part, longest, last }
     }
 
     /// By the settings that hold now, and by those that held until shortly before.
@@ -57,6 +60,7 @@
             answered: self.answered.min(other.answered),
             part: self.part.min(other.part),
             longest: self.longest.min(other.longest),
+            last: self.last.min(other.last),
         }
     }
 }
@@ -84,11 +88,17 @@
         // What it holds is closed by its end, so that no connection comes to where nobody reads it.
         let _ = accepting.await;
     }
+    // Looks that are still wanted after one that came late.
+    let (mut looked, mut looks) = (hub.clock.now(), 0u32);
     loop {
         times = times.or_sooner(Times::now(&hub));
         hub.tell(|reducer, _| reducer.answer_all_by(asked + times.answered));
         tokio::time::sleep(duration(hub.limits.stop_look)).await;
         let now = hub.clock.now();
+        // Guards against a process that was held up and ends unread what came meanwhile.
+        let late = now - looked > hub.limits.stalled;
+        looks = if late { hub.limits.stop_looks } else { looks.saturating_sub(1) };
+        looked = now;
         if shared || now - asked >= times.serve {
             hub.tell(|reducer, now| reducer.stop(now));
         }
@@ -98,7 +108,8 @@
         }
         let quiet = now - last.get() >= hub.limits.stop_quiet && now - asked >= hub.limits.stop_accept;
         let done = hub.ask(Reducer::open_calls) == 0 && hub.clients.borrow().is_empty();
-        if (shared || quiet) && done || now - asked >= times.longest {
+        let over = now - asked >= times.longest && looks == 0 || now - asked >= times.last;
+        if (shared || quiet) && done || over {
             let open = hub.ask(Reducer::open_calls);
             tracing::info!(open, "stopped with {open} API calls open");
             return;
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -39,6 +39,8 @@
     left: Cell<usize>,
     taker: RefCell<Option<Rc<Client>>>,
     passing: Cell<bool>,
+    /// A large value is held until it is whole, as other commands of its client are open behind it.
+    holds_whole: Cell<bool>,
     /// Whose attempt it carries, until that is written whole.
     asker: RefCell<Option<Rc<Client>>>,
     /// The server keeps the connection behind what is passed on.
@@ -78,6 +80,7 @@
             left: Cell::new(0),
             taker: RefCell::default(),
             passing: Cell::new(false),
+            holds_whole: Cell::new(false),
             asker: RefCell::default(),
             kept: Cell::new(false),
             gathered: RefCell::default(),
@@ -181,8 +184,9 @@
         }
     }
 
-    /// Begins to pass on a value too large to be kept, if that is what has come; tells its size.
-    fn begins_to_pass(&self, limits: &Limits) -> Option<usize> {
+    /// Begins to pass on a value too large to be kept, if that is what has come; tells its size. Unless its client waits for it
+    /// `alone` it is begun once it is whole: one that broke off would end the connection on the commands behind it.
+    fn begins_to_pass(&self, limits: &Limits, alone: impl Fn() -> bool) -> Option<usize> {
         let (from, size) = self.large(limits)?;
         let mut buffer = self.buffer.borrow_mut();
         let bytes = buffer.filled();
@@ -190,6 +194,12 @@
         if bytes.len() == from {
             return None;
         }
+        let end = if self.origin { 0 } else { caches::END.len() };
+        let whole = bytes.len() >= from + size + end;
+        self.holds_whole.set(!alone());
+        if self.holds_whole.get() && !whole {
+            return None;
+        }
         let keep = !self.origin || matches!(http::head(bytes, limits), Parsed::Whole(head, _) if head.keep);
         buffer.consume(from);
         self.kept.set(keep);
@@ -320,6 +330,9 @@
             {
                 Ok(true)
             }
+            Ok(_) if self.holds_whole.get() && buffer.filled().len() <= limits.value + limits.reply() => {
+                Ok(true)
+            }
             Ok(_) if !self.passing.get() && buffer.filled().len() > limits.reply() => {
                 Err(io::ErrorKind::InvalidData.into())
             }
@@ -434,6 +447,8 @@
             upstream.taker.take();
             upstream.asked.set(false);
             upstream.passing.set(false);
+            upstream.holds_whole.set(false);
+            upstream.takes(hub, 0);
             let reusable = clean && !ended && upstream.kept.get();
             hub.tell(|reducer, now| reducer.passed(now, upstream.id, reusable));
             return true;
@@ -480,7 +495,13 @@
     if !upstream.asked.get() && !upstream.buffer.borrow().is_empty() {
         return false;
     }
-    if let Some(size) = upstream.begins_to_pass(&hub.limits) {
+    let begun = upstream.begins_to_pass(&hub.limits, || hub.ask(|reducer| reducer.is_alone(upstream.id)));
+    if upstream.holds_whole.get() && !upstream.takes(hub, upstream.buffer.borrow().room()) {
+        tracing::warn!("no room to hold an answer of {}", upstream.to);
+        hub.tell(|reducer, now| reducer.spoilt(now, upstream.id));
+        return false;
+    }
+    if let Some(size) = begun {
         hub.tell(|reducer, now| reducer.passes(now, upstream.id, size));
         // An end that has come already is met again by the next read.
         return true;
