A test of a configuration that can't be read for a moment at SIGHUP, red

Measured on the code as it stood: the file is back after 0.1 s and is never read; the discovery that it names would stay unknown, and all that it tells counts as told after 4 s.

--- a/crates/node/tests/sockets/config.rs
+++ b/crates/node/tests/sockets/config.rs
@@ -199,3 +199,21 @@
     while client.ask(&["OBJ.GET", "k", "id6", FACTS]) != "of a" {}
     drop(asks);
 }
+
+/// The file is put in its place a moment after the signal, as a replacement in two steps does, or can't be read for that long.
+#[test]
+fn a_configuration_that_can_not_be_read_for_a_moment_is_read_then() {
+    let addr = free();
+    let text = config(&[], &format!(r#""ops":"{addr}","#));
+    let node = Node::with(&text, 4096);
+    let aside = node.file.with_extension("aside");
+    std::fs::rename(&node.file, &aside).expect("moved");
+    std::fs::write(&aside, text.replace(r#""view""#, r#""new""#)).expect("written");
+    node.signal("-HUP");
+    std::thread::sleep(Duration::from_millis(100));
+    std::fs::rename(&aside, &node.file).expect("moved back");
+    let begun = Instant::now();
+    while !operate(addr, "GET /control/counters").contains(r#""config_applied":1,"config_rejected":0"#) {
+        assert!(begun.elapsed() < PATIENCE / 6, "{}", operate(addr, "GET /control/counters"));
+    }
+}
