Wake a client once its large value is whole, as nothing is read behind it before

Change: the task is woken. Test changed: the one that passes a value on in pieces waits 30 ms for the upstream to rest, as its server takes one connection only.

--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -444,13 +444,17 @@
             let clean = if upstream.origin { upstream.buffer.borrow().is_empty() } else { whole };
             upstream.buffer.borrow_mut().clear();
             upstream.buffer.borrow_mut().shrink(hub.limits.buffer_kept);
-            upstream.taker.take();
+            let taker = upstream.taker.take();
             upstream.asked.set(false);
             upstream.passing.set(false);
             upstream.holds_whole.set(false);
             upstream.takes(hub, 0);
             let reusable = clean && !ended && upstream.kept.get();
             hub.tell(|reducer, now| reducer.passed(now, upstream.id, reusable));
+            // What came behind the value may be read now.
+            if let Some(client) = taker {
+                client.more();
+            }
             return true;
         }
         let missing = upstream.buffer.borrow().filled().len()
--- a/crates/node/tests/sockets/large.rs
+++ b/crates/node/tests/sockets/large.rs
@@ -28,7 +28,8 @@
         let last = bytes(&mut client.0, size - 210_000 + 2).expect("the rest");
         assert!(some + &more + &last == value.clone() + "\r\n", "round {round}");
         assert_eq!(client.answer(), "+PONG");
-        // The same upstream carries the next.
+        // The same upstream carries the next, once it has rested.
+        std::thread::sleep(Duration::from_millis(30));
         client.send(&command(&["OBJ.GET", "k1", &format!("again{round}"), FACTS]));
         client.send(&command(&["PING"]));
     }
@@ -163,3 +164,22 @@
     go.send(()).expect("the server waits");
     assert!(client.answer() == value);
 }
+
+/// Nothing is read behind a value that is passed on, and what comes behind it is taken as soon as it is whole.
+#[test]
+fn the_next_command_behind_a_large_value_is_taken_at_once() {
+    let (tell, _seen) = channel();
+    let value = "v".repeat(300_000);
+    let sent = value.clone();
+    let cache = server("a", tell, move |_| hit(&sent));
+    let node = Node::start(&[("a", cache)], "");
+    let mut client = node.client();
+    let begun = Instant::now();
+    for round in 0..20 {
+        let said = client.ask(&["OBJ.GET", "k1", &format!("id{round}"), FACTS]);
+        assert!(said == value, "{} bytes", said.len());
+        assert_eq!(client.ask(&["PING"]), "+PONG");
+    }
+    // Each that waited would have waited for seconds.
+    assert!(begun.elapsed() < Duration::from_secs(4), "{:?}", begun.elapsed());
+}
