Give a cold cache its part of a rate by as many caches as earned it

Cause: Health::warm_enough divides the answers a second by the caches in the list now, and the rate is a mean over the last second; where most caches vanish as one comes cold, that one's part is a multiple of what it is used to.

Change: the divisor is the mean number of ready caches over the same time, where that is larger. Nothing else changes; where caches come it is the list.

--- a/crates/policy/src/decide/health.rs
+++ b/crates/policy/src/decide/health.rs
@@ -31,6 +31,7 @@
 
     /// Refills a cold cache's budget, a mean cache's answers cut by the stated warm-up; tells if it covers an
     /// attempt. What the list dropped is cold where it proved right: it may have restarted, unlisted yet.
+    /// Guards against a part of a rate that more caches earned than are left.
     pub fn warm_enough(&self, server: &mut Server, line: &Line, now: Time) -> bool {
         let dropped = server.unlisted.filter(|_| self.unlisted < DOUBT);
         let Some(started) = dropped.or(server.cold_at) else { return true };
@@ -40,7 +41,7 @@
             return true;
         }
         let passed = (now - server.warm_at).seconds().clamp(0.0, 1.0);
-        let share = line.done_rate / line.caches.len().max(1) as f64;
+        let share = line.done_rate / line.breadth.max(line.caches.len() as f64).max(1.0);
         server.warm =
             (server.warm + passed * share * warmth * WARM_SHARE * server.scale.min(1.0)).min(WARM_SAVED);
         server.warm_at = now;
--- a/crates/policy/src/decide/tick.rs
+++ b/crates/policy/src/decide/tick.rs
@@ -33,6 +33,7 @@
         *explained += step * (std::mem::take(calm_done) / passed - *explained);
         *done_rate += step * (std::mem::take(done) / passed - *done_rate);
         self.line.heard += step * (1.0 - self.line.heard);
+        self.line.breadth += step * (self.line.caches.len() as f64 - self.line.breadth);
         let crowding = |(index, product): (usize, &Product)| self.line.crowding(index, product.slo);
         self.admission.tick(self.products.iter().enumerate().map(crowding).fold(0.0, f64::max));
         [&mut self.origin.gate, &mut self.origin.writes].into_iter().for_each(|gate| gate.regrow(passed));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -191,6 +191,8 @@
     /// Answers a second from caches, and those since the last tick.
     pub done_rate: f64,
     pub done: f64,
+    /// How many ready caches there were over the same time, a mean.
+    pub breadth: f64,
     /// How much of a full mean `done_rate` holds yet.
     pub heard: f64,
     /// Mean of `out` over the same time, and the part of it that answers in calm time explain; and the sum
