Split the connections to servers into four files, without behaviour

Change: the conversation with a server, answers gathered whole, and values passed on have files of their own; code and comments moved as they stood.

--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -6,23 +6,26 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use quartzhub_policy::{Outcome, Span};
+use quartzhub_policy::Span;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use crate::buffer::{quiet, Buffer};
 use crate::caches::{self, Answer};
 use crate::clients::Client;
-use crate::clock::duration;
-use crate::effects::Hub;
-use crate::http::{self, Body, Head};
+use crate::http::Head;
 use crate::limits::Limits;
 use crate::origin;
-use crate::reducer::Reducer;
 use crate::resp::Parsed;
 use crate::system::uninterrupted;
 use crate::words::{UpstreamId, Words};
 
+mod conversation;
+mod gathering;
+mod passing;
+
+pub use conversation::run;
+
 /// Bytes of a value that is copied behind its command, to go out in one write.
 const SMALL: usize = 4096;
 
@@ -175,150 +178,6 @@
         Ok(done)
     }
 
-    /// Where a value too large to be kept begins, and its size, if that is what comes.
-    fn large(&self, limits: &Limits) -> Option<(usize, usize)> {
-        let buffer = self.buffer.borrow();
-        match self.origin {
-            true => origin::large(buffer.filled(), limits),
-            false => caches::large(buffer.filled(), limits),
-        }
-    }
-
-    /// Begins to pass on a value too large to be kept, if that is what has come; tells its size. Unless its client waits for it
-    /// `alone` it is begun once it is whole: one that broke off would end the connection on the commands behind it.
-    fn begins_to_pass(&self, limits: &Limits, alone: impl Fn() -> bool) -> Option<usize> {
-        let (from, size) = self.large(limits)?;
-        let mut buffer = self.buffer.borrow_mut();
-        let bytes = buffer.filled();
-        // Some of it is there, not only what announces it.
-        if bytes.len() == from {
-            return None;
-        }
-        let end = if self.origin { 0 } else { caches::END.len() };
-        let whole = bytes.len() >= from + size + end;
-        self.holds_whole.set(!alone());
-        if self.holds_whole.get() && !whole {
-            return None;
-        }
-        let keep = !self.origin || matches!(http::head(bytes, limits), Parsed::Whole(head, _) if head.keep);
-        buffer.consume(from);
-        self.kept.set(keep);
-        self.left.set(size);
-        self.passing.set(true);
-        self.spoilt.set(false);
-        Some(size)
-    }
-
-    /// Takes up what has come of a body whose length nobody tells, and gives the answer once it is whole. The client
-    /// must be told the length first, so all of it is held, within what all may hold.
-    fn gather(&self, hub: &Hub, ended: bool) -> Parsed<Answer> {
-        let limits = &hub.limits;
-        let (mut gathered, mut buffer) = (self.gathered.borrow_mut(), self.buffer.borrow_mut());
-        if gathered.is_none() && self.origin {
-            if let Parsed::Whole(head, used) = http::head(buffer.filled(), limits) {
-                if head.status == 200 && matches!(head.body, Body::Chunked | Body::ToTheEnd) {
-                    buffer.consume(used);
-                    *gathered = Some((head, Vec::new()));
-                }
-            }
-        }
-        let Some((head, body)) = gathered.as_mut() else { return Parsed::Part };
-        let mut whole = false;
-        loop {
-            let (bytes, left) = (buffer.filled(), limits.value - body.len());
-            let (part, used) = match head.body {
-                Body::Chunked => match http::chunk(bytes, left, limits) {
-                    Parsed::Whole(part, used) => (part, used),
-                    Parsed::Part => break,
-                    Parsed::Broken => return Parsed::Broken,
-                },
-                _ if bytes.len() > left => return Parsed::Broken,
-                _ => (bytes, bytes.len()),
-            };
-            whole = part.is_empty() && (head.body == Body::Chunked || ended);
-            if part.is_empty() {
-                break;
-            }
-            body.extend_from_slice(part);
-            buffer.consume(used);
-        }
-        if !self.takes(hub, body.capacity() + buffer.room()) {
-            tracing::warn!("no room for an answer of {}", self.to);
-            return Parsed::Broken;
-        }
-        if !whole {
-            return Parsed::Part;
-        }
-        if let Parsed::Whole(_, used) = http::chunk(buffer.filled(), 0, limits) {
-            buffer.consume(used);
-        }
-        let reusable = head.keep && !ended && buffer.is_empty();
-        let value = Some(std::mem::take(body));
-        *gathered = None;
-        self.asked.set(false);
-        buffer.clear();
-        buffer.shrink(limits.buffer_kept);
-        Parsed::Whole(Answer { outcome: Outcome::Fulfilled, value, reusable }, 0)
-    }
-
-    /// Counts what a large answer takes of what all may hold; false if it does not fit.
-    fn takes(&self, hub: &Hub, bytes: usize) -> bool {
-        let bytes = if bytes > 2 * hub.limits.whole { bytes } else { 0 };
-        let others = hub.buffered.get() - self.taken.get();
-        let fits = bytes == 0 || others + bytes + hub.ask(Reducer::held) <= hub.limits.held;
-        let bytes = if fits { bytes } else { 0 };
-        hub.buffered.set(others + bytes);
-        if bytes < self.taken.replace(bytes) {
-            hub.room.notify_waiters();
-        }
-        fits
-    }
-
-    /// The client that takes what is passed on.
-    pub fn passes_to(&self, client: Rc<Client>) {
-        *self.taker.borrow_mut() = Some(client);
-    }
-
-    /// How much there is for the client. Guards against passing a spoilt value on as a whole one: its last byte goes
-    /// once what stands behind it has been seen to be its end.
-    pub fn ready(&self) -> usize {
-        let buffer = self.buffer.borrow();
-        let (bytes, left) = (buffer.filled(), self.left.get());
-        let end = if self.origin { &b""[..] } else { caches::END };
-        if bytes.len() >= left + end.len() {
-            self.spoilt.set(left > 0 && !bytes[left..].starts_with(end));
-            return if self.spoilt.get() { 0 } else { left };
-        }
-        bytes.len().min(left.saturating_sub(1))
-    }
-
-    /// Writes what there is to the client's socket; true once the value is whole there.
-    pub fn pass(&self, to: &TcpStream) -> io::Result<bool> {
-        let mut taken = false;
-        loop {
-            let ready = self.ready();
-            if ready == 0 {
-                break;
-            }
-            let mut buffer = self.buffer.borrow_mut();
-            match uninterrupted(|| to.try_write(&buffer.filled()[..ready])) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(count) => {
-                    buffer.consume(count);
-                    self.left.set(self.left.get() - count);
-                    taken = true;
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e) => return Err(e),
-            }
-        }
-        if taken || self.spoilt.get() {
-            // There is room to read on, or the end of it.
-            self.wake.notify_one();
-        }
-        Ok(self.left.get() == 0)
-    }
-
     /// Reads; false at the end.
     fn read(&self, stream: &TcpStream, limits: &Limits) -> io::Result<bool> {
         let mut buffer = self.buffer.borrow_mut();
@@ -360,182 +219,3 @@
         parsed
     }
 }
-
-/// Connects, then reads and writes until the connection ends or is closed.
-pub async fn run(hub: Rc<Hub>, upstream: Rc<Upstream>) {
-    converse(hub.clone(), upstream.clone()).await;
-    upstream.takes(&hub, 0);
-}
-
-async fn converse(hub: Rc<Hub>, upstream: Rc<Upstream>) {
-    let to = upstream.to;
-    let longest = hub.ask(|reducer| reducer.limits().connect);
-    let connect = tokio::time::timeout(duration(longest), TcpStream::connect(to));
-    let connected = tokio::select! {
-        connected = connect => connected,
-        () = upstream.wake.notified() => return,
-    };
-    match connected {
-        Ok(Ok(stream)) if !upstream.closed.get() => {
-            // Without it an answer may come later; nothing else hangs on it.
-            let _ = stream.set_nodelay(true);
-            let _ = upstream.stream.set(stream);
-            hub.tell(|reducer, now| reducer.connected(now, upstream.id));
-        }
-        failed => {
-            let own = match failed {
-                Ok(Err(e)) => {
-                    tracing::warn!("no connection to {to}: {e}");
-                    !is_the_servers(&e)
-                }
-                _ => false,
-            };
-            if own {
-                hub.tell(|reducer, now| reducer.not_opened(now, upstream.id));
-            } else {
-                hub.tell(|reducer, now| reducer.broke(now, upstream.id));
-            }
-            return hub.close_upstream(upstream.id);
-        }
-    }
-    let Some(stream) = upstream.stream.get() else { return };
-    while !upstream.closed.get() {
-        if upstream.passing.get() {
-            match pass_on(&hub, &upstream, stream).await {
-                true => continue,
-                false => {
-                    hub.tell(|reducer, now| reducer.broke(now, upstream.id));
-                    return hub.close_upstream(upstream.id);
-                }
-            }
-        }
-        let goes_on = tokio::select! {
-            ready = stream.writable(), if upstream.writing.get() => ready.is_ok() && write_on(&hub, &upstream),
-            ready = stream.readable(), if !upstream.writing.get() => ready.is_ok() && read_on(&hub, &upstream, stream),
-            () = upstream.wake.notified() => true,
-        };
-        if !goes_on {
-            hub.tell(|reducer, now| reducer.broke(now, upstream.id));
-            return hub.close_upstream(upstream.id);
-        }
-    }
-}
-
-/// Whether a connect that failed tells of the server, and not of this machine's want of descriptors, ports or
-/// memory.
-fn is_the_servers(e: &io::Error) -> bool {
-    use io::ErrorKind::*;
-    let kinds = [ConnectionRefused, ConnectionReset, ConnectionAborted, TimedOut, HostUnreachable];
-    kinds.contains(&e.kind()) || e.kind() == NetworkUnreachable
-}
-
-/// Reads a value as fast as its client takes it, until it is whole there; false if it never will be. Guards against a
-/// server that stands still in the middle; a client that does is closed by its own task.
-async fn pass_on(hub: &Rc<Hub>, upstream: &Upstream, stream: &TcpStream) -> bool {
-    let mut ended = false;
-    while !upstream.closed.get() {
-        if upstream.left.get() == 0 {
-            let whole = upstream
-                .buffer
-                .borrow()
-                .filled()
-                .strip_prefix(caches::END)
-                .is_some_and(|rest| caches::rest(rest, &hub.limits));
-            let clean = if upstream.origin { upstream.buffer.borrow().is_empty() } else { whole };
-            upstream.buffer.borrow_mut().clear();
-            upstream.buffer.borrow_mut().shrink(hub.limits.buffer_kept);
-            let taker = upstream.taker.take();
-            upstream.asked.set(false);
-            upstream.passing.set(false);
-            upstream.holds_whole.set(false);
-            upstream.takes(hub, 0);
-            let reusable = clean && !ended && upstream.kept.get();
-            hub.tell(|reducer, now| reducer.passed(now, upstream.id, reusable));
-            // What came behind the value may be read now.
-            if let Some(client) = taker {
-                client.more();
-            }
-            return true;
-        }
-        let missing = upstream.buffer.borrow().filled().len()
-            < upstream.left.get() + if upstream.origin { 0 } else { caches::END.len() };
-        if upstream.spoilt.get() || ended && missing {
-            tracing::warn!("a value of {} has no good end", upstream.to);
-            return false;
-        }
-        let room = !ended && upstream.buffer.borrow().filled().len() < hub.limits.window;
-        let still = tokio::time::sleep(duration(hub.limits.stands_still));
-        tokio::select! {
-            ready = stream.readable(), if room => {
-                ended = ready.is_err() || !matches!(upstream.read(stream, &hub.limits), Ok(true));
-                if let Some(client) = upstream.taker.borrow().as_ref() {
-                    client.more();
-                }
-            }
-            () = upstream.wake.notified() => {}
-            () = still, if room => {
-                tracing::warn!("{} stands still in the middle of a value", upstream.to);
-                return false;
-            }
-        }
-    }
-    true
-}
-
-fn write_on(hub: &Rc<Hub>, upstream: &Upstream) -> bool {
-    match upstream.write_more() {
-        Written::Whole => hub.tell(|reducer, _| reducer.written(upstream.id)),
-        Written::Part => {}
-        Written::Unwanted => hub.tell(|reducer, now| reducer.unwanted(now, upstream.id)),
-        Written::Broken => return false,
-    }
-    true
-}
-
-fn read_on(hub: &Rc<Hub>, upstream: &Upstream, stream: &TcpStream) -> bool {
-    let read = upstream.read(stream, &hub.limits);
-    let ended = !matches!(read, Ok(true));
-    // Guards against what comes unasked being taken for the answer to the next attempt.
-    if !upstream.asked.get() && !upstream.buffer.borrow().is_empty() {
-        return false;
-    }
-    let begun = upstream.begins_to_pass(&hub.limits, || hub.ask(|reducer| reducer.is_alone(upstream.id)));
-    if upstream.holds_whole.get() && !upstream.takes(hub, upstream.buffer.borrow().room()) {
-        tracing::warn!("no room to hold an answer of {}", upstream.to);
-        hub.tell(|reducer, now| reducer.spoilt(now, upstream.id));
-        return false;
-    }
-    if let Some(size) = begun {
-        hub.tell(|reducer, now| reducer.passes(now, upstream.id, size));
-        // An end that has come already is met again by the next read.
-        return true;
-    }
-    let over = matches!(read, Ok(false));
-    let answer = match upstream.gather(hub, over) {
-        // Guards against taking for spoilt what only announces a large value: its head may come by itself.
-        Parsed::Part if !over && upstream.large(&hub.limits).is_some() => Parsed::Part,
-        Parsed::Part if upstream.gathered.borrow().is_some() => Parsed::Part,
-        Parsed::Part => upstream.parsed(over, &hub.limits),
-        gathered => {
-            upstream.takes(hub, 0);
-            gathered
-        }
-    };
-    match answer {
-        Parsed::Whole(mut answer, _) => {
-            // Guards against a next attempt on an upstream that the server has closed behind its answer.
-            answer.reusable &= !ended;
-            hub.tell(|reducer, now| reducer.answered(now, upstream.id, answer));
-        }
-        Parsed::Part => {
-            if !upstream.buffer.borrow().is_empty() || upstream.gathered.borrow().is_some() {
-                hub.tell(|reducer, now| reducer.began(now, upstream.id));
-            }
-        }
-        Parsed::Broken => {
-            tracing::warn!("an answer of {} can't be read", upstream.to);
-            hub.tell(|reducer, now| reducer.spoilt(now, upstream.id));
-        }
-    }
-    !ended
-}
