--- a/crates/node/tests/sockets/syscalls.rs
+++ b/crates/node/tests/sockets/syscalls.rs
@@ -59,6 +59,17 @@
     }
 }
 
+/// Operators' calls are owed an answer in a second, also while accepts fail.
+#[test]
+fn operators_are_answered_in_time_while_accepts_fail() {
+    let addr = free();
+    let faults = format!("accept4:{ENFILE}:1:10:1,accept4:{ECONNABORTED}:11:500:1");
+    let _node = node_with(&faults, &[], &format!(r#""ops":"{addr}","#));
+    let begun = Instant::now();
+    assert_eq!(operate(addr, "GET /control/ready"), "200 OK: ready");
+    assert!(begun.elapsed() < Duration::from_secs(1), "after {:?}", begun.elapsed());
+}
+
 /// Every third read, look and write on a socket is interrupted, and every other one moves one byte.
 #[test]
 fn calls_survive_reads_and_writes_that_are_interrupted_or_short() {
--- a/crates/policy/tests/decisions/cold_start.rs
+++ b/crates/policy/tests/decisions/cold_start.rs
@@ -14,8 +14,9 @@
     Listing { server: ServerIx(server), name, zone: 0, kind, cell: 0, state, scale: 1.0, started }
 }
 
-/// The most reads within a second that so many nodes send to the cold cache, when all others vanish but `stay`.
-fn most_sent(nodes: usize, stay: usize) -> usize {
+/// The most reads within a second that so many nodes send to the cold cache, when all others vanish but `stay`, and when it starts
+/// again each so many ms, if it does.
+fn most_sent(nodes: usize, stay: usize, again: Option<usize>) -> usize {
     let mut chance = Pcg::new(nodes as u64);
     let mut quiet = Trace::default();
     let mut fleet: Vec<_> = (0..nodes).map(|i| (Balancer::new(&settings(&[]), i as u64 + 1), 0)).collect();
@@ -34,6 +35,11 @@
                 let lines = left.chain([listed(CACHES + 1, State::Ready, Some(now))]);
                 balancer.list(at, true, lines, &mut quiet);
             }
+            let since = now - VANISH;
+            if again.is_some_and(|again| since > 0.0 && (since as usize).is_multiple_of(again)) {
+                let line = listed(CACHES + 1, State::Ready, Some(now));
+                balancer.list(at, false, [line].into_iter(), &mut quiet);
+            }
             if (now as usize + i).is_multiple_of(20) {
                 balancer.tick(at, &mut quiet);
             }
@@ -74,8 +80,21 @@
     let allowed = can + 2.0 * can.sqrt() + 2.0;
     for nodes in [1, 30, 300] {
         for stay in [0, 1, 3] {
-            let most = most_sent(nodes, stay);
+            let most = most_sent(nodes, stay, None);
             assert!((most as f64) < allowed, "{nodes} nodes, {stay} others stay: {most} of {allowed:.0}");
         }
     }
 }
+
+/// Each start counts anew, and what was saved before it is gone.
+#[test]
+fn a_cache_that_starts_again_and_again_is_never_given_more_than_a_cold_one() {
+    let can = 3.0 * 0.3 * 2.0 * A_SECOND / CACHES as f64;
+    let allowed = can + 2.0 * can.sqrt() + 2.0;
+    for nodes in [1, 30, 300] {
+        for again in [50, 200, 700] {
+            let most = most_sent(nodes, CACHES, Some(again));
+            assert!((most as f64) < allowed, "{nodes} nodes, each {again} ms: {most} of {allowed:.0}");
+        }
+    }
+}
