Use the origin's upstreams again at once, as before: new ones cost it what it lacks

Cause: since upstreams rest 10 ms each call that waited for the origin opened a connection to it as an answer came, and a connection costs the origin work. Told from other causes by a trial with new connections at caches alone.

--- a/crates/node/src/reducer/upstream_table.rs
+++ b/crates/node/src/reducer/upstream_table.rs
@@ -15,13 +15,14 @@
     }
 
     /// Gives an attempt the newest idle upstream to its server that has rested, else a new one, or where there is no room for
-    /// that the oldest. Guards against a second copy of an answer that is still on its way when the next attempt is written, and
+    /// that, and at the origin, the oldest: what waits for the origin is sent as an answer comes, and each on a connection of its
+    /// own would cost the origin what it lacks. Guards against a second copy of an answer that is still on its way when the next attempt is written, and
     /// would be taken for its answer.
     pub(super) fn launch(&mut self, call: CallIx, attempt: usize, server: ServerIx) {
         let rested = self.now + self.limits.upstream_idle - self.limits.upstream_rest;
         let idle = &self.servers[server.0].idle;
         let fits = |id: &UpstreamId| self.upstreams.get(id).is_some_and(|upstream| upstream.due <= rested);
-        let oldest = (self.is_crowded() && !idle.is_empty()).then_some(0);
+        let oldest = (!idle.is_empty() && (self.servers[server.0].origin || self.is_crowded())).then_some(0);
         let Some(place) = idle.iter().rposition(fits).or(oldest) else { return self.open(call, attempt) };
         let id = self.servers[server.0].idle.remove(place);
         self.carry(id, call, attempt, false);
