Keep servers' ids, numbers and records in one table

Callers would have seen: a node that panics ("index out of bounds: the len is 2 but the index is 3", reducer/attempts.rs) at the next call for a server that the list names in service without an address, and every open call of the node lost.

Cause: Servers::release cut its table behind the last record with an address, while the interner still gave out the number of one without. "Has an address" was taken for "is in use"; which servers there are stood in three tables that were released at different times.

Evidence: the red test's backtrace ends in take_idle_upstream under the policy's dispatch. A property test over lists of every form (no address, unknown kinds and states, ids that come again, complete and partial lists, drains, releases, calls) fails on the code before in its 18th case, on the same line, with a server without an address behind a released one as its smallest case.

Why this works: ServerTable has one slab entry a server with its id and record, so a record exists exactly as long as the number does. What the list said last is a field of it; the list of servers "released but still known" is gone.

No other assertion changed; the harness's update_list_by_entries is public now.

--- a/crates/node/src/reducer/connections.rs
+++ b/crates/node/src/reducer/connections.rs
@@ -2,6 +2,7 @@
 use quartzhub_policy::{EndpointState, Outcome, ServerIndex, Span, Time};
 
 use super::node_state::NodeState;
+use super::servers::Server;
 use super::timers::Timer;
 use super::upstreams::{Upstream, UpstreamUse};
 use crate::messages::{ClientId, Effect, UpstreamId};
@@ -112,10 +113,12 @@
     }
 
     pub(super) fn close_idle_upstreams_of_unready_servers(&mut self) {
-        for server in (0..self.servers.len()).map(ServerIndex) {
-            if self.servers[server].state != EndpointState::Ready {
-                self.close_idle_upstreams(server);
-            }
+        let is_unready =
+            |(_, server): &(ServerIndex, &Server)| server.state != EndpointState::Ready;
+        let unready = self.servers.iter().filter(is_unready);
+        let indices: Vec<_> = unready.map(|(index, _)| index).collect();
+        for index in indices {
+            self.close_idle_upstreams(index);
         }
     }
 
--- a/crates/node/src/reducer/endpoint_events.rs
+++ b/crates/node/src/reducer/endpoint_events.rs
@@ -3,9 +3,10 @@
 
 use quartzhub_membership::ServerId;
 use quartzhub_policy::{Endpoint, EndpointState, Time};
-
+use quartzhub_settings::EndpointEntry;
 use thiserror::Error;
 
+use super::endpoint_list::{position, remove_superseded, ChangedServer};
 use super::Reducer;
 use crate::config::{EndpointListEntry, EndpointListUpdate};
 
@@ -33,19 +34,20 @@
     ) {
         self.advance_clock(now);
         if update.full {
-            self.endpoints.mark_all_removed(&mut self.state.servers);
+            self.endpoint_list_rules
+                .mark_all_removed(&mut self.state.servers);
         }
         let mut endpoints = self.apply_entries(&update.servers, &started);
-        let superseded = self
-            .endpoints
-            .remove_superseded(&endpoints, &mut self.state.servers);
-        for server in superseded {
+        let superseded = remove_superseded(&endpoints, &mut self.state.servers);
+        for server in &superseded {
             // Where a server that is Gone may stay in use, only Draining ends that.
             for state in [EndpointState::Draining, EndpointState::Gone] {
-                let endpoint = self
-                    .endpoints
-                    .superseded_endpoint(server, state, &self.names);
-                endpoints.push(endpoint);
+                let entry = EndpointEntry {
+                    name: &server.id,
+                    state,
+                    ..EndpointEntry::default()
+                };
+                endpoints.push(self.names.endpoint(server.index, entry));
             }
         }
         self.state.close_idle_upstreams_of_unready_servers();
@@ -64,8 +66,8 @@
         let state = &mut self.state;
         let mut endpoints = Vec::with_capacity(entries.len());
         for entry in entries {
-            let known = self.endpoints.len();
-            if known >= state.limits.known_servers && !self.endpoints.contains(&entry.id) {
+            let known = state.servers.len();
+            if known >= state.limits.known_servers && !state.servers.contains(&entry.id) {
                 let id = &entry.id;
                 tracing::info!(
                     id,
@@ -74,9 +76,12 @@
                 );
                 continue;
             }
-            let applied =
-                self.endpoints
-                    .apply_entry(entry, &self.names, &mut state.servers, started);
+            let applied = self.endpoint_list_rules.apply_entry(
+                entry,
+                &self.names,
+                &mut state.servers,
+                started,
+            );
             if applied.restarted {
                 state.close_idle_upstreams(applied.endpoint.server);
             }
@@ -89,27 +94,34 @@
     pub fn on_drain_overrides(&mut self, now: Time, drained: HashSet<ServerId>) {
         self.advance_clock(now);
         let changed = self
-            .endpoints
+            .endpoint_list_rules
             .override_drained(drained, &mut self.state.servers);
         if changed.is_empty() {
             return;
         }
-        for endpoint in &changed {
-            if endpoint.state != EndpointState::Ready {
-                self.state.close_idle_upstreams(endpoint.server);
-            }
-        }
+        let endpoints: Vec<_> = changed
+            .iter()
+            .filter_map(|server| self.changed_endpoint(server))
+            .collect();
+        self.state.close_idle_upstreams_of_unready_servers();
         self.balancer
-            .on_endpoint_list(now, false, changed.into_iter(), &mut self.state);
+            .on_endpoint_list(now, false, endpoints.into_iter(), &mut self.state);
         self.report_finished_attempts();
     }
 
+    /// A listed server as the policy is told of it, in the state that it has now.
+    fn changed_endpoint<'a>(&self, changed: &'a ChangedServer) -> Option<Endpoint<'a>> {
+        let server = self.state.servers.get(changed.index)?;
+        let listed = server.listed.as_ref()?;
+        Some(listed.endpoint(changed.index, &changed.id, server.state))
+    }
+
     /// Why a server can't be drained by an override here, if it can't.
     pub fn check_drainable(&self, id: &str) -> Result<(), DrainRejected> {
-        let Some(index) = self.endpoints.position(ServerId::named(id)) else {
+        let servers = &self.state.servers;
+        let Some(index) = position(servers, ServerId::named(id)) else {
             return Err(DrainRejected::UnknownServer);
         };
-        let servers = &self.state.servers;
         if servers[index].is_origin {
             return Err(DrainRejected::Origin);
         }
@@ -125,7 +137,7 @@
 
     /// The id of a server that an override names, where this node's list has it.
     pub fn server_id(&self, name: ServerId) -> Option<&str> {
-        let index = self.endpoints.position(name)?;
-        Some(self.endpoints.name(index))
+        let servers = &self.state.servers;
+        Some(servers.id(position(servers, name)?))
     }
 }
--- a/crates/node/src/reducer/endpoint_list.rs
+++ b/crates/node/src/reducer/endpoint_list.rs
@@ -5,7 +5,7 @@
 
 use quartzhub_membership::ServerId;
 use quartzhub_policy::{Endpoint, EndpointState, ServerIndex, Time};
-use quartzhub_settings::{index_of, EndpointEntry, NameTable, ServerInterner, Settings};
+use quartzhub_settings::{index_of, EndpointEntry, NameTable, Settings};
 use rustc_hash::FxHashMap;
 
 use super::listed_endpoint::ListedEndpoint;
@@ -29,10 +29,23 @@
     pub(super) restarted: bool,
 }
 
-/// The endpoint list by server.
-pub(super) struct EndpointList {
-    interner: ServerInterner,
-    listed: Vec<Option<ListedEndpoint>>,
+/// A server whose state changes although no entry of the list says so.
+pub(super) struct ChangedServer {
+    pub(super) index: ServerIndex,
+    pub(super) id: String,
+}
+
+impl ChangedServer {
+    fn new(index: ServerIndex, servers: &Servers) -> ChangedServer {
+        ChangedServer {
+            index,
+            id: servers.id(index).to_owned(),
+        }
+    }
+}
+
+/// What decides on a server's state, apart from its entry in the list.
+pub(super) struct EndpointListRules {
     /// Servers that operators have ordered drained.
     drained: HashSet<ServerId>,
     /// Index of the origin's machine kind.
@@ -59,11 +72,22 @@
     }
 }
 
-impl EndpointList {
-    pub(super) fn new(settings: &Settings, names: &NameTable) -> EndpointList {
-        EndpointList {
-            interner: ServerInterner::default(),
-            listed: Vec::new(),
+/// When the server of an entry started. Guards against a server that seems to start again when the wall clock is
+/// stepped: the time is converted once.
+fn start_time(
+    server: &Server,
+    entry: &EndpointListEntry,
+    from_unix: &impl Fn(Option<f64>) -> Option<Time>,
+) -> Option<Time> {
+    match &server.listed {
+        Some(listed) if listed.started_unix_ms == entry.started_ms => listed.started,
+        _ => from_unix(entry.started_ms),
+    }
+}
+
+impl EndpointListRules {
+    pub(super) fn new(settings: &Settings, names: &NameTable) -> EndpointListRules {
+        EndpointListRules {
             drained: HashSet::new(),
             origin_kind: origin_kind(settings, names),
             dropped_endpoints_stay_usable: settings.flag(DROPPED_ENDPOINTS_STAY_USABLE),
@@ -75,52 +99,30 @@
         self.dropped_endpoints_stay_usable = settings.flag(DROPPED_ENDPOINTS_STAY_USABLE);
     }
 
-    /// Number of servers known.
-    pub(super) fn len(&self) -> usize {
-        self.interner.len()
-    }
-
-    /// Whether this server is known.
-    pub(super) fn contains(&self, id: &str) -> bool {
-        self.interner.contains(id)
-    }
-
-    /// Forgets a server that the policy has released.
-    pub(super) fn release(&mut self, server: ServerIndex) {
-        self.interner.release(server);
-        if let Some(listed) = self.listed.get_mut(server.0) {
-            *listed = None;
-        }
-    }
-
     /// A complete list is to follow: until it names them, all servers are removed.
-    pub(super) fn mark_all_removed(&mut self, servers: &mut Servers) {
+    pub(super) fn mark_all_removed(&self, servers: &mut Servers) {
         let stay_usable = self.dropped_endpoints_stay_usable;
         for (_, server) in servers.iter_mut() {
             server.state = server.state.after_removal(stay_usable);
-        }
-        for listed in self.listed.iter_mut().flatten() {
-            listed.state = listed.state.after_removal(stay_usable);
+            if let Some(listed) = &mut server.listed {
+                listed.state = listed.state.after_removal(stay_usable);
+            }
         }
     }
 
     /// Applies an entry of the list. `started` converts the Unix time of the server's start.
     pub(super) fn apply_entry<'a>(
-        &mut self,
+        &self,
         entry: &'a EndpointListEntry,
         names: &NameTable,
         servers: &mut Servers,
         started: &impl Fn(Option<f64>) -> Option<Time>,
     ) -> AppliedEntry<'a> {
-        let index = self.interner.intern(&entry.id);
+        let index = servers.intern(&entry.id);
         let id = ServerId::named(&entry.id);
-        servers.ensure(index);
-        let len = servers.len().max(self.listed.len());
-        self.listed.resize_with(len, || None);
-
-        let listed_state = self.listed_state(index, entry);
-        let started = self.start_time(index, entry, started);
         let server = &mut servers[index];
+        let listed_state = self.listed_state(server, entry);
+        let started = start_time(server, entry, started);
         let restarted = server.update_process(entry.addr, started);
         // Guards against speaking to an origin as to a cache while the settings are those of the deployment to
         // come and the list is still the old one: a kind without a name changes nothing.
@@ -132,7 +134,7 @@
 
         let endpoint = self.policy_endpoint(index, entry, server, names);
         let listed = ListedEndpoint::new(id, listed_state, &endpoint, entry.started_ms);
-        self.listed[index.0] = Some(listed);
+        server.listed = Some(listed);
         AppliedEntry {
             endpoint,
             restarted,
@@ -169,23 +171,10 @@
         endpoint
     }
 
-    /// When the server of an entry started. Guards against a server that seems to start again when the wall clock is
-    /// stepped: the time is converted once.
-    fn start_time(
-        &self,
-        index: ServerIndex,
-        entry: &EndpointListEntry,
-        from_unix: &impl Fn(Option<f64>) -> Option<Time>,
-    ) -> Option<Time> {
-        match &self.listed[index.0] {
-            Some(listed) if listed.started_unix_ms == entry.started_ms => listed.started,
-            _ => from_unix(entry.started_ms),
-        }
-    }
-
     /// The state that an entry gives its server, by the state that the list gave it before.
-    fn listed_state(&self, index: ServerIndex, entry: &EndpointListEntry) -> EndpointState {
-        let before = self.listed[index.0]
+    fn listed_state(&self, server: &Server, entry: &EndpointListEntry) -> EndpointState {
+        let before = server
+            .listed
             .as_ref()
             .map_or(EndpointState::Gone, |listed| listed.state);
         match entry.state.as_deref() {
@@ -195,86 +184,70 @@
         }
     }
 
-    /// Removes servers whose address one of `endpoints` has now, although the list does not say that they have gone.
-    /// Guards against writing to the new server what was meant for the one before.
-    pub(super) fn remove_superseded(
-        &mut self,
-        endpoints: &[Endpoint],
-        servers: &mut Servers,
-    ) -> Vec<ServerIndex> {
-        let ready_by_addr: FxHashMap<SocketAddr, ServerIndex> = endpoints
-            .iter()
-            .filter(|endpoint| endpoint.state == EndpointState::Ready)
-            .filter_map(|endpoint| Some((servers[endpoint.server].addr?, endpoint.server)))
-            .collect();
-        let is_named =
-            |index: ServerIndex| endpoints.iter().any(|endpoint| endpoint.server == index);
-        let mut superseded = Vec::new();
-        for (index, server) in servers.iter_mut() {
-            if server.state == EndpointState::Gone || server.is_origin {
-                continue;
-            }
-            let successor = server.addr.and_then(|addr| ready_by_addr.get(&addr));
-            if successor.is_none_or(|successor| *successor == index) || is_named(index) {
-                continue;
-            }
-            server.state = EndpointState::Gone;
-            if let Some(listed) = self.listed.get_mut(index.0).and_then(Option::as_mut) {
-                listed.state = EndpointState::Gone;
-            }
-            superseded.push(index);
-        }
-        superseded
-    }
-
-    /// A superseded server as the policy is told of it.
-    pub(super) fn superseded_endpoint(
-        &self,
-        server: ServerIndex,
-        state: EndpointState,
-        names: &NameTable,
-    ) -> Endpoint<'_> {
-        let entry = EndpointEntry {
-            name: self.interner.id(server),
-            state,
-            ..EndpointEntry::default()
-        };
-        names.endpoint(server, entry)
-    }
-
     /// Applies these drain overrides, and no others. Returns the servers whose state changes by it.
     pub(super) fn override_drained(
         &mut self,
         drained: HashSet<ServerId>,
         servers: &mut Servers,
-    ) -> Vec<Endpoint<'_>> {
+    ) -> Vec<ChangedServer> {
         self.drained = drained;
         let mut changed = Vec::new();
-        for (number, listed) in self.listed.iter().enumerate() {
-            let index = ServerIndex(number);
-            let (Some(listed), Some(server)) = (listed, servers.get_mut(index)) else {
+        for (index, server) in servers.iter_mut() {
+            let Some(listed) = &server.listed else {
                 continue;
             };
             let is_drained = self.drained.contains(&listed.id);
             let state = overridden(listed.state, server.is_origin, is_drained);
             if state != server.state {
                 server.state = state;
-                changed.push(listed.endpoint(index, self.interner.id(index), state));
+                changed.push(index);
             }
         }
         changed
+            .into_iter()
+            .map(|index| ChangedServer::new(index, servers))
+            .collect()
     }
+}
 
-    /// The index of a listed server.
-    pub(super) fn position(&self, id: ServerId) -> Option<ServerIndex> {
-        self.listed
-            .iter()
-            .position(|listed| listed.as_ref().is_some_and(|listed| listed.id == id))
-            .map(ServerIndex)
+/// Removes servers whose address one of `endpoints` has now, although the list does not say that they have gone.
+/// Guards against writing to the new server what was meant for the one before.
+pub(super) fn remove_superseded(
+    endpoints: &[Endpoint],
+    servers: &mut Servers,
+) -> Vec<ChangedServer> {
+    let ready_by_addr: FxHashMap<SocketAddr, ServerIndex> = endpoints
+        .iter()
+        .filter(|endpoint| endpoint.state == EndpointState::Ready)
+        .filter_map(|endpoint| Some((servers[endpoint.server].addr?, endpoint.server)))
+        .collect();
+    let is_named = |index: ServerIndex| endpoints.iter().any(|endpoint| endpoint.server == index);
+    let mut superseded = Vec::new();
+    for (index, server) in servers.iter_mut() {
+        if server.state == EndpointState::Gone || server.is_origin {
+            continue;
+        }
+        let successor = server.addr.and_then(|addr| ready_by_addr.get(&addr));
+        if successor.is_none_or(|successor| *successor == index) || is_named(index) {
+            continue;
+        }
+        server.state = EndpointState::Gone;
+        if let Some(listed) = &mut server.listed {
+            listed.state = EndpointState::Gone;
+        }
+        superseded.push(index);
     }
+    superseded
+        .into_iter()
+        .map(|index| ChangedServer::new(index, servers))
+        .collect()
+}
 
-    /// The name of a server.
-    pub(super) fn name(&self, server: ServerIndex) -> &str {
-        self.interner.id(server)
-    }
+/// The index of a listed server.
+pub(super) fn position(servers: &Servers, id: ServerId) -> Option<ServerIndex> {
+    let is_named = |server: &Server| server.listed.as_ref().is_some_and(|listed| listed.id == id);
+    servers
+        .iter()
+        .find(|(_, server)| is_named(server))
+        .map(|(index, _)| index)
 }
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -35,7 +35,7 @@
 
 use calls::Call;
 pub use endpoint_events::DrainRejected;
-use endpoint_list::EndpointList;
+use endpoint_list::EndpointListRules;
 use node_state::NodeState;
 use timers::{Timer, TimerEntry};
 
@@ -51,7 +51,7 @@
     products: Vec<Product>,
     /// Each product's response counter.
     product_counters: Vec<Option<CounterIndex>>,
-    endpoints: EndpointList,
+    endpoint_list_rules: EndpointListRules,
     replaced_limits: Option<ReplacedLimits>,
     applied_reloads: u64,
     rejected_reloads: u64,
@@ -85,7 +85,7 @@
         Reducer {
             balancer: Balancer::new(&policy_config(&config.settings), config.seed),
             state: NodeState::new(config.limits.clone(), counters),
-            endpoints: EndpointList::new(&config.settings, &names),
+            endpoint_list_rules: EndpointListRules::new(&config.settings, &names),
             names,
             products: products(&config.settings),
             product_counters,
@@ -100,7 +100,7 @@
     pub fn reconfigure(&mut self, now: Time, settings: &Settings) {
         self.advance_clock(now);
         self.names.update(settings);
-        self.endpoints.reconfigure(settings, &self.names);
+        self.endpoint_list_rules.reconfigure(settings, &self.names);
         self.product_counters =
             product_counters(&self.names, &mut self.state.counters, &self.state.limits);
         self.products = products(settings);
@@ -204,7 +204,7 @@
         self.state.now = self.state.now.max(now);
     }
 
-    /// Tells the policy of attempts that ended, until none is left, and forgets the servers that it has released.
+    /// Tells the policy of attempts that ended, until none is left.
     fn report_finished_attempts(&mut self) {
         while let Some(finished) = self.state.finished_attempts.pop_front() {
             let id = finished.attempt;
@@ -223,9 +223,6 @@
             self.balancer
                 .on_attempt_result(self.state.now, id.call, result, &mut self.state);
         }
-        for server in self.state.released_servers.drain(..) {
-            self.endpoints.release(server);
-        }
     }
 }
 
--- a/crates/node/src/reducer/node_state.rs
+++ b/crates/node/src/reducer/node_state.rs
@@ -1,7 +1,7 @@
 //! The state of the node that the policy acts on.
 use std::collections::VecDeque;
 
-use quartzhub_policy::{CallIndex, Outcome, ServerIndex, Span, Time};
+use quartzhub_policy::{CallIndex, Outcome, Span, Time};
 
 use super::calls::{AttemptId, Calls, FinishedAttempt};
 use super::clients::Clients;
@@ -31,8 +31,6 @@
     pub(super) timers: Timers,
     pub(super) finished_attempts: VecDeque<FinishedAttempt>,
     pub(super) effects: VecDeque<Effect>,
-    /// Servers that the policy has released and whose ids are still known.
-    pub(super) released_servers: Vec<ServerIndex>,
     pub(super) service: ServiceState,
     pub(super) counters: ProductCounters,
     /// Attempts whose last byte is written, to a cache or to the origin.
@@ -57,7 +55,6 @@
             timers: Timers::default(),
             finished_attempts: VecDeque::new(),
             effects: VecDeque::new(),
-            released_servers: Vec::new(),
             service: ServiceState::default(),
             counters,
             written_attempts: 0,
--- a/crates/node/src/reducer/policy_actions.rs
+++ b/crates/node/src/reducer/policy_actions.rs
@@ -80,7 +80,6 @@
         self.servers.release(server);
         self.clients.shrink();
         self.upstreams.shrink();
-        self.released_servers.push(server);
     }
 
     fn set_timer(&mut self, after: Span) {
@@ -90,7 +89,7 @@
     }
 
     fn close_idle_connections(&mut self, server: ServerIndex) {
-        if self.servers.contains(server) {
+        if self.servers.get(server).is_some() {
             self.close_idle_upstreams(server);
         }
     }
--- a/crates/node/tests/reducer/common.rs
+++ b/crates/node/tests/reducer/common.rs
@@ -133,7 +133,7 @@
         self.update_list_by_entries(false, servers.iter().map(entry).collect());
     }
 
-    fn update_list_by_entries(&mut self, full: bool, entries: Vec<String>) {
+    pub fn update_list_by_entries(&mut self, full: bool, entries: Vec<String>) {
         let text = format!(
             r#"{{"version":1,"full":{full},"servers":[{}]}}"#,
             entries.join(",")
--- a/crates/node/tests/reducer/main.rs
+++ b/crates/node/tests/reducer/main.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod common;
 mod endpoint_list;
+mod endpoint_list_properties;
 mod random;
 mod rejections;
 mod remaining;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,7 +5,7 @@
 mod endpoint_entry;
 mod name_table;
 mod policy_config;
-mod server_interner;
+mod server_table;
 mod settings;
 mod slab;
 #[cfg(test)]
@@ -15,5 +15,5 @@
 pub use endpoint_entry::EndpointEntry;
 pub use name_table::{index_of, NameTable};
 pub use policy_config::{policy_config, products};
-pub use server_interner::ServerInterner;
+pub use server_table::{ServerInterner, ServerTable};
 pub use settings::{Settings, Value};
--- a/crates/settings/src/slab.rs
+++ b/crates/settings/src/slab.rs
@@ -61,6 +61,22 @@
         self.records.get_mut(index)?.as_mut()
     }
 
+    /// All records, in the order of their indices.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (usize, &T)> {
+        self.records
+            .iter()
+            .enumerate()
+            .filter_map(|(index, record)| Some((index, record.as_ref()?)))
+    }
+
+    /// All records, in the order of their indices, to be changed.
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (usize, &mut T)> {
+        self.records
+            .iter_mut()
+            .enumerate()
+            .filter_map(|(index, record)| Some((index, record.as_mut()?)))
+    }
+
     /// Number of records.
     pub(crate) fn len(&self) -> usize {
         self.records.len() - self.free.len()
