Say that a server's index is unused by a type, not by the position zero

Callers would have seen: a node that panics ("index out of bounds: the len is 2 but the index is 2", policy/src/timer.rs) within 20 ms of a list that names a server whose id hashes to zero, and again at each start.

Cause: Server::is_known took a position of 0 for an index that is not used, so the timer cut such a server off the table while the lists of caches still had it. The same mistake as in the reducer's table: use was read off a value that a used record can have.

Evidence: the new test names such an id (77kepQFQ8Kl) and failed before with this panic under Balancer::drop_unready.

Why this works: the position is optional, and only an unused index has none.

--- a/crates/node/tests/reducer/endpoint_list.rs
+++ b/crates/node/tests/reducer/endpoint_list.rs
@@ -212,3 +212,19 @@
         harness.trace
     );
 }
+
+// Guards against a server of which the policy takes a hash of zero for an index that is not used.
+#[test]
+fn a_server_whose_id_has_the_hash_zero_is_used_and_outlives_the_timer() {
+    let id = "77kepQFQ8Kl";
+    assert_eq!(quartzhub_policy::hash(id), 0);
+    let mut harness = Harness::builder().start();
+    let client = harness.client();
+    harness.update_list(true, &[("o", 9, "in_service"), (id, 3, "in_service")]);
+    harness.advance(100);
+    harness.trace.clear();
+    harness.call(client, "view", "c1", 400);
+    harness.advance(1_000);
+    assert!(harness.trace.contains("to 3"), "{}", harness.trace);
+    assert_eq!(harness.trace.matches("answer").count(), 1);
+}
--- a/crates/policy/src/cache_selector.rs
+++ b/crates/policy/src/cache_selector.rs
@@ -52,7 +52,7 @@
         let mut ranked = self.caches.clone();
         ranked.sort_by_key(|cache| {
             let server = &servers[cache.0];
-            (server.zone, server.initial_position.to_bits())
+            (server.zone, server.initial_position.map(f64::to_bits))
         });
         let caches = ranked.len();
         let golden_step = |rank: usize| (rank as f64 * GOLDEN_SECTION).fract();
--- a/crates/policy/src/endpoint_list.rs
+++ b/crates/policy/src/endpoint_list.rs
@@ -134,8 +134,9 @@
         }
         // One that comes back keeps its moving average; only one never seen gets a new one.
         if !server.is_known() {
-            server.initial_position = unit_position(hash(endpoint.name));
-            server.moving_average = server.initial_position;
+            let position = unit_position(hash(endpoint.name));
+            server.initial_position = Some(position);
+            server.moving_average = position;
         }
         if restarted {
             // Drawn, so that of hundreds of nodes some use it at once.
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -16,8 +16,8 @@
     pub(crate) started: Option<Time>,
     /// The latest that it can have started, as clocks differ.
     pub(crate) slow_start_from: Option<Time>,
-    /// Between 0 and 1, by the hash of its id; 0 where the index is not used.
-    pub(crate) initial_position: f64,
+    /// Between 0 and 1, by the hash of its id; none where the index is not used.
+    pub(crate) initial_position: Option<f64>,
     /// Exponential moving average of the positions of the keys sent to it.
     pub(crate) moving_average: f64,
     pub(crate) in_flight: u32,
@@ -56,7 +56,7 @@
 
     /// Whether its index is used.
     pub(crate) fn is_known(&self) -> bool {
-        self.initial_position != 0.0
+        self.initial_position.is_some()
     }
 
     /// Whether a connection to it may be open and idle.
