Look at a client's socket in the same step as the end of its connection

Callers saw: at a shutdown with a stall of 100 to 150 ms, connections closed over a command that had lain unread for as long.

Cause: (1) the wait for a pause of 100 ms was believed to have ended before the socket was looked at: a stopped and continued process has epoll_wait end with EINTR and no events, and the runtime runs its timers next; (2) from shutdown_disconnect on a connection was read once more and then closed whatever the look at it showed.

Evidence: a trace of system calls on the code before: epoll_wait = EINTR, SIGSTOP, SIGCONT 120 ms later, shutdown(10, SHUT_WR), then recvfrom returns the command that is thrown away. The new test (a command sent to an idle connection while the process is stopped for 105 and 145 ms) failed each time before: "client 0 at a stall of 105ms: closed".

Why this works: between the peek that finds nothing and the end of sending nothing is awaited. What lies there is read and answered. It ends, as the responses of a client that is to be closed in any pause are held and go out together with the end (MSG_MORE, shutdown), so that a client that answers each response with a command has nothing to answer.

--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -8,7 +8,7 @@
 use super::commands::{respond_protocol_error, take_command, ProtocolError, TakeResult};
 use super::memory_budget::BufferReservation;
 use super::reading::LargeCommand;
-use super::Client;
+use super::{Client, WriteMode};
 use crate::buffer::{is_open_and_idle, Buffer};
 use crate::effects::EffectExecutor;
 use crate::messages::ClientId;
@@ -23,19 +23,26 @@
 }
 
 /// What a client has still to get.
-struct Outstanding {
+pub(super) struct Outstanding {
     /// Calls without a response.
     calls: usize,
     /// Items that the socket has not taken to their end.
     unwritten: usize,
     /// The socket could take some of them now.
     writable: bool,
+    /// The items wait to be written together with the end of the connection.
+    held: bool,
 }
 
 impl Outstanding {
     fn is_empty(&self) -> bool {
         self.calls == 0 && self.unwritten == 0
     }
+
+    /// Whether nothing is left, or what can be written together with the end of the connection.
+    fn allows_close(&self) -> bool {
+        self.calls == 0 && (self.unwritten == 0 || self.held)
+    }
 }
 
 /// The receiving half of a client's connection.
@@ -53,8 +60,10 @@
     pub(super) last_active: Time,
     /// When the incomplete command at hand began.
     pub(super) partial_since: Option<Time>,
-    /// What had come when the process was about to end has been taken.
-    pub(super) final_read_done: bool,
+    /// Reads since the client is closed whatever may still come.
+    pub(super) final_reads: usize,
+    /// Until when responses are held for the end of the connection, although calls are open.
+    pub(super) held_until: Option<Time>,
 }
 
 impl<'a> Connection<'a> {
@@ -74,7 +83,8 @@
             reading: true,
             last_active: executor.clock.now(),
             partial_since: None,
-            final_read_done: false,
+            final_reads: 0,
+            held_until: None,
         }
     }
 
@@ -94,7 +104,7 @@
             }
             let close_after_quiet = self.client.close_after_quiet.get();
             // Guards against closing on a command that has come already, read or not: it is answered first.
-            let flow = match close_after_quiet.filter(|_| outstanding.is_empty()) {
+            let flow = match close_after_quiet.filter(|_| outstanding.allows_close()) {
                 Some(quiet) => self.close_if_quiet(quiet).await,
                 None => self.handle_event(&outstanding).await,
             };
@@ -144,14 +154,21 @@
         self.reservation.set(self.buffer.capacity().max(promised));
     }
 
-    fn outstanding(&self) -> Outstanding {
+    pub(super) fn outstanding(&self) -> Outstanding {
         Outstanding {
             calls: self.pending_responses(),
             unwritten: self.client.unwritten(),
-            writable: self.client.has_writable_bytes(),
+            writable: self.client.has_writable_bytes() && !self.holds_responses(),
+            held: self.client.holds_responses() && !self.client.has_streamed_item(),
         }
     }
 
+    /// Whether responses are held although calls are open.
+    fn holds_responses(&self) -> bool {
+        let now = self.executor.clock.now();
+        self.held_until.is_some_and(|until| now < until)
+    }
+
     /// When the incomplete command at hand began: now, if that is not known yet.
     pub(super) fn partial_since(&mut self, now: Time) -> Time {
         *self.partial_since.get_or_insert(now)
@@ -164,6 +181,9 @@
         if outstanding.writable {
             return self.last_active + limits.response_write_timeout;
         }
+        if let Some(until) = self.held_until.filter(|_| self.holds_responses()) {
+            return until;
+        }
         if !outstanding.is_empty() {
             // A client that waits for a response is not idle.
             return executor.clock.now() + limits.longest_client_timeout;
@@ -187,7 +207,7 @@
     }
 
     /// Waits until there is something to read or to write, the client leaves, or the deadline passes.
-    async fn handle_event(&mut self, outstanding: &Outstanding) -> ControlFlow<()> {
+    pub(super) async fn handle_event(&mut self, outstanding: &Outstanding) -> ControlFlow<()> {
         let executor = self.executor;
         let client = self.client;
         let limits = &executor.limits;
@@ -222,11 +242,31 @@
 
     /// Writes what the socket takes, and reports it.
     fn flush(&mut self) -> ControlFlow<()> {
-        let written_size = self.client.flush();
+        if !self.holds_responses() {
+            self.write_responses(WriteMode::AtOnce);
+        }
+        Continue(())
+    }
+
+    /// Writes responses that wait for the end of the connection, as that may take a while.
+    pub(super) fn write_held_responses(&mut self) {
+        if self.client.unwritten() > 0 {
+            self.write_responses(WriteMode::AtOnce);
+        }
+    }
+
+    /// Writes the last responses, so that the client gets them together with the end of the connection.
+    pub(super) fn write_last_responses(&mut self) {
+        if self.client.unwritten() > 0 {
+            self.write_responses(WriteMode::WithEnd);
+        }
+    }
+
+    fn write_responses(&mut self, mode: WriteMode) {
+        let written_size = self.client.flush(mode);
         self.last_active = self.executor.clock.now();
         self.executor
             .report(|reducer, _| reducer.on_delivered(self.id, written_size));
-        Continue(())
     }
 
     async fn on_deadline(&mut self, outstanding: &Outstanding) -> ControlFlow<()> {
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -2,6 +2,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
+use std::net::Shutdown;
 use std::rc::Rc;
 
 use quartzhub_policy::{Span, Time};
@@ -45,6 +46,15 @@
     AwaitsUpstream,
 }
 
+/// Whether more follows what is written.
+#[derive(Clone, Copy, PartialEq)]
+enum WriteMode {
+    AtOnce,
+    /// The system is to send it together with the end of the connection, which follows. Guards against a stall between
+    /// the two, in which the client would send its next command.
+    WithEnd,
+}
+
 /// The sending half of a client's connection, and how the connection is to end.
 pub struct Client {
     stream: TcpStream,
@@ -104,12 +114,32 @@
         self.outgoing.borrow().len()
     }
 
+    /// Whether a value that comes by an upstream is among what the socket has not taken.
+    fn has_streamed_item(&self) -> bool {
+        let is_streamed = |item: &Outgoing| matches!(item, Outgoing::Streamed(_));
+        self.outgoing.borrow().iter().any(is_streamed)
+    }
+
+    /// Whether responses wait for the end of the connection, which comes as soon as none is owed. Guards against a client
+    /// whose next command always comes in time, as it answers each response with one.
+    fn holds_responses(&self) -> bool {
+        self.close_after_quiet.get() == Some(Span::ZERO)
+    }
+
+    /// Ends the sending: the client sees the end behind its last response.
+    fn end_sending(&self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        if socket.shutdown(Shutdown::Write).is_err() {
+            self.aborted.set(true);
+        }
+    }
+
     /// Writes what the socket takes; gives the counted size of responses that are now written to their end.
-    fn flush(&self) -> usize {
+    fn flush(&self, mode: WriteMode) -> usize {
         let mut outgoing = self.outgoing.borrow_mut();
         let mut written_size = 0;
         while let Some(first) = outgoing.front() {
-            match self.write_item(first) {
+            match self.write_item(first, mode) {
                 Ok(WriteProgress::Complete) => {
                     if let Outgoing::Bytes { counted_size, .. } = first {
                         written_size += counted_size;
@@ -129,7 +159,7 @@
         written_size
     }
 
-    fn write_item(&self, first: &Outgoing) -> io::Result<WriteProgress> {
+    fn write_item(&self, first: &Outgoing, mode: WriteMode) -> io::Result<WriteProgress> {
         let bytes = match first {
             Outgoing::Bytes { bytes, .. } => bytes,
             Outgoing::Streamed(upstream) => {
@@ -143,7 +173,7 @@
             }
         };
         let unwritten = &bytes[self.first_written.get()..];
-        let count = retry_interrupted(|| self.stream.try_write(unwritten))?;
+        let count = retry_interrupted(|| self.write_bytes(unwritten, mode))?;
         if count == 0 {
             return Err(io::ErrorKind::WriteZero.into());
         }
@@ -154,6 +184,15 @@
             WriteProgress::Partial
         })
     }
+
+    fn write_bytes(&self, bytes: &[u8], mode: WriteMode) -> io::Result<usize> {
+        match mode {
+            WriteMode::AtOnce => self.stream.try_write(bytes),
+            WriteMode::WithEnd => self.stream.try_io(Interest::WRITABLE, || {
+                socket2::SockRef::from(&self.stream).send_with_flags(bytes, libc::MSG_MORE)
+            }),
+        }
+    }
 }
 
 impl Downstream for Client {
@@ -190,14 +229,19 @@
         drop(outgoing);
         // The task may have to write the rest, read on, or close.
         self.wake.notify_one();
-        if queued {
+        if queued || self.holds_responses() {
             0
         } else {
-            self.flush()
+            self.flush(WriteMode::AtOnce)
         }
     }
 
     fn close_after_quiet(&self, quiet: Span) {
+        let quiet = if self.draining.get() {
+            Span::ZERO
+        } else {
+            quiet
+        };
         self.close_after_quiet.set(Some(quiet));
         self.wake.notify_one();
     }
--- a/crates/node/src/reducer/call_events.rs
+++ b/crates/node/src/reducer/call_events.rs
@@ -30,7 +30,7 @@
         };
         // Guards against running out of memory: what is over the limits is rejected before it is taken.
         let value_bytes = request.value.as_ref().map_or(0, Bytes::len);
-        if self.is_overloaded_by(value_bytes) {
+        if self.rejects_calls_of(client) || self.is_overloaded_by(value_bytes) {
             let response = Response::RateLimited(None);
             self.state.counters.count(counter, &response);
             return self.state.respond(client, slot, response);
@@ -72,6 +72,13 @@
         None
     }
 
+    fn rejects_calls_of(&self, client: ClientId) -> bool {
+        self.state
+            .clients
+            .get(client)
+            .is_some_and(|client| client.rejects_calls)
+    }
+
     fn is_overloaded_by(&self, value_bytes: usize) -> bool {
         let limits = &self.state.limits;
         self.state.calls.len() >= limits.open_calls
--- a/crates/node/src/reducer/client_events.rs
+++ b/crates/node/src/reducer/client_events.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// From now on each API call of this client is rejected, as its connection is about to end.
+    pub fn reject_calls_of(&mut self, id: ClientId) {
+        if let Some(client) = self.state.clients.get_mut(id) {
+            client.rejects_calls = true;
+        }
+    }
+
     /// Responses of so many bytes were written to a client.
     pub fn on_delivered(&mut self, id: ClientId, bytes: usize) {
         if let Some(client) = self.state.clients.get_mut(id) {
--- a/crates/node/src/reducer/clients.rs
+++ b/crates/node/src/reducer/clients.rs
@@ -24,6 +24,8 @@
     /// Bytes of responses not yet written.
     pub(super) buffered_bytes: usize,
     pub(super) closing: bool,
+    /// Its further API calls are rejected.
+    pub(super) rejects_calls: bool,
     pub(super) last_active: Time,
     /// It has made an API call.
     pub(super) has_made_calls: bool,
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -14,6 +14,7 @@
 mod shutdown;
 mod socket_activation;
 mod stall;
+mod stalled_closes;
 mod stray_responses;
 mod stub_servers;
 mod syscalls;
