End the process only once each client has been ended after a last look

Callers saw: a process that is stalled as its time is up loses the request of every client that it has.

Cause: the poll that found the time up asked the clients to close and ended the process without a turn for their tasks, so what was known to lie unread was cut off with the runtime; the listen queue was closed unseen in the same way, also where the process ended early as nothing had come for a while, be it that it had just been stalled.

Evidence: a trace of system calls on the code before, without a stall: recvfrom with MSG_PEEK returns the first byte of a command, then come the log line and the close of that connection, half a millisecond later.

The log tells how many were cut off all the same.

--- a/crates/node/src/clients/accept.rs
+++ b/crates/node/src/clients/accept.rs
@@ -6,6 +6,8 @@
 
 use quartzhub_policy::Time;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
 use super::connection::serve;
 use super::Client;
@@ -13,45 +15,65 @@
 use crate::effects::EffectExecutor;
 use crate::limits::Limits;
 use crate::messages::AcceptCapacity;
-use crate::system::{bind_with_retry, is_aborted_connection};
+use crate::system::{bind_with_retry, is_aborted_connection, is_readable};
 
 /// Accepts that may fail in a row, each for its one connection, before a pause is made all the same.
 const MAX_CONSECUTIVE_ABORTED_ACCEPTS: usize = 1024;
+/// Tries to accept who waits as accepting ends.
+const MAX_FINAL_ACCEPTS: usize = 1024;
 
 /// Listens on an address, once it is free.
 pub async fn listen(on: SocketAddr, clock: Clock, limits: &Limits) -> io::Result<TcpListener> {
     bind_with_retry(on, clock, limits, || TcpListener::bind(on)).await
 }
 
-/// Accepts connections while there is capacity for them; `last_accepted`: when the last was.
-pub async fn accept(
-    executor: Rc<EffectExecutor>,
-    listener: TcpListener,
+/// The task that accepts clients.
+pub struct Acceptor {
+    task: JoinHandle<()>,
     last_accepted: Rc<Cell<Time>>,
-) {
-    let mut acceptor = Acceptor {
-        executor,
-        listener,
-        last_accepted,
-        paused_since: None,
-        attempts: 0,
-        consecutive_aborted: 0,
-    };
-    loop {
-        // Guards against spinning on an accept that can't succeed: with all descriptors in use, an idle
-        // connection is closed, and the next client is accepted when there is one.
-        let capacity = acceptor
-            .executor
-            .report(|reducer, now| reducer.free_capacity(now));
-        match capacity {
-            AcceptCapacity::Free => acceptor.accept_next().await,
-            AcceptCapacity::Soon => tokio::task::yield_now().await,
-            AcceptCapacity::None => acceptor.wait_for_descriptor().await,
+    stop_requested: Rc<Notify>,
+}
+
+impl Acceptor {
+    /// Accepts connections from now on, while there is capacity for them.
+    pub fn start(executor: Rc<EffectExecutor>, listener: TcpListener) -> Acceptor {
+        let last_accepted = Rc::new(Cell::new(executor.clock.now()));
+        let stop_requested = Rc::new(Notify::new());
+        let accepting = Accepting {
+            executor,
+            listener,
+            last_accepted: last_accepted.clone(),
+            paused_since: None,
+            attempts: 0,
+            consecutive_aborted: 0,
+        };
+        Acceptor {
+            task: tokio::task::spawn_local(accepting.run(stop_requested.clone())),
+            last_accepted,
+            stop_requested,
         }
     }
+
+    /// When the last connection was accepted, or accepting began.
+    pub fn last_accepted(&self) -> Time {
+        self.last_accepted.get()
+    }
+
+    /// Accepts what lies in the listen queue and closes the socket.
+    pub async fn stop(self) {
+        self.stop_requested.notify_one();
+        let _ = self.task.await;
+    }
+
+    /// Closes the socket and leaves the listen queue to the process that it is shared with.
+    pub async fn abort(self) {
+        self.task.abort();
+        // The task owns the socket: once it has ended, no connection can come that nobody reads.
+        let _ = self.task.await;
+    }
 }
 
-struct Acceptor {
+struct Accepting {
     executor: Rc<EffectExecutor>,
     listener: TcpListener,
     last_accepted: Rc<Cell<Time>>,
@@ -62,7 +84,51 @@
     consecutive_aborted: usize,
 }
 
-impl Acceptor {
+impl Accepting {
+    async fn run(mut self, stop_requested: Rc<Notify>) {
+        tokio::select! {
+            () = self.accept_all() => {}
+            () = stop_requested.notified() => {}
+        }
+        self.empty_listen_queue().await;
+    }
+
+    async fn accept_all(&mut self) {
+        loop {
+            // Guards against spinning on an accept that can't succeed: with all descriptors in use, an idle
+            // connection is closed, and the next client is accepted when there is one.
+            match self.free_capacity() {
+                AcceptCapacity::Free => self.accept_next().await,
+                AcceptCapacity::Soon => tokio::task::yield_now().await,
+                AcceptCapacity::None => self.wait_for_descriptor().await,
+            }
+        }
+    }
+
+    /// Accepts who waits already, as the socket itself has it: the runtime may not have looked since a stall.
+    async fn empty_listen_queue(&mut self) {
+        for _ in 0..MAX_FINAL_ACCEPTS {
+            if !is_readable(&self.listener) || self.free_capacity() != AcceptCapacity::Free {
+                return;
+            }
+            // The runtime looks at its sockets.
+            tokio::task::yield_now().await;
+            tokio::select! {
+                biased;
+                accepted = self.listener.accept() => match accepted {
+                    Ok((stream, _)) => self.serve(stream),
+                    Err(error) => tracing::info!(%error, "accept failed at the end: {error}"),
+                },
+                () = std::future::ready(()) => {}
+            }
+        }
+    }
+
+    fn free_capacity(&self) -> AcceptCapacity {
+        self.executor
+            .report(|reducer, now| reducer.free_capacity(now))
+    }
+
     async fn wait_for_descriptor(&mut self) {
         tracing::info!("all descriptors are in use: accepting is paused");
         self.pause();
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -25,7 +25,7 @@
 mod reading;
 mod response;
 
-pub use accept::{accept, listen};
+pub use accept::{listen, Acceptor};
 
 /// What a client is still to be sent.
 enum Outgoing {
@@ -67,6 +67,8 @@
     /// The process is about to end: commands that have come by now are taken, and no more.
     draining: Cell<bool>,
     aborted: Cell<bool>,
+    /// Nothing more is sent to the client.
+    sending_ended: Cell<bool>,
     /// Since when it may have waited in the listen queue, where the node accepted nobody for a time.
     accept_paused_since: Option<Time>,
     wake: Notify,
@@ -81,6 +83,7 @@
             close_after_quiet: Cell::new(None),
             draining: Cell::new(false),
             aborted: Cell::new(false),
+            sending_ended: Cell::new(false),
             accept_paused_since,
             wake: Notify::new(),
         }
@@ -132,6 +135,7 @@
         if socket.shutdown(Shutdown::Write).is_err() {
             self.aborted.set(true);
         }
+        self.sending_ended.set(true);
     }
 
     /// Writes what the socket takes; gives the counted size of responses that are now written to their end.
@@ -251,6 +255,10 @@
         self.close_after_quiet(Span::ZERO);
     }
 
+    fn has_ended(&self) -> bool {
+        self.sending_ended.get()
+    }
+
     fn abort(&self) {
         self.aborted.set(true);
         self.wake.notify_one();
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -25,6 +25,9 @@
     /// Closes the connection once its responses are written, whatever may still come.
     fn drain(&self);
 
+    /// Whether the connection has been ended, so that no command on it is owed an answer any more.
+    fn has_ended(&self) -> bool;
+
     /// Closes the connection now, so that the client can tell that a response is not complete.
     fn abort(&self);
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,7 +30,6 @@
 pub mod system;
 pub mod upstreams;
 
-use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -41,6 +40,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 
+use clients::Acceptor;
 use clock::{duration, Clock};
 pub use config::{Config, Environment};
 use effects::EffectExecutor;
@@ -92,12 +92,7 @@
         return Ok(());
     };
     let listen = listener.local_addr()?;
-    let last_accept = Rc::new(Cell::new(clock.now()));
-    let accept = spawn_local(clients::accept(
-        executor.clone(),
-        listener,
-        last_accept.clone(),
-    ));
+    let acceptor = Acceptor::start(executor.clone(), listener);
     announce(&config, &executor, listen);
     spawn_local(reload::run(
         executor.clone(),
@@ -111,8 +106,7 @@
             peers.leave();
         }
     };
-    let shared_accept = listener_is_shared.then_some(accept);
-    shutdown::run(executor, last_accept, stop_and_leave, shared_accept).await;
+    shutdown::run(executor, stop_and_leave, acceptor, listener_is_shared).await;
     Ok(())
 }
 
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -175,9 +175,9 @@
     pub shutdown_disconnect: Span,
     /// The end.
     pub shutdown_limit: Span,
-    /// The end where the process was stalled shortly before.
+    /// From when on a further stall does not put off the end.
     pub shutdown_final_reads: Span,
-    /// Polls after such a stall, to read what came meanwhile.
+    /// Polls at the end, or after a stall there, for clients to be read and closed.
     pub shutdown_final_polls: u32,
     /// Between two polls of whether all is answered.
     pub shutdown_poll_interval: Span,
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -1,13 +1,12 @@
 //! Graceful shutdown at SIGTERM: the node goes on serving while it may, answers all API calls that it has taken, and ends.
-use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
 
 use quartzhub_policy::{Span, Time};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::JoinHandle;
 
+use crate::clients::Acceptor;
 use crate::clock::duration;
 use crate::effects::EffectExecutor;
 use crate::limits::Limits;
@@ -36,7 +35,7 @@
     disconnect: Span,
     /// The end.
     limit: Span,
-    /// The end where the process was stalled shortly before.
+    /// From when on a further stall does not put off the end.
     final_reads: Span,
 }
 
@@ -78,28 +77,30 @@
 /// Waits for `stop`, and then until the node may end. The node goes on serving its clients for nearly as long as
 /// operators allow, as they may have no other node yet.
 ///
-/// `last_accept` is the time of the last accepted connection. `shared_accept` is the task that accepts clients where the
-/// next process accepts them from the same socket: it ends at once, and clients are closed between answers from then on,
-/// so that they connect to the next process.
+/// Where the next process accepts clients from the same socket, `listener_is_shared`, accepting ends at once, and clients
+/// are closed between answers from then on, so that they connect to the next process.
 pub async fn run(
     executor: Rc<EffectExecutor>,
-    last_accept: Rc<Cell<Time>>,
     stop: impl Future<Output = ()>,
-    shared_accept: Option<JoinHandle<()>>,
+    acceptor: Acceptor,
+    listener_is_shared: bool,
 ) {
     stop.await;
     let open = executor.query(Reducer::open_call_count);
     tracing::info!(open, "shutdown requested with {open} API calls open");
-    let mut shutdown = Shutdown::begin(executor, last_accept, shared_accept.is_some());
-    if let Some(accept) = shared_accept {
-        accept.abort();
-        // The task owns the socket: once it has ended, no connection can come that nobody reads.
-        let _ = accept.await;
+    let mut shutdown = Shutdown::begin(executor, acceptor, listener_is_shared);
+    if listener_is_shared {
+        shutdown.hand_over_listener().await;
     }
     shutdown.last_poll_at = shutdown.executor.clock.now();
     while !shutdown.poll().await {}
     let open = shutdown.executor.query(Reducer::open_call_count);
-    tracing::info!(open, "shutdown complete with {open} API calls open");
+    let clients = shutdown.open_client_count();
+    tracing::info!(
+        open,
+        clients,
+        "shutdown complete with {open} API calls open, {clients} clients cut off"
+    );
 }
 
 /// A shutdown that is under way.
@@ -108,18 +109,21 @@
     /// When the signal came.
     signalled_at: Time,
     schedule: Schedule,
-    last_accept: Rc<Cell<Time>>,
+    /// None once no client is accepted any more.
+    acceptor: Option<Acceptor>,
     /// Whether the next process accepts clients from the same socket.
     listener_is_shared: bool,
     last_poll_at: Time,
-    /// Polls still to come after one that was late.
+    /// Whether the process ends as soon as the clients at hand have.
+    ending: bool,
+    /// Polls for clients that have not ended when the time is up.
     final_polls: u32,
 }
 
 impl Shutdown {
     fn begin(
         executor: Rc<EffectExecutor>,
-        last_accept: Rc<Cell<Time>>,
+        acceptor: Acceptor,
         listener_is_shared: bool,
     ) -> Shutdown {
         // Guards against a signal that is seen late, as the process stalled: the kill counts from its coming.
@@ -127,14 +131,21 @@
         Shutdown {
             signalled_at,
             schedule: Schedule::current(&executor),
-            last_accept,
+            acceptor: Some(acceptor),
             listener_is_shared,
             last_poll_at: executor.clock.now(),
-            final_polls: 0,
+            ending: false,
+            final_polls: executor.limits.shutdown_final_polls,
             executor,
         }
     }
 
+    async fn hand_over_listener(&mut self) {
+        if let Some(acceptor) = self.acceptor.take() {
+            acceptor.abort().await;
+        }
+    }
+
     /// Waits for the next poll and does what is due by then; true once the node may end.
     async fn poll(&mut self) -> bool {
         let executor = self.executor.clone();
@@ -144,42 +155,74 @@
         executor.report(|reducer, _| reducer.set_response_deadline(respond_by));
         tokio::time::sleep(duration(limits.shutdown_poll_interval)).await;
         let now = executor.clock.now();
-        // Guards against a process that was stalled and ends unread what came meanwhile.
         let is_late = now - self.last_poll_at > limits.stall_threshold;
-        self.final_polls = if is_late {
-            limits.shutdown_final_polls
-        } else {
-            self.final_polls.saturating_sub(1)
-        };
         self.last_poll_at = now;
         let elapsed = now - self.signalled_at;
         if self.listener_is_shared || elapsed >= self.schedule.serve {
             executor.report(|reducer, now| reducer.on_shutdown(now));
         }
         // Guards against clients whose next command always comes in time: at the end of the process it would be cut off.
-        if elapsed >= self.schedule.disconnect {
-            executor
-                .clients
-                .borrow()
-                .values()
-                .for_each(|client| client.drain());
+        if self.ending || elapsed >= self.schedule.disconnect {
+            self.drain_clients();
         }
-        self.is_done(now) || self.is_over(elapsed)
+        if !self.ending {
+            self.ending = elapsed >= self.schedule.limit || self.is_done(now);
+            if self.ending {
+                self.stop_accepting().await;
+            }
+            // Who was accepted last has still to be read.
+            return false;
+        }
+        self.is_over(elapsed, is_late)
+    }
+
+    fn drain_clients(&self) {
+        let clients = self.executor.clients.borrow();
+        clients.values().for_each(|client| client.drain());
+    }
+
+    async fn stop_accepting(&mut self) {
+        if let Some(acceptor) = self.acceptor.take() {
+            acceptor.stop().await;
+        }
+    }
+
+    /// Clients whose connections have not been ended.
+    fn open_client_count(&self) -> usize {
+        let clients = self.executor.clients.borrow();
+        clients
+            .values()
+            .filter(|client| !client.has_ended())
+            .count()
     }
 
     /// Whether all is answered and no new client is expected.
     fn is_done(&self, now: Time) -> bool {
         let limits = &self.executor.limits;
-        let is_quiet = now - self.last_accept.get() >= limits.shutdown_quiet
-            && now - self.signalled_at >= limits.shutdown_accept;
-        (self.listener_is_shared || is_quiet)
+        let is_quiet = self.acceptor.as_ref().is_none_or(|acceptor| {
+            now - acceptor.last_accepted() >= limits.shutdown_quiet
+                && now - self.signalled_at >= limits.shutdown_accept
+        });
+        is_quiet
             && self.executor.query(Reducer::open_call_count) == 0
             && self.executor.clients.borrow().is_empty()
     }
 
-    /// Whether the time is up.
-    fn is_over(&self, elapsed: Span) -> bool {
-        elapsed >= self.schedule.limit && self.final_polls == 0
-            || elapsed >= self.schedule.final_reads
+    /// Whether every client has ended, or the time for that is up.
+    fn is_over(&mut self, elapsed: Span, is_late: bool) -> bool {
+        let time_is_up = elapsed >= self.schedule.limit;
+        let calls_are_answered = self.executor.query(Reducer::open_call_count) == 0;
+        if self.open_client_count() == 0 && (calls_are_answered || time_is_up) {
+            return true;
+        }
+        if !time_is_up {
+            return false;
+        }
+        // Guards against a process that was stalled and ends unread what came meanwhile.
+        if is_late && elapsed < self.schedule.final_reads {
+            self.final_polls = self.executor.limits.shutdown_final_polls;
+        }
+        self.final_polls = self.final_polls.saturating_sub(1);
+        self.final_polls == 0
     }
 }
--- a/crates/node/src/system.rs
+++ b/crates/node/src/system.rs
@@ -25,12 +25,22 @@
 
 /// Whether the other side of a connection has ended its sending, or the connection has broken, as the system has it now:
 /// also behind bytes that lie unread.
-#[allow(unsafe_code)]
 pub fn peer_has_closed(socket: &impl AsRawFd) -> bool {
     let ended = libc::POLLRDHUP | libc::POLLHUP | libc::POLLERR;
+    poll_now(socket, libc::POLLRDHUP) & ended != 0
+}
+
+/// Whether there is something to read, or to accept, as the system has it now.
+pub fn is_readable(socket: &impl AsRawFd) -> bool {
+    poll_now(socket, libc::POLLIN) & libc::POLLIN != 0
+}
+
+/// Which of these events, and which errors, the system has for a socket now; none if it can't tell.
+#[allow(unsafe_code)]
+fn poll_now(socket: &impl AsRawFd, events: libc::c_short) -> libc::c_short {
     let mut polled = libc::pollfd {
         fd: socket.as_raw_fd(),
-        events: libc::POLLRDHUP,
+        events,
         revents: 0,
     };
     let poll = || {
@@ -42,7 +52,10 @@
             Ok(ready)
         }
     };
-    retry_interrupted(poll).is_ok() && polled.revents & ended != 0
+    match retry_interrupted(poll) {
+        Ok(_) => polled.revents,
+        Err(_) => 0,
+    }
 }
 
 /// How long ago the last bytes of a connection came, whether they have been read or not; none where the system does not tell.
--- a/crates/node/tests/soak/clients.rs
+++ b/crates/node/tests/soak/clients.rs
@@ -36,6 +36,14 @@
     ]
 };
 
+/// The clients of a round that is about clients that send on without a pause.
+pub const UNPAUSING_CLIENTS: [ClientBehavior; 6] = {
+    use ClientBehavior::*;
+    [
+        Sequential, Sequential, Sequential, Sequential, Pipelining, Pipelining,
+    ]
+};
+
 /// Requests that a pipelining client keeps open.
 const PIPELINE_DEPTH: usize = 4;
 /// Keys that requests are about.
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -8,12 +8,14 @@
 mod round;
 mod rule_check;
 mod servers;
+mod stall_sweep;
 #[allow(dead_code)]
 #[path = "../sockets/stub_servers.rs"]
 mod stub_servers;
 
 use std::sync::Mutex;
 
+use plan::Plan;
 use round::RoundResult;
 
 /// Variable that names the seeds.
@@ -41,10 +43,13 @@
     }
 }
 
-/// The faults of a seed's round; none if the machine stalled it each time.
-fn judge(seed: u64) -> Option<Vec<String>> {
+/// Guards against tests that play beside each other and stall one another's processes.
+static MACHINE: Mutex<()> = Mutex::new(());
+
+/// The faults of a plan's round; none if the machine stalled it each time.
+fn judge(plan: &Plan) -> Option<Vec<String>> {
     (0..MAX_PLAYS)
-        .map(|_| round::play(seed))
+        .map(|_| round::play(plan))
         .find_map(|result| match result {
             RoundResult::Judged(faults) => Some(faults),
             RoundResult::MachineStalled => None,
@@ -53,22 +58,31 @@
 
 #[test]
 fn no_request_is_lost_or_repeated_by_a_node_that_is_told_to_end() {
+    let plans: Vec<_> = seeds().into_iter().map(Plan::of).collect();
+    assert_no_faults(&plans);
+}
+
+/// Plays the rounds, several at once, and fails for each fault that is found.
+fn assert_no_faults(plans: &[Plan]) {
+    let _alone = MACHINE
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
     let faults = Mutex::new(Vec::new());
     let judged = Mutex::new(0);
-    let seeds = seeds();
     std::thread::scope(|scope| {
         for lane in 0..PARALLEL_ROUNDS {
-            let (faults, judged, seeds) = (&faults, &judged, &seeds);
+            let (faults, judged) = (&faults, &judged);
             scope.spawn(move || {
-                let of_lane = |seed: &u64| seed % PARALLEL_ROUNDS == lane;
-                for seed in seeds.iter().copied().filter(of_lane) {
-                    match judge(seed) {
+                let of_lane = |plan: &&Plan| plan.seed % PARALLEL_ROUNDS == lane;
+                for plan in plans.iter().filter(of_lane) {
+                    match judge(plan) {
                         Some(found) => {
                             *judged.lock().expect("a count") += 1;
                             faults.lock().expect("a list").extend(found);
                         }
                         None => println!(
-                            "seed {seed}: not judged, as the machine was held up {MAX_PLAYS} times"
+                            "seed {}: not judged, as the machine was held up {MAX_PLAYS} times",
+                            plan.seed
                         ),
                     }
                 }
@@ -81,12 +95,12 @@
     );
     println!(
         "{judged} of {} seeds judged, {} faults",
-        seeds.len(),
+        plans.len(),
         faults.len()
     );
     assert!(faults.is_empty(), "{}", faults.join("\n"));
     assert!(
-        2 * judged >= seeds.len(),
+        2 * judged >= plans.len(),
         "the machine was held up too often"
     );
 }
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -3,6 +3,8 @@
 
 use quartzhub_policy::Pcg;
 
+use super::clients::{ClientBehavior, CLIENTS, UNPAUSING_CLIENTS};
+
 /// Client timeouts that settings may have, in milliseconds: the shorter, the sooner the kill comes.
 const CLIENT_TIMEOUTS_MS: [u64; 7] = [60, 100, 150, 300, 600, 1000, 3000];
 /// Longest client timeout that operators wait for after SIGTERM, in milliseconds.
@@ -15,6 +17,14 @@
 const FEW_SOCKETS: u32 = 96;
 /// Sockets of any other node.
 const MANY_SOCKETS: u32 = 1024;
+/// When SIGTERM comes in a round with a stall at a given moment, in milliseconds.
+const TERMINATE_STALLED_AT_MS: u64 = 100;
+/// Of the rounds with a stall at a given moment, servers hang in one of so many.
+const HANGING_ROUNDS: u64 = 4;
+/// And idle clients fill the sockets in one of so many.
+const CROWDED_ROUNDS: u64 = 8;
+/// Least time from the end of the first stall to the second, in milliseconds.
+pub const BETWEEN_STALLS_MS: u64 = 50;
 
 /// What happens in a round.
 #[derive(Debug, Clone)]
@@ -42,6 +52,18 @@
     pub servers_hang: bool,
     pub may_duplicate: bool,
     pub cancelling: bool,
+    /// Whether servers answer at once and well, until they hang.
+    pub servers_are_instant: bool,
+    pub clients: &'static [ClientBehavior],
+}
+
+/// A stall of the process during its shutdown.
+#[derive(Debug, Clone, Copy)]
+pub struct Stall {
+    /// When it begins, in milliseconds from SIGTERM.
+    pub after_ms: u64,
+    /// Its length, in milliseconds.
+    pub length_ms: u64,
 }
 
 impl Plan {
@@ -65,6 +87,29 @@
             servers_hang: draw(3.0) == 0,
             may_duplicate: draw(2.0) == 0,
             cancelling: draw(2.0) == 0,
+            servers_are_instant: false,
+            clients: &CLIENTS,
+        }
+    }
+
+    /// A shutdown with one stall, and clients that do not pause. The seed tells the rest.
+    pub fn with_stall(seed: u64, client_timeout_ms: u64, stall: Stall) -> Plan {
+        Plan {
+            seed,
+            client_timeout_ms,
+            new_client_timeout_ms: None,
+            hangup_after_ms: 0,
+            terminate_at_ms: TERMINATE_STALLED_AT_MS,
+            stall_ms: 0,
+            second_stall_at_ms: stall.after_ms.saturating_sub(BETWEEN_STALLS_MS),
+            second_stall_ms: stall.length_ms,
+            repeats_signals: false,
+            has_idle_crowd: seed % CROWDED_ROUNDS == 1,
+            servers_hang: seed % HANGING_ROUNDS == 2,
+            may_duplicate: seed.is_multiple_of(2),
+            cancelling: true,
+            servers_are_instant: true,
+            clients: &UNPAUSING_CLIENTS,
         }
     }
 
--- a/crates/node/tests/soak/round.rs
+++ b/crates/node/tests/soak/round.rs
@@ -1,9 +1,9 @@
 //! One round: a node under load, its signals, the kill, and whether the machine kept up.
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use super::clients::{self, ClientBehavior, Request, CLIENTS};
+use super::clients::{self, ClientBehavior, Request};
 use super::common::*;
-use super::plan::Plan;
+use super::plan::{Plan, BETWEEN_STALLS_MS};
 use super::rule_check;
 use super::servers::{self, Arrivals};
 
@@ -15,8 +15,6 @@
 const CROWD_SIZE: usize = 120;
 /// Descriptors that the node may hold.
 const DESCRIPTORS: usize = 4096;
-/// Least time from the end of the first stall to the second, in milliseconds.
-const BETWEEN_STALLS_MS: u64 = 50;
 
 /// The result of a round.
 pub enum RoundResult {
@@ -49,19 +47,19 @@
     action: Action,
 }
 
-/// Plays the round of a seed.
-pub fn play(seed: u64) -> RoundResult {
-    let plan = Plan::of(seed);
+/// Plays a round.
+pub fn play(plan: &Plan) -> RoundResult {
+    let seed = plan.seed;
     let arrivals = Arrivals::default();
     let hang = Arc::new(AtomicBool::new(false));
-    let servers = servers::start(seed, &arrivals, &hang);
+    let servers = servers::start(plan, &arrivals, &hang);
     let known: Vec<_> = servers
         .iter()
         .map(|server| (server.id, server.addr, "in_service"))
         .collect();
     let known = list(true, 1, &known);
     let mut node = Node::with(&plan.config(&known, plan.client_timeout_ms), DESCRIPTORS);
-    let measured = play_under_load(&plan, &mut node, &known, &hang);
+    let measured = play_under_load(plan, &mut node, &known, &hang);
     if measured.machine_lateness > MAX_LATENESS {
         return RoundResult::MachineStalled;
     }
@@ -95,7 +93,7 @@
             let behavior = *behavior;
             scope.spawn(move || clients::run(behavior, index, addr, client_timeout_ms, seed, stop))
         };
-        let load: Vec<_> = CLIENTS.iter().enumerate().map(start_client).collect();
+        let load: Vec<_> = plan.clients.iter().enumerate().map(start_client).collect();
         let crowd_size = if plan.has_idle_crowd { CROWD_SIZE } else { 0 };
         let crowd: Vec<_> = (0..crowd_size).map(|_| TcpStream::connect(addr)).collect();
         send_signals(plan, node, known, hang);
--- a/crates/node/tests/soak/servers.rs
+++ b/crates/node/tests/soak/servers.rs
@@ -5,6 +5,7 @@
 use quartzhub_policy::Pcg;
 
 use super::common::*;
+use super::plan::Plan;
 
 /// The server that is the origin; the others are caches.
 const ORIGIN: &str = "origin";
@@ -79,7 +80,8 @@
 }
 
 /// Starts three caches and an origin; `hang`: half of the commands get no answer from then on.
-pub fn start(seed: u64, arrivals: &Arrivals, hang: &Arc<AtomicBool>) -> Vec<Server> {
+pub fn start(plan: &Plan, arrivals: &Arrivals, hang: &Arc<AtomicBool>) -> Vec<Server> {
+    let (seed, is_instant) = (plan.seed, plan.servers_are_instant);
     let start_one = |(index, id): (usize, &&'static str)| {
         let (arrivals, hang, id) = (arrivals.clone(), hang.clone(), *id);
         let mut rng = Pcg::new(seed * 4 + index as u64 + 1);
@@ -87,7 +89,11 @@
             let mut words = words.split(' ');
             let verb = words.next().unwrap_or_default();
             let request_id = words.nth(1).unwrap_or_default();
-            let reaction = react(id, verb, request_id, &mut rng, &hang);
+            let reaction = if is_instant {
+                answer_at_once(id, request_id, &mut rng, &hang)
+            } else {
+                react(id, verb, request_id, &mut rng, &hang)
+            };
             arrivals.note(request_id, id, reaction.is_not_executed);
             reaction.deed
         };
@@ -97,6 +103,19 @@
     SERVERS.iter().enumerate().map(start_one).collect()
 }
 
+fn answer_at_once(server: &str, request_id: &str, rng: &mut Pcg, hang: &AtomicBool) -> Reaction {
+    let hangs = hang.load(Ordering::Relaxed) && rng.unit() < HANGING_SHARE;
+    let deed = match server {
+        _ if hangs => ServerAction::Hold,
+        ORIGIN => ServerAction::Say(http_value(request_id)),
+        _ => ServerAction::Say(found(request_id)),
+    };
+    Reaction {
+        deed,
+        is_not_executed: false,
+    }
+}
+
 fn react(server: &str, verb: &str, request_id: &str, rng: &mut Pcg, hang: &AtomicBool) -> Reaction {
     let draw = rng.unit();
     let delay = Duration::from_micros((rng.unit() * MAX_ANSWER_DELAY_US) as u64);
