--- a/crates/node/tests/sockets/common/node.rs
+++ b/crates/node/tests/sockets/common/node.rs
@@ -182,6 +182,36 @@
     Process { child, file }
 }
 
+/// A node that inherits the listener as descriptor 4, once it is ready.
+pub fn node_inheriting(listener: &TcpListener, config: &str, ops: SocketAddr) -> Node {
+    let file = config_file(config);
+    let inherited = std::os::fd::OwnedFd::from(listener.try_clone().expect("a descriptor"));
+    let child = Command::new("sh")
+        .args([
+            "-c",
+            "exec 4<&0 0</dev/null; exec \"$0\"",
+            env!("CARGO_BIN_EXE_quartzhub"),
+        ])
+        .stdin(Stdio::from(inherited))
+        .env_remove("LB_LISTEN")
+        .env_remove("LB_DISCOVERY")
+        .env("LB_OPS", ops.to_string())
+        .env("LB_INHERITED_FD", "4")
+        .env("LB_CONFIG", &file)
+        .spawn()
+        .expect("the program starts");
+    let addr = listener.local_addr().expect("an address");
+    let begun = std::time::Instant::now();
+    while begun.elapsed() < EVENT_TIMEOUT {
+        if TcpStream::connect(ops).is_ok() && operate(ops, "GET /control/ready").starts_with("200")
+        {
+            break;
+        }
+        std::thread::yield_now();
+    }
+    Process { child, file }.into_node(addr)
+}
+
 /// A node within the test, whose limits are the test's.
 pub struct Embedded {
     pub addr: SocketAddr,
--- a/crates/node/tests/sockets/socket_activation.rs
+++ b/crates/node/tests/sockets/socket_activation.rs
@@ -1,36 +1,6 @@
 //! Nodes that inherit their listening socket: a new version takes over from an old one.
 use super::common::*;
 
-/// A node that inherits the listener as descriptor 4, once it is ready.
-fn node_inheriting(listener: &TcpListener, config: &str, ops: SocketAddr) -> Node {
-    let file = config_file(config);
-    let inherited = std::os::fd::OwnedFd::from(listener.try_clone().expect("a descriptor"));
-    let child = Command::new("sh")
-        .args([
-            "-c",
-            "exec 4<&0 0</dev/null; exec \"$0\"",
-            env!("CARGO_BIN_EXE_quartzhub"),
-        ])
-        .stdin(Stdio::from(inherited))
-        .env_remove("LB_LISTEN")
-        .env_remove("LB_DISCOVERY")
-        .env("LB_OPS", ops.to_string())
-        .env("LB_INHERITED_FD", "4")
-        .env("LB_CONFIG", &file)
-        .spawn()
-        .expect("the program starts");
-    let addr = listener.local_addr().expect("an address");
-    let begun = std::time::Instant::now();
-    while begun.elapsed() < EVENT_TIMEOUT {
-        if TcpStream::connect(ops).is_ok() && operate(ops, "GET /control/ready").starts_with("200")
-        {
-            break;
-        }
-        std::thread::yield_now();
-    }
-    Process { child, file }.into_node(addr)
-}
-
 #[test]
 fn a_new_version_takes_over_on_the_same_socket_and_no_call_is_lost() {
     let (tell, seen) = channel();
