Read the rest of a command before its time is taken for over

Callers saw: "-ERR Protocol error: the command did not come whole" and a closed connection, although the other half had come in time.

Cause: after a stall the runtime runs its timers before it has seen what came, and the time for a command was believed to be over without a look at the socket.

Evidence: the new test (half a command, the process stopped for 105 ms across the end of its 2.5 s, the other half sent meanwhile) failed before: "client 0 at a stall of 105ms: -ERR Protocol error: the command did not come whole".

Why this works: as the time ends, what the socket has is read and taken if it completes the command; a client that goes on sending too little gets the error as before.

--- a/crates/node/src/clients/closing.rs
+++ b/crates/node/src/clients/closing.rs
@@ -54,7 +54,7 @@
     }
 
     /// Whether the client sends something, or ends, within `timeout`.
-    async fn wait_for_input(&mut self, timeout: Span) -> bool {
+    pub(super) async fn wait_for_input(&mut self, timeout: Span) -> bool {
         self.write_held_responses();
         let readable = self.client.stream.readable();
         tokio::time::timeout(duration(timeout), readable)
--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -271,11 +271,11 @@
 
     async fn on_deadline(&mut self, outstanding: &Outstanding) -> ControlFlow<()> {
         let idle = outstanding.is_empty();
-        let quiet = idle && self.buffer.is_empty() && is_open_and_idle(&self.client.stream);
-        if outstanding.writable || quiet {
+        let has_input = !is_open_and_idle(&self.client.stream);
+        if outstanding.writable || idle && self.buffer.is_empty() && !has_input {
             return Break(());
         }
-        if idle && !self.buffer.is_empty() {
+        if idle && !self.buffer.is_empty() && !self.takes_rest_of_command(has_input).await? {
             self.reading = false;
             respond_protocol_error(self.executor, self.id, ProtocolError::IncompleteCommand);
         }
@@ -283,4 +283,16 @@
         tokio::task::yield_now().await;
         Continue(())
     }
+
+    /// Whether the rest of an incomplete command has come, although its time is over: after a stall timers run before the
+    /// runtime has seen what came.
+    async fn takes_rest_of_command(&mut self, has_input: bool) -> ControlFlow<(), bool> {
+        if !has_input {
+            return Continue(false);
+        }
+        self.wait_for_input(self.executor.limits.final_read_window)
+            .await;
+        self.read_available()?;
+        Continue(self.take_commands() > 0)
+    }
 }
--- a/crates/node/tests/sockets/stalled_closes.rs
+++ b/crates/node/tests/sockets/stalled_closes.rs
@@ -158,6 +158,29 @@
     }
 }
 
+// The same where the time for the whole command, 2.5 s, ends amid the stall.
+#[test]
+fn a_command_whose_other_half_comes_amid_a_stall_at_the_end_of_its_time_is_answered() {
+    for stall in STALLS {
+        let (node, _seen) = Setup::new().server("a", |_| hit("v")).start();
+        let mut clients = connect_idle(&node);
+        for client in &mut clients {
+            assert_eq!(client.ask(&["OBJ.GET", "k", "id", FACTS]), "v");
+        }
+        let bytes = command(&["OBJ.GET", "k", "id", FACTS]);
+        let (first, last) = bytes.split_at(bytes.len() / 2);
+        clients.truncate(1);
+        clients[0].send(first);
+        std::thread::sleep(Duration::from_millis(2_460));
+        node.stop();
+        let stopped_at = Instant::now();
+        clients[0].send(last);
+        std::thread::sleep(stall.saturating_sub(stopped_at.elapsed()));
+        node.signal("-CONT");
+        assert_answered(&mut clients, stall);
+    }
+}
+
 // A client that is silent at first has 2.5 s for its first command.
 #[test]
 fn a_first_command_that_comes_amid_a_stall_at_the_end_of_its_time_is_answered() {
