Bound the operators' accepts that fail in a row as those of clients

Callers would have seen: a node that spends its processor time on accepts, should they fail for their own connection without an end; clients' accepts pause after 1,024 in a row, operators' did not.

Cause: the logic stood twice, and the bound in one of the places only.

Why this works: AcceptFailures counts for both, and says whether the next accept follows at once or after a pause.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -15,11 +15,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, AbortHandle};
 
+use crate::accept_failures::{AcceptFailures, AcceptRetry};
 use crate::clock::duration;
 use crate::effects::EffectExecutor;
 use crate::peers::Peers;
 use crate::reducer::Reducer;
-use crate::system::is_aborted_connection;
 
 /// What operators may call.
 #[derive(Debug, Clone, Copy)]
@@ -52,9 +52,11 @@
     let handler = Rc::new(AdminHandler { executor, peers });
     let limits = &handler.executor.limits;
     let open: Rc<RefCell<VecDeque<OpenConnection>>> = Rc::default();
+    let mut failures = AcceptFailures::default();
     for id in 0u64.. {
         match listener.accept().await {
             Ok((stream, _)) => {
+                failures.on_accepted();
                 if open.borrow().len() >= limits.admin_connections {
                     if let Some(oldest) = open.borrow_mut().pop_front() {
                         oldest.task.abort();
@@ -74,14 +76,16 @@
                     task: task.abort_handle(),
                 });
             }
-            Err(error) if is_aborted_connection(&error) => {
-                tracing::info!("operators: accept: {error}");
-                tokio::task::yield_now().await;
-            }
-            Err(error) => {
-                tracing::warn!("operators: accept: {error}");
-                tokio::time::sleep(duration(limits.accept_retry_interval)).await;
-            }
+            Err(error) => match failures.on_failure(&error) {
+                AcceptRetry::AtOnce => {
+                    tracing::info!("operators: accept: {error}");
+                    tokio::task::yield_now().await;
+                }
+                AcceptRetry::AfterPause => {
+                    tracing::warn!("operators: accept: {error}");
+                    tokio::time::sleep(duration(limits.accept_retry_interval)).await;
+                }
+            },
         }
     }
 }
--- a/crates/node/src/clients/accept.rs
+++ b/crates/node/src/clients/accept.rs
@@ -11,14 +11,13 @@
 
 use super::connection::serve;
 use super::Client;
+use crate::accept_failures::{AcceptFailures, AcceptRetry};
 use crate::clock::{duration, Clock};
 use crate::effects::EffectExecutor;
 use crate::limits::Limits;
 use crate::messages::AcceptCapacity;
-use crate::system::{bind_with_retry, is_aborted_connection, is_readable};
+use crate::system::{bind_with_retry, is_readable};
 
-/// Accepts that may fail in a row, each for its one connection, before a pause is made all the same.
-const MAX_CONSECUTIVE_ABORTED_ACCEPTS: usize = 1024;
 /// Tries to accept who waits as accepting ends.
 const MAX_FINAL_ACCEPTS: usize = 1024;
 
@@ -45,7 +44,7 @@
             last_accepted: last_accepted.clone(),
             paused_since: None,
             attempts: 0,
-            consecutive_aborted: 0,
+            failures: AcceptFailures::default(),
         };
         Acceptor {
             task: tokio::task::spawn_local(accepting.run(stop_requested.clone())),
@@ -80,8 +79,7 @@
     /// Since when clients may wait in the listen queue, as nobody is accepted.
     paused_since: Option<Time>,
     attempts: usize,
-    /// Accepts that failed in a row, each for its one connection.
-    consecutive_aborted: usize,
+    failures: AcceptFailures,
 }
 
 impl Accepting {
@@ -167,7 +165,7 @@
     }
 
     fn serve(&mut self, stream: TcpStream) {
-        self.consecutive_aborted = 0;
+        self.failures.on_accepted();
         self.last_accepted.set(self.executor.clock.now());
         let _ = stream.set_nodelay(true);
         let id = self
@@ -181,17 +179,11 @@
         tokio::task::spawn_local(serve(self.executor.clone(), id, client));
     }
 
-    /// Guards against a pause for each of many clients that left before they were accepted: others wait behind them.
-    /// So many in a row are no clients' doing any more.
     async fn on_failure(&mut self, error: io::Error) {
-        if is_aborted_connection(&error)
-            && self.consecutive_aborted < MAX_CONSECUTIVE_ABORTED_ACCEPTS
-        {
-            self.consecutive_aborted += 1;
+        if self.failures.on_failure(&error) == AcceptRetry::AtOnce {
             tracing::info!(%error, "accept failed for a connection that has gone: {error}");
             return;
         }
-        self.consecutive_aborted = 0;
         self.pause();
         tracing::warn!(%error, "accept failed: {error}");
         tokio::time::sleep(duration(self.executor.limits.accept_retry_interval)).await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! Sockets report to the reducer and carry out its effects; the reducer alone changes state and calls the
 //! policy. Another protocol for clients or servers stands beside `clients` or `caches`, before the same reducer.
 #![deny(missing_docs)]
+pub mod accept_failures;
 pub mod admin;
 pub mod attempt_response;
 pub mod buffer;
