--- a/crates/node/tests/sockets/shutdown.rs
+++ b/crates/node/tests/sockets/shutdown.rs
@@ -167,3 +167,41 @@
     assert!(child.wait().expect("an end").success());
     std::fs::remove_file(file).expect("a file");
 }
+
+// A server drains amid the shutdown while the other one hangs: what comes from then on goes to neither of them in vain.
+#[test]
+fn a_server_that_drains_amid_the_shutdown_gets_nothing_more() {
+    let (tell, seen) = channel();
+    let a = server("a", tell.clone(), |_| hit("of a"));
+    let b = server("b", tell.clone(), |_| hit("of b"));
+    let hanging = server("h", tell, |_| ServerAction::Hold);
+    let Watched {
+        addr: from,
+        watches: [watch],
+        ..
+    } = watched_discovery();
+    let known = [("a", a), ("b", b), ("h", hanging)];
+    watch.send("\n".into()).expect("said");
+    let text = config(&known, &format!(r#""discovery":"{from}","#)).replace("40000", "3000");
+    let mut node = Node::with(&text, DESCRIPTORS);
+    let mut client = node.client();
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+    node.signal("-TERM");
+    node.says("shutdown requested");
+    let drain = list(
+        false,
+        2,
+        &[("a", a, "terminating"), ("h", hanging, "terminating")],
+    );
+    watch.send(format!("{drain}\n")).expect("said");
+    // Within the grace the list is applied.
+    std::thread::sleep(Duration::from_millis(300));
+    seen.try_iter().for_each(drop);
+    for i in 0..50 {
+        let (key, id) = (format!("k{i}"), format!("late{i}"));
+        assert_eq!(client.ask(&["OBJ.GET", &key, &id, FACTS]), "of b");
+        assert_eq!(next(&seen), format!("b: OBJ.GET {key} {id}"));
+    }
+    assert_eq!(client.answer(), "closed");
+    assert!(node.child.wait().expect("an end").success());
+}
