--- a/crates/membership/tests/cut_links.rs
+++ b/crates/membership/tests/cut_links.rs
@@ -1,6 +1,7 @@
 //! Links that are cut in one direction or both; a promise also fails against a detector without the feature that it rests on.
 mod common;
 
+use quartzhub_membership::sim::Network;
 use quartzhub_membership::{DisabledFeatures, Limits, MemberState};
 use quartzhub_policy::Span;
 
@@ -66,6 +67,18 @@
     }
 }
 
+/// Views are equal again within five seconds of the end of the cuts, with few changes on the way.
+fn assert_heals(network: &mut Network, seed: u64) {
+    network.links.cuts.clear();
+    network.play(Span::ms(5_000));
+    assert_eq!(network.false_removals(), 0, "seed {seed}");
+    assert!(
+        most_flips(network) <= 2,
+        "seed {seed}: {}",
+        most_flips(network)
+    );
+}
+
 #[test]
 fn a_node_that_nobody_hears_is_removed_once_removes_nobody_and_comes_back() {
     for seed in 1..=4 {
@@ -83,14 +96,7 @@
                 "seed {seed}"
             );
         }
-        network.links.cuts.clear();
-        network.play(Span::ms(5_000));
-        assert_eq!(network.false_removals(), 0, "seed {seed}");
-        assert!(
-            most_flips(&network) <= 2,
-            "seed {seed}: {}",
-            most_flips(&network)
-        );
+        assert_heals(&mut network, seed);
     }
 }
 
@@ -109,14 +115,7 @@
                 );
             }
         }
-        network.links.cuts.clear();
-        network.play(Span::ms(5_000));
-        assert_eq!(network.false_removals(), 0, "seed {seed}");
-        assert!(
-            most_flips(&network) <= 2,
-            "seed {seed}: {}",
-            most_flips(&network)
-        );
+        assert_heals(&mut network, seed);
     }
 }
 
--- a/crates/node/tests/reducer/common.rs
+++ b/crates/node/tests/reducer/common.rs
@@ -11,6 +11,8 @@
 };
 pub use quartzhub_policy::{Outcome, Pcg, Span, Time};
 
+use super::trace::describe;
+
 pub const SETTINGS: &str = r#"{"Kinds":["box","origin"],"Extra":{"Mode":"aside","OriginKind":1},
     "Caps":{"MostShots":3,"MayDuplicate":true,"Cancelling":true,"ConnectTimeout":100,"Keepalive":1000},
     "Products":[{"Name":"view","Effect":"idempotent","LatencySlo":100,"ClientTimeout":500},
@@ -117,6 +119,15 @@
         }
     }
 
+    /// Lets so much time pass that the policy releases the servers that are gone.
+    pub fn release_gone_servers(&mut self) {
+        for _ in 0..3 {
+            self.now += 31_000;
+            let now = self.at();
+            self.reducer.on_timer(now);
+        }
+    }
+
     pub fn update_list(&mut self, full: bool, servers: &[(&str, u16, &str)]) {
         let entry = |(id, port, state): &(&str, u16, &str)| {
             let kind = if *id == "o" { "origin" } else { "box" };
@@ -235,50 +246,6 @@
     }
 }
 
-/// An effect as the trace has it.
-fn describe(effect: Effect) -> String {
-    match effect {
-        Effect::Connect { upstream, to, .. } => {
-            format!("connect {} to {}", upstream.0, to.port())
-        }
-        Effect::Write {
-            upstream,
-            request,
-            time_left: wait,
-            ..
-        } => format!(
-            "write {}: {}, wait {}",
-            upstream.0,
-            request.id,
-            wait.as_ms()
-        ),
-        Effect::CloseUpstream { upstream } => format!("close upstream {}", upstream.0),
-        Effect::Respond { client, response } => match response {
-            Response::Success(value) => {
-                format!("answer {}: {}", client.0, String::from_utf8_lossy(&value))
-            }
-            Response::Plain(_) => format!("answer {}: plain", client.0),
-            response => format!("answer {}: {response:?}", client.0),
-        },
-        Effect::CloseClient {
-            client,
-            after_silence: quiet,
-        } if quiet == Span::ZERO => {
-            format!("close client {}", client.0)
-        }
-        Effect::CloseClient {
-            client,
-            after_silence: quiet,
-        } => format!(
-            "close client {} after {} ms of silence",
-            client.0,
-            quiet.as_ms()
-        ),
-        Effect::AbortClient { client } => format!("cut client {}", client.0),
-        Effect::DrainClient { client } => format!("read no more of client {}", client.0),
-    }
-}
-
 /// An answer with a value.
 pub fn value(text: &str) -> AttemptResponse {
     AttemptResponse {
--- a/crates/node/tests/reducer/endpoint_list.rs
+++ b/crates/node/tests/reducer/endpoint_list.rs
@@ -92,11 +92,7 @@
         let last = format!("last {round}");
         servers.push((&last, 100 + round, "in_service"));
         harness.update_list(true, &servers);
-        for _ in 0..3 {
-            harness.now += 31_000;
-            let now = harness.at();
-            harness.reducer.on_timer(now);
-        }
+        harness.release_gone_servers();
         harness.update_list(true, &[(&last, 100 + round, "in_service")]);
         harness.advance(100);
         harness.trace.clear();
--- a/crates/node/tests/reducer/endpoint_list_properties.rs
+++ b/crates/node/tests/reducer/endpoint_list_properties.rs
@@ -10,8 +10,6 @@
 const STATES: [&str; 4] = ["in_service", "terminating", "terminated", "unheard_of"];
 const KINDS: [&str; 3] = ["box", "origin", "unheard_of"];
 const PRODUCTS: [&str; 3] = ["view", "book", "none"];
-/// Longer than the policy keeps the record of a server that is gone, in milliseconds.
-const RELEASE_AFTER_MS: i64 = 31_000;
 
 #[derive(Debug, Clone)]
 struct ListedServer {
@@ -150,13 +148,7 @@
             }
             Step::Upstream(back, event) => self.report_upstream(now, *back, *event),
             Step::Wait(ms) => self.harness.advance(*ms),
-            Step::Release => {
-                for _ in 0..3 {
-                    self.harness.now += RELEASE_AFTER_MS;
-                    let now = self.harness.at();
-                    self.harness.reducer.on_timer(now);
-                }
-            }
+            Step::Release => self.harness.release_gone_servers(),
         }
         self.account_for_effects();
     }
--- a/crates/node/tests/reducer/main.rs
+++ b/crates/node/tests/reducer/main.rs
@@ -7,4 +7,5 @@
 mod random;
 mod rejections;
 mod remaining;
+mod trace;
 mod upstreams;
--- a/crates/node/tests/soak/clients.rs
+++ b/crates/node/tests/soak/clients.rs
@@ -78,6 +78,9 @@
     pub client_timeout: Duration,
     /// Whether its client always has another one open on the connection.
     pub is_pipelined: bool,
+    /// For how long the client's thread, ready to run, has waited for a processor: until the request was sent, and until
+    /// its outcome was known.
+    pub processor_waits: [Duration; 2],
     pub outcome: RequestOutcome,
 }
 
@@ -91,6 +94,13 @@
     requests: Vec<Request>,
 }
 
+/// For how long this thread has waited for a processor, as the system has it.
+fn processor_wait() -> Duration {
+    let statistics = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let waited_ns = statistics.split_whitespace().nth(1);
+    Duration::from_nanos(waited_ns.and_then(|ns| ns.parse().ok()).unwrap_or(0))
+}
+
 /// Sends requests until `stop` is set, which the end of all connections follows.
 pub fn run(
     behavior: ClientBehavior,
@@ -153,6 +163,7 @@
             sent_at,
             client_timeout: Duration::from_millis(self.client_timeout_ms),
             is_pipelined: self.is_pipelining,
+            processor_waits: [processor_wait(); 2],
             outcome: RequestOutcome::Unanswered { ended_at: sent_at },
         })
     }
@@ -178,8 +189,13 @@
                 return;
             }
             if let Some(request) = waiting.pop_front() {
+                let mut processor_waits = request.processor_waits;
+                if now.duration_since(request.sent_at) > request.client_timeout {
+                    processor_waits[1] = processor_wait();
+                }
                 self.requests.push(Request {
                     outcome: RequestOutcome::Answered { at: now, answer },
+                    processor_waits,
                     ..request
                 });
             }
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code, unused_imports)]
 #[path = "../sockets/common.rs"]
 mod common;
+mod evidence;
 mod plan;
 mod round;
 mod rule_check;
--- a/crates/node/tests/soak/round.rs
+++ b/crates/node/tests/soak/round.rs
@@ -3,6 +3,7 @@
 
 use super::clients::{self, ClientBehavior, Request};
 use super::common::*;
+use super::evidence::{describe_process, remaining_log, stolen_ticks, Evidence};
 use super::plan::{Plan, BETWEEN_STALLS_MS};
 use super::rule_check;
 use super::servers::{self, Arrivals};
@@ -27,6 +28,9 @@
 /// What was measured under load.
 struct Measured {
     requests: Vec<Request>,
+    terminated_at: Instant,
+    /// What tells a node that was busy from one that was not run, and from one that stood still.
+    evidence: Evidence,
     /// How late the sleep of a thread was at most.
     machine_lateness: Duration,
 }
@@ -68,12 +72,16 @@
         &requests,
         &arrivals,
         Duration::from_millis(plan.stall_ms + plan.second_stall_ms),
+        measured.terminated_at,
     );
     println!(
         "seed {seed}: {} requests, {} faults",
         requests.len(),
         faults.len()
     );
+    if !faults.is_empty() {
+        println!("seed {seed}: {}", measured.evidence);
+    }
     RoundResult::Judged(
         faults
             .into_iter()
@@ -96,12 +104,20 @@
         let load: Vec<_> = plan.clients.iter().enumerate().map(start_client).collect();
         let crowd_size = if plan.has_idle_crowd { CROWD_SIZE } else { 0 };
         let crowd: Vec<_> = (0..crowd_size).map(|_| TcpStream::connect(addr)).collect();
-        send_signals(plan, node, known, hang);
+        let stolen_before = stolen_ticks();
+        let terminated_at = send_signals(plan, node, known, hang);
+        let node_process = describe_process(node.child.id());
         stop.store(true, Ordering::Relaxed);
         let _ = node.child.kill();
         let _ = node.child.wait();
         drop(crowd);
         Measured {
+            terminated_at,
+            evidence: Evidence {
+                node_process,
+                stolen_ticks: stolen_ticks() - stolen_before,
+                node_log: remaining_log(node),
+            },
             requests: load
                 .into_iter()
                 .flat_map(|client| client.join().expect("a client"))
@@ -122,8 +138,8 @@
     longest
 }
 
-/// Sends the signals of the plan, each at its time; returns when SIGKILL is due.
-fn send_signals(plan: &Plan, node: &mut Node, known: &str, hang: &AtomicBool) {
+/// Sends the signals of the plan, each at its time; returns when SIGKILL is due, with the time of SIGTERM.
+fn send_signals(plan: &Plan, node: &mut Node, known: &str, hang: &AtomicBool) -> Instant {
     let ms = Duration::from_millis;
     let terminate_at = Instant::now() + ms(plan.terminate_at_ms);
     if plan.hangup_after_ms < 0 {
@@ -160,6 +176,7 @@
         }
     }
     wait_until(terminated_at + plan.time_to_kill());
+    terminated_at
 }
 
 /// What happens after SIGTERM, in its order.
--- a/crates/node/tests/soak/rule_check.rs
+++ b/crates/node/tests/soak/rule_check.rs
@@ -14,26 +14,57 @@
 /// The faults of a round. `stalled`: for how long the process was in all. A connection on which there is always a command
 /// open has to be closed with one on its way, and where the process is stalled between its last read and the close that
 /// one crosses it for as long; a client with one command at a time is closed between two.
-pub fn faults(requests: &[Request], arrivals: &Arrivals, stalled: Duration) -> Vec<String> {
+pub fn faults(
+    requests: &[Request],
+    arrivals: &Arrivals,
+    stalled: Duration,
+    terminated_at: Instant,
+) -> Vec<String> {
     let mut faults = Vec::new();
     for request in requests {
         let reached = arrivals.of(&request.id);
+        let mut found = Vec::new();
         let fault = match &request.outcome {
             RequestOutcome::Unanswered { ended_at } => {
                 unanswered_fault(request, &reached, *ended_at, stalled)
             }
             RequestOutcome::Abandoned { at } => abandoned_fault(request, &reached, *at),
             RequestOutcome::Answered { at, answer } => {
-                faults.extend(late_answer_fault(request, *at));
+                let late = late_answer_fault(request, *at);
+                found.extend(late);
                 wrong_answer_fault(request, answer)
             }
         };
-        faults.extend(fault);
-        faults.extend(duplicate_fault(request, &reached));
+        found.extend(fault);
+        found.extend(duplicate_fault(request, &reached));
+        faults.extend(
+            found
+                .into_iter()
+                .map(|fault| format!("{fault}; {}", times(request, &reached, terminated_at))),
+        );
     }
     faults
 }
 
+/// When a request was sent and reached servers, from SIGTERM, and what its client got.
+fn times(request: &Request, reached: &[Arrival], terminated_at: Instant) -> String {
+    let from_sigterm = |at: Instant| match at.checked_duration_since(terminated_at) {
+        Some(after) => format!("{after:?} after SIGTERM"),
+        None => format!("{:?} before SIGTERM", terminated_at - at),
+    };
+    let reached: Vec<_> = reached
+        .iter()
+        .map(|arrival| format!("{} {}", arrival.server, from_sigterm(arrival.at)))
+        .collect();
+    let [before, after] = request.processor_waits;
+    format!(
+        "sent {}, reached {reached:?}, {:?}, its client's thread waited for a processor for {:?}",
+        from_sigterm(request.sent_at),
+        request.outcome,
+        after - before
+    )
+}
+
 fn unanswered_fault(
     request: &Request,
     reached: &[Arrival],
--- a/crates/node/tests/sockets/discovery.rs
+++ b/crates/node/tests/sockets/discovery.rs
@@ -44,6 +44,16 @@
     }
 }
 
+/// Starts a node with one server, and awaits its first watch.
+fn start_watching(discovery: SocketAddr, asks: &Receiver<String>) -> Node {
+    let (node, _seen) = Setup::new()
+        .server("a", |_| hit("v"))
+        .keys(&format!(r#""discovery":"{discovery}","#))
+        .start();
+    assert_eq!(next(asks), "GET /api/targets?stream=1&index=1 ");
+    node
+}
+
 #[test]
 fn a_silent_discovery_is_asked_again() {
     // Both say nothing for as long as their senders are there.
@@ -52,11 +62,7 @@
         watches: [_first, _second],
         asks,
     } = watched_discovery();
-    let (node, _seen) = Setup::new()
-        .server("a", |_| hit("v"))
-        .keys(&format!(r#""discovery":"{from}","#))
-        .start();
-    assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
+    let node = start_watching(from, &asks);
     assert_eq!(node.client().ask(&["OBJ.GET", "k", "id", FACTS]), "v");
     assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
 }
@@ -119,11 +125,7 @@
         watches: [first, _second],
         asks,
     } = watched_discovery();
-    let (node, _seen) = Setup::new()
-        .server("a", |_| hit("v"))
-        .keys(&format!(r#""discovery":"{from}","#))
-        .start();
-    assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
+    let node = start_watching(from, &asks);
     (0..40).for_each(|_| first.send(" ".repeat(64 * 1024)).expect("said"));
     assert_eq!(next(&asks), "GET /api/targets?stream=1&index=1 ");
     assert_eq!(node.client().ask(&["OBJ.GET", "k", "id", FACTS]), "v");
--- a/crates/node/tests/sockets/stalled_closes.rs
+++ b/crates/node/tests/sockets/stalled_closes.rs
@@ -44,6 +44,15 @@
     clients
 }
 
+/// A node with short timeouts that was just told to end, and its idle clients.
+fn idle_clients_at_shutdown(cache: SocketAddr) -> (Node, Vec<Client>) {
+    let mut node = node_with_short_timeouts(cache);
+    let clients = connect_idle(&node);
+    node.signal("-TERM");
+    node.says("shutdown requested");
+    (node, clients)
+}
+
 // Guards against a timer that fires before what came during a stall is seen: a wait on the sockets that is interrupted by
 // the stall reports no events, but time has passed.
 #[test]
@@ -51,10 +60,7 @@
     let (tell, _seen) = channel();
     let cache = server("a", tell, |_| hit("v"));
     for stall in STALLS {
-        let mut node = node_with_short_timeouts(cache);
-        let mut clients = connect_idle(&node);
-        node.signal("-TERM");
-        node.says("shutdown requested");
+        let (mut node, mut clients) = idle_clients_at_shutdown(cache);
         // The wait for a pause of 100 ms has begun.
         std::thread::sleep(Duration::from_millis(430));
         send_amid_stall(&node, &mut clients, stall);
@@ -132,10 +138,7 @@
     let (tell, _seen) = channel();
     let cache = server("a", tell, |_| hit("v"));
     for stall in STALLS {
-        let mut node = node_with_short_timeouts(cache);
-        let mut clients = connect_idle(&node);
-        node.signal("-TERM");
-        node.says("shutdown requested");
+        let (mut node, mut clients) = idle_clients_at_shutdown(cache);
         std::thread::sleep(Duration::from_millis(450));
         let half = |index: usize| {
             let bytes = command(&["OBJ.GET", "k", &format!("id{index}"), FACTS]);
