--- a/review/standins.py
+++ b/review/standins.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -166,6 +167,13 @@
     return dict(pair.split("=", 1) for pair in words.decode().split(",") if "=" in pair)
 
 
+def reset(writer):
+    """Resets a connection: its peer reads no end but an error."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class Server:
     """A listening stand-in on a loopback address of its own."""
 
