--- a/review/standins.py
+++ b/review/standins.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -39,9 +40,16 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A free port below those that the system gives to outgoing connections, which could take it
+    before the node listens."""
+    while True:
+        port = random.SystemRandom().randrange(12_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 def run_command():
@@ -198,7 +206,7 @@
             await self.serve(reader, writer)
         except asyncio.CancelledError:
             pass  # the case ends
-        except (OSError, asyncio.IncompleteReadError, ValueError) as error:
+        except Exception as error:
             self.record.add(f"{self.name}: connection ended: {type(error).__name__} {error}")
         finally:
             self.writers.discard(writer)
