Count and log bytes that a server sends while no attempt awaits them

Three hypotheses: attempts are written so soon after an answer that its late copy crosses them; copies come later than the 10 ms for which upstreams rest; the node itself mixes up attempts.

The log now names the server and how long after its last answer the bytes came, and `unsolicited` and `unsolicited_late` count them.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -25,6 +25,13 @@
     /// Attempts at caches and the origin whose request was written to its last byte.
     #[serde(rename = "tries")]
     pub attempts: u64,
+    /// Upstreams that were closed because their server sent bytes that no attempt awaited.
+    #[serde(rename = "unsolicited")]
+    pub unsolicited_responses: u64,
+    /// Of these, those whose bytes came later after a response than `upstream_reuse_delay`. Such
+    /// bytes can be taken for the response to the next attempt.
+    #[serde(rename = "unsolicited_late")]
+    pub late_unsolicited_responses: u64,
     /// API calls that are open now, including those whose value is being streamed.
     pub active: usize,
     /// Caches in the endpoint list.
@@ -37,6 +44,15 @@
     pub config_rejected: u64,
 }
 
+/// Numbers of upstreams on which a server sent bytes that no attempt awaited.
+#[derive(Debug, Default)]
+pub struct UnsolicitedCounts {
+    /// All of them.
+    pub total: u64,
+    /// Those whose bytes came after the reuse delay.
+    pub late: u64,
+}
+
 /// Index of a product's counter, which stays the same for the life of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CounterIndex(usize);
--- a/crates/node/src/reducer/attempts.rs
+++ b/crates/node/src/reducer/attempts.rs
@@ -71,6 +71,7 @@
             server,
             current_use: UpstreamUse::Connecting { attempt },
             deadline,
+            last_response: None,
         };
         self.upstreams.insert(id, upstream);
         self.timers.schedule(deadline, Timer::Upstream(id));
--- a/crates/node/src/reducer/node_state.rs
+++ b/crates/node/src/reducer/node_state.rs
@@ -11,7 +11,7 @@
 use super::upstreams::Upstreams;
 use crate::limits::Limits;
 use crate::messages::Effect;
-use crate::metrics::ProductCounters;
+use crate::metrics::{ProductCounters, UnsolicitedCounts};
 use crate::service::{IdleClientPolicy, ServiceState};
 
 /// The node's state apart from the policy: clients, API calls, upstreams, servers and timers, and
@@ -36,6 +36,7 @@
     pub(super) counters: ProductCounters,
     /// Number of attempts written in full, to a cache or to the origin.
     pub(super) written_attempts: u64,
+    pub(super) unsolicited: UnsolicitedCounts,
     /// Bytes of values and responses that the node has buffered.
     pub(super) buffered_bytes: usize,
     /// When every API call must have its final response; set during a graceful shutdown.
@@ -59,6 +60,7 @@
             service: ServiceState::default(),
             counters,
             written_attempts: 0,
+            unsolicited: UnsolicitedCounts::default(),
             buffered_bytes: 0,
             response_deadline: None,
             stall: StallDetector::default(),
--- a/crates/node/src/reducer/service_events.rs
+++ b/crates/node/src/reducer/service_events.rs
@@ -92,6 +92,8 @@
         Metrics {
             responses: state.counters.all(),
             attempts: state.written_attempts,
+            unsolicited_responses: state.unsolicited.total,
+            late_unsolicited_responses: state.unsolicited.late,
             active: state.calls.unfinished_count() + state.upstreams.streaming_count(),
             pool_size: pool.count(),
             pool_ejected: self.balancer.outlier_count(now),
--- a/crates/node/src/reducer/upstream_events.rs
+++ b/crates/node/src/reducer/upstream_events.rs
@@ -96,6 +96,14 @@
         self.report_finished_attempts();
     }
 
+    /// Handles bytes that a server sent while no attempt awaited a response. They may be a
+    /// duplicate of the last response, and what follows on the upstream can't be told from it.
+    pub fn on_unsolicited_bytes(&mut self, now: Time, id: UpstreamId) {
+        self.advance_clock(now);
+        self.state.count_unsolicited_bytes(id);
+        self.on_connection_broken(now, id);
+    }
+
     /// Handles a connect that failed because this machine lacks a resource, such as descriptors or
     /// ports. The server is not blamed.
     pub fn on_local_connect_failure(&mut self, now: Time, id: UpstreamId) {
@@ -120,10 +128,12 @@
         let Some(attempt) = upstream.attempt_in_flight() else {
             // No attempt is in flight. After an unsolicited response the upstream can't be
             // trusted.
+            state.count_unsolicited_bytes(id);
             state.close_upstream(id);
             return self.report_finished_attempts();
         };
         if response.reusable && upstream.is_request_written() {
+            state.record_response_end(id);
             state.return_upstream_to_pool(id);
         } else {
             state.close_upstream(id);
@@ -207,6 +217,7 @@
             client.last_active = now;
         }
         if reusable {
+            state.record_response_end(id);
             state.return_upstream_to_pool(id);
         } else {
             state.close_upstream(id);
--- a/crates/node/src/reducer/upstreams.rs
+++ b/crates/node/src/reducer/upstreams.rs
@@ -45,6 +45,8 @@
     pub(super) current_use: UpstreamUse,
     /// When the current use times out.
     pub(super) deadline: Time,
+    /// When its last response ended; `None` before the first.
+    pub(super) last_response: Option<Time>,
 }
 
 impl Upstream {
--- a/crates/node/src/upstreams/connection.rs
+++ b/crates/node/src/upstreams/connection.rs
@@ -125,6 +125,7 @@
     let read = upstream.read(stream, &executor.limits);
     // Unsolicited bytes must not be taken for the response to the next attempt.
     if !upstream.awaiting_response.get() && !upstream.buffer.borrow().is_empty() {
+        executor.report(|reducer, now| reducer.on_unsolicited_bytes(now, upstream.id));
         return Break(());
     }
     let streamed_size = upstream.start_streaming(executor);
--- a/crates/node/tests/reducer/upstreams.rs
+++ b/crates/node/tests/reducer/upstreams.rs
@@ -289,3 +289,28 @@
     "#]]
     .assert_eq(&harness.trace);
 }
+
+/// Bytes that come after the reuse delay can be taken for the response to the next attempt:
+/// operators have to be able to tell them from those that the delay covers.
+#[test]
+fn unsolicited_bytes_are_counted_by_their_delay() {
+    let mut harness = Harness::builder().reuse_delay(Span::ms(10)).start();
+    let client = harness.add_client();
+    let mut counts = Vec::new();
+    for (upstream, delay) in [(2, 10), (3, 15)] {
+        harness.call(client, "view", "c1", 400);
+        harness.connect(upstream);
+        harness.respond("hit", upstream, value("v"));
+        harness.advance(delay);
+        harness.report("unsolicited", |reducer, now| {
+            reducer.on_unsolicited_bytes(now, UpstreamId(upstream))
+        });
+        let now = harness.time();
+        let metrics = harness.reducer.metrics(now);
+        counts.push((
+            metrics.unsolicited_responses,
+            metrics.late_unsolicited_responses,
+        ));
+    }
+    assert_eq!(counts, [(1, 0), (2, 1)]);
+}
