Let attempts at the origin wait until an upstream has rested after its answer

Cause: answers over HTTP carry no id. An upstream rests 10 ms after an answer, so that a late second copy is seen while nothing waits on it, but at the origin, and at any server at the socket limit, the one idle longest was used at once if none had rested. A request that crossed the copy got the copy.

Now the attempt is bound to the upstream that has rested longest and written at the end of its rest. If a copy comes meanwhile, another upstream carries it; if its time ends before, a new one is opened; it is given up with its call, client or server. Of upstreams idle for 10 to 50 ms the one idle longest goes first, as a server that is held up sends its copy late.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -32,6 +32,8 @@
     /// bytes can be taken for the response to the next attempt.
     #[serde(rename = "unsolicited_late")]
     pub late_unsolicited_responses: u64,
+    /// Attempts that waited until an upstream had rested after its last response.
+    pub reuse_waits: u64,
     /// API calls that are open now, including those whose value is being streamed.
     pub active: usize,
     /// Caches in the endpoint list.
--- a/crates/node/src/reducer/attempts.rs
+++ b/crates/node/src/reducer/attempts.rs
@@ -1,7 +1,7 @@
-//! Assigns upstreams to attempts and writes attempts on them.
+//! Opens upstreams for attempts and writes attempts on them.
 use std::rc::Rc;
 
-use quartzhub_policy::{CallIndex, EndpointState, Outcome, ServerIndex, Span, Time};
+use quartzhub_policy::{CallIndex, EndpointState, Outcome, Span, Time};
 
 use super::calls::AttemptId;
 use super::node_state::NodeState;
@@ -18,39 +18,6 @@
 }
 
 impl NodeState {
-    /// Starts an attempt on an idle upstream to its server, or on a new one if none is available.
-    pub(super) fn start_attempt(&mut self, attempt: AttemptId, server: ServerIndex) {
-        match self.take_idle_upstream(server) {
-            Some(upstream) => self.write_attempt(upstream, attempt, false),
-            None => self.open_upstream(attempt),
-        }
-    }
-
-    /// Takes the newest upstream that has been idle for at least the reuse delay. Without the
-    /// delay, a duplicate of the last response that is still on its way when the next attempt is
-    /// written would be taken for the response to that attempt.
-    ///
-    /// At the socket limit, and at the origin, the upstream that has been idle longest is taken
-    /// even within the delay. At the origin this is because queued attempts are sent as earlier
-    /// responses arrive, and a new connection for each would cost the origin capacity that it
-    /// lacks.
-    fn take_idle_upstream(&mut self, server: ServerIndex) -> Option<UpstreamId> {
-        let latest_response = self.now - self.limits.upstream_reuse_delay;
-        let is_reusable = |id: &UpstreamId| {
-            self.upstreams.get(*id).is_some_and(|upstream| {
-                upstream
-                    .last_response
-                    .is_none_or(|response| response <= latest_response)
-            })
-        };
-        let record = &self.servers[server];
-        let idle = &record.idle_upstreams;
-        let oldest =
-            (!idle.is_empty() && (record.is_origin || self.is_short_of_sockets())).then_some(0);
-        let position = idle.iter().rposition(is_reusable).or(oldest)?;
-        Some(self.servers[server].idle_upstreams.remove(position))
-    }
-
     /// Opens an upstream for an attempt. At the socket limit, an idle connection is closed first,
     /// so that the process does not run out of file descriptors; if no connection is idle, the
     /// attempt is not made, and the server is not blamed.
@@ -178,6 +145,7 @@
             .filter_map(|(index, attempt)| Some((index, attempt.upstream?)))
             .collect();
         for (index, id) in with_upstream {
+            self.release_reserved_upstream(id);
             let current_use = self.upstreams.get(id).map(|upstream| upstream.current_use);
             if let Some(UpstreamUse::InFlight {
                 request_written: false,
--- a/crates/node/src/reducer/connections.rs
+++ b/crates/node/src/reducer/connections.rs
@@ -196,9 +196,12 @@
 
     /// Handles an upstream whose current use has reached its deadline.
     pub(super) fn on_upstream_deadline(&mut self, id: UpstreamId, deadline: Time) {
-        let is_current = |upstream: &Upstream| upstream.deadline == deadline;
-        if !self.upstreams.get(id).is_some_and(is_current) {
+        let is_current = |upstream: &&Upstream| upstream.deadline == deadline;
+        let Some(upstream) = self.upstreams.get(id).filter(is_current) else {
             return;
+        };
+        if let UpstreamUse::Reserved { attempt } = upstream.current_use {
+            return self.write_attempt(id, attempt, false);
         }
         let Some(upstream) = self.close_upstream(id) else {
             return;
@@ -206,6 +209,7 @@
         let (attempt, outcome) = match upstream.current_use {
             UpstreamUse::Idle | UpstreamUse::Closing | UpstreamUse::Streaming(_) => return,
             UpstreamUse::Connecting { attempt } => (attempt, Outcome::Unreachable),
+            UpstreamUse::Reserved { attempt } => (attempt, Outcome::NotSent),
             UpstreamUse::InFlight {
                 attempt,
                 response_started: true,
--- a/crates/node/src/reducer/endpoint_events.rs
+++ b/crates/node/src/reducer/endpoint_events.rs
@@ -53,6 +53,7 @@
             }
         }
         self.state.close_idle_upstreams_of_unready_servers();
+        self.state.release_reserved_upstreams_of_unready_servers();
         self.balancer
             .on_endpoint_list(now, update.full, endpoints.into_iter(), &mut self.state);
         self.report_finished_attempts();
@@ -87,6 +88,7 @@
             );
             if applied.restarted {
                 state.close_idle_upstreams(applied.endpoint.server);
+                state.replace_reserved_upstreams(applied.endpoint.server);
             }
             endpoints.push(applied.endpoint);
         }
@@ -107,6 +109,7 @@
             .filter_map(|server| self.changed_endpoint(server))
             .collect();
         self.state.close_idle_upstreams_of_unready_servers();
+        self.state.release_reserved_upstreams_of_unready_servers();
         self.balancer
             .on_endpoint_list(now, false, endpoints.into_iter(), &mut self.state);
         self.report_finished_attempts();
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -7,7 +7,7 @@
 //! - `calls`, `clients`, `upstreams`, `servers`, `endpoint_list`, `timers`: one table each, with
 //!   its records;
 //! - `node_state`: all tables together; the policy acts on them through `policy_actions`;
-//! - `attempts`, `responses`, `connections`: steps that involve several tables.
+//! - `attempts`, `upstream_reuse`, `responses`, `connections`: steps that involve several tables.
 use quartzhub_policy::{AttemptResult, Balancer, CallIndex, NodeLoad, Product, Time};
 use quartzhub_settings::{policy_config, products, NameTable, Settings};
 use rustc_hash::FxHashMap;
@@ -33,6 +33,7 @@
 mod stall;
 mod timers;
 mod upstream_events;
+mod upstream_reuse;
 mod upstreams;
 
 use calls::Call;
--- a/crates/node/src/reducer/node_state.rs
+++ b/crates/node/src/reducer/node_state.rs
@@ -37,6 +37,8 @@
     /// Number of attempts written in full, to a cache or to the origin.
     pub(super) written_attempts: u64,
     pub(super) unsolicited: UnsolicitedCounts,
+    /// Number of attempts that waited for the end of an upstream's rest.
+    pub(super) reuse_waits: u64,
     /// Bytes of values and responses that the node has buffered.
     pub(super) buffered_bytes: usize,
     /// When every API call must have its final response; set during a graceful shutdown.
@@ -61,6 +63,7 @@
             counters,
             written_attempts: 0,
             unsolicited: UnsolicitedCounts::default(),
+            reuse_waits: 0,
             buffered_bytes: 0,
             response_deadline: None,
             stall: StallDetector::default(),
--- a/crates/node/src/reducer/policy_actions.rs
+++ b/crates/node/src/reducer/policy_actions.rs
@@ -36,6 +36,9 @@
         else {
             return;
         };
+        if self.release_reserved_upstream(id) {
+            return;
+        }
         let Some(upstream) = self.close_upstream(id) else {
             return;
         };
--- a/crates/node/src/reducer/service_events.rs
+++ b/crates/node/src/reducer/service_events.rs
@@ -94,6 +94,7 @@
             attempts: state.written_attempts,
             unsolicited_responses: state.unsolicited.total,
             late_unsolicited_responses: state.unsolicited.late,
+            reuse_waits: state.reuse_waits,
             active: state.calls.unfinished_count() + state.upstreams.streaming_count(),
             pool_size: pool.count(),
             pool_ejected: self.balancer.outlier_count(now),
--- a/crates/node/src/reducer/upstream_events.rs
+++ b/crates/node/src/reducer/upstream_events.rs
@@ -4,7 +4,7 @@
 use super::upstreams::{StreamTarget, Upstream, UpstreamUse};
 use super::Reducer;
 use crate::attempt_response::AttemptResponse;
-use crate::messages::{Response, UpstreamId};
+use crate::messages::{Effect, Response, UpstreamId};
 
 impl Reducer {
     /// Handles an upstream that has connected: the attempt that it was opened for is written, if
@@ -78,6 +78,7 @@
             UpstreamUse::Connecting { attempt } => {
                 state.finish_attempt(attempt, Outcome::Unreachable);
             }
+            UpstreamUse::Reserved { attempt } => state.start_attempt(attempt, upstream.server),
             UpstreamUse::InFlight {
                 attempt,
                 request_written: true,
@@ -101,6 +102,9 @@
     pub fn on_unsolicited_bytes(&mut self, now: Time, id: UpstreamId) {
         self.advance_clock(now);
         self.state.count_unsolicited_bytes(id);
+        self.state
+            .effects
+            .push_back(Effect::CloseUpstream { upstream: id });
         self.on_connection_broken(now, id);
     }
 
@@ -126,11 +130,7 @@
             return;
         };
         let Some(attempt) = upstream.attempt_in_flight() else {
-            // No attempt is in flight. After an unsolicited response the upstream can't be
-            // trusted.
-            state.count_unsolicited_bytes(id);
-            state.close_upstream(id);
-            return self.report_finished_attempts();
+            return self.on_unsolicited_bytes(now, id);
         };
         if response.reusable && upstream.is_request_written() {
             state.record_response_end(id);
--- a/crates/node/src/reducer/upstreams.rs
+++ b/crates/node/src/reducer/upstreams.rs
@@ -20,6 +20,8 @@
 pub(super) enum UpstreamUse {
     /// It is connecting, and will carry this attempt.
     Connecting { attempt: AttemptId },
+    /// It rests after a response, and will then carry this attempt.
+    Reserved { attempt: AttemptId },
     /// An attempt is in flight on it.
     InFlight {
         attempt: AttemptId,
@@ -134,6 +136,17 @@
             .map(|(id, _)| *id)
     }
 
+    /// Returns the reserved upstreams, each with the attempt that waits for it and its server.
+    pub(super) fn reserved(&self) -> Vec<(UpstreamId, AttemptId, ServerIndex)> {
+        self.records
+            .iter()
+            .filter_map(|(id, upstream)| match upstream.current_use {
+                UpstreamUse::Reserved { attempt } => Some((*id, attempt, upstream.server)),
+                _ => None,
+            })
+            .collect()
+    }
+
     pub(super) fn ids_of_server(&self, server: ServerIndex) -> Vec<UpstreamId> {
         self.records
             .iter()
--- a/crates/node/tests/reducer/common.rs
+++ b/crates/node/tests/reducer/common.rs
@@ -20,6 +20,9 @@
                 {"Name":"book","Effect":"at_most_once","LatencySlo":100,"ClientTimeout":500},
                 {"Name":"put","Effect":"deduplicated","Window":200,"LatencySlo":100,"ClientTimeout":500}]}"#;
 
+/// The full rest of an upstream, as a multiple of its reuse delay.
+const FULL_REST_FACTOR: f64 = 5.0;
+
 /// A reducer, the time of its clock in milliseconds, and the effects printed so far.
 pub struct Harness {
     pub reducer: Reducer,
@@ -62,6 +65,7 @@
         );
         let mut config = Config::parse(&text, Environment::default()).expect("valid configuration");
         config.limits.upstream_reuse_delay = self.reuse_delay;
+        config.limits.upstream_full_rest = self.reuse_delay.times(FULL_REST_FACTOR);
         let mut harness = Harness {
             reducer: Reducer::new(&config),
             now: 0,
--- a/crates/node/tests/reducer/main.rs
+++ b/crates/node/tests/reducer/main.rs
@@ -9,4 +9,5 @@
 mod remaining;
 mod trace;
 mod upstream_reuse;
+mod upstream_waits;
 mod upstreams;
--- a/crates/node/tests/reducer/random.rs
+++ b/crates/node/tests/reducer/random.rs
@@ -9,17 +9,26 @@
     pending: BTreeMap<ClientId, i64>,
     /// Open upstreams, and whether each is connected.
     upstreams: BTreeMap<UpstreamId, bool>,
+    /// When each upstream had its last response, in milliseconds.
+    last_responses: BTreeMap<UpstreamId, i64>,
 }
 
+/// The limits of a node that is rarely short of sockets.
+const MANY_SOCKETS: &str = r#"{"memory_mb":16,"sockets":60}"#;
+/// The limits of a node that is mostly short of sockets.
+const FEW_SOCKETS: &str = r#"{"memory_mb":16,"sockets":34}"#;
+
 impl RandomRun {
-    fn new(seed: u64) -> RandomRun {
+    fn new(seed: u64, limits: &str, reuse_delay: Span) -> RandomRun {
         RandomRun {
             generator: Pcg::new(seed),
             harness: Harness::builder()
-                .limits(r#"{"memory_mb":16,"sockets":60}"#)
+                .limits(limits)
+                .reuse_delay(reuse_delay)
                 .start(),
             pending: BTreeMap::new(),
             upstreams: BTreeMap::new(),
+            last_responses: BTreeMap::new(),
         }
     }
 
@@ -65,6 +74,7 @@
             }
             (5..=8, Some(upstream), _) => self.report_upstream(now, upstream),
             (9, _, _) => self.update_list(step),
+            (10, _, _) if self.random_below(8) == 0 => self.reload(),
             _ => {
                 let ms = 5 * self.random_below(12) as i64;
                 self.harness.advance(ms);
@@ -95,13 +105,38 @@
             (true, 2) => reducer.on_partial_response(now, upstream),
             (true, 3) => {
                 let outcome = [Outcome::Miss, Outcome::Overloaded][self.random_below(2)];
-                let reducer = &mut self.harness.reducer;
-                reducer.on_response(now, upstream, failure(outcome));
+                self.respond(now, upstream, failure(outcome));
             }
-            (true, _) => reducer.on_response(now, upstream, value("v")),
+            (true, _) => self.respond(now, upstream, value("v")),
         }
     }
 
+    fn respond(&mut self, now: Time, upstream: UpstreamId, response: AttemptResponse) {
+        self.last_responses.insert(upstream, self.harness.now);
+        self.harness.reducer.on_response(now, upstream, response);
+    }
+
+    /// Applies settings with another time for which servers keep idle connections.
+    fn reload(&mut self) {
+        let keepalive = 500 * (1 + self.random_below(3));
+        let settings = SETTINGS.replace(
+            r#""Keepalive":1000"#,
+            &format!(r#""Keepalive":{keepalive}"#),
+        );
+        self.harness.reload(&settings);
+    }
+
+    /// Checks that an upstream on which an attempt is written at `now` is connected and has rested.
+    fn check_write(&self, line: &str, now: i64, upstream: UpstreamId) {
+        assert_eq!(self.upstreams.get(&upstream), Some(&true), "{line}");
+        let delay = self.harness.reducer.limits().upstream_reuse_delay;
+        let rest = self
+            .last_responses
+            .get(&upstream)
+            .map_or(delay, |response| Span::ms(now - response));
+        assert!(rest >= delay, "{line}: {rest:?} after the last response");
+    }
+
     fn update_list(&mut self, step: usize) {
         let states = ["in_service", "in_service", "terminating", "terminated"];
         let ids: Vec<_> = (0..3).map(|i| format!("s{}", i + step / 100)).collect();
@@ -129,14 +164,13 @@
                     .and_then(|word| word.parse().ok())
                     .expect("numeric id")
             };
-            let upstreams = &mut self.upstreams;
             match words[1] {
                 "connect" => {
-                    upstreams.insert(UpstreamId(number(2)), false);
+                    self.upstreams.insert(UpstreamId(number(2)), false);
                 }
-                "write" => assert_eq!(upstreams.get(&UpstreamId(number(2))), Some(&true), "{line}"),
+                "write" => self.check_write(line, number(0) as i64, UpstreamId(number(2))),
                 "close" if words[2] == "upstream" => {
-                    upstreams.remove(&UpstreamId(number(3)));
+                    self.upstreams.remove(&UpstreamId(number(3)));
                 }
                 "answer" => {
                     if let Some(pending) = self.pending.get_mut(&ClientId(number(2))) {
@@ -150,28 +184,42 @@
     }
 }
 
-/// Each command of a client that stays connected gets one response, nothing is written on an
-/// upstream that is not connected, and in the end no call and no upstream is left open.
+/// Plays random events. Each command of a client that stays connected gets one response, nothing is
+/// written on an upstream that is not connected or has not rested, and in the end no call and no
+/// upstream is left open.
+fn play(seed: u64, limits: &str, reuse_delay: Span) {
+    let mut run = RandomRun::new(seed, limits, reuse_delay);
+    for step in 0..400 {
+        run.step(step);
+    }
+    run.harness.advance(2_000);
+    run.account_for_effects(false);
+    let RandomRun {
+        harness,
+        pending,
+        upstreams,
+        ..
+    } = run;
+    assert!(
+        pending.values().all(|pending| *pending == 0),
+        "seed {seed}: {pending:?} responses pending"
+    );
+    assert_eq!(harness.reducer.open_call_count(), 0, "seed {seed}");
+    assert!(upstreams.is_empty(), "seed {seed}: {upstreams:?} open");
+}
+
 #[test]
 fn any_event_order_yields_one_response_and_leaves_no_state() {
     for seed in 0..150 {
-        let mut run = RandomRun::new(seed);
-        for step in 0..400 {
-            run.step(step);
-        }
-        run.harness.advance(2_000);
-        run.account_for_effects(false);
-        let RandomRun {
-            harness,
-            pending,
-            upstreams,
-            ..
-        } = run;
-        assert!(
-            pending.values().all(|pending| *pending == 0),
-            "seed {seed}: {pending:?} responses pending"
-        );
-        assert_eq!(harness.reducer.open_call_count(), 0, "seed {seed}");
-        assert!(upstreams.is_empty(), "seed {seed}: {upstreams:?} open");
+        play(seed, MANY_SOCKETS, Span::ZERO);
+    }
+}
+
+/// A late duplicate of a response is taken for another's if its upstream is written on before.
+#[test]
+fn any_event_order_lets_upstreams_rest_after_a_response() {
+    for seed in 0..150 {
+        play(seed, MANY_SOCKETS, Span::ms(10));
+        play(seed, FEW_SOCKETS, Span::ms(10));
     }
 }
--- a/crates/node/tests/reducer/upstream_reuse.rs
+++ b/crates/node/tests/reducer/upstream_reuse.rs
@@ -140,3 +140,33 @@
     "#]]
     .assert_eq(&harness.trace);
 }
+
+/// A server that is held up sends a duplicate later than the reuse delay: of several upstreams that
+/// are past the delay, but have not rested in full, the one that has rested longest is used.
+#[test]
+fn upstream_that_has_rested_longest_is_used_before_the_full_rest() {
+    let mut harness = Harness::builder().reuse_delay(Span::ms(10)).start();
+    let client = harness.add_client();
+    harness.write(client, "c1", 400);
+    harness.connect(2);
+    harness.write(client, "c2", 400);
+    harness.connect(3);
+    harness.respond("stored", 3, value("r2"));
+    harness.advance(5);
+    harness.respond("stored", 2, value("r1"));
+    harness.trace.clear();
+    harness.advance(20);
+    harness.write(client, "c3", 400);
+    harness.respond("stored", 3, value("r3"));
+    harness.advance(50);
+    harness.write(client, "c4", 400);
+    expect![[r#"
+        25 put c3
+        25   write 3: c3, time_left 397
+        25 stored
+        25   answer 1: r3
+        75 put c4
+        75   write 3: c4, time_left 397
+    "#]]
+    .assert_eq(&harness.trace);
+}
--- a/crates/node/tests/sockets/stub_servers.rs
+++ b/crates/node/tests/sockets/stub_servers.rs
@@ -171,15 +171,18 @@
     ServerAction::Respond(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec())
 }
 
+/// Encodes an HTTP response.
+pub fn http_bytes(status: &str, body: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
 /// Responds with an HTTP response.
 pub fn http(status: &str, body: &str) -> ServerAction {
-    ServerAction::Respond(
-        format!(
-            "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        )
-        .into_bytes(),
-    )
+    ServerAction::Respond(http_bytes(status, body))
 }
 
 /// Starts a server with one connection that responds to each command with these pieces, and sends
