Let upstreams rest longer after a late second answer of their server

A server that sends unsolicited bytes now makes its upstreams rest 1.5 times as long as these took, 50 ms at the most, until 30 s after the last. Servers that send none keep 10 ms. `unsolicited_late` counts by the rest in force.

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -94,6 +94,9 @@
     /// How long a connection to a server must have been idle to be preferred to one that has been
     /// idle longer: a server that is held up sends stray bytes later than the reuse delay.
     pub upstream_full_rest: Span,
+    /// How long connections to a server that has sent stray bytes late rest longer than the reuse
+    /// delay.
+    pub raised_reuse_delay_duration: Span,
     /// By how much the time left when the last byte of a request is written may fall short of the
     /// time left that the request states.
     pub deadline_slack: Span,
--- a/crates/node/src/limits/fixed.rs
+++ b/crates/node/src/limits/fixed.rs
@@ -47,6 +47,7 @@
     // A duplicate of a response arrives some milliseconds after the first.
     upstream_reuse_delay: Span::ms(10),
     upstream_full_rest: Span::ms(50),
+    raised_reuse_delay_duration: Span::ms(30_000),
     // Two thirds of what operators allow, as a stall of the process adds to it.
     deadline_slack: Span::ms(100),
     large_value_write_fraction: 0.5,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -28,8 +28,8 @@
     /// Upstreams that were closed because their server sent bytes that no attempt awaited.
     #[serde(rename = "unsolicited")]
     pub unsolicited_responses: u64,
-    /// Of these, those whose bytes came later after a response than `upstream_reuse_delay`. Such
-    /// bytes can be taken for the response to the next attempt.
+    /// Of these, those whose bytes came after the rest of the upstream. Such bytes can be taken for
+    /// the response to the next attempt.
     #[serde(rename = "unsolicited_late")]
     pub late_unsolicited_responses: u64,
     /// Attempts that waited until an upstream had rested after its last response.
@@ -51,7 +51,7 @@
 pub struct UnsolicitedCounts {
     /// All of them.
     pub total: u64,
-    /// Those whose bytes came after the reuse delay.
+    /// Those whose bytes came after the rest of the upstream.
     pub late: u64,
 }
 
--- a/crates/node/src/reducer/connections.rs
+++ b/crates/node/src/reducer/connections.rs
@@ -154,31 +154,6 @@
         }
     }
 
-    /// Counts and logs bytes on an upstream that no attempt awaits.
-    pub(super) fn count_unsolicited_bytes(&mut self, id: UpstreamId) {
-        let Some(upstream) = self.upstreams.get(id) else {
-            return;
-        };
-        let since_response = upstream.last_response.map(|end| self.now - end);
-        let is_late = since_response.is_some_and(|delay| delay > self.limits.upstream_reuse_delay);
-        self.unsolicited.total += 1;
-        self.unsolicited.late += u64::from(is_late);
-        let Some(address) = self.servers[upstream.server].addr else {
-            return;
-        };
-        match since_response.map(Span::as_ms) {
-            Some(delay_ms) => tracing::warn!(
-                server = %address,
-                delay_ms,
-                "unsolicited bytes from {address}, {delay_ms:.1} ms after its last response"
-            ),
-            None => tracing::warn!(
-                server = %address,
-                "unsolicited bytes from {address} before its first response"
-            ),
-        }
-    }
-
     pub(super) fn set_upstream_deadline(&mut self, id: UpstreamId, deadline: Time) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             self.timers.cancel(upstream.deadline, Timer::Upstream(id));
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -28,6 +28,7 @@
 mod node_state;
 mod policy_actions;
 mod responses;
+mod reuse_delay;
 mod servers;
 mod service_events;
 mod stall;
--- a/crates/node/src/reducer/servers.rs
+++ b/crates/node/src/reducer/servers.rs
@@ -5,6 +5,7 @@
 use quartzhub_settings::ServerTable;
 
 use super::listed_endpoint::ListedEndpoint;
+use super::reuse_delay::ReuseDelay;
 use crate::messages::UpstreamId;
 
 /// A cache or the origin.
@@ -16,6 +17,8 @@
     pub(super) state: EndpointState,
     /// Its latest entry in the endpoint list.
     pub(super) listed: Option<ListedEndpoint>,
+    /// How long its upstreams rest after a response.
+    pub(super) reuse_delay: ReuseDelay,
     /// Idle upstreams, the newest last.
     pub(super) idle_upstreams: Vec<UpstreamId>,
 }
--- a/crates/node/src/reducer/upstream_events.rs
+++ b/crates/node/src/reducer/upstream_events.rs
@@ -101,7 +101,7 @@
     /// duplicate of the last response, and what follows on the upstream can't be told from it.
     pub fn on_unsolicited_bytes(&mut self, now: Time, id: UpstreamId) {
         self.advance_clock(now);
-        self.state.count_unsolicited_bytes(id);
+        self.state.record_unsolicited_bytes(id);
         self.state
             .effects
             .push_back(Effect::CloseUpstream { upstream: id });
--- a/crates/node/src/reducer/upstream_reuse.rs
+++ b/crates/node/src/reducer/upstream_reuse.rs
@@ -5,6 +5,8 @@
 //! of the last response that is still on its way when the next attempt is written would be taken
 //! for the response to that attempt. A duplicate that arrives while the upstream rests is noticed,
 //! and the upstream is closed.
+use std::net::SocketAddr;
+
 use quartzhub_policy::{EndpointState, Outcome, ServerIndex, Span, Time};
 
 use super::calls::AttemptId;
@@ -54,7 +56,7 @@
         if let Some(id) = newest {
             return UpstreamChoice::Rested(*id);
         }
-        let reuse_delay = self.limits.upstream_reuse_delay;
+        let reuse_delay = self.reuse_delay(server);
         let rests = idle
             .iter()
             .map(|id| (self.rested_at(*id, reuse_delay), *id));
@@ -68,6 +70,13 @@
         }
     }
 
+    /// Returns how long upstreams to a server rest after a response.
+    fn reuse_delay(&self, server: ServerIndex) -> Span {
+        self.servers[server]
+            .reuse_delay
+            .current(self.now, &self.limits)
+    }
+
     /// Returns when an upstream will have rested for `rest` after its last response, or has.
     fn rested_at(&self, id: UpstreamId, rest: Span) -> Time {
         let upstream = self.upstreams.get(id);
@@ -81,6 +90,28 @@
         attempt.map_or(self.now, |attempt| attempt.deadline.min(attempt.write_by))
     }
 
+    /// Counts and logs bytes on an upstream that no attempt awaits, and makes the upstreams to its
+    /// server rest long enough to cover as late ones.
+    pub(super) fn record_unsolicited_bytes(&mut self, id: UpstreamId) {
+        let Some(upstream) = self.upstreams.get(id) else {
+            return;
+        };
+        let server = upstream.server;
+        let delay = upstream.last_response.map(|end| self.now - end);
+        let is_late = delay.is_some_and(|delay| delay > self.reuse_delay(server));
+        self.unsolicited.total += 1;
+        self.unsolicited.late += u64::from(is_late);
+        let record = &mut self.servers[server];
+        if let Some(delay) = delay {
+            record
+                .reuse_delay
+                .record_unsolicited(self.now, delay, &self.limits);
+        }
+        if let Some(address) = record.addr {
+            log_unsolicited_bytes(address, delay);
+        }
+    }
+
     fn take_from_pool(&mut self, server: ServerIndex, id: UpstreamId) {
         self.servers[server]
             .idle_upstreams
@@ -131,3 +162,17 @@
         }
     }
 }
+
+fn log_unsolicited_bytes(address: SocketAddr, delay: Option<Span>) {
+    match delay.map(Span::as_ms) {
+        Some(delay_ms) => tracing::warn!(
+            server = %address,
+            delay_ms,
+            "unsolicited bytes from {address}, {delay_ms:.1} ms after its last response"
+        ),
+        None => tracing::warn!(
+            server = %address,
+            "unsolicited bytes from {address} before its first response"
+        ),
+    }
+}
