Count second answers that are found at the write, and move their attempt

At the end of a rest the second answer may lie in the socket before the node has read it, as after a stall. The write saw that the socket was not idle and took the connection for broken: another carried the attempt, but nothing was counted or logged, and the server's rest stayed as it was. The write now tells bytes from an end, and reports bytes as unsolicited.

--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -103,12 +103,31 @@
     }
 }
 
-/// Whether a connection is open and has no bytes to read. Asks the kernel, as tokio may not have
-/// seen an event yet.
-pub fn is_open_and_idle(stream: &TcpStream) -> bool {
+/// What a connection has to read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Readable {
+    /// It is open and has nothing to read.
+    Nothing,
+    /// Bytes.
+    Bytes,
+    /// Its end, or an error.
+    End,
+}
+
+/// Returns what a connection has to read. Asks the kernel, as tokio may not have seen an event yet.
+pub fn readable(stream: &TcpStream) -> Readable {
     let socket = socket2::SockRef::from(stream);
-    let peeked = retry_interrupted(|| socket.peek(&mut [std::mem::MaybeUninit::uninit()]));
-    peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    match retry_interrupted(|| socket.peek(&mut [std::mem::MaybeUninit::uninit()])) {
+        Ok(0) => Readable::End,
+        Ok(_) => Readable::Bytes,
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Readable::Nothing,
+        Err(_) => Readable::End,
+    }
+}
+
+/// Whether a connection is open and has no bytes to read.
+pub fn is_open_and_idle(stream: &TcpStream) -> bool {
+    readable(stream) == Readable::Nothing
 }
 
 #[cfg(test)]
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -215,6 +215,7 @@
             WriteResult::Complete => reducer.on_written(id),
             WriteResult::Partial => {}
             WriteResult::ClientDisconnected => reducer.on_write_skipped(self.clock.now(), id),
+            WriteResult::UnsolicitedBytes => reducer.on_unsolicited_bytes(self.clock.now(), id),
             WriteResult::ConnectionBroken => {
                 reducer.on_connection_broken(self.clock.now(), id);
                 drop(reducer);
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::attempt_response::AttemptResponse;
-use crate::buffer::{is_open_and_idle, Buffer};
+use crate::buffer::{readable, Buffer, Readable};
 use crate::limits::Limits;
 use crate::messages::{Request, UpstreamId};
 use crate::resp::Parsed;
@@ -87,6 +87,8 @@
     Partial,
     /// The client has disconnected; the rest is not written.
     ClientDisconnected,
+    /// The server has sent bytes that no attempt awaits; nothing is written.
+    UnsolicitedBytes,
     /// The connection can't be used any more.
     ConnectionBroken,
 }
@@ -156,10 +158,11 @@
         {
             let mut buffer = self.buffer.borrow_mut();
             // Unsolicited bytes must not be taken for the response, and a server that has closed an
-            // idle connection never reads the request. The socket is asked, as tokio may not have
-            // seen the FIN yet.
-            if !buffer.is_empty() || !self.stream.get().is_some_and(is_open_and_idle) {
-                return WriteResult::ConnectionBroken;
+            // idle connection never reads the request.
+            match self.stream.get().map(readable) {
+                Some(Readable::Nothing) if buffer.is_empty() => {}
+                None | Some(Readable::End) => return WriteResult::ConnectionBroken,
+                Some(_) => return WriteResult::UnsolicitedBytes,
             }
             buffer.put(
                 &self
--- a/crates/node/src/upstreams/connection.rs
+++ b/crates/node/src/upstreams/connection.rs
@@ -110,7 +110,7 @@
         WriteResult::ClientDisconnected => {
             executor.report(|reducer, now| reducer.on_write_skipped(now, upstream.id))
         }
-        WriteResult::ConnectionBroken => return Break(()),
+        WriteResult::UnsolicitedBytes | WriteResult::ConnectionBroken => return Break(()),
     }
     Continue(())
 }
--- a/crates/node/tests/reducer/upstream_waits.rs
+++ b/crates/node/tests/reducer/upstream_waits.rs
@@ -167,3 +167,28 @@
     "#]]
     .assert_eq(&harness.trace);
 }
+
+/// A duplicate may lie in the socket at the end of the rest, before the node has read it. It is
+/// found at the write: another upstream carries the attempt, and the duplicate is counted.
+#[test]
+fn duplicate_found_at_the_write_moves_the_attempt() {
+    let (mut harness, client) = with_origin_response();
+    harness.write(client, "c2", 400);
+    harness.advance(5);
+    harness.report("unsolicited", |reducer, now| {
+        reducer.on_unsolicited_bytes(now, UpstreamId(2))
+    });
+    harness.connect(3);
+    let now = harness.time();
+    assert_eq!(harness.reducer.metrics(now).unsolicited_responses, 1);
+    expect![[r#"
+        5 put c2
+        10   write 2: c2, time_left 392
+        10 unsolicited
+        10   close upstream 2
+        10   connect 3 to 9
+        10 connected 3
+        10   write 3: c2, time_left 392
+    "#]]
+    .assert_eq(&harness.trace);
+}
