--- a/crates/node/tests/reducer/main.rs
+++ b/crates/node/tests/reducer/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the reducer without sockets: its effects are printed as a short trace and compared.
+mod builder;
 mod calls;
 mod clients;
 mod common;
--- a/crates/node/tests/reducer/upstream_reuse.rs
+++ b/crates/node/tests/reducer/upstream_reuse.rs
@@ -63,6 +63,16 @@
     .assert_eq(&harness.trace);
 }
 
+/// Returns a harness with a reuse delay of 10 ms, whose upstream 2 to the cache had a response at 0,
+/// and the client that got it.
+fn with_cache_response() -> (Harness, ClientId) {
+    let (mut harness, client) = Harness::builder()
+        .reuse_delay(Span::ms(10))
+        .with_successful_call("view", 400, "hit");
+    harness.trace.clear();
+    (harness, client)
+}
+
 /// Bytes that come after the rest can be taken for the response to the next attempt: operators have
 /// to be able to tell them from those that the rest covers, here 10 and then 15 ms.
 #[test]
@@ -75,9 +85,7 @@
         harness.connect(upstream);
         harness.respond("hit", upstream, value("v"));
         harness.advance(delay);
-        harness.report("unsolicited", |reducer, now| {
-            reducer.on_unsolicited_bytes(now, UpstreamId(upstream))
-        });
+        harness.send_unsolicited(upstream);
         let now = harness.time();
         let metrics = harness.reducer.metrics(now);
         counts.push((
@@ -92,9 +100,7 @@
 /// had its last response: with a longer time, an upstream was reused within the reuse delay.
 #[test]
 fn reload_does_not_end_the_reuse_delay_early() {
-    let (mut harness, client) = Harness::builder()
-        .reuse_delay(Span::ms(10))
-        .with_successful_call("view", 400, "hit");
+    let (mut harness, client) = with_cache_response();
     harness.advance(5);
     let longer_keepalive = SETTINGS.replace(r#""Keepalive":1000"#, r#""Keepalive":2000"#);
     harness.reload(&longer_keepalive);
@@ -102,12 +108,6 @@
     harness.advance(5);
     harness.call(client, "view", "c3", 400);
     expect![[r#"
-        0 call c1
-        0   connect 2 to 1
-        0 connected 2
-        0   write 2: c1, time_left 397
-        0 hit
-        0   answer 1: v
         5 reload
         5 call c2
         5   connect 3 to 1
@@ -120,20 +120,12 @@
 /// With a shorter time, an upstream was not reused for as long as the difference.
 #[test]
 fn reload_does_not_prolong_the_reuse_delay() {
-    let (mut harness, client) = Harness::builder()
-        .reuse_delay(Span::ms(10))
-        .with_successful_call("view", 400, "hit");
+    let (mut harness, client) = with_cache_response();
     let shorter_keepalive = SETTINGS.replace(r#""Keepalive":1000"#, r#""Keepalive":500"#);
     harness.reload(&shorter_keepalive);
     harness.advance(10);
     harness.call(client, "view", "c2", 400);
     expect![[r#"
-        0 call c1
-        0   connect 2 to 1
-        0 connected 2
-        0   write 2: c1, time_left 397
-        0 hit
-        0   answer 1: v
         0 reload
         10 call c2
         10   write 2: c2, time_left 397
@@ -145,16 +137,9 @@
 /// are past the delay, but have not rested in full, the one that has rested longest is used.
 #[test]
 fn upstream_that_has_rested_longest_is_used_before_the_full_rest() {
-    let mut harness = Harness::builder().reuse_delay(Span::ms(10)).start();
-    let client = harness.add_client();
-    harness.write(client, "c1", 400);
-    harness.connect(2);
-    harness.write(client, "c2", 400);
-    harness.connect(3);
-    harness.respond("stored", 3, value("r2"));
-    harness.advance(5);
-    harness.respond("stored", 2, value("r1"));
-    harness.trace.clear();
+    let (mut harness, client) = Harness::builder()
+        .reuse_delay(Span::ms(10))
+        .with_two_origin_responses();
     harness.advance(20);
     harness.write(client, "c3", 400);
     harness.respond("stored", 3, value("r3"));
@@ -175,13 +160,9 @@
 /// its server's upstreams rest longer for a while.
 #[test]
 fn upstreams_rest_longer_after_a_late_duplicate_of_their_server() {
-    let (mut harness, client) = Harness::builder()
-        .reuse_delay(Span::ms(10))
-        .with_successful_call("view", 400, "hit");
+    let (mut harness, client) = with_cache_response();
     harness.advance(8);
-    harness.report("unsolicited", |reducer, now| {
-        reducer.on_unsolicited_bytes(now, UpstreamId(2))
-    });
+    harness.send_unsolicited(2);
     harness.call(client, "view", "c2", 400);
     harness.connect(3);
     harness.respond("hit", 3, value("v2"));
@@ -190,12 +171,6 @@
     harness.advance(1);
     harness.call(client, "view", "c4", 400);
     expect![[r#"
-        0 call c1
-        0   connect 2 to 1
-        0 connected 2
-        0   write 2: c1, time_left 397
-        0 hit
-        0   answer 1: v
         8 unsolicited
         8   close upstream 2
         8 call c2
@@ -216,13 +191,9 @@
 /// anyway, and ends some time after the last late duplicate.
 #[test]
 fn longer_rest_is_bounded_and_ends() {
-    let (mut harness, client) = Harness::builder()
-        .reuse_delay(Span::ms(10))
-        .with_successful_call("view", 400, "hit");
+    let (mut harness, client) = with_cache_response();
     harness.advance(200);
-    harness.report("unsolicited", |reducer, now| {
-        reducer.on_unsolicited_bytes(now, UpstreamId(2))
-    });
+    harness.send_unsolicited(2);
     harness.call(client, "view", "c2", 400);
     harness.connect(3);
     harness.respond("hit", 3, value("v2"));
@@ -237,12 +208,6 @@
     harness.advance(10);
     harness.call(client, "view", "c5", 400);
     expect![[r#"
-        0 call c1
-        0   connect 2 to 1
-        0 connected 2
-        0   write 2: c1, time_left 397
-        0 hit
-        0   answer 1: v
         200 unsolicited
         200   close upstream 2
         200 call c2
--- a/crates/node/tests/reducer/upstream_waits.rs
+++ b/crates/node/tests/reducer/upstream_waits.rs
@@ -35,9 +35,7 @@
 fn attempt_that_waits_is_moved_when_a_duplicate_arrives() {
     let (mut harness, client) = with_origin_response();
     harness.write(client, "c2", 400);
-    harness.report("unsolicited", |reducer, now| {
-        reducer.on_unsolicited_bytes(now, UpstreamId(2))
-    });
+    harness.send_unsolicited(2);
     harness.connect(3);
     harness.advance(5);
     expect![[r#"
@@ -55,16 +53,9 @@
 /// attempt only.
 #[test]
 fn each_resting_upstream_is_waited_for_by_one_attempt() {
-    let mut harness = Harness::builder().reuse_delay(Span::ms(10)).start();
-    let client = harness.add_client();
-    harness.write(client, "c1", 400);
-    harness.connect(2);
-    harness.write(client, "c2", 400);
-    harness.connect(3);
-    harness.respond("stored", 3, value("r2"));
-    harness.advance(5);
-    harness.respond("stored", 2, value("r1"));
-    harness.trace.clear();
+    let (mut harness, client) = Harness::builder()
+        .reuse_delay(Span::ms(10))
+        .with_two_origin_responses();
     harness.write(client, "c3", 400);
     harness.write(client, "c4", 400);
     harness.write(client, "c5", 400);
@@ -175,9 +166,7 @@
     let (mut harness, client) = with_origin_response();
     harness.write(client, "c2", 400);
     harness.advance(5);
-    harness.report("unsolicited", |reducer, now| {
-        reducer.on_unsolicited_bytes(now, UpstreamId(2))
-    });
+    harness.send_unsolicited(2);
     harness.connect(3);
     let now = harness.time();
     assert_eq!(harness.reducer.metrics(now).unsolicited_responses, 1);
