Close no client while a value is streamed to it

What callers saw: while a node sends its clients away (out of service, SIGTERM, hand-over, room), a command that was read behind a large value is never answered. Cause: the client's task decided on the close by open calls and unwritten bytes, and the reducer takes no command while a value is streamed. From the value's last byte to the next turn of the upstream's task both held; the close read the command, waited 500 ms for more, and dropped it. Change: Outstanding, a module of its own, counts a streamed value.

--- a/crates/node/src/clients/closing.rs
+++ b/crates/node/src/clients/closing.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpStream;
 
 use super::connection::Connection;
+use super::outstanding::Outstanding;
 use crate::buffer::{is_open_and_idle, Buffer};
 use crate::clock::duration;
 use crate::effects::EffectExecutor;
@@ -41,7 +42,7 @@
         let has_deferred_responses = self.client.unwritten() > 0;
         self.write_last_responses();
         if self.client.unwritten() > 0 {
-            return self.handle_event(&self.outstanding()).await;
+            return self.handle_event(&Outstanding::of(self)).await;
         }
         self.client.shutdown_write();
         // A command that crosses the FIN would cause a reset, which destroys responses that are
--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -7,6 +7,7 @@
 use super::arrival_times::ArrivalTimes;
 use super::commands::{respond_protocol_error, take_command, ProtocolError, TakeResult};
 use super::memory_budget::BufferReservation;
+use super::outstanding::Outstanding;
 use super::reading::LargeCommand;
 use super::{Client, WriteMode};
 use crate::buffer::{is_open_and_idle, Buffer};
@@ -22,29 +23,6 @@
     executor.client_closed.notify_one();
 }
 
-/// What a client has yet to receive.
-pub(super) struct Outstanding {
-    /// Calls that await a response.
-    calls: usize,
-    /// Items that are not completely written to the socket.
-    unwritten: usize,
-    /// Whether some of them could be written now.
-    writable: bool,
-    /// Whether the items are deferred, to be written together with the FIN.
-    deferred: bool,
-}
-
-impl Outstanding {
-    fn is_empty(&self) -> bool {
-        self.calls == 0 && self.unwritten == 0
-    }
-
-    /// Whether nothing is left except what can be written together with the FIN.
-    fn allows_close(&self) -> bool {
-        self.calls == 0 && (self.unwritten == 0 || self.deferred)
-    }
-}
-
 /// The receiving half of a client's connection.
 pub(super) struct Connection<'a> {
     pub(super) executor: &'a Rc<EffectExecutor>,
@@ -96,7 +74,7 @@
             }
             let taken = self.take_commands();
             self.reserve_buffer();
-            let outstanding = self.outstanding();
+            let outstanding = Outstanding::of(self);
             // A client that floods commands must not starve the other tasks of this thread.
             if taken == self.executor.limits.commands_per_turn {
                 tokio::task::yield_now().await;
@@ -138,33 +116,14 @@
         taken
     }
 
-    fn pending_responses(&self) -> usize {
-        self.executor
-            .query(|reducer| reducer.pending_responses(self.id))
-    }
-
-    fn is_streaming(&self) -> bool {
-        self.executor
-            .query(|reducer| reducer.is_streaming_to(self.id))
-    }
-
     /// Reserves the buffer's capacity, or the size granted to a large command if that is more.
     pub(super) fn reserve_buffer(&mut self) {
         let granted = self.large_command.as_ref().map_or(0, |large| large.size);
         self.reservation.set(self.buffer.capacity().max(granted));
     }
 
-    pub(super) fn outstanding(&self) -> Outstanding {
-        Outstanding {
-            calls: self.pending_responses(),
-            unwritten: self.client.unwritten(),
-            writable: self.client.has_writable_bytes() && !self.defers_responses(),
-            deferred: self.client.defers_responses() && !self.client.has_streamed_item(),
-        }
-    }
-
     /// Whether responses are deferred although calls are open.
-    fn defers_responses(&self) -> bool {
+    pub(super) fn defers_responses(&self) -> bool {
         let now = self.executor.clock.now();
         self.deferred_until.is_some_and(|until| now < until)
     }
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -22,6 +22,7 @@
 mod commands;
 mod connection;
 mod memory_budget;
+mod outstanding;
 mod reading;
 mod response;
 
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod cancelled_attempts;
 mod clients;
 mod closing_races;
+mod commands_behind_values;
 mod common;
 mod config;
 mod crashes;
--- a/crates/node/tests/sockets/stub_servers.rs
+++ b/crates/node/tests/sockets/stub_servers.rs
@@ -6,6 +6,8 @@
     Respond(Vec<u8>),
     /// Responds once the test has sent to the channel.
     RespondOnRelease(Receiver<()>, Vec<u8>),
+    /// Sends the first half of the response, and the rest once the test has sent to the channel.
+    RestOnRelease(Receiver<()>, Vec<u8>),
     /// Responds after a delay.
     RespondAfter(Duration, Vec<u8>),
     /// Responds, then closes the connection and reports that.
@@ -80,6 +82,12 @@
                 let _ = release.recv_timeout(EVENT_TIMEOUT);
                 let _ = stream.write_all(&bytes);
             }
+            Ok(ServerAction::RestOnRelease(release, bytes)) => {
+                let (first_half, rest) = bytes.split_at(bytes.len() / 2);
+                let _ = stream.write_all(first_half);
+                let _ = release.recv_timeout(EVENT_TIMEOUT);
+                let _ = stream.write_all(rest);
+            }
             Ok(ServerAction::RespondAfter(delay, bytes)) => {
                 std::thread::sleep(delay);
                 let _ = stream.write_all(&bytes);
