Write deferred responses once no further command may be taken

What callers would see: a client that is being disconnected and has more than 128 commands in the node's buffer gets 128 answers and then the close. Cause: responses held back for the close count towards the limit of open calls, so nothing more was taken, and held responses did not keep the close off. Evidence: the new test, 200 commands at once, ended with "closed" before. Change: at the limit responses are written, so that the rest can be taken.

--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -98,8 +98,7 @@
         let limits = &executor.limits;
         let mut taken = 0;
         while self.reading && taken < limits.commands_per_turn && !self.is_streaming() {
-            // Unwritten items count as well, for clients that send calls but read no responses.
-            if self.pending_responses() + self.client.unwritten() >= limits.open_calls_per_client {
+            if self.is_at_call_limit() {
                 break;
             }
             match take_command(executor, self.id, &mut self.buffer, &mut self.arrivals) {
@@ -172,8 +171,7 @@
         let client = self.client;
         let limits = &executor.limits;
         let deadline = self.deadline(outstanding);
-        let at_call_limit =
-            outstanding.calls + outstanding.unwritten >= limits.open_calls_per_client;
+        let at_call_limit = outstanding.at_call_limit;
         // At the call limit up to `read_bytes` are read ahead, to time the next commands' arrival.
         let reads_ahead = at_call_limit && self.buffer.unread().len() < limits.read_bytes;
         // While streaming nothing is read: if the value breaks off, commands read get no response.
@@ -202,7 +200,7 @@
 
     /// Writes as much as the socket accepts, and reports it.
     fn flush(&mut self) -> ControlFlow<()> {
-        if !self.defers_responses() {
+        if self.may_write() {
             self.write_responses(WriteMode::Immediate);
         }
         Continue(())
--- a/crates/node/tests/sockets/closing_races.rs
+++ b/crates/node/tests/sockets/closing_races.rs
@@ -199,3 +199,40 @@
     assert_eq!(node.client().ask(&["OBJ.GET", "k", "id3", ATTRIBUTES]), "v");
     assert_eq!(next_report(&reports), "a: OBJ.GET k id3");
 }
+
+// Regression test: a client that is being disconnected has more commands in the node's buffer than
+// may be open at once. Those beyond the limit were dropped when the others had been answered.
+#[test]
+fn commands_beyond_the_limit_of_open_calls_are_answered_before_the_close() {
+    const COMMAND_COUNT: usize = 200;
+    let (release, script) = hold_first_response(hit_bytes("first"), |_| hit("v"));
+    let addr = free_address();
+    let (node, reports) = Setup::new()
+        .server("a", script)
+        .keys(&format!(r#""ops":"{addr}","#))
+        .start();
+    let mut client = node.client();
+    client.send(&command(&["OBJ.GET", "k", "id", ATTRIBUTES]));
+    assert_eq!(next_report(&reports), "a: OBJ.GET k id");
+    assert_eq!(
+        admin_call(addr, "POST /control/out-of-service"),
+        "200 OK: out of service"
+    );
+    // From 1.7 s on clients are disconnected.
+    std::thread::sleep(Duration::from_millis(1_800));
+    let ids = (0..COMMAND_COUNT).map(|number| format!("id{number}"));
+    let commands: Vec<u8> = ids
+        .flat_map(|id| command(&["OBJ.GET", "k", &id, ATTRIBUTES]))
+        .collect();
+    client.send(&commands);
+    release.send(()).expect("the server waits");
+    assert_eq!(client.response(), "first");
+    for number in 0..COMMAND_COUNT {
+        let response = client.response();
+        assert!(
+            response == "v" || response.starts_with("-BUSY"),
+            "command {number}: {response}"
+        );
+    }
+    assert_eq!(client.response(), "closed");
+}
