Restart the time for an incomplete command after a pause in reading

What callers would see: a write of over 64 KiB, partly read before the value of the read ahead of it begins, is rejected as incomplete and its client closed if that value takes over 2.5 s. Cause: nothing is read while a value is streamed, but the command's time ran on. Change: the time starts anew once the node reads again. Measured: write_partly_read_before_a_long_value_is_answered fails before and passes now; the tests of half commands pass.

--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -93,7 +93,7 @@
     }
 
     /// Takes buffered commands as far as the limits allow, and returns their number.
-    fn take_commands(&mut self) -> usize {
+    pub(super) fn take_commands(&mut self) -> usize {
         let executor = self.executor;
         let limits = &executor.limits;
         let mut taken = 0;
@@ -180,7 +180,7 @@
             && (!at_call_limit || reads_ahead)
             && client.close_after_quiet_period.get().is_none();
         if !reads {
-            self.arrivals.pause_reading(executor.clock.now());
+            self.pause_reading();
         }
         tokio::select! {
             ready = client.stream.readable(), if reads => match ready {
@@ -241,16 +241,4 @@
         tokio::task::yield_now().await;
         Continue(())
     }
-
-    /// Whether the rest of an incomplete command has arrived by its timeout, unseen by the runtime:
-    /// after a stall, timers run before socket events.
-    async fn receives_rest_of_command(&mut self, has_input: bool) -> ControlFlow<(), bool> {
-        if !has_input {
-            return Continue(false);
-        }
-        self.wait_for_input(self.executor.limits.final_read_window)
-            .await;
-        self.read_available()?;
-        Continue(self.take_commands() > 0)
-    }
 }
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -58,6 +58,9 @@
             started_at: now,
         });
         large_command.size = size;
+        if self.partial_since.is_none() {
+            large_command.started_at = now;
+        }
         // For a bounded time, a client that keeps sending a large command counts neither as idle
         // nor as too slow.
         if now - large_command.started_at < executor.limits.large_command_timeout {
@@ -67,6 +70,28 @@
         Continue(())
     }
 
+    /// Records that nothing is read for now. An incomplete command gets its whole time again
+    /// afterwards, as its client can't complete it meanwhile.
+    pub(super) fn pause_reading(&mut self) {
+        self.arrivals.pause_reading(self.executor.clock.now());
+        self.partial_since = None;
+    }
+
+    /// Whether the rest of an incomplete command has arrived by its timeout, unseen by the runtime:
+    /// after a stall, timers run before socket events.
+    pub(super) async fn receives_rest_of_command(
+        &mut self,
+        has_input: bool,
+    ) -> ControlFlow<(), bool> {
+        if !has_input {
+            return Continue(false);
+        }
+        self.wait_for_input(self.executor.limits.final_read_window)
+            .await;
+        self.read_available()?;
+        Continue(self.take_commands() > 0)
+    }
+
     /// Reads available bytes, up to about `read_bytes`; breaks if the client has disconnected.
     pub(super) fn read_available(&mut self) -> ControlFlow<()> {
         let stream = &self.client.stream;
--- a/crates/node/tests/sockets/commands_behind_values.rs
+++ b/crates/node/tests/sockets/commands_behind_values.rs
@@ -121,6 +121,48 @@
     assert_eq!(client.response(), "closed");
 }
 
+// Regression test: the time for which the node does not read, as it streams a value, counted as time
+// that the client took for the rest of its command, which was rejected as incomplete.
+#[test]
+fn write_partly_read_before_a_long_value_is_answered() {
+    let releases = Arc::new(Mutex::new(Vec::new()));
+    let value = "v".repeat(LARGE_BYTES);
+    let (releases_of_cache, large) = (releases.clone(), hit_bytes(&value));
+    let cache = server("a", channel().0, move |_| {
+        let (release, released) = channel();
+        releases_of_cache.lock().expect("a list").push(release);
+        ServerAction::RestOnRelease(released, large.clone())
+    });
+    let origin = server("origin", channel().0, |_| http("200 OK", "written"));
+    let node = Node::start(&[("a", cache), ("origin", origin)], "");
+    let written = "w".repeat(4 * WRITE_BYTES);
+    let mut clients: Vec<_> = (0..2 * CLIENT_COUNT).map(|_| node.client()).collect();
+    let write = |index: usize| {
+        let id = format!("write{index}");
+        command(&["OBJ.SET", "k", &id, "c=book,d=30000", &written])
+    };
+    for (index, client) in clients.iter_mut().enumerate() {
+        let read = command(&["OBJ.GET", "k", &format!("read{index}"), ATTRIBUTES]);
+        client.send(&[&read, &write(index)[..WRITE_BYTES / 2]].concat());
+    }
+    for client in &mut clients {
+        // The value has begun.
+        assert_eq!(read_line(&mut client.0), Some(format!("${LARGE_BYTES}")));
+    }
+    // Longer than a client may take for a command.
+    std::thread::sleep(Duration::from_millis(2_700));
+    for (index, client) in clients.iter_mut().enumerate() {
+        client.send(&write(index)[WRITE_BYTES / 2..]);
+    }
+    for release in releases.lock().expect("a list").drain(..) {
+        release.send(()).expect("the server waits");
+    }
+    for (index, client) in clients.iter_mut().enumerate() {
+        read_text(&mut client.0, LARGE_BYTES + 2).expect("a whole value");
+        assert_eq!(client.response(), "written", "client {index}");
+    }
+}
+
 // The same at the end of a shutdown.
 #[test]
 fn command_behind_a_large_value_is_answered_at_a_shutdown() {
