Read all of a command's rest that came during a stall

What callers would see: a write whose rest of over 16 KiB comes while the process is stalled at the end of the command's 2.5 s is rejected as incomplete. Cause: at that end the socket was read once, up to read_bytes. Evidence: the new test got "the command did not come whole" before. Change: it is read until it is empty, the command is whole, or it is malformed. Measured: long_second_half_in_a_stall_over_its_timeout_is_answered fails before and passes now; the other tests of second halves pass.

--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -5,6 +5,7 @@
 use quartzhub_policy::Time;
 
 use super::connection::Connection;
+use crate::buffer::is_open_and_idle;
 use crate::resp;
 use crate::system::time_since_last_receive;
 
@@ -88,8 +89,14 @@
         }
         self.wait_for_input(self.executor.limits.final_read_window)
             .await;
-        self.read_available()?;
-        Continue(self.take_commands() > 0)
+        // Ends, as a command that is too long is malformed.
+        while !is_open_and_idle(&self.client.stream) {
+            self.read_available()?;
+            if self.take_commands() > 0 || !self.reading {
+                return Continue(true);
+            }
+        }
+        Continue(false)
     }
 
     /// Reads available bytes, up to about `read_bytes`; breaks if the client has disconnected.
--- a/crates/node/tests/sockets/stalled_closes.rs
+++ b/crates/node/tests/sockets/stalled_closes.rs
@@ -199,6 +199,38 @@
     }
 }
 
+// Regression test: the same for a second half that is longer than one read from the socket.
+#[test]
+fn long_second_half_in_a_stall_over_its_timeout_is_answered() {
+    let value = "w".repeat(60_000);
+    for stall in STALLS {
+        let (node, _reports) = Setup::new()
+            .server("a", |_| hit("v"))
+            .server("origin", |_| http("200 OK", "written"))
+            .start();
+        let mut clients = connect_idle(&node);
+        let write = |index: usize| {
+            let id = format!("write{index}");
+            command(&["OBJ.SET", "k", &id, "c=book,d=30000", &value])
+        };
+        for (index, client) in clients.iter_mut().enumerate() {
+            assert_eq!(client.ask(&["OBJ.GET", "k", "id", ATTRIBUTES]), "v");
+            client.send(&write(index)[..100]);
+        }
+        std::thread::sleep(Duration::from_millis(2_460));
+        node.suspend();
+        let stopped_at = Instant::now();
+        for (index, client) in clients.iter_mut().enumerate() {
+            client.send(&write(index)[100..]);
+        }
+        std::thread::sleep(stall.saturating_sub(stopped_at.elapsed()));
+        node.signal("-CONT");
+        for client in &mut clients {
+            assert_eq!(client.response(), "written");
+        }
+    }
+}
+
 // A new client has 2.5 s to send its first command, and this timeout passes during the stall.
 #[test]
 fn first_command_in_a_stall_over_its_timeout_is_answered() {
