End a client's connection once it has taken its responses

What callers see: a client that reads slowly gets a few kB of a response of 60 kB and a reset if it sends its next command after the node's close (told by the review). Cause: a response counted as delivered once it was written; what the client has no room for stays with the system, which drops it at the reset that the command brings. Change: the system is asked for unsent bytes before the end of a connection; a client that takes some is not idle.

--- a/crates/node/src/clients/closing.rs
+++ b/crates/node/src/clients/closing.rs
@@ -1,7 +1,6 @@
 //! Closes a client's connection.
 use std::io;
-use std::ops::ControlFlow::{self, Break};
-use std::rc::Rc;
+use std::ops::ControlFlow::{self, Break, Continue};
 
 use quartzhub_policy::Span;
 use tokio::net::TcpStream;
@@ -33,6 +32,11 @@
                 .await;
             return self.read_available();
         }
+        if !self.delivery_is_over() {
+            self.wait_for_input(self.executor.limits.delivery_poll_interval)
+                .await;
+            return Continue(());
+        }
         self.close().await
     }
 
@@ -46,8 +50,8 @@
         }
         self.client.shutdown_write();
         // A command that crosses the FIN would cause a reset, which destroys responses that are
-        // still in the kernel's buffers, so late input is discarded for a while. Any other client,
-        // closed to free capacity, received its responses long ago.
+        // still in the kernel's buffers, so late input is discarded for a while. Any other client
+        // was closed to free capacity, without a response in that moment.
         let is_leaving = self.executor.query(Reducer::is_leaving);
         if has_deferred_responses || is_leaving || self.client.draining.get() {
             self.discard_input(self.executor.limits.linger_timeout)
@@ -100,28 +104,38 @@
             .max(Span::ZERO)
     }
 
-    /// Frees the buffer, then reads and discards until the client disconnects.
+    /// Frees the buffer, then reads and discards until the client disconnects or `timeout` passes,
+    /// and after that for as long as the client takes responses that the system still holds.
+    /// Closing a socket with unread bytes sends a reset, and the client would never read them.
     async fn discard_input(&mut self, timeout: Span) {
         self.reservation.set(0);
         self.buffer = Buffer::default();
         self.client.shutdown_write();
-        discard(self.executor, &self.client.stream, timeout).await;
+        let executor = self.executor;
+        let mut until = executor.clock.now() + timeout;
+        let mut remaining = executor.limits.discard_bytes;
+        loop {
+            let readable = self.client.stream.readable();
+            match tokio::time::timeout_at(executor.clock.instant(until), readable).await {
+                Ok(Ok(())) => {}
+                Err(_) if !self.delivery_is_over() => {
+                    until = executor.clock.now() + executor.limits.delivery_poll_interval;
+                    continue;
+                }
+                _ => return,
+            }
+            match discard(executor, &self.client.stream) {
+                Ok(count) if count > 0 && count < remaining => remaining -= count,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                _ => return,
+            }
+            // Lets other tasks run.
+            tokio::task::yield_now().await;
+        }
     }
 }
 
-/// Reads and discards input. Closing a socket with unread bytes sends a reset, and the client would
-/// never read why it was rejected.
-async fn discard(executor: &Rc<EffectExecutor>, stream: &TcpStream, timeout: Span) {
-    let until = executor.clock.instant(executor.clock.now() + timeout);
-    let mut remaining = executor.limits.discard_bytes;
-    while let Ok(Ok(())) = tokio::time::timeout_at(until, stream.readable()).await {
-        let read = retry_interrupted(|| stream.try_read(&mut executor.discard_buffer.borrow_mut()));
-        match read {
-            Ok(count) if count > 0 && count < remaining => remaining -= count,
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            _ => return,
-        }
-        // Lets other tasks run.
-        tokio::task::yield_now().await;
-    }
+/// Reads available bytes and discards them; returns their number.
+fn discard(executor: &EffectExecutor, stream: &TcpStream) -> io::Result<usize> {
+    retry_interrupted(|| stream.try_read(&mut executor.discard_buffer.borrow_mut()))
 }
--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -6,6 +6,7 @@
 
 use super::arrival_times::ArrivalTimes;
 use super::commands::{respond_protocol_error, take_command, ProtocolError, TakeResult};
+use super::delivery::Delivery;
 use super::memory_budget::BufferReservation;
 use super::outstanding::Outstanding;
 use super::reading::LargeCommand;
@@ -34,6 +35,8 @@
     pub(super) large_command: Option<LargeCommand>,
     /// False once nothing more is read: after QUIT, a protocol error or a rejected large command.
     pub(super) reading: bool,
+    /// Whether the client takes what was written to it.
+    delivery: Delivery,
     /// When the client last sent a command or was last written to.
     pub(super) last_active: Time,
     /// When the incomplete command in the buffer began.
@@ -59,6 +62,7 @@
             reservation: BufferReservation::new(executor),
             large_command: None,
             reading: true,
+            delivery: Delivery::default(),
             last_active: executor.clock.now(),
             partial_since: None,
             draining_reads: 0,
@@ -227,12 +231,28 @@
             .report(|reducer, _| reducer.on_delivered(self.id, written_size));
     }
 
+    /// Whether the client has taken all that was written to it, or takes nothing any more. Until
+    /// then a close could destroy responses: a command that arrives after it causes a reset.
+    pub(super) fn delivery_is_over(&mut self) -> bool {
+        let now = self.executor.clock.now();
+        let stall_timeout = self.executor.limits.response_write_timeout;
+        self.delivery
+            .is_over(now, self.client.unsent_bytes(), stall_timeout)
+    }
+
     async fn on_deadline(&mut self, outstanding: &Outstanding) -> ControlFlow<()> {
         let idle = outstanding.is_empty();
         let has_input = !is_open_and_idle(&self.client.stream);
-        if outstanding.writable || idle && self.buffer.is_empty() && !has_input {
+        if outstanding.writable {
             return Break(());
         }
+        if idle && self.buffer.is_empty() && !has_input {
+            if self.delivery_is_over() {
+                return Break(());
+            }
+            // A client that still takes its response is not idle.
+            self.last_active = self.executor.clock.now();
+        }
         if idle && !self.buffer.is_empty() && !self.receives_rest_of_command(has_input).await? {
             self.reading = false;
             respond_protocol_error(self.executor, self.id, ProtocolError::IncompleteCommand);
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::effects::ClientHandle;
 use crate::messages::Response;
-use crate::system::{peer_has_closed, retry_interrupted};
+use crate::system::{peer_has_closed, retry_interrupted, unsent_bytes};
 use crate::upstreams::{Downstream, Upstream};
 
 mod accept;
@@ -21,6 +21,7 @@
 mod closing;
 mod commands;
 mod connection;
+mod delivery;
 mod memory_budget;
 mod outstanding;
 mod reading;
@@ -120,6 +121,11 @@
         self.outgoing.borrow().len()
     }
 
+    /// Bytes that the system holds as the client has no room for them.
+    fn unsent_bytes(&self) -> usize {
+        unsent_bytes(&self.stream)
+    }
+
     /// Whether a streamed value is among the unwritten items.
     fn has_streamed_item(&self) -> bool {
         let is_streamed = |item: &Outgoing| matches!(item, Outgoing::Streamed(_));
--- a/crates/node/src/limits/fixed.rs
+++ b/crates/node/src/limits/fixed.rs
@@ -67,6 +67,7 @@
     discard_timeout: Span::ms(1_000),
     discard_bytes: 64 * MIB,
     linger_timeout: Span::ms(200),
+    delivery_poll_interval: Span::ms(10),
     final_read_window: Span::ms(100),
 
     longest_client_timeout: Span::ms(3_600_000),
--- a/crates/node/src/system.rs
+++ b/crates/node/src/system.rs
@@ -84,6 +84,20 @@
     (!failed).then(|| Span::ms(info.tcpi_last_data_recv.into()))
 }
 
+/// Returns how many bytes written to a connection the system has not sent yet, as its peer has no
+/// room for them, or 0 if the system does not report it.
+#[allow(unsafe_code)]
+pub fn unsent_bytes(socket: &impl AsRawFd) -> usize {
+    let mut count: libc::c_int = 0;
+    // SAFETY: the system writes one integer, which outlives the call.
+    let failed = unsafe { libc::ioctl(socket.as_raw_fd(), libc::SIOCOUTQNSD, &mut count) } != 0;
+    if failed {
+        0
+    } else {
+        usize::try_from(count).unwrap_or(0)
+    }
+}
+
 /// Whether a system call failed because descriptors or memory ran out, so that an immediate retry
 /// is likely to fail too.
 pub fn is_resource_shortage(error: &io::Error) -> bool {
--- a/crates/node/tests/sockets/common/client.rs
+++ b/crates/node/tests/sockets/common/client.rs
@@ -30,6 +30,22 @@
         Client(BufReader::new(stream))
     }
 
+    /// Connects with a receive buffer of a few kilobytes: the rest of a longer response stays on the
+    /// node's machine until the client reads.
+    pub fn connect_with_small_buffer(to: SocketAddr) -> Client {
+        const RECEIVE_BUFFER_BYTES: usize = 4096;
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)
+            .expect("a socket");
+        socket
+            .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+            .expect("a size");
+        socket.connect(&to.into()).expect("a connection");
+        socket
+            .set_read_timeout(Some(EVENT_TIMEOUT))
+            .expect("a timeout");
+        Client(BufReader::new(socket.into()))
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.0.get_mut().write_all(bytes).expect("sent");
     }
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -13,6 +13,7 @@
 mod queueing_time;
 mod remaining_time;
 mod shutdown;
+mod slow_readers;
 mod socket_activation;
 mod stall;
 mod stalled_closes;
