Hold a large value while its client has sent anything untaken

What callers see: a large value breaks off on its server's side, and a command that was read in part before the value began, and is whole since, is never answered. Cause: a value that has begun can only end with a close; it was held until whole for open calls behind it, not for half a command or one that lies unread. Change: input in the buffer or the socket counts too, if the memory for the whole value can be reserved. The test of a paused command gets a node whose memory is taken, as its value would be held now; it still fails on the code before its fix.

--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -119,8 +119,10 @@
         taken
     }
 
-    /// Reserves the buffer's capacity, or the size granted to a large command if that is more.
+    /// Reserves the buffer's capacity, or the size granted to a large command if that is more, and
+    /// records whether a command is in the buffer in part.
     pub(super) fn reserve_buffer(&mut self) {
+        self.client.has_buffered_input.set(!self.buffer.is_empty());
         let granted = self.large_command.as_ref().map_or(0, |large| large.size);
         self.reservation.set(self.buffer.capacity().max(granted));
     }
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::buffer::{readable, Readable};
 use crate::effects::ClientHandle;
 use crate::messages::Response;
 use crate::system::{peer_has_closed, retry_interrupted, unsent_bytes};
@@ -69,6 +70,8 @@
     /// Whether the client is being drained as the process is about to exit: commands that have
     /// already arrived are still taken, later ones are not.
     draining: Cell<bool>,
+    /// Whether bytes of a command that has not been taken yet are in the connection's buffer.
+    has_buffered_input: Cell<bool>,
     aborted: Cell<bool>,
     /// Whether the sending side has been shut down.
     write_closed: Cell<bool>,
@@ -86,6 +89,7 @@
             front_written: Cell::new(0),
             close_after_quiet_period: Cell::new(None),
             draining: Cell::new(false),
+            has_buffered_input: Cell::new(false),
             aborted: Cell::new(false),
             write_closed: Cell::new(false),
             accept_paused_since,
@@ -218,6 +222,10 @@
     fn has_disconnected(&self) -> bool {
         peer_has_closed(&self.stream)
     }
+
+    fn has_untaken_input(&self) -> bool {
+        self.has_buffered_input.get() || readable(&self.stream) == Readable::Bytes
+    }
 }
 
 impl ClientHandle for Client {
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -224,6 +224,16 @@
         }
     }
 
+    /// Whether the client whose attempt an upstream carries has sent bytes of a command that has not
+    /// been taken yet.
+    pub fn has_untaken_input(&self, upstream: UpstreamId) -> bool {
+        let requester = self.query(|reducer| reducer.requester(upstream));
+        let clients = self.clients.borrow();
+        requester
+            .and_then(|client| clients.get(&client))
+            .is_some_and(|client| client.has_untaken_input())
+    }
+
     /// Removes a client whose connection has ended.
     pub fn drop_client(&self, client: ClientId) {
         let mut clients = self.clients.borrow_mut();
--- a/crates/node/src/reducer/upstream_events.rs
+++ b/crates/node/src/reducer/upstream_events.rs
@@ -1,10 +1,11 @@
 //! Events of upstreams: connected, written, response received, streaming a value, broken.
 use quartzhub_policy::{Outcome, Time};
 
+use super::calls::Call;
 use super::upstreams::{StreamTarget, Upstream, UpstreamUse};
 use super::Reducer;
 use crate::attempt_response::AttemptResponse;
-use crate::messages::{Effect, Response, UpstreamId};
+use crate::messages::{ClientId, Effect, Response, UpstreamId};
 
 impl Reducer {
     /// Handles an upstream that has connected: the attempt that it was opened for is written, if
@@ -148,11 +149,7 @@
     /// Returns whether, on the client's connection, no API call is pending after the one whose
     /// response is received on this upstream.
     pub fn has_no_later_call(&self, id: UpstreamId) -> bool {
-        let upstream = self.state.upstreams.get(id);
-        let Some(attempt) = upstream.and_then(Upstream::attempt_in_flight) else {
-            return true;
-        };
-        let Some(call) = self.state.calls.get(attempt.call) else {
+        let Some(call) = self.call_in_flight(id) else {
             return true;
         };
         match self.state.clients.get(call.client) {
@@ -161,6 +158,16 @@
         }
     }
 
+    /// Returns the client of the API call whose response is received on this upstream.
+    pub fn requester(&self, id: UpstreamId) -> Option<ClientId> {
+        self.call_in_flight(id).map(|call| call.client)
+    }
+
+    fn call_in_flight(&self, id: UpstreamId) -> Option<&Call> {
+        let upstream = self.state.upstreams.get(id)?;
+        self.state.calls.get(upstream.attempt_in_flight()?.call)
+    }
+
     /// Handles the first bytes of a value that is too large to be buffered. From here on the
     /// response is final: no attempt and no other response can follow. The policy gets the success
     /// now: its latency is that of the first bytes, as a client that reads the rest slowly says
--- a/crates/node/src/upstreams/connection.rs
+++ b/crates/node/src/upstreams/connection.rs
@@ -130,7 +130,7 @@
     }
     let streamed_size = upstream.start_streaming(executor);
     let buffered_bytes = upstream.buffer.borrow().capacity();
-    if upstream.buffers_whole_value.get() && !upstream.reserve(executor, buffered_bytes) {
+    if upstream.buffers_whole_value.get() && !upstream.reserve_at_least(executor, buffered_bytes) {
         let address = upstream.address;
         tracing::warn!(server = %address, "no memory to buffer a response from {address}");
         executor.report(|reducer, now| reducer.on_malformed_bytes(now, upstream.id));
--- a/crates/node/src/upstreams/downstream.rs
+++ b/crates/node/src/upstreams/downstream.rs
@@ -8,4 +8,8 @@
     /// Whether the client has closed its sending side or its connection is broken, according to the
     /// kernel: the runtime may not have seen it yet.
     fn has_disconnected(&self) -> bool;
+
+    /// Whether the client has sent bytes of a command that has not been taken yet: the node has read
+    /// only a part of it, or nothing.
+    fn has_untaken_input(&self) -> bool;
 }
--- a/crates/node/src/upstreams/memory_budget.rs
+++ b/crates/node/src/upstreams/memory_budget.rs
@@ -23,4 +23,10 @@
         }
         fits
     }
+
+    /// Reserves `bytes` in all for a value that is held until it is whole, or keeps the reservation
+    /// if that is larger. Returns false, and reserves nothing, if the budget is exceeded.
+    pub(super) fn reserve_at_least(&self, executor: &EffectExecutor, bytes: usize) -> bool {
+        self.reserve(executor, bytes.max(self.reserved_bytes.get()))
+    }
 }
--- a/crates/node/src/upstreams/streaming.rs
+++ b/crates/node/src/upstreams/streaming.rs
@@ -31,12 +31,12 @@
     }
 
     /// Starts to stream a value that is too large to be buffered, if one is being received; returns
-    /// its size. If later API calls of the client are pending, streaming starts only once the value
-    /// is complete: a value that breaks off aborts the client's connection, and those calls would
-    /// fail too.
+    /// its size. If commands of the client await their responses behind it, streaming starts only
+    /// once the value is complete.
     pub(super) fn start_streaming(&self, executor: &EffectExecutor) -> Option<usize> {
         let limits = &executor.limits;
         let LargeValue { offset, size } = self.large_value(limits)?;
+        let has_later_command = self.has_later_command(executor, size);
         let mut buffer = self.buffer.borrow_mut();
         let bytes = buffer.unread();
         // Only the head has arrived so far.
@@ -45,9 +45,8 @@
         }
         let terminator = self.protocol.value_terminator();
         let complete = bytes.len() >= offset + size + terminator.len();
-        let has_no_later_call = executor.query(|reducer| reducer.has_no_later_call(self.id));
-        self.buffers_whole_value.set(!has_no_later_call);
-        if !has_no_later_call && !complete {
+        self.buffers_whole_value.set(has_later_command);
+        if has_later_command && !complete {
             return None;
         }
         self.keep_alive
@@ -59,6 +58,17 @@
         Some(size)
     }
 
+    /// Whether commands of the client await their responses behind a value of `size` bytes: a value
+    /// that breaks off aborts the client's connection, and they would get none. A command that has
+    /// not been taken yet counts only if the memory to hold the value for it can be reserved.
+    fn has_later_command(&self, executor: &EffectExecutor, size: usize) -> bool {
+        if !executor.query(|reducer| reducer.has_no_later_call(self.id)) {
+            return true;
+        }
+        let held_bytes = size + 2 * executor.limits.read_bytes;
+        executor.has_untaken_input(self.id) && self.reserve(executor, held_bytes)
+    }
+
     /// Number of bytes that may be written to the client. The last byte is held back until the
     /// terminator after it has been checked, so that a malformed value never looks complete.
     pub fn streamable_bytes(&self) -> usize {
