Wait for a slow reader's delivery without a busy loop

What callers would see: a node at 100% of its core, and other clients' values broken off, while a client that is to be closed reads slowly (since, not released; found by our own play of 8 slow readers: resets of 3 to 4 of 8 values, "event loop stalled for 6838 ms"). Cause: the wait for the delivery waited for input. The runtime reports input until a read finds none, and no read follows that wait; input beyond the limit of reads lies there, too. Evidence: gdb showed recv(MSG_PEEK) and ioctl in turn from close_if_quiet. Measured: wait_for_a_slow_reader_uses_no_processor_time fails before and passes now.

--- a/crates/node/src/clients/closing.rs
+++ b/crates/node/src/clients/closing.rs
@@ -33,8 +33,10 @@
             return self.read_available();
         }
         if !self.delivery_is_over() {
-            self.wait_for_input(self.executor.limits.delivery_poll_interval)
-                .await;
+            self.write_deferred_responses();
+            // Not a wait for input, which may lie there unread, or be reported by the runtime
+            // although it has been read.
+            tokio::time::sleep(duration(self.executor.limits.delivery_poll_interval)).await;
             return Continue(());
         }
         self.close().await
--- a/crates/node/tests/sockets/slow_readers.rs
+++ b/crates/node/tests/sockets/slow_readers.rs
@@ -164,3 +164,40 @@
         started_at.elapsed()
     );
 }
+
+/// Returns the processor time that a process has used, in ticks of 10 ms, from `/proc/ID/stat`.
+fn processor_ticks(id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/stat")).expect("a process");
+    let ticks = status.split_whitespace().skip(13).take(2);
+    ticks
+        .map(|ticks| ticks.parse::<u64>().expect("a number"))
+        .sum()
+}
+
+// Regression test: the wait for a client to take its response was a busy loop after a read that had
+// not emptied the socket as far as the runtime knew.
+#[test]
+fn wait_for_a_slow_reader_uses_no_processor_time() {
+    let addr = free_address();
+    let origin = server("origin", channel().0, |_| http("200 OK", "written"));
+    let node = Node::start(
+        &[("a", cache_with_long_value()), ("origin", origin)],
+        &format!(r#""ops":"{addr}","#),
+    );
+    let mut client = Client::connect_with_small_buffer(node.addr);
+    request_long_value(&mut client);
+    assert_eq!(
+        admin_call(addr, "POST /control/out-of-service"),
+        "200 OK: out of service"
+    );
+    // From 1.5 s on the node closes clients without waiting for a pause.
+    std::thread::sleep(Duration::from_millis(1_600));
+    let value = "w".repeat(20_000);
+    client.send(&command(&["OBJ.SET", "k", "id2", "c=book,d=30000", &value]));
+    std::thread::sleep(Duration::from_millis(200));
+    let before = processor_ticks(node.child.id());
+    std::thread::sleep(Duration::from_millis(1_000));
+    let used = processor_ticks(node.child.id()) - before;
+    assert!(used < 30, "{used} ticks in a second");
+    assert_eq!(client.response().len(), RESPONSE_BYTES);
+}
