Bound the read of a command's rest, and let the runtime see its bytes

Cause: since the rest of a command is read in a loop for as long as the system has bytes. A read finds none that the runtime has not been told of, so bytes that come at that moment would have made it a busy loop without an end, and a client that never pauses could have kept it going.

--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -255,7 +255,7 @@
             // A client that still takes its response is not idle.
             self.last_active = self.executor.clock.now();
         }
-        if idle && !self.buffer.is_empty() && !self.receives_rest_of_command(has_input).await? {
+        if idle && !self.buffer.is_empty() && !self.receives_rest_of_command().await? {
             self.reading = false;
             respond_protocol_error(self.executor, self.id, ProtocolError::IncompleteCommand);
         }
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -80,17 +80,12 @@
 
     /// Whether the rest of an incomplete command has arrived by its timeout, unseen by the runtime:
     /// after a stall, timers run before socket events.
-    pub(super) async fn receives_rest_of_command(
-        &mut self,
-        has_input: bool,
-    ) -> ControlFlow<(), bool> {
-        if !has_input {
-            return Continue(false);
-        }
-        self.wait_for_input(self.executor.limits.final_read_window)
-            .await;
-        // Ends, as a command that is too long is malformed.
-        while !is_open_and_idle(&self.client.stream) {
+    pub(super) async fn receives_rest_of_command(&mut self) -> ControlFlow<(), bool> {
+        let window = self.executor.limits.final_read_window;
+        let until = self.executor.clock.now() + window;
+        while !is_open_and_idle(&self.client.stream) && self.executor.clock.now() < until {
+            // Lets the runtime see the bytes; otherwise it would not read them.
+            self.wait_for_input(window).await;
             self.read_available()?;
             if self.take_commands() > 0 || !self.reading {
                 return Continue(true);
