Soak the closes of pipelined clients with values of any size

Change: a soak module with seeded plans: out of service, shutdown or takeover, values of 1 kB to 4 MiB read and 100 B to 200 kB written, 2 to 200 commands open, some clients slow. A command is lost if it reached a server, or was sent 100 ms or more before the close (not judged for slow readers), and got no answer, or another's.

--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -2,10 +2,12 @@
 //! the operators' page allows it, while their clients use open connections until the kill.
 //! `SOAK_SEEDS` (a count, or `from..to`) plays other seeds than the few of CI.
 mod clients;
+mod closes;
 #[allow(dead_code, unused_imports)]
 #[path = "../sockets/common.rs"]
 mod common;
 mod evidence;
+mod pipelined_clients;
 mod plan;
 mod round;
 mod rule_check;
@@ -15,6 +17,7 @@
 #[path = "../sockets/stub_servers.rs"]
 mod stub_servers;
 
+use std::fmt::Debug;
 use std::sync::Mutex;
 
 use plan::Plan;
@@ -27,7 +30,7 @@
     0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 63,
 ];
 /// Number of rounds that are played at the same time.
-const PARALLEL_ROUNDS: u64 = 3;
+const PARALLEL_ROUNDS: usize = 3;
 /// How often a round is played if the machine stalls its processes for longer than the page allows;
 /// after that it is not judged.
 const MAX_PLAYS: usize = 4;
@@ -51,9 +54,9 @@
 
 /// Plays a plan's round until it can be judged and returns its faults; `None` if the machine
 /// stalled it each time.
-fn judge(plan: &Plan) -> Option<Vec<String>> {
+fn judge<P>(plan: &P, play: impl Fn(&P) -> RoundResult) -> Option<Vec<String>> {
     (0..MAX_PLAYS)
-        .map(|_| round::play(plan))
+        .map(|_| play(plan))
         .find_map(|result| match result {
             RoundResult::Judged(faults) => Some(faults),
             RoundResult::MachineStalled => None,
@@ -63,11 +66,11 @@
 #[test]
 fn no_request_is_lost_or_repeated_by_a_node_that_is_told_to_end() {
     let plans: Vec<_> = seeds().into_iter().map(Plan::from_seed).collect();
-    assert_no_faults(&plans);
+    assert_no_faults(&plans, round::play);
 }
 
 /// Plays the rounds, several at the same time, and fails if any fault is found.
-fn assert_no_faults(plans: &[Plan]) {
+fn assert_no_faults<P: Debug + Sync>(plans: &[P], play: impl Fn(&P) -> RoundResult + Sync) {
     let _machine = MACHINE
         .lock()
         .unwrap_or_else(|poisoned| poisoned.into_inner());
@@ -75,18 +78,16 @@
     let judged = Mutex::new(0);
     std::thread::scope(|scope| {
         for worker in 0..PARALLEL_ROUNDS {
-            let (faults, judged) = (&faults, &judged);
+            let (faults, judged, play) = (&faults, &judged, &play);
             scope.spawn(move || {
-                let of_worker = |plan: &&Plan| plan.seed % PARALLEL_ROUNDS == worker;
-                for plan in plans.iter().filter(of_worker) {
-                    match judge(plan) {
+                for plan in plans.iter().skip(worker).step_by(PARALLEL_ROUNDS) {
+                    match judge(plan, play) {
                         Some(round_faults) => {
                             *judged.lock().expect("a count") += 1;
                             faults.lock().expect("a list").extend(round_faults);
                         }
                         None => println!(
-                            "seed {}: not judged, as the machine stalled {MAX_PLAYS} times",
-                            plan.seed
+                            "not judged, as the machine stalled {MAX_PLAYS} times: {plan:?}"
                         ),
                     }
                 }
--- a/crates/node/tests/soak/round.rs
+++ b/crates/node/tests/soak/round.rs
@@ -11,7 +11,7 @@
 /// Sleep of the thread that measures how late the machine wakes it.
 const PROBE_SLEEP: Duration = Duration::from_millis(2);
 /// Largest delay of that thread in a round that is judged.
-const MAX_LATENESS: Duration = Duration::from_millis(25);
+pub const MAX_LATENESS: Duration = Duration::from_millis(25);
 /// Number of idle clients that fill a node's sockets.
 const CROWD_SIZE: usize = 120;
 /// Limit of the node's file descriptors.
@@ -129,7 +129,7 @@
 
 /// Sleeps repeatedly until `stop` is set. Returns by how much the longest sleep exceeded its
 /// length.
-fn measure_max_lateness(stop: &AtomicBool) -> Duration {
+pub fn measure_max_lateness(stop: &AtomicBool) -> Duration {
     let mut max_lateness = Duration::ZERO;
     while !stop.load(Ordering::Relaxed) {
         let started_at = Instant::now();
--- a/crates/node/tests/soak/stall_sweep.rs
+++ b/crates/node/tests/soak/stall_sweep.rs
@@ -1,6 +1,6 @@
 //! Stalls of the process at each moment of its shutdown, while clients send without a pause.
-use super::assert_no_faults;
 use super::plan::{Plan, Stall, BETWEEN_STALLS_MS};
+use super::{assert_no_faults, round};
 
 /// Environment variable with the time between two moments in milliseconds, for a finer sweep by
 /// hand.
@@ -42,5 +42,5 @@
     let step_ms = std::env::var(STEP_VARIABLE).map_or(STEP_MS, |text| {
         text.parse().expect("SOAK_SWEEP_STEP_MS: milliseconds")
     });
-    assert_no_faults(&plans(step_ms));
+    assert_no_faults(&plans(step_ms), round::play);
 }
