Read on behind a large write that is rejected for want of memory

What callers would see: a write of over 64 KiB gets -BUSY as other writes take up the memory, and the commands behind it are never answered. Cause: the client was closed, as the rest of the rejected value was not kept apart from what follows it. Measured: command_behind_a_large_write_without_memory_is_answered fails before and passes now.

--- a/crates/node/src/clients/closing.rs
+++ b/crates/node/src/clients/closing.rs
@@ -96,7 +96,7 @@
     /// How long the client may still send bytes; after a partial command, the time for its rest.
     fn delay_before_close(&mut self, quiet_period: Span) -> Span {
         let limits = &self.executor.limits;
-        if self.buffer.is_empty() {
+        if !self.has_partial_command() {
             return quiet_period;
         }
         let now = self.executor.clock.now();
--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -153,7 +153,7 @@
             return executor.clock.now() + limits.longest_client_timeout;
         }
         let has_made_calls = executor.query(|reducer| reducer.has_made_calls(self.id));
-        if has_made_calls && self.buffer.is_empty() {
+        if has_made_calls && !self.has_partial_command() {
             return self.last_active + limits.client_idle_timeout;
         }
         if has_made_calls {
@@ -161,7 +161,7 @@
         }
         // Limits new clients that send nothing, or only a few bytes at a time.
         let first_call_deadline = self.last_active + limits.client_first_call_timeout;
-        if self.buffer.is_empty() {
+        if !self.has_partial_command() {
             return first_call_deadline;
         }
         let partial_deadline =
@@ -248,13 +248,17 @@
         if outstanding.writable {
             return Break(());
         }
-        if idle && self.buffer.is_empty() && !has_input {
+        if idle && !self.has_partial_command() && !has_input {
             if self.delivery_is_over() {
                 return Break(());
             }
             // A client that still takes its response is not idle.
             self.last_active = self.executor.clock.now();
         }
+        if idle && self.rejected_bytes() > 0 && !has_input {
+            // The command has its response already.
+            return Break(());
+        }
         if idle && !self.buffer.is_empty() && !self.receives_rest_of_command().await? {
             self.reading = false;
             respond_protocol_error(self.executor, self.id, ProtocolError::IncompleteCommand);
--- a/crates/node/tests/sockets/commands_behind_values.rs
+++ b/crates/node/tests/sockets/commands_behind_values.rs
@@ -128,6 +128,19 @@
     assert_eq!(client.response(), "closed");
 }
 
+/// Connects a client that sends the beginning of the longest write, so that the node reserves memory
+/// for it, and nothing more.
+fn client_holding_memory(node: &Node) -> Client {
+    let mut client = node.client();
+    let words = ["OBJ.SET", "k", "half", "c=book,d=30000"];
+    let mut beginning = command(&words);
+    beginning[1] = b'5';
+    beginning.extend(format!("${HUGE_BYTES}\r\n").into_bytes());
+    client.send(&beginning);
+    std::thread::sleep(FORWARD_TIME);
+    client
+}
+
 // Regression test: the time for which the node does not read, as it streams a value, counted as time
 // that the client took for the rest of its command, which was rejected as incomplete.
 #[test]
@@ -145,13 +158,7 @@
         &[("a", cache), ("origin", origin)],
         r#""limits":{"memory_mb":16},"#,
     );
-    // A half command takes up the memory in which the value would be held until it is whole.
-    let mut half_command = node.client();
-    half_command.send(
-        format!("*5\r\n$7\r\nOBJ.SET\r\n$1\r\nk\r\n$4\r\nhalf\r\n$14\r\nc=book,d=30000\r\n${HUGE_BYTES}\r\n")
-            .as_bytes(),
-    );
-    std::thread::sleep(FORWARD_TIME);
+    let _memory_holder = client_holding_memory(&node);
     let written = "w".repeat(4 * WRITE_BYTES);
     let mut clients: Vec<_> = (0..CLIENT_COUNT).map(|_| node.client()).collect();
     let write = |index: usize| {
@@ -298,3 +305,26 @@
     drop(release);
     assert_only_the_read_fails(&mut client);
 }
+
+// Regression test: a large write for which there is no memory is rejected, and its client was closed
+// over the commands behind it.
+#[test]
+fn command_behind_a_large_write_without_memory_is_answered() {
+    let node = Node::start(
+        &[("a", server("a", channel().0, |_| hit("v")))],
+        r#""limits":{"memory_mb":16},"#,
+    );
+    let _memory_holder = client_holding_memory(&node);
+    let mut client = node.client();
+    assert_eq!(client.ask(&["OBJ.GET", "k", "id1", ATTRIBUTES]), "v");
+    let value = "w".repeat(HUGE_BYTES / 2);
+    let mut commands = command(&["OBJ.SET", "k", "id2", "c=book,d=30000", &value]);
+    commands.extend(command(&["OBJ.GET", "k", "id3", ATTRIBUTES]));
+    let mut sending = client.0.get_ref().try_clone().expect("a copy");
+    std::thread::scope(|scope| {
+        scope.spawn(move || sending.write_all(&commands).expect("sent"));
+        assert_eq!(client.response(), "-BUSY");
+        assert_eq!(client.response(), "v");
+    });
+    assert_eq!(client.ask(&["OBJ.GET", "k", "id4", ATTRIBUTES]), "v");
+}
