Start a client's delivery anew with each command it sends

Cause: a slow reader that idles twice with as many unsent bytes left counted as one that had taken nothing since the first time, and was closed over its response. Change: a command that is taken starts the delivery anew.

--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -115,6 +115,8 @@
             self.large_command = None;
             self.last_active = executor.clock.now();
             self.partial_since = None;
+            // Its responses are a new delivery.
+            self.delivery = Delivery::default();
         }
         taken
     }
--- a/crates/node/tests/sockets/slow_readers.rs
+++ b/crates/node/tests/sockets/slow_readers.rs
@@ -54,17 +54,21 @@
     assert_eq!(client.response(), "closed");
 }
 
-// The same for a client that has been idle for too long.
+// The same for a client that has been idle for too long, also if as many bytes are left as after its
+// earlier responses, which it has taken long ago.
 #[test]
 fn response_that_the_system_holds_delays_the_idle_timeout() {
     let text = config(&[("a", cache_with_long_value())], "");
     let mut config = Config::parse(&text, Environment::default()).expect("a configuration");
     config.limits.client_idle_timeout = Span::ms(100);
+    config.limits.response_write_timeout = Span::ms(2_000);
     let node = Embedded::start(config);
     let mut client = Client::connect_with_small_buffer(node.addr);
-    request_long_value(&mut client);
-    std::thread::sleep(Duration::from_millis(500));
-    assert_both_are_answered(&mut client);
+    for _ in 0..5 {
+        request_long_value(&mut client);
+        std::thread::sleep(Duration::from_millis(500));
+        assert_both_are_answered(&mut client);
+    }
     assert_eq!(client.response(), "closed");
 }
 
