Take the ports of tested nodes from below those that the system gives

It took a port from the system, freed it, and waited for the node to listen there; a listener of another test got the port and closed on PING. Change: free_address draws from 12,000 to 31,999, once each in a process, and the test uses it; assertions as they were.

--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -40,10 +40,25 @@
         .unwrap_or_else(|_| "nothing".to_owned())
 }
 
-/// Returns a local address whose port was free when this was called.
+/// Ports that the system does not give to sockets without a port of their own: no other test's
+/// socket can take one before the node listens on it.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// Returns a local address whose port was free when this was called, and is not returned again by
+/// this process.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .expect("a port")
-        .local_addr()
-        .expect("an address")
+    use std::sync::atomic::{AtomicU32, Ordering};
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let port_count = u32::from(PORTS.end - PORTS.start);
+    // Processes that run at the same time begin at different ports.
+    let first = std::process::id().wrapping_mul(1_009);
+    loop {
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        assert!(count < port_count, "no port is free");
+        let offset = first.wrapping_add(count) % port_count;
+        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + offset as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
--- a/crates/node/tests/sockets/config.rs
+++ b/crates/node/tests/sockets/config.rs
@@ -25,8 +25,7 @@
     let (_reader, mut log) = std::io::pipe().expect("a pipe");
     // The capacity of the pipe.
     log.write_all(&[b'.'; 64 * 1024]).expect("filled");
-    let reserved = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let addr = reserved.local_addr().expect("an address");
+    let addr = free_address();
     let WatchedDiscovery {
         addr: discovery_addr,
         watches: [_says],
@@ -34,7 +33,6 @@
     } = watched_discovery();
     let config =
         format!(r#"{{"listen":"{addr}","discovery":"{discovery_addr}","settings":{SETTINGS}}}"#);
-    drop(reserved);
     let mut node = spawn_to(&config, DESCRIPTORS, log.into(), &[]).into_node(addr);
     assert_eq!(next_report(&requests), "GET /api/targets?stream=1&index=0 ");
     // The node listens once it has waited long enough for discovery.
