--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,94 +1,117 @@
-"""Bad clients stop in the middle of large writes; usual writes wait for memory. See claim.txt."""
+"""A cache server breaks off a large value; answers before it are cut as well. See claim.txt."""
+import struct
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 from fleet import *
 
-MEMORY_MB = 64           # pages: 32 to 192 MB
-BAD_VALUES = [4 << 20] * 6 + [100_000] * 10
-USUAL_CLIENTS = 6
-VALUE_BYTES = 100_000
-WAITS_MS = 640           # 80% of the product's client timeout of 800 ms
-LOST_AFTER = WAITS_MS / 1000 + 0.5   # "up to half a second after its time it only earns nothing"
-SECONDS = 10
+ROUNDS = 4
+CLIENTS = 5
+FIRST = 4                # reads ahead of the large one, 60 kB each
+READS_AFTER = 0.8        # 2.7 times the latency SLO of 0.3 s; pages: 2.4 to 4.7 times
+CALL = "c=view,d=960"    # 80% of the client timeout
+
+
+def value_of(key):
+    """`first-...`: 60 kB. `large-...`: 300 kB, passed on as it comes. `small-...`: some bytes."""
+    size = {b"f": 60_000, b"l": 300_000}.get(key[:1], 20)
+    return ((b"<" + key + b">") * (size // (len(key) + 2) + 1))[:size]
+
+
+class Resetting(Cache):
+    """A sound cache server; with the disruption, it resets the connection amid a large value."""
+
+    async def answer(self, writer, name, key, call, list_):
+        await asyncio.sleep(0.005)
+        data = b"*3\r\n" + bulk(self.value_of(key)) + bulk(b"hit") + bulk(None)
+        if key.startswith(b"large"):
+            writer.write(data[:len(data) // 2])
+            await writer.drain()
+            await asyncio.sleep(0.3)
+            if TROUBLE:
+                self.record(f"{self.name}: resets the connection under {call}")
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                writer.transport.abort()
+                return
+            data = data[len(data) // 2:]
+        writer.write(data)
+
+
+def first_keys(number):
+    return [f"first-{number}-{position}" for position in range(FIRST)]
+
+
+def pipelining_client(port, number):
+    """Sends some reads at once and one more 0.1 s later, then reads the answers. Returns the bytes
+    received, the error at the end if any, and the seconds since its first byte."""
+    keys = first_keys(number) + [f"large-{number}"]
+    calls = b"".join(command("OBJ.GET", key, f"id-{key}", CALL) for key in keys)
+    with socket.socket() as connection:
+        connection.settimeout(5)
+        connection.connect(("127.0.0.1", port))
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        started = now()
+        connection.sendall(calls)
+        time.sleep(0.1)
+        connection.sendall(command("OBJ.GET", f"small-{number}", f"id-small-{number}", CALL))
+        time.sleep(READS_AFTER - 0.1)
+        received, error = b"", None
+        try:
+            while received.count(b"\r\n") < 2 * (len(keys) + 1):
+                part = connection.recv(65536)
+                if not part:
+                    break
+                received += part
+        except OSError as failed:
+            error = failed
+        return received, error, now() - started
+
+
+def whole_answers(received, number):
+    """How many of the first reads have a whole answer: the value, or an error line."""
+    whole = 0
+    for key in first_keys(number):
+        answer = bulk(value_of(key.encode()))
+        if received[:1] == b"-" and b"\r\n" in received:
+            answer = received[:received.index(b"\r\n") + 2]
+        if not received.startswith(answer):
+            break
+        received = received[len(answer):]
+        whole += 1
+    return whole
 
 
 async def play(record, nodes):
-    caches = [await Cache(record, f"s-{i}").start() for i in range(4)]
-    origin = await Origin(record).start()
+    caches = [await Resetting(record, f"s-{i}", value_of).start() for i in range(4)]
+    origin = await Origin(record, value_of=value_of).start()
     discovery = await Discovery(record, [s.entry() for s in caches + [origin]]).start()
     port = free_port()
     node = Node(record, {
         "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery.port}",
-        "seed": "5c1d3be07a92f846",
-        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 512}, "settings": settings()})
+        "seed": "5c1d3be07a92f846", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512},
+        "settings": settings()})
     nodes.append(node)
     if not await ready(record, port):
         return COULD_NOT_RUN
-    ends = now() + SECONDS
-    lost, answered, unsent = [], 0, 0
-
-    async def usual(number):
-        """Writes 100 kB three times a second on a connection that it keeps. The time of a call
-        counts from when its last byte was handed to the system, or later."""
-        nonlocal answered, unsent
-        await asyncio.sleep(number * 0.1)
-        client = Client(record, port)
-        while now() < ends:
-            await asyncio.sleep(0.3)
-            if client.writer is None:
-                await client.connect()
-            call = Client.new_id("u")
-            client.writer.write(command("OBJ.SET", f"k-{number}", call,
-                                        f"c=put,d={WAITS_MS},k={call}", b"v" * VALUE_BYTES))
-            begun = now()
-            while client.writer.transport.get_write_buffer_size() and now() < begun + 5:
-                await asyncio.sleep(0.001)
-            if client.writer.transport.get_write_buffer_size():
-                unsent += 1  # its last byte was never written: not taken
-                client.close()
-                continue
-            written = now()
-            try:
-                answer = await asyncio.wait_for(client.read_answer(), 5)
-            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
-                answer = None
-                record(f"client {number}: {call}: {error!r}")
-                client.close()
-            took = now() - written
-            if took > LOST_AFTER:
-                lost.append(took)
-                record.say(f"client {number}: {call}, d={WAITS_MS}, has its answer {answer!r} "
-                           f"{took:.3f} s after its last byte")
-            else:
-                answered += 1
-        client.close()
-
-    async def bad(number, size):
-        """Sends half of a write at full speed and stays until it has its error."""
-        await asyncio.sleep(3)
-        data = command("OBJ.SET", f"bad-{number}", f"bad{number}", "c=put,d=640,k=bad", b"v" * size)
-        client = Client(record, port)
-        begun = now()
-        try:
-            await client.connect()
-            client.writer.write(data[:len(data) // 2])
-            error = await asyncio.wait_for(client.reader.read(200), 7)
-            record(f"bad client {number}: got {error!r} after {now() - begun:.2f} s")
-        except (OSError, asyncio.TimeoutError) as error:
-            record(f"bad client {number}: {error!r} after {now() - begun:.2f} s")
-        client.close()
-
-    tasks = [usual(i) for i in range(USUAL_CLIENTS)]
-    if TROUBLE:
-        tasks += [bad(i, size) for i, size in enumerate(BAD_VALUES)]
-    await asyncio.gather(*tasks)
-    runs = [call for _, _, _, call, *_ in origin.begun]
-    record.say(f"usual clients' writes: {answered} answered in time, {unsent} not sent whole, "
-               f"{len(lost)} answered later than {LOST_AFTER:.2f} s, the last after "
-               f"{max(lost, default=0):.2f} s; {len(runs)} ran")
-    if not node.alive() or answered < 50:
+    lost = 0
+
+    async def one(number):
+        nonlocal lost
+        received, error, took = await asyncio.to_thread(pipelining_client, port, number)
+        whole = whole_answers(received, number)
+        record(f"client {number}: {len(received)} bytes after {took:.3f} s, {error!r}; "
+               f"{whole} of {FIRST} first answers whole; ends {received[-30:]!r}")
+        if whole < FIRST:
+            lost += FIRST - whole
+            record.say(f"client {number}: {whole} of {FIRST} answers ahead of the large value are "
+                       f"whole, then the connection ends: {error!r}")
+
+    for turn in range(ROUNDS):
+        await asyncio.gather(*(one(turn * CLIENTS + i) for i in range(CLIENTS)))
+    record.say(f"{lost} of {ROUNDS * CLIENTS * FIRST} calls ahead of a large value lost")
+    if not node.alive():
         return COULD_NOT_RUN
     return BROKEN if lost else HELD
 
