--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -455,6 +455,12 @@
         record.say("could not run: the node is not built")
         sys.exit(COULD_NOT_RUN)
     nodes = []
+    verdict = COULD_NOT_RUN
+
+    def told_to_end(*_):
+        raise SystemExit(COULD_NOT_RUN)
+
+    signal.signal(signal.SIGTERM, told_to_end)
 
     async def limited():
         return await asyncio.wait_for(play(record, nodes), 110)
