Reserve memory for a client's bytes before they are read, whatever their form

Cause: memory was reserved for commands of exactly five items with four short ones ahead. All other commands (another number of items, a long item elsewhere, anything up to 64 KiB) were read first and counted afterwards. Change: one MemoryBudget for connections, values and responses, asked before each read. What a connection needs follows from the headers received, whatever the form. Short commands and responses have shares of their own. The wait for memory is a state of the connection, and freed memory is offered to those for whom it suffices. A long command is read with a yield to the runtime, as one client could keep the others' sockets from being looked at.

--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -1,7 +1,7 @@
 //! Byte buffer of a connection: grows on demand and is compacted in place.
 use std::io;
 
-use bytes::Bytes;
+use bytes::{BufMut, Bytes};
 use tokio::net::TcpStream;
 
 use crate::system::retry_interrupted;
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Frees capacity beyond `min_capacity` bytes that the unread bytes don't need.
+    pub fn trim(&mut self, min_capacity: usize) {
+        if self.bytes.capacity() > self.unread().len().max(min_capacity) {
+            self.compact();
+            self.bytes.shrink_to(min_capacity);
+        }
+    }
+
     fn compact(&mut self) {
         if self.start > 0 {
             self.bytes.copy_within(self.start.., 0);
@@ -89,6 +97,22 @@
         retry_interrupted(|| stream.try_read_buf(&mut self.bytes))
     }
 
+    /// Reads available bytes, at most `count`, into a buffer that may hold `max_unread` bytes in
+    /// all and allocates no more than that. Returns the number read; 0 means end-of-file.
+    pub fn read_within(
+        &mut self,
+        stream: &TcpStream,
+        count: usize,
+        max_unread: usize,
+    ) -> io::Result<usize> {
+        let room = max_unread.saturating_sub(self.unread().len()).min(count);
+        if self.bytes.capacity() - self.bytes.len() < room.min(count / 4) {
+            self.compact();
+            self.bytes.reserve_exact(room);
+        }
+        retry_interrupted(|| stream.try_read_buf(&mut (&mut self.bytes).limit(room)))
+    }
+
     /// Writes and consumes as much as the socket accepts.
     pub fn write(&mut self, stream: &TcpStream) -> io::Result<()> {
         while !self.is_empty() {
--- a/crates/node/src/clients/closing.rs
+++ b/crates/node/src/clients/closing.rs
@@ -65,6 +65,9 @@
     /// Whether the client sends bytes, or disconnects, within `timeout`.
     pub(super) async fn wait_for_input(&mut self, timeout: Span) -> bool {
         self.write_deferred_responses();
+        if self.memory_wait.is_some() {
+            return self.wait_for_memory(timeout).await;
+        }
         let readable = self.client.stream.readable();
         tokio::time::timeout(duration(timeout), readable)
             .await
@@ -110,8 +113,8 @@
     /// and after that for as long as the client takes responses that the system still holds.
     /// Closing a socket with unread bytes sends a reset, and the client would never read them.
     async fn discard_input(&mut self, timeout: Span) {
-        self.reservation.set(0);
         self.buffer = Buffer::default();
+        self.reservation.set(0);
         self.client.shutdown_write();
         let executor = self.executor;
         let mut until = executor.clock.now() + timeout;
--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -4,15 +4,16 @@
 
 use quartzhub_policy::Time;
 
+use super::admission::MemoryWait;
 use super::arrival_times::ArrivalTimes;
 use super::commands::{respond_protocol_error, take_command, ProtocolError, TakeResult};
 use super::delivery::Delivery;
-use super::memory_budget::BufferReservation;
 use super::outstanding::Outstanding;
 use super::reading::LargeCommand;
 use super::{Client, WriteMode};
 use crate::buffer::{is_open_and_idle, Buffer};
 use crate::effects::EffectExecutor;
+use crate::memory_budget::MemoryReservation;
 use crate::messages::ClientId;
 
 /// Serves a client until its connection ends.
@@ -31,7 +32,12 @@
     pub(super) client: &'a Client,
     pub(super) buffer: Buffer,
     pub(super) arrivals: ArrivalTimes,
-    pub(super) reservation: BufferReservation<'a>,
+    /// Memory of the buffer; requested before the bytes are read.
+    pub(super) reservation: MemoryReservation,
+    /// Bytes that the buffer keeps reserved for an incomplete command whose size is known.
+    pub(super) granted_bytes: usize,
+    /// Set while there is no memory for the bytes that would be read next.
+    pub(super) memory_wait: Option<MemoryWait>,
     pub(super) large_command: Option<LargeCommand>,
     /// False once nothing more is read: after QUIT, a protocol error or a rejected large command.
     pub(super) reading: bool,
@@ -59,7 +65,9 @@
             client,
             buffer: Buffer::default(),
             arrivals,
-            reservation: BufferReservation::new(executor),
+            reservation: MemoryReservation::new(&executor.memory),
+            granted_bytes: 0,
+            memory_wait: None,
             large_command: None,
             reading: true,
             delivery: Delivery::default(),
@@ -77,13 +85,14 @@
                 return;
             }
             let taken = self.take_commands();
-            self.reserve_buffer();
-            let outstanding = Outstanding::of(self);
+            self.client.has_buffered_input.set(!self.buffer.is_empty());
             // A client that floods commands must not starve the other tasks of this thread.
             if taken == self.executor.limits.commands_per_turn {
                 tokio::task::yield_now().await;
                 continue;
             }
+            self.trim_buffer();
+            let outstanding = Outstanding::of(self);
             let close_after_quiet_period = self.client.close_after_quiet_period.get();
             // Commands that have arrived, read or not, are responded to before the close.
             let flow = match close_after_quiet_period.filter(|_| outstanding.allows_close()) {
@@ -113,6 +122,8 @@
         }
         if taken > 0 {
             self.large_command = None;
+            self.granted_bytes = 0;
+            self.memory_wait = None;
             self.last_active = executor.clock.now();
             self.partial_since = None;
             // Its responses are a new delivery.
@@ -121,12 +132,11 @@
         taken
     }
 
-    /// Reserves the buffer's capacity, or the size granted to a large command if that is more, and
-    /// records whether a command is in the buffer in part.
-    pub(super) fn reserve_buffer(&mut self) {
-        self.client.has_buffered_input.set(!self.buffer.is_empty());
-        let granted = self.large_command.as_ref().map_or(0, |large| large.size);
-        self.reservation.set(self.buffer.capacity().max(granted));
+    /// Frees memory that the bytes in the buffer and the rest of their command don't need.
+    fn trim_buffer(&mut self) {
+        let idle_bytes = self.executor.limits.idle_buffer_bytes;
+        self.buffer.trim(self.granted_bytes.max(idle_bytes));
+        self.reservation.set(self.buffer.capacity());
     }
 
     /// Whether responses are deferred although calls are open.
@@ -150,8 +160,8 @@
         if let Some(until) = self.deferred_until.filter(|_| self.defers_responses()) {
             return until;
         }
-        if !outstanding.is_empty() {
-            // A client that awaits a response is not idle.
+        if !outstanding.is_empty() || self.memory_wait.is_some() {
+            // A client that awaits a response or memory is not idle.
             return executor.clock.now() + limits.longest_client_timeout;
         }
         let has_made_calls = executor.query(|reducer| reducer.has_made_calls(self.id));
@@ -183,18 +193,23 @@
         // At the call limit up to `read_bytes` are read ahead, to time the next commands' arrival.
         let reads_ahead = at_call_limit && self.buffer.unread().len() < limits.read_bytes;
         // While streaming nothing is read: if the value breaks off, commands read get no response.
-        let reads = self.reading
+        let may_read = self.reading
             && !self.is_streaming()
             && (!at_call_limit || reads_ahead)
             && client.close_after_quiet_period.get().is_none();
-        if !reads {
+        if may_read {
+            self.reserve_rest_of_command();
+        } else {
             self.pause_reading();
         }
+        let reads = may_read && self.memory_wait.is_none();
+        let end_of_memory_wait = self.end_of_memory_wait();
         tokio::select! {
             ready = client.stream.readable(), if reads => match ready {
-                Ok(()) => self.on_readable(at_call_limit).await,
+                Ok(()) => self.on_readable().await,
                 Err(_) => Break(()),
             },
+            () = end_of_memory_wait => self.read_available(),
             ready = client.stream.writable(), if outstanding.writable => match ready {
                 Ok(()) => self.flush(),
                 Err(_) => Break(()),
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -17,13 +17,13 @@
 use crate::upstreams::{Downstream, Upstream};
 
 mod accept;
+mod admission;
 mod arrival_times;
 mod attributes;
 mod closing;
 mod commands;
 mod connection;
 mod delivery;
-mod memory_budget;
 mod outstanding;
 mod reading;
 mod response;
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -1,4 +1,4 @@
-//! Reads from a client, and reserves memory for its large commands.
+//! Reads from a client.
 use std::io;
 use std::ops::ControlFlow::{self, Break, Continue};
 
@@ -6,83 +6,26 @@
 
 use super::connection::Connection;
 use crate::buffer::is_open_and_idle;
-use crate::resp;
 use crate::system::{retry_interrupted, time_since_last_receive};
 
-/// A command with a large value that has been received in part.
-pub struct LargeCommand {
-    /// Bytes reserved for it: none if it was rejected.
-    pub size: usize,
+/// A command with a large item that has been received in part, or one that was rejected.
+pub(super) struct LargeCommand {
     /// Bytes of a rejected command that are discarded when they arrive.
-    rejected_bytes: usize,
-    started_at: Time,
+    pub(super) rejected_bytes: usize,
+    pub(super) started_at: Time,
 }
 
 impl Connection<'_> {
-    /// Reads available bytes; reserves memory for a large command once its size is known.
-    pub(super) async fn on_readable(&mut self, at_call_limit: bool) -> ControlFlow<()> {
-        // Reads up to the FIN, if there is one, before any command is taken: a client that has
-        // disconnected must not cause attempts.
+    /// Reads available bytes. A client that sends a long command faster than it is read must not
+    /// starve the other connections: the runtime looks for their events in between.
+    pub(super) async fn on_readable(&mut self) -> ControlFlow<()> {
         self.read_available()?;
-        self.reserve_buffer();
-        if self.rejected_bytes() > 0 {
-            self.extend_large_command_time();
-            return Continue(());
-        }
-        // A large command behind open calls gets its memory when it is next to be taken.
-        if at_call_limit {
-            return Continue(());
-        }
-        match resp::large_command_size(self.buffer.unread(), &self.executor.limits) {
-            Some(size) => self.admit_large_command(size).await,
-            None => Continue(()),
-        }
-    }
-
-    /// Reserves the memory of a large command, or rejects the command.
-    async fn admit_large_command(&mut self, size: usize) -> ControlFlow<()> {
-        let executor = self.executor;
-        let requested_at = executor.clock.now();
-        let admitted = self.large_command.is_some()
-            || tokio::select! {
-                reserved = self.reservation.reserve_when_free(size) => reserved,
-                () = self.client.disconnected() => return Break(()),
-            };
-        let now = executor.clock.now();
-        if !admitted {
-            self.reject_large_command(size, requested_at, now);
-            return Continue(());
+        if self.granted_bytes > 0 || self.rejected_bytes() > 0 {
+            tokio::task::yield_now().await;
         }
-        self.arrivals.add_read_delay(now - requested_at);
-        self.buffer.reserve_total(size);
-        let large_command = self.large_command.get_or_insert(LargeCommand {
-            size,
-            rejected_bytes: 0,
-            started_at: now,
-        });
-        large_command.size = size;
-        self.extend_large_command_time();
         Continue(())
     }
 
-    /// Rejects a large command of `size` bytes, for which there was no memory since `requested_at`.
-    /// It has not been taken, so that a retry is safe. Commands behind it are still taken: the rest
-    /// of its own bytes is discarded.
-    fn reject_large_command(&mut self, size: usize, requested_at: Time, now: Time) {
-        let received = self.buffer.unread().len().min(size);
-        self.arrivals.take(received);
-        self.buffer.consume(received);
-        self.buffer.shrink(self.executor.limits.idle_buffer_bytes);
-        self.arrivals.pause_reading(requested_at);
-        self.large_command = (received < size).then_some(LargeCommand {
-            size: 0,
-            rejected_bytes: size - received,
-            started_at: now,
-        });
-        self.executor
-            .report(|reducer, now| reducer.respond_plain(now, self.id, b"-BUSY\r\n".to_vec()));
-    }
-
     /// Bytes of a rejected large command that have yet to arrive.
     pub(super) fn rejected_bytes(&self) -> usize {
         self.large_command
@@ -97,7 +40,7 @@
 
     /// For a bounded time, a client that keeps sending a large command counts neither as idle nor as
     /// too slow.
-    fn extend_large_command_time(&mut self) {
+    pub(super) fn extend_large_command_time(&mut self) {
         let now = self.executor.clock.now();
         let Some(large_command) = &mut self.large_command else {
             return;
@@ -136,6 +79,7 @@
     /// Records that nothing is read for now. An incomplete command gets its whole time again
     /// afterwards, as its client can't complete it meanwhile.
     pub(super) fn pause_reading(&mut self) {
+        self.end_memory_wait();
         self.arrivals.pause_reading(self.executor.clock.now());
         self.partial_since = None;
     }
@@ -156,16 +100,25 @@
         Continue(false)
     }
 
-    /// Reads available bytes, up to about `read_bytes`; breaks if the client has disconnected.
+    /// Reads available bytes, up to about `read_bytes`, if there is memory for them; breaks if the
+    /// client has disconnected.
+    ///
+    /// It reads up to the FIN, if there is one, before any command is taken: a client that has
+    /// disconnected must not cause attempts.
     pub(super) fn read_available(&mut self) -> ControlFlow<()> {
         if self.rejected_bytes() > 0 {
-            return self.discard_rejected_bytes();
+            self.discard_rejected_bytes()?;
+            self.extend_large_command_time();
+            return Continue(());
         }
+        let Some(max_unread) = self.admit_read() else {
+            return Continue(());
+        };
         let stream = &self.client.stream;
         let read_bytes = self.executor.limits.read_bytes;
-        let max_unread = self.buffer.unread().len() + read_bytes;
+        let max_unread = max_unread.min(self.buffer.unread().len() + read_bytes);
         while self.buffer.unread().len() < max_unread {
-            match self.buffer.read(stream, read_bytes) {
+            match self.buffer.read_within(stream, read_bytes, max_unread) {
                 Ok(0) => return Break(()),
                 Ok(count) => {
                     let now = self.executor.clock.now();
@@ -179,6 +132,7 @@
                 Err(_) => return Break(()),
             }
         }
+        self.extend_large_command_time();
         Continue(())
     }
 }
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::{unix_ms, Clock, WallClock};
 use crate::limits::Limits;
+use crate::memory_budget::MemoryBudget;
 use crate::messages::{ClientId, Effect, Request, Response, UpstreamId};
 use crate::reducer::{shrink, Reducer};
 use crate::upstreams::{self, Downstream, Protocol, Upstream, WriteResult};
@@ -51,10 +52,8 @@
     /// Whether discovery has sent a complete watch event: an endpoint list, or a keep-alive.
     discovery_event_received: Cell<bool>,
     discovery_updated: Notify,
-    /// Bytes used by or reserved for clients' buffers and large responses, in all.
-    pub reserved_buffer_bytes: Cell<usize>,
-    /// Notified when buffered bytes have been freed.
-    pub capacity_freed: Notify,
+    /// The memory that all connections share.
+    pub memory: Rc<MemoryBudget>,
     /// Scratch buffer for bytes that are read only to be discarded.
     pub discard_buffer: RefCell<Vec<u8>>,
 }
@@ -63,6 +62,7 @@
     /// Creates an executor without connections.
     pub fn new(reducer: Reducer, limits: Limits, clock: Clock) -> Rc<EffectExecutor> {
         let discard_bytes = limits.read_bytes;
+        let memory = reducer.memory().clone();
         Rc::new(EffectExecutor {
             reducer: RefCell::new(reducer),
             clients: RefCell::default(),
@@ -74,8 +74,7 @@
             client_closed: Notify::new(),
             discovery_event_received: Cell::new(false),
             discovery_updated: Notify::new(),
-            reserved_buffer_bytes: Cell::new(0),
-            capacity_freed: Notify::new(),
+            memory,
             discard_buffer: RefCell::new(vec![0; discard_bytes]),
         })
     }
@@ -116,7 +115,6 @@
     /// Reports an event to the reducer and performs the effects that result.
     pub fn report<T>(self: &Rc<EffectExecutor>, report: impl FnOnce(&mut Reducer, Time) -> T) -> T {
         let timer_before = self.query(Reducer::next_timer);
-        let buffered_before = self.query(Reducer::buffered_bytes);
         let result = report(&mut self.reducer.borrow_mut(), self.clock.now());
         loop {
             let effect = self.reducer.borrow_mut().next_effect();
@@ -125,9 +123,6 @@
                 None => break,
             }
         }
-        if self.query(Reducer::buffered_bytes) < buffered_before {
-            self.capacity_freed.notify_waiters();
-        }
         let timer_after = self.query(Reducer::next_timer);
         let is_sooner = |after| timer_before.is_none_or(|before| after < before);
         if timer_after.is_some_and(is_sooner) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod http;
 pub mod limits;
 pub mod log;
+pub mod memory_budget;
 pub mod messages;
 pub mod metrics;
 pub mod origin;
--- a/crates/node/src/limits/derived.rs
+++ b/crates/node/src/limits/derived.rs
@@ -23,8 +23,12 @@
 const BYTES_PER_CALL: f64 = 4096.0;
 /// Open API calls may take up the memory divided by this number.
 const CALLS_MEMORY_DIVISOR: f64 = 8.0;
-/// Values and buffers may take up the memory divided by this number.
-const BUFFERS_MEMORY_DIVISOR: f64 = 3.0;
+/// Share of the memory that values and buffers may take up.
+const BUFFERS_MEMORY_SHARE: f64 = 1.0 / 3.0;
+/// The same with short commands.
+const SHORT_COMMANDS_MEMORY_SHARE: f64 = 0.43;
+/// The same with short commands and responses.
+const RESPONSES_MEMORY_SHARE: f64 = 0.5;
 /// Lower bound of `streaming_window_bytes`.
 const MIN_STREAMING_WINDOW_BYTES: usize = 8 * 1024;
 /// Upper bound of `streaming_window_bytes`.
@@ -96,6 +100,8 @@
     /// split, as each client is connected to one of the two processes.
     pub fn with_shared_listener(mut self) -> Limits {
         self.buffered_bytes /= 2;
+        self.buffered_bytes_with_commands /= 2;
+        self.buffered_bytes_with_responses /= 2;
         self.streaming_window_bytes =
             (self.streaming_window_bytes / 2).max(MIN_STREAMING_WINDOW_BYTES);
         self.pooled_upstreams = self.sockets / 4;
@@ -141,7 +147,9 @@
         let configured_calls = settings.number("caps.most_held", DEFAULT_OPEN_CALLS);
         let calls_in_memory = memory_bytes / CALLS_MEMORY_DIVISOR / BYTES_PER_CALL;
         self.open_calls = (configured_calls.max(1.0) as usize).min(calls_in_memory as usize);
-        self.buffered_bytes = (memory_bytes / BUFFERS_MEMORY_DIVISOR) as usize;
+        self.buffered_bytes = (memory_bytes * BUFFERS_MEMORY_SHARE) as usize;
+        self.buffered_bytes_with_commands = (memory_bytes * SHORT_COMMANDS_MEMORY_SHARE) as usize;
+        self.buffered_bytes_with_responses = (memory_bytes * RESPONSES_MEMORY_SHARE) as usize;
         // A quarter of the memory if half of the sockets have clients that read slowly.
         self.streaming_window_bytes = ((memory_bytes / 2.0) as usize / self.sockets)
             .clamp(MIN_STREAMING_WINDOW_BYTES, MAX_STREAMING_WINDOW_BYTES);
--- /dev/null
+++ b/crates/node/src/memory_budget.rs
@@ -0,0 +1,211 @@
+//! The budget of memory that all connections share: for the bytes of commands that are being read,
+//! for values, and for responses that are not written yet.
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+use crate::limits::Limits;
+
+#[cfg(test)]
+mod tests;
+
+/// What memory is requested for. The nearer a call is to its response, the more of the memory it
+/// may take: as the budget is used up, long commands wait first, then short ones, and responses are
+/// dropped last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemoryUse {
+    /// A long command, or a value that is held until it is complete.
+    LongMessage,
+    /// A command of at most `idle_buffer_bytes`, or the beginning of a long one.
+    ShortCommand,
+    /// A response that is not written yet.
+    Response,
+}
+
+/// Bytes that are in use or reserved, and how many may be.
+#[derive(Debug)]
+pub struct MemoryBudget {
+    long_message_limit: usize,
+    short_command_limit: usize,
+    response_limit: usize,
+    /// Bytes used by or reserved for the buffers of connections.
+    reserved: Cell<usize>,
+    /// Bytes of the values of open calls and of responses that are not written yet.
+    buffered: Cell<usize>,
+    /// Requests that wait for memory, by their tickets: the oldest first.
+    waiting: RefCell<BTreeMap<u64, WaitingRequest>>,
+    last_ticket: Cell<u64>,
+}
+
+/// A request for which there was no memory.
+#[derive(Debug)]
+struct WaitingRequest {
+    bytes: usize,
+    memory_use: MemoryUse,
+    available: Rc<Notify>,
+}
+
+impl MemoryBudget {
+    /// Creates a budget of which nothing is used.
+    pub fn new(limits: &Limits) -> Rc<MemoryBudget> {
+        Rc::new(MemoryBudget {
+            long_message_limit: limits.buffered_bytes,
+            short_command_limit: limits.buffered_bytes_with_commands,
+            response_limit: limits.buffered_bytes_with_responses,
+            reserved: Cell::new(0),
+            buffered: Cell::new(0),
+            waiting: RefCell::default(),
+            last_ticket: Cell::new(0),
+        })
+    }
+
+    /// Bytes of the values of open calls and of responses that are not written yet.
+    pub fn buffered(&self) -> usize {
+        self.buffered.get()
+    }
+
+    /// Whether `bytes` more may be used.
+    pub fn has_room(&self, bytes: usize, memory_use: MemoryUse) -> bool {
+        self.missing(bytes, memory_use) == 0
+    }
+
+    /// How many bytes have to be freed before `bytes` more may be used.
+    pub fn missing(&self, bytes: usize, memory_use: MemoryUse) -> usize {
+        let limit = match memory_use {
+            MemoryUse::LongMessage => self.long_message_limit,
+            MemoryUse::ShortCommand => self.short_command_limit,
+            MemoryUse::Response => self.response_limit,
+        };
+        (self.reserved.get() + self.buffered.get() + bytes).saturating_sub(limit)
+    }
+
+    /// Records that `bytes` more are buffered.
+    pub fn add_buffered(&self, bytes: usize) {
+        self.buffered.set(self.buffered.get() + bytes);
+    }
+
+    /// Records that `bytes` are no longer buffered.
+    pub fn remove_buffered(&self, bytes: usize) {
+        self.buffered.set(self.buffered.get().saturating_sub(bytes));
+        self.notify_waiting();
+    }
+
+    /// Notifies the requests for which there is memory now, in the order of their age. A younger one
+    /// may precede an older one that needs more than there is.
+    fn notify_waiting(&self) {
+        let mut promised_bytes = 0;
+        for request in self.waiting.borrow().values() {
+            let bytes = promised_bytes + request.bytes;
+            if self.has_room(bytes, request.memory_use) {
+                promised_bytes = bytes;
+                request.available.notify_one();
+            }
+        }
+    }
+}
+
+/// The bytes that one connection's buffer uses or has reserved. Dropping it frees them.
+#[derive(Debug)]
+pub struct MemoryReservation {
+    budget: Rc<MemoryBudget>,
+    bytes: usize,
+}
+
+impl MemoryReservation {
+    /// Creates a reservation of zero bytes.
+    pub fn new(budget: &Rc<MemoryBudget>) -> MemoryReservation {
+        MemoryReservation {
+            budget: budget.clone(),
+            bytes: 0,
+        }
+    }
+
+    /// The reserved bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Sets the reserved bytes, even if they exceed the budget.
+    pub fn set(&mut self, bytes: usize) {
+        let budget = &self.budget;
+        let previous = std::mem::replace(&mut self.bytes, bytes);
+        budget
+            .reserved
+            .set(budget.reserved.get() - previous + bytes);
+        if bytes < previous {
+            budget.notify_waiting();
+        }
+    }
+
+    /// Sets the reserved bytes if they are fewer than before or the budget has room for them.
+    /// Returns whether they were set.
+    pub fn try_set(&mut self, bytes: usize, memory_use: MemoryUse) -> bool {
+        let has_room = self.missing(bytes, memory_use) == 0;
+        if has_room {
+            self.set(bytes);
+        }
+        has_room
+    }
+
+    /// Requests `bytes` in all, for which there is no memory now.
+    pub fn request(&self, bytes: usize, memory_use: MemoryUse) -> MemoryRequest {
+        let ticket = self.budget.last_ticket.get() + 1;
+        self.budget.last_ticket.set(ticket);
+        let request = MemoryRequest {
+            budget: self.budget.clone(),
+            ticket,
+            available: Rc::default(),
+        };
+        self.change_request(&request, bytes, memory_use);
+        request
+    }
+
+    /// Changes a request that waits, which keeps its age.
+    pub fn change_request(&self, request: &MemoryRequest, bytes: usize, memory_use: MemoryUse) {
+        let waiting = WaitingRequest {
+            bytes: bytes.saturating_sub(self.bytes),
+            memory_use,
+            available: request.available(),
+        };
+        let mut all = self.budget.waiting.borrow_mut();
+        all.insert(request.ticket, waiting);
+    }
+
+    /// How many bytes have to be freed before `bytes` can be reserved in all.
+    pub fn missing(&self, bytes: usize, memory_use: MemoryUse) -> usize {
+        match bytes.checked_sub(self.bytes) {
+            None | Some(0) => 0,
+            Some(added) => self.budget.missing(added, memory_use),
+        }
+    }
+}
+
+impl Drop for MemoryReservation {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
+/// A request that waits for memory. Dropping it withdraws it.
+#[derive(Debug)]
+pub struct MemoryRequest {
+    budget: Rc<MemoryBudget>,
+    ticket: u64,
+    available: Rc<Notify>,
+}
+
+impl MemoryRequest {
+    /// Notified when there is memory for the request. It is not reserved yet: another connection may
+    /// be faster.
+    pub fn available(&self) -> Rc<Notify> {
+        self.available.clone()
+    }
+}
+
+impl Drop for MemoryRequest {
+    fn drop(&mut self) {
+        self.budget.waiting.borrow_mut().remove(&self.ticket);
+    }
+}
--- /dev/null
+++ b/crates/node/src/memory_budget/tests.rs
@@ -0,0 +1,65 @@
+//! Who gets memory, and in which order.
+use super::*;
+
+/// A budget of 100 bytes for long messages, 120 with short commands and 150 with responses.
+fn budget() -> Rc<MemoryBudget> {
+    MemoryBudget::new(&Limits {
+        buffered_bytes: 100,
+        buffered_bytes_with_commands: 120,
+        buffered_bytes_with_responses: 150,
+        ..Limits::default()
+    })
+}
+
+/// Whether a request has been notified; a notification is taken.
+fn is_notified(request: &MemoryRequest) -> bool {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .expect("a runtime");
+    let available = request.available();
+    runtime.block_on(async {
+        tokio::select! {
+            biased;
+            () = available.notified() => true,
+            () = std::future::ready(()) => false,
+        }
+    })
+}
+
+#[test]
+fn long_messages_leave_memory_for_short_commands_and_responses() {
+    let budget = budget();
+    let mut long = MemoryReservation::new(&budget);
+    assert!(long.try_set(100, MemoryUse::LongMessage));
+    let mut other = MemoryReservation::new(&budget);
+    assert!(!other.try_set(1, MemoryUse::LongMessage));
+    assert!(other.try_set(20, MemoryUse::ShortCommand));
+    assert!(!other.try_set(21, MemoryUse::ShortCommand));
+    assert!(budget.has_room(30, MemoryUse::Response));
+    assert!(!budget.has_room(31, MemoryUse::Response));
+    budget.add_buffered(30);
+    drop(long);
+    assert!(!other.try_set(71, MemoryUse::LongMessage));
+    assert!(other.try_set(70, MemoryUse::LongMessage));
+}
+
+#[test]
+fn freed_memory_is_offered_to_those_for_whom_it_suffices() {
+    let budget = budget();
+    let mut holder = MemoryReservation::new(&budget);
+    holder.set(100);
+    let waiting = MemoryReservation::new(&budget);
+    let longest = waiting.request(60, MemoryUse::LongMessage);
+    let withdrawn = waiting.request(10, MemoryUse::LongMessage);
+    let first = waiting.request(30, MemoryUse::LongMessage);
+    let second = waiting.request(20, MemoryUse::LongMessage);
+    drop(withdrawn);
+    holder.set(60);
+    assert!(!is_notified(&longest));
+    assert!(is_notified(&first));
+    // Only 10 bytes are left behind the first one.
+    assert!(!is_notified(&second));
+    drop(first);
+    drop(holder);
+    assert!(is_notified(&longest) && is_notified(&second));
+}
--- a/crates/node/src/reducer/call_events.rs
+++ b/crates/node/src/reducer/call_events.rs
@@ -83,7 +83,7 @@
     fn is_overloaded_by(&self, value_bytes: usize) -> bool {
         let limits = &self.state.limits;
         self.state.calls.len() >= limits.open_calls
-            || self.state.buffered_bytes + value_bytes > limits.buffered_bytes
+            || self.state.memory.buffered() + value_bytes > limits.buffered_bytes
     }
 
     /// Returns the time left for a call: the time left that its client stated, less the allowance
--- a/crates/node/src/reducer/client_events.rs
+++ b/crates/node/src/reducer/client_events.rs
@@ -52,10 +52,7 @@
         let Some(client) = self.state.clients.remove(id) else {
             return;
         };
-        self.state.buffered_bytes = self
-            .state
-            .buffered_bytes
-            .saturating_sub(client.buffered_bytes);
+        self.state.memory.remove_buffered(client.buffered_bytes);
         for upstream in client.streaming {
             self.state.close_upstream(upstream);
         }
@@ -100,7 +97,7 @@
         if let Some(client) = self.state.clients.get_mut(id) {
             let bytes = bytes.min(client.buffered_bytes);
             client.buffered_bytes -= bytes;
-            self.state.buffered_bytes = self.state.buffered_bytes.saturating_sub(bytes);
+            self.state.memory.remove_buffered(bytes);
         }
     }
 
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -8,12 +8,15 @@
 //!   its records;
 //! - `node_state`: all tables together; the policy acts on them through `policy_actions`;
 //! - `attempts`, `upstream_reuse`, `responses`, `connections`: steps that involve several tables.
+use std::rc::Rc;
+
 use quartzhub_policy::{AttemptResult, Balancer, CallIndex, NodeLoad, Product, Time};
 use quartzhub_settings::{policy_config, products, NameTable, Settings};
 use rustc_hash::FxHashMap;
 
 use crate::config::Config;
 use crate::limits::Limits;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::{CounterIndex, ProductCounters};
 
 mod attempts;
@@ -161,9 +164,9 @@
         self.state.timers.next_expiry()
     }
 
-    /// Returns the number of bytes buffered for API calls and responses.
-    pub fn buffered_bytes(&self) -> usize {
-        self.state.buffered_bytes
+    /// Returns the memory that is shared by the buffers of connections, API calls and responses.
+    pub fn memory(&self) -> &Rc<MemoryBudget> {
+        &self.state.memory
     }
 
     /// Returns this node's own load, as it is reported to the other nodes.
--- a/crates/node/src/reducer/node_state.rs
+++ b/crates/node/src/reducer/node_state.rs
@@ -1,5 +1,6 @@
 //! The state of the node that the policy acts on.
 use std::collections::VecDeque;
+use std::rc::Rc;
 
 use quartzhub_policy::{CallIndex, Outcome, Span, Time};
 
@@ -10,6 +11,7 @@
 use super::timers::{Timer, Timers};
 use super::upstreams::Upstreams;
 use crate::limits::Limits;
+use crate::memory_budget::MemoryBudget;
 use crate::messages::Effect;
 use crate::metrics::{ProductCounters, UnsolicitedCounts};
 use crate::service::{IdleClientPolicy, ServiceState};
@@ -39,8 +41,8 @@
     pub(super) unsolicited: UnsolicitedCounts,
     /// Number of attempts that waited for the end of an upstream's rest.
     pub(super) reuse_waits: u64,
-    /// Bytes of values and responses that the node has buffered.
-    pub(super) buffered_bytes: usize,
+    /// Counts the bytes of values and responses that the node has buffered.
+    pub(super) memory: Rc<MemoryBudget>,
     /// When every API call must have its final response; set during a graceful shutdown.
     pub(super) response_deadline: Option<Time>,
     pub(super) stall: StallDetector,
@@ -49,6 +51,7 @@
 
 impl NodeState {
     pub(super) fn new(limits: Limits, counters: ProductCounters) -> NodeState {
+        let memory = MemoryBudget::new(&limits);
         NodeState {
             now: Time(0),
             limits,
@@ -64,7 +67,7 @@
             written_attempts: 0,
             unsolicited: UnsolicitedCounts::default(),
             reuse_waits: 0,
-            buffered_bytes: 0,
+            memory,
             response_deadline: None,
             stall: StallDetector::default(),
             last_connection_id: 0,
--- a/crates/node/src/reducer/policy_actions.rs
+++ b/crates/node/src/reducer/policy_actions.rs
@@ -62,7 +62,7 @@
         let Some(call) = self.calls.remove(index) else {
             return;
         };
-        self.buffered_bytes = self.buffered_bytes.saturating_sub(call.value_bytes());
+        self.memory.remove_buffered(call.value_bytes());
         self.cancel_overdue_timer(index, call.deadline);
         if let Some(client) = self.clients.get_mut(call.client) {
             client.open_calls.retain(|open| *open != index);
--- a/crates/node/src/reducer/responses.rs
+++ b/crates/node/src/reducer/responses.rs
@@ -5,6 +5,7 @@
 use super::clients::ResponseSlot;
 use super::node_state::NodeState;
 use super::upstreams::StreamTarget;
+use crate::memory_budget::MemoryUse;
 use crate::messages::{ClientId, Effect, Response, UpstreamId};
 use crate::service::IdleClientPolicy;
 
@@ -31,14 +32,16 @@
         }
         // Without this limit, a client that reads no responses, or has many of them at once, could
         // use up the memory.
-        let fits = self.buffered_bytes + response.size() <= self.limits.buffered_bytes
-            || response.size() < self.limits.short_response_bytes;
+        let size = response.size();
+        let has_room = self.memory.buffered() + size <= self.limits.buffered_bytes
+            && self.memory.has_room(size, MemoryUse::Response);
+        let fits = has_room || size < self.limits.short_response_bytes;
         let response = if fits {
             response
         } else {
             Response::Error("no room for the answer")
         };
-        self.buffered_bytes += response.size();
+        self.memory.add_buffered(response.size());
         client.buffered_bytes += response.size();
         client.fill_slot(slot, response);
         client.last_active = self.now;
@@ -57,7 +60,7 @@
 
     /// Adds an API call to the tables.
     pub(super) fn open_call(&mut self, call: Call) -> CallIndex {
-        self.buffered_bytes += call.value_bytes();
+        self.memory.add_buffered(call.value_bytes());
         let client_id = call.client;
         let deadline = call.deadline;
         let index = self.calls.insert(call);
--- a/crates/node/src/resp.rs
+++ b/crates/node/src/resp.rs
@@ -11,6 +11,9 @@
 /// Characters, sign included, that make a number malformed; no 64-bit number has as many.
 const MAX_NUMBER_DIGITS: usize = 24;
 
+/// Bytes of the line end after an item.
+const ITEM_TERMINATOR_BYTES: usize = 2;
+
 /// Index of the value among a command's words.
 const VALUE_INDEX: i64 = 4;
 
@@ -112,22 +115,42 @@
     (limits.buffered_value_bytes + 1..=limits.value_bytes).contains(&size)
 }
 
-/// The size in bytes, terminator included, of a command whose value is too large to be buffered,
-/// once the header of the value has arrived; `None` for any other command.
-pub fn large_command_size(bytes: &[u8], limits: &Limits) -> Option<usize> {
-    let mut input = Partial::new(bytes);
-    preceded(b'*', number)
-        .verify(|count| *count == VALUE_INDEX + 1)
-        .parse_next(&mut input)
-        .ok()?;
-    for _ in 0..VALUE_INDEX {
-        bulk(&mut input, limits.argument_bytes).ok()?;
+/// What the headers that have arrived tell of the size of an incomplete command, whatever its number
+/// of items.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CommandSize {
+    /// Bytes that the command has at least: up to the end of the last item whose header has arrived.
+    pub bytes: usize,
+    /// Whether that item is the last, so that the command has exactly as many bytes.
+    pub is_final: bool,
+    /// Length of that item in bytes.
+    pub last_item_bytes: usize,
+}
+
+/// Returns the size of an incomplete command, as far as it is known.
+pub fn command_size(bytes: &[u8], limits: &Limits) -> CommandSize {
+    let mut size = CommandSize::default();
+    let Parsed::Complete(items, array_header_bytes) = array_header(bytes) else {
+        return size;
+    };
+    size.bytes = array_header_bytes;
+    for item in 1..=items {
+        let Parsed::Complete(length, header_bytes) =
+            bulk_header(bytes.get(size.bytes..).unwrap_or_default())
+        else {
+            break;
+        };
+        let Some(length) = usize::try_from(length)
+            .ok()
+            .filter(|length| *length <= limits.value_bytes)
+        else {
+            break;
+        };
+        size.bytes += header_bytes + length + ITEM_TERMINATOR_BYTES;
+        size.is_final = item == items;
+        size.last_item_bytes = length;
     }
-    let size = preceded(b'$', number).parse_next(&mut input).ok()?;
-    let size = usize::try_from(size)
-        .ok()
-        .filter(|size| is_large_value(*size, limits))?;
-    Some(bytes.len() - input.len() + size + 2)
+    size
 }
 
 /// Parses the header of a bulk string: its length, or -1 for nil.
--- a/crates/node/src/resp/tests.rs
+++ b/crates/node/src/resp/tests.rs
@@ -77,3 +77,38 @@
         );
     }
 }
+
+#[test]
+fn size_of_a_command_is_known_from_its_headers_whatever_its_form() {
+    let limits = Limits::default();
+    let size_of = |bytes: &[u8]| {
+        let size = command_size(bytes, &limits);
+        (size.bytes, size.is_final, size.last_item_bytes)
+    };
+    let head = b"*5\r\n$7\r\nOBJ.SET\r\n$1\r\nk\r\n$2\r\nid\r\n$3\r\nd=1\r\n";
+    let with_value = [&head[..], b"$4000000\r\nab"].concat();
+    assert_eq!(size_of(head), (head.len(), false, 3));
+    assert_eq!(
+        size_of(&with_value),
+        (head.len() + 10 + 4_000_002, true, 4_000_000)
+    );
+    // A wrong number of items, or a long item at another place.
+    let of_six = [&b"*6"[..], &with_value[2..]].concat();
+    assert_eq!(
+        size_of(&of_six),
+        (head.len() + 10 + 4_000_002, false, 4_000_000)
+    );
+    assert_eq!(size_of(b"*5\r\n$70000\r\n"), (12 + 70_002, false, 70_000));
+    // What can't be read, or is too long, tells nothing of the rest.
+    for bytes in [
+        &b""[..],
+        b"*",
+        b"+5\r\n",
+        b"*-1\r\n",
+        b"*5\r\n$",
+        b"*5\r\n$-1\r\n",
+    ] {
+        assert!(size_of(bytes).0 <= bytes.len() && !size_of(bytes).1);
+    }
+    assert_eq!(size_of(b"*5\r\n$60000000\r\n"), (4, false, 0));
+}
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -16,6 +16,7 @@
 use crate::attempt_response::AttemptResponse;
 use crate::buffer::{readable, Buffer, Readable};
 use crate::limits::Limits;
+use crate::memory_budget::MemoryReservation;
 use crate::messages::{Request, UpstreamId};
 use crate::resp::Parsed;
 use crate::system::retry_interrupted;
@@ -59,8 +60,8 @@
     awaiting_response: Cell<bool>,
     /// The part of a body of unknown length that has been received.
     unsized_body: RefCell<Option<UnsizedBody>>,
-    /// Bytes of the memory budget that a large response has reserved.
-    reserved_bytes: Cell<usize>,
+    /// Memory that a large response has reserved.
+    reservation: RefCell<Option<MemoryReservation>>,
     /// Whether a large value is buffered until it is complete, as later API calls of its client are
     /// pending.
     buffers_whole_value: Cell<bool>,
@@ -117,7 +118,7 @@
             requester: RefCell::default(),
             awaiting_response: Cell::new(false),
             unsized_body: RefCell::default(),
-            reserved_bytes: Cell::new(0),
+            reservation: RefCell::default(),
             buffers_whole_value: Cell::new(false),
             streaming: Cell::new(false),
             receiver: RefCell::default(),
--- a/crates/node/src/upstreams/memory_budget.rs
+++ b/crates/node/src/upstreams/memory_budget.rs
@@ -1,7 +1,7 @@
 //! Reserves memory for large responses from the budget that all connections share.
 use super::Upstream;
 use crate::effects::EffectExecutor;
-use crate::reducer::Reducer;
+use crate::memory_budget::{MemoryReservation, MemoryUse};
 
 impl Upstream {
     /// Replaces this upstream's reservation by `bytes`, or by none for a small response. Returns
@@ -12,14 +12,12 @@
         } else {
             0
         };
-        let others = executor.reserved_buffer_bytes.get() - self.reserved_bytes.get();
-        let fits = bytes == 0
-            || others + bytes + executor.query(Reducer::buffered_bytes)
-                <= executor.limits.buffered_bytes;
-        let bytes = if fits { bytes } else { 0 };
-        executor.reserved_buffer_bytes.set(others + bytes);
-        if bytes < self.reserved_bytes.replace(bytes) {
-            executor.capacity_freed.notify_waiters();
+        let mut reservation = self.reservation.borrow_mut();
+        let reservation =
+            reservation.get_or_insert_with(|| MemoryReservation::new(&executor.memory));
+        let fits = bytes == 0 || reservation.try_set(bytes, MemoryUse::LongMessage);
+        if bytes == 0 || !fits {
+            reservation.set(0);
         }
         fits
     }
@@ -27,6 +25,9 @@
     /// Reserves `bytes` in all for a value that is held until it is whole, or keeps the reservation
     /// if that is larger. Returns false, and reserves nothing, if the budget is exceeded.
     pub(super) fn reserve_at_least(&self, executor: &EffectExecutor, bytes: usize) -> bool {
-        self.reserve(executor, bytes.max(self.reserved_bytes.get()))
+        let reservation = self.reservation.borrow();
+        let reserved_bytes = reservation.as_ref().map_or(0, MemoryReservation::bytes);
+        drop(reservation);
+        self.reserve(executor, bytes.max(reserved_bytes))
     }
 }
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod discovery;
 mod large_values;
+mod memory;
 mod partly_read_commands;
 mod queueing_time;
 mod remaining_time;
