Take a reply for whole only once its load report has begun

Cause: a load report that had not come was treated like one that can't be read. With a length 9 bytes too long (5 without a status word) the value takes in the status, and the last item is missing. A streamed value was checked for the two bytes behind it only. Change: caches::value_end parses the end of every reply, buffered, held or streamed. A reply without a load report is incomplete; another reply in its place is malformed. The last byte of a streamed value waits for that end.

--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -54,14 +54,72 @@
 /// Terminator after the bytes of a value.
 pub const VALUE_TERMINATOR: &[u8] = b"\r\n";
 
-/// Whether the bytes after a value and its terminator are a well-formed end of the reply: the
-/// status and the load report, and nothing more.
-pub fn is_valid_trailer(bytes: &[u8], limits: &Limits) -> bool {
-    let Parsed::Complete(_, status_length) = bulk_string(bytes, limits) else {
-        return false;
+/// The first bytes of a reply with a value.
+const REPLY_START: &[u8] = b"*3\r\n$";
+
+/// Parses what follows a value: its terminator, then the status and the load report.
+pub fn value_end(bytes: &[u8], limits: &Limits) -> Parsed<LoadReport> {
+    match bytes.strip_prefix(VALUE_TERMINATOR) {
+        Some(trailer) => match trailer_of(trailer, limits) {
+            Parsed::Complete(report, length) => {
+                Parsed::Complete(report, VALUE_TERMINATOR.len() + length)
+            }
+            other => other,
+        },
+        None if VALUE_TERMINATOR.starts_with(bytes) => Parsed::Incomplete,
+        None => Parsed::Malformed,
+    }
+}
+
+/// Whether the load report at the end of a reply can be read. One that can't does not invalidate the
+/// value: only the connection is not reused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadReport {
+    /// A bulk string or nil.
+    Readable,
+    /// Anything else; where it ends is unknown.
+    Unreadable,
+}
+
+/// Parses the status and the load report. The load report has to begin: without it an item is
+/// missing, and the bytes before may belong to other items than they seem to.
+fn trailer_of(bytes: &[u8], limits: &Limits) -> Parsed<LoadReport> {
+    let status_length = match status(bytes, limits) {
+        Parsed::Complete((), length) => length,
+        Parsed::Incomplete => return Parsed::Incomplete,
+        Parsed::Malformed => return Parsed::Malformed,
     };
-    let load_report = bulk_string(&bytes[status_length..], limits);
-    matches!(load_report, Parsed::Complete(_, length) if status_length + length == bytes.len())
+    let report = &bytes[status_length..];
+    match resp::reply(report, limits) {
+        _ if report.is_empty() => Parsed::Incomplete,
+        Parsed::Complete(Reply::Bulk(_), length) => {
+            Parsed::Complete(LoadReport::Readable, status_length + length)
+        }
+        // The next reply follows in place of the load report.
+        _ if report.starts_with(REPLY_START) => Parsed::Malformed,
+        _ => Parsed::Complete(LoadReport::Unreadable, bytes.len()),
+    }
+}
+
+/// Parses the status: a short word, or nil.
+fn status(bytes: &[u8], limits: &Limits) -> Parsed<()> {
+    match resp::bulk_header(bytes) {
+        Parsed::Complete(length, _) if length > limits.reply_status_bytes as i64 => {
+            return Parsed::Malformed
+        }
+        _ => {}
+    }
+    match bulk_string(bytes, limits) {
+        Parsed::Complete(Some(word), _) if !is_status_word(word) => Parsed::Malformed,
+        Parsed::Complete(_, length) => Parsed::Complete((), length),
+        Parsed::Incomplete => Parsed::Incomplete,
+        Parsed::Malformed => Parsed::Malformed,
+    }
+}
+
+/// Whether a text may be a status. Names with values are a load report.
+fn is_status_word(text: &[u8]) -> bool {
+    text.iter().all(|b| b.is_ascii_graphic() && *b != b'=')
 }
 
 /// Parses a reply that has to be a bulk string or nil.
@@ -81,67 +139,43 @@
     if bytes.first() != Some(&b'*') {
         return parse_simple_reply(bytes, limits);
     }
-    let (value, mut consumed) = match value_and_status(bytes, limits) {
-        Parsed::Complete(value, consumed) => (value, consumed),
+    let (value, trailer_start) = match array_value(bytes, limits) {
+        Parsed::Complete(value, length) => (value, length),
         Parsed::Incomplete => return Parsed::Incomplete,
         Parsed::Malformed => return Parsed::Malformed,
     };
-    // A malformed or incomplete load report does not invalidate the value: only the connection is
-    // not reused.
-    let reusable = match resp::reply(&bytes[consumed..], limits) {
-        Parsed::Complete(Reply::Bulk(_), length) => {
-            consumed += length;
-            consumed == bytes.len()
-        }
-        _ => {
-            consumed = bytes.len();
-            false
-        }
+    let (report, trailer_length) = match trailer_of(&bytes[trailer_start..], limits) {
+        Parsed::Complete(report, length) => (report, length),
+        Parsed::Incomplete => return Parsed::Incomplete,
+        Parsed::Malformed => return Parsed::Malformed,
     };
+    let consumed = trailer_start + trailer_length;
     let outcome = if value.is_some() {
         Outcome::Success
     } else {
         Outcome::Miss
     };
-    let value = value.map(<[u8]>::to_vec);
     Parsed::Complete(
         AttemptResponse {
             outcome,
-            value,
-            reusable,
+            value: value.map(<[u8]>::to_vec),
+            reusable: report == LoadReport::Readable && consumed == bytes.len(),
         },
         consumed,
     )
 }
 
-/// Parses the value and checks the status of an array reply. The parsed length ends before the load
-/// report.
-fn value_and_status<'a>(bytes: &'a [u8], limits: &Limits) -> Parsed<Option<&'a [u8]>> {
-    let mut consumed = match resp::array_header(bytes) {
-        Parsed::Complete(3, consumed) => consumed,
+/// Parses an array reply up to the end of its value.
+fn array_value<'a>(bytes: &'a [u8], limits: &Limits) -> Parsed<Option<&'a [u8]>> {
+    let header_length = match resp::array_header(bytes) {
+        Parsed::Complete(3, length) => length,
         Parsed::Incomplete => return Parsed::Incomplete,
         _ => return Parsed::Malformed,
     };
-    let mut texts = [None; 2];
-    for text in &mut texts {
-        match bulk_string(&bytes[consumed..], limits) {
-            Parsed::Complete(bulk, length) => {
-                *text = bulk;
-                consumed += length;
-            }
-            Parsed::Incomplete => return Parsed::Incomplete,
-            Parsed::Malformed => return Parsed::Malformed,
-        }
-    }
-    let [value, status] = texts;
-    if status.is_some_and(|status| !is_plain_status(status, limits)) {
-        return Parsed::Malformed;
+    match bulk_string(&bytes[header_length..], limits) {
+        Parsed::Complete(value, length) => Parsed::Complete(value, header_length + length),
+        other => other,
     }
-    Parsed::Complete(value, consumed)
-}
-
-fn is_plain_status(status: &[u8], limits: &Limits) -> bool {
-    status.len() <= limits.reply_status_bytes && status.iter().all(u8::is_ascii_graphic)
 }
 
 /// Parses a reply that is not an array.
--- a/crates/node/src/caches/tests.rs
+++ b/crates/node/src/caches/tests.rs
@@ -92,3 +92,33 @@
         *3\r\n$9\r\nab\r\n$3\r\nhit\r\n$-1\r\n: Malformed
     "#]].assert_eq(&outcomes.concat());
 }
+
+// Regression test: a reply whose length was too long lacked its last item, and was served.
+#[test]
+fn reply_with_a_wrong_length_has_no_value() {
+    let limits = Limits::default();
+    let value = "log-of-hole:eloh-fo-gol";
+    let trailers = [
+        "$3\r\nhit\r\n$-1\r\n",
+        "$-1\r\n$-1\r\n",
+        "$4\r\nmiss\r\n$7\r\ncpu=0.5\r\n",
+        "$-1\r\n$7\r\ncpu=0.5\r\n",
+    ];
+    for trailer in trailers {
+        for error in -16_i64..=32 {
+            let stated = value.len() as i64 + error;
+            let reply = format!("*3\r\n${stated}\r\n{value}\r\n{trailer}");
+            // By itself, in part, and with a duplicate right behind.
+            let parts = (0..=reply.len()).map(|end| reply[..end].to_owned());
+            for bytes in parts.chain([reply.repeat(2)]) {
+                if let Parsed::Complete(response, _) = parse_response(bytes.as_bytes(), &limits) {
+                    assert_eq!(
+                        (error, response.value),
+                        (0, Some(value.into())),
+                        "{bytes:?}"
+                    );
+                }
+            }
+        }
+    }
+}
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -109,6 +109,9 @@
     pub large_value_write_fraction: f64,
     /// Longest time between two reads of the same response.
     pub response_gap_timeout: Span,
+    /// Longest time from the last byte of a streamed value to the end of its response. Its client
+    /// awaits that byte meanwhile.
+    pub value_end_timeout: Span,
     /// How long the server or the client of a streamed value may make no progress.
     pub streaming_stall_timeout: Span,
 
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -32,6 +32,7 @@
 pub use connection::run;
 pub use downstream::Downstream;
 pub use protocol::Protocol;
+use streaming::ValueEnd;
 
 /// Largest value, in bytes, that is copied behind its request, so that both go out in one write.
 const MAX_COPIED_VALUE_BYTES: usize = 4096;
@@ -71,8 +72,8 @@
     receiver: RefCell<Option<Rc<dyn Downstream>>>,
     /// Bytes of the streamed value that are not written to its client yet.
     remaining: Cell<usize>,
-    /// Whether the bytes after the streamed value are not its terminator.
-    malformed: Cell<bool>,
+    /// What has been received of the end of the response behind the streamed value.
+    value_end: Cell<ValueEnd>,
     /// Whether the server keeps the connection open after the streamed value.
     keep_alive: Cell<bool>,
     closed: Cell<bool>,
@@ -123,7 +124,7 @@
             streaming: Cell::new(false),
             receiver: RefCell::default(),
             remaining: Cell::new(0),
-            malformed: Cell::new(false),
+            value_end: Cell::new(ValueEnd::Awaited),
             keep_alive: Cell::new(false),
             closed: Cell::new(false),
             wake: Notify::new(),
--- a/crates/node/src/upstreams/connection.rs
+++ b/crates/node/src/upstreams/connection.rs
@@ -5,7 +5,7 @@
 
 use tokio::net::TcpStream;
 
-use super::streaming::stream_value;
+use super::streaming::{stream_value, StreamStart};
 use super::{ReadResult, Upstream, WriteResult};
 use crate::attempt_response::AttemptResponse;
 use crate::clock::duration;
@@ -128,7 +128,7 @@
         executor.report(|reducer, now| reducer.on_unsolicited_bytes(now, upstream.id));
         return Break(());
     }
-    let streamed_size = upstream.start_streaming(executor);
+    let stream_start = upstream.start_streaming(executor);
     let buffered_bytes = upstream.buffer.borrow().capacity();
     if upstream.buffers_whole_value.get() && !upstream.reserve_at_least(executor, buffered_bytes) {
         let address = upstream.address;
@@ -136,10 +136,17 @@
         executor.report(|reducer, now| reducer.on_malformed_bytes(now, upstream.id));
         return Break(());
     }
-    if let Some(size) = streamed_size {
-        executor.report(|reducer, now| reducer.on_streaming_started(now, upstream.id, size));
-        // If the server has already closed its side, the next read returns that again.
-        return Continue(());
+    match stream_start {
+        StreamStart::NotStreamed => {}
+        StreamStart::Started(size) => {
+            executor.report(|reducer, now| reducer.on_streaming_started(now, upstream.id, size));
+            // If the server has already closed its side, the next read returns that again.
+            return Continue(());
+        }
+        StreamStart::Malformed => {
+            report_response(executor, upstream, Parsed::Malformed, false);
+            return Break(());
+        }
     }
     let response = next_response(executor, upstream, read == ReadResult::EndOfStream);
     let open = read == ReadResult::Open;
--- a/crates/node/src/upstreams/protocol.rs
+++ b/crates/node/src/upstreams/protocol.rs
@@ -4,7 +4,7 @@
 use quartzhub_policy::Span;
 
 use crate::attempt_response::AttemptResponse;
-use crate::caches::{self, LargeValue};
+use crate::caches::{self, LargeValue, LoadReport};
 use crate::http;
 use crate::limits::Limits;
 use crate::messages::Request;
@@ -73,13 +73,11 @@
         }
     }
 
-    /// Whether the bytes after a large value are a well-formed end of its response.
-    pub(super) fn is_response_end(self, bytes: &[u8], limits: &Limits) -> bool {
+    /// Parses what follows a large value: the rest of its response.
+    pub(super) fn value_end(self, bytes: &[u8], limits: &Limits) -> Parsed<LoadReport> {
         match self {
-            Protocol::Resp => bytes
-                .strip_prefix(caches::VALUE_TERMINATOR)
-                .is_some_and(|trailer| caches::is_valid_trailer(trailer, limits)),
-            Protocol::Http => bytes.is_empty(),
+            Protocol::Resp => caches::value_end(bytes, limits),
+            Protocol::Http => Parsed::Complete(LoadReport::Readable, 0),
         }
     }
 }
--- a/crates/node/src/upstreams/streaming.rs
+++ b/crates/node/src/upstreams/streaming.rs
@@ -6,10 +6,10 @@
 use tokio::net::TcpStream;
 
 use super::{ReadResult, Upstream};
-use crate::caches::LargeValue;
-use crate::clock::duration;
+use crate::caches::{LargeValue, LoadReport};
 use crate::effects::EffectExecutor;
 use crate::limits::Limits;
+use crate::resp::Parsed;
 use crate::system::retry_interrupted;
 
 /// Why a streamed value can't be completed.
@@ -23,6 +23,28 @@
     Stalled(SocketAddr),
 }
 
+/// What has been received of the end of the response behind a streamed value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ValueEnd {
+    /// Not enough to tell whether the value is as long as stated.
+    Awaited,
+    /// The value is as long as stated.
+    Valid,
+    /// The bytes are no end of a response: the stated length is wrong.
+    Malformed,
+}
+
+/// What is to become of a response, by the bytes received so far.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum StreamStart {
+    /// It has no value that is too large to be buffered, as far as can be told.
+    NotStreamed,
+    /// Its value of this many bytes is streamed from now on.
+    Started(usize),
+    /// Its value is followed by something that is no end of a response.
+    Malformed,
+}
+
 impl Upstream {
     /// Finds a value that is too large to be buffered in the received bytes.
     pub(super) fn large_value(&self, limits: &Limits) -> Option<LargeValue> {
@@ -30,32 +52,63 @@
             .large_value(self.buffer.borrow().unread(), limits)
     }
 
-    /// Starts to stream a value that is too large to be buffered, if one is being received; returns
-    /// its size. If commands of the client await their responses behind it, streaming starts only
-    /// once the value is complete.
-    pub(super) fn start_streaming(&self, executor: &EffectExecutor) -> Option<usize> {
+    /// Starts to stream a value that is too large to be buffered, if one is being received. If
+    /// commands of the client await their responses behind it, streaming starts only once the
+    /// response is complete.
+    pub(super) fn start_streaming(&self, executor: &EffectExecutor) -> StreamStart {
         let limits = &executor.limits;
-        let LargeValue { offset, size } = self.large_value(limits)?;
+        let Some(LargeValue { offset, size }) = self.large_value(limits) else {
+            return StreamStart::NotStreamed;
+        };
         let has_later_command = self.has_later_command(executor, size);
         let mut buffer = self.buffer.borrow_mut();
         let bytes = buffer.unread();
         // Only the head has arrived so far.
         if bytes.len() == offset {
-            return None;
+            return StreamStart::NotStreamed;
+        }
+        let value_end = self.parse_value_end(&bytes[offset..], size, limits);
+        if value_end == ValueEnd::Malformed {
+            return StreamStart::Malformed;
         }
-        let terminator = self.protocol.value_terminator();
-        let complete = bytes.len() >= offset + size + terminator.len();
         self.buffers_whole_value.set(has_later_command);
-        if has_later_command && !complete {
-            return None;
+        if has_later_command && value_end != ValueEnd::Valid {
+            return StreamStart::NotStreamed;
         }
         self.keep_alive
             .set(self.protocol.keeps_alive(bytes, limits));
         buffer.consume(offset);
         self.remaining.set(size);
         self.streaming.set(true);
-        self.malformed.set(false);
-        Some(size)
+        self.value_end.set(value_end);
+        StreamStart::Started(size)
+    }
+
+    /// Parses the end of the response behind the first `value_bytes` of these bytes.
+    fn parse_value_end(&self, bytes: &[u8], value_bytes: usize, limits: &Limits) -> ValueEnd {
+        let Some(end) = bytes.get(value_bytes..) else {
+            return ValueEnd::Awaited;
+        };
+        match self.protocol.value_end(end, limits) {
+            Parsed::Complete(..) => ValueEnd::Valid,
+            Parsed::Incomplete => ValueEnd::Awaited,
+            Parsed::Malformed => ValueEnd::Malformed,
+        }
+    }
+
+    /// Looks for the end of the response among the bytes received so far.
+    fn update_value_end(&self, limits: &Limits) {
+        if self.value_end.get() == ValueEnd::Awaited {
+            let buffer = self.buffer.borrow();
+            let value_end = self.parse_value_end(buffer.unread(), self.remaining.get(), limits);
+            self.value_end.set(value_end);
+        }
+    }
+
+    /// Whether all of the value has been received, but not the end of its response.
+    fn awaits_value_end(&self) -> bool {
+        let received = self.buffer.borrow().unread().len();
+        self.value_end.get() == ValueEnd::Awaited && received >= self.remaining.get()
     }
 
     /// Whether commands of the client await their responses behind a value of `size` bytes: a value
@@ -69,22 +122,15 @@
         executor.has_untaken_input(self.id) && self.reserve(executor, held_bytes)
     }
 
-    /// Number of bytes that may be written to the client. The last byte is held back until the
-    /// terminator after it has been checked, so that a malformed value never looks complete.
+    /// Number of bytes that may be written to the client. The last byte is held back until the end of
+    /// the response has been checked, so that a malformed value never looks complete.
     pub fn streamable_bytes(&self) -> usize {
-        let buffer = self.buffer.borrow();
-        let bytes = buffer.unread();
+        let received = self.buffer.borrow().unread().len();
         let remaining = self.remaining.get();
-        let terminator = self.protocol.value_terminator();
-        if bytes.len() < remaining + terminator.len() {
-            return bytes.len().min(remaining.saturating_sub(1));
-        }
-        self.malformed
-            .set(remaining > 0 && !bytes[remaining..].starts_with(terminator));
-        if self.malformed.get() {
-            0
-        } else {
-            remaining
+        match self.value_end.get() {
+            ValueEnd::Awaited => received.min(remaining.saturating_sub(1)),
+            ValueEnd::Valid => remaining,
+            ValueEnd::Malformed => 0,
         }
     }
 
@@ -109,25 +155,20 @@
                 Err(e) => return Err(e),
             }
         }
-        if written || self.malformed.get() {
+        if written || self.value_end.get() == ValueEnd::Malformed {
             // The task can read more into the freed space, or finish or fail the value.
             self.wake.notify_one();
         }
         Ok(self.remaining.get() == 0)
     }
 
-    /// Whether a part of the value or its terminator has not been received.
-    fn is_incomplete(&self) -> bool {
-        let expected = self.remaining.get() + self.protocol.value_terminator().len();
-        self.buffer.borrow().unread().len() < expected
-    }
-
     /// Prepares the upstream for its next attempt after the value is written to the client.
     fn finish_streaming(&self, executor: &Rc<EffectExecutor>, ended: bool) {
         let mut buffer = self.buffer.borrow_mut();
-        let well_formed = self
-            .protocol
-            .is_response_end(buffer.unread(), &executor.limits);
+        let end = self.protocol.value_end(buffer.unread(), &executor.limits);
+        let received = buffer.unread().len();
+        let well_formed =
+            matches!(end, Parsed::Complete(LoadReport::Readable, length) if length == received);
         buffer.clear();
         buffer.shrink(executor.limits.idle_buffer_bytes);
         drop(buffer);
@@ -153,22 +194,32 @@
     upstream: &Upstream,
     stream: &TcpStream,
 ) -> Result<(), StreamError> {
+    let limits = &executor.limits;
     let mut ended = false;
+    let mut value_received_at = None;
     while !upstream.closed.get() {
         if upstream.remaining.get() == 0 {
             upstream.finish_streaming(executor, ended);
             return Ok(());
         }
-        let is_truncated = ended && upstream.is_incomplete();
-        if upstream.malformed.get() || is_truncated {
+        let is_truncated = ended && upstream.value_end.get() == ValueEnd::Awaited;
+        if upstream.value_end.get() == ValueEnd::Malformed || is_truncated {
             return Err(StreamError::Malformed(upstream.address));
         }
-        let has_capacity = !ended
-            && upstream.buffer.borrow().unread().len() < executor.limits.streaming_window_bytes;
-        let stall = tokio::time::sleep(duration(executor.limits.streaming_stall_timeout));
+        let now = executor.clock.now();
+        let stalled_at = if upstream.awaits_value_end() {
+            *value_received_at.get_or_insert(now) + limits.value_end_timeout
+        } else {
+            now + limits.streaming_stall_timeout
+        };
+        let received = upstream.buffer.borrow().unread().len();
+        let has_capacity =
+            !ended && (upstream.awaits_value_end() || received < limits.streaming_window_bytes);
+        let stall = tokio::time::sleep_until(executor.clock.instant(stalled_at));
         tokio::select! {
             ready = stream.readable(), if has_capacity => {
-                ended = ready.is_err() || upstream.read(stream, &executor.limits) != ReadResult::Open;
+                ended = ready.is_err() || upstream.read(stream, limits) != ReadResult::Open;
+                upstream.update_value_end(limits);
                 if let Some(receiver) = upstream.receiver.borrow().as_ref() {
                     receiver.on_bytes_available();
                 }
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -19,6 +19,7 @@
 mod socket_activation;
 mod stall;
 mod stalled_closes;
+mod stated_lengths;
 mod stray_responses;
 mod stub_servers;
 mod syscalls;
