End a chunk's data as its size line ends, not by a line feed alone

A chunk that states one byte more than it has was served with the carriage return behind its data. Cause: the line end behind the data could be a line feed alone, so the carriage return before it counted as data. Change: the data ends with the same line end as the line that states its size. Result: sockets origin_body_shorter_than_stated_is_not_served now plays chunks as well: failed before at one byte, passes now.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -141,10 +141,13 @@
     Parsed::Malformed
 }
 
-/// Parses one chunk. An empty chunk is the last; trailer fields after it are consumed with it.
+/// Parses one chunk. An empty chunk is the last; trailer fields after it are consumed with it. The
+/// data ends with the same line end as the line with its size: otherwise the first byte of the line
+/// end could be taken for the last byte of the data.
 pub fn chunk<'a>(bytes: &'a [u8], max_bytes: usize, limits: &Limits) -> Parsed<&'a [u8]> {
     parsed(bytes, |input: &mut Input<'a>| {
-        let count = terminated(hex_uint::<_, u32, _>, (text, line_end)).parse_next(input)? as usize;
+        let count = terminated(hex_uint::<_, u32, _>, text).parse_next(input)? as usize;
+        let size_line_end = line_end.parse_next(input)?;
         // Trailer fields without end must not be awaited forever.
         if count > max_bytes || count == 0 && input.len() > limits.http_head_bytes {
             return fail.parse_next(input);
@@ -152,8 +155,9 @@
         if count == 0 {
             repeat::<_, _, (), _, _>(0..limits.http_header_fields, header_field)
                 .parse_next(input)?;
+            return line_end.map(|_| &b""[..]).parse_next(input);
         }
-        terminated(take(count), line_end).parse_next(input)
+        terminated(take(count), size_line_end).parse_next(input)
     })
 }
 
--- a/crates/node/tests/sockets/stated_lengths.rs
+++ b/crates/node/tests/sockets/stated_lengths.rs
@@ -200,7 +200,8 @@
     }
 }
 
-// The same for an origin whose body is shorter than stated. A body that is longer can't be told from a sound one with further bytes behind it.
+// The same for an origin whose body is shorter than stated, and for chunks of a wrong size. A body that
+// is longer can't be told from a sound one with further bytes behind it.
 #[test]
 fn origin_body_shorter_than_stated_is_not_served() {
     let origin = server("origin", channel().0, |words| {
@@ -225,7 +226,7 @@
     std::thread::scope(|scope| {
         for size in VALUE_BYTES {
             for error in 1..=MAX_ERROR_BYTES {
-                for framing in ["length"] {
+                for framing in ["length", "chunks"] {
                     let node = &node;
                     scope.spawn(move || {
                         let key = format!("{size}-{error}-{framing}");
