End a command's wait for memory with half of its call's time

Cause: a command waited 1.5 s for memory whatever time its call has, although its head had arrived with that time. Change: the wait ends when half of the stated time is over, 1.5 s at most; the refusal goes out at that moment.

--- a/crates/node/src/clients/admission.rs
+++ b/crates/node/src/clients/admission.rs
@@ -4,6 +4,7 @@
 
 use quartzhub_policy::{Span, Time};
 
+use super::commands::stated_time_left;
 use super::connection::Connection;
 use super::reading::LargeCommand;
 use crate::clock::duration;
@@ -83,11 +84,22 @@
         let now = self.executor.clock.now();
         self.memory_wait = Some(MemoryWait {
             since: now,
-            until: now + self.executor.limits.memory_wait_timeout,
+            until: now + self.memory_wait_timeout(),
             request: self.reservation.request(bytes, memory_use),
         });
     }
 
+    /// How long the command may wait for memory: not beyond a part of its call's time, as it could
+    /// not be executed any more.
+    fn memory_wait_timeout(&self) -> Span {
+        let limits = &self.executor.limits;
+        let time_left = stated_time_left(self.buffer.unread(), limits);
+        time_left.map_or(limits.memory_wait_timeout, |time_left| {
+            let part = time_left.times(limits.memory_wait_fraction);
+            part.clamp(Span::ZERO, limits.memory_wait_timeout)
+        })
+    }
+
     /// Rejects the command once the wait for memory has taken too long.
     fn reject_after_wait(&mut self, size: &CommandSize) {
         let now = self.executor.clock.now();
--- a/crates/node/src/clients/commands.rs
+++ b/crates/node/src/clients/commands.rs
@@ -195,6 +195,16 @@
     }
 }
 
+/// Index of the attribute list among a command's words.
+const ATTRIBUTES_INDEX: usize = 3;
+
+/// The time left that an incomplete command states for its call, once its attribute list has arrived.
+pub fn stated_time_left(bytes: &[u8], limits: &Limits) -> Option<Span> {
+    let list = resp::command_item(bytes, ATTRIBUTES_INDEX, limits)?;
+    let list = std::str::from_utf8(list).ok()?;
+    parse_attributes(list, limits).map(|attributes| attributes.time_left)
+}
+
 /// An API call parsed from a command's arguments.
 struct ApiCall<'a> {
     request: Request,
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -83,8 +83,11 @@
     pub streaming_window_bytes: usize,
     /// Most bytes read from a socket at once.
     pub read_bytes: usize,
-    /// How long a client with a large command waits for memory.
+    /// Longest time for which a client with a large command waits for memory.
     pub memory_wait_timeout: Span,
+    /// Fraction of a call's time, from 0 to 1, for which its command waits for memory at most: a
+    /// later refusal leaves its client too little time for another node.
+    pub memory_wait_fraction: f64,
 
     // Connections to servers.
     /// Timeout of a connect to a server.
--- a/crates/node/src/limits/fixed.rs
+++ b/crates/node/src/limits/fixed.rs
@@ -43,6 +43,7 @@
     streaming_window_bytes: 0,
     read_bytes: 16 * KIB,
     memory_wait_timeout: Span::ms(1_500),
+    memory_wait_fraction: 0.5,
 
     connect_timeout: Span::ZERO,
     upstream_idle_timeout: Span::ZERO,
--- a/crates/node/src/resp.rs
+++ b/crates/node/src/resp.rs
@@ -153,6 +153,16 @@
     size
 }
 
+/// Returns an item of an incomplete command, counted from zero, if all of its bytes have arrived.
+pub fn command_item<'a>(bytes: &'a [u8], index: usize, limits: &Limits) -> Option<&'a [u8]> {
+    let mut input = Partial::new(bytes);
+    preceded(b'*', number).parse_next(&mut input).ok()?;
+    for _ in 0..index {
+        bulk(&mut input, limits.value_bytes).ok()?;
+    }
+    bulk(&mut input, limits.value_bytes).ok()?
+}
+
 /// Parses the header of a bulk string: its length, or -1 for nil.
 pub fn bulk_header(bytes: &[u8]) -> Parsed<i64> {
     parsed(bytes, |input: &mut Input| {
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -11,6 +11,7 @@
 mod discovery;
 mod large_values;
 mod memory;
+mod memory_waits;
 mod partly_read_commands;
 mod queueing_time;
 mod remaining_time;
--- /dev/null
+++ b/crates/node/tests/sockets/memory_waits.rs
@@ -0,0 +1,78 @@
+//! Commands that wait for memory which other clients hold.
+use super::common::*;
+
+/// Sizes of the values of half writes, in bytes: together they take all memory that commands may.
+const HALF_WRITE_BYTES: [usize; 2] = [4 * 1024 * 1024, 1_100_000];
+/// Size of the value of a usual write, in bytes.
+const WRITE_BYTES: usize = 100_000;
+/// How late a final response may be, by the operators' terms on sockets.
+const RESPONSE_SLACK: Duration = Duration::from_millis(550);
+/// Most memory that the node may use, in megabytes.
+const MEMORY_MB: usize = 16;
+
+/// Starts a node with little memory and an origin that takes writes.
+fn node_with_little_memory() -> Node {
+    let origin = server("origin", channel().0, |_| http("200 OK", "written"));
+    let limits = format!(r#""limits":{{"memory_mb":{MEMORY_MB}}},"#);
+    Node::start(&[("origin", origin)], &limits)
+}
+
+/// Clients that have sent the beginning of a write each.
+fn clients_with_half_writes(node: &Node) -> Vec<Client> {
+    let connect = |size: usize| {
+        let mut client = node.client();
+        let (id, value) = (format!("half{size}"), "w".repeat(size));
+        let bytes = command(&["OBJ.SET", "half", &id, "c=book,d=30000", &value]);
+        client.send(&bytes[..size / 8]);
+        client
+    };
+    HALF_WRITE_BYTES.into_iter().map(connect).collect()
+}
+
+/// Sends a usual write and returns its response and how long that took from the last byte.
+fn write(client: &mut Client, id: &str, timeout_ms: u64) -> (String, Duration) {
+    let attributes = format!("c=book,d={timeout_ms}");
+    let value = "w".repeat(WRITE_BYTES);
+    client.send(&command(&["OBJ.SET", "usual", id, &attributes, &value]));
+    let sent_at = Instant::now();
+    (client.response(), sent_at.elapsed())
+}
+
+/// Keeps sending a few bytes of each half write, so that its client makes progress.
+fn keep_sending(holders: &mut [Client]) {
+    for holder in holders {
+        let _ = holder.0.get_mut().write_all(b"w");
+    }
+}
+
+// Regression test: a write waited 1.5 s for memory, whatever time its call had, and was answered
+// when its client had given up.
+#[test]
+fn write_without_memory_is_answered_within_its_time() {
+    let node = node_with_little_memory();
+    let mut holders = clients_with_half_writes(&node);
+    std::thread::sleep(Duration::from_millis(100));
+    std::thread::scope(|scope| {
+        let writes: Vec<_> = [50, 100, 300, 640, 1_000]
+            .into_iter()
+            .map(|timeout_ms| {
+                let mut client = node.client();
+                scope.spawn(move || {
+                    let id = format!("write{timeout_ms}");
+                    let (response, took) = write(&mut client, &id, timeout_ms);
+                    (timeout_ms, response, took)
+                })
+            })
+            .collect();
+        while !writes.iter().all(|write| write.is_finished()) {
+            keep_sending(&mut holders);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        for write in writes {
+            let (timeout_ms, response, took) = write.join().expect("a response");
+            let in_time = took <= Duration::from_millis(timeout_ms) + RESPONSE_SLACK;
+            assert!(in_time, "d={timeout_ms}: {response} after {took:?}");
+            assert!(response == "-BUSY" || response == "written", "{response}");
+        }
+    });
+}
