Reject half commands that have stalled when others wait for their memory

Cause: a command has its memory from its head on, and nobody who waited could get it from a client that sends nothing. Change: who waits has incomplete commands rejected whose clients have sent nothing for 250 ms, the longest stalled first, as many as are needed, none if all hold too little. A command whose rest has arrived is kept.

--- a/crates/node/src/clients/admission.rs
+++ b/crates/node/src/clients/admission.rs
@@ -7,6 +7,7 @@
 use super::commands::stated_time_left;
 use super::connection::Connection;
 use super::reading::LargeCommand;
+use crate::buffer::is_open_and_idle;
 use crate::clock::duration;
 use crate::memory_budget::{MemoryRequest, MemoryUse};
 use crate::resp::{self, CommandSize};
@@ -15,6 +16,8 @@
 pub(super) struct MemoryWait {
     since: Time,
     until: Time,
+    /// When it is tried again, if no memory is offered before.
+    retry_at: Time,
     request: MemoryRequest,
 }
 
@@ -76,19 +79,58 @@
 
     /// Begins to wait for memory for `bytes` in all, or goes on waiting.
     fn await_memory(&mut self, bytes: usize, memory_use: MemoryUse) {
-        if let Some(wait) = &self.memory_wait {
-            return self
-                .reservation
+        let now = self.executor.clock.now();
+        let retry_at = now + self.executor.limits.memory_retry_interval;
+        self.evict_stalled_commands(now, self.reservation.missing(bytes, memory_use));
+        if let Some(wait) = &mut self.memory_wait {
+            wait.retry_at = retry_at;
+            self.reservation
                 .change_request(&wait.request, bytes, memory_use);
+            return;
         }
-        let now = self.executor.clock.now();
         self.memory_wait = Some(MemoryWait {
             since: now,
             until: now + self.memory_wait_timeout(),
+            retry_at,
             request: self.reservation.request(bytes, memory_use),
         });
     }
 
+    /// Has incomplete commands rejected whose clients have sent nothing for a while.
+    fn evict_stalled_commands(&self, now: Time, missing_bytes: usize) {
+        let executor = self.executor;
+        let stalled_after = executor.limits.stalled_command_after;
+        let mut partial_commands = executor.partial_commands.borrow_mut();
+        for id in partial_commands.take_stalled(now, missing_bytes, stalled_after) {
+            if let Some(client) = executor.clients.borrow().get(&id) {
+                client.request_eviction();
+            }
+        }
+    }
+
+    /// Records whether an incomplete command holds memory, of which the client may send the rest.
+    pub(super) fn record_partial_command(&self, may_read: bool) {
+        let bytes = self.reservation.bytes();
+        let is_long = bytes > self.executor.limits.idle_buffer_bytes;
+        let holds_memory = is_long && !self.buffer.is_empty() && self.memory_wait.is_none();
+        let mut partial_commands = self.executor.partial_commands.borrow_mut();
+        if may_read && holds_memory {
+            partial_commands.insert(self.id, bytes, self.last_byte_at);
+        } else {
+            partial_commands.remove(self.id);
+        }
+    }
+
+    /// Rejects the incomplete command, as others need its memory, unless bytes of its rest have
+    /// arrived.
+    pub(super) fn evict_partial_command(&mut self) {
+        let is_partial = self.reading && !self.buffer.is_empty() && !self.is_at_call_limit();
+        if is_partial && !self.is_streaming() && is_open_and_idle(&self.client.stream) {
+            let size = resp::command_size(self.buffer.unread(), &self.executor.limits);
+            self.reject_command(&size);
+        }
+    }
+
     /// How long the command may wait for memory: not beyond a part of its call's time, as it could
     /// not be executed any more.
     fn memory_wait_timeout(&self) -> Span {
@@ -127,6 +169,7 @@
             self.arrivals.pause_reading(wait.since);
         }
         self.granted_bytes = 0;
+        tracing::info!("no memory for a command of a client: it is rejected");
         let response = b"-BUSY\r\n".to_vec();
         if !size.is_final {
             self.reading = false;
@@ -157,17 +200,20 @@
         }
     }
 
-    /// Completes when there may be memory for the client's command, or the wait for it is over; never
-    /// if it doesn't wait.
+    /// Completes when there may be memory for the client's command, or its time is over; never if it
+    /// doesn't wait.
     pub(super) fn end_of_memory_wait(&self) -> impl Future<Output = ()> {
         let clock = self.executor.clock;
         let wait = self.memory_wait.as_ref();
-        let wait = wait.map(|wait| (wait.request.available(), clock.instant(wait.until)));
+        let wait = wait.map(|wait| {
+            let retry_at = wait.retry_at.min(wait.until);
+            (wait.request.available(), clock.instant(retry_at))
+        });
         async move {
-            let Some((available, until)) = wait else {
+            let Some((available, retry_at)) = wait else {
                 return std::future::pending().await;
             };
-            let _ = tokio::time::timeout_at(until, available.notified()).await;
+            let _ = tokio::time::timeout_at(retry_at, available.notified()).await;
         }
     }
 
--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -19,6 +19,7 @@
 /// Serves a client until its connection ends.
 pub async fn serve(executor: Rc<EffectExecutor>, id: ClientId, client: Rc<Client>) {
     Connection::new(&executor, id, &client).run().await;
+    executor.partial_commands.borrow_mut().remove(id);
     executor.drop_client(id);
     executor.report(|reducer, now| reducer.on_client_disconnected(now, id));
     drop(client);
@@ -43,6 +44,8 @@
     pub(super) reading: bool,
     /// Whether the client takes what was written to it.
     delivery: Delivery,
+    /// When bytes of the client were last read.
+    pub(super) last_byte_at: Time,
     /// When the client last sent a command or was last written to.
     pub(super) last_active: Time,
     /// When the incomplete command in the buffer began.
@@ -71,6 +74,7 @@
             large_command: None,
             reading: true,
             delivery: Delivery::default(),
+            last_byte_at: executor.clock.now(),
             last_active: executor.clock.now(),
             partial_since: None,
             draining_reads: 0,
@@ -91,6 +95,9 @@
                 tokio::task::yield_now().await;
                 continue;
             }
+            if self.client.eviction_requested.take() && taken == 0 {
+                self.evict_partial_command();
+            }
             self.trim_buffer();
             let outstanding = Outstanding::of(self);
             let close_after_quiet_period = self.client.close_after_quiet_period.get();
@@ -202,6 +209,7 @@
         } else {
             self.pause_reading();
         }
+        self.record_partial_command(may_read && !at_call_limit);
         let reads = may_read && self.memory_wait.is_none();
         let end_of_memory_wait = self.end_of_memory_wait();
         tokio::select! {
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -25,10 +25,12 @@
 mod connection;
 mod delivery;
 mod outstanding;
+mod partial_commands;
 mod reading;
 mod response;
 
 pub use accept::{listen, Acceptor};
+pub use partial_commands::PartialCommands;
 
 /// One item of a client's output queue.
 enum Outgoing {
@@ -72,6 +74,8 @@
     draining: Cell<bool>,
     /// Whether bytes of a command that has not been taken yet are in the connection's buffer.
     has_buffered_input: Cell<bool>,
+    /// Whether an incomplete command is to be evicted, as others need its memory.
+    eviction_requested: Cell<bool>,
     aborted: Cell<bool>,
     /// Whether the sending side has been shut down.
     write_closed: Cell<bool>,
@@ -90,6 +94,7 @@
             close_after_quiet_period: Cell::new(None),
             draining: Cell::new(false),
             has_buffered_input: Cell::new(false),
+            eviction_requested: Cell::new(false),
             aborted: Cell::new(false),
             write_closed: Cell::new(false),
             accept_paused_since,
@@ -274,6 +279,11 @@
         self.close_after_quiet_period(Span::ZERO);
     }
 
+    fn request_eviction(&self) {
+        self.eviction_requested.set(true);
+        self.wake.notify_one();
+    }
+
     fn is_write_closed(&self) -> bool {
         self.write_closed.get()
     }
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -122,6 +122,7 @@
                 Ok(0) => return Break(()),
                 Ok(count) => {
                     let now = self.executor.clock.now();
+                    self.last_byte_at = now;
                     self.arrivals
                         .read(now, count, || time_since_last_receive(stream));
                 }
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -7,6 +7,7 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
 
+use crate::clients::PartialCommands;
 use crate::clock::{unix_ms, Clock, WallClock};
 use crate::limits::Limits;
 use crate::memory_budget::MemoryBudget;
@@ -27,6 +28,10 @@
     /// Closes the connection once its responses are written, even if the client sends more.
     fn drain(&self);
 
+    /// Has the incomplete command evicted, as others wait for its memory, if nothing of its rest has
+    /// arrived.
+    fn request_eviction(&self);
+
     /// Whether the sending side has been shut down, so that no command on it awaits a response.
     fn is_write_closed(&self) -> bool;
 
@@ -54,6 +59,8 @@
     discovery_updated: Notify,
     /// The memory that all connections share.
     pub memory: Rc<MemoryBudget>,
+    /// Incomplete commands of clients, which are evicted when there is no memory for others.
+    pub partial_commands: RefCell<PartialCommands>,
     /// Scratch buffer for bytes that are read only to be discarded.
     pub discard_buffer: RefCell<Vec<u8>>,
 }
@@ -75,6 +82,7 @@
             discovery_event_received: Cell::new(false),
             discovery_updated: Notify::new(),
             memory,
+            partial_commands: RefCell::default(),
             discard_buffer: RefCell::new(vec![0; discard_bytes]),
         })
     }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -88,6 +88,10 @@
     /// Fraction of a call's time, from 0 to 1, for which its command waits for memory at most: a
     /// later refusal leaves its client too little time for another node.
     pub memory_wait_fraction: f64,
+    /// Delay between two tries to get memory that has not been offered meanwhile.
+    pub memory_retry_interval: Span,
+    /// Time without a byte after which an incomplete command is evicted if others need its memory.
+    pub stalled_command_after: Span,
 
     // Connections to servers.
     /// Timeout of a connect to a server.
--- a/crates/node/src/limits/fixed.rs
+++ b/crates/node/src/limits/fixed.rs
@@ -44,6 +44,9 @@
     read_bytes: 16 * KIB,
     memory_wait_timeout: Span::ms(1_500),
     memory_wait_fraction: 0.5,
+    memory_retry_interval: Span::ms(50),
+    // Longer than it takes to send a lost segment again.
+    stalled_command_after: Span::ms(250),
 
     connect_timeout: Span::ZERO,
     upstream_idle_timeout: Span::ZERO,
--- a/crates/node/tests/sockets/memory_waits.rs
+++ b/crates/node/tests/sockets/memory_waits.rs
@@ -76,3 +76,46 @@
         }
     });
 }
+
+// Regression test: commands whose clients had stopped in the middle kept their memory for 2.5 s, and
+// usual writes were refused meanwhile.
+#[test]
+fn stalled_half_writes_are_evicted_for_usual_ones() {
+    let node = node_with_little_memory();
+    let mut holders = clients_with_half_writes(&node);
+    std::thread::sleep(Duration::from_millis(100));
+    let mut client = node.client();
+    let (response, took) = write(&mut client, "write0", 1_000);
+    assert_eq!(response, "written", "after {took:?}");
+    // One of them has got an error for it.
+    let evicted = holders.iter_mut().any(|holder| {
+        let stream = holder.0.get_mut();
+        let timeout = Some(Duration::from_millis(100));
+        stream.set_read_timeout(timeout).expect("a timeout");
+        read_line(&mut holder.0).is_some_and(|line| line == "-BUSY")
+    });
+    assert!(evicted);
+}
+
+// What eviction is not to break: clients that write slowly and steadily.
+#[test]
+fn half_writes_that_make_progress_are_not_evicted() {
+    let node = node_with_little_memory();
+    let mut slow = node.client();
+    let value = "w".repeat(HALF_WRITE_BYTES[0]);
+    let bytes = command(&["OBJ.SET", "slow", "slow", "c=book,d=30000", &value]);
+    let (begin, rest) = bytes.split_at(bytes.len() - 100);
+    slow.send(begin);
+    let other = command(&["OBJ.SET", "half", "half", "c=book,d=30000", &value]);
+    let mut stalled = node.client();
+    stalled.send(&other[..HALF_WRITE_BYTES[0] / 8]);
+    for byte in rest.chunks(5) {
+        std::thread::sleep(Duration::from_millis(50));
+        slow.send(byte);
+    }
+    assert_eq!(slow.response(), "written");
+    // The other one waits for memory, which is there now.
+    stalled.send(&other[HALF_WRITE_BYTES[0] / 8..]);
+    let response = stalled.response();
+    assert!(response == "written" || response == "-BUSY", "{response}");
+}
