Give the responses that a client has not been written a module of their own

Change: clients/output_queue.rs; the number of bytes written is a part of the progress it returns. No other behaviour.

--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -1,7 +1,5 @@
 //! Clients' connections: reads commands and writes responses in the same order.
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
-use std::io;
 use std::net::Shutdown;
 use std::rc::Rc;
 
@@ -13,7 +11,7 @@
 use crate::buffer::{readable, Readable};
 use crate::effects::ClientHandle;
 use crate::messages::Response;
-use crate::system::{peer_has_closed, retry_interrupted, unsent_bytes};
+use crate::system::{peer_has_closed, unsent_bytes};
 use crate::upstreams::{Downstream, Upstream};
 
 mod accept;
@@ -24,49 +22,20 @@
 mod commands;
 mod connection;
 mod delivery;
+mod output_queue;
 mod outstanding;
 mod partial_commands;
 mod reading;
 mod response;
 
 pub use accept::{listen, Acceptor};
+use output_queue::{OutputQueue, WriteMode};
 pub use partial_commands::PartialCommands;
 
-/// One item of a client's output queue.
-enum Outgoing {
-    Bytes {
-        bytes: Vec<u8>,
-        /// Size in bytes that the reducer has counted for it as buffered.
-        counted_size: usize,
-    },
-    /// A value that is streamed from this upstream.
-    Streamed(Rc<Upstream>),
-}
-
-/// How much of the first outgoing item has been written to the socket.
-enum WriteProgress {
-    Complete,
-    Partial,
-    /// All bytes of a value that the upstream has received so far.
-    AwaitsUpstream,
-}
-
-/// Whether the FIN is about to follow the bytes that are written.
-#[derive(Clone, Copy, PartialEq)]
-enum WriteMode {
-    Immediate,
-    /// The kernel holds the bytes back (`MSG_MORE`) until the FIN follows, and sends both together.
-    /// Otherwise, if the process stalled between the two, the client would send its next command.
-    WithFin,
-}
-
 /// The sending half of a client's connection, with the state that decides how it is closed.
 pub struct Client {
     stream: TcpStream,
-    /// Items that are not completely written to the socket yet.
-    outgoing: RefCell<VecDeque<Outgoing>>,
-    /// Bytes of the first outgoing item that have been written.
-    front_written: Cell<usize>,
+    outgoing: RefCell<OutputQueue>,
     /// If set, the connection is closed once the client has sent nothing for this duration.
     close_after_quiet_period: Cell<Option<Span>>,
     /// Whether the client is being drained as the process is about to exit: commands that have
@@ -90,7 +59,6 @@
         Client {
             stream,
             outgoing: RefCell::default(),
-            front_written: Cell::new(0),
             close_after_quiet_period: Cell::new(None),
             draining: Cell::new(false),
             has_buffered_input: Cell::new(false),
@@ -118,11 +86,7 @@
 
     /// Whether there are bytes that could be written to the socket now.
     fn has_writable_bytes(&self) -> bool {
-        match self.outgoing.borrow().front() {
-            Some(Outgoing::Bytes { .. }) => true,
-            Some(Outgoing::Streamed(upstream)) => upstream.streamable_bytes() > 0,
-            None => false,
-        }
+        self.outgoing.borrow().has_writable_bytes()
     }
 
     /// Number of items that are not completely written.
@@ -136,9 +100,8 @@
     }
 
     /// Whether a streamed value is among the unwritten items.
-    fn has_streamed_item(&self) -> bool {
-        let is_streamed = |item: &Outgoing| matches!(item, Outgoing::Streamed(_));
-        self.outgoing.borrow().iter().any(is_streamed)
+    fn has_streamed_value(&self) -> bool {
+        self.outgoing.borrow().has_streamed_value()
     }
 
     /// Whether responses are deferred until the connection is closed, which happens as soon as no
@@ -160,63 +123,12 @@
     /// Writes as much as the socket accepts. Returns the counted size of the responses that are now
     /// completely written.
     fn flush(&self, mode: WriteMode) -> usize {
-        let mut outgoing = self.outgoing.borrow_mut();
-        let mut written_size = 0;
-        while let Some(first) = outgoing.front() {
-            match self.write_item(first, mode) {
-                Ok(WriteProgress::Complete) => {
-                    if let Outgoing::Bytes { counted_size, .. } = first {
-                        written_size += counted_size;
-                    }
-                    outgoing.pop_front();
-                    self.front_written.set(0);
-                }
-                Ok(WriteProgress::Partial) => {}
-                Ok(WriteProgress::AwaitsUpstream) => break,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(_) => {
-                    self.aborted.set(true);
-                    break;
-                }
-            }
-        }
-        written_size
-    }
-
-    fn write_item(&self, first: &Outgoing, mode: WriteMode) -> io::Result<WriteProgress> {
-        let bytes = match first {
-            Outgoing::Bytes { bytes, .. } => bytes,
-            Outgoing::Streamed(upstream) => {
-                return upstream.write_streamed(&self.stream).map(|complete| {
-                    if complete {
-                        WriteProgress::Complete
-                    } else {
-                        WriteProgress::AwaitsUpstream
-                    }
-                })
-            }
-        };
-        let unwritten = &bytes[self.front_written.get()..];
-        let count = retry_interrupted(|| self.write_bytes(unwritten, mode))?;
-        if count == 0 {
-            return Err(io::ErrorKind::WriteZero.into());
-        }
-        self.front_written.set(self.front_written.get() + count);
-        Ok(if count == unwritten.len() {
-            WriteProgress::Complete
-        } else {
-            WriteProgress::Partial
+        let written = self.outgoing.borrow_mut().write(&self.stream, mode);
+        written.unwrap_or_else(|_| {
+            self.aborted.set(true);
+            0
         })
     }
-
-    fn write_bytes(&self, bytes: &[u8], mode: WriteMode) -> io::Result<usize> {
-        match mode {
-            WriteMode::Immediate => self.stream.try_write(bytes),
-            WriteMode::WithFin => self.stream.try_io(Interest::WRITABLE, || {
-                socket2::SockRef::from(&self.stream).send_with_flags(bytes, libc::MSG_MORE)
-            }),
-        }
-    }
 }
 
 impl Downstream for Client {
@@ -236,25 +148,12 @@
 impl ClientHandle for Client {
     fn send(&self, response: Response, upstream: Option<Rc<Upstream>>) -> usize {
         let queued = !self.outgoing.borrow().is_empty();
-        let counted_size = response.size();
         if let (Response::Streamed { .. }, None) = (&response, &upstream) {
             // The upstream has been closed: only an abort can tell the client.
             self.abort();
             return 0;
         }
-        let mut outgoing = self.outgoing.borrow_mut();
-        outgoing.push_back(Outgoing::Bytes {
-            bytes: response::encode(response),
-            counted_size,
-        });
-        if let Some(upstream) = upstream {
-            outgoing.push_back(Outgoing::Streamed(upstream));
-            outgoing.push_back(Outgoing::Bytes {
-                bytes: b"\r\n".to_vec(),
-                counted_size: 0,
-            });
-        }
-        drop(outgoing);
+        self.outgoing.borrow_mut().push(response, upstream);
         // The connection's task may have to write the rest, read more, or close.
         self.wake.notify_one();
         if queued || self.defers_responses() {
--- a/crates/node/src/clients/outstanding.rs
+++ b/crates/node/src/clients/outstanding.rs
@@ -29,7 +29,7 @@
             unwritten: client.unwritten(),
             at_call_limit,
             writable: client.has_writable_bytes() && connection.may_write(),
-            deferred: client.defers_responses() && !client.has_streamed_item() && !at_call_limit,
+            deferred: client.defers_responses() && !client.has_streamed_value() && !at_call_limit,
             streaming: connection.is_streaming(),
         }
     }
