Write all responses ahead of QUIT or a protocol error before the close

A slow reader of 100 values of 60 kB with QUIT behind them got 46 values and the end of the connection. Cause: responses to a client from which nothing more is read count as ones that go out with the close. They were written as far as the socket took them, and the sending side was shut down over the rest. Change: the close waits until the rest is written, as every other close does.

--- a/crates/node/src/clients/closing.rs
+++ b/crates/node/src/clients/closing.rs
@@ -17,10 +17,7 @@
     /// Closes the connection, unless the client sends bytes within `quiet_period`.
     pub(super) async fn close_if_quiet(&mut self, quiet_period: Span) -> ControlFlow<()> {
         if !self.reading {
-            self.write_deferred_responses();
-            self.discard_input(self.executor.limits.discard_timeout)
-                .await;
-            return Break(());
+            return self.close_without_reading().await;
         }
         let delay = self.delay_before_close(quiet_period);
         if delay > Span::ZERO && self.wait_for_input(delay).await {
@@ -42,6 +39,18 @@
         self.close().await
     }
 
+    /// Closes the connection of a client from which nothing more is read, once all responses are
+    /// written.
+    async fn close_without_reading(&mut self) -> ControlFlow<()> {
+        self.write_deferred_responses();
+        if self.client.unwritten() > 0 {
+            return self.handle_event(&Outstanding::of(self)).await;
+        }
+        self.discard_input(self.executor.limits.discard_timeout)
+            .await;
+        Break(())
+    }
+
     /// Closes the connection. Nothing may be awaited between the check that no bytes are unread and
     /// the shutdown of the sending side: a command could arrive in between.
     async fn close(&mut self) -> ControlFlow<()> {
--- a/crates/node/tests/sockets/slow_readers.rs
+++ b/crates/node/tests/sockets/slow_readers.rs
@@ -205,3 +205,39 @@
     assert!(used < 30, "{used} ticks in a second");
     assert_eq!(client.response().len(), RESPONSE_BYTES);
 }
+
+/// Number of long values that are more than the system holds for a client.
+const VALUES_HELD_BY_THE_NODE: usize = 100;
+
+// Regression test: the sending side was shut down with a part of the responses unwritten, if nothing
+// more was to be read from the client.
+#[test]
+fn responses_that_the_node_holds_precede_the_last_one() {
+    let node = Node::start(&[("a", cache_with_long_value())], "");
+    let mut bytes = Vec::new();
+    for index in 0..VALUES_HELD_BY_THE_NODE {
+        bytes.extend(command(&[
+            "OBJ.GET",
+            "long",
+            &format!("{index}"),
+            ATTRIBUTES,
+        ]));
+    }
+    for (last, response) in [
+        (command(&["QUIT"]), "+OK"),
+        (
+            b"*1\r\n:1\r\n".to_vec(),
+            "-ERR Protocol error: commands are arrays of bulk strings",
+        ),
+    ] {
+        let mut client = Client::connect_with_small_buffer(node.addr);
+        client.send(&[&bytes[..], &last].concat());
+        std::thread::sleep(Duration::from_millis(500));
+        for index in 0..VALUES_HELD_BY_THE_NODE {
+            let length = client.response().len();
+            assert_eq!(length, RESPONSE_BYTES, "{response}: value {index}");
+        }
+        assert_eq!(client.response(), response);
+        assert_eq!(client.response(), "closed");
+    }
+}
