End a command's wait for memory as its client is disconnected

A write that arrives 2.7 s after SIGTERM, while half writes hold the memory, was closed unanswered at the exit. Cause: the wait for memory went on beyond the end of the process. Change: it is over as clients are disconnected; the command gets -BUSY.

--- a/crates/node/src/clients/admission.rs
+++ b/crates/node/src/clients/admission.rs
@@ -142,14 +142,12 @@
         })
     }
 
-    /// Rejects the command once the wait for memory has taken too long.
+    /// Rejects the command once the wait for memory has taken too long, or at once if the process is
+    /// about to exit.
     fn reject_after_wait(&mut self, size: &CommandSize) {
         let now = self.executor.clock.now();
-        if self
-            .memory_wait
-            .as_ref()
-            .is_none_or(|wait| now < wait.until)
-        {
+        let is_over = |wait: &MemoryWait| now >= wait.until || self.client.draining.get();
+        if !self.memory_wait.as_ref().is_some_and(is_over) {
             return;
         }
         // Whole commands in the buffer are only held up by calls before them.
--- a/crates/node/tests/sockets/memory_waits.rs
+++ b/crates/node/tests/sockets/memory_waits.rs
@@ -7,6 +7,8 @@
 const WRITE_BYTES: usize = 100_000;
 /// How late a final response may be, by the operators' terms on sockets.
 const RESPONSE_SLACK: Duration = Duration::from_millis(550);
+/// Longest client timeout for which a shutdown waits, less some time in which a command still arrives.
+const LONGEST_SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(2_700);
 /// Most memory that the node may use, in megabytes.
 const MEMORY_MB: usize = 16;
 
@@ -119,3 +121,24 @@
     let response = stalled.response();
     assert!(response == "written" || response == "-BUSY", "{response}");
 }
+
+// Regression test: a write that waited for memory at the end of a shutdown was never answered.
+#[test]
+fn write_without_memory_is_answered_before_the_exit() {
+    let node = node_with_little_memory();
+    let mut holders = clients_with_half_writes(&node);
+    node.signal("-TERM");
+    let sent_at = Instant::now() + LONGEST_SHUTDOWN_TIMEOUT;
+    while Instant::now() < sent_at {
+        keep_sending(&mut holders);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let mut client = node.client();
+    let writing = std::thread::spawn(move || write(&mut client, "write0", 30_000));
+    while !writing.is_finished() {
+        keep_sending(&mut holders);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let (response, took) = writing.join().expect("a response");
+    assert_eq!(response, "-BUSY", "after {took:?}");
+}
