Reserve memory for servers' responses before they are read

Cause: responses were counted beyond 128 KiB a connection only, so that the sockets alone bounded those that wait for their turn; and large buffers were shrunk in place, which left holes in the heap too small for the next ones. Change: a response has its memory before it is read, in full once its header tells the size; without it nothing is read until some is freed or the attempt's time is over. The response that its client gets next may take more. Streamed values count, and less is read ahead when memory is short. Large buffers are freed whole. Reads are no longer refused for the memory of others' responses, as theirs wait for it. The random test of the reducer has the pause as one more event.

--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -65,19 +65,27 @@
         self.start = 0;
     }
 
-    /// Frees memory beyond `max_capacity` bytes if the buffer is empty.
+    /// Frees all memory if the buffer is empty and its capacity exceeds `max_capacity` bytes. Shrunk
+    /// in place, many buffers would leave the heap in pieces too small for the next ones.
     pub fn shrink(&mut self, max_capacity: usize) {
         if self.is_empty() && self.bytes.capacity() > max_capacity {
-            self.bytes.shrink_to(max_capacity);
+            self.bytes = Vec::new();
         }
     }
 
     /// Frees capacity beyond `min_capacity` bytes that the unread bytes don't need.
     pub fn trim(&mut self, min_capacity: usize) {
-        if self.bytes.capacity() > self.unread().len().max(min_capacity) {
-            self.compact();
-            self.bytes.shrink_to(min_capacity);
+        let capacity = self.unread().len().max(min_capacity);
+        if self.bytes.capacity() <= capacity {
+            return;
+        }
+        let mut bytes = Vec::new();
+        if !self.is_empty() {
+            bytes.reserve_exact(capacity);
+            bytes.extend_from_slice(self.unread());
         }
+        self.bytes = bytes;
+        self.start = 0;
     }
 
     fn compact(&mut self) {
--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -4,11 +4,11 @@
 use crate::attempt_response::AttemptResponse;
 use crate::limits::Limits;
 use crate::messages::Request;
-use crate::resp::{self, is_large_value, Parsed, Reply};
+use crate::resp::{self, Parsed, Reply};
 
-/// Position of a value that is too large to be buffered, in the bytes of a response.
+/// Position of a value in the bytes of a response, as its header states it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LargeValue {
+pub struct StatedValue {
     /// Offset of its first byte.
     pub offset: usize,
     /// Its length in bytes.
@@ -34,8 +34,8 @@
     out
 }
 
-/// Finds a value that is too large to be buffered in a reply; `VALUE_TERMINATOR` follows it.
-pub fn large_value(bytes: &[u8], limits: &Limits) -> Option<LargeValue> {
+/// Finds the value of a reply, of which the header has to have arrived; `VALUE_TERMINATOR` follows it.
+pub fn stated_value(bytes: &[u8], limits: &Limits) -> Option<StatedValue> {
     let Parsed::Complete(3, head) = resp::array_header(bytes) else {
         return None;
     };
@@ -44,8 +44,8 @@
     };
     let size = usize::try_from(size)
         .ok()
-        .filter(|size| is_large_value(*size, limits))?;
-    Some(LargeValue {
+        .filter(|size| *size <= limits.value_bytes)?;
+    Some(StatedValue {
         offset: head + length,
         size,
     })
--- a/crates/node/src/clients/admission.rs
+++ b/crates/node/src/clients/admission.rs
@@ -77,7 +77,8 @@
         let memory_use = MemoryUse::LongMessage;
         let now = self.executor.clock.now();
         let retry_at = now + self.executor.limits.memory_retry_interval;
-        self.evict_stalled_commands(now, self.reservation.missing(bytes, memory_use));
+        self.executor
+            .evict_stalled_commands(self.reservation.missing(bytes, memory_use));
         if let Some(wait) = &mut self.memory_wait {
             wait.retry_at = retry_at;
             self.reservation
@@ -92,18 +93,6 @@
         });
     }
 
-    /// Has incomplete commands rejected whose clients have sent nothing for a while.
-    fn evict_stalled_commands(&self, now: Time, missing_bytes: usize) {
-        let executor = self.executor;
-        let stalled_after = executor.limits.stalled_command_after;
-        let mut partial_commands = executor.partial_commands.borrow_mut();
-        for id in partial_commands.take_stalled(now, missing_bytes, stalled_after) {
-            if let Some(client) = executor.clients.borrow().get(&id) {
-                client.request_eviction();
-            }
-        }
-    }
-
     /// Records whether an incomplete command holds memory, of which the client may send the rest.
     pub(super) fn record_partial_command(&self, may_read: bool) {
         let bytes = self.reservation.counted_bytes();
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -180,7 +180,7 @@
     }
 
     fn connect(self: &Rc<EffectExecutor>, id: UpstreamId, address: SocketAddr, protocol: Protocol) {
-        let upstream = Upstream::new(id, address, protocol);
+        let upstream = Upstream::new(id, address, protocol, &self.memory);
         self.upstreams.borrow_mut().insert(id, upstream.clone());
         tokio::task::spawn_local(upstreams::run(self.clone(), upstream));
     }
@@ -207,6 +207,19 @@
         }
     }
 
+    /// Has incomplete commands rejected whose clients have sent nothing for a while, if that frees
+    /// `missing_bytes`.
+    pub fn evict_stalled_commands(&self, missing_bytes: usize) {
+        let now = self.clock.now();
+        let stalled_after = self.limits.stalled_command_after;
+        let mut partial_commands = self.partial_commands.borrow_mut();
+        for id in partial_commands.take_stalled(now, missing_bytes, stalled_after) {
+            if let Some(client) = self.clients.borrow().get(&id) {
+                client.request_eviction();
+            }
+        }
+    }
+
     /// Writes an attempt, unless its client has disconnected. The client may have done so since the
     /// reducer's decision, if the process has stalled in between.
     fn write(&self, id: UpstreamId, client: ClientId, request: &Request, time_left: Span) {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -78,6 +78,8 @@
     /// Capacity that the buffer of a connection keeps while it is empty, in bytes. It does not count
     /// towards these bounds.
     pub idle_buffer_bytes: usize,
+    /// Bytes that are reserved for what follows the value of a response.
+    pub response_end_bytes: usize,
     /// Most bytes of a streamed value that the node buffers.
     pub streaming_window_bytes: usize,
     /// Most bytes read from a socket at once.
--- a/crates/node/src/limits/fixed.rs
+++ b/crates/node/src/limits/fixed.rs
@@ -39,6 +39,7 @@
     buffered_bytes_with_responses: 0,
     short_response_bytes: 64,
     idle_buffer_bytes: 4 * KIB,
+    response_end_bytes: KIB,
     streaming_window_bytes: 0,
     read_bytes: 16 * KIB,
     memory_wait_timeout: Span::ms(1_500),
--- a/crates/node/src/memory_budget.rs
+++ b/crates/node/src/memory_budget.rs
@@ -7,6 +7,7 @@
 use tokio::sync::Notify;
 
 use crate::limits::Limits;
+use crate::messages::ClientId;
 
 #[cfg(test)]
 mod tests;
@@ -17,7 +18,7 @@
 pub enum MemoryUse {
     /// A long command, or a value that is held until it is complete.
     LongMessage,
-    /// A response that is not written yet.
+    /// A response that is not written yet, or is received and next in its client's order.
     Response,
 }
 
@@ -43,6 +44,8 @@
 struct WaitingRequest {
     bytes: usize,
     memory_use: MemoryUse,
+    /// The client for whose response it is, if it is for one.
+    client: Option<ClientId>,
     available: Rc<Notify>,
 }
 
@@ -90,6 +93,16 @@
         self.notify_waiting();
     }
 
+    /// Notifies the requests for responses to a client: one of them may be next in order now, and may
+    /// take more of the memory.
+    pub fn notify_requests_for(&self, client: ClientId) {
+        for request in self.waiting.borrow().values() {
+            if request.client == Some(client) {
+                request.available.notify_one();
+            }
+        }
+    }
+
     /// Notifies the requests for which there is memory now, in the order of their age. A younger one
     /// may precede an older one that needs more than there is.
     fn notify_waiting(&self) {
@@ -126,6 +139,11 @@
         self.counted_bytes
     }
 
+    /// Whether a buffer of `bytes` would need more than is reserved.
+    pub fn is_less_than(&self, bytes: usize) -> bool {
+        self.counted_bytes < self.counted(bytes)
+    }
+
     /// Bytes of a buffer of `bytes` by which it reduces the budget.
     fn counted(&self, bytes: usize) -> usize {
         bytes.saturating_sub(self.budget.bytes_per_connection)
@@ -160,6 +178,7 @@
         let request = MemoryRequest {
             budget: self.budget.clone(),
             ticket,
+            client: None,
             available: Rc::default(),
         };
         self.change_request(&request, bytes, memory_use);
@@ -171,6 +190,7 @@
         let waiting = WaitingRequest {
             bytes: self.counted(bytes).saturating_sub(self.counted_bytes),
             memory_use,
+            client: request.client,
             available: request.available(),
         };
         let mut all = self.budget.waiting.borrow_mut();
@@ -197,10 +217,20 @@
 pub struct MemoryRequest {
     budget: Rc<MemoryBudget>,
     ticket: u64,
+    client: Option<ClientId>,
     available: Rc<Notify>,
 }
 
 impl MemoryRequest {
+    /// Names the client for whose response the memory is requested.
+    pub fn for_client(mut self, client: Option<ClientId>) -> MemoryRequest {
+        self.client = client;
+        if let Some(waiting) = self.budget.waiting.borrow_mut().get_mut(&self.ticket) {
+            waiting.client = client;
+        }
+        self
+    }
+
     /// Notified when there is memory for the request. It is not reserved yet: another connection may
     /// be faster.
     pub fn available(&self) -> Rc<Notify> {
--- a/crates/node/src/memory_budget/tests.rs
+++ b/crates/node/src/memory_budget/tests.rs
@@ -46,6 +46,18 @@
     assert!(other.try_set(OWN_BYTES + 70, MemoryUse::LongMessage));
 }
 
+#[test]
+fn requests_for_a_client_are_notified_of_its_turn() {
+    let budget = budget();
+    let reservation = MemoryReservation::new(&budget);
+    let request = || reservation.request(OWN_BYTES + 200, MemoryUse::LongMessage);
+    let own = request().for_client(Some(ClientId(1)));
+    let others = [request().for_client(Some(ClientId(2))), request()];
+    budget.notify_requests_for(ClientId(1));
+    assert!(is_notified(&own));
+    assert!(!others.iter().any(is_notified));
+}
+
 #[test]
 fn freed_memory_is_offered_to_those_for_whom_it_suffices() {
     let budget = budget();
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -4,11 +4,11 @@
 use quartzhub_policy::{Outcome, Span};
 
 use crate::attempt_response::AttemptResponse;
-use crate::caches::LargeValue;
+use crate::caches::StatedValue;
 use crate::http::{self, Body};
 use crate::limits::Limits;
 use crate::messages::Request;
-use crate::resp::{is_large_value, Parsed};
+use crate::resp::Parsed;
 
 /// Encodes a request to the origin, with the attempt's remaining time. A value is written after it
 /// as the body.
@@ -46,14 +46,14 @@
     out
 }
 
-/// Finds a body that is too large to be buffered in a response.
-pub fn large_value(bytes: &[u8], limits: &Limits) -> Option<LargeValue> {
+/// Finds the body of a response that is a value, of which the head has to have arrived.
+pub fn stated_value(bytes: &[u8], limits: &Limits) -> Option<StatedValue> {
     let Parsed::Complete(head, offset) = http::head(bytes, limits) else {
         return None;
     };
     match head.body {
-        Body::ContentLength(size) if head.status == 200 && is_large_value(size, limits) => {
-            Some(LargeValue { offset, size })
+        Body::ContentLength(size) if head.status == 200 && size <= limits.value_bytes => {
+            Some(StatedValue { offset, size })
         }
         _ => None,
     }
--- a/crates/node/src/reducer/call_events.rs
+++ b/crates/node/src/reducer/call_events.rs
@@ -80,10 +80,13 @@
             .is_some_and(|client| client.rejects_calls)
     }
 
+    /// Whether there are too many open calls, or too little memory for the value of a write. A read
+    /// needs memory only for its response, which waits for it.
     fn is_overloaded_by(&self, value_bytes: usize) -> bool {
         let limits = &self.state.limits;
+        let buffered_bytes = self.state.memory.buffered() + value_bytes;
         self.state.calls.len() >= limits.open_calls
-            || self.state.memory.buffered() + value_bytes > limits.buffered_bytes
+            || value_bytes > 0 && buffered_bytes > limits.buffered_bytes
     }
 
     /// Returns the time left for a call: the time left that its client stated, less the allowance
--- a/crates/node/src/reducer/client_events.rs
+++ b/crates/node/src/reducer/client_events.rs
@@ -105,6 +105,7 @@
             let bytes = bytes.min(client.buffered_bytes);
             client.buffered_bytes -= bytes;
             self.state.memory.remove_buffered(bytes);
+            self.state.memory.notify_requests_for(id);
         }
     }
 
--- a/crates/node/src/reducer/clients.rs
+++ b/crates/node/src/reducer/clients.rs
@@ -24,7 +24,7 @@
     pub(super) open_calls: Vec<CallIndex>,
     /// Upstreams that are streaming a value to this client.
     pub(super) streaming: Vec<UpstreamId>,
-    /// Bytes of its responses that are not written yet.
+    /// Bytes of its responses that are not written yet, sent or not.
     pub(super) buffered_bytes: usize,
     /// The connection is to be closed once the pending responses are sent.
     pub(super) closing: bool,
@@ -67,6 +67,12 @@
         offset.is_some_and(|offset| (offset as usize) < self.responses.len())
     }
 
+    /// Returns whether all responses before this slot are written.
+    pub(super) fn is_next(&self, slot: ResponseSlot) -> bool {
+        let unsent = self.responses.iter().flatten().map(Response::size);
+        slot.0 == self.first_slot && self.buffered_bytes == unsent.sum::<usize>()
+    }
+
     /// Sets the response of a pending slot.
     pub(super) fn fill_slot(&mut self, slot: ResponseSlot, response: Response) {
         let offset = (slot.0 - self.first_slot) as usize;
--- a/crates/node/src/reducer/responses.rs
+++ b/crates/node/src/reducer/responses.rs
@@ -33,9 +33,8 @@
         // Without this limit, a client that reads no responses, or has many of them at once, could
         // use up the memory.
         let size = response.size();
-        let has_room = self.memory.buffered() + size <= self.limits.buffered_bytes
-            && self.memory.has_room(size, MemoryUse::Response);
-        let fits = has_room || size < self.limits.short_response_bytes;
+        let fits = self.memory.has_room(size, MemoryUse::Response)
+            || size < self.limits.short_response_bytes;
         let response = if fits {
             response
         } else {
--- a/crates/node/src/reducer/upstream_events.rs
+++ b/crates/node/src/reducer/upstream_events.rs
@@ -158,6 +158,16 @@
         }
     }
 
+    /// Returns whether the response that is received on this upstream is the next one that its client
+    /// gets: everything before it is written.
+    pub fn is_next_response(&self, id: UpstreamId) -> bool {
+        let Some(call) = self.call_in_flight(id) else {
+            return false;
+        };
+        let client = self.state.clients.get(call.client);
+        client.is_some_and(|client| client.is_next(call.slot))
+    }
+
     /// Returns the client of the API call whose response is received on this upstream.
     pub fn requester(&self, id: UpstreamId) -> Option<ClientId> {
         self.call_in_flight(id).map(|call| call.client)
@@ -259,6 +269,19 @@
         state.set_upstream_deadline(id, deadline);
     }
 
+    /// Handles a response of which nothing more is read for now, as there is no memory for it: its
+    /// server does not have to send more before the attempt's deadline.
+    pub fn on_response_paused(&mut self, now: Time, id: UpstreamId) {
+        self.advance_clock(now);
+        let state = &mut self.state;
+        let upstream = state.upstreams.get(id);
+        let attempt = upstream.and_then(Upstream::attempt_in_flight);
+        let record = attempt.and_then(|attempt| state.calls.attempt(attempt));
+        if let Some(deadline) = record.map(|attempt| attempt.deadline) {
+            state.set_upstream_deadline(id, deadline);
+        }
+    }
+
     /// Handles malformed bytes from a server. The attempt may have been executed, and the upstream
     /// is closed.
     pub fn on_malformed_bytes(&mut self, now: Time, id: UpstreamId) {
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -16,15 +16,15 @@
 use crate::attempt_response::AttemptResponse;
 use crate::buffer::{readable, Buffer, Readable};
 use crate::limits::Limits;
-use crate::memory_budget::MemoryReservation;
+use crate::memory_budget::{MemoryBudget, MemoryRequest, MemoryReservation};
 use crate::messages::{Request, UpstreamId};
 use crate::resp::Parsed;
 use crate::system::retry_interrupted;
 
+mod admission;
 mod body_reader;
 mod connection;
 mod downstream;
-mod memory_budget;
 mod protocol;
 mod streaming;
 
@@ -61,8 +61,10 @@
     awaiting_response: Cell<bool>,
     /// The part of a body of unknown length that has been received.
     unsized_body: RefCell<Option<UnsizedBody>>,
-    /// Memory that a large response has reserved.
-    reservation: RefCell<Option<MemoryReservation>>,
+    /// Memory of the response; requested before its bytes are read.
+    reservation: RefCell<MemoryReservation>,
+    /// Set while there is no memory for the next bytes of the response.
+    memory_wait: RefCell<Option<MemoryRequest>>,
     /// Whether a large value is buffered until it is complete, as later API calls of its client are
     /// pending.
     buffers_whole_value: Cell<bool>,
@@ -107,7 +109,12 @@
 
 impl Upstream {
     /// Creates an upstream that is not connected yet.
-    pub fn new(id: UpstreamId, address: SocketAddr, protocol: Protocol) -> Rc<Upstream> {
+    pub fn new(
+        id: UpstreamId,
+        address: SocketAddr,
+        protocol: Protocol,
+        memory: &Rc<MemoryBudget>,
+    ) -> Rc<Upstream> {
         Rc::new(Upstream {
             id,
             address,
@@ -119,7 +126,8 @@
             requester: RefCell::default(),
             awaiting_response: Cell::new(false),
             unsized_body: RefCell::default(),
-            reservation: RefCell::default(),
+            reservation: RefCell::new(MemoryReservation::new(memory)),
+            memory_wait: RefCell::default(),
             buffers_whole_value: Cell::new(false),
             streaming: Cell::new(false),
             receiver: RefCell::default(),
@@ -240,10 +248,11 @@
         Ok(done)
     }
 
-    /// Reads available bytes, up to the largest response that may be buffered.
-    fn read(&self, stream: &TcpStream, limits: &Limits) -> ReadResult {
+    /// Reads available bytes, until the buffer holds `max_unread` or the largest response that may be
+    /// buffered.
+    fn read(&self, stream: &TcpStream, max_unread: usize, limits: &Limits) -> ReadResult {
         let mut buffer = self.buffer.borrow_mut();
-        match buffer.read(stream, limits.read_bytes) {
+        match buffer.read_within(stream, limits.read_bytes, max_unread) {
             Ok(0) => return ReadResult::EndOfStream,
             Ok(_) => {}
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return ReadResult::Open,
--- a/crates/node/src/upstreams/body_reader.rs
+++ b/crates/node/src/upstreams/body_reader.rs
@@ -8,7 +8,6 @@
 use super::Upstream;
 use crate::attempt_response::AttemptResponse;
 use crate::buffer::Buffer;
-use crate::effects::EffectExecutor;
 use crate::http::{self, Body, Head};
 use crate::limits::Limits;
 use crate::resp::Parsed;
@@ -56,6 +55,7 @@
                     Parsed::Incomplete
                 };
             }
+            self.bytes.reserve_exact(chunk.len());
             self.bytes.extend_from_slice(chunk);
             buffer.consume(consumed);
         }
@@ -63,14 +63,20 @@
 }
 
 impl Upstream {
-    /// Continues to read a body of unknown length, within the memory budget. Returns the response
-    /// once it is complete.
+    /// Memory of the part of a body of unknown length that has been received.
+    pub(super) fn unsized_body_capacity(&self) -> usize {
+        let unsized_body = self.unsized_body.borrow();
+        unsized_body
+            .as_ref()
+            .map_or(0, |body| body.bytes.capacity())
+    }
+
+    /// Continues to read a body of unknown length. Returns the response once it is complete.
     pub(super) fn read_unsized_body(
         &self,
-        executor: &EffectExecutor,
         at_eof: bool,
+        limits: &Limits,
     ) -> Parsed<AttemptResponse> {
-        let limits = &executor.limits;
         let mut unsized_body = self.unsized_body.borrow_mut();
         let mut buffer = self.buffer.borrow_mut();
         if unsized_body.is_none() && self.protocol == Protocol::Http {
@@ -83,11 +89,6 @@
         if appended == Parsed::Malformed {
             return Parsed::Malformed;
         }
-        if !self.reserve(executor, body.bytes.capacity() + buffer.capacity()) {
-            let address = self.address;
-            tracing::warn!(server = %address, "no memory to buffer a response from {address}");
-            return Parsed::Malformed;
-        }
         if appended == Parsed::Incomplete {
             return Parsed::Incomplete;
         }
--- a/crates/node/src/upstreams/connection.rs
+++ b/crates/node/src/upstreams/connection.rs
@@ -17,7 +17,7 @@
     if let Some(stream) = connect(&executor, &upstream).await {
         serve(&executor, &upstream, stream).await;
     }
-    upstream.reserve(&executor, 0);
+    upstream.release_memory();
 }
 
 /// Connects to the server; `None` if that fails or the upstream is closed meanwhile.
@@ -80,15 +80,17 @@
             continue;
         }
         let unwritten = upstream.request_unwritten.get();
+        let reads = !unwritten && !upstream.awaits_memory();
         let flow = tokio::select! {
             ready = stream.writable(), if unwritten => match ready {
                 Ok(()) => continue_write(executor, upstream),
                 Err(_) => Break(()),
             },
-            ready = stream.readable(), if !unwritten => match ready {
+            ready = stream.readable(), if reads => match ready {
                 Ok(()) => read_response(executor, upstream, stream),
                 Err(_) => Break(()),
             },
+            () = upstream.end_of_memory_wait(executor) => read_response(executor, upstream, stream),
             () = upstream.wake.notified() => Continue(()),
         };
         if flow.is_break() {
@@ -122,23 +124,21 @@
     upstream: &Upstream,
     stream: &TcpStream,
 ) -> ControlFlow<()> {
-    let read = upstream.read(stream, &executor.limits);
+    let Some(max_unread) = upstream.admit_read(executor) else {
+        executor.report(|reducer, now| reducer.on_response_paused(now, upstream.id));
+        return Continue(());
+    };
+    let read = upstream.read(stream, max_unread, &executor.limits);
     // Unsolicited bytes must not be taken for the response to the next attempt.
     if !upstream.awaiting_response.get() && !upstream.buffer.borrow().is_empty() {
         executor.report(|reducer, now| reducer.on_unsolicited_bytes(now, upstream.id));
         return Break(());
     }
     let stream_start = upstream.start_streaming(executor);
-    let buffered_bytes = upstream.buffer.borrow().capacity();
-    if upstream.buffers_whole_value.get() && !upstream.reserve_at_least(executor, buffered_bytes) {
-        let address = upstream.address;
-        tracing::warn!(server = %address, "no memory to buffer a response from {address}");
-        executor.report(|reducer, now| reducer.on_malformed_bytes(now, upstream.id));
-        return Break(());
-    }
     match stream_start {
         StreamStart::NotStreamed => {}
         StreamStart::Started(size) => {
+            upstream.reserve_used_bytes();
             executor.report(|reducer, now| reducer.on_streaming_started(now, upstream.id, size));
             // If the server has already closed its side, the next read returns that again.
             return Continue(());
@@ -149,6 +149,12 @@
         }
     }
     let response = next_response(executor, upstream, read == ReadResult::EndOfStream);
+    if response == Parsed::Incomplete {
+        upstream.reserve_received_bytes();
+    } else {
+        // The response counts as one that is not written yet from now on.
+        upstream.release_memory();
+    }
     let open = read == ReadResult::Open;
     report_response(executor, upstream, response, open);
     if open {
@@ -164,17 +170,14 @@
     upstream: &Upstream,
     at_eof: bool,
 ) -> Parsed<AttemptResponse> {
-    match upstream.read_unsized_body(executor, at_eof) {
+    match upstream.read_unsized_body(at_eof, &executor.limits) {
         // The head of a large value may arrive without any of its bytes; it is not malformed.
         Parsed::Incomplete if !at_eof && upstream.large_value(&executor.limits).is_some() => {
             Parsed::Incomplete
         }
         Parsed::Incomplete if upstream.unsized_body.borrow().is_some() => Parsed::Incomplete,
         Parsed::Incomplete => upstream.parse_response(at_eof, &executor.limits),
-        response => {
-            upstream.reserve(executor, 0);
-            response
-        }
+        response => response,
     }
 }
 
--- a/crates/node/src/upstreams/protocol.rs
+++ b/crates/node/src/upstreams/protocol.rs
@@ -4,7 +4,7 @@
 use quartzhub_policy::Span;
 
 use crate::attempt_response::AttemptResponse;
-use crate::caches::{self, LargeValue, LoadReport};
+use crate::caches::{self, LoadReport, StatedValue};
 use crate::http;
 use crate::limits::Limits;
 use crate::messages::Request;
@@ -47,11 +47,11 @@
         }
     }
 
-    /// Finds the value of a response that is too large to be buffered.
-    pub(super) fn large_value(self, bytes: &[u8], limits: &Limits) -> Option<LargeValue> {
+    /// Finds the value of a response whose header states its length.
+    pub(super) fn stated_value(self, bytes: &[u8], limits: &Limits) -> Option<StatedValue> {
         match self {
-            Protocol::Resp => caches::large_value(bytes, limits),
-            Protocol::Http => origin::large_value(bytes, limits),
+            Protocol::Resp => caches::stated_value(bytes, limits),
+            Protocol::Http => origin::stated_value(bytes, limits),
         }
     }
 
--- a/crates/node/src/upstreams/streaming.rs
+++ b/crates/node/src/upstreams/streaming.rs
@@ -6,10 +6,11 @@
 use tokio::net::TcpStream;
 
 use super::{ReadResult, Upstream};
-use crate::caches::{LargeValue, LoadReport};
+use crate::caches::{LoadReport, StatedValue};
 use crate::effects::EffectExecutor;
 use crate::limits::Limits;
-use crate::resp::Parsed;
+use crate::memory_budget::MemoryUse;
+use crate::resp::{is_large_value, Parsed};
 use crate::system::retry_interrupted;
 
 /// Why a streamed value can't be completed.
@@ -47,9 +48,10 @@
 
 impl Upstream {
     /// Finds a value that is too large to be buffered in the received bytes.
-    pub(super) fn large_value(&self, limits: &Limits) -> Option<LargeValue> {
-        self.protocol
-            .large_value(self.buffer.borrow().unread(), limits)
+    pub(super) fn large_value(&self, limits: &Limits) -> Option<StatedValue> {
+        let buffer = self.buffer.borrow();
+        let stated_value = self.protocol.stated_value(buffer.unread(), limits);
+        stated_value.filter(|value| is_large_value(value.size, limits))
     }
 
     /// Starts to stream a value that is too large to be buffered, if one is being received. If
@@ -57,7 +59,7 @@
     /// response is complete.
     pub(super) fn start_streaming(&self, executor: &EffectExecutor) -> StreamStart {
         let limits = &executor.limits;
-        let Some(LargeValue { offset, size }) = self.large_value(limits) else {
+        let Some(StatedValue { offset, size }) = self.large_value(limits) else {
             return StreamStart::NotStreamed;
         };
         let has_later_command = self.has_later_command(executor, size);
@@ -119,7 +121,7 @@
             return true;
         }
         let held_bytes = size + 2 * executor.limits.read_bytes;
-        executor.has_untaken_input(self.id) && self.reserve(executor, held_bytes)
+        executor.has_untaken_input(self.id) && self.try_reserve(executor, held_bytes)
     }
 
     /// Number of bytes that may be written to the client. The last byte is held back until the end of
@@ -176,7 +178,7 @@
         self.awaiting_response.set(false);
         self.streaming.set(false);
         self.buffers_whole_value.set(false);
-        self.reserve(executor, 0);
+        self.release_memory();
         let reusable = well_formed && !ended && self.keep_alive.get();
         executor.report(|reducer, now| reducer.on_streaming_finished(now, self.id, reusable));
         // The client's commands after this call may be read now.
@@ -186,6 +188,19 @@
     }
 }
 
+/// Most bytes of a streamed value that are read ahead of its client: fewer if others need the memory.
+fn streaming_window_bytes(executor: &EffectExecutor) -> usize {
+    let limits = &executor.limits;
+    let has_room = executor
+        .memory
+        .has_room(limits.read_bytes, MemoryUse::LongMessage);
+    if has_room {
+        limits.streaming_window_bytes
+    } else {
+        limits.streaming_window_bytes.min(limits.read_bytes)
+    }
+}
+
 /// Reads a value as fast as its client reads it, until it is completely written or the upstream is
 /// closed. Fails if the server stalls within the value; a client that stalls is closed by its own
 /// task.
@@ -213,12 +228,15 @@
             now + limits.streaming_stall_timeout
         };
         let received = upstream.buffer.borrow().unread().len();
-        let has_capacity =
-            !ended && (upstream.awaits_value_end() || received < limits.streaming_window_bytes);
+        let window_bytes = streaming_window_bytes(executor);
+        let has_capacity = !ended && (upstream.awaits_value_end() || received < window_bytes);
         let stall = tokio::time::sleep_until(executor.clock.instant(stalled_at));
         tokio::select! {
             ready = stream.readable(), if has_capacity => {
-                ended = ready.is_err() || upstream.read(stream, limits) != ReadResult::Open;
+                let max_unread = received + limits.read_bytes;
+                let read = upstream.read(stream, max_unread, limits);
+                ended = ready.is_err() || read != ReadResult::Open;
+                upstream.reserve_used_bytes();
                 upstream.update_value_end(limits);
                 if let Some(receiver) = upstream.receiver.borrow().as_ref() {
                     receiver.on_bytes_available();
--- a/crates/node/tests/reducer/random.rs
+++ b/crates/node/tests/reducer/random.rs
@@ -86,7 +86,7 @@
 
     fn report_upstream(&mut self, now: Time, upstream: UpstreamId) {
         let is_connected = self.upstreams[&upstream];
-        let event = self.random_below(6);
+        let event = self.random_below(7);
         let reducer = &mut self.harness.reducer;
         match (is_connected, event) {
             (_, 0) => {
@@ -103,7 +103,8 @@
             }
             (true, 1) => reducer.on_malformed_bytes(now, upstream),
             (true, 2) => reducer.on_partial_response(now, upstream),
-            (true, 3) => {
+            (true, 3) => reducer.on_response_paused(now, upstream),
+            (true, 4) => {
                 let outcome = [Outcome::Miss, Outcome::Overloaded][self.random_below(2)];
                 self.respond(now, upstream, failure(outcome));
             }
--- a/crates/node/tests/reducer/upstreams.rs
+++ b/crates/node/tests/reducer/upstreams.rs
@@ -135,6 +135,50 @@
     .assert_eq(&harness.trace);
 }
 
+// A server need not send more of a response while the node has no memory to read it.
+#[test]
+fn response_that_is_not_read_times_out_at_the_call_deadline() {
+    let (mut harness, _) = Harness::builder().with_call_in_flight("book", 400);
+    harness.report("partial response", |reducer, now| {
+        reducer.on_partial_response(now, UpstreamId(2))
+    });
+    harness.report("paused", |reducer, now| {
+        reducer.on_response_paused(now, UpstreamId(2))
+    });
+    harness.advance(450);
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 connected 2
+        0   write 2: c1, time_left 397
+        0 partial response
+        0 paused
+        400   close upstream 2
+        400   answer 1: Error("failed")
+    "#]]
+    .assert_eq(&harness.trace);
+}
+
+// The response that its client gets next may take memory that others may not.
+#[test]
+fn response_is_next_once_all_before_it_are_written() {
+    let (mut harness, client) = Harness::builder().with_call_in_flight("view", 400);
+    for (id, upstream) in [("c2", 3), ("c3", 4)] {
+        harness.call(client, "view", id, 400);
+        harness.connect(upstream);
+    }
+    let next = |harness: &Harness| {
+        [2, 3, 4].map(|upstream| harness.reducer.is_next_response(UpstreamId(upstream)))
+    };
+    assert_eq!(next(&harness), [true, false, false]);
+    harness.respond("second", 3, value("v"));
+    assert_eq!(next(&harness), [true, false, false]);
+    harness.respond("first", 2, value("v"));
+    assert_eq!(next(&harness), [false, false, false]);
+    harness.reducer.on_delivered(client, "vv".len());
+    assert_eq!(next(&harness), [false, false, true]);
+}
+
 #[test]
 fn unsolicited_response_closes_its_upstream() {
     let (mut harness, client) = Harness::builder().with_successful_call("view", 400, "hit");
--- a/crates/node/tests/sockets/common/node.rs
+++ b/crates/node/tests/sockets/common/node.rs
@@ -113,6 +113,18 @@
         Client::connect(self.addr)
     }
 
+    /// Anonymous memory of the process, in bytes.
+    pub fn anonymous_bytes(&self) -> usize {
+        const BYTES_PER_KIB: usize = 1024;
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("a process");
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kib.expect("a line").parse::<usize>().expect("a number") * BYTES_PER_KIB
+    }
+
     /// Stops the process by SIGSTOP and waits until the system reports it as stopped.
     pub fn suspend(&self) {
         self.signal("-STOP");
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -16,6 +16,7 @@
 mod partly_read_commands;
 mod queueing_time;
 mod remaining_time;
+mod response_memory;
 mod shutdown;
 mod slow_readers;
 mod socket_activation;
--- a/crates/node/tests/sockets/memory.rs
+++ b/crates/node/tests/sockets/memory.rs
@@ -15,17 +15,6 @@
 /// How late a final response may be, by the operators' terms on sockets.
 const RESPONSE_SLACK_MS: u64 = 550;
 
-/// Anonymous memory of a process in bytes.
-fn anonymous_bytes(node: &Node) -> usize {
-    let path = format!("/proc/{}/status", node.child.id());
-    let status = std::fs::read_to_string(path).expect("a process");
-    let line = status
-        .lines()
-        .find_map(|line| line.strip_prefix("RssAnon:"));
-    let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
-    kib.expect("a line").parse::<usize>().expect("a number") * KIB
-}
-
 /// A connection that sends bytes as fast as the node takes them, and stays.
 struct FloodingClient {
     stream: TcpStream,
@@ -65,7 +54,7 @@
         for client in &mut flood {
             client.advance(bytes);
         }
-        most_bytes = most_bytes.max(anonymous_bytes(&node));
+        most_bytes = most_bytes.max(node.anonymous_bytes());
         calls += 1;
         let sent_at = Instant::now();
         let attributes = format!("c=view,d={CALL_TIMEOUT_MS}");
