Let other clients run once a client has filled its buffer

Cause: a client's task yields after 16 commands, but a read holds one or two of that length: it read on until the runtime's limit of 128 operations. Change: it yields behind each read that fills the buffer. Its floods have the assertions of the others, with 1 s for the usual calls.

--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -41,6 +41,8 @@
     /// Set while there is no memory for the bytes that would be read next.
     pub(super) memory_wait: Option<MemoryWait>,
     pub(super) large_command: Option<LargeCommand>,
+    /// Whether the last read filled the buffer, so that more may have arrived.
+    pub(super) has_filled_buffer: bool,
     /// False once nothing more is read: after QUIT, a protocol error, a rejected large command or a
     /// value that is cut.
     pub(super) reading: bool,
@@ -74,6 +76,7 @@
             granted_bytes: 0,
             memory_wait: None,
             large_command: None,
+            has_filled_buffer: false,
             reading: true,
             delivery: Delivery::default(),
             last_byte_at: executor.clock.now(),
@@ -155,11 +158,6 @@
         self.deferred_until.is_some_and(|until| now < until)
     }
 
-    /// Returns when the incomplete command began; sets it to now if it is not set yet.
-    pub(super) fn partial_since(&mut self, now: Time) -> Time {
-        *self.partial_since.get_or_insert(now)
-    }
-
     /// When the client counts as idle or too slow, if no event occurs before.
     fn deadline(&mut self, outstanding: &Outstanding) -> Time {
         let executor = self.executor;
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -16,11 +16,11 @@
 }
 
 impl Connection<'_> {
-    /// Reads available bytes. A client that sends a long command faster than it is read must not
-    /// starve the other connections: the runtime looks for their events in between.
+    /// Reads available bytes. A client that sends faster than it is read must not starve the other
+    /// connections: the runtime looks for their events in between.
     pub(super) async fn on_readable(&mut self) -> ControlFlow<()> {
         self.read_available()?;
-        if self.granted_bytes > 0 || self.rejected_bytes() > 0 {
+        if self.granted_bytes > 0 || self.rejected_bytes() > 0 || self.has_filled_buffer {
             tokio::task::yield_now().await;
         }
         Continue(())
@@ -38,6 +38,11 @@
         !self.buffer.is_empty() || self.rejected_bytes() > 0
     }
 
+    /// Returns when the incomplete command began; sets it to now if it is not set yet.
+    pub(super) fn partial_since(&mut self, now: Time) -> Time {
+        *self.partial_since.get_or_insert(now)
+    }
+
     /// For a bounded time, a client that keeps sending a large command counts neither as idle nor as
     /// too slow.
     pub(super) fn extend_large_command_time(&mut self) {
@@ -133,6 +138,7 @@
                 Err(_) => return Break(()),
             }
         }
+        self.has_filled_buffer = self.buffer.unread().len() >= max_unread;
         self.extend_large_command_time();
         Continue(())
     }
--- a/crates/node/tests/sockets/memory.rs
+++ b/crates/node/tests/sockets/memory.rs
@@ -12,6 +12,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Client timeout of the usual calls during a flood, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 300;
+/// The same during a flood that keeps the processor busy.
+const LONG_CALL_TIMEOUT_MS: u64 = 1_000;
 /// How late a final response may be, by the operators' terms on sockets.
 const RESPONSE_SLACK_MS: u64 = 550;
 
@@ -38,56 +40,84 @@
 }
 
 /// Floods a node that may use `memory_mb` from `clients` connections that send `bytes` each. Asserts
-/// that it stays within its memory, and that it answers the calls of a usual client in time.
+/// that it stays within its memory, and that it serves the calls of a usual client in time.
 fn assert_memory_is_bounded(name: &str, memory_mb: usize, clients: usize, bytes: &[u8]) {
-    let cache = server("a", channel().0, |_| hit("v"));
-    let limits = format!(r#""limits":{{"memory_mb":{memory_mb},"sockets":1024}},"#);
-    let origin = server("origin", channel().0, |_| http("200 OK", "written"));
-    let node = Node::start(&[("a", cache), ("origin", origin)], &limits);
-    let mut usual = node.client();
-    let mut flood: Vec<_> = (0..clients)
-        .map(|_| FloodingClient::connect(&node))
-        .collect();
-    let started_at = Instant::now();
-    let (mut most_bytes, mut calls) = (0, 0);
-    while started_at.elapsed() < FLOOD_TIME {
-        for client in &mut flood {
-            client.advance(bytes);
-        }
-        most_bytes = most_bytes.max(node.anonymous_bytes());
-        calls += 1;
-        let sent_at = Instant::now();
-        let attributes = format!("c=view,d={CALL_TIMEOUT_MS}");
-        let id = format!("usual{calls}");
-        let words = ["OBJ.GET", "usual", &id, &attributes];
-        let mut response = usual.ask(&words);
-        // The node may close an idle connection, and clients then send the command once more.
-        if response == "closed" {
-            usual = node.client();
-            response = usual.ask(&words);
+    let flood = Flood {
+        name,
+        memory_mb,
+        clients,
+        bytes,
+    };
+    flood.assert_calls_are_served(CALL_TIMEOUT_MS);
+}
+
+/// Bytes that bad clients send to a node.
+struct Flood<'a> {
+    name: &'a str,
+    memory_mb: usize,
+    clients: usize,
+    bytes: &'a [u8],
+}
+
+impl Flood<'_> {
+    /// Asserts that the node stays within its memory, and that it serves the calls of a usual client
+    /// in time.
+    fn assert_calls_are_served(&self, call_timeout_ms: u64) {
+        let Flood {
+            name,
+            memory_mb,
+            clients,
+            bytes,
+        } = *self;
+        let cache = server("a", channel().0, |_| hit("v"));
+        let limits = format!(r#""limits":{{"memory_mb":{memory_mb},"sockets":1024}},"#);
+        let origin = server("origin", channel().0, |_| http("200 OK", "written"));
+        let node = Node::start(&[("a", cache), ("origin", origin)], &limits);
+        let mut usual = node.client();
+        let mut flood: Vec<_> = (0..clients)
+            .map(|_| FloodingClient::connect(&node))
+            .collect();
+        let started_at = Instant::now();
+        let (mut most_bytes, mut calls) = (0, 0);
+        while started_at.elapsed() < FLOOD_TIME {
+            for client in &mut flood {
+                client.advance(bytes);
+            }
+            most_bytes = most_bytes.max(node.anonymous_bytes());
+            calls += 1;
+            let sent_at = Instant::now();
+            let attributes = format!("c=view,d={call_timeout_ms}");
+            let id = format!("usual{calls}");
+            let words = ["OBJ.GET", "usual", &id, &attributes];
+            let mut response = usual.ask(&words);
+            // The node may close an idle connection, and clients then send the command once more.
+            if response == "closed" {
+                usual = node.client();
+                response = usual.ask(&words);
+            }
+            let response_ms = sent_at.elapsed().as_millis() as u64;
+            assert_eq!(
+                response,
+                "v",
+                "{name}: a usual call after {response_ms} ms, {} ms from the start",
+                started_at.elapsed().as_millis()
+            );
+            assert!(
+                response_ms <= call_timeout_ms + RESPONSE_SLACK_MS,
+                "{name}: answered after {response_ms} ms"
+            );
+            std::thread::sleep(POLL_INTERVAL);
         }
-        let response_ms = sent_at.elapsed().as_millis() as u64;
-        assert_eq!(
-            response,
-            "v",
-            "{name}: a usual call after {response_ms} ms, {} ms from the start",
-            started_at.elapsed().as_millis()
+        let limit_bytes = memory_mb * BYTES_PER_MB;
+        println!(
+            "{name}, {memory_mb} MB: {} KiB at most, {calls} calls",
+            most_bytes / KIB
         );
         assert!(
-            response_ms <= CALL_TIMEOUT_MS + RESPONSE_SLACK_MS,
-            "{name}: answered after {response_ms} ms"
+            most_bytes <= limit_bytes,
+            "{name}: {most_bytes} bytes of {limit_bytes}"
         );
-        std::thread::sleep(POLL_INTERVAL);
     }
-    let limit_bytes = memory_mb * BYTES_PER_MB;
-    println!(
-        "{name}, {memory_mb} MB: {} KiB at most, {calls} calls",
-        most_bytes / KIB
-    );
-    assert!(
-        most_bytes <= limit_bytes,
-        "{name}: {most_bytes} bytes of {limit_bytes}"
-    );
 }
 
 /// The beginning of an array of `count` bulk strings that have these lengths; the last one may be
@@ -149,3 +179,29 @@
     let half_write = write_stating(5, 4 * MIB);
     assert_memory_is_bounded("half writes", 64, 40, &half_write[..2 * MIB]);
 }
+
+// Whole commands, few or many at once, whose clients read little of the responses. Regression test: a
+// client that sent more than was read at once was read up to 128 times before others.
+#[test]
+fn pipelined_commands_of_many_connections_stay_within_the_memory() {
+    let long_text = "x".repeat(60 * KIB);
+    let long_echoes = command(&["PING", &long_text]).repeat(20);
+    let echoes = command(&["PING", &long_text[..3 * KIB]]).repeat(300);
+    let pings = command(&["PING"]).repeat(2_000);
+    let read = |index| command(&["OBJ.GET", "k", &format!("id{index}"), "c=view,d=640"]);
+    let reads = (0..120).flat_map(read).collect();
+    for (name, clients, bytes) in [
+        ("echoes of 60 KiB", 300, long_echoes),
+        ("echoes of 3 KiB", 700, echoes),
+        ("short commands", 300, pings),
+        ("short reads", 700, reads),
+    ] {
+        let flood = Flood {
+            name,
+            memory_mb: 32,
+            clients,
+            bytes: &bytes,
+        };
+        flood.assert_calls_are_served(LONG_CALL_TIMEOUT_MS);
+    }
+}
