Begin the watch's backoff anew after a watch that has lived

Cause: the backoff began anew only after a new version, and doubled over watches that were reset with none between. Change: also after a watch that has lived for as long as the longest backoff, so that watches are no more frequent.

--- a/crates/node/src/discovery/backoff.rs
+++ b/crates/node/src/discovery/backoff.rs
@@ -17,8 +17,8 @@
 /// What a watch has received by its end.
 #[derive(Debug, Clone, Copy)]
 pub struct WatchOutcome {
-    /// Whether a complete line was received.
-    pub received_line: bool,
+    /// Time from its first complete line to its end; `None` if it received none.
+    pub lived: Option<Span>,
     /// Whether the version of the endpoint list has changed.
     pub version_changed: bool,
 }
@@ -56,12 +56,16 @@
 
     /// Returns the delay before the next watch. Jitter keeps the nodes from reconnecting in step.
     pub fn next_delay(&mut self, outcome: WatchOutcome, rng: &mut Pcg) -> Span {
-        self.watches_without_line = if outcome.received_line {
+        self.watches_without_line = if outcome.lived.is_some() {
             0
         } else {
             self.watches_without_line + 1
         };
-        self.delay = if outcome.version_changed {
+        // Reopened at once, watches that live this long are no more than with the longest backoff.
+        let has_lived = outcome
+            .lived
+            .is_some_and(|lived| lived >= self.limits.watch_longest_backoff);
+        self.delay = if outcome.version_changed || has_lived {
             self.limits.watch_first_backoff
         } else {
             self.delay
--- a/crates/node/src/discovery/backoff/tests.rs
+++ b/crates/node/src/discovery/backoff/tests.rs
@@ -3,15 +3,54 @@
 
 /// A watch that received an update.
 const UPDATED: WatchOutcome = WatchOutcome {
-    received_line: true,
+    lived: Some(Span::ZERO),
     version_changed: true,
 };
 /// A watch that received no complete line.
 const SILENT: WatchOutcome = WatchOutcome {
-    received_line: false,
+    lived: None,
     version_changed: false,
 };
 
+/// A watch that delivered keep-alives for this long.
+fn without_changes(lived: Span) -> WatchOutcome {
+    WatchOutcome {
+        lived: Some(lived),
+        version_changed: false,
+    }
+}
+
+// Regression test: the backoff grew over watches that were reset with no change between, and drains
+// of the next moment were known up to a second late.
+#[test]
+fn watches_that_have_lived_are_reopened_at_once() {
+    let limits = Limits::default();
+    let mut rng = Pcg::new(1);
+    let mut backoff = Backoff::new(&limits);
+    let longest_first = limits.watch_first_backoff.times(MIN_JITTER + 1.0);
+    for _ in 0..100 {
+        let delay = backoff.next_delay(without_changes(Span::ms(800)), &mut rng);
+        assert!(delay <= longest_first, "{delay:?}");
+    }
+    // Also behind an outage.
+    for _ in 0..10 {
+        backoff.next_delay(SILENT, &mut rng);
+    }
+    let delay = backoff.next_delay(without_changes(Span::ms(800)), &mut rng);
+    assert!(delay <= longest_first, "{delay:?}");
+}
+
+// What the backoff is there for: a discovery that ends each watch behind its first line.
+#[test]
+fn watches_that_end_at_once_are_reopened_ever_later() {
+    let limits = Limits::default();
+    let mut rng = Pcg::new(1);
+    let mut backoff = Backoff::new(&limits);
+    let delays = (0..10).map(|_| backoff.next_delay(without_changes(Span::ms(10)), &mut rng));
+    let shortest = limits.watch_longest_backoff.times(MIN_JITTER);
+    assert!(delays.last() >= Some(shortest));
+}
+
 /// Updates that a silent watch has missed count as notified after 6 s, and the list of a newly
 /// configured discovery 4 s after SIGHUP, received or not. Another watch has to be opened before
 /// that, even if one or two in a row time out.
--- a/crates/node/src/discovery/watch.rs
+++ b/crates/node/src/discovery/watch.rs
@@ -62,8 +62,8 @@
     /// Version of the known endpoint list, since which changes are requested; 0 requests the full
     /// list.
     version: u64,
-    /// Whether a complete line was received.
-    received_line: bool,
+    /// When the first complete line was received.
+    first_line_at: Option<Time>,
     /// When the last complete line was received, or else when the watch was created.
     last_line_at: Time,
     /// Received bytes that are not decoded yet: the head, then the encoded body.
@@ -89,7 +89,7 @@
             open_timeout,
             updated,
             version,
-            received_line: false,
+            first_line_at: None,
             last_line_at,
             received: Buffer::default(),
             text: Buffer::default(),
@@ -102,10 +102,11 @@
         self.version
     }
 
-    /// What the watch has received; `version_before` is the version with which it was created.
+    /// What the watch has received by its end; `version_before` is the version with which it was created.
     pub(super) fn outcome(&self, version_before: u64) -> WatchOutcome {
+        let now = self.executor.clock.now();
         WatchOutcome {
-            received_line: self.received_line,
+            lived: self.first_line_at.map(|first_line_at| now - first_line_at),
             version_changed: self.version != version_before,
         }
     }
@@ -154,7 +155,7 @@
     /// it, as an endless head or a byte now and then would keep a dead watch open.
     fn line_deadline(&self) -> Time {
         let limits = &self.executor.limits;
-        let line_timeout = if self.received_line {
+        let line_timeout = if self.first_line_at.is_some() {
             limits.watch_silence_timeout
         } else {
             self.open_timeout
@@ -257,8 +258,9 @@
                     return Err(WatchError::MalformedUpdate);
                 }
             }
-            self.last_line_at = self.executor.clock.now();
-            self.received_line = true;
+            let now = self.executor.clock.now();
+            self.last_line_at = now;
+            self.first_line_at.get_or_insert(now);
             self.executor.on_discovery_update();
             self.text.consume(length);
         }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -191,7 +191,7 @@
     pub watch_open_timeout: Span,
     /// The same for every third watch in a row without a line, as discovery may be slow.
     pub watch_slow_open_timeout: Span,
-    /// Backoff after a watch that delivered an update.
+    /// Backoff after a watch that delivered an update, or lived for as long as the longest backoff.
     pub watch_first_backoff: Span,
     /// Longest backoff, before jitter.
     pub watch_longest_backoff: Span,
--- a/crates/node/tests/sockets/watch_recovery.rs
+++ b/crates/node/tests/sockets/watch_recovery.rs
@@ -187,3 +187,33 @@
         assert!(report.starts_with("new:"), "{report}");
     }
 }
+
+/// How long each of a series of watches lives.
+const WATCH_LIFE: Duration = Duration::from_millis(800);
+/// Within what time a drain has to be heeded once discovery has it, by the strictest deployment.
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
+
+// Regression test: of watches that were reset with no change between, each was reopened later than
+// the one before, up to a second.
+#[test]
+fn watches_reset_without_a_change_are_reopened_in_time_for_a_drain() {
+    let server = server("a", channel().0, |_| hit("v"));
+    let WatchedDiscovery {
+        addr: discovery_addr,
+        watches,
+        requests,
+    } = watched_discovery::<6>();
+    let keep_alives = watches.each_ref().map(|watch| watch.send("\n".into()));
+    assert!(keep_alives.iter().all(Result::is_ok));
+    let discovery_key = format!(r#""discovery":"{discovery_addr}","#);
+    let _node = Node::start(&[("a", server)], &discovery_key);
+    next_report(&requests);
+    for watch in watches.into_iter().take(5) {
+        std::thread::sleep(WATCH_LIFE);
+        drop(watch);
+        let ended_at = Instant::now();
+        next_report(&requests);
+        let reopened_after = ended_at.elapsed();
+        assert!(reopened_after < DRAIN_GRACE, "{reopened_after:?}");
+    }
+}
