Close clients that linger after their error when others need the socket

Cause: a client whose late input is only discarded kept its socket for a second, and could not be evicted.

--- a/crates/node/src/clients/closing.rs
+++ b/crates/node/src/clients/closing.rs
@@ -120,17 +120,29 @@
 
     /// Frees the buffer, then reads and discards until the client disconnects or `timeout` passes,
     /// and after that for as long as the client takes responses that the system still holds.
-    /// Closing a socket with unread bytes sends a reset, and the client would never read them.
+    /// Closing a socket with unread bytes sends a reset, and the client would never read them. If
+    /// others need the socket, only these responses are awaited.
     async fn discard_input(&mut self, timeout: Span) {
         self.buffer = Buffer::default();
         self.reservation.set(0);
         self.client.shutdown_write();
         let executor = self.executor;
+        executor.report(|reducer, now| reducer.on_client_lingering(now, self.id));
         let mut until = executor.clock.now() + timeout;
         let mut remaining = executor.limits.discard_bytes;
         loop {
+            if self.client.linger_ended.get() {
+                if self.delivery_is_over() {
+                    return;
+                }
+                until = executor.clock.now() + executor.limits.delivery_poll_interval;
+            }
             let readable = self.client.stream.readable();
-            match tokio::time::timeout_at(executor.clock.instant(until), readable).await {
+            let ready = tokio::select! {
+                ready = tokio::time::timeout_at(executor.clock.instant(until), readable) => ready,
+                () = self.client.wake.notified() => continue,
+            };
+            match ready {
                 Ok(Ok(())) => {}
                 Err(_) if !self.delivery_is_over() => {
                     until = executor.clock.now() + executor.limits.delivery_poll_interval;
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -51,6 +51,8 @@
     broken: Cell<bool>,
     /// Whether the sending side has been shut down.
     write_closed: Cell<bool>,
+    /// Whether the connection is to be closed without waiting for more late input.
+    linger_ended: Cell<bool>,
     /// Start of the pause in accepting, if there was one: the client may have waited in the listen
     /// queue since then.
     accept_paused_since: Option<Time>,
@@ -69,6 +71,7 @@
             value_is_cut: Cell::new(false),
             broken: Cell::new(false),
             write_closed: Cell::new(false),
+            linger_ended: Cell::new(false),
             accept_paused_since,
             wake: Notify::new(),
         }
@@ -191,6 +194,11 @@
         self.wake.notify_one();
     }
 
+    fn end_linger(&self) {
+        self.linger_ended.set(true);
+        self.wake.notify_one();
+    }
+
     fn is_write_closed(&self) -> bool {
         self.write_closed.get()
     }
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -32,6 +32,9 @@
     /// arrived.
     fn request_eviction(&self);
 
+    /// Closes the connection without waiting for more late input, once its responses are delivered.
+    fn end_linger(&self);
+
     /// Whether the sending side has been shut down, so that no command on it awaits a response.
     fn is_write_closed(&self) -> bool;
 
@@ -175,6 +178,11 @@
                     client.drain();
                 }
             }
+            Effect::EndLinger { client } => {
+                if let Some(client) = self.clients.borrow().get(&client) {
+                    client.end_linger();
+                }
+            }
             Effect::BreakOffValue { client } => self.break_off_value(client),
         }
     }
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -53,6 +53,11 @@
         /// The client.
         client: ClientId,
     },
+    /// Close a client's connection without waiting for more late input.
+    EndLinger {
+        /// The client.
+        client: ClientId,
+    },
     /// Break off the streamed value of a client, as the rest of it can't be had.
     BreakOffValue {
         /// The client.
--- a/crates/node/src/reducer/client_events.rs
+++ b/crates/node/src/reducer/client_events.rs
@@ -85,6 +85,14 @@
         }
     }
 
+    /// Handles a client to which nothing is owed, and whose late input is only discarded.
+    pub fn on_client_lingering(&mut self, now: Time, id: ClientId) {
+        if let Some(client) = self.state.clients.get_mut(id) {
+            client.closing = true;
+            client.lingering_since = Some(now);
+        }
+    }
+
     /// Handles a client whose connection ends as soon as it has taken what was written to it.
     pub fn on_client_closing(&mut self, id: ClientId) {
         if let Some(client) = self.state.clients.get_mut(id) {
--- a/crates/node/src/reducer/clients.rs
+++ b/crates/node/src/reducer/clients.rs
@@ -28,6 +28,8 @@
     pub(super) buffered_bytes: usize,
     /// The connection is to be closed once the pending responses are sent.
     pub(super) closing: bool,
+    /// Since when nothing is owed to it and its late input is only discarded.
+    pub(super) lingering_since: Option<Time>,
     /// All further API calls of this client are rejected.
     pub(super) rejects_calls: bool,
     pub(super) last_active: Time,
@@ -153,6 +155,16 @@
         idle.map(|(id, _)| *id).collect()
     }
 
+    /// Returns the client that has lingered longest, if it has had the time to read its last response.
+    pub(super) fn longest_lingering(&self, now: Time, limits: &Limits) -> Option<ClientId> {
+        self.records
+            .iter()
+            .filter_map(|(id, client)| Some((client.lingering_since?, *id)))
+            .filter(|(since, _)| now - *since >= limits.new_client_evictable_after)
+            .min()
+            .map(|(_, id)| id)
+    }
+
     /// Returns the idle client to evict first. Clients that have made no API call precede those
     /// that have, and among equals the one idle longest is first. Without this order, clients that
     /// connect and send nothing could displace those that make calls.
--- a/crates/node/src/reducer/connections.rs
+++ b/crates/node/src/reducer/connections.rs
@@ -52,12 +52,27 @@
         }
     }
 
-    /// Closes the client that is first in the order of eviction. Returns whether there is one.
+    /// Closes the client that is first in the order of eviction: one whose late input is only
+    /// discarded, or else an idle one. Returns whether there is one.
     pub(super) fn evict_client(&mut self) -> bool {
+        if self.end_longest_linger() {
+            return true;
+        }
         let evictable = self.clients.first_evictable(self.now, &self.limits);
         self.close_found_client(evictable)
     }
 
+    fn end_longest_linger(&mut self) -> bool {
+        let Some(id) = self.clients.longest_lingering(self.now, &self.limits) else {
+            return false;
+        };
+        if let Some(client) = self.clients.get_mut(id) {
+            client.lingering_since = None;
+        }
+        self.effects.push_back(Effect::EndLinger { client: id });
+        true
+    }
+
     /// Closes an idle client if more clients that have made API calls are connected than the limit
     /// of idle clients.
     pub(super) fn close_surplus_client(&mut self) {
--- a/crates/node/tests/reducer/trace.rs
+++ b/crates/node/tests/reducer/trace.rs
@@ -42,6 +42,7 @@
             client.0,
             silence.as_ms()
         ),
+        Effect::EndLinger { client } => format!("end linger of client {}", client.0),
         Effect::BreakOffValue { client } => format!("break off the value of client {}", client.0),
         Effect::DrainClient { client } => format!("drain client {}", client.0),
     }
--- a/crates/node/tests/sockets/clients.rs
+++ b/crates/node/tests/sockets/clients.rs
@@ -175,3 +175,26 @@
     drop(client);
     assert_eq!(next_report(&reports), "a: closed");
 }
+
+/// Bad clients that connect at once, more than a node of `FEW_SOCKETS` sockets has room for.
+const BAD_CLIENTS: usize = 150;
+const FEW_SOCKETS: &str = r#""limits":{"sockets":64,"memory_mb":32},"#;
+
+// Regression test: clients that stayed after their error kept their sockets for a second, and new
+// clients waited in the listen queue until their calls' time was over.
+#[test]
+fn clients_that_stay_after_their_error_make_room_for_others() {
+    let cache = server("a", channel().0, |_| hit("v"));
+    let node = Node::start(&[("a", cache)], FEW_SOCKETS);
+    let mut bad_clients: Vec<_> = (0..BAD_CLIENTS).map(|_| node.client()).collect();
+    for client in &mut bad_clients {
+        client.send(b"noise\r\n");
+    }
+    let mut usual = node.client();
+    let sent_at = Instant::now();
+    let response = usual.ask(&["OBJ.GET", "k", "id", "c=view,d=1000"]);
+    assert_eq!(response, "v", "after {:?}", sent_at.elapsed());
+    for client in &mut bad_clients {
+        assert!(client.response().starts_with("-ERR Protocol error"));
+    }
+}
