--- a/crates/node/src/discovery/decoder/tests.rs
+++ b/crates/node/src/discovery/decoder/tests.rs
@@ -45,6 +45,24 @@
     }
 }
 
+/// An object whose last bracket stands behind its last, indented entry.
+const CLOSED_BEHIND_AN_ENTRY: &str = r#"{"version":8,"full":true,"servers":[
+  {"id":"a]}","state":"in_service"},
+  {"id":"\"b","state":"terminating"}]}
+"#;
+
+// Regression test: such an object was decoded with the next line only, seconds later.
+#[test]
+fn object_closed_behind_an_indented_entry_is_complete() {
+    assert_eq!(decode_all(CLOSED_BEHIND_AN_ENTRY), "2 of 8; 0 left");
+    let twice = CLOSED_BEHIND_AN_ENTRY.repeat(2);
+    assert_eq!(decode_all(&twice), "2 of 8, 2 of 8; 0 left");
+    for cut in 0..CLOSED_BEHIND_AN_ENTRY.len() {
+        let prefix = &CLOSED_BEHIND_AN_ENTRY[..cut];
+        assert_eq!(decode_all(prefix), format!("; {cut} left"));
+    }
+}
+
 /// A truncated line is reported as malformed with the next line at the latest, even if it ends like
 /// the first line of an object of several lines.
 #[test]
--- a/crates/node/tests/sockets/watch_recovery.rs
+++ b/crates/node/tests/sockets/watch_recovery.rs
@@ -107,8 +107,8 @@
     wait_until_all_responses_are("of b", &mut node.client());
 }
 
-/// The head and a full list with many servers arrive in one write, on one line or indented, with
-/// nothing after them. The list has to be applied without a second request.
+/// The head and a full list with many servers arrive in one write, on one line or indented, in either
+/// form, with nothing after them. The list has to be applied without a second request.
 #[test]
 fn full_list_in_one_write_is_applied() {
     let (sender, _reports) = channel();
@@ -123,7 +123,8 @@
     let one_line = endpoint_list(true, 9, &servers);
     let value: serde_json::Value = serde_json::from_str(&one_line).expect("a list");
     let indented = serde_json::to_string_pretty(&value).expect("a list");
-    for list in [one_line, indented] {
+    let closed_behind_an_entry = one_line.replace("[{", "[\n  {").replace("},{", "},\n  {");
+    for list in [one_line, indented, closed_behind_an_entry] {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let discovery_addr = listener.local_addr().expect("an address");
         let (request_sender, requests) = channel();
