--- a/crates/node/src/clients/admission.rs
+++ b/crates/node/src/clients/admission.rs
@@ -186,16 +186,15 @@
     /// doesn't wait.
     pub(super) fn end_of_memory_wait(&self) -> impl Future<Output = ()> {
         let clock = self.executor.clock;
-        let wait = self.memory_wait.as_ref();
-        let wait = wait.map(|wait| {
-            let retry_at = wait.retry_at.min(wait.until);
-            (wait.request.available(), clock.instant(retry_at))
+        let offer = self.memory_wait.as_ref().map(|wait| {
+            let retry_at = clock.instant(wait.retry_at.min(wait.until));
+            wait.request.offered_by(retry_at)
         });
         async move {
-            let Some((available, retry_at)) = wait else {
-                return std::future::pending().await;
-            };
-            let _ = tokio::time::timeout_at(retry_at, available.notified()).await;
+            match offer {
+                Some(offer) => offer.await,
+                None => std::future::pending().await,
+            }
         }
     }
 
--- a/crates/node/src/memory_budget.rs
+++ b/crates/node/src/memory_budget.rs
@@ -2,9 +2,11 @@
 //! for values, and for responses that are not written yet.
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::rc::Rc;
 
 use tokio::sync::Notify;
+use tokio::time::{timeout_at, Instant};
 
 use crate::limits::Limits;
 use crate::messages::ClientId;
@@ -191,7 +193,7 @@
             bytes: self.counted(bytes).saturating_sub(self.counted_bytes),
             memory_use,
             client: request.client,
-            available: request.available(),
+            available: request.available.clone(),
         };
         let mut all = self.budget.waiting.borrow_mut();
         all.insert(request.ticket, waiting);
@@ -231,10 +233,13 @@
         self
     }
 
-    /// Notified when there is memory for the request. It is not reserved yet: another connection may
-    /// be faster.
-    pub fn available(&self) -> Rc<Notify> {
-        self.available.clone()
+    /// Completes when there may be memory for the request, or at `retry_at`. The memory is not
+    /// reserved yet: another connection may be faster.
+    pub fn offered_by(&self, retry_at: Instant) -> impl Future<Output = ()> {
+        let available = self.available.clone();
+        async move {
+            let _ = timeout_at(retry_at, available.notified()).await;
+        }
     }
 }
 
--- a/crates/node/src/memory_budget/tests.rs
+++ b/crates/node/src/memory_budget/tests.rs
@@ -19,7 +19,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .build()
         .expect("a runtime");
-    let available = request.available();
+    let available = request.available.clone();
     runtime.block_on(async {
         tokio::select! {
             biased;
--- a/crates/node/src/upstreams/admission.rs
+++ b/crates/node/src/upstreams/admission.rs
@@ -4,10 +4,9 @@
 
 use super::Upstream;
 use crate::caches::StatedValue;
-use crate::clock::duration;
 use crate::effects::EffectExecutor;
 use crate::limits::Limits;
-use crate::memory_budget::{MemoryRequest, MemoryUse};
+use crate::memory_budget::MemoryUse;
 
 impl Upstream {
     /// Reserves memory for the bytes that are read next, and for all of their response as far as its
@@ -107,14 +106,15 @@
 
     /// Completes when there may be memory for the response.
     pub(super) fn end_of_memory_wait(&self, executor: &EffectExecutor) -> impl Future<Output = ()> {
+        let clock = executor.clock;
+        let retry_at = clock.instant(clock.now() + executor.limits.memory_retry_interval);
         let wait = self.memory_wait.borrow();
-        let available = wait.as_ref().map(MemoryRequest::available);
-        let retry_interval = duration(executor.limits.memory_retry_interval);
+        let offer = wait.as_ref().map(|request| request.offered_by(retry_at));
         async move {
-            let Some(available) = available else {
-                return std::future::pending().await;
-            };
-            let _ = tokio::time::timeout(retry_interval, available.notified()).await;
+            match offer {
+                Some(offer) => offer.await,
+                None => std::future::pending().await,
+            }
         }
     }
 }
--- a/crates/node/tests/sockets/admin.rs
+++ b/crates/node/tests/sockets/admin.rs
@@ -97,10 +97,7 @@
     let mut client = node.client();
     let call = |i: usize| command(&["OBJ.GET", &format!("k{i}"), &format!("id{i}"), ATTRIBUTES]);
     (0..3).for_each(|i| client.send(&call(i)));
-    assert_eq!(
-        admin_call(addr, "POST /control/out-of-service"),
-        "200 OK: out of service"
-    );
+    leave_service(addr);
     let (started_at, mut sent_count) = (Instant::now(), 3);
     let last = loop {
         let response = client.response();
--- a/crates/node/tests/sockets/closing_races.rs
+++ b/crates/node/tests/sockets/closing_races.rs
@@ -214,10 +214,7 @@
     let mut client = node.client();
     client.send(&command(&["OBJ.GET", "k", "id", ATTRIBUTES]));
     assert_eq!(next_report(&reports), "a: OBJ.GET k id");
-    assert_eq!(
-        admin_call(addr, "POST /control/out-of-service"),
-        "200 OK: out of service"
-    );
+    leave_service(addr);
     // From 1.7 s on clients are disconnected.
     std::thread::sleep(Duration::from_millis(1_800));
     let ids = (0..COMMAND_COUNT).map(|number| format!("id{number}"));
--- a/crates/node/tests/sockets/commands_behind_values.rs
+++ b/crates/node/tests/sockets/commands_behind_values.rs
@@ -89,10 +89,7 @@
         &format!(r#""ops":"{addr}","#),
     );
     assert_pairs_survive(&node, || {
-        assert_eq!(
-            admin_call(addr, "POST /control/out-of-service"),
-            "200 OK: out of service"
-        );
+        leave_service(addr);
     });
 }
 
@@ -111,10 +108,7 @@
     client.send(&command(&["OBJ.GET", "k", "id1", ATTRIBUTES]));
     // The value has begun.
     assert_eq!(read_line(&mut client.0), Some(format!("${LARGE_BYTES}")));
-    assert_eq!(
-        admin_call(addr, "POST /control/out-of-service"),
-        "200 OK: out of service"
-    );
+    leave_service(addr);
     // From 350 ms on the node closes clients that have no command open.
     std::thread::sleep(Duration::from_millis(400));
     client.send(&command(&["OBJ.GET", "k", "id2", ATTRIBUTES]));
--- a/crates/node/tests/sockets/common/admin.rs
+++ b/crates/node/tests/sockets/common/admin.rs
@@ -27,3 +27,11 @@
     let body = response.split_once("\r\n\r\n").map_or("", |parts| parts.1);
     format!("{head}: {body}").trim_end().to_owned()
 }
+
+/// Takes a node out of service, as operators do, by its admin API.
+pub fn leave_service(addr: SocketAddr) {
+    assert_eq!(
+        admin_call(addr, "POST /control/out-of-service"),
+        "200 OK: out of service"
+    );
+}
--- a/crates/node/tests/sockets/partly_read_commands.rs
+++ b/crates/node/tests/sockets/partly_read_commands.rs
@@ -121,10 +121,7 @@
     let (node, release) = node_with_breaking_value(&format!(r#""ops":"{addr}","#));
     let mut client = node.client();
     client.send(&command(&["OBJ.GET", "k", "id1", ATTRIBUTES]));
-    assert_eq!(
-        admin_call(addr, "POST /control/out-of-service"),
-        "200 OK: out of service"
-    );
+    leave_service(addr);
     // From 1.7 s on nothing is read from a client with an open call.
     std::thread::sleep(Duration::from_millis(1_800));
     client.send(&command(&["OBJ.SET", "k", "id2", "c=book,d=30000", "w"]));
--- a/crates/node/tests/sockets/slow_readers.rs
+++ b/crates/node/tests/sockets/slow_readers.rs
@@ -44,10 +44,7 @@
     );
     let mut client = Client::connect_with_small_buffer(node.addr);
     request_long_value(&mut client);
-    assert_eq!(
-        admin_call(addr, "POST /control/out-of-service"),
-        "200 OK: out of service"
-    );
+    leave_service(addr);
     // The node closes idle clients from 350 ms on, and has lingered for 200 ms after that.
     std::thread::sleep(Duration::from_millis(1_000));
     assert_both_are_answered(&mut client);
@@ -133,10 +130,7 @@
     let node = Node::start(&[("a", cache)], &format!(r#""ops":"{addr}","#));
     let mut client = Client::connect_with_small_buffer(node.addr);
     client.send(&command(&["OBJ.GET", "long", "id1", ATTRIBUTES]));
-    assert_eq!(
-        admin_call(addr, "POST /control/out-of-service"),
-        "200 OK: out of service"
-    );
+    leave_service(addr);
     // From 1.5 s on clients are closed together with their last response.
     std::thread::sleep(Duration::from_millis(1_600));
     release.send(()).expect("the server waits");
@@ -190,10 +184,7 @@
     );
     let mut client = Client::connect_with_small_buffer(node.addr);
     request_long_value(&mut client);
-    assert_eq!(
-        admin_call(addr, "POST /control/out-of-service"),
-        "200 OK: out of service"
-    );
+    leave_service(addr);
     // From 1.5 s on the node closes clients without waiting for a pause.
     std::thread::sleep(Duration::from_millis(1_600));
     let value = "w".repeat(20_000);
--- a/crates/node/tests/sockets/socket_activation.rs
+++ b/crates/node/tests/sockets/socket_activation.rs
@@ -78,10 +78,7 @@
     let mut old = node_inheriting(&listener, &text, old_ops);
     let mut kept_client = old.client();
     assert_eq!(kept_client.ask(&["OBJ.GET", "k1", "id1", ATTRIBUTES]), "v");
-    assert_eq!(
-        admin_call(old_ops, "POST /control/out-of-service"),
-        "200 OK: out of service"
-    );
+    leave_service(old_ops);
     assert_eq!(kept_client.response(), "closed");
     // The new process does not know that the old one was out of service, so the node is back in
     // service.
--- a/crates/node/tests/sockets/stalled_closes.rs
+++ b/crates/node/tests/sockets/stalled_closes.rs
@@ -89,10 +89,7 @@
             .keys(&format!(r#""ops":"{addr}","#))
             .start();
         let mut clients = connect_idle(&node);
-        assert_eq!(
-            admin_call(addr, "POST /control/out-of-service"),
-            "200 OK: out of service"
-        );
+        leave_service(addr);
         std::thread::sleep(Duration::from_millis(400));
         send_during_stall(&node, &mut clients, stall);
         assert_answered(&mut clients, stall);
