Count only commands that can't be read towards the limit of errors

Cause: a well-formed call that is refused for what it names counted as a command that can't be done; after 16 of them the client is closed, and what has been read is dropped. Change: such a call gets its error and counts as nothing else. Result: sockets calls_behind_many_of_an_unknown_product_are_answered, new: failed before, passes now; reducer and socket tests pass (61, 137).

--- a/crates/node/src/reducer/call_events.rs
+++ b/crates/node/src/reducer/call_events.rs
@@ -22,8 +22,9 @@
         let product = index_of(&self.names.products, attributes.product);
         let counter = self.product_counters.get(product).copied().flatten();
         if let Some(error) = self.invalid_call(product, &request, &attributes) {
+            // The command is well-formed: it does not count towards the limit of command errors.
             self.state.counters.count(counter, &Response::Error(error));
-            return self.respond_command_error(now, client, error);
+            return self.respond_plain(now, client, format!("-ERR {error}\r\n").into_bytes());
         }
         let Some(slot) = self.state.reserve_response_slot(client) else {
             return;
--- a/crates/node/tests/sockets/clients.rs
+++ b/crates/node/tests/sockets/clients.rs
@@ -92,6 +92,26 @@
     );
 }
 
+// Regression test: a client that went on using a product which the settings had dropped was closed
+// over commands of other products.
+#[test]
+fn calls_behind_many_of_an_unknown_product_are_answered() {
+    const UNKNOWN_CALLS: usize = 40;
+    let node = Node::start(&[("a", server("a", channel().0, |_| hit("v")))], "");
+    let mut client = node.client();
+    let mut bytes = Vec::new();
+    for index in 0..UNKNOWN_CALLS {
+        let id = format!("unknown{index}");
+        bytes.extend(command(&["OBJ.GET", "k", &id, "c=dropped,d=30000"]));
+    }
+    bytes.extend(command(&["OBJ.GET", "k", "known", ATTRIBUTES]));
+    client.send(&bytes);
+    for _ in 0..UNKNOWN_CALLS {
+        assert_eq!(client.response(), "-ERR no such product");
+    }
+    assert_eq!(client.response(), "v");
+}
+
 #[test]
 fn attempt_is_cancelled_when_its_client_disconnects() {
     let (node, reports) = Setup::new().server("a", |_| ServerAction::Ignore).start();
