--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -23,12 +23,15 @@
 mod node;
 #[path = "common/setup.rs"]
 mod setup;
+#[path = "common/timed_server.rs"]
+mod timed_server;
 
 pub use admin::*;
 pub use client::*;
 pub use discovery::*;
 pub use node::*;
 pub use setup::*;
+pub use timed_server::*;
 
 /// Longest time that any event may take, also on a slow machine.
 pub const EVENT_TIMEOUT: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/crates/node/tests/sockets/common/timed_server.rs
@@ -0,0 +1,199 @@
+//! Servers that write each part of a response after a delay that the key of the call states.
+use super::*;
+
+/// The part of a response that comes late; everything before it comes at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LatePart {
+    Head,
+    Body,
+    SecondHalf,
+    LastByte,
+    /// What follows the value in a cache's reply.
+    Trailer,
+}
+
+/// How the end of a value is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// A cache's reply.
+    Reply,
+    /// An origin's body with a content length.
+    Length,
+    /// An origin's body in chunks.
+    Chunks,
+    /// An origin's body that ends with the connection.
+    UntilClose,
+}
+
+/// A response that is late at one part.
+#[derive(Debug, Clone, Copy)]
+pub struct LateResponse {
+    pub framing: Framing,
+    pub late_part: LatePart,
+    pub value_bytes: usize,
+    pub delay: Duration,
+    /// Whether the late part never comes.
+    pub never_ends: bool,
+}
+
+impl LateResponse {
+    /// Returns the key by which servers recognize the response; `name` makes it unique.
+    pub fn key(&self, name: &str) -> String {
+        let LateResponse {
+            framing,
+            late_part,
+            value_bytes,
+            delay,
+            never_ends,
+        } = self;
+        format!(
+            "{}-{}-{value_bytes}-{}-{}-{name}",
+            *framing as u8,
+            *late_part as u8,
+            delay.as_millis(),
+            u8::from(*never_ends),
+        )
+    }
+
+    fn from_key(key: &str) -> Option<LateResponse> {
+        const FRAMINGS: [Framing; 4] = [
+            Framing::Reply,
+            Framing::Length,
+            Framing::Chunks,
+            Framing::UntilClose,
+        ];
+        const PARTS: [LatePart; 5] = [
+            LatePart::Head,
+            LatePart::Body,
+            LatePart::SecondHalf,
+            LatePart::LastByte,
+            LatePart::Trailer,
+        ];
+        let mut numbers = key.split('-').map_while(|word| word.parse::<usize>().ok());
+        Some(LateResponse {
+            framing: FRAMINGS[numbers.next()?],
+            late_part: PARTS[numbers.next()?],
+            value_bytes: numbers.next()?,
+            delay: Duration::from_millis(numbers.next()? as u64),
+            never_ends: numbers.next()? == 1,
+        })
+    }
+
+    /// Returns the value, whose bytes depend on the key.
+    pub fn value(&self, key: &str) -> String {
+        key.repeat(self.value_bytes / key.len() + 1)[..self.value_bytes].to_owned()
+    }
+
+    /// Returns the response in two parts: what comes at once, and what comes late.
+    fn parts(&self, key: &str) -> (Vec<u8>, Vec<u8>) {
+        let value = self.value(key);
+        let size = value.len();
+        let (head, end) = match self.framing {
+            Framing::Reply => (format!("*3\r\n${size}\r\n"), "\r\n$3\r\nhit\r\n$-1\r\n"),
+            Framing::Length => (
+                format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n"),
+                "",
+            ),
+            Framing::Chunks => (
+                format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{size:x}\r\n"),
+                "\r\n0\r\n\r\n",
+            ),
+            Framing::UntilClose => ("HTTP/1.1 200 OK\r\n\r\n".to_owned(), ""),
+        };
+        let split_at = match self.late_part {
+            LatePart::Head => 0,
+            LatePart::Body => head.len(),
+            LatePart::SecondHalf => head.len() + size / 2,
+            LatePart::LastByte => head.len() + size - 1,
+            LatePart::Trailer => head.len() + size,
+        };
+        let mut whole = (head + &value + end).into_bytes();
+        let late = whole.split_off(split_at);
+        (whole, late)
+    }
+}
+
+/// Whether the other side has closed the connection, or ended its sending on it.
+fn has_been_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let ended = match stream.peek(&mut [0]) {
+        Ok(count) => count == 0,
+        Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
+    };
+    let _ = stream.set_nonblocking(false);
+    ended
+}
+
+/// Starts a cache and an origin that respond as the key of each call says. The cache lacks the
+/// values of the origin's framings. Both report "name: cut ID after N ms" where the node closes the
+/// connection before the late part.
+pub fn late_servers(
+    reports: &Sender<String>,
+    cache_names: &[&'static str],
+) -> Vec<(&'static str, SocketAddr)> {
+    cache_names
+        .iter()
+        .chain(&["origin"])
+        .map(|name| {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let (name, reports) = (*name, reports.clone());
+            std::thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let reports = reports.clone();
+                    std::thread::spawn(move || serve_late(name, stream, &reports));
+                }
+            });
+            (name, address)
+        })
+        .collect()
+}
+
+fn serve_late(name: &str, stream: TcpStream, reports: &Sender<String>) {
+    let _ = stream.set_nodelay(true);
+    let is_origin = name == "origin";
+    let mut reader = BufReader::new(stream);
+    let read = if is_origin {
+        read_request
+    } else {
+        read_command
+    };
+    while let Some(words) = read(&mut reader) {
+        let mut words = words.split(' ').skip(1);
+        let key = words
+            .next()
+            .expect("a key")
+            .trim_start_matches('/')
+            .to_owned();
+        let id = words.next().expect("an id");
+        let Some(response) = LateResponse::from_key(&key) else {
+            let prompt = if is_origin {
+                http_bytes("200 OK", &key)
+            } else {
+                hit_bytes(&key)
+            };
+            let _ = reader.get_mut().write_all(&prompt);
+            continue;
+        };
+        let stream = reader.get_mut();
+        if !is_origin && response.framing != Framing::Reply {
+            let _ = stream.write_all(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n");
+            continue;
+        }
+        let (first, late) = response.parts(&key);
+        let started_at = Instant::now();
+        let _ = stream.write_all(&first);
+        while response.never_ends || started_at.elapsed() < response.delay {
+            if has_been_closed(stream) {
+                let after_ms = started_at.elapsed().as_millis();
+                let _ = reports.send(format!("{name}: cut {id} after {after_ms} ms"));
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        let _ = stream.write_all(&late);
+        if response.framing == Framing::UntilClose {
+            return shutdown_write(stream);
+        }
+    }
+}
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -12,6 +12,7 @@
 mod discovery;
 mod ending_logs;
 mod large_values;
+mod late_responses;
 mod memory;
 mod memory_waits;
 mod partly_read_commands;
