Await responses that have begun, and ask another server once they stall

Cause: an attempt whose response had begun was closed when no byte came for the connect timeout (100 ms at the site), whatever time its call had. The bound was there for responses that never end. Class of fault: a fixed bound on silence that ends work which the caller's own time still allows. Change: a pause marks the response as stalled. The policy (stalled_responses.rs) records a failure of the server, frees the attempt's place there and asks another server beside it; where two attempts may not be in flight it replaces the stalled one only when what is left is what another attempt needs. A call that a server has begun to answer is not given up before its deadline. When no socket is left, the response that has stalled longest makes room. What is learnt of a result moved to result_recording.rs, response events to reducer/response_events.rs; the limit is named response_stalled_after, as it ends nothing any more. Why it works: silence alone can't tell a slow server from one that never ends, so both are served: the second by another server, as before, the first by its own rest. Tests: reducer incomplete_response_times_out_before_the_call_deadline asserted the fault itself (a close after 100 of 400 ms); in its place seven traces: awaited until the deadline, another server asked beside it, the origin too, a deduplicated write within its window, replaced late without parallel attempts, served by its rest, and progress that is no stall.

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -115,8 +115,9 @@
     /// Fraction of the time left, from 0 to 1, that writing a large value may take in addition to
     /// `deadline_slack`.
     pub large_value_write_fraction: f64,
-    /// Longest time between two reads of the same response.
-    pub response_gap_timeout: Span,
+    /// Time without a byte after which a response that has begun counts as stalled: other servers are
+    /// asked, and it is awaited on.
+    pub response_stalled_after: Span,
     /// Longest time from the last byte of a streamed value to the end of its response. Its client
     /// awaits that byte meanwhile.
     pub value_end_timeout: Span,
--- a/crates/node/src/limits/derived.rs
+++ b/crates/node/src/limits/derived.rs
@@ -44,8 +44,8 @@
 const DEFAULT_CONNECT_TIMEOUT: Span = Span::ms(250);
 /// Lower bound of the connect timeout.
 const MIN_CONNECT_TIMEOUT: Span = Span::ms(1);
-/// Lower bound of `response_gap_timeout`.
-const MIN_RESPONSE_GAP_TIMEOUT: Span = Span::ms(50);
+/// Lower bound of `response_stalled_after`.
+const MIN_RESPONSE_STALLED_AFTER: Span = Span::ms(50);
 /// How long servers keep idle connections open if the settings don't say.
 const DEFAULT_KEEPALIVE: Span = Span::ms(15_000);
 /// Fraction of the servers' keep-alive time for which the node keeps idle connections: it has to
@@ -155,7 +155,7 @@
         let connect_timeout = settings.span("caps.connect_timeout", DEFAULT_CONNECT_TIMEOUT);
         let keepalive = settings.span("caps.keepalive", DEFAULT_KEEPALIVE);
         self.connect_timeout = connect_timeout.max(MIN_CONNECT_TIMEOUT);
-        self.response_gap_timeout = connect_timeout.max(MIN_RESPONSE_GAP_TIMEOUT);
+        self.response_stalled_after = connect_timeout.max(MIN_RESPONSE_STALLED_AFTER);
         self.upstream_idle_timeout = keepalive.times(KEEPALIVE_SHARE);
         let longest_timeout = products(settings)
             .iter()
--- a/crates/node/src/limits/fixed.rs
+++ b/crates/node/src/limits/fixed.rs
@@ -57,7 +57,7 @@
     // Two thirds of what operators allow, as a stall of the process adds to it.
     deadline_slack: Span::ms(100),
     large_value_write_fraction: 0.5,
-    response_gap_timeout: Span::ZERO,
+    response_stalled_after: Span::ZERO,
     // Operators count a value as lost whose rest is held back for 2 s.
     value_end_timeout: Span::ms(1_500),
     streaming_stall_timeout: Span::ms(5_000),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -29,6 +29,8 @@
     pub attempts: u64,
     /// How attempts have ended.
     pub attempt_ends: AttemptEndCounts,
+    /// How many times a response that had begun has stalled.
+    pub stalled_responses: u64,
     /// Values that broke off while they were streamed to a client.
     pub broken_values: u64,
     /// Upstreams that were closed because their server sent bytes that no attempt awaited.
--- a/crates/node/src/reducer/attempt_end.rs
+++ b/crates/node/src/reducer/attempt_end.rs
@@ -1,5 +1,5 @@
 //! How attempts end: counts every end, and logs those that are no ordinary response.
-use quartzhub_policy::{CallIndex, Outcome, Span};
+use quartzhub_policy::{CallIndex, Outcome, ResponseProgress, Span};
 
 use super::calls::AttemptId;
 use super::node_state::NodeState;
@@ -14,8 +14,8 @@
     WriteTimeout,
     /// The response was not complete at the deadline of the attempt.
     ResponseTimeout,
-    /// No further bytes of the response arrived within the response gap timeout.
-    ResponseGap,
+    /// The response had stalled, and its socket was needed for another connection.
+    SocketNeeded,
     /// The connection failed, broke, or was closed by the server.
     ConnectionBroken,
     /// The server's bytes are no response.
@@ -30,7 +30,7 @@
             EndReason::ConnectTimeout => "the connect timed out",
             EndReason::WriteTimeout => "writing the request timed out",
             EndReason::ResponseTimeout => "the response is not complete in time",
-            EndReason::ResponseGap => "the response has stalled",
+            EndReason::SocketNeeded => "its socket is needed",
             EndReason::ConnectionBroken => "the connection broke",
             EndReason::MalformedResponse => "the response is malformed",
             EndReason::ServerError => "the server responded with an error",
@@ -44,9 +44,13 @@
         UpstreamUse::Connecting { .. } => "connecting",
         UpstreamUse::Reserved { .. } => "waiting for an upstream",
         UpstreamUse::InFlight {
-            response_started: true,
+            response: ResponseProgress::Arriving,
             ..
         } => "response begun",
+        UpstreamUse::InFlight {
+            response: ResponseProgress::Stalled,
+            ..
+        } => "response stalled",
         UpstreamUse::InFlight {
             request_written: true,
             ..
@@ -96,6 +100,27 @@
         );
     }
 
+    /// Logs a response that has begun, of which nothing more has arrived for a while.
+    pub(super) fn log_stalled_response(&self, upstream: &Upstream, attempt: AttemptId) {
+        let Some(call) = self.calls.get(attempt.call) else {
+            return;
+        };
+        let Some(address) = self.servers[upstream.server].addr else {
+            return;
+        };
+        let id = call.request.id.as_str();
+        let silent_ms = (self.now - upstream.last_progress).as_ms();
+        let left_ms = (call.deadline - self.now).as_ms();
+        tracing::info!(
+            id,
+            server = %address,
+            silent_ms,
+            left_ms,
+            "response to call {id} from {address} has stalled: no bytes for {silent_ms:.0} ms, \
+             {left_ms:.0} ms left"
+        );
+    }
+
     /// Logs a call that gets no value although attempts of it were made.
     pub(super) fn log_unsuccessful_call(&self, index: CallIndex, response: &'static str) {
         let Some(call) = self.calls.get(index).filter(|call| !call.finished) else {
--- a/crates/node/src/reducer/attempts.rs
+++ b/crates/node/src/reducer/attempts.rs
@@ -1,7 +1,7 @@
 //! Opens upstreams for attempts and writes attempts on them.
 use std::rc::Rc;
 
-use quartzhub_policy::{CallIndex, EndpointState, Outcome, Span, Time};
+use quartzhub_policy::{CallIndex, EndpointState, Outcome, ResponseProgress, Span, Time};
 
 use super::calls::AttemptId;
 use super::node_state::NodeState;
@@ -72,7 +72,7 @@
                 attempt,
                 request_written: false,
                 new_connection,
-                response_started: false,
+                response: ResponseProgress::Awaited,
             };
         }
         if let Some(record) = self.calls.attempt_mut(attempt) {
--- a/crates/node/src/reducer/call_events.rs
+++ b/crates/node/src/reducer/call_events.rs
@@ -51,7 +51,7 @@
         };
         self.balancer
             .on_call(now, index, call_request, &mut self.state);
-        self.report_finished_attempts();
+        self.report_attempt_events();
     }
 
     /// Returns the error text for a call that no server could use, or that a server would take for
--- a/crates/node/src/reducer/calls.rs
+++ b/crates/node/src/reducer/calls.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use quartzhub_policy::{CallIndex, Outcome, ServerIndex, Time};
+use quartzhub_policy::{CallIndex, Outcome, ResponseProgress, ServerIndex, Time};
 use quartzhub_settings::CallTable;
 
 use super::clients::ResponseSlot;
@@ -28,10 +28,19 @@
     pub(super) upstream: Option<UpstreamId>,
 }
 
-/// A finished attempt that has not been reported to the policy yet.
-pub(super) struct FinishedAttempt {
+/// What the policy is to be told of an attempt.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum AttemptEvent {
+    /// Its response has begun, has stalled, or goes on.
+    Progress(ResponseProgress),
+    /// It has ended.
+    Finished(Outcome),
+}
+
+/// An event of an attempt that has not been reported to the policy yet.
+pub(super) struct AttemptReport {
     pub(super) attempt: AttemptId,
-    pub(super) outcome: Outcome,
+    pub(super) event: AttemptEvent,
 }
 
 /// An API call, and the client that made it.
--- a/crates/node/src/reducer/client_events.rs
+++ b/crates/node/src/reducer/client_events.rs
@@ -63,7 +63,7 @@
                     .on_client_cancelled(now, index, &mut self.state);
             }
         }
-        self.report_finished_attempts();
+        self.report_attempt_events();
     }
 
     /// Returns whether one more client can be accepted. If not, an idle connection is closed to
--- a/crates/node/src/reducer/connections.rs
+++ b/crates/node/src/reducer/connections.rs
@@ -1,9 +1,8 @@
 //! Closes clients' connections and upstreams: when their time is over, and to free a socket for
 //! another connection.
-use quartzhub_policy::{EndpointState, Outcome, ServerIndex, Span, Time};
+use quartzhub_policy::{EndpointState, Outcome, ResponseProgress, ServerIndex, Span, Time};
 
 use super::attempt_end::EndReason;
-use super::calls::AttemptId;
 use super::node_state::NodeState;
 use super::servers::Server;
 use super::timers::Timer;
@@ -102,12 +101,13 @@
         self.socket_count() + self.limits.client_only_sockets >= self.limits.sockets
     }
 
-    /// Closes the least useful idle connection, so that a new upstream can be opened. Returns
-    /// whether any connection is idle.
+    /// Closes the least useful connection, so that a new upstream can be opened: an idle one, or else
+    /// an upstream whose response has stalled. Returns whether there is one.
     pub(super) fn free_socket_for_upstream(&mut self) -> bool {
         self.evict_client()
             || self.close_longest_idle_upstream()
             || self.close_longest_idle_client()
+            || self.close_longest_stalled_upstream()
     }
 
     /// Removes an upstream from all tables. Its socket is closed by an effect, or closed already.
@@ -195,6 +195,9 @@
         if let UpstreamUse::Reserved { attempt } = upstream.current_use {
             return self.write_attempt(id, attempt, false);
         }
+        if self.record_stall(id) {
+            return;
+        }
         let Some(upstream) = self.close_upstream(id) else {
             return;
         };
@@ -208,13 +211,9 @@
             }
             UpstreamUse::InFlight {
                 attempt,
-                response_started: true,
+                response: ResponseProgress::Arriving | ResponseProgress::Stalled,
                 ..
-            } => (
-                attempt,
-                Outcome::ServerError,
-                self.incomplete_reason(attempt),
-            ),
+            } => (attempt, Outcome::ServerError, EndReason::ResponseTimeout),
             UpstreamUse::InFlight {
                 attempt,
                 request_written: true,
@@ -234,14 +233,49 @@
         self.end_attempt(&upstream, attempt, outcome, reason);
     }
 
-    /// Returns why an attempt whose response has begun has reached the deadline of its upstream.
-    fn incomplete_reason(&self, attempt: AttemptId) -> EndReason {
+    /// If a response that has begun has stalled, records that and lets it go on until the deadline of
+    /// its attempt. Returns whether it did.
+    fn record_stall(&mut self, id: UpstreamId) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return false;
+        };
+        let UpstreamUse::InFlight {
+            attempt,
+            response: response @ ResponseProgress::Arriving,
+            ..
+        } = &mut upstream.current_use
+        else {
+            return false;
+        };
+        let attempt = *attempt;
         let deadline = self.calls.attempt(attempt).map(|record| record.deadline);
-        if deadline.is_some_and(|deadline| self.now < deadline) {
-            EndReason::ResponseGap
-        } else {
-            EndReason::ResponseTimeout
-        }
+        let Some(deadline) = deadline.filter(|deadline| self.now < *deadline) else {
+            return false;
+        };
+        *response = ResponseProgress::Stalled;
+        let upstream = *upstream;
+        self.stalled_responses += 1;
+        self.log_stalled_response(&upstream, attempt);
+        self.set_upstream_deadline(id, deadline);
+        self.report_progress(attempt, ResponseProgress::Stalled);
+        true
+    }
+
+    /// Closes the upstream whose response has stalled longest. Returns whether any has stalled.
+    fn close_longest_stalled_upstream(&mut self) -> bool {
+        let Some((id, attempt)) = self.upstreams.longest_stalled() else {
+            return false;
+        };
+        let Some(upstream) = self.close_upstream(id) else {
+            return false;
+        };
+        self.end_attempt(
+            &upstream,
+            attempt,
+            Outcome::ServerError,
+            EndReason::SocketNeeded,
+        );
+        true
     }
 
     fn close_found_client(&mut self, found: Option<ClientId>) -> bool {
--- a/crates/node/src/reducer/endpoint_events.rs
+++ b/crates/node/src/reducer/endpoint_events.rs
@@ -56,7 +56,7 @@
         self.state.release_reserved_upstreams_of_unready_servers();
         self.balancer
             .on_endpoint_list(now, update.full, endpoints.into_iter(), &mut self.state);
-        self.report_finished_attempts();
+        self.report_attempt_events();
     }
 
     /// Applies the entries of an update, in their order. New servers beyond the limit are ignored,
@@ -112,7 +112,7 @@
         self.state.release_reserved_upstreams_of_unready_servers();
         self.balancer
             .on_endpoint_list(now, false, endpoints.into_iter(), &mut self.state);
-        self.report_finished_attempts();
+        self.report_attempt_events();
     }
 
     /// Returns a listed server in the form passed to the policy, in its current state.
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -10,7 +10,7 @@
 //! - `attempts`, `upstream_reuse`, `responses`, `connections`: steps that involve several tables.
 use std::rc::Rc;
 
-use quartzhub_policy::{AttemptResult, Balancer, CallIndex, NodeLoad, Product, Time};
+use quartzhub_policy::{AttemptResult, Balancer, CallIndex, NodeLoad, Outcome, Product, Time};
 use quartzhub_settings::{policy_config, products, NameTable, Settings};
 use rustc_hash::FxHashMap;
 
@@ -31,6 +31,7 @@
 mod listed_endpoint;
 mod node_state;
 mod policy_actions;
+mod response_events;
 mod responses;
 mod reuse_delay;
 mod servers;
@@ -41,7 +42,7 @@
 mod upstream_reuse;
 mod upstreams;
 
-use calls::Call;
+use calls::{AttemptEvent, AttemptId, AttemptReport, Call};
 pub use endpoint_events::DrainRejected;
 use endpoint_list::EndpointListRules;
 use node_state::NodeState;
@@ -144,7 +145,7 @@
     pub fn start(&mut self, now: Time) {
         self.advance_clock(now);
         self.balancer.start(now, &mut self.state);
-        self.report_finished_attempts();
+        self.report_attempt_events();
     }
 
     /// Takes the next effect to carry out. Writes and connects of an upstream that is closed
@@ -193,7 +194,7 @@
                 Timer::IdleClients => self.state.close_idle_clients(),
                 Timer::Call(index) => self.on_call_overdue(now, index),
             }
-            self.report_finished_attempts();
+            self.report_attempt_events();
         }
     }
 
@@ -216,27 +217,39 @@
         self.state.now = self.state.now.max(now);
     }
 
-    /// Reports finished attempts to the policy until the queue is empty, including those that the
-    /// policy itself finishes in response.
-    fn report_finished_attempts(&mut self) {
-        while let Some(finished) = self.state.finished_attempts.pop_front() {
-            let id = finished.attempt;
-            let Some(call) = self.state.calls.get(id.call) else {
-                continue;
-            };
-            let Some(attempt) = call.attempts.get(id.index) else {
-                continue;
-            };
-            let result = AttemptResult {
-                attempt: id.index,
-                outcome: finished.outcome,
-                latency: self.state.now - attempt.started,
-                call_finished: call.finished,
-            };
-            self.balancer
-                .on_attempt_result(self.state.now, id.call, result, &mut self.state);
+    /// Reports events of attempts to the policy until the queue is empty, including those that the
+    /// policy itself causes in response.
+    fn report_attempt_events(&mut self) {
+        while let Some(AttemptReport { attempt, event }) = self.state.attempt_reports.pop_front() {
+            match event {
+                AttemptEvent::Progress(progress) => self.balancer.on_response_progress(
+                    self.state.now,
+                    attempt.call,
+                    attempt.index,
+                    progress,
+                    &mut self.state,
+                ),
+                AttemptEvent::Finished(outcome) => self.report_finished_attempt(attempt, outcome),
+            }
         }
     }
+
+    fn report_finished_attempt(&mut self, id: AttemptId, outcome: Outcome) {
+        let Some(call) = self.state.calls.get(id.call) else {
+            return;
+        };
+        let Some(attempt) = call.attempts.get(id.index) else {
+            return;
+        };
+        let result = AttemptResult {
+            attempt: id.index,
+            outcome,
+            latency: self.state.now - attempt.started,
+            call_finished: call.finished,
+        };
+        self.balancer
+            .on_attempt_result(self.state.now, id.call, result, &mut self.state);
+    }
 }
 
 /// A table with fewer entries than its capacity divided by this is shrunk.
--- a/crates/node/src/reducer/node_state.rs
+++ b/crates/node/src/reducer/node_state.rs
@@ -2,9 +2,9 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
-use quartzhub_policy::{CallIndex, Outcome, Span, Time};
+use quartzhub_policy::{CallIndex, Outcome, ResponseProgress, Span, Time};
 
-use super::calls::{AttemptId, Calls, FinishedAttempt};
+use super::calls::{AttemptEvent, AttemptId, AttemptReport, Calls};
 use super::clients::Clients;
 use super::servers::Servers;
 use super::stall::StallDetector;
@@ -20,9 +20,8 @@
 /// the effects that the sockets are to carry out.
 ///
 /// The reducer lends it to the policy for the duration of each policy call, and the policy acts on
-/// it through `PolicyActions`. Code on this type therefore can't call the policy: a finished
-/// attempt is queued in `finished_attempts`, and the reducer reports it once the policy has
-/// returned.
+/// it through `PolicyActions`. Code on this type therefore can't call the policy: an event of an
+/// attempt is queued in `attempt_reports`, and the reducer reports it once the policy has returned.
 pub(super) struct NodeState {
     /// The time of the latest event.
     pub(super) now: Time,
@@ -32,13 +31,15 @@
     pub(super) clients: Clients,
     pub(super) upstreams: Upstreams,
     pub(super) timers: Timers,
-    pub(super) finished_attempts: VecDeque<FinishedAttempt>,
+    pub(super) attempt_reports: VecDeque<AttemptReport>,
     pub(super) effects: VecDeque<Effect>,
     pub(super) service: ServiceState,
     pub(super) counters: ProductCounters,
     /// Number of attempts written in full, to a cache or to the origin.
     pub(super) written_attempts: u64,
     pub(super) attempt_ends: AttemptEndCounts,
+    /// Number of times that a response has stalled.
+    pub(super) stalled_responses: u64,
     /// Number of streamed values whose rest never came.
     pub(super) broken_values: u64,
     pub(super) unsolicited: UnsolicitedCounts,
@@ -63,12 +64,13 @@
             clients: Clients::default(),
             upstreams: Upstreams::default(),
             timers: Timers::default(),
-            finished_attempts: VecDeque::new(),
+            attempt_reports: VecDeque::new(),
             effects: VecDeque::new(),
             service: ServiceState::default(),
             counters,
             written_attempts: 0,
             attempt_ends: AttemptEndCounts::default(),
+            stalled_responses: 0,
             broken_values: 0,
             unsolicited: UnsolicitedCounts::default(),
             reuse_waits: 0,
@@ -101,8 +103,16 @@
         };
         record.upstream = None;
         self.attempt_ends.count(outcome);
-        self.finished_attempts
-            .push_back(FinishedAttempt { attempt, outcome });
+        let event = AttemptEvent::Finished(outcome);
+        self.attempt_reports
+            .push_back(AttemptReport { attempt, event });
+    }
+
+    /// Queues a change in how far the response to an attempt has come, to be reported to the policy.
+    pub(super) fn report_progress(&mut self, attempt: AttemptId, progress: ResponseProgress) {
+        let event = AttemptEvent::Progress(progress);
+        self.attempt_reports
+            .push_back(AttemptReport { attempt, event });
     }
 
     /// Schedules the timer that ends an API call with an error if it has no final response by
--- a/crates/node/src/reducer/service_events.rs
+++ b/crates/node/src/reducer/service_events.rs
@@ -93,6 +93,7 @@
             responses: state.counters.all(),
             attempts: state.written_attempts,
             attempt_ends: state.attempt_ends,
+            stalled_responses: state.stalled_responses,
             broken_values: state.broken_values,
             unsolicited_responses: state.unsolicited.total,
             late_unsolicited_responses: state.unsolicited.late,
--- a/crates/node/src/reducer/upstreams.rs
+++ b/crates/node/src/reducer/upstreams.rs
@@ -1,5 +1,5 @@
 //! Upstreams (connections to servers), and the current use of each.
-use quartzhub_policy::{ServerIndex, Time};
+use quartzhub_policy::{ResponseProgress, ServerIndex, Time};
 use rustc_hash::FxHashMap;
 
 use super::calls::AttemptId;
@@ -29,8 +29,7 @@
         request_written: bool,
         /// The attempt is the first on this connection.
         new_connection: bool,
-        /// The first bytes of the response have been received.
-        response_started: bool,
+        response: ResponseProgress,
     },
     /// The value of a response is forwarded to a client as it is received. The response is final:
     /// the API call gets no other.
@@ -139,6 +138,22 @@
             .map(|(id, _)| *id)
     }
 
+    /// Returns the upstream whose response has stalled longest, and its attempt.
+    pub(super) fn longest_stalled(&self) -> Option<(UpstreamId, AttemptId)> {
+        self.records
+            .iter()
+            .filter_map(|(id, upstream)| match upstream.current_use {
+                UpstreamUse::InFlight {
+                    attempt,
+                    response: ResponseProgress::Stalled,
+                    ..
+                } => Some((upstream.last_progress, *id, attempt)),
+                _ => None,
+            })
+            .min_by_key(|(since, id, _)| (*since, *id))
+            .map(|(_, id, attempt)| (id, attempt))
+    }
+
     /// Returns the reserved upstreams, each with the attempt that waits for it and its server.
     pub(super) fn reserved(&self) -> Vec<(UpstreamId, AttemptId, ServerIndex)> {
         self.records
--- a/crates/node/tests/reducer/common.rs
+++ b/crates/node/tests/reducer/common.rs
@@ -146,6 +146,13 @@
         });
     }
 
+    /// Reports the first bytes, or further ones, of a response on the upstream with this id.
+    pub fn respond_in_part(&mut self, upstream: u64) {
+        self.report("partial response", |reducer, now| {
+            reducer.on_partial_response(now, UpstreamId(upstream))
+        });
+    }
+
     /// Reports bytes on the upstream with this id that no attempt awaits.
     pub fn send_unsolicited(&mut self, upstream: u64) {
         self.report("unsolicited", |reducer, now| {
--- a/crates/node/tests/reducer/main.rs
+++ b/crates/node/tests/reducer/main.rs
@@ -8,6 +8,7 @@
 mod random;
 mod rejections;
 mod remaining;
+mod stalled_responses;
 mod trace;
 mod upstream_reuse;
 mod upstream_waits;
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -19,6 +19,8 @@
 mod client;
 #[path = "common/discovery.rs"]
 mod discovery;
+#[path = "common/late_site.rs"]
+mod late_site;
 #[path = "common/node.rs"]
 mod node;
 #[path = "common/setup.rs"]
@@ -29,6 +31,7 @@
 pub use admin::*;
 pub use client::*;
 pub use discovery::*;
+pub use late_site::*;
 pub use node::*;
 pub use setup::*;
 pub use timed_server::*;
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -13,6 +13,17 @@
     MayHaveExecuted,
 }
 
+/// How far the response to an attempt in flight has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseProgress {
+    /// No byte of it has arrived.
+    Awaited,
+    /// It has begun, and its bytes keep arriving.
+    Arriving,
+    /// It has begun, and nothing more of it has arrived for a while. It may still become complete.
+    Stalled,
+}
+
 /// Why an attempt is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AttemptCause {
@@ -30,6 +41,10 @@
     pub(crate) sent: Time,
     pub(crate) state: AttemptState,
     pub(crate) cause: AttemptCause,
+    pub(crate) response: ResponseProgress,
+    /// Whether it no longer counts as in flight at its server, and its failure has been recorded, as
+    /// its response has stalled at some time.
+    pub(crate) released: bool,
     /// Whether it was charged to the retry budget.
     pub(crate) charged: bool,
     /// Whether it counts as an attempt in flight in `CacheLoad`, which estimates queueing from
@@ -47,6 +62,8 @@
             sent,
             state: AttemptState::InFlight,
             cause,
+            response: ResponseProgress::Awaited,
+            released: false,
             charged: false,
             counted_in_load: false,
             uses_write_slot: false,
@@ -57,4 +74,14 @@
     pub(crate) fn is_in_flight(&self) -> bool {
         self.state == AttemptState::InFlight
     }
+
+    /// Returns whether its response has begun and may still become complete.
+    pub(crate) fn is_receiving(&self) -> bool {
+        self.is_in_flight() && self.response != ResponseProgress::Awaited
+    }
+
+    /// Returns whether its response has begun and has stalled.
+    pub(crate) fn is_stalled(&self) -> bool {
+        self.is_in_flight() && self.response == ResponseProgress::Stalled
+    }
 }
--- a/crates/policy/src/attempt_completion.rs
+++ b/crates/policy/src/attempt_completion.rs
@@ -4,15 +4,16 @@
 use crate::attempt_result::{AttemptResult, Outcome};
 use crate::balancer::Balancer;
 use crate::endpoint::ServerIndex;
-use crate::outlier_detection::SLOW_RESPONSE_RATIO;
 use crate::request::CallIndex;
 use crate::time::Time;
 
-/// An attempt that has just ended.
-struct EndedAttempt {
-    server: ServerIndex,
-    cause: AttemptCause,
-    uses_write_slot: bool,
+/// An attempt that has just ended, or whose response has stalled.
+pub(crate) struct EndedAttempt {
+    pub(crate) server: ServerIndex,
+    pub(crate) cause: AttemptCause,
+    pub(crate) uses_write_slot: bool,
+    /// Whether it was recorded before, as its response had stalled.
+    pub(crate) released: bool,
 }
 
 impl Balancer {
@@ -63,21 +64,11 @@
         let Some(attempt) = self.end_attempt(index, result) else {
             return;
         };
-        self.update_key_limiter(index, result);
         let from_origin = self.servers[attempt.server.0].is_origin;
-        if from_origin {
-            let call = &self.calls[index.0];
-            self.origin.record(
-                result,
-                call.product.latency_objective,
-                call.write,
-                attempt.uses_write_slot,
-            );
+        if attempt.released {
+            self.record_key_result(index, &attempt, result);
         } else {
-            self.record_cache_result(index, attempt.server, result);
-        }
-        if attempt.cause == AttemptCause::Overdue && result.outcome != Outcome::NotSent {
-            self.hedge_tokens.record(result.outcome == Outcome::Success);
+            self.record_result(index, &attempt, result);
         }
         if self.calls[index.0].finished {
             return self.release_if_done(index, actions);
@@ -122,110 +113,35 @@
         } else {
             AttemptState::MayHaveExecuted
         };
-        self.cache_load.remove(attempt);
         let server = &mut self.servers[attempt.server.0];
-        server.in_flight = server.in_flight.saturating_sub(1);
         server.last_used = self.now;
         let is_good = matches!(result.outcome, Outcome::Success | Outcome::Miss);
         if is_good && server.delisted_since.is_some() {
             server.delisted_since = Some(self.now);
         }
-        Some(EndedAttempt {
-            server: attempt.server,
-            cause: attempt.cause,
-            uses_write_slot: attempt.uses_write_slot,
-        })
+        self.release_attempt(index, result.attempt)
     }
 
-    /// Adjusts the concurrency limit of a key that fails at every cache.
-    fn update_key_limiter(&mut self, index: CallIndex, result: &AttemptResult) {
-        let call = &self.calls[index.0];
-        let Some(limiter) = self.key_health.limiter(call.key) else {
-            return;
-        };
-        let target = call.product.latency_objective.times(SLOW_RESPONSE_RATIO);
-        match result.outcome {
-            Outcome::Success => {
-                limiter.record_response(1.0 - result.latency.0 as f64 / target.0 as f64);
-            }
-            Outcome::ServerError | Outcome::TimedOut => limiter.record_response(-1.0),
-            _ => {}
-        }
-    }
-
-    fn record_cache_result(
+    /// Stops counting an attempt as in flight at its server.
+    pub(crate) fn release_attempt(
         &mut self,
         index: CallIndex,
-        cache: ServerIndex,
-        result: &AttemptResult,
-    ) {
-        self.record_cache_response(index, cache, result);
-        let server = &self.servers[cache.0];
-        let was_healthy = !self.outliers.is_outlier(server, self.now);
-        self.record_key_outcome(index, cache, result);
-        let call = &self.calls[index.0];
-        self.outliers.record(
-            &mut self.servers[cache.0],
-            result,
-            call.product.latency_objective,
-            self.key_health.is_limited(call.key),
-            self.now,
-        );
-        if was_healthy && result.outcome != Outcome::NotSent {
-            self.admission
-                .record_attempt(result.outcome == Outcome::Overloaded);
+        attempt_index: usize,
+    ) -> Option<EndedAttempt> {
+        let call = self.calls.get_mut(index.0)?;
+        let attempt = call.attempts.get_mut(attempt_index)?;
+        let was_released = std::mem::replace(&mut attempt.released, true);
+        if !was_released {
+            self.cache_load.remove(attempt);
+            let server = &mut self.servers[attempt.server.0];
+            server.in_flight = server.in_flight.saturating_sub(1);
         }
-    }
-
-    /// Records a response in the caches' load, or a refused connection.
-    fn record_cache_response(
-        &mut self,
-        index: CallIndex,
-        cache: ServerIndex,
-        result: &AttemptResult,
-    ) {
-        let server = &mut self.servers[cache.0];
-        match result.outcome {
-            Outcome::Unreachable => {
-                server.refused_connections += 1;
-                server.connected = server.in_flight > 0;
-                self.idle_connections.record_refused();
-            }
-            Outcome::Success | Outcome::Miss => {
-                server.refused_connections = 0;
-                let product = match result.outcome {
-                    Outcome::Miss => None,
-                    _ => Some(self.calls[index.0].product_index),
-                };
-                self.cache_load.record_response(result.latency, product);
-                self.idle_connections.record_response();
-            }
-            _ => {}
-        }
-    }
-
-    /// Records how an attempt at a cache ended for the call's key.
-    fn record_key_outcome(&mut self, index: CallIndex, cache: ServerIndex, result: &AttemptResult) {
-        let call = &self.calls[index.0];
-        let latency_objective = call.product.latency_objective;
-        let is_late = self.key_health.late_responses_are_failures
-            && result.latency.0 as f64 > self.outliers.slow_micros(latency_objective);
-        let is_good = match result.outcome {
-            Outcome::Success | Outcome::Miss => Some(!is_late),
-            Outcome::ServerError => Some(false),
-            Outcome::TimedOut if is_late => Some(false),
-            _ => None,
-        };
-        if let Some(is_good) = is_good {
-            self.key_health.record(call.key, cache, is_good, self.now);
-        }
-        let target = latency_objective.times(SLOW_RESPONSE_RATIO);
-        self.key_health.limit_if_failing(
-            call.key,
-            self.outliers.fleet_success_ratio,
-            target.0 as f64,
-            self.now,
-        );
+        Some(EndedAttempt {
+            server: attempt.server,
+            cause: attempt.cause,
+            uses_write_slot: attempt.uses_write_slot,
+            released: was_released,
+        })
     }
 
     /// Routes the call to the origin next if a cache has missed, with an attempt outside the retry
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -75,6 +75,19 @@
             .count()
     }
 
+    /// Returns the number of attempts in flight whose response has not stalled.
+    pub(crate) fn active(&self) -> usize {
+        self.attempts
+            .iter()
+            .filter(|attempt| attempt.is_in_flight() && !attempt.is_stalled())
+            .count()
+    }
+
+    /// Returns whether a server has begun to respond to it, so that it may still be served.
+    pub(crate) fn is_receiving(&self) -> bool {
+        self.attempts.iter().any(Attempt::is_receiving)
+    }
+
     /// Returns the first attempt that may have been executed, or may still be.
     pub(crate) fn first_possibly_executed(&self) -> Option<&Attempt> {
         self.attempts
--- a/crates/policy/src/coalescing.rs
+++ b/crates/policy/src/coalescing.rs
@@ -66,6 +66,17 @@
         }
     }
 
+    /// Ends a fetch of a key and routes the calls that waited for it.
+    pub(crate) fn end_fetch(
+        &mut self,
+        key: u64,
+        filled_cache: Option<ServerIndex>,
+        actions: &mut impl PolicyActions,
+    ) {
+        let waiters = self.coalescing.finish(key);
+        self.release_waiters(waiters, filled_cache, actions);
+    }
+
     /// Routes the calls that waited for a fetch. Reads that have missed go to `filled_cache`, the
     /// cache that has just received their object, if there is one.
     pub(crate) fn release_waiters(
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -62,15 +62,20 @@
     fn overdue_after(&self, index: CallIndex, target: ServerIndex) -> Span {
         let call = &self.calls[index.0];
         let latency_objective = call.product.latency_objective;
-        let micros = if self.servers[target.0].is_origin {
-            self.origin.target_micros(latency_objective, call.write)
+        if self.servers[target.0].is_origin {
+            Span(self.origin.target_micros(latency_objective, call.write) as i64)
         } else {
-            let objective_micros = latency_objective.0 as f64;
-            self.outliers.p95_micros.clamp(
-                MIN_HEDGE_DELAY_RATIO * objective_micros,
-                MAX_HEDGE_DELAY_RATIO * objective_micros,
-            )
-        };
+            self.cache_overdue_after(latency_objective)
+        }
+    }
+
+    /// Returns the time after which an attempt at a cache is overdue.
+    pub(crate) fn cache_overdue_after(&self, latency_objective: Span) -> Span {
+        let objective_micros = latency_objective.0 as f64;
+        let micros = self.outliers.p95_micros.clamp(
+            MIN_HEDGE_DELAY_RATIO * objective_micros,
+            MAX_HEDGE_DELAY_RATIO * objective_micros,
+        );
         Span(micros as i64)
     }
 }
--- a/crates/policy/src/finish.rs
+++ b/crates/policy/src/finish.rs
@@ -19,6 +19,7 @@
         let others_in_flight = call.in_flight() > 0;
         let may_retry = self.retry_policy.permits_additional(call, self.now)
             && (self.retry_policy.may_duplicate || !others_in_flight);
+        let others_active = call.active() > 0;
         // A hedged request may already be at the origin when a cache misses; a second fetch would
         // be redundant.
         let is_fetching = call.leads_fetch
@@ -26,7 +27,7 @@
                 .attempts
                 .iter()
                 .any(|attempt| attempt.is_in_flight() && self.servers[attempt.server.0].is_origin);
-        let waits_for_others = others_in_flight && (!may_retry || !call.missed || is_fetching);
+        let waits_for_others = others_active && (!may_retry || !call.missed || is_fetching);
         if call.phase != CallPhase::InFlight || waits_for_others {
             return;
         }
@@ -39,12 +40,15 @@
     }
 
     /// Gives the final response: a rejection with a Retry-After if rule 2 permits it, otherwise an
-    /// error.
+    /// error. A call to which a server has begun to respond waits for the rest instead.
     pub(crate) fn give_up(&mut self, index: CallIndex, actions: &mut impl PolicyActions) {
         let call = &self.calls[index.0];
         if call.finished {
             return;
         }
+        if call.is_receiving() {
+            return self.await_response(index, actions);
+        }
         if rules::may_be_rejected(call, self.now) {
             let safe_window = rules::safe_retry_window(call, self.now);
             let max_delay = call.product.client_timeout.min(safe_window);
@@ -75,7 +79,6 @@
         let call = &mut self.calls[index.0];
         call.finished = true;
         let held_key_slot = std::mem::take(&mut call.holds_key_slot);
-        let led_fetch = std::mem::take(&mut call.leads_fetch);
         let key = call.key;
         if held_key_slot {
             if let Some(limiter) = self.key_health.limiter(key) {
@@ -84,10 +87,26 @@
         }
         self.origin.queue.retain(|other| *other != index);
         self.cancel_attempts(index, None, actions);
+        let led_fetch = std::mem::take(&mut self.calls[index.0].leads_fetch);
         self.release_if_done(index, actions);
         if led_fetch {
-            let waiters = self.coalescing.finish(key);
-            self.release_waiters(waiters, filled_cache, actions);
+            self.end_fetch(key, filled_cache, actions);
+        }
+    }
+
+    /// Lets a call wait for the attempts in flight: it makes no others meanwhile.
+    fn await_response(&mut self, index: CallIndex, actions: &mut impl PolicyActions) {
+        self.origin.queue.retain(|other| *other != index);
+        let servers = &self.servers;
+        let call = &mut self.calls[index.0];
+        call.phase = CallPhase::InFlight;
+        let is_fetching = call
+            .attempts
+            .iter()
+            .any(|attempt| attempt.is_in_flight() && servers[attempt.server.0].is_origin);
+        if !is_fetching && std::mem::take(&mut call.leads_fetch) {
+            let key = call.key;
+            self.end_fetch(key, None, actions);
         }
     }
 
--- a/crates/policy/src/hedging.rs
+++ b/crates/policy/src/hedging.rs
@@ -80,10 +80,14 @@
         let Some(overdue) = call.attempts.last().filter(|last| last.is_in_flight()) else {
             return;
         };
+        if overdue.is_stalled() {
+            return self.replace_stalled_attempt(index, actions);
+        }
+        let is_receiving = overdue.is_receiving();
         let server = &self.servers[overdue.server.0];
         let at_origin = server.is_origin;
         let server_is_outlier = self.outliers.is_outlier(server, self.now);
-        let lost = self.outliers.is_lost(self.now - overdue.sent);
+        let lost = !is_receiving && self.outliers.is_lost(self.now - overdue.sent);
         if at_origin && !self.origin.is_path_lossy() {
             let uses_write_slot = overdue.uses_write_slot;
             self.origin.limiter.record_overdue(self.now);
@@ -96,7 +100,7 @@
         }
         let call = &self.calls[index.0];
         let is_origin_write = call.write && self.cache_aside;
-        if at_origin || call.streaming || is_origin_write || call.in_flight() > 1 {
+        if at_origin || call.streaming || is_origin_write || call.active() > 1 {
             return;
         }
         match self.overdue_action(index, server_is_outlier, lost) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,11 +16,11 @@
 //! 5. [`origin`] and [`origin_queue`]: a short queue in front of a [`concurrency_limiter`]
 //! 6. [`dispatch`]: the only place that sends attempts, within the [`retry_policy`] and its
 //!    [`retry_budget`]
-//! 7. [`attempt_completion`]: evaluates how an attempt ended
+//! 7. [`attempt_completion`] and [`result_recording`]: evaluate how an attempt ended
 //! 8. [`finish`]: retries and the final response
 //!
-//! Other modules handle [`hedging`] of overdue attempts, [`deadlines`], the [`timer`] and the
-//! [`endpoint_list`].
+//! Other modules handle [`hedging`] of overdue attempts, [`stalled_responses`], [`deadlines`], the
+//! [`timer`] and the [`endpoint_list`].
 //!
 //! # Rules
 //!
@@ -67,16 +67,19 @@
 mod outlier_detection;
 mod pcg;
 mod request;
+mod result_recording;
 mod retry_budget;
 mod retry_policy;
 mod rules;
 mod server;
 mod slow_start;
+mod stalled_responses;
 mod time;
 mod timer;
 mod zone_health;
 
 pub use actions::PolicyActions;
+pub use attempt::ResponseProgress;
 pub use attempt_result::{AttemptResult, Outcome};
 pub use balancer::Balancer;
 pub use config::{
