Let the bad clients of a test send before they may be closed as idle

Cause: clients_that_stay_after_their_error_make_room_for_others connects 150 clients and sends their noise afterwards; a new client that has sent nothing for 20 ms may be closed for another, without an error. Seen twice in whole runs of the socket tests; traced: the client's connection was closed before its noise was sent. Change: each client sends right after its connect. All assertions stay; the failing response is printed.

--- a/crates/node/tests/sockets/clients.rs
+++ b/crates/node/tests/sockets/clients.rs
@@ -206,15 +206,20 @@
 fn clients_that_stay_after_their_error_make_room_for_others() {
     let cache = server("a", channel().0, |_| hit("v"));
     let node = Node::start(&[("a", cache)], FEW_SOCKETS);
-    let mut bad_clients: Vec<_> = (0..BAD_CLIENTS).map(|_| node.client()).collect();
-    for client in &mut bad_clients {
-        client.send(b"noise\r\n");
-    }
+    // Each sends at once: new clients that have sent nothing may be closed after 20 ms.
+    let mut bad_clients: Vec<_> = (0..BAD_CLIENTS)
+        .map(|_| {
+            let mut client = node.client();
+            client.send(b"noise\r\n");
+            client
+        })
+        .collect();
     let mut usual = node.client();
     let sent_at = Instant::now();
     let response = usual.ask(&["OBJ.GET", "k", "id", "c=view,d=1000"]);
     assert_eq!(response, "v", "after {:?}", sent_at.elapsed());
     for client in &mut bad_clients {
-        assert!(client.response().starts_with("-ERR Protocol error"));
+        let response = client.response();
+        assert!(response.starts_with("-ERR Protocol error"), "{response}");
     }
 }
