Discard what the system holds of a large request that is given up

Callers saw: a write that its server read slowly was answered in time, as failed, but ran up to 3.2 s after the answer, or after its client had left; its server was told up to 4.7 s more than was left. Cause: a request counted as written once the system had taken it, which may hold megabytes. A close then lets the system send the rest. Change: a write of over 4 KiB is followed until the system has sent all of it (looked at every 10 ms); only then its time is the call's instead of the write's. From the last byte handed to the system on it counts as one that may have run. If it is given up before it is sent, the connection is reset at once, so that the unsent part is discarded. The request's part of upstreams.rs moved to upstreams/request.rs. Why it works: what is not sent can't be received; what the server's own system holds is as good as received.

--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -241,6 +241,7 @@
         let mut reducer = self.reducer.borrow_mut();
         match result {
             WriteResult::Complete => reducer.on_written(id),
+            WriteResult::Buffered => reducer.on_buffered(id),
             WriteResult::Partial => {}
             WriteResult::ClientDisconnected => reducer.on_write_skipped(self.clock.now(), id),
             WriteResult::UnsolicitedBytes => reducer.on_unsolicited_bytes(self.clock.now(), id),
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -153,7 +153,7 @@
     /// How long the input of a draining client is read and discarded before its connection is
     /// closed.
     pub linger_timeout: Span,
-    /// Delay between two looks whether a client that is to be closed has taken its responses.
+    /// Delay between two looks whether a client has taken its responses, or a server a large request.
     pub delivery_poll_interval: Span,
     /// How long a client that is about to be closed is still read, so that bytes which have already
     /// arrived are seen.
--- a/crates/node/src/reducer/attempt_end.rs
+++ b/crates/node/src/reducer/attempt_end.rs
@@ -51,10 +51,13 @@
             response: ResponseProgress::Stalled,
             ..
         } => "response stalled",
+        UpstreamUse::InFlight {
+            request_sent: true, ..
+        } => "request written",
         UpstreamUse::InFlight {
             request_written: true,
             ..
-        } => "request written",
+        } => "request partly sent",
         UpstreamUse::InFlight { .. } => "request partly written",
         UpstreamUse::Streaming(_) => "value streamed",
         UpstreamUse::Idle | UpstreamUse::Closing => "idle",
--- a/crates/node/src/reducer/attempts.rs
+++ b/crates/node/src/reducer/attempts.rs
@@ -17,6 +17,15 @@
     write_by: Time,
 }
 
+/// Returns the outcome of a cancelled attempt.
+pub(super) fn cancelled_outcome(request_written: bool) -> Outcome {
+    if request_written {
+        Outcome::Cancelled
+    } else {
+        Outcome::NotSent
+    }
+}
+
 impl NodeState {
     /// Opens an upstream for an attempt. At the socket limit, an idle connection is closed first,
     /// so that the process does not run out of file descriptors; if no connection is idle, the
@@ -71,6 +80,7 @@
             upstream.current_use = UpstreamUse::InFlight {
                 attempt,
                 request_written: false,
+                request_sent: false,
                 new_connection,
                 response: ResponseProgress::Awaited,
             };
@@ -134,9 +144,9 @@
             .is_some_and(|attempt| attempt.write_by <= self.now)
     }
 
-    /// Ends the attempts of an API call that are not written in full. Their servers have not
-    /// started the work, so this is done even where the settings do not allow cancelling attempts.
-    pub(super) fn cancel_unwritten_attempts(&mut self, call_index: CallIndex) {
+    /// Ends the attempts of an API call that are not sent in full. Their servers have not started the
+    /// work, so this is done even where the settings do not allow cancelling attempts.
+    pub(super) fn cancel_unsent_attempts(&mut self, call_index: CallIndex) {
         let Some(call) = self.calls.get(call_index) else {
             return;
         };
@@ -150,7 +160,8 @@
             self.release_reserved_upstream(id);
             let current_use = self.upstreams.get(id).map(|upstream| upstream.current_use);
             if let Some(UpstreamUse::InFlight {
-                request_written: false,
+                request_written,
+                request_sent: false,
                 ..
             }) = current_use
             {
@@ -159,7 +170,7 @@
                     index,
                 };
                 self.close_upstream(id);
-                self.finish_attempt(attempt, Outcome::NotSent);
+                self.finish_attempt(attempt, cancelled_outcome(request_written));
             }
         }
     }
--- a/crates/node/src/reducer/client_events.rs
+++ b/crates/node/src/reducer/client_events.rs
@@ -58,7 +58,7 @@
         }
         for index in client.open_calls {
             if self.state.calls.mark_finished(index) {
-                self.state.cancel_unwritten_attempts(index);
+                self.state.cancel_unsent_attempts(index);
                 self.balancer
                     .on_client_cancelled(now, index, &mut self.state);
             }
--- a/crates/node/src/reducer/policy_actions.rs
+++ b/crates/node/src/reducer/policy_actions.rs
@@ -1,6 +1,7 @@
 //! Carries out the actions that the policy decides on.
-use quartzhub_policy::{CallIndex, Outcome, PolicyActions, ServerIndex, Span, Time};
+use quartzhub_policy::{CallIndex, PolicyActions, ServerIndex, Span, Time};
 
+use super::attempts::cancelled_outcome;
 use super::calls::{Attempt, AttemptId};
 use super::node_state::NodeState;
 use super::timers::Timer;
@@ -42,12 +43,7 @@
         let Some(upstream) = self.close_upstream(id) else {
             return;
         };
-        let outcome = if upstream.is_request_written() {
-            Outcome::Cancelled
-        } else {
-            Outcome::NotSent
-        };
-        self.finish_attempt(attempt, outcome);
+        self.finish_attempt(attempt, cancelled_outcome(upstream.is_request_written()));
     }
 
     fn rate_limit(&mut self, call: CallIndex, retry_after: Option<Span>) {
--- a/crates/node/src/reducer/responses.rs
+++ b/crates/node/src/reducer/responses.rs
@@ -92,7 +92,7 @@
             client.open_calls.retain(|open| *open != index);
         }
         self.respond(client_id, slot, response);
-        self.cancel_unwritten_attempts(index);
+        self.cancel_unsent_attempts(index);
     }
 
     /// Handles a value that breaks off while it is streamed. The connection of a client that has
--- a/crates/node/src/reducer/upstream_events.rs
+++ b/crates/node/src/reducer/upstream_events.rs
@@ -22,7 +22,20 @@
         self.report_attempt_events();
     }
 
-    /// Handles the write of the last byte of the attempt in flight on an upstream.
+    /// Handles the last byte of the attempt in flight on an upstream, which has been written but not
+    /// sent by the system. The server may execute the request from now on, but has to receive it within
+    /// the time for the write.
+    pub fn on_buffered(&mut self, id: UpstreamId) {
+        let upstream = self.state.upstreams.get_mut(id);
+        if let Some(UpstreamUse::InFlight {
+            request_written, ..
+        }) = upstream.map(|upstream| &mut upstream.current_use)
+        {
+            *request_written = true;
+        }
+    }
+
+    /// Handles the last byte of the attempt in flight on an upstream, which has been written and sent.
     pub fn on_written(&mut self, id: UpstreamId) {
         let state = &mut self.state;
         let Some(upstream) = state.upstreams.get_mut(id) else {
@@ -31,6 +44,7 @@
         let UpstreamUse::InFlight {
             attempt,
             request_written,
+            request_sent,
             response,
             ..
         } = &mut upstream.current_use
@@ -38,8 +52,8 @@
             return;
         };
         let response = *response;
-        if !*request_written {
-            *request_written = true;
+        *request_written = true;
+        if !std::mem::replace(request_sent, true) {
             state.written_attempts += 1;
         }
         // Until now the upstream had the deadline of the write. The attempt's deadline replaces it,
--- a/crates/node/src/reducer/upstreams.rs
+++ b/crates/node/src/reducer/upstreams.rs
@@ -25,8 +25,10 @@
     /// An attempt is in flight on it.
     InFlight {
         attempt: AttemptId,
-        /// The last byte of the request is written.
+        /// The last byte of the request is written: the server may execute it.
         request_written: bool,
+        /// The system has sent the last byte of the request.
+        request_sent: bool,
         /// The attempt is the first on this connection.
         new_connection: bool,
         response: ResponseProgress,
--- a/crates/node/src/system.rs
+++ b/crates/node/src/system.rs
@@ -98,6 +98,19 @@
     }
 }
 
+/// Resets a connection at once: what the system has not sent of it is discarded. Returns whether the
+/// system has done so.
+#[allow(unsafe_code)]
+pub fn reset_connection(socket: &impl AsRawFd) -> bool {
+    // SAFETY: the structure consists of integers, for all of which zero is a valid value.
+    let mut address: libc::sockaddr = unsafe { std::mem::zeroed() };
+    // A connect to no address ends the connection of a stream socket.
+    address.sa_family = libc::AF_UNSPEC as libc::sa_family_t;
+    let size = std::mem::size_of_val(&address) as libc::socklen_t;
+    // SAFETY: the system reads `size` bytes of the structure, which outlives the call.
+    unsafe { libc::connect(socket.as_raw_fd(), &address, size) == 0 }
+}
+
 /// Whether a system call failed because descriptors or memory ran out, so that an immediate retry
 /// is likely to fail too.
 pub fn is_resource_shortage(error: &io::Error) -> bool {
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -8,41 +8,32 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::Bytes;
-use quartzhub_policy::Span;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use crate::attempt_response::AttemptResponse;
-use crate::buffer::{readable, Buffer, Readable};
+use crate::buffer::Buffer;
 use crate::limits::Limits;
 use crate::memory_budget::{MemoryBudget, MemoryRequest, MemoryReservation};
-use crate::messages::{Request, UpstreamId};
+use crate::messages::UpstreamId;
 use crate::resp::Parsed;
-use crate::system::retry_interrupted;
 
 mod admission;
 mod body_reader;
 mod connection;
 mod downstream;
 mod protocol;
+mod request;
 mod streaming;
 
 use body_reader::UnsizedBody;
 pub use connection::run;
 pub use downstream::Downstream;
 pub use protocol::Protocol;
+pub use request::WriteResult;
+use request::{end_sending, RequestBody};
 use streaming::ValueEnd;
 
-/// Largest value, in bytes, that is copied behind its request, so that both go out in one write.
-const MAX_COPIED_VALUE_BYTES: usize = 4096;
-
-/// A value that is written after its request.
-struct RequestBody {
-    value: Bytes,
-    written: usize,
-}
-
 /// A connection to a server.
 pub struct Upstream {
     id: UpstreamId,
@@ -55,6 +46,10 @@
     request_body: RefCell<Option<RequestBody>>,
     /// Whether the request is not completely written yet.
     request_unwritten: Cell<bool>,
+    /// Whether the request has a value that is written without being copied.
+    is_large_request: Cell<bool>,
+    /// Whether the request is written, but the system has not sent all of it yet.
+    is_delivering: Cell<bool>,
     /// The id of the API call whose attempt the connection carries.
     call_id: RefCell<String>,
     /// The client whose attempt the connection carries, until its request is completely written.
@@ -86,21 +81,6 @@
     wake: Notify,
 }
 
-/// Result of writing an attempt's request.
-#[derive(Debug, PartialEq, Eq)]
-pub enum WriteResult {
-    /// The request is completely written.
-    Complete,
-    /// The rest is written once the socket is writable.
-    Partial,
-    /// The client has disconnected; the rest is not written.
-    ClientDisconnected,
-    /// The server has sent bytes that no attempt awaits; nothing is written.
-    UnsolicitedBytes,
-    /// The connection can't be used any more.
-    ConnectionBroken,
-}
-
 /// State of a connection after a read.
 #[derive(Debug, PartialEq, Eq)]
 enum ReadResult {
@@ -127,6 +107,8 @@
             buffer: RefCell::default(),
             request_body: RefCell::default(),
             request_unwritten: Cell::new(false),
+            is_large_request: Cell::new(false),
+            is_delivering: Cell::new(false),
             call_id: RefCell::default(),
             requester: RefCell::default(),
             awaiting_response: Cell::new(false),
@@ -151,7 +133,7 @@
     pub fn close(&self) {
         self.closed.set(true);
         if let Some(stream) = self.stream.get().filter(|_| self.awaiting_response.get()) {
-            let _ = socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write);
+            end_sending(stream);
         }
         // The client that receives a streamed value refers to this upstream too: breaks the cycle.
         self.receiver.take();
@@ -164,97 +146,6 @@
         *self.receiver.borrow_mut() = Some(receiver);
     }
 
-    /// Starts an attempt for `requester`: writes as much of the request as the socket accepts.
-    pub fn write(
-        &self,
-        request: &Request,
-        time_left: Span,
-        requester: Rc<dyn Downstream>,
-    ) -> WriteResult {
-        {
-            let mut buffer = self.buffer.borrow_mut();
-            // Unsolicited bytes must not be taken for the response, and a server that has closed an
-            // idle connection never reads the request.
-            match self.stream.get().map(readable) {
-                Some(Readable::Nothing) if buffer.is_empty() => {}
-                None | Some(Readable::End) => return WriteResult::ConnectionBroken,
-                Some(_) => return WriteResult::UnsolicitedBytes,
-            }
-            buffer.put(
-                &self
-                    .protocol
-                    .encode_request(request, self.address, time_left),
-            );
-            *self.request_body.borrow_mut() = request
-                .value
-                .clone()
-                .map(|value| RequestBody { value, written: 0 });
-            self.awaiting_response.set(true);
-            *self.unsized_body.borrow_mut() = None;
-        }
-        self.call_id.borrow_mut().clone_from(&request.id);
-        *self.requester.borrow_mut() = Some(requester);
-        let written = self.continue_writing();
-        if written == WriteResult::Partial {
-            self.wake.notify_one();
-        }
-        written
-    }
-
-    /// Continues to write the request, unless the client has disconnected.
-    fn continue_writing(&self) -> WriteResult {
-        let client_disconnected = self
-            .requester
-            .borrow()
-            .as_ref()
-            .is_some_and(|requester| requester.has_disconnected());
-        if client_disconnected {
-            return WriteResult::ClientDisconnected;
-        }
-        match self.flush() {
-            Ok(true) => {
-                self.requester.take();
-                WriteResult::Complete
-            }
-            Ok(false) => WriteResult::Partial,
-            Err(_) => WriteResult::ConnectionBroken,
-        }
-    }
-
-    /// Writes as much as the socket accepts; returns whether the request is completely written. A
-    /// small value goes out in one write with its request.
-    fn flush(&self) -> io::Result<bool> {
-        let mut buffer = self.buffer.borrow_mut();
-        let Some(stream) = self.stream.get() else {
-            return Ok(false);
-        };
-        let mut request_body = self.request_body.borrow_mut();
-        let terminator = self.protocol.value_terminator();
-        let small = request_body
-            .take_if(|body| body.written == 0 && body.value.len() <= MAX_COPIED_VALUE_BYTES);
-        if let Some(body) = small {
-            buffer.put(&body.value);
-            buffer.put(terminator);
-        }
-        buffer.write(stream)?;
-        while let Some(body) = request_body.as_mut().filter(|_| buffer.is_empty()) {
-            match retry_interrupted(|| stream.try_write(&body.value[body.written..])) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(count) => body.written += count,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e) => return Err(e),
-            }
-            if body.written == body.value.len() {
-                *request_body = None;
-                buffer.put(terminator);
-                buffer.write(stream)?;
-            }
-        }
-        let done = buffer.is_empty() && request_body.is_none();
-        self.request_unwritten.set(!done);
-        Ok(done)
-    }
-
     /// Reads available bytes, until the buffer holds `max_unread` or the largest response that may be
     /// buffered.
     fn read(&self, stream: &TcpStream, max_unread: usize, limits: &Limits) -> ReadResult {
--- a/crates/node/src/upstreams/connection.rs
+++ b/crates/node/src/upstreams/connection.rs
@@ -11,6 +11,7 @@
 use crate::clock::duration;
 use crate::effects::EffectExecutor;
 use crate::resp::Parsed;
+use crate::system::unsent_bytes;
 
 /// Connects, then reads and writes until the server or the node closes the connection.
 pub async fn run(executor: Rc<EffectExecutor>, upstream: Rc<Upstream>) {
@@ -81,6 +82,7 @@
         }
         let unwritten = upstream.request_unwritten.get();
         let reads = !unwritten && !upstream.awaits_memory();
+        let poll_interval = duration(executor.limits.delivery_poll_interval);
         let flow = tokio::select! {
             ready = stream.writable(), if unwritten => match ready {
                 Ok(()) => continue_write(executor, upstream),
@@ -90,6 +92,10 @@
                 Ok(()) => read_response(executor, upstream, stream),
                 Err(_) => Break(()),
             },
+            () = tokio::time::sleep(poll_interval), if upstream.is_delivering.get() => {
+                check_delivery(executor, upstream, stream);
+                Continue(())
+            }
             () = upstream.end_of_memory_wait(executor) => read_response(executor, upstream, stream),
             () = upstream.wake.notified() => Continue(()),
         };
@@ -108,6 +114,7 @@
 fn continue_write(executor: &Rc<EffectExecutor>, upstream: &Upstream) -> ControlFlow<()> {
     match upstream.continue_writing() {
         WriteResult::Complete => executor.report(|reducer, _| reducer.on_written(upstream.id)),
+        WriteResult::Buffered => executor.report(|reducer, _| reducer.on_buffered(upstream.id)),
         WriteResult::Partial => {}
         WriteResult::ClientDisconnected => {
             executor.report(|reducer, now| reducer.on_write_skipped(now, upstream.id))
@@ -117,6 +124,19 @@
     Continue(())
 }
 
+/// Reports the request as written once the system has sent all of it.
+fn check_delivery(executor: &Rc<EffectExecutor>, upstream: &Upstream, stream: &TcpStream) {
+    if unsent_bytes(stream) == 0 {
+        report_delivered(executor, upstream);
+    }
+}
+
+fn report_delivered(executor: &Rc<EffectExecutor>, upstream: &Upstream) {
+    upstream.is_delivering.set(false);
+    upstream.requester.take();
+    executor.report(|reducer, _| reducer.on_written(upstream.id));
+}
+
 /// Continues to read a response and reports progress; breaks if the connection can't be used any
 /// more.
 fn read_response(
@@ -124,6 +144,10 @@
     upstream: &Upstream,
     stream: &TcpStream,
 ) -> ControlFlow<()> {
+    // A server that responds has all of the request, or needs no more of it.
+    if upstream.is_delivering.get() {
+        report_delivered(executor, upstream);
+    }
     let Some(max_unread) = upstream.admit_read(executor) else {
         executor.report(|reducer, now| reducer.on_response_paused(now, upstream.id));
         return Continue(());
--- a/crates/node/tests/sockets/common/timed_server.rs
+++ b/crates/node/tests/late/late_servers.rs
@@ -1,5 +1,5 @@
 //! Servers that write each part of a response after a delay that the key of the call states.
-use super::*;
+use super::common::*;
 
 /// The part of a response that comes late; everything before it comes at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/node/tests/sockets/late_responses.rs
+++ b/crates/node/tests/late/responses.rs
@@ -1,6 +1,8 @@
 //! Responses that a server writes late, but within the time of their call, and responses that never
 //! end.
 use super::common::*;
+use super::late_servers::{Framing, LatePart, LateResponse};
+use super::site::{Deployment, LateSite, Served};
 
 /// Sizes of values in bytes: buffered ones, and streamed ones.
 const VALUE_BYTES: [usize; 5] = [1_000, 60_000, 100_000, 300_000, 4 << 20];
