--- a/crates/node/tests/late/main.rs
+++ b/crates/node/tests/late/main.rs
@@ -1,5 +1,6 @@
 //! Responses that servers write late. A program of its own, as its many reads at the same time would
 //! delay other tests.
+mod amid;
 #[allow(dead_code, unused_imports)]
 #[path = "../sockets/common.rs"]
 mod common;
--- a/crates/node/tests/late/site.rs
+++ b/crates/node/tests/late/site.rs
@@ -95,6 +95,21 @@
     pub fn start(deployment: &Deployment) -> LateSite {
         let servers = LateServers::start(&["a", "b", "c"]);
         let node = Node::with_config(&deployment.config(&servers.known), DESCRIPTORS);
+        LateSite::new(deployment, servers, node)
+    }
+
+    /// Starts a node that inherits its listening socket.
+    pub fn start_inheriting(
+        deployment: &Deployment,
+        listener: &TcpListener,
+        ops: SocketAddr,
+    ) -> LateSite {
+        let servers = LateServers::start(&["a", "b", "c"]);
+        let node = node_inheriting(listener, &deployment.config(&servers.known), ops);
+        LateSite::new(deployment, servers, node)
+    }
+
+    fn new(deployment: &Deployment, servers: LateServers, node: Node) -> LateSite {
         LateSite {
             servers,
             node,
--- a/crates/node/tests/soak/servers.rs
+++ b/crates/node/tests/soak/servers.rs
@@ -14,6 +14,10 @@
 const SERVERS: [&str; 4] = ["a", "b", "c", ORIGIN];
 /// Longest delay of a response, in microseconds.
 const MAX_RESPONSE_DELAY_US: f64 = 20_000.0;
+/// Fraction of the responses whose second half is late.
+const LATE_REST_SHARE: f64 = 0.15;
+/// Longest delay of the second half, as a fraction of the client timeout.
+const MAX_LATE_REST: f64 = 0.8;
 /// Fraction of the commands that get no response once servers hang.
 const HANGING_SHARE: f64 = 0.5;
 
@@ -87,6 +91,7 @@
     let start_one = |(index, id): (usize, &&'static str)| {
         let (arrivals, hang, id) = (arrivals.clone(), hang.clone(), *id);
         let mut rng = Pcg::new(seed * 4 + index as u64 + 1);
+        let mut late_rest = LateRest::new(plan, index);
         let script = move |words: &str| {
             let mut words = words.split(' ');
             let verb = words.next().unwrap_or_default();
@@ -94,7 +99,7 @@
             let reaction = if is_instant {
                 react_at_once(id, request_id, &mut rng, &hang)
             } else {
-                react(id, verb, request_id, &mut rng, &hang)
+                late_rest.delay(react(id, verb, request_id, &mut rng, &hang))
             };
             arrivals.record(request_id, id, reaction.is_not_executed);
             reaction.action
@@ -105,6 +110,45 @@
     SERVERS.iter().enumerate().map(start_one).collect()
 }
 
+/// Makes the second half of some responses late. Its random numbers are its own, so that they change
+/// nothing else of a seed's round.
+struct LateRest {
+    rng: Pcg,
+    max_delay: Duration,
+}
+
+impl LateRest {
+    fn new(plan: &Plan, server_index: usize) -> LateRest {
+        let client_timeout = Duration::from_millis(plan.client_timeout_ms);
+        LateRest {
+            rng: Pcg::new(plan.seed * 1_000 + server_index as u64 + 500),
+            max_delay: client_timeout.mul_f64(MAX_LATE_REST),
+        }
+    }
+
+    fn delay(&mut self, reaction: Reaction) -> Reaction {
+        let is_late = self.rng.unit() < LATE_REST_SHARE;
+        let delay = self.max_delay.mul_f64(self.rng.unit());
+        let action = match reaction.action {
+            ServerAction::RespondAfter(_, bytes) if is_late => {
+                ServerAction::RestOnRelease(released_after(delay), bytes)
+            }
+            action => action,
+        };
+        Reaction { action, ..reaction }
+    }
+}
+
+/// Returns a channel that receives after a delay.
+fn released_after(delay: Duration) -> Receiver<()> {
+    let (release, released) = channel();
+    std::thread::spawn(move || {
+        std::thread::sleep(delay);
+        let _ = release.send(());
+    });
+    released
+}
+
 fn react_at_once(server: &str, request_id: &str, rng: &mut Pcg, hang: &AtomicBool) -> Reaction {
     let hangs = hang.load(Ordering::Relaxed) && rng.unit() < HANGING_SHARE;
     let action = match server {
