Forward a held value that its server still writes as its call's time ends

Callers saw: a value of over 64 KiB that its server wrote slowly, with a further command of the client behind it, was answered with -BUSY at the end of the call's time and cut off; alone it was forwarded. Cause: a value with commands behind is held until it is whole, since its break would cost their answers, and the hold had no end but the call's. Its first bytes are timed, so the rest may come later; and a rest must not be held back for 2 s. Change: the hold ends 20 ms before the call's time, or after 1.5 s (upstreams/holding.rs). If the server has sent bytes in the last 250 ms the value is passed on then, else as soon as more of it comes; one that has stopped is an error as before. Why it works: a value that is still written will mostly become whole; what holding is for, values that stop, is still held.

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -118,6 +118,12 @@
     /// Time without a byte after which a response that has begun counts as stalled: other servers are
     /// asked, and it is awaited on.
     pub response_stalled_after: Span,
+    /// Longest time for which a large value is held until it is complete.
+    pub value_hold_timeout: Span,
+    /// Time before the end of its call's time at which a large value is held no longer.
+    pub value_hold_margin: Span,
+    /// Time without a byte after which the server of a held value counts as having stopped.
+    pub value_stopped_after: Span,
     /// Longest time from the last byte of a streamed value to the end of its response. Its client
     /// awaits that byte meanwhile.
     pub value_end_timeout: Span,
--- a/crates/node/src/limits/fixed.rs
+++ b/crates/node/src/limits/fixed.rs
@@ -59,6 +59,10 @@
     large_value_write_fraction: 0.5,
     response_stalled_after: Span::ZERO,
     // Operators count a value as lost whose rest is held back for 2 s.
+    value_hold_timeout: Span::ms(1_500),
+    value_hold_margin: Span::ms(20),
+    // Longer than it takes to send a lost segment again.
+    value_stopped_after: Span::ms(250),
     value_end_timeout: Span::ms(1_500),
     streaming_stall_timeout: Span::ms(5_000),
 
--- a/crates/node/src/reducer/upstream_events.rs
+++ b/crates/node/src/reducer/upstream_events.rs
@@ -178,6 +178,11 @@
         self.call_in_flight(id).map(|call| call.client)
     }
 
+    /// Returns when the time of the API call whose response is received on this upstream is over.
+    pub fn call_deadline(&self, id: UpstreamId) -> Option<Time> {
+        self.call_in_flight(id).map(|call| call.deadline)
+    }
+
     fn call_in_flight(&self, id: UpstreamId) -> Option<&Call> {
         let upstream = self.state.upstreams.get(id)?;
         self.state.calls.get(upstream.attempt_in_flight()?.call)
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use quartzhub_policy::Time;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -22,6 +23,7 @@
 mod body_reader;
 mod connection;
 mod downstream;
+mod holding;
 mod protocol;
 mod request;
 mod streaming;
@@ -29,6 +31,7 @@
 use body_reader::UnsizedBody;
 pub use connection::run;
 pub use downstream::Downstream;
+use holding::Hold;
 pub use protocol::Protocol;
 pub use request::WriteResult;
 use request::{end_sending, RequestBody};
@@ -64,7 +67,9 @@
     memory_wait: RefCell<Option<MemoryRequest>>,
     /// Whether a large value is buffered until it is complete, as later API calls of its client are
     /// pending.
-    buffers_whole_value: Cell<bool>,
+    hold: Cell<Hold>,
+    /// When bytes of the server were last read.
+    last_read_at: Cell<Time>,
     /// Whether a large value is being streamed.
     streaming: Cell<bool>,
     /// The client that receives the streamed value.
@@ -115,7 +120,8 @@
             unsized_body: RefCell::default(),
             reservation: RefCell::new(MemoryReservation::new(memory)),
             memory_wait: RefCell::default(),
-            buffers_whole_value: Cell::new(false),
+            hold: Cell::new(Hold::None),
+            last_read_at: Cell::new(Time(0)),
             streaming: Cell::new(false),
             receiver: RefCell::default(),
             value_bytes: Cell::new(0),
@@ -156,7 +162,7 @@
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return ReadResult::Open,
             Err(_) => return ReadResult::Failed,
         }
-        let buffers_large = self.unsized_body.borrow().is_some() || self.buffers_whole_value.get();
+        let buffers_large = self.unsized_body.borrow().is_some() || self.is_holding();
         let max_buffered = if buffers_large {
             limits.value_bytes + limits.max_reply_bytes()
         } else {
--- a/crates/node/src/upstreams/admission.rs
+++ b/crates/node/src/upstreams/admission.rs
@@ -34,9 +34,8 @@
     fn buffer_bytes_to_reserve(&self, limits: &Limits) -> usize {
         let buffer = self.buffer.borrow();
         let unread = buffer.unread().len();
-        let is_held = |value: &StatedValue| {
-            value.size <= limits.buffered_value_bytes || self.buffers_whole_value.get()
-        };
+        let is_held =
+            |value: &StatedValue| value.size <= limits.buffered_value_bytes || self.is_holding();
         let stated_value = self.protocol.stated_value(buffer.unread(), limits);
         let response_bytes = stated_value.filter(is_held).map_or(0, |value| {
             value.offset + value.size + limits.response_end_bytes
--- a/crates/node/src/upstreams/connection.rs
+++ b/crates/node/src/upstreams/connection.rs
@@ -97,6 +97,7 @@
                 Continue(())
             }
             () = upstream.end_of_memory_wait(executor) => read_response(executor, upstream, stream),
+            () = upstream.end_of_hold(executor) => end_hold(executor, upstream),
             () = upstream.wake.notified() => Continue(()),
         };
         if flow.is_break() {
@@ -153,24 +154,14 @@
         return Continue(());
     };
     let read = upstream.read(stream, max_unread, &executor.limits);
+    upstream.last_read_at.set(executor.clock.now());
     // Unsolicited bytes must not be taken for the response to the next attempt.
     if !upstream.awaiting_response.get() && !upstream.buffer.borrow().is_empty() {
         executor.report(|reducer, now| reducer.on_unsolicited_bytes(now, upstream.id));
         return Break(());
     }
-    let stream_start = upstream.start_streaming(executor);
-    match stream_start {
-        StreamStart::NotStreamed => {}
-        StreamStart::Started(size) => {
-            upstream.reserve_used_bytes();
-            executor.report(|reducer, now| reducer.on_streaming_started(now, upstream.id, size));
-            // If the server has already closed its side, the next read returns that again.
-            return Continue(());
-        }
-        StreamStart::Malformed => {
-            report_response(executor, upstream, Parsed::Malformed, false);
-            return Break(());
-        }
+    if let Some(flow) = try_streaming(executor, upstream) {
+        return flow;
     }
     let response = next_response(executor, upstream, read == ReadResult::EndOfStream);
     if response == Parsed::Incomplete {
@@ -188,6 +179,32 @@
     }
 }
 
+/// Starts to stream a large value if one is being received, or fails if it is malformed. If the server
+/// has already closed its side, the next read returns that again.
+fn try_streaming(executor: &Rc<EffectExecutor>, upstream: &Upstream) -> Option<ControlFlow<()>> {
+    match upstream.start_streaming(executor) {
+        StreamStart::NotStreamed => None,
+        StreamStart::Started(size) => {
+            upstream.reserve_used_bytes();
+            executor.report(|reducer, now| reducer.on_streaming_started(now, upstream.id, size));
+            Some(Continue(()))
+        }
+        StreamStart::Malformed => {
+            report_response(executor, upstream, Parsed::Malformed, false);
+            Some(Break(()))
+        }
+    }
+}
+
+/// Streams a value that has been held for its longest time, if its server still writes it.
+fn end_hold(executor: &Rc<EffectExecutor>, upstream: &Upstream) -> ControlFlow<()> {
+    if upstream.end_hold(executor) {
+        try_streaming(executor, upstream).unwrap_or(Continue(()))
+    } else {
+        Continue(())
+    }
+}
+
 /// Parses the response from the received bytes; `at_eof` means that no more will arrive.
 fn next_response(
     executor: &Rc<EffectExecutor>,
--- a/crates/node/src/upstreams/request.rs
+++ b/crates/node/src/upstreams/request.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 
 use super::downstream::Downstream;
+use super::holding::Hold;
 use super::Upstream;
 use crate::buffer::{readable, Readable};
 use crate::messages::Request;
@@ -78,6 +79,7 @@
             self.is_large_request
                 .set(request.value.as_ref().is_some_and(is_large));
             self.is_delivering.set(false);
+            self.hold.set(Hold::None);
             self.awaiting_response.set(true);
             *self.unsized_body.borrow_mut() = None;
         }
--- a/crates/node/src/upstreams/streaming.rs
+++ b/crates/node/src/upstreams/streaming.rs
@@ -4,6 +4,7 @@
 
 use tokio::net::TcpStream;
 
+use super::holding::Hold;
 use super::{ReadResult, Upstream};
 use crate::caches::{LoadReport, StatedValue};
 use crate::effects::EffectExecutor;
@@ -78,10 +79,11 @@
         if value_end == ValueEnd::Malformed {
             return StreamStart::Malformed;
         }
-        self.buffers_whole_value.set(has_later_command);
-        if has_later_command && value_end != ValueEnd::Valid {
+        let must_hold = has_later_command && value_end != ValueEnd::Valid;
+        if must_hold && self.continues_to_hold(executor) {
             return StreamStart::NotStreamed;
         }
+        self.hold.set(Hold::None);
         self.keep_alive
             .set(self.protocol.keeps_alive(bytes, limits));
         buffer.consume(offset);
@@ -201,7 +203,6 @@
         let receiver = self.receiver.take();
         self.awaiting_response.set(false);
         self.streaming.set(false);
-        self.buffers_whole_value.set(false);
         self.release_memory();
         let reusable = well_formed && !ended && self.keep_alive.get();
         executor.report(|reducer, now| reducer.on_streaming_finished(now, self.id, reusable));
--- a/crates/node/tests/late/main.rs
+++ b/crates/node/tests/late/main.rs
@@ -7,6 +7,7 @@
 mod late_servers;
 mod responses;
 mod site;
+mod slow_values;
 #[allow(dead_code)]
 #[path = "../sockets/stub_servers.rs"]
 mod stub_servers;
