--- a/crates/node/tests/late/responses.rs
+++ b/crates/node/tests/late/responses.rs
@@ -37,25 +37,69 @@
 /// Asserts that responses that are late in these parts are served, with each client timeout, where
 /// two attempts may be in flight at once and where not.
 fn assert_served(framings: &[Framing], late_parts: &[LatePart], is_pipelined: bool) {
-    let lost = Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for client_timeout_ms in CLIENT_TIMEOUTS_MS {
-            for may_duplicate in [true, false] {
-                let lost = &lost;
-                scope.spawn(move || {
-                    let deployment = Deployment::new(client_timeout_ms, may_duplicate);
-                    let responses = late_responses(framings, late_parts, client_timeout_ms);
-                    let mut site = LateSite::start(&deployment);
-                    for text in site.lost_reads(&responses, is_pipelined) {
-                        let text = format!("{client_timeout_ms} ms, {may_duplicate}: {text}");
-                        lost.lock().expect("a list").push(text);
-                    }
-                });
+    let deployments = Deployments {
+        client_timeouts_ms: &CLIENT_TIMEOUTS_MS,
+        may_duplicate: &[true, false],
+    };
+    deployments.assert_served(framings, late_parts, is_pipelined);
+}
+
+/// The deployments of a test: each client timeout with each permission.
+struct Deployments {
+    client_timeouts_ms: &'static [u64],
+    may_duplicate: &'static [bool],
+}
+
+impl Deployments {
+    fn assert_served(&self, framings: &[Framing], late_parts: &[LatePart], is_pipelined: bool) {
+        let lost = Mutex::new(Vec::new());
+        std::thread::scope(|scope| {
+            for &client_timeout_ms in self.client_timeouts_ms {
+                for &may_duplicate in self.may_duplicate {
+                    let lost = &lost;
+                    scope.spawn(move || {
+                        let deployment = Deployment::new(client_timeout_ms, may_duplicate);
+                        let responses = late_responses(framings, late_parts, client_timeout_ms);
+                        let mut site = LateSite::start(&deployment);
+                        for text in site.lost_reads(&responses, is_pipelined) {
+                            let text = format!("{client_timeout_ms} ms, {may_duplicate}: {text}");
+                            lost.lock().expect("a list").push(text);
+                        }
+                    });
+                }
             }
-        }
-    });
-    let lost = lost.into_inner().expect("a list");
-    assert!(lost.is_empty(), "{}:\n{}", lost.len(), lost.join("\n"));
+        });
+        let lost = lost.into_inner().expect("a list");
+        assert!(lost.is_empty(), "{}:\n{}", lost.len(), lost.join("\n"));
+    }
+}
+
+// Where two attempts may not be in flight, one without a byte is called off sooner, by design.
+#[test]
+fn late_head_of_a_sound_response_is_awaited() {
+    let deployments = Deployments {
+        client_timeouts_ms: &CLIENT_TIMEOUTS_MS,
+        may_duplicate: &[true],
+    };
+    let framings = [
+        Framing::Reply,
+        Framing::Length,
+        Framing::Chunks,
+        Framing::UntilClose,
+    ];
+    deployments.assert_served(&framings, &[LatePart::Head], false);
+}
+
+// The end of a reply may take 1.5 s from the value's last byte.
+#[test]
+fn late_end_of_a_reply_is_not_cut_off() {
+    let deployments = Deployments {
+        client_timeouts_ms: &[300, 1_200],
+        may_duplicate: &[true, false],
+    };
+    for is_pipelined in [false, true] {
+        deployments.assert_served(&[Framing::Reply], &[LatePart::Trailer], is_pipelined);
+    }
 }
 
 #[test]
