Refuse a non-idempotent call whose id may have been executed before

Cause: an id was known only while its call was open; a client's end closes its calls, but not what a server has begun. A call that was rejected as never run is not remembered, and repeats of idempotent and deduplicated calls are as before.

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -32,6 +32,10 @@
     // API calls.
     /// Most open API calls of the node.
     pub open_calls: usize,
+    /// Most ids of ended API calls that are remembered, as these must not be executed twice.
+    pub remembered_ids: usize,
+    /// How long such an id is remembered.
+    pub id_memory: Span,
     /// Most open API calls of one client connection.
     pub open_calls_per_client: usize,
     /// Most products that get a response counter during the life of the process.
--- a/crates/node/src/limits/fixed.rs
+++ b/crates/node/src/limits/fixed.rs
@@ -17,6 +17,9 @@
     pooled_upstreams: 0,
 
     open_calls: 0,
+    remembered_ids: 8 * 1024,
+    // Longer than clients wait before they try again.
+    id_memory: Span::ms(10_000),
     open_calls_per_client: 128,
     counted_products: 1024,
     known_servers: 16 * 1024,
--- a/crates/node/src/reducer/call_events.rs
+++ b/crates/node/src/reducer/call_events.rs
@@ -40,6 +40,10 @@
         let time_left = self.time_left(now, &attributes);
         let request = Rc::new(request);
         let call = Call::new(request.clone(), client, slot, now + time_left, counter);
+        let call = match self.products.get(product) {
+            Some(product) => call.with_idempotency(product.idempotency),
+            None => call,
+        };
         let index = self.state.open_call(call);
         let call_request = CallRequest {
             product,
@@ -57,7 +61,7 @@
     /// Returns the error text for a call that no server could use, or that a server would take for
     /// another API call; `None` if the call is valid.
     fn invalid_call(
-        &self,
+        &mut self,
         product: usize,
         request: &Request,
         attributes: &RequestAttributes,
@@ -71,6 +75,10 @@
         if self.state.calls.is_unfinished(&request.id) {
             return Some("an API call with this id is open");
         }
+        let must_not_repeat = product.idempotency == Idempotency::NonIdempotent;
+        if must_not_repeat && self.state.sent_ids.contains(&request.id, self.state.now) {
+            return Some("an API call with this id may have been executed");
+        }
         None
     }
 
--- a/crates/node/src/reducer/calls.rs
+++ b/crates/node/src/reducer/calls.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use quartzhub_policy::{CallIndex, Outcome, ResponseProgress, ServerIndex, Time};
+use quartzhub_policy::{CallIndex, Idempotency, Outcome, ResponseProgress, ServerIndex, Time};
 use quartzhub_settings::CallTable;
 
 use super::clients::ResponseSlot;
@@ -49,6 +49,8 @@
     pub(super) client: ClientId,
     /// The response counter of its product.
     pub(super) counter: Option<CounterIndex>,
+    /// Whether it must not be executed twice, and servers can't tell a repeat.
+    pub(super) must_not_repeat: bool,
     /// The slot of its response in the client's order of responses.
     pub(super) slot: ResponseSlot,
     pub(super) deadline: Time,
@@ -69,6 +71,7 @@
             request,
             client,
             counter,
+            must_not_repeat: false,
             slot,
             deadline,
             finished: false,
@@ -76,6 +79,12 @@
         }
     }
 
+    /// Marks the call as one that must not be executed twice, if it is not idempotent.
+    pub(super) fn with_idempotency(mut self, idempotency: Idempotency) -> Call {
+        self.must_not_repeat = idempotency == Idempotency::NonIdempotent;
+        self
+    }
+
     /// Returns the size in bytes of the value that the call writes; zero for a read.
     pub(super) fn value_bytes(&self) -> usize {
         self.request.value.as_ref().map_or(0, Bytes::len)
--- a/crates/node/src/reducer/client_events.rs
+++ b/crates/node/src/reducer/client_events.rs
@@ -57,6 +57,7 @@
             self.state.close_upstream(upstream);
         }
         for index in client.open_calls {
+            self.state.remember_id(index);
             if self.state.calls.mark_finished(index) {
                 self.state.cancel_unsent_attempts(index);
                 self.balancer
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -34,6 +34,7 @@
 mod response_events;
 mod responses;
 mod reuse_delay;
+mod sent_ids;
 mod servers;
 mod service_events;
 mod stall;
--- a/crates/node/src/reducer/node_state.rs
+++ b/crates/node/src/reducer/node_state.rs
@@ -6,6 +6,7 @@
 
 use super::calls::{AttemptEvent, AttemptId, AttemptReport, Calls};
 use super::clients::Clients;
+use super::sent_ids::SentIds;
 use super::servers::Servers;
 use super::stall::StallDetector;
 use super::timers::{Timer, Timers};
@@ -28,6 +29,8 @@
     pub(super) limits: Limits,
     pub(super) servers: Servers,
     pub(super) calls: Calls,
+    /// Ids of recent calls that must not be executed twice.
+    pub(super) sent_ids: SentIds,
     pub(super) clients: Clients,
     pub(super) upstreams: Upstreams,
     pub(super) timers: Timers,
@@ -61,6 +64,7 @@
             limits,
             servers: Servers::default(),
             calls: Calls::default(),
+            sent_ids: SentIds::default(),
             clients: Clients::default(),
             upstreams: Upstreams::default(),
             timers: Timers::default(),
@@ -96,6 +100,18 @@
         self.service.idle_client_policy(self.now, &self.limits)
     }
 
+    /// Remembers the id of a call that ends and may have been executed, if it must not be executed
+    /// twice.
+    pub(super) fn remember_id(&mut self, index: CallIndex) {
+        let Some(call) = self.calls.get(index) else {
+            return;
+        };
+        if call.must_not_repeat && !call.attempts.is_empty() {
+            self.sent_ids
+                .insert(&call.request.id, self.now, &self.limits);
+        }
+    }
+
     /// Queues the end of an attempt, to be reported to the policy.
     pub(super) fn finish_attempt(&mut self, attempt: AttemptId, outcome: Outcome) {
         let Some(record) = self.calls.attempt_mut(attempt) else {
--- a/crates/node/src/reducer/responses.rs
+++ b/crates/node/src/reducer/responses.rs
@@ -83,6 +83,9 @@
         let client_id = call.client;
         let slot = call.slot;
         let counter = call.counter;
+        if !matches!(response, Response::RateLimited(_)) {
+            self.remember_id(index);
+        }
         self.calls.mark_finished(index);
         // A streamed response is counted once its last byte is written.
         if !matches!(response, Response::Streamed { .. }) {
--- a/crates/node/tests/reducer/rejections.rs
+++ b/crates/node/tests/reducer/rejections.rs
@@ -166,3 +166,58 @@
         );
     }
 }
+
+// A client may leave while its call is in flight, and come again with the same call. Servers can't
+// tell a repeat of a call that must not run twice.
+#[test]
+fn id_that_may_have_been_executed_is_not_sent_again() {
+    let (mut harness, client) = Harness::builder().with_call_in_flight("book", 400);
+    harness.report("disconnect", |reducer, now| {
+        reducer.on_client_disconnected(now, client)
+    });
+    let again = harness.add_client();
+    harness.call(again, "book", "c1", 400);
+    harness.advance(10_000);
+    harness.call(again, "book", "c1", 400);
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 connected 2
+        0   write 2: c1, time_left 397
+        0 disconnect
+        0   close upstream 2
+        0 call c1
+        0   answer 3: plain
+        10000 call c1
+        10000   connect 4 to 1
+    "#]]
+    .assert_eq(&harness.trace);
+}
+
+// What that is not to prevent: a retry of a call that provably never ran.
+#[test]
+fn id_that_has_not_been_executed_may_come_again() {
+    let (mut harness, client) = Harness::builder().with_call_in_flight("book", 400);
+    harness.respond("full", 2, failure(Outcome::Overloaded));
+    harness.connect(3);
+    harness.respond("full", 3, failure(Outcome::Overloaded));
+    harness.respond("full", 3, failure(Outcome::Overloaded));
+    harness.call(client, "book", "c1", 400);
+    expect![[r#"
+        0 call c1
+        0   connect 2 to 1
+        0 connected 2
+        0   write 2: c1, time_left 397
+        0 full
+        0   connect 3 to 9
+        0 connected 3
+        0   write 3: c1, time_left 397
+        0 full
+        0   write 3: c1, time_left 397
+        0 full
+        0   answer 1: RateLimited(None)
+        0 call c1
+        0   write 3: c1, time_left 397
+    "#]]
+    .assert_eq(&harness.trace);
+}
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -17,6 +17,7 @@
 mod partly_read_commands;
 mod queueing_time;
 mod remaining_time;
+mod repeated_ids;
 mod response_memory;
 mod shutdown;
 mod slow_readers;
