Share the ids of non-idempotent calls between the two processes of an upgrade

Cause: the processes share a listening socket and nothing else; each knew its own ids. If the file can't be opened or written, that is logged and each process has its own ids only. The reducer stays free of I/O: the lookup is made as the command is taken, the record as the effect is carried out. ClientHandle moved to a file of its own.

--- a/crates/node/src/clients/attributes.rs
+++ b/crates/node/src/clients/attributes.rs
@@ -38,6 +38,7 @@
         tenant: value_of("t"),
         time_left: Span::from_ms(time_left_ms).min(limits.longest_client_timeout),
         queueing_time: Span::ZERO,
+        sent_by_other_process: false,
         has_idempotency_key: value_of("k").is_some_and(|key| !key.is_empty()),
         is_client_retry: value_of("r") == Some("1"),
     })
--- a/crates/node/src/clients/attributes/tests.rs
+++ b/crates/node/src/clients/attributes/tests.rs
@@ -13,6 +13,7 @@
             tenant,
             time_left: remaining,
             queueing_time: Span::ZERO,
+            sent_by_other_process: false,
             has_idempotency_key: false,
             is_client_retry: true
         }
--- a/crates/node/src/clients/commands.rs
+++ b/crates/node/src/clients/commands.rs
@@ -10,6 +10,7 @@
 use crate::messages::{ClientId, Request, RequestAttributes};
 use crate::reducer::Reducer;
 use crate::resp::{self, encode_bulk_string, Parsed};
+use crate::shared_ids::SharedIds;
 
 use super::arrival_times::ArrivalTimes;
 use super::attributes::parse_attributes;
@@ -67,6 +68,29 @@
     EndOfInput,
 }
 
+/// What a command is checked against.
+struct DispatchContext<'a> {
+    limits: &'a Limits,
+    shared_ids: Option<&'a SharedIds>,
+}
+
+impl DispatchContext<'_> {
+    fn of(executor: &EffectExecutor) -> DispatchContext<'_> {
+        DispatchContext {
+            limits: &executor.limits,
+            shared_ids: executor.shared_ids.get(),
+        }
+    }
+
+    /// Whether the other process of an upgrade has sent a call that must not be executed twice.
+    fn was_sent(&self, reducer: &Reducer, call: &ApiCall) -> bool {
+        self.shared_ids.is_some_and(|ids| {
+            reducer.must_not_repeat(call.attributes.product)
+                && ids.sent_by_other_process(&call.request.id)
+        })
+    }
+}
+
 /// A parsed command and its arrival time.
 struct ReceivedCommand<'a> {
     words: &'a [&'a [u8]],
@@ -94,8 +118,9 @@
                     words: &words,
                     received_at,
                 };
+                let context = DispatchContext::of(executor);
                 executor.report(|reducer, now| {
-                    dispatch(reducer, now, id, &command, Bytes::copy_from_slice, limits)
+                    dispatch(reducer, now, id, &command, Bytes::copy_from_slice, &context)
                 });
                 buffer.consume(consumed);
             } else {
@@ -133,7 +158,8 @@
             received_at,
         };
         let slice = |value: &[u8]| bytes.slice_ref(value);
-        executor.report(|reducer, now| dispatch(reducer, now, id, &command, slice, limits));
+        let context = DispatchContext::of(executor);
+        executor.report(|reducer, now| dispatch(reducer, now, id, &command, slice, &context));
     }
 }
 
@@ -159,8 +185,9 @@
     id: ClientId,
     command: &ReceivedCommand,
     to_bytes: impl Fn(&[u8]) -> Bytes,
-    limits: &Limits,
+    context: &DispatchContext,
 ) {
+    let limits = context.limits;
     let (name, arguments) = match command.words.split_first() {
         Some((name, arguments)) => (name.to_ascii_uppercase(), arguments),
         None => (Vec::new(), &[][..]),
@@ -187,6 +214,7 @@
         Ok(call) => {
             let attributes = RequestAttributes {
                 queueing_time: command.received_at.map_or(Span::ZERO, |at| now - at),
+                sent_by_other_process: context.was_sent(reducer, &call),
                 ..call.attributes
             };
             reducer.on_call(now, id, call.request, attributes);
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 use crate::buffer::{readable, Readable};
-use crate::effects::ClientHandle;
+use crate::client_handle::ClientHandle;
 use crate::messages::Response;
 use crate::system::{peer_has_closed, unsent_bytes};
 use crate::upstreams::{Downstream, Upstream};
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -1,5 +1,5 @@
 //! Performs the reducer's effects on the sockets and reports socket events to the reducer.
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -7,41 +7,15 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
 
+use crate::client_handle::ClientHandle;
 use crate::clients::PartialCommands;
 use crate::clock::{unix_ms, Clock, WallClock};
 use crate::limits::Limits;
 use crate::memory_budget::MemoryBudget;
 use crate::messages::{ClientId, Effect, Request, Response, UpstreamId};
 use crate::reducer::{shrink, Reducer};
-use crate::upstreams::{self, Downstream, Protocol, Upstream, WriteResult};
-
-/// A client's connection, as the executor uses it.
-pub trait ClientHandle: Downstream {
-    /// Writes a response, or queues it behind others. Returns the counted size of all responses
-    /// that are now completely written. `upstream` carries the value of a streamed response.
-    fn send(&self, response: Response, upstream: Option<Rc<Upstream>>) -> usize;
-
-    /// Closes the connection once its responses are written and no bytes have arrived for
-    /// `quiet_period`.
-    fn close_after_quiet_period(&self, quiet_period: Span);
-
-    /// Closes the connection once its responses are written, even if the client sends more.
-    fn drain(&self);
-
-    /// Has the incomplete command evicted, as others wait for its memory, if nothing of its rest has
-    /// arrived.
-    fn request_eviction(&self);
-
-    /// Closes the connection without waiting for more late input, once its responses are delivered.
-    fn end_linger(&self);
-
-    /// Whether the sending side has been shut down, so that no command on it awaits a response.
-    fn is_write_closed(&self) -> bool;
-
-    /// Breaks off the streamed value: the client gets an error in its place, or, if a part of it is
-    /// written, the end of the connection behind that part. Returns whether the connection ends.
-    fn break_off_value(&self) -> bool;
-}
+use crate::shared_ids::SharedIds;
+use crate::upstreams::{self, Protocol, Upstream, WriteResult};
 
 /// State shared by all tasks of a node, which run on one thread.
 pub struct EffectExecutor {
@@ -65,6 +39,8 @@
     pub memory: Rc<MemoryBudget>,
     /// Incomplete commands of clients, which are evicted when there is no memory for others.
     pub partial_commands: RefCell<PartialCommands>,
+    /// Ids that this process shares with the other one of an upgrade.
+    pub shared_ids: OnceCell<SharedIds>,
     /// Scratch buffer for bytes that are read only to be discarded.
     pub discard_buffer: RefCell<Vec<u8>>,
 }
@@ -87,6 +63,7 @@
             discovery_updated: Notify::new(),
             memory,
             partial_commands: RefCell::default(),
+            shared_ids: OnceCell::new(),
             discard_buffer: RefCell::new(vec![0; discard_bytes]),
         })
     }
@@ -162,7 +139,13 @@
                 client,
                 request,
                 time_left: remaining,
-            } => self.write(upstream, client, &request, remaining),
+                must_not_repeat,
+            } => {
+                if must_not_repeat {
+                    self.record_shared_id(&request.id);
+                }
+                self.write(upstream, client, &request, remaining);
+            }
             Effect::CloseUpstream { upstream } => self.close_upstream(upstream),
             Effect::Respond { client, response } => self.respond(client, response),
             Effect::CloseClient {
@@ -228,6 +211,14 @@
         }
     }
 
+    /// Records the id of a call that is about to be sent, for the other process of an upgrade.
+    fn record_shared_id(&self, id: &str) {
+        let recorded = self.shared_ids.get().map(|ids| ids.insert(id));
+        if let Some(Err(error)) = recorded {
+            tracing::warn!(%error, "recording an id for the other process failed: {error}");
+        }
+    }
+
     /// Writes an attempt, unless its client has disconnected. The client may have done so since the
     /// reducer's decision, if the process has stalled in between.
     fn write(&self, id: UpstreamId, client: ClientId, request: &Request, time_left: Span) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempt_response;
 pub mod buffer;
 pub mod caches;
+pub mod client_handle;
 pub mod clients;
 pub mod clock;
 pub mod commands;
@@ -29,6 +30,7 @@
 pub mod reload;
 pub mod resp;
 pub mod service;
+pub mod shared_ids;
 pub mod shutdown;
 pub mod socket_activation;
 pub mod system;
@@ -50,6 +52,7 @@
 use effects::EffectExecutor;
 use peers::Peers;
 use reducer::Reducer;
+use shared_ids::SharedIds;
 
 /// Runs a node on this thread until SIGTERM or SIGINT, and then until all accepted API calls have
 /// their final response. SIGHUP reloads the configuration.
@@ -97,6 +100,9 @@
         return Ok(());
     };
     let listen = listener.local_addr()?;
+    if listener_is_shared {
+        share_ids(&executor, listen);
+    }
     let acceptor = Acceptor::start(executor.clone(), listener);
     report_listening(&config, &executor, listen);
     spawn_local(reload::run(
@@ -115,6 +121,16 @@
     Ok(())
 }
 
+/// Shares the ids of calls that must not be executed twice with the process before or after this one.
+fn share_ids(executor: &EffectExecutor, listen: SocketAddr) {
+    match SharedIds::open(listen, executor.limits.id_memory) {
+        Ok(shared_ids) => drop(executor.shared_ids.set(shared_ids)),
+        Err(error) => {
+            tracing::warn!(%error, "ids can't be shared with another process: {error}");
+        }
+    }
+}
+
 /// Starts the reducer with the endpoint list of the configuration, and its timer.
 fn start_reducer(config: &mut Config, clock: Clock) -> Rc<EffectExecutor> {
     let executor = EffectExecutor::new(Reducer::new(config), config.limits.clone(), clock);
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -35,6 +35,8 @@
         request: Rc<Request>,
         /// Remaining time of the attempt, as sent to the server.
         time_left: Span,
+        /// Whether the call must not be executed twice, and servers can't tell a repeat.
+        must_not_repeat: bool,
     },
     /// Close a connection to a server.
     CloseUpstream {
@@ -161,6 +163,8 @@
     pub queueing_time: Span,
     /// Whether the call has an idempotency key, by which servers recognize a repeated write.
     pub has_idempotency_key: bool,
+    /// Whether another process of the node has sent the call to a server.
+    pub sent_by_other_process: bool,
     /// Whether the call is a retry by the client.
     pub is_client_retry: bool,
 }
--- a/crates/node/src/reducer/attempts.rs
+++ b/crates/node/src/reducer/attempts.rs
@@ -15,6 +15,7 @@
     request: Rc<Request>,
     deadline: Time,
     write_by: Time,
+    must_not_repeat: bool,
 }
 
 /// Returns the outcome of a cancelled attempt.
@@ -103,6 +104,7 @@
             client: writable.client,
             request: writable.request,
             time_left: writable.deadline - written_at,
+            must_not_repeat: writable.must_not_repeat,
         });
     }
 
@@ -120,6 +122,7 @@
             request: call.request.clone(),
             deadline: record.deadline,
             write_by: record.write_by,
+            must_not_repeat: call.must_not_repeat,
         })
     }
 
--- a/crates/node/src/reducer/call_events.rs
+++ b/crates/node/src/reducer/call_events.rs
@@ -58,6 +58,12 @@
         self.report_attempt_events();
     }
 
+    /// Returns whether calls of a product must not be executed twice, and servers can't tell a repeat.
+    pub fn must_not_repeat(&self, product: Option<&str>) -> bool {
+        let product = self.products.get(index_of(&self.names.products, product));
+        product.is_some_and(|product| product.idempotency == Idempotency::NonIdempotent)
+    }
+
     /// Returns the error text for a call that no server could use, or that a server would take for
     /// another API call; `None` if the call is valid.
     fn invalid_call(
@@ -76,7 +82,9 @@
             return Some("an API call with this id is open");
         }
         let must_not_repeat = product.idempotency == Idempotency::NonIdempotent;
-        if must_not_repeat && self.state.sent_ids.contains(&request.id, self.state.now) {
+        let was_sent = attributes.sent_by_other_process
+            || must_not_repeat && self.state.sent_ids.contains(&request.id, self.state.now);
+        if must_not_repeat && was_sent {
             return Some("an API call with this id may have been executed");
         }
         None
--- a/crates/node/src/system.rs
+++ b/crates/node/src/system.rs
@@ -98,6 +98,20 @@
     }
 }
 
+/// Returns the time of the system's monotonic clock in milliseconds, which is the same for all processes.
+#[allow(unsafe_code)]
+pub fn monotonic_ms() -> u64 {
+    let mut time = libc::timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    // SAFETY: the system writes the structure, which outlives the call.
+    unsafe { libc::clock_gettime(libc::CLOCK_MONOTONIC, &mut time) };
+    const MS_PER_S: u64 = 1_000;
+    const NS_PER_MS: u64 = 1_000_000;
+    time.tv_sec as u64 * MS_PER_S + time.tv_nsec as u64 / NS_PER_MS
+}
+
 /// Resets a connection at once: what the system has not sent of it is discarded. Returns whether the
 /// system has done so.
 #[allow(unsafe_code)]
